Lay out the packages, message types and the error table

Cause: the parts are built side by side, so their packages and the typed messages between them have to be agreed first. Conclusion: the other parts can start.

--- /dev/null
+++ b/banyantiller/bundle/__init__.py
@@ -0,0 +1,1 @@
+"""Bundles: options, canonical parts, manifests and signatures."""
--- /dev/null
+++ b/banyantiller/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims of idempotency keys in the object API."""
--- /dev/null
+++ b/banyantiller/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The subcommands of the command-line tool."""
--- /dev/null
+++ b/banyantiller/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings: typed options, loading and validation."""
--- /dev/null
+++ b/banyantiller/config/options.py
@@ -0,0 +1,33 @@
+"""How an option is declared: a typed field with a description and bounds.
+
+Settings and bundles are `NamedTuple` types whose fields carry an `Option`
+in an `Annotated` type. The declaration is the only one: loading, validation,
+defaults and the reference pages all read it.
+"""
+
+from typing import NamedTuple
+
+
+class Option(NamedTuple):
+    """What is said about one field.
+
+    Attributes:
+        doc: One sentence for the reference page.
+        unit: Unit of the value, or empty.
+        low: Least allowed number, or None.
+        high: Greatest allowed number, or None.
+        pattern: Regular expression that the whole text must match, or empty.
+        choices: Allowed texts, or empty for any.
+        check: Named check from `banyantiller.config.checks`, such as
+            "ip_address" or "port", or empty.
+        most: Longest list or mapping, or None.
+    """
+
+    doc: str
+    unit: str = ""
+    low: float | None = None
+    high: float | None = None
+    pattern: str = ""
+    choices: tuple[str, ...] = ()
+    check: str = ""
+    most: int | None = None
--- /dev/null
+++ b/banyantiller/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: assembly of the parts and its life cycle."""
--- /dev/null
+++ b/banyantiller/errors.py
@@ -0,0 +1,177 @@
+"""The closed list of error kinds and the answer that each one gets.
+
+Every failure that a caller can see is one `ErrorKind`. `ANSWERS` maps each
+kind to its status code, its `Proxy-Status` error type (RFC 9209), whether
+the request was run, and whether the caller may send it again.
+"""
+
+import dataclasses
+import enum
+from typing import NamedTuple
+
+
+class Ran(enum.StrEnum):
+    """Whether a backend server executed the request."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+    YES = "yes"
+
+
+class ErrorKind(enum.StrEnum):
+    """Every kind of failure that the daemon reports to a caller."""
+
+    MALFORMED_REQUEST = "malformed_request"
+    HEAD_TOO_LARGE = "head_too_large"
+    AMBIGUOUS_LENGTH = "ambiguous_length"
+    BODY_TOO_LARGE = "body_too_large"
+    BODY_MALFORMED = "body_malformed"
+    HEAD_TIMEOUT = "head_timeout"
+    BODY_TIMEOUT = "body_timeout"
+    CALLER_GONE = "caller_gone"
+    EXPECTATION_UNSUPPORTED = "expectation_unsupported"
+    METHOD_UNSUPPORTED = "method_unsupported"
+    UNKNOWN_SERVICE = "unknown_service"
+    NO_BUNDLE = "no_bundle"
+    FENCED = "fenced"
+    DRAINING = "draining"
+    QUEUE_FULL = "queue_full"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    DEADLINE_BEFORE_START = "deadline_before_start"
+    DEADLINE_AFTER_START = "deadline_after_start"
+    NO_SERVER = "no_server"
+    CONNECT_FAILED = "connect_failed"
+    CONNECT_TIMEOUT = "connect_timeout"
+    TLS_FAILED = "tls_failed"
+    BACKEND_SHED = "backend_shed"
+    CONNECTION_LOST = "connection_lost"
+    BACKEND_MALFORMED = "backend_malformed"
+    BACKEND_INCOMPLETE = "backend_incomplete"
+    BACKEND_HEAD_TOO_LARGE = "backend_head_too_large"
+    BACKEND_TIMEOUT = "backend_timeout"
+    KEY_MISSING = "key_missing"
+    KEY_MALFORMED = "key_malformed"
+    KEY_REUSED = "key_reused"
+    KEY_IN_PROGRESS = "key_in_progress"
+    KEY_ALREADY_RUN = "key_already_run"
+    KEY_OUTCOME_UNKNOWN = "key_outcome_unknown"
+    CLAIM_UNAVAILABLE = "claim_unavailable"
+    INTERNAL = "internal"
+
+
+class Answer(NamedTuple):
+    """What a caller is told about one kind of failure.
+
+    Attributes:
+        status: HTTP status code.
+        proxy_error: Error type of `Proxy-Status`, from RFC 9209 section 2.3.
+        ran: Whether the request was executed by a backend server.
+        retry: Whether the caller may send the same request again.
+    """
+
+    status: int
+    proxy_error: str
+    ran: Ran
+    retry: bool
+
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.MALFORMED_REQUEST: Answer(
+        400, "http_request_error", Ran.NO, False
+    ),
+    ErrorKind.HEAD_TOO_LARGE: Answer(431, "http_request_error", Ran.NO, False),
+    ErrorKind.AMBIGUOUS_LENGTH: Answer(
+        400, "http_request_error", Ran.NO, False
+    ),
+    ErrorKind.BODY_TOO_LARGE: Answer(413, "http_request_error", Ran.NO, False),
+    ErrorKind.BODY_MALFORMED: Answer(
+        400, "http_request_error", Ran.UNKNOWN, False
+    ),
+    ErrorKind.HEAD_TIMEOUT: Answer(408, "http_request_error", Ran.NO, True),
+    ErrorKind.BODY_TIMEOUT: Answer(
+        408, "http_request_error", Ran.UNKNOWN, False
+    ),
+    ErrorKind.CALLER_GONE: Answer(
+        499, "connection_terminated", Ran.UNKNOWN, False
+    ),
+    ErrorKind.EXPECTATION_UNSUPPORTED: Answer(
+        417, "http_request_error", Ran.NO, False
+    ),
+    ErrorKind.METHOD_UNSUPPORTED: Answer(
+        501, "http_request_error", Ran.NO, False
+    ),
+    ErrorKind.UNKNOWN_SERVICE: Answer(
+        404, "destination_not_found", Ran.NO, False
+    ),
+    ErrorKind.NO_BUNDLE: Answer(503, "proxy_configuration_error", Ran.NO, True),
+    ErrorKind.FENCED: Answer(503, "proxy_configuration_error", Ran.NO, True),
+    ErrorKind.DRAINING: Answer(503, "proxy_internal_response", Ran.NO, True),
+    ErrorKind.QUEUE_FULL: Answer(503, "connection_limit_reached", Ran.NO, True),
+    ErrorKind.DEADLINE_UNREACHABLE: Answer(
+        503, "connection_limit_reached", Ran.NO, True
+    ),
+    ErrorKind.DEADLINE_BEFORE_START: Answer(
+        504, "connection_limit_reached", Ran.NO, True
+    ),
+    ErrorKind.DEADLINE_AFTER_START: Answer(
+        504, "http_response_timeout", Ran.UNKNOWN, False
+    ),
+    ErrorKind.NO_SERVER: Answer(503, "destination_unavailable", Ran.NO, True),
+    ErrorKind.CONNECT_FAILED: Answer(502, "connection_refused", Ran.NO, True),
+    ErrorKind.CONNECT_TIMEOUT: Answer(504, "connection_timeout", Ran.NO, True),
+    ErrorKind.TLS_FAILED: Answer(502, "tls_protocol_error", Ran.NO, True),
+    ErrorKind.BACKEND_SHED: Answer(
+        503, "destination_unavailable", Ran.NO, True
+    ),
+    ErrorKind.CONNECTION_LOST: Answer(
+        502, "connection_terminated", Ran.UNKNOWN, False
+    ),
+    ErrorKind.BACKEND_MALFORMED: Answer(
+        502, "http_protocol_error", Ran.UNKNOWN, False
+    ),
+    ErrorKind.BACKEND_INCOMPLETE: Answer(
+        502, "http_response_incomplete", Ran.UNKNOWN, False
+    ),
+    ErrorKind.BACKEND_HEAD_TOO_LARGE: Answer(
+        502, "http_response_header_section_size", Ran.UNKNOWN, False
+    ),
+    ErrorKind.BACKEND_TIMEOUT: Answer(
+        504, "http_response_timeout", Ran.UNKNOWN, False
+    ),
+    ErrorKind.KEY_MISSING: Answer(400, "http_request_denied", Ran.NO, False),
+    ErrorKind.KEY_MALFORMED: Answer(400, "http_request_denied", Ran.NO, False),
+    ErrorKind.KEY_REUSED: Answer(422, "http_request_denied", Ran.NO, False),
+    ErrorKind.KEY_IN_PROGRESS: Answer(
+        409, "http_request_denied", Ran.UNKNOWN, True
+    ),
+    ErrorKind.KEY_ALREADY_RUN: Answer(
+        409, "http_request_denied", Ran.YES, False
+    ),
+    ErrorKind.KEY_OUTCOME_UNKNOWN: Answer(
+        409, "http_request_denied", Ran.UNKNOWN, False
+    ),
+    ErrorKind.CLAIM_UNAVAILABLE: Answer(
+        503, "proxy_internal_error", Ran.NO, True
+    ),
+    ErrorKind.INTERNAL: Answer(500, "proxy_internal_error", Ran.UNKNOWN, False),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """The outcome of a call that gets no backend answer.
+
+    Attributes:
+        kind: Which failure it was.
+        detail: One sentence for the caller and the log, without secrets.
+        retry_after: Seconds after which a retry makes sense, or None.
+    """
+
+    kind: ErrorKind
+    detail: str = ""
+    retry_after: float | None = None
+
+    @property
+    def answer(self) -> Answer:
+        """The row of the answer table for this kind."""
+        return ANSWERS[self.kind]
--- /dev/null
+++ b/banyantiller/evidence/__init__.py
@@ -0,0 +1,1 @@
+"""Evidence of what held, and the audit trail."""
--- /dev/null
+++ b/banyantiller/exceptions.py
@@ -0,0 +1,45 @@
+"""Exceptions whose messages are meant for the user.
+
+The command line prints the message of a `BanyantillerError` without a
+traceback and exits with its `exit_code`.
+"""
+
+
+class BanyantillerError(Exception):
+    """Base of every error that is shown to the user.
+
+    Attributes:
+        exit_code: Exit status of the command line for this error.
+    """
+
+    exit_code = 1
+
+
+class ConfigError(BanyantillerError):
+    """Settings or a bundle are not valid."""
+
+    exit_code = 2
+
+
+class SignatureError(BanyantillerError):
+    """A bundle is unsigned, wrongly signed, or signed by its proposer."""
+
+    exit_code = 3
+
+
+class ConflictError(BanyantillerError):
+    """Another operator's change was accepted first."""
+
+    exit_code = 4
+
+
+class StoreError(BanyantillerError):
+    """The object API gave no usable answer."""
+
+    exit_code = 5
+
+
+class PluginError(BanyantillerError):
+    """A plug-in is missing, or two have the same name."""
+
+    exit_code = 6
--- /dev/null
+++ b/banyantiller/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 over asyncio streams with h11, for both sides."""
--- /dev/null
+++ b/banyantiller/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""The kernel: supervised tasks, mailboxes and named events."""
--- /dev/null
+++ b/banyantiller/measuring/__init__.py
@@ -0,0 +1,1 @@
+"""The budget for probes, shared by the whole fleet."""
--- /dev/null
+++ b/banyantiller/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Daemons that know of each other, and their messages."""
--- /dev/null
+++ b/banyantiller/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The data path between callers and backend servers."""
--- /dev/null
+++ b/banyantiller/replica/__init__.py
@@ -0,0 +1,1 @@
+"""The accepted bundle that a daemon holds."""
--- /dev/null
+++ b/banyantiller/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing decisions: pure functions and state without sockets."""
--- /dev/null
+++ b/banyantiller/store/__init__.py
@@ -0,0 +1,1 @@
+"""The object API: one narrow interface and its adapters."""
--- /dev/null
+++ b/banyantiller/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and the admin listener."""
--- /dev/null
+++ b/banyantiller/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, laid out like the package."""
--- /dev/null
+++ b/banyantiller/tests/kernel/test_core.py
@@ -0,0 +1,60 @@
+"""Tests of the kernel's tasks and events."""
+
+import asyncio
+
+from banyantiller.kernel import core, events, mailbox
+from banyantiller.tests import base
+
+
+class KernelTest(base.TestCase):
+    def test_failing_task_is_restarted_with_back_off(self) -> None:
+        starts: list[float] = []
+
+        async def body() -> None:
+            starts.append(asyncio.get_running_loop().time())
+            if len(starts) < 3:
+                raise OSError("refused")
+
+        async def scenario() -> None:
+            kernel = core.Kernel(seed=1)
+            kernel.start("reader", body)
+            await kernel.tasks["reader"]
+            self.assertEqual(2, kernel.failures["reader"])
+
+        self.run_paused(scenario())
+        self.assertEqual(3, len(starts))
+        self.assertTrue(starts[2] - starts[1] > starts[1] - starts[0])
+
+    def test_stop_cancels_and_forgets_tasks(self) -> None:
+        async def scenario() -> None:
+            kernel = core.Kernel()
+            kernel.start("sleeper", lambda: asyncio.sleep(1000))
+            await kernel.stop()
+            await asyncio.sleep(0)
+            self.assertEqual({}, kernel.tasks)
+
+        self.run_paused(scenario())
+
+    def test_failing_handler_does_not_stop_the_others(self) -> None:
+        seen: list[events.DaemonDraining] = []
+        kernel = core.Kernel()
+
+        def failing(event: events.DaemonDraining) -> None:
+            raise ValueError("broken handler")
+
+        kernel.subscribe(events.DaemonDraining, failing)
+        kernel.subscribe(events.DaemonDraining, seen.append)
+        kernel.emit(events.DaemonDraining(1.0))
+        self.assertEqual([events.DaemonDraining(1.0)], seen)
+
+
+class MailboxTest(base.TestCase):
+    def test_full_mailbox_refuses_and_counts(self) -> None:
+        async def scenario() -> None:
+            box: mailbox.Mailbox[int] = mailbox.Mailbox(1)
+            self.assertTrue(box.post(1))
+            self.assertFalse(box.post(2))
+            self.assertEqual(1, box.dropped)
+            self.assertEqual(1, await box.get())
+
+        self.run_paused(scenario())
--- /dev/null
+++ b/banyantiller/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers that no single part owns."""
--- /dev/null
+++ b/banyantiller/vmlist/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's VM list: one narrow interface and its adapters."""
--- /dev/null
+++ b/banyantiller/vmlist/interface.py
@@ -0,0 +1,55 @@
+"""The narrow interface to the platform's list of live and leaving VMs."""
+
+import dataclasses
+import enum
+from typing import NamedTuple, Protocol
+
+
+class VmState(enum.StrEnum):
+    """State of a VM as the platform tells it; it may lag."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class Vm(NamedTuple):
+    """One VM.
+
+    Attributes:
+        name: Name of the VM.
+        address: IP number.
+        zone: Availability zone.
+        state: Live or leaving.
+        role: "balancer" or "backend".
+    """
+
+    name: str
+    address: str
+    zone: str
+    state: VmState
+    role: str = "backend"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VmsListed:
+    """The list, which may be stale, and the platform's time for it."""
+
+    vms: tuple[Vm, ...]
+    as_of: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VmListUnavailable:
+    """The list could not be read."""
+
+    reason: str
+
+
+class VmList(Protocol):
+    """What an adapter of a VM list provides."""
+
+    async def read(self) -> VmsListed | VmListUnavailable:
+        """Reads the present list."""
+
+    async def close(self) -> None:
+        """Closes all connections."""
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches: each module is run as `python -m bench.NAME`."""
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the core protocols, checked exhaustively."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, started as plain processes."""
