--- a/banyantiller/routing/types.py
+++ b/banyantiller/routing/types.py
@@ -138,9 +138,10 @@
     """What a routing plug-in provides for each service.
 
     A plug-in's factory is called as
-    `factory(service, servers, daemon, zone, seed, now)` with the service's
-    options, its servers, the daemon's name and zone, a seed for its random
-    choices and the loop's time.
+    `factory(service, servers, daemon, zone, seed, now, charge)` with the
+    service's options, its servers, the daemon's name and zone, a seed for its
+    random choices, the loop's time, and `charge(now) -> bool`, which takes one
+    probe out of the measuring budget and tells whether there was one left.
     """
 
     def configure(
