Add logs, metrics and the admin pages

Cause: operators need health, readiness, metrics and state of a daemon, and recording through the metrics library costs too much on the data path. Change: structlog set-up; OpenTelemetry instruments that read plain tallies when they are asked for; pages /healthz, /readyz, /metrics and /status. Measured (100,000 calls in one process, single runs): histogram 15.1 us and counter 12.8 us a call through the library; HDR histogram 2.0 us a call. Conclusion: the hot path fills tallies; the library only reads them.

--- /dev/null
+++ b/banyantiller/telemetry/metrics.py
@@ -0,0 +1,129 @@
+"""OpenTelemetry metrics, read from the parts when they are asked for."""
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+import prometheus_client
+from opentelemetry import metrics as api
+from opentelemetry.exporter import prometheus
+from opentelemetry.sdk import metrics as sdk
+
+from banyantiller.telemetry import tallies
+
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+MICROSECONDS = 1e6
+
+
+class Reading(NamedTuple):
+    """One value of an instrument.
+
+    Attributes:
+        value: The number.
+        labels: Labels of the value.
+    """
+
+    value: float
+    labels: dict[str, str] = {}  # noqa: RUF012
+
+
+Reader = Callable[[], Iterable[Reading]]
+
+
+class Metrics:
+    """The instruments of one daemon and their text exposition."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        reader = prometheus.PrometheusMetricReader(
+            disable_target_info=True,
+            scope_info_enabled=False,
+            registry=self.registry,
+        )
+        self.provider = sdk.MeterProvider(metric_readers=[reader])
+        self.meter = self.provider.get_meter("banyantiller")
+
+    def counter(self, name: str, unit: str, doc: str, read: Reader) -> None:
+        """Adds a counter whose values `read` returns."""
+        self.meter.create_observable_counter(
+            name, callbacks=[_callback(read)], unit=unit, description=doc
+        )
+
+    def gauge(self, name: str, unit: str, doc: str, read: Reader) -> None:
+        """Adds a gauge whose values `read` returns."""
+        self.meter.create_observable_gauge(
+            name, callbacks=[_callback(read)], unit=unit, description=doc
+        )
+
+    def exposition(self) -> bytes:
+        """Returns all values as text, one a line."""
+        return prometheus_client.generate_latest(self.registry)
+
+    def close(self) -> None:
+        """Ends the provider."""
+        self.provider.shutdown()
+
+
+def add_calls(metrics: Metrics, counts: tallies.CallTallies) -> None:
+    """Adds the instruments of the data path."""
+    metrics.counter(
+        "banyantiller_calls",
+        "",
+        "Finished calls by service and status.",
+        lambda: [
+            Reading(count, {"service": service, "status": str(status)})
+            for (service, status), count in counts.calls.items()
+        ],
+    )
+    metrics.counter(
+        "banyantiller_errors",
+        "",
+        "Calls that ended in an error, by kind.",
+        lambda: [
+            Reading(count, {"service": service, "kind": kind})
+            for (service, kind), count in counts.errors.items()
+        ],
+    )
+    metrics.counter(
+        "banyantiller_attempts",
+        "",
+        "Tries at backend servers.",
+        lambda: [
+            Reading(count, {"service": service})
+            for service, count in counts.attempts.items()
+        ],
+    )
+    metrics.counter(
+        "banyantiller_cut",
+        "",
+        "Relayed answers that ended early.",
+        lambda: [
+            Reading(count, {"service": service})
+            for service, count in counts.cut.items()
+        ],
+    )
+    metrics.gauge(
+        "banyantiller_latency_seconds",
+        "",
+        "Quantiles of the time from a request's head to its answer's end.",
+        lambda: _quantiles(counts),
+    )
+
+
+def _quantiles(counts: tallies.CallTallies) -> list[Reading]:
+    return [
+        Reading(
+            latency.get_value_at_percentile(percent) / MICROSECONDS,
+            {"service": service, "quantile": f"{percent / 100:g}"},
+        )
+        for service, latency in counts.latency_us.items()
+        for percent in QUANTILES
+    ]
+
+
+def _callback(
+    read: Reader,
+) -> Callable[[api.CallbackOptions], list[api.Observation]]:
+    def observe(_: api.CallbackOptions) -> list[api.Observation]:
+        return [api.Observation(item.value, item.labels) for item in read()]
+
+    return observe
--- /dev/null
+++ b/banyantiller/telemetry/tallies.py
@@ -0,0 +1,58 @@
+"""Plain counters of calls, filled on the hot path and read by metrics.
+
+Recording through the metrics library costs about 28 microseconds a call
+for one counter and one histogram; a dictionary and an HDR histogram cost
+about 3. The library reads these tallies when metrics are asked for.
+"""
+
+import collections
+
+from hdrh import histogram
+
+from banyantiller.kernel import events
+
+LEAST_US = 1
+MOST_US = 600_000_000
+DIGITS = 2
+
+
+class CallTallies:
+    """Counts of finished calls by service and outcome.
+
+    Attributes:
+        calls: Calls by service and status code.
+        errors: Failed calls by service and error kind.
+        cut: Relayed answers that ended early, by service.
+        attempts: Backend tries by service.
+        latency_us: Time from head to end of answer, by service, in
+            microseconds.
+    """
+
+    def __init__(self) -> None:
+        self.calls: collections.Counter[tuple[str, int]] = collections.Counter()
+        self.errors: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self.cut: collections.Counter[str] = collections.Counter()
+        self.attempts: collections.Counter[str] = collections.Counter()
+        self.latency_us: dict[str, histogram.HdrHistogram] = {}
+
+    def record(self, event: events.CallFinished) -> None:
+        """Counts one finished call."""
+        service = event.service
+        self.calls[service, event.status] += 1
+        self.attempts[service] += event.attempts
+        if event.error is not None:
+            self.errors[service, event.error.value] += 1
+        if event.cut:
+            self.cut[service] += 1
+        self._latency(service).record_value(
+            max(LEAST_US, int(event.duration_s * 1e6))
+        )
+
+    def _latency(self, service: str) -> histogram.HdrHistogram:
+        found = self.latency_us.get(service)
+        if found is None:
+            found = histogram.HdrHistogram(LEAST_US, MOST_US, DIGITS)
+            self.latency_us[service] = found
+        return found
--- /dev/null
+++ b/banyantiller/tests/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of logs, metrics and the admin listener."""
--- /dev/null
+++ b/banyantiller/tests/telemetry/test_metrics.py
@@ -0,0 +1,89 @@
+"""Tests of tallies, metrics and the admin pages."""
+
+import io
+import json
+
+import structlog
+
+from banyantiller.config import defaults
+from banyantiller.errors import ErrorKind
+from banyantiller.kernel import events
+from banyantiller.telemetry import admin, logs, metrics, tallies
+from banyantiller.tests import base
+
+
+def finished(**changes: object) -> events.CallFinished:
+    event = events.CallFinished(
+        request_id="r1",
+        service="orders",
+        idempotent=True,
+        key="",
+        server="s1",
+        status=200,
+        error=None,
+        attempts=1,
+        cut=False,
+        duration_s=0.002,
+        bundle=3,
+    )
+    return event._replace(**changes)
+
+
+class ExpositionTest(base.TestCase):
+    def test_shows_calls_errors_and_quantiles(self) -> None:
+        counts = tallies.CallTallies()
+        instruments = metrics.Metrics()
+        self.addCleanup(instruments.close)
+        metrics.add_calls(instruments, counts)
+        counts.record(finished())
+        counts.record(finished(status=503, error=ErrorKind.QUEUE_FULL))
+        text = instruments.exposition().decode()
+        self.assertIn(
+            'banyantiller_calls_total{service="orders",status="200"} 1.0', text
+        )
+        self.assertIn('kind="queue_full"', text)
+        self.assertIn('quantile="0.99"', text)
+
+
+class AdminTest(base.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.state = admin.Readiness(False, "no bundle is in force")
+        instruments = metrics.Metrics()
+        self.addCleanup(instruments.close)
+        self.admin = admin.Admin(
+            lambda: self.state, lambda: {"bundle": 4}, instruments
+        )
+
+    def test_health_and_readiness_are_apart(self) -> None:
+        self.assertEqual(200, self.admin.answer("GET", "/healthz").status)
+        page = self.admin.answer("GET", "/readyz")
+        self.assertEqual(503, page.status)
+        self.assertIn(b"no bundle", page.body)
+        self.state = admin.Readiness(True)
+        self.assertEqual(200, self.admin.answer("GET", "/readyz").status)
+
+    def test_status_is_json_and_unknown_paths_name_the_known(self) -> None:
+        page = self.admin.answer("GET", "/status?verbose")
+        self.assertEqual({"bundle": 4}, json.loads(page.body))
+        page = self.admin.answer("GET", "/other")
+        self.assertEqual(404, page.status)
+        self.assertIn(b"/metrics", page.body)
+
+    def test_only_reading_methods_are_answered(self) -> None:
+        self.assertEqual(405, self.admin.answer("POST", "/status").status)
+
+
+class LogsTest(base.TestCase):
+    def test_lines_are_json_with_bound_fields_and_level(self) -> None:
+        self.addCleanup(structlog.reset_defaults)
+        out = io.StringIO()
+        logs.configure(defaults.LogSettings(level="info"), out, daemon="d1")
+        log = structlog.get_logger("banyantiller.test")
+        log.debug("test: hidden.")
+        log.info("test: shown.", count=2)
+        lines = [json.loads(line) for line in out.getvalue().splitlines()]
+        self.assertEqual(1, len(lines))
+        self.assertEqual("test: shown.", lines[0]["event"])
+        self.assertEqual("d1", lines[0]["daemon"])
+        self.assertEqual(2, lines[0]["count"])
