--- /dev/null
+++ b/banyantiller/store/table.py
@@ -0,0 +1,216 @@
+"""A table of versioned objects in memory, with a history for watches.
+
+It is the state behind `MemoryStore` and behind the object-API stand-in. It
+has no faults and no waiting of its own beyond waking watchers.
+"""
+
+import asyncio
+import collections
+import json
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from banyantiller.store import interface
+
+HISTORY = 4096
+
+View = Mapping[tuple[str, str], "Record"]
+
+
+class Record(NamedTuple):
+    """One object at rest.
+
+    Attributes:
+        version: Revision of the last write.
+        data: JSON of the value.
+        labels: Labels as sorted pairs.
+    """
+
+    version: int
+    data: bytes
+    labels: tuple[tuple[str, str], ...]
+
+
+class HistoryEntry(NamedTuple):
+    """One write, for watches.
+
+    Attributes:
+        revision: Revision that the write made.
+        event: What a watch of `event.item.kind` delivers.
+        created: Whether the object did not exist before.
+    """
+
+    revision: int
+    event: interface.Changed | interface.Deleted
+    created: bool
+
+
+class ObjectTable:
+    """Objects by kind and name; each write raises one common revision.
+
+    Attributes:
+        revision: Revision of the last write.
+        records: Objects by kind and name.
+        history: Latest writes, oldest first.
+        oldest: A watch has to start at this revision or later.
+    """
+
+    def __init__(self, history: int = HISTORY, revision: int = 1) -> None:
+        self.revision = revision
+        self.oldest = revision
+        self.records: dict[tuple[str, str], Record] = {}
+        self.history: collections.deque[HistoryEntry] = collections.deque()
+        self.longest = history
+        self.waiters: set[asyncio.Future[None]] = set()
+
+    def snapshot(self) -> View:
+        """Copies the present objects, to serve stale reads from."""
+        return dict(self.records)
+
+    def get(
+        self, kind: str, name: str, view: View | None = None
+    ) -> interface.Found | interface.Missing:
+        """Reads one object from the table or from an older view of it."""
+        record = (self.records if view is None else view).get((kind, name))
+        if record is None:
+            return interface.Missing()
+        return interface.Found(to_item(kind, name, record))
+
+    def list(
+        self,
+        kind: str,
+        labels: dict[str, str] | None = None,
+        view: View | None = None,
+    ) -> interface.Listed:
+        """Reads the objects of a kind that carry all the labels, by name."""
+        records = self.records if view is None else view
+        wanted = set((labels or {}).items())
+        items = tuple(
+            to_item(kind, name, record)
+            for (its_kind, name), record in sorted(records.items())
+            if its_kind == kind and wanted <= set(record.labels)
+        )
+        revision = self.revision
+        if view is not None:
+            revision = max((r.version for r in view.values()), default=1)
+        return interface.Listed(items, str(revision))
+
+    def create(
+        self,
+        kind: str,
+        name: str,
+        value: dict[str, Any],
+        labels: dict[str, str] | None = None,
+    ) -> interface.Found | interface.Conflict | interface.Unavailable:
+        """Writes a new object."""
+        if (kind, name) in self.records:
+            return interface.Conflict()
+        return self._write(kind, name, value, labels or {}, created=True)
+
+    def update(
+        self, item: interface.StoredObject, value: dict[str, Any]
+    ) -> interface.UpdateOutcome:
+        """Replaces the value of an object that still has `item.version`."""
+        record = self.records.get((item.kind, item.name))
+        if record is None:
+            return interface.Missing()
+        if str(record.version) != item.version:
+            return interface.Conflict()
+        return self._write(
+            item.kind, item.name, value, item.labels, created=False
+        )
+
+    def delete(self, item: interface.StoredObject) -> interface.DeleteOutcome:
+        """Deletes an object that still has `item.version`."""
+        record = self.records.get((item.kind, item.name))
+        if record is None:
+            return interface.Missing()
+        if str(record.version) != item.version:
+            return interface.Conflict()
+        del self.records[item.kind, item.name]
+        self.revision += 1
+        last = to_item(
+            item.kind, item.name, record._replace(version=self.revision)
+        )
+        self._remember(interface.Deleted(last), created=False)
+        return interface.Found(last)
+
+    def since(
+        self, kind: str, revision: int
+    ) -> tuple[HistoryEntry, ...] | None:
+        """Returns the writes to a kind after a revision.
+
+        Returns:
+            None if the history doesn't reach back that far, or the revision
+            has not been made yet.
+        """
+        if revision < self.oldest or revision > self.revision:
+            return None
+        return tuple(
+            entry
+            for entry in self.history
+            if entry.revision > revision and entry.event.item.kind == kind
+        )
+
+    def compact(self) -> None:
+        """Forgets the history, so that older watches get `Gone`."""
+        self.history.clear()
+        self.oldest = self.revision
+
+    async def wait(self, timeout_s: float) -> None:
+        """Waits for the next write, at most the given time."""
+        future = asyncio.get_running_loop().create_future()
+        self.waiters.add(future)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await future
+        except TimeoutError:
+            pass
+        finally:
+            self.waiters.discard(future)
+
+    def wake(self) -> None:
+        """Ends every `wait`."""
+        for future in self.waiters:
+            if not future.done():
+                future.set_result(None)
+
+    def _write(
+        self,
+        kind: str,
+        name: str,
+        value: dict[str, Any],
+        labels: dict[str, str],
+        created: bool,
+    ) -> interface.Found | interface.Unavailable:
+        data = json.dumps(value, separators=(",", ":")).encode()
+        if len(data) > interface.MAX_VALUE_BYTES:
+            return interface.Unavailable(
+                f"a value of {len(data)} bytes is over the limit of"
+                f" {interface.MAX_VALUE_BYTES}"
+            )
+        self.revision += 1
+        record = Record(self.revision, data, tuple(sorted(labels.items())))
+        self.records[kind, name] = record
+        item = to_item(kind, name, record)
+        self._remember(interface.Changed(item), created)
+        return interface.Found(to_item(kind, name, record))
+
+    def _remember(
+        self, event: interface.Changed | interface.Deleted, created: bool
+    ) -> None:
+        self.history.append(HistoryEntry(self.revision, event, created))
+        while len(self.history) > self.longest:
+            self.oldest = self.history.popleft().revision
+        self.wake()
+
+
+def to_item(kind: str, name: str, record: Record) -> interface.StoredObject:
+    """Builds a fresh object, so that no two readers share a value."""
+    return interface.StoredObject(
+        kind,
+        name,
+        str(record.version),
+        json.loads(record.data),
+        dict(record.labels),
+    )
