Add a small HTTP client and server for control traffic

The store adapter, the VM list, the admin listener and the stand-ins need HTTP with bounds and without a framework. The client tells whether a byte of the request was written, opens a new connection when the pooled one has not answered within a second, and never takes unasked bytes for an answer. The server cancels a handler whose caller left, and ends gracefully.

--- /dev/null
+++ b/banyantiller/http/client.py
@@ -0,0 +1,219 @@
+"""A small HTTP client for one endpoint, with a pool of connections."""
+
+import asyncio
+import dataclasses
+import ssl
+
+from banyantiller.http import connection, messages, outcomes
+
+IO_ERRORS = (OSError, connection.ConnectionLostError)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stream:
+    """An answer whose body is read bit by bit.
+
+    Attributes:
+        response: Head of the answer.
+        link: Connection that carries it.
+    """
+
+    response: messages.Response
+    link: connection.ClientConnection
+
+    async def read(self) -> bytes:
+        """Reads a part of the body; empty at its end.
+
+        Raises:
+            ConnectionLostError: The connection closed or sent no HTTP.
+        """
+        return await self.link.read_chunk()
+
+    def close(self) -> None:
+        """Gives the answer up and closes its connection."""
+        self.link.close()
+
+
+class HttpClient:
+    """Sends requests to one endpoint.
+
+    Attributes:
+        idle: Open connections without a request, latest used last.
+        slots: Free slots for requests.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        limits: messages.Limits = messages.Limits(),  # noqa: B008
+        tls: ssl.SSLContext | None = None,
+        server_name: str = "",
+    ) -> None:
+        self.address = address
+        self.port = port
+        self.limits = limits
+        self.tls = tls
+        self.server_name = server_name
+        self.idle: list[connection.ClientConnection] = []
+        self.slots = asyncio.Semaphore(limits.connections)
+
+    async def request(
+        self,
+        method: str,
+        target: str,
+        timeout_s: float,
+        headers: messages.Headers = (),
+        body: bytes = b"",
+        fresh: bool = False,
+    ) -> outcomes.Outcome:
+        """Sends a request and reads the whole answer.
+
+        Args:
+            method: HTTP method.
+            target: Path and query.
+            timeout_s: Longest time for all of it.
+            headers: Headers besides `Host` and `Content-Length`.
+            body: Body, or empty for none.
+            fresh: Whether a new connection is opened in any case.
+        """
+        request = self._build(method, target, headers, body)
+        exchange = Exchange()
+        try:
+            async with asyncio.timeout(timeout_s), self.slots:
+                return await self._exchange(request, exchange, fresh)
+        except TimeoutError:
+            self._drop_idle()
+            return exchange.failed(f"no whole answer within {timeout_s:g} s")
+        except IO_ERRORS as error:
+            return exchange.failed(str(error) or type(error).__name__)
+        except connection.BodyTooLargeError as error:
+            return outcomes.Lost(str(error), exchange.reused, too_large=True)
+        finally:
+            exchange.drop()
+
+    async def stream(
+        self,
+        method: str,
+        target: str,
+        timeout_s: float,
+        headers: messages.Headers = (),
+    ) -> Stream | outcomes.NotSent | outcomes.Lost:
+        """Sends a request on a connection of its own and reads the head.
+
+        Args:
+            method: HTTP method.
+            target: Path and query.
+            timeout_s: Longest time until the head of the answer.
+            headers: Headers besides `Host`.
+
+        Returns:
+            The answer, which the caller has to close, or what went wrong.
+        """
+        request = self._build(method, target, headers, b"")
+        exchange = Exchange()
+        try:
+            async with asyncio.timeout(timeout_s):
+                exchange.link = await self._open()
+                exchange.sent = True
+                await exchange.link.send(request)
+                response = await exchange.link.read_head()
+            return Stream(response, exchange.release())
+        except TimeoutError:
+            return exchange.failed(f"no answer within {timeout_s:g} s")
+        except IO_ERRORS as error:
+            return exchange.failed(str(error) or type(error).__name__)
+        finally:
+            exchange.drop()
+
+    async def close(self) -> None:
+        """Closes the idle connections."""
+        self._drop_idle()
+
+    async def _exchange(
+        self, request: messages.Request, exchange: "Exchange", fresh: bool
+    ) -> outcomes.Answered:
+        link = None if fresh else await self._take_idle()
+        exchange.reused = link is not None
+        exchange.link = link or await self._open()
+        exchange.sent = True
+        await exchange.link.send(request)
+        response = await exchange.link.read_head()
+        body = await exchange.link.read_body(self.limits.body_bytes)
+        if exchange.link.finish():
+            self.idle.append(exchange.release())
+        return outcomes.Answered(response, body)
+
+    async def _open(self) -> connection.ClientConnection:
+        return await connection.ClientConnection.open(
+            self.address,
+            self.port,
+            self.limits.head_bytes,
+            self.tls,
+            self.server_name,
+        )
+
+    async def _take_idle(self) -> connection.ClientConnection | None:
+        """Returns a connection that answered lately; closes the others.
+
+        A connection may have gone silent since its last answer, which no
+        check on this side can tell.
+        """
+        oldest = asyncio.get_running_loop().time() - self.limits.proven_s
+        while self.idle:
+            link = self.idle.pop()
+            if (link.proven_at or 0.0) >= oldest and await link.resume():
+                return link
+            link.close()
+        return None
+
+    def _drop_idle(self) -> None:
+        while self.idle:
+            self.idle.pop().close()
+
+    def _build(
+        self,
+        method: str,
+        target: str,
+        headers: messages.Headers,
+        body: bytes,
+    ) -> messages.Request:
+        host = f"[{self.address}]" if ":" in self.address else self.address
+        own = [("host", f"{host}:{self.port}")]
+        if body or method in ("POST", "PUT", "PATCH"):
+            own.append(("content-length", str(len(body))))
+        return messages.Request(method, target, (*own, *headers), body)
+
+
+@dataclasses.dataclass(slots=True)
+class Exchange:
+    """How far one request came.
+
+    Attributes:
+        link: Its connection, or None.
+        sent: Whether a byte may have been written.
+        reused: Whether the connection served another request before.
+    """
+
+    link: connection.ClientConnection | None = None
+    sent: bool = False
+    reused: bool = False
+
+    def failed(self, reason: str) -> outcomes.NotSent | outcomes.Lost:
+        """Returns the outcome of a failure at this point."""
+        if self.sent:
+            return outcomes.Lost(reason, self.reused)
+        return outcomes.NotSent(reason)
+
+    def release(self) -> connection.ClientConnection:
+        """Hands the connection on, so that `drop` doesn't close it."""
+        assert self.link is not None
+        link = self.link
+        self.link = None
+        return link
+
+    def drop(self) -> None:
+        """Closes the connection if it wasn't handed on."""
+        if self.link is not None:
+            self.link.close()
+            self.link = None
--- /dev/null
+++ b/banyantiller/http/connection.py
@@ -0,0 +1,172 @@
+"""One client connection: writes a request and reads its answer."""
+
+import asyncio
+import ssl
+
+import h11
+
+from banyantiller.http import messages
+
+
+class ConnectionLostError(Exception):
+    """The other side closed early or broke the protocol."""
+
+
+class BodyTooLargeError(Exception):
+    """A body is over the limit."""
+
+
+class ClientConnection:
+    """A connection that carries one exchange at a time.
+
+    Attributes:
+        proven_at: Loop time of the end of the last whole answer, or None.
+        unasked: Waits, between exchanges, for bytes that nobody asked for.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        head_bytes: int,
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.codec = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=head_bytes
+        )
+        self.proven_at: float | None = None
+        self.unasked: asyncio.Task[bytes] | None = None
+
+    @classmethod
+    async def open(
+        cls,
+        address: str,
+        port: int,
+        head_bytes: int,
+        tls: ssl.SSLContext | None,
+        server_name: str,
+    ) -> "ClientConnection":
+        """Connects.
+
+        Raises:
+            OSError: The connection or its TLS handshake failed.
+        """
+        name = (server_name or address) if tls else None
+        reader, writer = await asyncio.open_connection(
+            address, port, ssl=tls, server_hostname=name
+        )
+        return cls(reader, writer, head_bytes)
+
+    async def resume(self) -> bool:
+        """Prepares an idle connection; False if it can't be used.
+
+        Bytes that came without a request would be taken for its answer.
+        """
+        if self.unasked is None or self.unasked.done():
+            return False
+        self.unasked.cancel()
+        await asyncio.wait([self.unasked])
+        silent = self.unasked.cancelled()
+        self.unasked = None
+        return silent and not self.writer.is_closing()
+
+    async def send(self, request: messages.Request) -> None:
+        """Writes a whole request.
+
+        Raises:
+            OSError: The connection failed.
+        """
+        head = h11.Request(
+            method=request.method,
+            target=request.target,
+            headers=messages.encode_headers(request.headers),
+        )
+        data = self.codec.send(head)
+        if request.body:
+            data += self.codec.send(h11.Data(data=request.body))
+        data += self.codec.send(h11.EndOfMessage())
+        self.writer.write(data)
+        await self.writer.drain()
+
+    async def read_head(self) -> messages.Response:
+        """Reads the head of the final answer.
+
+        Raises:
+            ConnectionLostError: The connection closed or sent no HTTP.
+        """
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                return messages.Response(
+                    event.status_code, messages.decode_headers(event.headers)
+                )
+
+    async def read_chunk(self) -> bytes:
+        """Reads a part of the answer's body; empty at its end.
+
+        Raises:
+            ConnectionLostError: The connection closed or sent no HTTP.
+        """
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return b""
+            if isinstance(event, h11.Data) and event.data:
+                return bytes(event.data)
+
+    async def read_body(self, most: int) -> bytes:
+        """Reads the rest of the answer's body.
+
+        Raises:
+            ConnectionLostError: The connection closed or sent no HTTP.
+            BodyTooLargeError: The body is longer than `most` bytes.
+        """
+        parts = []
+        size = 0
+        while chunk := await self.read_chunk():
+            size += len(chunk)
+            if size > most:
+                raise BodyTooLargeError(f"a body is over {most} bytes")
+            parts.append(chunk)
+        return b"".join(parts)
+
+    def finish(self) -> bool:
+        """Ends an exchange; False if there can be no other."""
+        if self.codec.trailing_data[0]:
+            return False
+        try:
+            self.codec.start_next_cycle()
+        except h11.LocalProtocolError:
+            return False
+        self.proven_at = asyncio.get_running_loop().time()
+        self.unasked = asyncio.ensure_future(self.reader.read(1))
+        return True
+
+    def close(self) -> None:
+        """Closes at once."""
+        if self.unasked is not None:
+            self.unasked.cancel()
+        self.writer.transport.abort()
+
+    async def _next_event(self) -> h11.Event:
+        while True:
+            try:
+                event = self.codec.next_event()
+            except h11.RemoteProtocolError as error:
+                raise ConnectionLostError(f"not valid HTTP: {error}") from error
+            if event is h11.NEED_DATA:
+                self.codec.receive_data(await self._read())
+                continue
+            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                raise ConnectionLostError("the connection was closed")
+            return event
+
+    async def _read(self) -> bytes:
+        try:
+            data = await self.reader.read(messages.READ_BYTES)
+        except OSError as error:
+            raise ConnectionLostError(str(error)) from error
+        if not data and self.codec.their_state is h11.SEND_RESPONSE:
+            raise ConnectionLostError("the connection was closed")
+        return data
--- /dev/null
+++ b/banyantiller/tests/http/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of HTTP for control traffic."""
--- /dev/null
+++ b/banyantiller/tests/http/test_exchange.py
@@ -0,0 +1,205 @@
+"""Tests of the small client against the small server."""
+
+import asyncio
+
+from banyantiller.http import client, messages, outcomes, server
+from banyantiller.http import server_connection as connections
+from banyantiller.tests import base
+
+ADDRESS = "127.0.0.1"
+LIMITS = messages.Limits(body_bytes=1000, head_s=2, body_s=3, idle_s=5)
+
+
+class ExchangeTest(base.TestCase):
+    def exchange(self, handler, use, limits=LIMITS):
+        """Runs `use(client, server)` against a server with the handler."""
+
+        async def body():
+            listener = server.HttpServer(handler, limits)
+            bound = await listener.start(ADDRESS, 0)
+            user = client.HttpClient(ADDRESS, bound.port, limits)
+            try:
+                return await use(user, listener)
+            finally:
+                await user.close()
+                await listener.close()
+
+        return self.run_paused(body())
+
+    def test_echo_over_one_connection(self):
+        async def use(user, listener):
+            first = await user.request("POST", "/a?b=1", 1, body=b"x" * 900)
+            second = await user.request("GET", "/", 1)
+            return first, second, len(listener.connections)
+
+        first, second, open_links = self.exchange(echo, use)
+        self.assertEqual(b"POST /a?b=1 " + b"x" * 900, first.body)
+        self.assertEqual(b"GET / ", second.body)
+        self.assertEqual(1, open_links)
+
+    def test_old_idle_connection_is_not_reused(self):
+        async def use(user, listener):
+            await user.request("GET", "/", 1)
+            link = user.idle[0]
+            await asyncio.sleep(2)
+            await user.request("GET", "/", 1)
+            return link, user.idle[0]
+
+        self.assertIsNot(*self.exchange(echo, use))
+
+    def test_unasked_bytes_are_no_answer(self):
+        async def use(user, listener):
+            await user.request("GET", "/", 1)
+            (link,) = listener.connections
+            link.writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+            await asyncio.sleep(0.1)
+            return await user.request("GET", "/mine", 1)
+
+        self.assertEqual(b"GET /mine ", self.exchange(echo, use).body)
+
+    def test_refused_connection_is_not_sent(self):
+        async def body():
+            user = client.HttpClient(ADDRESS, 1)
+            return await user.request("POST", "/", 1, body=b"x")
+
+        self.assertIsInstance(self.run_paused(body()), outcomes.NotSent)
+
+    def test_no_answer_in_time_is_lost(self):
+        cancelled = []
+
+        async def never(request):
+            try:
+                await asyncio.sleep(1000)
+            except asyncio.CancelledError:
+                cancelled.append(request.target)
+                raise
+
+        async def use(user, listener):
+            outcome = await user.request("POST", "/", 1)
+            await asyncio.sleep(0.1)
+            return outcome
+
+        self.assertIsInstance(self.exchange(never, use), outcomes.Lost)
+        self.assertEqual(["/"], cancelled)
+
+    def test_cut_or_wrong_answers_are_lost(self):
+        raws = (
+            b"",
+            b"HTTP/1.1 200 OK\r\nconte",
+            b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nxx",
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+            b"SSH-2.0\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\ncontent-length: 5000\r\n\r\n" + b"x" * 5000,
+            b"HTTP/1.1 200 OK\r\na: " + b"x" * 70000,
+        )
+
+        async def use(user, listener):
+            return [await user.request("GET", f"/{n}", 1) for n in range(7)]
+
+        async def cut(request):
+            raise connections.CutError(raws[int(request.target[1:])])
+
+        for number, outcome in enumerate(self.exchange(cut, use)):
+            self.assertIsInstance(outcome, outcomes.Lost)
+            self.assertEqual(number == 5, outcome.too_large)
+
+    def test_streamed_answer_is_read_bit_by_bit(self):
+        async def count(request):
+            return messages.Response(200, (), ticks())
+
+        async def use(user, listener):
+            stream = await user.stream("GET", "/", 1)
+            parts = []
+            while part := await stream.read():
+                parts.append((part, round(asyncio.get_running_loop().time())))
+            stream.close()
+            return parts
+
+        expected = [(b"0", 0), (b"1", 1), (b"2", 2)]
+        self.assertEqual(expected, self.exchange(count, use))
+
+    def test_bad_requests_get_one_answer(self):
+        async def use(user, listener):
+            answers = []
+            for sent in (
+                b"nonsense\r\n\r\n",
+                b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"x" * 70000,
+                b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 2000\r\n\r\n"
+                + b"x" * 2000,
+                b"GET / HTTP/1.1\r\nho",
+                b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\nx",
+            ):
+                answers.append(await raw_exchange(user.port, sent))
+            return answers
+
+        answers = self.exchange(echo, use)
+        codes = [int(answer.split(b" ")[1]) for answer in answers]
+        self.assertEqual([400, 431, 413, 408, 408], codes)
+
+    def test_failing_handler_is_a_500_and_the_connection_goes_on(self):
+        async def fail(request):
+            raise ValueError("broken")
+
+        async def use(user, listener):
+            await user.request("GET", "/", 1)
+            return await user.request("GET", "/", 1)
+
+        self.assertEqual(500, self.exchange(fail, use).response.status)
+
+    def test_close_lets_requests_in_flight_end(self):
+        async def slow(request):
+            await asyncio.sleep(3)
+            return messages.Response(200, body=b"done")
+
+        async def use(user, listener):
+            running = asyncio.ensure_future(user.request("GET", "/", 9))
+            await asyncio.sleep(1)
+            await listener.close(grace_s=9)
+            return await running, await user.request("GET", "/", 1)
+
+        done, refused = self.exchange(slow, use)
+        self.assertEqual(b"done", done.body)
+        self.assertEqual("close", done.response.header("connection"))
+        self.assertIsInstance(refused, outcomes.NotSent)
+
+    def test_draining_server_answers_and_closes(self):
+        async def use(user, listener):
+            await user.request("GET", "/", 1)
+            listener.drain()
+            answers = [await user.request("GET", "/", 1) for _ in range(2)]
+            return [a.response.header("connection") for a in answers]
+
+        self.assertEqual(["close", "close"], self.exchange(echo, use))
+
+    def test_full_pool_is_not_sent(self):
+        async def use(user, listener):
+            calls = [user.request("GET", "/", 1) for _ in range(3)]
+            return await asyncio.gather(*calls)
+
+        async def slow(request):
+            await asyncio.sleep(100)
+
+        limits = messages.Limits(connections=2)
+        found = self.exchange(slow, use, limits)
+        kinds = sorted(type(outcome).__name__ for outcome in found)
+        self.assertEqual(["Lost", "Lost", "NotSent"], kinds)
+
+
+async def echo(request):
+    text = f"{request.method} {request.target} ".encode()
+    return messages.Response(200, body=text + request.body)
+
+
+async def ticks():
+    for number in range(3):
+        yield str(number).encode()
+        await asyncio.sleep(1)
+
+
+async def raw_exchange(port, sent):
+    """Sends bytes and reads until the other side closes."""
+    reader, writer = await asyncio.open_connection(ADDRESS, port)
+    writer.write(sent)
+    answer = await reader.read()
+    writer.close()
+    return answer
