Arbitrate idempotency keys by conditional writes

Cause: two callers with one key can reach two daemons at once, an answer of the object API can be lost after the write took effect, and a daemon can be paused for any time before it sends what it was granted.

--- /dev/null
+++ b/banyantiller/claims/known.py
@@ -0,0 +1,90 @@
+"""Outcomes of keys that this daemon has seen to the end."""
+
+import collections
+from typing import NamedTuple
+
+from banyantiller.claims import types
+
+MOST_ENTRIES = 10_000
+MOST_BYTES = 2_000_000
+
+
+class Entry(NamedTuple):
+    """Outcome of one finished key.
+
+    Attributes:
+        fingerprint: Digest of the request that the key stands for.
+        outcome: What a repeated caller gets.
+        expires_at: Wall-clock seconds until which it holds.
+        size: Bytes that the entry is counted with.
+    """
+
+    fingerprint: str
+    outcome: types.Finished | types.Denied
+    expires_at: float
+    size: int
+
+
+class KnownKeys:
+    """A bounded cache of final outcomes, least recently used first.
+
+    An entry is final: a finished key never becomes claimable within its
+    retention, so no entry has to be checked again.
+
+    Attributes:
+        entries: Outcomes by object name.
+        size: Bytes counted for all entries.
+    """
+
+    def __init__(
+        self, most_entries: int = MOST_ENTRIES, most_bytes: int = MOST_BYTES
+    ) -> None:
+        self.most_entries = most_entries
+        self.most_bytes = most_bytes
+        self.entries: collections.OrderedDict[str, Entry] = (
+            collections.OrderedDict()
+        )
+        self.size = 0
+
+    def put(
+        self,
+        name: str,
+        fingerprint: str,
+        outcome: types.Finished | types.Denied,
+        expires_at: float,
+    ) -> None:
+        """Remembers the final outcome of a key."""
+        self.forget(name)
+        size = len(name) + len(fingerprint) + _body_size(outcome)
+        self.entries[name] = Entry(fingerprint, outcome, expires_at, size)
+        self.size += size
+        while len(self.entries) > self.most_entries:
+            self.forget(next(iter(self.entries)))
+        while self.size > self.most_bytes:
+            self.forget(next(iter(self.entries)))
+
+    def get(self, name: str, wall: float) -> Entry | None:
+        """Returns the entry of a key if it still holds."""
+        entry = self.entries.get(name)
+        if entry is None:
+            return None
+        if wall >= entry.expires_at:
+            self.forget(name)
+            return None
+        self.entries.move_to_end(name)
+        return entry
+
+    def forget(self, name: str) -> None:
+        """Removes the entry of a key, if there is one."""
+        entry = self.entries.pop(name, None)
+        if entry is not None:
+            self.size -= entry.size
+
+
+def _body_size(outcome: types.Finished | types.Denied) -> int:
+    if isinstance(outcome, types.Denied):
+        return len(outcome.failure.detail)
+    headers = sum(
+        len(name) + len(value) for name, value in outcome.answer.headers
+    )
+    return headers + len(outcome.answer.body or b"")
--- /dev/null
+++ b/banyantiller/claims/records.py
@@ -0,0 +1,195 @@
+"""How a claim is kept in the object API, and what it tells a repeated caller.
+
+One object holds one key. Its state is one of `State`; only the daemon that
+holds the nonce moves it out of `CLAIMED`, so a claim whose outcome nobody
+knows can never be granted again.
+"""
+
+import base64
+import enum
+import hashlib
+from typing import Any, NamedTuple
+
+import msgspec
+
+from banyantiller.claims import types
+from banyantiller.errors import ErrorKind, Failure
+from banyantiller.store import interface
+
+KIND = "keyclaims"
+EXPIRY_LABEL = "expires"
+BUCKET_S = 60
+MAX_ANSWER_BYTES = 16384
+REPEAT_AFTER_S = 1.0
+
+
+class State(enum.StrEnum):
+    """State of a key.
+
+    Attributes:
+        CLAIMED: One daemon may send the request, or sent it.
+        DONE: The request was run and its answer was seen.
+        UNKNOWN: It was sent, and nobody can tell whether it was run.
+        RELEASED: It was certainly not sent; the key may be claimed again.
+    """
+
+    CLAIMED = "claimed"
+    DONE = "done"
+    UNKNOWN = "unknown"
+    RELEASED = "released"
+
+
+class KeptAnswer(NamedTuple):
+    """JSON form of a recorded answer.
+
+    Attributes:
+        status: Status code.
+        headers: Pairs of name and value.
+        body: Body in base64, or None if it was too large to keep.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: str | None
+
+
+class Record(NamedTuple):
+    """Content of one claim object; times are wall-clock seconds.
+
+    Attributes:
+        service: Service name.
+        fingerprint: Digest of the request that the key stands for.
+        nonce: Names the claim that wrote the record last.
+        daemon: Daemon that wrote it last.
+        state: State of the key.
+        claimed_at: When the key was claimed first.
+        answer_by: When the caller of the claim stops waiting.
+        expires_at: When the key may be forgotten.
+        answer: The recorded answer of a finished request.
+    """
+
+    service: str
+    fingerprint: str
+    nonce: str
+    daemon: str
+    state: State
+    claimed_at: float
+    answer_by: float
+    expires_at: float
+    answer: KeptAnswer | None = None
+
+
+def object_name(deployment: str, request: types.ClaimRequest) -> str:
+    """Returns the name of the object that holds a request's key."""
+    text = f"{request.service}\0{request.key}"
+    digest = hashlib.sha256(text.encode("utf-8", "surrogateescape"))
+    return f"{deployment}-{digest.hexdigest()[:40]}"
+
+
+def expiry_labels(deployment: str, expires_at: float) -> dict[str, str]:
+    """Returns the labels by which the sweeper finds expired claims."""
+    bucket = int(expires_at // BUCKET_S)
+    return {"deployment": deployment, EXPIRY_LABEL: str(bucket)}
+
+
+def to_value(record: Record) -> dict[str, Any]:
+    """Returns the JSON value of a record."""
+    answer = record.answer._asdict() if record.answer else None
+    return {
+        **record._asdict(),
+        "state": record.state.value,
+        "answer": msgspec.to_builtins(answer),
+    }
+
+
+def from_object(item: interface.StoredObject) -> Record | None:
+    """Reads a record, or None when the object holds something else."""
+    fields = {
+        name: value
+        for name, value in item.value.items()
+        if name in Record._fields
+    }
+    answer = fields.get("answer")
+    try:
+        if answer is not None:
+            ordered = [answer[name] for name in KeptAnswer._fields]
+            fields["answer"] = msgspec.convert(ordered, KeptAnswer)
+        row = [fields.get(name) for name in Record._fields]
+        return msgspec.convert(row, Record)
+    except (msgspec.ValidationError, KeyError, TypeError):
+        return None
+
+
+def keep(answer: types.RecordedAnswer) -> KeptAnswer:
+    """Returns what is kept of an answer; a large body is dropped."""
+    size = len(answer.body or b"")
+    size += sum(len(name) + len(value) for name, value in answer.headers)
+    if answer.body is None or size > MAX_ANSWER_BYTES:
+        return KeptAnswer(answer.status, (), None)
+    body = base64.b64encode(answer.body).decode("ascii")
+    return KeptAnswer(answer.status, tuple(answer.headers), body)
+
+
+def recall(kept: KeptAnswer) -> types.RecordedAnswer | None:
+    """Returns the answer to repeat, or None if it was not kept whole."""
+    if kept.body is None:
+        return None
+    body = base64.b64decode(kept.body)
+    return types.RecordedAnswer(kept.status, kept.headers, body)
+
+
+def deny(
+    kind: ErrorKind, detail: str, retry_after: float | None = None
+) -> types.Denied:
+    """Returns a denial."""
+    return types.Denied(Failure(kind, detail, retry_after))
+
+
+def judge(
+    record: Record | None, fingerprint: str, wall: float
+) -> types.ClaimOutcome | None:
+    """Tells what a caller gets whose key has a record already.
+
+    The clock decides only between two answers that are both safe: "in
+    progress" and "outcome unknown". It never makes a key claimable.
+
+    Args:
+        record: The record, or None when it could not be understood.
+        fingerprint: Digest of the present request.
+        wall: Wall-clock seconds now.
+
+    Returns:
+        The outcome, or None when the key was released and may be claimed.
+    """
+    if record is None:
+        return deny(
+            ErrorKind.KEY_OUTCOME_UNKNOWN, "The key's record is not readable."
+        )
+    if record.state == State.RELEASED:
+        return None
+    if record.fingerprint != fingerprint:
+        return deny(
+            ErrorKind.KEY_REUSED, "The key was used for another request."
+        )
+    if record.state == State.DONE:
+        return _judge_done(record)
+    if record.state == State.CLAIMED and wall < record.answer_by:
+        return deny(
+            ErrorKind.KEY_IN_PROGRESS,
+            "A request with this key is in progress.",
+            REPEAT_AFTER_S,
+        )
+    return deny(
+        ErrorKind.KEY_OUTCOME_UNKNOWN,
+        "A request with this key may or may not have been run.",
+    )
+
+
+def _judge_done(record: Record) -> types.ClaimOutcome:
+    answer = recall(record.answer) if record.answer else None
+    if answer is not None:
+        return types.Finished(answer)
+    return deny(
+        ErrorKind.KEY_ALREADY_RUN,
+        "A request with this key was run; its answer was not kept.",
+    )
