Add a first adaptive dispatcher

The data path needs a routing plug-in to run against. This one sends a call to the server with the least expected delay by own calls, the aged report of others' calls and the server's latency; queues with a bound and a deadline; retries and hedges under one token bucket; ejects with a cap.

--- /dev/null
+++ b/banyantiller/routing/adaptive.py
@@ -0,0 +1,196 @@
+"""The adaptive routing policy: a state machine over one service's calls."""
+
+from collections.abc import Callable
+from functools import partial
+
+from banyantiller.bundle import options
+from banyantiller.errors import ErrorKind
+from banyantiller.routing import ejection, learning
+from banyantiller.routing.calls import CallState
+from banyantiller.routing.flow import CallFlow
+from banyantiller.routing.service import ServiceKnowledge, usable
+from banyantiller.routing.tuning import Tuning
+from banyantiller.routing.types import (
+    Action,
+    AttemptResult,
+    Call,
+    Cancel,
+    LoadReport,
+    Probe,
+    ServerState,
+)
+from banyantiller.routing.views import ServerView
+
+NO_SERVER_RETRY_S = 1.0
+
+Charge = Callable[[float], bool]
+
+
+class AdaptiveDispatcher:
+    """Implements `routing.types.Dispatcher`.
+
+    Attributes:
+        known: What is known of the service.
+        flow: Calls without a final answer.
+        charge: Takes one probe out of the measuring budget.
+    """
+
+    def __init__(self, known: ServiceKnowledge, charge: Charge) -> None:
+        self.known = known
+        self.flow = CallFlow(known)
+        self.charge = charge
+
+    def configure(
+        self,
+        service: options.Service,
+        servers: tuple[ServerState, ...],
+        now: float,
+    ) -> list[Action]:
+        """Takes a new bundle or changed servers; keeps what it learned."""
+        self.known.configure(service, servers, now)
+        return self.flow.start_waiting(now)
+
+    def submit(self, call: Call, now: float) -> list[Action]:
+        """Takes a call: starts it, queues it or refuses it."""
+        known = self.known
+        known.extra.earn()
+        state = CallState.from_call(call, known.sharing.next_group(), now)
+        self.flow.calls[call.call_id] = state
+        if call.deadline <= now:
+            kind = ErrorKind.DEADLINE_BEFORE_START
+            return [self.flow.refuse(state, kind)]
+        if not any(usable(v) for v in known.candidates(state.group)):
+            kind = ErrorKind.NO_SERVER
+            return [self.flow.refuse(state, kind, NO_SERVER_RETRY_S)]
+        return self.flow.begin(state, now)
+
+    def attempt_head(
+        self, attempt_id: int, result: AttemptResult, now: float
+    ) -> list[Action]:
+        """Takes the answer head, or the failure, of a try."""
+        flow = self.flow
+        attempt = flow.attempts.get(attempt_id)
+        if attempt is None or attempt.call.finished:
+            return []
+        call = attempt.call
+        call.replayable = call.replayable and result.replayable
+        learning.learn_result(self.known, attempt, result, now)
+        self._plan_recovery(attempt.view)
+        if result.ok and not flow.worth_retry(call, result, now):
+            return flow.relay(attempt, now) + flow.start_waiting(now)
+        flow.end(attempt)
+        actions: list[Action] = [Cancel(attempt_id)] if result.ok else []
+        if not call.running:
+            actions += flow.after_failure(call, result, now)
+        return actions + flow.start_waiting(now)
+
+    def attempt_done(self, attempt_id: int, now: float) -> list[Action]:
+        """Takes the end of a relayed answer; the slot is free."""
+        attempt = self.flow.attempts.get(attempt_id)
+        if attempt is None:
+            return []
+        self.flow.end(attempt)
+        self.known.drain.ended(now)
+        return self.flow.start_waiting(now)
+
+    def cancel(self, call_id: int, now: float) -> list[Action]:
+        """The caller is gone; cancels or forgets the call."""
+        call = self.flow.calls.get(call_id)
+        if call is None:
+            return []
+        actions = self.flow.forget(call, now)
+        return actions + self.flow.start_waiting(now)
+
+    def report(
+        self, server: str, report: LoadReport, now: float
+    ) -> list[Action]:
+        """Takes a report from a probe or a peer."""
+        view = self.known.views.get(server)
+        if view is None:
+            return []
+        learning.learn_report(self.known, view, report, len(view.own), now)
+        if report.source == "probe" and view.probing:
+            view.probing = False
+            ejection.answered(view, now)
+        return self.flow.start_waiting(now)
+
+    def probe_failed(self, server: str, now: float) -> list[Action]:
+        """A probe got no answer."""
+        view = self.known.views.get(server)
+        if view is None or not view.probing:
+            return []
+        view.probing = False
+        learning.note_failure(self.known, view, now, sure=True)
+        self._plan_recovery(view)
+        return []
+
+    def members(self, alive: int, now: float) -> None:
+        """Takes the number of daemons believed alive, this one included."""
+        del alive, now
+
+    def shared_load(self, now: float) -> dict[str, float]:
+        """Returns this daemon's own in-flight calls by server, for peers."""
+        del now
+        views = self.known.views.items()
+        return {name: float(len(view.own)) for name, view in views if view.own}
+
+    def tick(self, now: float) -> list[Action]:
+        """Does what is due: deadlines, hedges, probes, recovery."""
+        return self.flow.timers.run_due(now) + self.flow.start_waiting(now)
+
+    def next_tick(self) -> float | None:
+        """Returns the time of the next due work, or None."""
+        first = self.flow.timers.first()
+        recheck = self.flow.recheck_at
+        if first is None or recheck is None:
+            return recheck if first is None else first
+        return min(first, recheck)
+
+    def _plan_recovery(self, view: ServerView) -> None:
+        if view.trial and not view.recovering:
+            view.recovering = True
+            work = partial(self._recover, view)
+            self.flow.timers.at(view.ejected_until, work)
+
+    def _recover(self, view: ServerView, now: float) -> list[Action]:
+        view.recovering = False
+        if not self.known.tuning.probe_recovery or not view.trial:
+            return []
+        if view.ejected_until > now:
+            self._plan_recovery(view)
+            return []
+        if view.probing or not self.charge(now):
+            return []
+        view.probing = True
+        return [Probe(view.state.name)]
+
+
+def create(
+    service: options.Service,
+    servers: tuple[ServerState, ...],
+    daemon: str,
+    zone: str,
+    seed: int,
+    now: float,
+    charge: Charge,
+    constants: Tuning | None = None,
+) -> AdaptiveDispatcher:
+    """Builds the dispatcher of one service in one daemon.
+
+    Args:
+        service: Options of the service.
+        servers: Its servers.
+        daemon: Name of the daemon.
+        zone: Availability zone of the daemon.
+        seed: Seed of random choices.
+        now: The loop's time.
+        charge: Takes one probe out of the measuring budget; tells whether
+            there was one left.
+        constants: Constants in place of those of the objective.
+    """
+    del daemon
+    known = ServiceKnowledge(service, zone, seed, now)
+    if constants is not None:
+        known.retune(constants)
+    known.configure(service, servers, now)
+    return AdaptiveDispatcher(known, charge)
--- /dev/null
+++ b/banyantiller/routing/calls.py
@@ -0,0 +1,69 @@
+"""Records of the calls and tries that a dispatcher follows."""
+
+import dataclasses
+
+from banyantiller.errors import ErrorKind
+from banyantiller.routing.types import Call
+from banyantiller.routing.views import ServerView
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Attempt:
+    """One try of a call on a server.
+
+    Attributes:
+        attempt_id: Number of the try.
+        call: Its call.
+        view: The server.
+        started: When it started.
+        hedge: Whether it is a hedge.
+    """
+
+    attempt_id: int
+    call: "CallState"
+    view: ServerView
+    started: float
+    hedge: bool = False
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class CallState:
+    """One call from submission to its final answer.
+
+    Attributes:
+        call_id: Number of the call.
+        idempotent: Whether it may be run twice.
+        deadline: When its caller stops waiting.
+        replayable: Whether its body can be sent again.
+        group: Group of servers that it belongs to.
+        submitted: When it was submitted.
+        running: Tries that are running.
+        tried: Names of the servers that it was sent to.
+        attempts: Number of tries so far.
+        last_error: Failure of the last try, if it failed.
+        finished: Whether it has its final answer.
+    """
+
+    call_id: int
+    idempotent: bool
+    deadline: float
+    replayable: bool
+    group: str
+    submitted: float
+    running: list[Attempt] = dataclasses.field(default_factory=list)
+    tried: list[str] = dataclasses.field(default_factory=list)
+    attempts: int = 0
+    last_error: ErrorKind | None = None
+    finished: bool = False
+
+    @classmethod
+    def from_call(cls, call: Call, group: str, now: float) -> "CallState":
+        """Starts the record of a submitted call."""
+        return cls(
+            call.call_id,
+            call.idempotent,
+            call.deadline,
+            call.replayable,
+            group,
+            now,
+        )
--- /dev/null
+++ b/banyantiller/routing/ejection.py
@@ -0,0 +1,64 @@
+"""Ejection of failing servers, its cap, and recovery.
+
+A failure ejects a server for a short time that doubles with each further
+ejection. Afterwards one idempotent try, or a probe, decides whether the
+server is back. No more than a part of a group is ejected at once.
+"""
+
+from collections.abc import Sequence
+
+from banyantiller.routing import ramp
+from banyantiller.routing.tuning import Tuning
+from banyantiller.routing.views import LONG_AGO, ServerView
+
+FAILURE_WEIGHT = 0.34
+EJECT_AT = 0.6
+
+
+def failed(
+    view: ServerView,
+    group: Sequence[ServerView],
+    tuning: Tuning,
+    now: float,
+    sure: bool,
+) -> None:
+    """Takes a failure of a server and ejects it if that is due.
+
+    Args:
+        view: The server.
+        group: All servers of its group.
+        tuning: Constants.
+        now: The loop's time.
+        sure: Whether one such failure is enough, as a refused connection.
+    """
+    view.failures += FAILURE_WEIGHT * (1.0 - view.failures)
+    view.failed_at = now
+    if "ejection" in tuning.off or view.ejected_until > now:
+        return
+    if not (sure or view.trial or view.failures >= EJECT_AT):
+        return
+    if not _may_eject(group, tuning, now):
+        return
+    length = min(tuning.eject_s * 2**view.ejections, tuning.eject_longest_s)
+    view.ejections += 1
+    view.ejected_until = now + length
+    view.trial = True
+
+
+def answered(view: ServerView, now: float) -> None:
+    """Takes a good answer; ends an ejection's trial."""
+    view.failures *= 1.0 - FAILURE_WEIGHT
+    if not view.trial:
+        if view.failures < 0.1:
+            view.ejections = 0
+        return
+    view.trial = False
+    view.ejected_until = LONG_AGO
+    view.failures = 0.0
+    ramp.begin(view, now)
+
+
+def _may_eject(group: Sequence[ServerView], tuning: Tuning, now: float) -> bool:
+    usable = [v for v in group if not (v.state.leaving or v.draining)]
+    out = sum(1 for v in usable if v.ejected_until > now or v.trial)
+    return out + 1 <= tuning.eject_share * len(usable)
--- /dev/null
+++ b/banyantiller/routing/flow.py
@@ -0,0 +1,267 @@
+"""Calls on their way: starting, waiting, retrying, hedging and refusing."""
+
+from functools import partial
+
+from banyantiller.errors import ErrorKind, Failure, Ran
+from banyantiller.routing import choice, learning, refusal
+from banyantiller.routing.calls import Attempt, CallState
+from banyantiller.routing.service import ServiceKnowledge
+from banyantiller.routing.timers import Timers
+from banyantiller.routing.types import (
+    Action,
+    AttemptResult,
+    Cancel,
+    Refuse,
+    Relay,
+    Start,
+)
+from banyantiller.routing.views import ServerView
+
+RETRIED_STATUSES = frozenset({502, 503, 504})
+LEAST_RECHECK_S = 0.002
+MOST_RECHECK_S = 0.05
+
+
+class CallFlow:
+    """The calls of one service that have no final answer yet.
+
+    Attributes:
+        known: What is known of the service.
+        calls: Calls without a final answer, by number.
+        attempts: Running tries, by number.
+        timers: Work that is due at a time.
+        recheck_at: When waiting calls are looked at again, or None.
+    """
+
+    def __init__(self, known: ServiceKnowledge) -> None:
+        self.known = known
+        self.calls: dict[int, CallState] = {}
+        self.attempts: dict[int, Attempt] = {}
+        self.timers = Timers()
+        self.recheck_at: float | None = None
+        self.last_attempt = 0
+
+    def begin(self, call: CallState, now: float) -> list[Action]:
+        """Starts a new call, queues it or refuses it."""
+        queue = self.known.waiting[call.group]
+        if not queue.waiting:
+            view = self._server_for(call, now)
+            if view is not None:
+                self.timers.at(call.deadline, partial(self._expire, call))
+                return [self._start(call, view, now)]
+        refused = self._refuse_early(call, now)
+        if refused:
+            return refused
+        self.timers.at(call.deadline, partial(self._expire, call))
+        longest = now + self.known.options.queue.longest_s
+        if longest < call.deadline:
+            self.timers.at(longest, partial(self._waited_too_long, call))
+        queue.add(call)
+        self._plan_recheck(now)
+        return []
+
+    def end(self, attempt: Attempt) -> None:
+        """Forgets a try; its slot is free."""
+        del self.attempts[attempt.attempt_id]
+        attempt.view.own.pop(attempt.attempt_id, None)
+        if attempt in attempt.call.running:
+            attempt.call.running.remove(attempt)
+
+    def relay(self, winner: Attempt, now: float) -> list[Action]:
+        """Relays an answer and gives up the call's other tries."""
+        call = winner.call
+        self._finish(call)
+        call.running.remove(winner)
+        relay = Relay(call.call_id, winner.attempt_id)
+        return [relay, *self.give_up_tries(call, now)]
+
+    def give_up_tries(self, call: CallState, now: float) -> list[Action]:
+        """Cancels the tries of a call that are still running."""
+        actions: list[Action] = []
+        for attempt in list(call.running):
+            learning.learn_cancelled(self.known, attempt, now)
+            self.end(attempt)
+            actions.append(Cancel(attempt.attempt_id))
+        return actions
+
+    def forget(self, call: CallState, now: float) -> list[Action]:
+        """Forgets a call whose caller is gone."""
+        self._finish(call)
+        return self.give_up_tries(call, now)
+
+    def refuse(
+        self, call: CallState, kind: ErrorKind, wait_s: float | None = None
+    ) -> Refuse:
+        """Gives a call its final failure at once."""
+        self._finish(call)
+        if wait_s is None:
+            return Refuse(call.call_id, Failure(kind))
+        return Refuse(call.call_id, refusal.failure(kind, wait_s))
+
+    def after_failure(
+        self, call: CallState, result: AttemptResult, now: float
+    ) -> list[Action]:
+        """Retries a call whose last try failed, or refuses it."""
+        kind = result.error or ErrorKind.INTERNAL
+        if not self._may_retry(call, result.ran, now):
+            return [self.refuse(call, kind, self._retry_hint(kind, result))]
+        view = self._server_for(call, now)
+        if view is not None and self.known.extra.take():
+            return [self._start(call, view, now)]
+        if view is None and self.known.extra.take():
+            self.known.waiting[call.group].add(call)
+            self._plan_recheck(now)
+            return []
+        return [self.refuse(call, kind, self._retry_hint(kind, result))]
+
+    def worth_retry(
+        self, call: CallState, result: AttemptResult, now: float
+    ) -> bool:
+        """Tells whether an answer is dropped in favour of another try."""
+        if result.status not in RETRIED_STATUSES:
+            return False
+        if len(call.running) > 1:
+            return True
+        if not self._may_retry(call, result.ran, now):
+            return False
+        return (
+            self.known.extra.tokens >= 1.0
+            and self.known.choose(call, now, fresh=True) is not None
+        )
+
+    def start_waiting(self, now: float) -> list[Action]:
+        """Starts waiting calls for which there is a server now."""
+        actions: list[Action] = []
+        some_left = False
+        for queue in self.known.waiting.values():
+            while (call := queue.first()) is not None:
+                view = self._server_for(call, now)
+                if view is None:
+                    some_left = True
+                    break
+                queue.remove(call)
+                actions.append(self._start(call, view, now))
+        self.recheck_at = None
+        if some_left:
+            self._plan_recheck(now)
+        return actions
+
+    def _server_for(self, call: CallState, now: float) -> ServerView | None:
+        view = self.known.choose(call, now, fresh=True)
+        if view is None and call.tried:
+            view = self.known.choose(call, now, fresh=False)
+        if view is None or self.known.is_full(view, now):
+            return None
+        return view
+
+    def _start(
+        self, call: CallState, view: ServerView, now: float, hedge: bool = False
+    ) -> Start:
+        self.last_attempt += 1
+        attempt = Attempt(self.last_attempt, call, view, now, hedge)
+        self.attempts[attempt.attempt_id] = attempt
+        view.own[attempt.attempt_id] = now
+        call.running.append(attempt)
+        call.tried.append(view.state.name)
+        call.attempts += 1
+        if not hedge and call.idempotent and self.known.options.retry.hedge:
+            self._plan_hedge(attempt, now)
+        return Start(call.call_id, attempt.attempt_id, view.state.name, hedge)
+
+    def _plan_hedge(self, attempt: Attempt, now: float) -> None:
+        delay = self.known.late.delay()
+        if delay is not None and "hedges" not in self.known.tuning.off:
+            self.timers.at(now + delay, partial(self._hedge, attempt))
+
+    def _hedge(self, attempt: Attempt, now: float) -> list[Action]:
+        call = attempt.call
+        if call.finished or call.running != [attempt]:
+            return []
+        if not call.replayable:
+            return []
+        if call.attempts >= self.known.options.retry.attempts:
+            return []
+        view = self.known.choose(call, now, fresh=True)
+        if view is None or not self._has_free_slot(view, now):
+            pause = max(self.known.believed.service_s / 2, LEAST_RECHECK_S)
+            self.timers.at(now + pause, partial(self._hedge, attempt))
+            return []
+        if not self.known.extra.take(self.known.tuning.hedge_reserve):
+            return []
+        return [self._start(call, view, now, hedge=True)]
+
+    def _has_free_slot(self, view: ServerView, now: float) -> bool:
+        known = self.known
+        load = choice.believed_load(view, known.believed, known.tuning, now)
+        return load < view.state.slots
+
+    def _may_retry(self, call: CallState, ran: Ran, now: float) -> bool:
+        if "retries" in self.known.tuning.off or not call.replayable:
+            return False
+        if not (call.idempotent or ran is Ran.NO):
+            return False
+        if call.attempts >= self.known.options.retry.attempts:
+            return False
+        return call.deadline > now
+
+    def _refuse_early(self, call: CallState, now: float) -> list[Action]:
+        known = self.known
+        queue = known.waiting[call.group]
+        views = known.candidates(call.group)
+        wait = refusal.expected_wait(
+            len(queue),
+            known.drain.per_second(now),
+            sum(view.state.slots for view in views),
+            known.believed.service_s,
+        )
+        if len(queue) >= known.options.queue.limit:
+            return [self.refuse(call, ErrorKind.QUEUE_FULL, wait)]
+        if known.believed.answers == 0:
+            return []
+        latest = call.deadline - known.believed.service_s
+        latest = min(latest, now + known.options.queue.longest_s)
+        if now + wait > latest:
+            return [self.refuse(call, ErrorKind.DEADLINE_UNREACHABLE, wait)]
+        return []
+
+    def _expire(self, call: CallState, now: float) -> list[Action]:
+        if call.finished:
+            return []
+        started = call.attempts > 0
+        kind = (
+            ErrorKind.DEADLINE_AFTER_START
+            if started
+            else ErrorKind.DEADLINE_BEFORE_START
+        )
+        actions = self.give_up_tries(call, now)
+        wait = None if started else self.known.believed.service_s
+        return [*actions, self.refuse(call, kind, wait)]
+
+    def _waited_too_long(self, call: CallState, now: float) -> list[Action]:
+        del now
+        if (
+            call.finished
+            or call.call_id not in self.known.waiting[call.group].waiting
+        ):
+            return []
+        wait = self.known.options.queue.longest_s
+        return [self.refuse(call, ErrorKind.QUEUE_FULL, wait)]
+
+    def _retry_hint(
+        self, kind: ErrorKind, result: AttemptResult
+    ) -> float | None:
+        if result.retry_after_s is not None:
+            return result.retry_after_s
+        if Failure(kind).answer.retry:
+            return self.known.believed.service_s
+        return None
+
+    def _finish(self, call: CallState) -> None:
+        call.finished = True
+        self.calls.pop(call.call_id, None)
+        self.known.waiting[call.group].remove(call)
+
+    def _plan_recheck(self, now: float) -> None:
+        pause = self.known.believed.service_s / 2
+        pause = min(max(pause, LEAST_RECHECK_S), MOST_RECHECK_S)
+        self.recheck_at = now + pause
--- /dev/null
+++ b/banyantiller/routing/learning.py
@@ -0,0 +1,85 @@
+"""What each result teaches about a server and the service."""
+
+from banyantiller.errors import ErrorKind, Ran
+from banyantiller.routing import ejection, limits
+from banyantiller.routing.calls import Attempt
+from banyantiller.routing.service import ServiceKnowledge
+from banyantiller.routing.types import AttemptResult, LoadReport
+from banyantiller.routing.views import ServerView
+
+SURE_FAILURES = frozenset(
+    {
+        ErrorKind.CONNECT_FAILED,
+        ErrorKind.CONNECT_TIMEOUT,
+        ErrorKind.TLS_FAILED,
+    }
+)
+FIRST_FAILING_STATUS = 500
+SILENT_AGE = 6.0
+
+
+def learn_result(
+    known: ServiceKnowledge,
+    attempt: Attempt,
+    result: AttemptResult,
+    now: float,
+) -> None:
+    """Takes the answer head or the failure of a try."""
+    view = attempt.view
+    if result.report is not None:
+        own_then = len(view.own) - 1
+        learn_report(known, view, result.report, own_then, now)
+    if result.error is ErrorKind.BACKEND_SHED:
+        usual = known.believed.service_s
+        limits.shed(view, result.retry_after_s, usual, now)
+        return
+    if not result.ok or result.status >= FIRST_FAILING_STATUS:
+        sure = result.error in SURE_FAILURES and result.ran is Ran.NO
+        note_failure(known, view, now, sure)
+        return
+    _learn_latency(known, attempt, now)
+    limits.answered(view)
+    ejection.answered(view, now)
+
+
+def learn_report(
+    known: ServiceKnowledge,
+    view: ServerView,
+    report: LoadReport,
+    own_then: int,
+    now: float,
+) -> None:
+    """Takes a report of a server's load."""
+    view.learn_load(report, own_then, now)
+    known.believed.learn_others(view.others / view.state.slots)
+
+
+def learn_cancelled(
+    known: ServiceKnowledge, attempt: Attempt, now: float
+) -> None:
+    """Takes that a try was given up: it takes at least this long."""
+    age = now - attempt.started
+    view = attempt.view
+    usual = known.believed.service_s
+    if age > max(view.latency, usual):
+        view.learn_latency(age, now)
+    if age > SILENT_AGE * usual:
+        note_failure(known, view, now, sure=False)
+
+
+def note_failure(
+    known: ServiceKnowledge, view: ServerView, now: float, sure: bool
+) -> None:
+    """Counts a failure against a server; ejects it if that is due."""
+    group = known.candidates(known.group_of(view))
+    ejection.failed(view, group, known.tuning, now, sure)
+
+
+def _learn_latency(
+    known: ServiceKnowledge, attempt: Attempt, now: float
+) -> None:
+    seconds = now - attempt.started
+    attempt.view.learn_latency(seconds, now)
+    known.believed.learn_latency(seconds)
+    if not attempt.hedge:
+        known.late.learn(seconds)
--- /dev/null
+++ b/banyantiller/routing/shares.py
@@ -0,0 +1,62 @@
+"""Traffic shares: which group of servers each call goes to."""
+
+from collections.abc import Iterable
+
+from banyantiller.bundle import options
+
+
+class GroupSharing:
+    """Smooth weighted round robin over groups.
+
+    Each group's count stays within one call of its share times the calls.
+
+    Attributes:
+        weights: Weight of each group; they add up to 1.
+        credits: What each group is owed, in calls.
+    """
+
+    def __init__(self) -> None:
+        self.weights: dict[str, float] = {}
+        self.credits: dict[str, float] = {}
+
+    def configure(
+        self, shares: tuple[options.Share, ...], groups: Iterable[str]
+    ) -> None:
+        """Takes new shares; groups without servers are left out."""
+        known = set(groups)
+        wanted = {s.group: s.percent for s in shares if s.group in known}
+        total = sum(wanted.values())
+        weights = (
+            {name: percent / total for name, percent in wanted.items()}
+            if total > 0
+            else {}
+        )
+        if weights != self.weights:
+            self.weights = weights
+            self.credits = dict.fromkeys(weights, 0.0)
+
+    def next_group(self) -> str:
+        """Returns the group of the next call, or "" when all are alike."""
+        if not self.weights:
+            return ""
+        for name, weight in self.weights.items():
+            self.credits[name] += weight
+        chosen = max(self.credits, key=self.credits.__getitem__)
+        self.credits[chosen] -= 1.0
+        return chosen
+
+
+def shares_at(
+    service: options.Service, accepted_s: float
+) -> tuple[options.Share, ...]:
+    """Returns the shares that apply some time after acceptance.
+
+    Args:
+        service: Options of the service.
+        accepted_s: Seconds since its bundle was accepted.
+    """
+    current = service.shares
+    for stage in sorted(service.stages, key=lambda stage: stage.after_s):
+        if accepted_s >= stage.after_s:
+            current = stage.shares
+    return current
--- /dev/null
+++ b/banyantiller/routing/waiting.py
@@ -0,0 +1,41 @@
+"""The bounded queue of calls that wait in the daemon."""
+
+import heapq
+
+from banyantiller.routing.calls import CallState
+
+
+class WaitingCalls:
+    """Waiting calls of one group of servers, earliest deadline first.
+
+    Attributes:
+        heap: Deadline, order of arrival and call.
+        waiting: Calls that still wait, by number.
+    """
+
+    def __init__(self) -> None:
+        self.heap: list[tuple[float, int, CallState]] = []
+        self.waiting: dict[int, CallState] = {}
+        self.arrivals = 0
+
+    def __len__(self) -> int:
+        return len(self.waiting)
+
+    def add(self, call: CallState) -> None:
+        """Adds a call."""
+        self.arrivals += 1
+        self.waiting[call.call_id] = call
+        heapq.heappush(self.heap, (call.deadline, self.arrivals, call))
+
+    def remove(self, call: CallState) -> bool:
+        """Forgets a call; tells whether it waited."""
+        return self.waiting.pop(call.call_id, None) is not None
+
+    def first(self) -> CallState | None:
+        """Returns the call with the earliest deadline, or None."""
+        while self.heap:
+            call = self.heap[0][2]
+            if self.waiting.get(call.call_id) is call:
+                return call
+            heapq.heappop(self.heap)
+        return None
--- /dev/null
+++ b/banyantiller/tests/routing/driver.py
@@ -0,0 +1,97 @@
+"""A small driver of a dispatcher for tests."""
+
+from banyantiller.bundle import options
+from banyantiller.errors import ErrorKind, Ran
+from banyantiller.routing import adaptive, types
+
+ZONES = ("plateau", "medina", "yoff", "pikine")
+
+
+def states(count, slots=2, **kwargs):
+    return tuple(
+        types.ServerState(f"b{i:02}", ZONES[i % 4], slots, **kwargs)
+        for i in range(count)
+    )
+
+
+def good(in_flight=0.0, **kwargs):
+    report = types.LoadReport(in_flight)
+    return types.AttemptResult(
+        True, Ran.YES, status=200, report=report, **kwargs
+    )
+
+
+def failed(kind=ErrorKind.CONNECTION_LOST, ran=Ran.UNKNOWN, **kwargs):
+    return types.AttemptResult(False, ran, error=kind, **kwargs)
+
+
+class Driver:
+    """Feeds a dispatcher and keeps its actions.
+
+    Attributes:
+        now: The time that inputs carry.
+        actions: Every action so far.
+        dispatcher: The dispatcher under test.
+    """
+
+    def __init__(
+        self, servers, service=None, zone="plateau", charge=lambda _: False
+    ):
+        self.now = 100.0
+        self.actions = []
+        self.service = service or options.Service("lookups", ())
+        self.dispatcher = adaptive.create(
+            self.service, servers, "d1", zone, 7, self.now, charge
+        )
+        self.next_call = 0
+
+    def submit(self, idempotent=True, patience=5.0, **kwargs):
+        self.next_call += 1
+        call = types.Call(
+            self.next_call, idempotent, self.now + patience, **kwargs
+        )
+        return self.note(self.dispatcher.submit(call, self.now))
+
+    def head(self, attempt_id, result):
+        return self.note(
+            self.dispatcher.attempt_head(attempt_id, result, self.now)
+        )
+
+    def answer(self, attempt_id, after=0.02, in_flight=0.0):
+        self.now += after
+        actions = self.head(attempt_id, good(in_flight))
+        return actions + self.note(
+            self.dispatcher.attempt_done(attempt_id, self.now)
+        )
+
+    def tick(self, after=0.0):
+        self.now += after
+        return self.note(self.dispatcher.tick(self.now))
+
+    def run_due(self, until):
+        """Ticks whenever work is due, up to a time; returns the actions."""
+        found = []
+        for _ in range(100_000):
+            due = self.dispatcher.next_tick()
+            if due is None or due > until:
+                break
+            self.now = max(self.now, due)
+            found += self.tick()
+        else:
+            raise AssertionError("The dispatcher asks for ticks without end.")
+        self.now = until
+        return found
+
+    def note(self, actions):
+        self.actions += actions
+        return actions
+
+    def warm(self, calls=60):
+        """Answers some calls so that latencies are known."""
+        for _ in range(calls):
+            for action in of(self.submit(), types.Start):
+                self.answer(action.attempt_id)
+
+
+def of(actions, kind):
+    return [action for action in actions if isinstance(action, kind)]
