Load settings, parse and sign bundles, and accept them by one write

Settings and bundles were declared but nothing read them. A bundle is split into canonical parts, signed with Ed25519, proposed with audit before each write, and accepted by a conditional write of one head object. A lost answer is settled by reading back; a racing operator loses and is told who won; a refused roll leaves the head as it was.

Parsing and verification have no tests of their own yet; they follow.

--- a/banyantiller/bundle/options.py
+++ b/banyantiller/bundle/options.py
@@ -31,9 +31,11 @@
 
     idempotent: Annotated[bool, Option("Whether a request may run twice.")]
     methods: Annotated[
-        tuple[str, ...], Option("Methods; empty means any.")
+        tuple[str, ...], Option("Methods; empty means any.", check="method")
     ] = ()
-    path: Annotated[str, Option("Path prefix, by whole segments.")] = "/"
+    path: Annotated[
+        str, Option("Path prefix, by whole segments.", check="path_prefix")
+    ] = "/"
 
 
 class Share(NamedTuple):
@@ -86,7 +88,9 @@
     probes_per_second: Annotated[
         float, Option("Most probes by all daemons together.", unit="1/s", low=0)
     ] = 2.0
-    path: Annotated[str, Option("Path that a probe gets.")] = "/healthz"
+    path: Annotated[
+        str, Option("Path that a probe gets.", check="path_prefix")
+    ] = "/healthz"
 
 
 class DrainPolicy(NamedTuple):
@@ -106,9 +110,15 @@
         tuple[BackendServer, ...], Option("Backend servers.", most=2000)
     ]
     hosts: Annotated[
-        tuple[str, ...], Option("Values of the Host header; empty means any.")
+        tuple[str, ...],
+        Option(
+            "Values of the Host header; empty means any.",
+            check="host",
+        ),
     ] = ()
-    path: Annotated[str, Option("Path prefix, by whole segments.")] = "/"
+    path: Annotated[
+        str, Option("Path prefix, by whole segments.", check="path_prefix")
+    ] = "/"
     slots: Annotated[int, Option("Requests a server runs at once.", low=1)] = 2
     connections: Annotated[
         int,
@@ -118,9 +128,9 @@
         tuple[RequestRule, ...],
         Option("Which requests may be repeated; others may not.", most=1000),
     ] = ()
-    key_header: Annotated[str, Option("Header of the idempotency key.")] = (
-        "Idempotency-Key"
-    )
+    key_header: Annotated[
+        str, Option("Header of the idempotency key.", check="header_name")
+    ] = "Idempotency-Key"
     key_required: Annotated[
         bool, Option("Whether a non-idempotent request must carry a key.")
     ] = False
@@ -152,7 +162,8 @@
         str,
         Option(
             "Header by which a server says, with status 503, that it did not"
-            " run the request."
+            " run the request.",
+            check="header_name",
         ),
     ] = "Request-Not-Run"
 
--- /dev/null
+++ b/banyantiller/bundle/outcomes.py
@@ -0,0 +1,144 @@
+"""Tagged outcomes of proposing, signing, rolling and reading bundles."""
+
+import dataclasses
+
+from banyantiller.bundle.manifest import Accepted, Manifest, Signature
+from banyantiller.bundle.options import Service
+from banyantiller.store.interface import StoredObject
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeadFound:
+    """A bundle was accepted; `item` is the object that says so."""
+
+    accepted: Accepted
+    digest: str
+    item: StoredObject
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoHead:
+    """No bundle was ever accepted."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartFound:
+    """A part that fits its reference; `data` is its canonical JSON."""
+
+    service: Service
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProposalFound:
+    """A proposal; `item` is the object that holds it."""
+
+    manifest: Manifest
+    digest: str
+    signatures: tuple[Signature, ...]
+    proposed_at: float
+    item: StoredObject
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotFound:
+    """The object API has no such object."""
+
+    what: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Damaged:
+    """The object was altered or is not of the expected form."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotReached:
+    """The object API gave no answer; nothing was changed."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The bundle may not be taken; nothing was changed."""
+
+    reasons: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotKnown:
+    """A write may have taken effect; reading back gave no answer in time."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OutOfDate:
+    """The proposal follows another bundle than the one in force.
+
+    Attributes:
+        roller: Operator that rolled the bundle in force, or empty.
+        version: Version in force, 0 for none.
+        digest: Digest of its manifest, or empty.
+    """
+
+    roller: str
+    version: int
+    digest: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lost:
+    """Another operator's roll was accepted first.
+
+    Attributes:
+        winner: Operator that rolled it.
+        version: Version that it has.
+        digest: Digest of its manifest.
+    """
+
+    winner: str
+    version: int
+    digest: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proposed:
+    """The proposal waits for a signature."""
+
+    manifest: Manifest
+    digest: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Signed:
+    """The proposal carries the operator's signature."""
+
+    manifest: Manifest
+    digest: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rolled:
+    """The bundle is accepted.
+
+    Attributes:
+        accepted: What the object API holds, or held before a later roll.
+        digest: Digest of its manifest.
+        note: What the operator should know besides, or empty.
+    """
+
+    accepted: Accepted
+    digest: str
+    note: str = ""
+
+
+ReadHead = HeadFound | NoHead | Damaged | NotReached
+ReadPart = PartFound | NotFound | Damaged | NotReached
+ReadProposal = ProposalFound | NotFound | Damaged | NotReached
+ProposeOutcome = Proposed | Refused | NotReached | NotKnown
+SignOutcome = Signed | Refused | NotReached | NotKnown
+RollOutcome = Rolled | Lost | OutOfDate | Refused | NotReached | NotKnown
--- /dev/null
+++ b/banyantiller/bundle/plain.py
@@ -0,0 +1,91 @@
+"""Converts typed values to plain JSON values and strictly back.
+
+A `NamedTuple` becomes an object that leaves out fields at their default, so
+an option that a bundle does not use never appears in it. For this reason the
+default of a bundle option is never changed once released.
+"""
+
+import functools
+import types
+import typing
+from typing import Any
+
+SCALARS = (str, int, float, bool)
+
+
+class PlainError(ValueError):
+    """A plain value does not have the form of its type."""
+
+
+def to_plain(value: Any) -> Any:
+    """Converts a typed value to objects, lists and scalars."""
+    if hasattr(value, "_fields"):
+        defaults = value._field_defaults
+        return {
+            name: to_plain(item)
+            for name, item in zip(value._fields, value, strict=True)
+            if name not in defaults or item != defaults[name]
+        }
+    if isinstance(value, tuple):
+        return [to_plain(item) for item in value]
+    return value
+
+
+def from_plain(plain: Any, kind: Any, path: str = "") -> Any:
+    """Builds a typed value.
+
+    Args:
+        plain: What `to_plain` returned, as JSON carries it.
+        kind: `NamedTuple` type, `tuple[X, ...]`, `X | None` or a scalar type.
+        path: Path of the value for messages.
+
+    Raises:
+        PlainError: A field is unknown, missing or of the wrong type.
+    """
+    if kind in SCALARS:
+        return _scalar(plain, kind, path)
+    if hasattr(kind, "_fields"):
+        return _group(plain, kind, path)
+    origin = typing.get_origin(kind)
+    if origin is typing.Annotated:
+        return from_plain(plain, typing.get_args(kind)[0], path)
+    if origin in (types.UnionType, typing.Union):
+        if plain is None:
+            return None
+        return from_plain(plain, typing.get_args(kind)[0], path)
+    if not isinstance(plain, list):
+        raise PlainError(f"{path} is not a list")
+    item = typing.get_args(kind)[0]
+    return tuple(
+        from_plain(child, item, f"{path}[{index}]")
+        for index, child in enumerate(plain)
+    )
+
+
+@functools.cache
+def _hints(kind: type) -> dict[str, Any]:
+    return typing.get_type_hints(kind)
+
+
+def _group(plain: Any, kind: Any, path: str) -> Any:
+    if not isinstance(plain, dict):
+        raise PlainError(f"{path or 'the value'} is not an object")
+    hints = _hints(kind)
+    unknown = plain.keys() - hints.keys()
+    if unknown:
+        raise PlainError(f"{path}.{min(unknown)} is not known here")
+    values = {}
+    for name, hint in hints.items():
+        if name in plain:
+            values[name] = from_plain(plain[name], hint, f"{path}.{name}")
+        elif name not in kind._field_defaults:
+            raise PlainError(f"{path}.{name} is missing")
+    return kind(**values)
+
+
+def _scalar(plain: Any, kind: type, path: str) -> Any:
+    if kind is float and type(plain) is int:
+        return float(plain)
+    if type(plain) is not kind:
+        raise PlainError(f"{path} is not of type {kind.__name__}")
+    return plain
--- /dev/null
+++ b/banyantiller/bundle/reading.py
@@ -0,0 +1,133 @@
+"""Reads accepted bundles, parts and proposals from the object API."""
+
+from typing import Any
+
+from banyantiller.bundle import canonical, plain
+from banyantiller.bundle.manifest import Accepted, Manifest, Part, Signature
+from banyantiller.bundle.outcomes import (
+    Damaged,
+    HeadFound,
+    NoHead,
+    NotFound,
+    NotReached,
+    PartFound,
+    ProposalFound,
+    ReadHead,
+    ReadPart,
+    ReadProposal,
+)
+from banyantiller.store import interface
+
+HEADS = "bundleheads"
+PARTS = "bundleparts"
+PROPOSALS = "bundleproposals"
+
+SHORT_DIGEST = 32
+MAX_SIGNATURES = 16
+
+
+async def read_head(store: interface.ObjectStore, deployment: str) -> ReadHead:
+    """Reads the accepted bundle; its signatures are not verified here."""
+    outcome = await store.get(HEADS, deployment)
+    if isinstance(outcome, interface.Unavailable):
+        return NotReached(outcome.reason)
+    if isinstance(outcome, interface.Missing):
+        return NoHead()
+    return decode_head(outcome.item)
+
+
+def decode_head(item: interface.StoredObject) -> HeadFound | Damaged:
+    """Decodes a head object, as a read or a watch delivered it."""
+    try:
+        accepted = canonical.decode_accepted(_bytes(item, "accepted"))
+    except canonical.CanonicalError as error:
+        return Damaged(f"The accepted bundle is damaged: {error}.")
+    digest = canonical.manifest_digest(accepted.manifest)
+    return HeadFound(accepted, digest, item)
+
+
+def head_value(accepted: Accepted) -> dict[str, Any]:
+    """Builds the value of a head; all but "accepted" is for readers."""
+    return {
+        "accepted": canonical.encode_accepted(accepted).decode(),
+        "digest": canonical.manifest_digest(accepted.manifest),
+        "version": accepted.manifest.version,
+    }
+
+
+async def read_part(store: interface.ObjectStore, part: Part) -> ReadPart:
+    """Reads a part and checks it against the manifest's reference."""
+    outcome = await store.get(PARTS, part.digest)
+    if isinstance(outcome, interface.Unavailable):
+        return NotReached(outcome.reason)
+    if isinstance(outcome, interface.Missing):
+        return NotFound(f"part {part.digest[:SHORT_DIGEST]}")
+    try:
+        data = _bytes(outcome.item, "data")
+        return PartFound(canonical.decode_part(data, part), data)
+    except canonical.CanonicalError as error:
+        return Damaged(f"A part is damaged: {error}.")
+
+
+def part_value(part: Part, data: bytes) -> dict[str, Any]:
+    """Builds the value of a part object."""
+    return {"service": part.service, "data": data.decode()}
+
+
+def proposal_name(deployment: str, digest: str) -> str:
+    """Returns the name of a proposal object."""
+    return f"{deployment}.{digest[:SHORT_DIGEST]}"
+
+
+def proposal_value(
+    manifest: Manifest, signatures: tuple[Signature, ...], proposed_at: float
+) -> dict[str, Any]:
+    """Builds the value of a proposal object."""
+    return {
+        "manifest": canonical.encode_manifest(manifest).decode(),
+        "signatures": [plain.to_plain(item) for item in signatures],
+        "proposed_at": proposed_at,
+    }
+
+
+async def read_proposal(
+    store: interface.ObjectStore, deployment: str, digest: str
+) -> ReadProposal:
+    """Reads a proposal by its digest, of which 32 digits suffice."""
+    outcome = await store.get(PROPOSALS, proposal_name(deployment, digest))
+    if isinstance(outcome, interface.Unavailable):
+        return NotReached(outcome.reason)
+    if isinstance(outcome, interface.Missing):
+        return NotFound(f"proposal {digest[:SHORT_DIGEST]}")
+    found = decode_proposal(outcome.item)
+    if isinstance(found, ProposalFound) and not found.digest.startswith(digest):
+        return Damaged("The proposal's manifest was altered.")
+    return found
+
+
+def decode_proposal(
+    item: interface.StoredObject,
+) -> ProposalFound | Damaged:
+    """Decodes a proposal object; its signatures are not verified here."""
+    try:
+        manifest = canonical.decode_manifest(_bytes(item, "manifest"))
+        signatures = plain.from_plain(
+            item.value.get("signatures"), tuple[Signature, ...], "signatures"
+        )
+        proposed_at = plain.from_plain(
+            item.value.get("proposed_at"), float, "proposed_at"
+        )
+    except ValueError as error:
+        return Damaged(f"The proposal is damaged: {error}.")
+    digest = canonical.manifest_digest(manifest)
+    return ProposalFound(manifest, digest, signatures, proposed_at, item)
+
+
+def _bytes(item: interface.StoredObject, field: str) -> bytes:
+    text = item.value.get(field)
+    if not isinstance(text, str):
+        raise canonical.CanonicalError(f"'{field}' is missing")
+    try:
+        return text.encode("utf-8")
+    except UnicodeEncodeError as error:
+        raise canonical.CanonicalError(f"'{field}' is not UTF-8") from error
--- /dev/null
+++ b/banyantiller/bundle/writing.py
@@ -0,0 +1,66 @@
+"""Writes that settle a lost answer by reading back."""
+
+import asyncio
+import json
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from banyantiller.bundle.outcomes import Damaged, NotKnown, NotReached
+from banyantiller.store import interface
+
+MOST_TRIES = 6
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 1.0
+
+
+def pauses() -> Iterator[float]:
+    """Yields the pause after each try, `MOST_TRIES` times."""
+    pause = FIRST_PAUSE_S
+    for _ in range(MOST_TRIES):
+        yield pause
+        pause = min(pause * 2, LONGEST_PAUSE_S)
+
+
+def value_size(value: dict[str, Any]) -> int:
+    """Returns the size of a value as the object API holds it."""
+    text = json.dumps(value, separators=(",", ":"), ensure_ascii=False)
+    return len(text.encode("utf-8"))
+
+
+async def ensure(
+    store: interface.ObjectStore,
+    kind: str,
+    name: str,
+    value: dict[str, Any],
+    labels: dict[str, str],
+    is_same: Callable[[interface.StoredObject], bool],
+) -> interface.StoredObject | Damaged | NotReached | NotKnown:
+    """Creates an object unless the same one exists already.
+
+    Args:
+        store: The object API.
+        kind: Kind of the object.
+        name: Its name, which follows from its content.
+        value: Its value.
+        labels: Its labels.
+        is_same: Tells whether an existing object stands for the same content.
+
+    Returns:
+        The object; `Damaged` if another one has its name.
+    """
+    unsure = False
+    reason = ""
+    for pause in pauses():
+        outcome = await store.create(kind, name, value, labels)
+        if isinstance(outcome, interface.Found):
+            return outcome.item
+        if isinstance(outcome, interface.Unavailable | interface.Unknown):
+            unsure = unsure or isinstance(outcome, interface.Unknown)
+            reason = outcome.reason
+        read = await store.get(kind, name)
+        if isinstance(read, interface.Found):
+            if is_same(read.item):
+                return read.item
+            return Damaged(f"Another object has the name '{name}'.")
+        await asyncio.sleep(pause)
+    return NotKnown(reason) if unsure else NotReached(reason)
--- a/banyantiller/config/defaults.py
+++ b/banyantiller/config/defaults.py
@@ -52,7 +52,11 @@
         Option("What the key may do.", choices=("propose", "sign")),
     ] = ("propose", "sign")
     not_after: Annotated[
-        str, Option("UTC date after which the key signs nothing new, or empty.")
+        str,
+        Option(
+            "UTC date after which the key signs nothing new, or empty.",
+            check="date",
+        ),
     ] = ""
 
 
--- a/banyantiller/exceptions.py
+++ b/banyantiller/exceptions.py
@@ -16,10 +16,18 @@
 
 
 class ConfigError(BanyantillerError):
-    """Settings or a bundle are not valid."""
+    """Settings or a bundle are not valid.
+
+    Attributes:
+        problems: Every `config.problems.Problem` found, where known.
+    """
 
     exit_code = 2
 
+    def __init__(self, message: str, problems: tuple = ()) -> None:
+        super().__init__(message)
+        self.problems = problems
+
 
 class SignatureError(BanyantillerError):
     """A bundle is unsigned, wrongly signed, or signed by its proposer."""
--- /dev/null
+++ b/banyantiller/tests/bundle/test_acceptance.py
@@ -0,0 +1,373 @@
+"""Tests of proposing, signing and rolling through an object API that fails."""
+
+from banyantiller.bundle import acceptance, canonical, proposals, reading
+from banyantiller.bundle.outcomes import (
+    Damaged,
+    HeadFound,
+    Lost,
+    NoHead,
+    NotKnown,
+    NotReached,
+    OutOfDate,
+    PartFound,
+    Proposed,
+    Refused,
+    Rolled,
+    Signed,
+)
+from banyantiller.store.memory import Faults, MemoryStore
+from banyantiller.store.table import ObjectTable
+from banyantiller.tests.base import TestCase
+from banyantiller.tests.bundle import samples
+from banyantiller.tests.bundle.samples import BUNDLE, DEPLOYMENT
+
+SECOND = BUNDLE.replace("First", "Second").replace("desk-2", "desk-9")
+THIRD = BUNDLE.replace("First", "Third")
+
+
+async def head_of(store: MemoryStore) -> HeadFound | NoHead:
+    return await reading.read_head(store, DEPLOYMENT)
+
+
+def alter(store: MemoryStore, kind: str, name: str, old: str, new: str) -> None:
+    """Alters an object behind the back of its users."""
+    record = store.table.records[kind, name]
+    assert old.encode() in record.data
+    data = record.data.replace(old.encode(), new.encode())
+    store.table.records[kind, name] = record._replace(data=data)
+
+
+class RollTest(TestCase):
+    def test_first_and_second_bundle(self):
+        async def body():
+            store = MemoryStore()
+            self.assertEqual(NoHead(), await head_of(store))
+            digest = await samples.prepare(store, BUNDLE)
+            self.assertEqual(NoHead(), await head_of(store))
+            rolled = await samples.roll(store, digest)
+            self.assertIsInstance(rolled, Rolled)
+            head = await head_of(store)
+            self.assertEqual((1, digest), (_version(head), head.digest))
+            creates = store.calls["create"]
+            second = await samples.prepare(store, SECOND)
+            # One part changed, and the proposal itself is new.
+            self.assertEqual(creates + 2, store.calls["create"])
+            await samples.roll(store, second)
+            head = await head_of(store)
+            self.assertEqual((2, second), (_version(head), head.digest))
+            self.assertEqual(digest, head.accepted.manifest.parent)
+            for part in head.accepted.manifest.parts:
+                found = await reading.read_part(store, part)
+                self.assertIsInstance(found, PartFound)
+                self.assertEqual(part.service, found.service.name)
+
+        self.run_paused(body())
+
+    def test_each_command_can_be_repeated(self):
+        async def body():
+            store = MemoryStore()
+            first = await samples.prepare(store, BUNDLE)
+            self.assertEqual(first, await samples.prepare(store, BUNDLE))
+            await samples.roll(store, first)
+            again = await samples.roll(store, first, "cy")
+            self.assertIsInstance(again, Rolled)
+            self.assertEqual("ana", again.accepted.roller)
+            await samples.roll(store, await samples.prepare(store, SECOND))
+            late = await samples.roll(store, first)
+            self.assertIsInstance(late, Rolled)
+            self.assertIn("Version 2 of 'ana' has followed", late.note)
+
+        self.run_paused(body())
+
+    def test_each_change_is_recorded_before_it_is_made(self):
+        async def body():
+            store, trail = MemoryStore(), samples.Trail()
+            ana = samples.operator("ana", trail)
+            ben = samples.operator("ben", trail)
+            bundle = samples.bundle()
+            done = await proposals.propose(store, DEPLOYMENT, bundle, ana)
+            await proposals.sign(store, DEPLOYMENT, done.digest, ben)
+            await acceptance.roll(store, DEPLOYMENT, done.digest, ana)
+            actions = [action for action, _ in trail.entries]
+            wanted = ["propose", "sign", "roll", "roll_result"]
+            self.assertEqual(wanted, actions)
+            self.assertEqual("rolled", trail.entries[-1][1]["result"])
+            second = await samples.prepare(store, SECOND)
+            trail.failure = "the trail is unavailable"
+            outcome = await acceptance.roll(store, DEPLOYMENT, second, ana)
+            self.assertEqual(NotReached(trail.failure), outcome)
+            self.assertEqual(1, _version(await head_of(store)))
+
+        self.run_paused(body())
+
+
+class RefusalTest(TestCase):
+    """Nothing in force changes by a roll that is refused."""
+
+    def refused(self, spoil, part: str) -> None:
+        async def body():
+            store = MemoryStore()
+            await samples.roll(store, await samples.prepare(store, BUNDLE))
+            before = await head_of(store)
+            outcome = await samples.roll(store, await spoil(store))
+            self.assertIsInstance(outcome, Refused)
+            self.assertIn(part, " ".join(outcome.reasons))
+            self.assertEqual(before, await head_of(store))
+
+        self.run_paused(body())
+
+    def test_unsigned(self):
+        async def spoil(store):
+            bundle, ana = samples.bundle(SECOND), samples.operator("ana")
+            done = await proposals.propose(store, DEPLOYMENT, bundle, ana)
+            return done.digest
+
+        self.refused(spoil, "not signed by a second operator")
+
+    def test_self_signed(self):
+        async def spoil(store):
+            bundle, ana = samples.bundle(SECOND), samples.operator("ana")
+            done = await proposals.propose(store, DEPLOYMENT, bundle, ana)
+            signed = await proposals.sign(store, DEPLOYMENT, done.digest, ana)
+            self.assertIsInstance(signed, Refused)
+            return done.digest
+
+        self.refused(spoil, "not signed by a second operator")
+
+    def test_tampered_manifest(self):
+        async def spoil(store):
+            digest = await samples.prepare(store, SECOND)
+            name = reading.proposal_name(DEPLOYMENT, digest)
+            alter(store, reading.PROPOSALS, name, "Second", "Third!")
+            return digest
+
+        self.refused(spoil, "altered")
+
+    def test_tampered_and_missing_part(self):
+        async def change(store, drop: bool) -> str:
+            digest = await samples.prepare(store, SECOND)
+            found = await reading.read_proposal(store, DEPLOYMENT, digest)
+            (part,) = (
+                item for item in found.manifest.parts if item.service == "desk"
+            )
+            if drop:
+                del store.table.records[reading.PARTS, part.digest]
+            else:
+                alter(store, reading.PARTS, part.digest, "9001", "9666")
+            return digest
+
+        self.refused(lambda store: change(store, False), "was altered")
+        self.refused(lambda store: change(store, True), "There is no part")
+
+    def test_unknown_proposal(self):
+        async def spoil(store):
+            return "0" * 64
+
+        self.refused(spoil, "There is no proposal")
+
+    def test_out_of_date(self):
+        async def body():
+            store = MemoryStore()
+            first = await samples.prepare(store, BUNDLE)
+            other = await samples.prepare(store, THIRD, "ben")
+            await samples.roll(store, first)
+            before = await head_of(store)
+            outcome = await samples.roll(store, other, "ben")
+            self.assertEqual(OutOfDate("ana", 1, first), outcome)
+            self.assertIn("out of date", acceptance.describe(outcome))
+            self.assertEqual(before, await head_of(store))
+
+        self.run_paused(body())
+
+    def test_damaged_head(self):
+        async def body():
+            store = MemoryStore()
+            await samples.roll(store, await samples.prepare(store, BUNDLE))
+            second = await samples.prepare(store, SECOND)
+            alter(store, reading.HEADS, DEPLOYMENT, '\\"roller\\"', '\\"x\\"')
+            self.assertIsInstance(await head_of(store), Damaged)
+            self.assertIsInstance(await samples.roll(store, second), Refused)
+
+        self.run_paused(body())
+
+
+class RaceTest(TestCase):
+    def test_of_two_rolls_one_wins_and_is_named(self):
+        async def body():
+            table = ObjectTable()
+            slow = MemoryStore(table)
+            fast = MemoryStore(table)
+            await samples.roll(fast, await samples.prepare(fast, BUNDLE))
+            one = await samples.prepare(fast, SECOND)
+            two = await samples.prepare(fast, THIRD, "ben")
+            update = slow.update
+
+            async def late_update(item, value):
+                if item.kind == reading.HEADS:
+                    await samples.roll(fast, two, "ben")
+                return await update(item, value)
+
+            self.patch(slow, "update", late_update)
+            outcome = await samples.roll(slow, one)
+            self.assertEqual(Lost("ben", 2, two), outcome)
+            self.assertIn("'ben' was first", acceptance.describe(outcome))
+            self.assertEqual(two, (await head_of(fast)).digest)
+
+        self.run_paused(body())
+
+    def test_two_signers_at_once(self):
+        async def body():
+            store = MemoryStore()
+            bundle, ana = samples.bundle(), samples.operator("ana")
+            done = await proposals.propose(store, DEPLOYMENT, bundle, ana)
+            update = store.update
+
+            async def late_update(item, value):
+                self.patch(store, "update", update)
+                cy = samples.operator("cy")
+                await proposals.sign(store, DEPLOYMENT, done.digest, cy)
+                return await update(item, value)
+
+            self.patch(store, "update", late_update)
+            ben = samples.operator("ben")
+            signed = await proposals.sign(store, DEPLOYMENT, done.digest, ben)
+            self.assertIsInstance(signed, Signed)
+            found = await reading.read_proposal(store, DEPLOYMENT, done.digest)
+            names = [item.operator for item in found.signatures]
+            self.assertEqual(["ana", "cy", "ben"], names)
+
+        self.run_paused(body())
+
+
+class LostAnswerTest(TestCase):
+    def test_each_lost_answer_is_settled_by_reading_back(self):
+        async def body():
+            for lost in range(1, 9):
+                store = MemoryStore(faults=Faults(lose_answers=lost))
+                digest = await samples.prepare(store, BUNDLE)
+                outcome = await samples.roll(store, digest)
+                self.assertIsInstance(outcome, Rolled)
+                self.assertEqual(digest, (await head_of(store)).digest)
+
+        self.run_paused(body())
+
+    def test_a_write_that_lands_after_its_answer_was_given_up(self):
+        async def body():
+            store = MemoryStore(timeout_s=0.5)
+            digest = await samples.prepare(store, BUNDLE)
+            update = store.create
+
+            async def slow_create(*args):
+                store.faults.slow_s = 0.9
+                self.patch(store, "create", update)
+                outcome = await update(*args)
+                store.faults.slow_s = 0.0
+                return outcome
+
+            self.patch(store, "create", slow_create)
+            self.assertIsInstance(await samples.roll(store, digest), Rolled)
+            self.assertEqual(1, _version(await head_of(store)))
+
+        self.run_paused(body())
+
+    def test_unsettled_is_said_so_and_can_be_run_again(self):
+        async def body():
+            store = MemoryStore()
+            digest = await samples.prepare(store, BUNDLE)
+            create = store.create
+
+            async def last_create(*args):
+                store.faults.lose_answers = 1
+                outcome = await create(*args)
+                store.faults.down = True
+                return outcome
+
+            self.patch(store, "create", last_create)
+            self.assertIsInstance(await samples.roll(store, digest), NotKnown)
+            store.faults.down = False
+            self.assertIsInstance(await samples.roll(store, digest), Rolled)
+
+        self.run_paused(body())
+
+    def test_an_outage_changes_nothing(self):
+        async def body():
+            store = MemoryStore()
+            digest = await samples.prepare(store, BUNDLE)
+            store.faults.down = True
+            self.assertIsInstance(await samples.roll(store, digest), NotReached)
+            bundle, ana = samples.bundle(), samples.operator("ana")
+            done = await proposals.propose(store, DEPLOYMENT, bundle, ana)
+            self.assertIsInstance(done, NotReached)
+            ben = samples.operator("ben")
+            done = await proposals.sign(store, DEPLOYMENT, digest, ben)
+            self.assertIsInstance(done, NotReached)
+            store.faults.down = False
+            self.assertEqual(NoHead(), await head_of(store))
+
+        self.run_paused(body())
+
+    def test_stale_reads_never_name_a_wrong_winner(self):
+        async def body():
+            table = ObjectTable()
+            fresh, stale = MemoryStore(table), MemoryStore(table)
+            await samples.roll(fresh, await samples.prepare(fresh, BUNDLE))
+            second = await samples.prepare(fresh, SECOND)
+            stale.serve_stale(True)
+            await samples.roll(fresh, second)
+            third = await samples.prepare(fresh, THIRD)
+            outcome = await samples.roll(stale, second)
+            self.assertIsInstance(outcome, NotReached)
+            self.assertIsInstance(await samples.roll(stale, third), Refused)
+            stale.serve_stale(False)
+            self.assertIsInstance(await samples.roll(stale, third), Rolled)
+            self.assertEqual(third, (await head_of(fresh)).digest)
+
+        self.run_paused(body())
+
+
+class ProposeTest(TestCase):
+    def test_an_untrusted_proposer_is_refused(self):
+        async def body():
+            store = MemoryStore()
+            dora = samples.operator("ana")._replace(name="dora")
+            done = await proposals.propose(
+                store, DEPLOYMENT, samples.bundle(), dora
+            )
+            self.assertIsInstance(done, Refused)
+            self.assertEqual({}, store.table.records)
+
+        self.run_paused(body())
+
+    def test_a_part_that_no_object_can_hold_is_refused(self):
+        async def body():
+            store = MemoryStore()
+            bundle = samples.bundle()
+            desk = bundle.services[0]
+            # Each quote takes four bytes in the object, two in the part.
+            big = desk._replace(hosts=('"' * 300_000,))
+            done = await proposals.propose(
+                store,
+                DEPLOYMENT,
+                bundle._replace(services=(big,)),
+                samples.operator("ana"),
+            )
+            self.assertIsInstance(done, Refused)
+            self.assertIn("too large for one object", done.reasons[0])
+
+        self.run_paused(body())
+
+    def test_a_planted_part_is_not_taken_for_ours(self):
+        async def body():
+            store = MemoryStore()
+            bundle, ana = samples.bundle(), samples.operator("ana")
+            part, _ = canonical.split(bundle)["desk"]
+            await store.create(reading.PARTS, part.digest, {"data": "{}"})
+            done = await proposals.propose(store, DEPLOYMENT, bundle, ana)
+            self.assertIsInstance(done, Refused)
+            self.assertNotIsInstance(done, Proposed)
+
+        self.run_paused(body())
+
+
+def _version(head: HeadFound) -> int:
+    return head.accepted.manifest.version
--- /dev/null
+++ b/banyantiller/tests/config/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of settings and their loading."""
