--- /dev/null
+++ b/banyantiller/store/answers.py
@@ -0,0 +1,93 @@
+"""What an answer of the object API says about a call.
+
+A write is `Unavailable` only when it certainly had no effect. Whatever else
+goes wrong with a write is `Unknown`.
+"""
+
+from banyantiller.http import outcomes
+from banyantiller.store import interface, wire
+
+# Refusals that the API server makes before it changes anything.
+REFUSED = frozenset(
+    (400, 401, 402, 403, 405, 406, 411, 413, 414, 415, 422, 429, 431)
+)
+
+
+def explain(answer: outcomes.Answered) -> str:
+    """Returns a short reason out of a refusal."""
+    code = answer.response.status
+    status = wire.decode_status(answer.body)
+    detail = status.message or status.reason
+    return f"status {code}: {detail[:200]}" if detail else f"status {code}"
+
+
+def has_no_effect(answer: outcomes.Answered) -> bool:
+    """Tells whether a refused write certainly had no effect.
+
+    A 503 counts only if the API server itself made it and asks to come back
+    later; one of something in between could follow a write that was passed on.
+    """
+    code = answer.response.status
+    if code == 503 and answer.response.header("retry-after"):
+        return wire.decode_status(answer.body).status == "Failure"
+    return code in REFUSED
+
+
+def read_one(
+    kind: str, outcome: outcomes.Outcome
+) -> interface.Found | interface.Missing | interface.Unavailable:
+    """Returns the outcome of reading one object."""
+    if not isinstance(outcome, outcomes.Answered):
+        return interface.Unavailable(outcome.reason)
+    if outcome.response.status == 404:
+        return interface.Missing()
+    if outcome.response.status != 200:
+        return interface.Unavailable(explain(outcome))
+    try:
+        return interface.Found(wire.decode_object(kind, outcome.body))
+    except wire.WireError as error:
+        return interface.Unavailable(str(error))
+
+
+def read_write(
+    sent: interface.StoredObject, outcome: outcomes.Outcome, verb: str
+) -> interface.UpdateOutcome:
+    """Returns the outcome of a write.
+
+    Args:
+        sent: The object that was sent.
+        outcome: What came back.
+        verb: "create", "update" or "delete".
+    """
+    if isinstance(outcome, outcomes.NotSent):
+        return interface.Unavailable(outcome.reason)
+    if isinstance(outcome, outcomes.Lost):
+        return interface.Unknown(outcome.reason)
+    code = outcome.response.status
+    if code in (200, 201, 202):
+        return _written(sent, outcome, verb)
+    if code == 409:
+        return interface.Conflict()
+    if code == 404:
+        if verb == "create":
+            return interface.Unavailable(explain(outcome))
+        return interface.Missing()
+    if has_no_effect(outcome):
+        return interface.Unavailable(explain(outcome))
+    return interface.Unknown(explain(outcome))
+
+
+def _written(
+    sent: interface.StoredObject, answer: outcomes.Answered, verb: str
+) -> interface.Found | interface.Unknown:
+    try:
+        item = wire.decode_object(sent.kind, answer.body)
+    except wire.WireError as error:
+        # A delete is answered by the object or by a bare status.
+        status = wire.decode_status(answer.body).status
+        if verb == "delete" and status == "Success":
+            return interface.Found(sent)
+        return interface.Unknown(str(error))
+    if item.name != sent.name:
+        return interface.Unknown("the answer is about another object")
+    return interface.Found(item)
--- /dev/null
+++ b/banyantiller/vmlist/tracker.py
@@ -0,0 +1,103 @@
+"""Turns successive VM lists into changes.
+
+The list lags and may be read from differently old copies. A list with an
+older time than one seen before is ignored, so that it can't undo what a newer
+one said. A VM counts as gone only after it is missing from several newer
+lists in a row.
+"""
+
+import enum
+from typing import NamedTuple
+
+from banyantiller.vmlist import interface
+
+LISTS_TO_GONE = 2
+
+
+class Change(enum.StrEnum):
+    """What happened to a VM."""
+
+    NEW = "new"
+    LEAVING = "leaving"
+    GONE = "gone"
+    BACK = "back"
+
+
+class VmChange(NamedTuple):
+    """One change of one VM.
+
+    Attributes:
+        change: What happened.
+        vm: The VM as last listed.
+    """
+
+    change: Change
+    vm: interface.Vm
+
+
+class VmTracker:
+    """What the newest lists said.
+
+    Attributes:
+        as_of: Platform time of the newest list, or None.
+        vms: VMs by name, those that have been missing for a short time too.
+        missing: Number of newer lists in a row that lack a VM, by name.
+    """
+
+    def __init__(self, lists_to_gone: int = LISTS_TO_GONE) -> None:
+        self.lists_to_gone = lists_to_gone
+        self.as_of: float | None = None
+        self.vms: dict[str, interface.Vm] = {}
+        self.missing: dict[str, int] = {}
+        self.gone: set[str] = set()
+
+    def observe(self, listed: interface.VmsListed) -> tuple[VmChange, ...]:
+        """Takes a list and returns what it changes, sorted by VM name.
+
+        A VM that was gone or leaving and is listed as live again is "back".
+        """
+        if self.as_of is not None and listed.as_of <= self.as_of:
+            return ()
+        self.as_of = listed.as_of
+        seen = {vm.name: vm for vm in listed.vms}
+        changes = [self._take(vm) for vm in seen.values()]
+        changes += [
+            self._miss(name) for name in list(self.vms) if name not in seen
+        ]
+        found = [change for change in changes if change is not None]
+        return tuple(sorted(found, key=lambda change: change.vm.name))
+
+    def leaving(self) -> frozenset[str]:
+        """Returns the names of VMs that are leaving."""
+        return frozenset(
+            name
+            for name, vm in self.vms.items()
+            if vm.state is interface.VmState.LEAVING
+        )
+
+    def _take(self, vm: interface.Vm) -> VmChange | None:
+        before = self.vms.get(vm.name)
+        self.vms[vm.name] = vm
+        self.missing.pop(vm.name, None)
+        was_gone = vm.name in self.gone
+        self.gone.discard(vm.name)
+        if vm.state is interface.VmState.LEAVING:
+            if before is None or before.state is not vm.state:
+                return VmChange(Change.LEAVING, vm)
+            return None
+        if was_gone:
+            return VmChange(Change.BACK, vm)
+        if before is None:
+            return VmChange(Change.NEW, vm)
+        if before.state is interface.VmState.LEAVING:
+            return VmChange(Change.BACK, vm)
+        return None
+
+    def _miss(self, name: str) -> VmChange | None:
+        count = self.missing.get(name, 0) + 1
+        if count < self.lists_to_gone:
+            self.missing[name] = count
+            return None
+        self.missing.pop(name, None)
+        self.gone.add(name)
+        return VmChange(Change.GONE, self.vms.pop(name))
