--- a/banyantiller/errors.py
+++ b/banyantiller/errors.py
@@ -31,6 +31,7 @@
     CALLER_GONE = "caller_gone"
     EXPECTATION_UNSUPPORTED = "expectation_unsupported"
     METHOD_UNSUPPORTED = "method_unsupported"
+    VERSION_UNSUPPORTED = "version_unsupported"
     UNKNOWN_SERVICE = "unknown_service"
     NO_BUNDLE = "no_bundle"
     FENCED = "fenced"
@@ -100,6 +101,9 @@
     ErrorKind.METHOD_UNSUPPORTED: Answer(
         501, "http_request_error", Ran.NO, False
     ),
+    ErrorKind.VERSION_UNSUPPORTED: Answer(
+        505, "http_request_error", Ran.NO, False
+    ),
     ErrorKind.UNKNOWN_SERVICE: Answer(
         404, "destination_not_found", Ran.NO, False
     ),
--- /dev/null
+++ b/banyantiller/proxy/attempt.py
@@ -0,0 +1,187 @@
+"""One try of a call at one backend server."""
+
+import enum
+from typing import TYPE_CHECKING, Any
+
+import h11
+
+from banyantiller.bundle.options import NOT_RUN_STATUS
+from banyantiller.errors import ErrorKind, Ran
+from banyantiller.proxy import backend, headers, load
+from banyantiller.proxy import pool as pools
+from banyantiller.routing.types import AttemptResult, Start
+
+if TYPE_CHECKING:
+    from banyantiller.proxy import call as calls
+    from banyantiller.proxy import driver as drivers
+
+
+class Stage(enum.Enum):
+    """How far a try has come."""
+
+    CONNECTING = enum.auto()
+    SENT = enum.auto()
+    RELAYING = enum.auto()
+    OVER = enum.auto()
+
+
+class Attempt:
+    """Sends a call on a connection and hands its answer on.
+
+    It is the `Borrower` of the pool and the `Exchange` of the connection.
+
+    Attributes:
+        stage: How far it has come.
+        connection: The connection, once there is one.
+        response: The answer head, once it arrived.
+        began: Loop time at which the request was sent.
+    """
+
+    def __init__(
+        self,
+        driver: "drivers.ServiceDriver",
+        call: "calls.Call",
+        start: Start,
+        pool: pools.Pool,
+    ) -> None:
+        self.driver = driver
+        self.call = call
+        self.attempt_id = start.attempt_id
+        self.server = start.server
+        self.pool = pool
+        self.proven = not call.idempotent
+        self.wanted = True
+        self.stage = Stage.CONNECTING
+        self.connection: backend.BackendConnection | None = None
+        self.response: h11.Response | None = None
+        self.began = 0.0
+
+    @property
+    def streaming(self) -> bool:
+        """Whether the request body goes to the connection as it comes."""
+        return self.connection is not None and self.stage is not Stage.OVER
+
+    # Called by the pool.
+
+    def connected(self, connection: backend.BackendConnection) -> None:
+        """Sends the request as far as it has been received."""
+        if not self.call.body.kept:
+            connection.home.give_back(connection)
+            self._report_failure(ErrorKind.INTERNAL, Ran.NO)
+            return
+        self.stage = Stage.SENT
+        self.connection = connection
+        self.began = self.driver.loop.time()
+        connection.begin(self, self.call.backend_request())
+        self.call.send_kept_body(self)
+
+    def connect_failed(self, kind: ErrorKind) -> None:
+        """Reports that not one byte was written."""
+        self._report_failure(kind, Ran.NO)
+
+    # Called by the connection.
+
+    def informational(self, event: h11.InformationalResponse) -> None:
+        """Passes an informational answer on."""
+        self.call.informational(event)
+
+    def head(self, event: h11.Response) -> None:
+        """Reports the answer head; the dispatcher decides about it."""
+        self.response = event
+        metrics = headers.get(event.headers, load.HEADER)
+        report = None if metrics is None else load.read_header(metrics)
+        not_run = self._is_not_run(event)
+        result = AttemptResult(
+            ok=not not_run,
+            ran=Ran.NO if not_run else Ran.YES,
+            error=ErrorKind.BACKEND_SHED if not_run else None,
+            status=event.status_code,
+            report=report,
+            retry_after_s=_retry_after(event) if not_run else None,
+            replayable=self.call.body.kept,
+        )
+        if not_run:
+            self.stage = Stage.OVER
+        self.driver.head(self, result)
+
+    def data(self, data: bytes) -> None:
+        """Relays a part of the answer body."""
+        if self.stage is Stage.RELAYING:
+            self.call.relay_data(data)
+
+    def end(self, trailers: Any) -> None:
+        """Relays the end of the answer; the slot is free."""
+        if self.stage is Stage.RELAYING:
+            self.stage = Stage.OVER
+            self.call.relay_end(trailers)
+            self.driver.done(self)
+
+    def failed(self, kind: ErrorKind) -> None:
+        """Reports a broken connection, or cuts the relayed answer."""
+        self._suspect_kin()
+        if self.stage is Stage.RELAYING:
+            self.stage = Stage.OVER
+            self.driver.done(self)
+            self.call.broke(kind)
+        elif self.stage is Stage.SENT:
+            wrote = self.connection.wrote
+            self._report_failure(kind, Ran.UNKNOWN if wrote else Ran.NO)
+
+    def flush(self) -> None:
+        """Lets the caller's connection write."""
+        self.call.caller.flush()
+
+    def writable(self, now: bool) -> None:  # noqa: ARG002
+        """Stops or starts reading the request body."""
+        self.call.regulate()
+
+    # Called by the driver.
+
+    def relay(self) -> None:
+        """Starts to relay the answer."""
+        self.stage = Stage.RELAYING
+        self.call.relay_head(self, self.response)
+
+    def cancel(self) -> None:
+        """Gives up; closing the connection cancels the server's work."""
+        if self.stage is Stage.OVER:
+            return
+        sent = self.stage is not Stage.CONNECTING
+        self.stage = Stage.OVER
+        self.wanted = False
+        if not sent:
+            return
+        if self.connection.wrote:
+            self.call.maybe_ran = True
+            self.call.tries += 1
+        now = self.driver.loop.time()
+        if now - self.began >= pools.SILENCE_SUSPECT_S:
+            self._suspect_kin()
+        self.connection.abort()
+
+    # Within.
+
+    def _is_not_run(self, event: h11.Response) -> bool:
+        if event.status_code != NOT_RUN_STATUS:
+            return False
+        name = self.call.service.not_run_header.lower().encode("ascii")
+        return headers.get(event.headers, name) is not None
+
+    def _suspect_kin(self) -> None:
+        if not self.connection.heard and self.connection.reused:
+            self.pool.suspect(self.began)
+
+    def _report_failure(self, kind: ErrorKind, ran: Ran) -> None:
+        self.stage = Stage.OVER
+        self.wanted = False
+        result = AttemptResult(
+            ok=False, ran=ran, error=kind, replayable=self.call.body.kept
+        )
+        self.driver.head(self, result)
+
+
+def _retry_after(event: h11.Response) -> float | None:
+    value = headers.get(event.headers, b"retry-after")
+    if value is None or not value.isdigit():
+        return None
+    return float(value)
--- /dev/null
+++ b/banyantiller/proxy/body.py
@@ -0,0 +1,56 @@
+"""The request body as far as it is kept for another try."""
+
+from collections.abc import Iterable
+from typing import Any
+
+
+class RequestBody:
+    """Keeps the start of a body until it outgrows the limit.
+
+    Attributes:
+        limit: Most bytes that are kept once a try has begun.
+        parts: What was received, unless `kept` is False.
+        size: Bytes received.
+        kept: Whether `parts` still holds all that was received.
+        complete: Whether the end was received.
+        trailers: Trailer fields, once complete.
+    """
+
+    __slots__ = ("complete", "kept", "limit", "parts", "size", "trailers")
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.parts: list[bytes] = []
+        self.size = 0
+        self.kept = True
+        self.complete = False
+        self.trailers: Any = ()
+
+    def add(self, data: bytes, streaming: bool) -> None:
+        """Takes a part.
+
+        Args:
+            data: The part.
+            streaming: Whether a try has begun, so that a body over the limit
+                can be let go.
+        """
+        self.size += len(data)
+        if self.kept:
+            self.parts.append(data)
+            if streaming:
+                self.let_go()
+
+    def end(self, trailers: Iterable[tuple[bytes, bytes]]) -> None:
+        """Takes the end."""
+        self.complete = True
+        self.trailers = trailers
+
+    def let_go(self) -> None:
+        """Forgets the body if it is over the limit; a try has begun."""
+        if self.size > self.limit:
+            self.kept = False
+            self.parts = []
+
+    def full(self) -> bool:
+        """Whether no more may be taken before a try begins."""
+        return self.kept and self.size > self.limit
--- /dev/null
+++ b/banyantiller/proxy/call.py
@@ -0,0 +1,275 @@
+"""One call: from the request head to the end of its answer."""
+
+from typing import TYPE_CHECKING, Any
+
+import h11
+
+from banyantiller.bundle import options
+from banyantiller.errors import ErrorKind, Failure, Ran
+from banyantiller.kernel.events import CallFinished
+from banyantiller.proxy import answers, headers
+from banyantiller.proxy import body as bodies
+
+if TYPE_CHECKING:
+    from banyantiller.proxy import attempt as attempts
+    from banyantiller.proxy import caller as callers
+    from banyantiller.proxy import driver as drivers
+    from banyantiller.proxy import keys
+    from banyantiller.proxy import proxy as proxies
+
+CONTINUE = 100
+NOT_FORWARDED_TRAILERS = headers.HOP_BY_HOP | {b"content-length", b"host"}
+
+
+class Call:
+    """Holds a call's state; caller, driver and tries act through it.
+
+    Attributes:
+        service: Options that were in force when the call came, or None.
+        path: Path of the request target.
+        target: Target as sent to backend servers.
+        deadline: Loop time at which the caller stops waiting.
+        idempotent: Whether the bundle states it may run twice.
+        tries: Ended tries that wrote at least one byte.
+        running: Tries that have not ended.
+        relaying: The try whose answer is relayed.
+        maybe_ran: Whether an ended try may have run the request.
+        status: Status sent to the caller, 0 before.
+        over: Whether `CallFinished` was emitted.
+    """
+
+    def __init__(
+        self,
+        proxy: "proxies.Proxy",
+        caller: "callers.CallerConnection",
+        request: h11.Request,
+        head: headers.RequestHead,
+    ) -> None:
+        self.proxy = proxy
+        self.caller = caller
+        self.request = request
+        self.head = head
+        self.began = caller.head_began
+        self.request_id = head.request_id or proxy.new_request_id()
+        self.body = bodies.RequestBody(proxy.settings.callers.replay_bytes)
+        self.call_id = 0
+        self.service: options.Service | None = None
+        self.driver: drivers.ServiceDriver | None = None
+        self.version = proxy.version
+        self.path = ""
+        self.target = b""
+        self.deadline = 0.0
+        self.idempotent = False
+        self.key = ""
+        self.claim: keys.KeyedCall | None = None
+        self.fields: list[headers.Field] = []
+        self.tries = 0
+        self.running: list[attempts.Attempt] = []
+        self.relaying: attempts.Attempt | None = None
+        self.maybe_ran = False
+        self.status = 0
+        self.continued = False
+        self.over = False
+
+    # Called by the caller's connection.
+
+    def body_data(self, data: bytes) -> None:
+        """Takes a part of the request body."""
+        streaming = [item for item in self.running if item.streaming]
+        self.body.add(data, bool(streaming))
+        if self.body.size > self.proxy.settings.callers.max_body_bytes:
+            self.fail(Failure(ErrorKind.BODY_TOO_LARGE))
+            return
+        for attempt in streaming:
+            attempt.connection.send_data(data)
+        if self.body.full():
+            self._body_ready()
+            self.regulate()
+
+    def body_end(self, trailers: Any) -> None:
+        """Takes the end of the request body."""
+        kept = [t for t in trailers if t[0] not in NOT_FORWARDED_TRAILERS]
+        self.body.end(kept)
+        for attempt in self.running:
+            if attempt.streaming:
+                attempt.connection.send_end(kept)
+        self._body_ready()
+
+    def flush(self) -> None:
+        """Writes what was added to the connections of the tries."""
+        for attempt in self.running:
+            if attempt.streaming:
+                attempt.connection.flush()
+
+    def fail(self, failure: Failure) -> None:
+        """Ends the call because of the caller; cancels the server's work."""
+        if self.over:
+            return
+        self._stop_tries()
+        if self.status:
+            self.caller.cut()
+            self._finish(failure.kind, cut=True)
+        else:
+            self.refuse(failure)
+
+    def caller_gone(self) -> None:
+        """Ends the call because nobody waits for its answer."""
+        if self.over:
+            return
+        self._stop_tries()
+        self._finish(ErrorKind.CALLER_GONE, cut=False)
+
+    def caller_writable(self, now: bool) -> None:
+        """Stops or starts reading the answer."""
+        if self.relaying is None or not self.relaying.streaming:
+            return
+        if now:
+            self.relaying.connection.resume_reading()
+        else:
+            self.relaying.connection.pause_reading()
+
+    # Called by the driver and the tries.
+
+    def backend_request(self) -> h11.Request:
+        """Returns the request head for a new try."""
+        remaining = self.deadline - self.proxy.loop.time()
+        remaining_ms = max(1, int(remaining * 1000))
+        fields = self.fields + [(headers.DEADLINE_HEADER, b"%d" % remaining_ms)]
+        if self.caller.http.they_are_waiting_for_100_continue:
+            fields.append((b"Expect", b"100-continue"))
+        return h11.Request(
+            method=self.request.method, target=self.target, headers=fields
+        )
+
+    def send_kept_body(self, attempt: "attempts.Attempt") -> None:
+        """Sends what was received of the body on a new connection."""
+        connection = attempt.connection
+        for part in self.body.parts:
+            connection.send_data(part)
+        if self.body.complete:
+            connection.send_end(self.body.trailers)
+        self.body.let_go()
+        if not self.caller.pumping:
+            connection.flush()
+        self.regulate()
+
+    def regulate(self) -> None:
+        """Reads the request body only as fast as it can be passed on."""
+        streaming = [item for item in self.running if item.streaming]
+        stalled = any(item.connection.paused for item in streaming)
+        self.caller.hold_reading(
+            stalled or (not streaming and self.body.full())
+        )
+
+    def informational(self, event: h11.InformationalResponse) -> None:
+        """Relays an informational answer if it can only be for this call."""
+        if self.status or self.request.http_version < b"1.1":
+            return
+        if event.status_code == CONTINUE:
+            self.send_continue()
+        elif len(self.running) == 1:
+            fields = [
+                field
+                for field in event.headers
+                if field[0] not in headers.HOP_BY_HOP
+            ]
+            self.caller.send_informational(event.status_code, fields)
+
+    def send_continue(self) -> None:
+        """Asks the caller for the body if it waits to be asked."""
+        if self.caller.http.they_are_waiting_for_100_continue:
+            self.caller.send_informational(CONTINUE, [])
+
+    def relay_head(
+        self, attempt: "attempts.Attempt", response: h11.Response
+    ) -> None:
+        """Starts to relay an answer."""
+        self.relaying = attempt
+        self.status = response.status_code
+        fields = headers.forward_answer(
+            response, self.proxy.via, self.request_id
+        )
+        if self.claim is not None:
+            self.claim.answer_head(self.status, fields)
+        self.caller.send_head(
+            self.status, response.reason, fields, not self.body.complete
+        )
+        if self.caller.paused:
+            attempt.connection.pause_reading()
+
+    def relay_data(self, data: bytes) -> None:
+        """Relays a part of the answer body."""
+        if self.claim is not None:
+            self.claim.answer_data(data)
+        self.caller.send_data(data)
+
+    def relay_end(self, trailers: Any) -> None:
+        """Ends the answer and the call."""
+        self.tries += 1
+        if self.claim is not None:
+            self.claim.answer_end()
+        self.caller.send_end(trailers)
+        self._finish(None, cut=False)
+        self.caller.answer_done()
+
+    def broke(self, kind: ErrorKind) -> None:
+        """Cuts the caller's connection: the answer can't be completed."""
+        if self.over:
+            return
+        self.tries += 1
+        self.caller.cut()
+        self._finish(kind, cut=True)
+
+    def refuse(self, failure: Failure) -> None:
+        """Answers with a failure and ends the call."""
+        if self.over:
+            return
+        ran = failure.answer.ran
+        if ran is Ran.NO and self.maybe_ran:
+            ran = Ran.UNKNOWN
+        answer = answers.from_failure(
+            failure, ran, self.proxy.settings.daemon, self.request_id
+        )
+        self.answer(answer, failure.kind)
+
+    def answer(
+        self, answer: answers.OwnAnswer, error: ErrorKind | None
+    ) -> None:
+        """Answers with what no backend server gave and ends the call."""
+        self.status = answer.status
+        self.caller.send_own(answer, not self.body.complete)
+        self._finish(error, cut=False)
+        self.caller.answer_done()
+
+    # Within.
+
+    def _body_ready(self) -> None:
+        if self.claim is not None:
+            self.claim.body_ready()
+
+    def _stop_tries(self) -> None:
+        if self.driver is not None:
+            self.driver.forget(self)
+
+    def _finish(self, error: ErrorKind | None, cut: bool) -> None:
+        self.over = True
+        if self.driver is not None:
+            self.driver.calls.pop(self.call_id, None)
+        if self.claim is not None:
+            self.claim.settle(self.maybe_ran)
+        self.proxy.finished(self._event(error, cut))
+
+    def _event(self, error: ErrorKind | None, cut: bool) -> CallFinished:
+        return CallFinished(
+            request_id=self.request_id.decode("latin-1"),
+            service=self.service.name if self.service is not None else "",
+            idempotent=self.idempotent,
+            key=self.key,
+            server=self.relaying.server if self.relaying is not None else "",
+            status=self.status,
+            error=error,
+            attempts=self.tries,
+            cut=cut,
+            duration_s=self.proxy.loop.time() - self.began,
+            bundle=self.version,
+        )
--- /dev/null
+++ b/banyantiller/proxy/caller.py
@@ -0,0 +1,376 @@
+"""One connection from a caller: h11 as the server."""
+
+import asyncio
+import enum
+import socket
+import struct
+from typing import TYPE_CHECKING, Any
+
+import h11
+import structlog
+
+from banyantiller.errors import ErrorKind, Failure
+from banyantiller.proxy import answers, buffers, headers, watchdog
+
+if TYPE_CHECKING:
+    from banyantiller.proxy import call as calls
+    from banyantiller.proxy import proxy as proxies
+
+log = structlog.get_logger("banyantiller.proxy")
+
+# How long what a caller still sends is read and dropped after an answer that
+# came before the end of its request, so that the answer is not lost.
+LINGER_S = 2.0
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class Wait(enum.Enum):
+    """What the connection's timer waits for."""
+
+    IDLE = enum.auto()
+    HEAD = enum.auto()
+    BODY = enum.auto()
+    ANSWER = enum.auto()
+    WRITE = enum.auto()
+    LINGER = enum.auto()
+
+
+class CallerConnection(asyncio.BufferedProtocol):
+    """Reads requests one after the other and writes their answers in order.
+
+    Attributes:
+        call: The call whose answer is due, or None.
+        head_began: Loop time of the first byte of the present head.
+        paused: Whether the transport's write buffer is full.
+        pumping: Whether events are being passed on; writing waits for the end.
+        closing: Whether nothing more will be answered.
+    """
+
+    def __init__(self, proxy: "proxies.Proxy") -> None:
+        self.proxy = proxy
+        self.loop = proxy.loop
+        self.limits = proxy.settings.callers
+        self.http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self.limits.max_head_bytes
+        )
+        self.transport: Any = None
+        self.call: calls.Call | None = None
+        self.out: list[bytes] = []
+        self.head_began = 0.0
+        self.head_bytes = 0
+        self.ahead_bytes = 0
+        self.paused = False
+        self.held = False
+        self.pumping = False
+        self.closing = False
+        self.gone = False
+        self.wait = Wait.IDLE
+        self.unsent = 0
+        self.watch = watchdog.Watchdog(self.loop, self._expired)
+
+    # Called by the transport.
+
+    def connection_made(self, transport: Any) -> None:
+        """Keeps the transport, or refuses one connection too many."""
+        self.transport = transport
+        transport.set_write_buffer_limits(
+            buffers.HIGH_WATER_BYTES, buffers.LOW_WATER_BYTES
+        )
+        self.head_began = self.loop.time()
+        self._set_wait(Wait.IDLE, self.limits.idle_timeout_s)
+        if not self.proxy.enter(self):
+            detail = "Too many connections."
+            self.proxy.reject(self, Failure(ErrorKind.QUEUE_FULL, detail, 1.0))
+
+    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002
+        """Lends the shared buffer for one read."""
+        return buffers.SHARED
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parses what was read and acts on it."""
+        if self.closing:
+            return
+        if self.call is None:
+            if self.head_bytes == 0:
+                self.head_began = self.loop.time()
+            self.head_bytes += nbytes
+        elif self.http.their_state is h11.DONE:
+            self._count_ahead(nbytes)
+        self.http.receive_data(buffers.SHARED[:nbytes])
+        self.pump()
+
+    def eof_received(self) -> bool:
+        """The caller left; a half-closed connection counts as closed."""
+        self._caller_gone()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
+        """Cancels the running call."""
+        self.gone = True
+        self._caller_gone()
+        self.watch.stop()
+        self.proxy.leave(self)
+
+    def pause_writing(self) -> None:
+        """The caller reads slowly: stop reading its answer."""
+        self.paused = True
+        self.unsent = self.transport.get_write_buffer_size()
+        if not self.closing:
+            self._set_wait(Wait.WRITE, self.limits.write_timeout_s)
+        if self.call is not None:
+            self.call.caller_writable(False)
+
+    def resume_writing(self) -> None:
+        """The caller caught up."""
+        self.paused = False
+        if not self.closing:
+            self._rearm()
+        if self.call is not None:
+            self.call.caller_writable(True)
+
+    # Called by the call.
+
+    def send_informational(
+        self, status: int, fields: list[headers.Field]
+    ) -> None:
+        """Adds an informational answer."""
+        event = h11.InformationalResponse(status_code=status, headers=fields)
+        self.out.append(self.http.send(event))
+        if not self.pumping:
+            self.flush()
+
+    def send_head(
+        self,
+        status: int,
+        reason: bytes,
+        fields: list[headers.Field],
+        body_missing: bool,
+    ) -> None:
+        """Adds an answer head.
+
+        Args:
+            status: Status code.
+            reason: Reason phrase.
+            fields: Header fields.
+            body_missing: Whether the request body is not complete, so that
+                the connection can't be used again.
+        """
+        if body_missing or self.proxy.draining:
+            fields = [*fields, headers.CLOSE]
+        event = h11.Response(status_code=status, headers=fields, reason=reason)
+        self.out.append(self.http.send(event))
+
+    def send_data(self, data: bytes) -> None:
+        """Adds a part of an answer body."""
+        self.out.append(self.http.send(h11.Data(data=data)))
+
+    def send_end(self, trailers: Any) -> None:
+        """Adds the end of an answer; HTTP/1.0 has no trailers."""
+        if trailers and self.http.their_http_version < b"1.1":
+            trailers = []
+        data = self.http.send(h11.EndOfMessage(headers=trailers))
+        if data:
+            self.out.append(data)
+
+    def send_own(self, answer: answers.OwnAnswer, body_missing: bool) -> None:
+        """Adds a whole answer that no backend server gave."""
+        self.send_head(answer.status, b"", answer.fields, body_missing)
+        is_head = self.call and self.call.request.method == b"HEAD"
+        if answer.body and not is_head:
+            self.send_data(answer.body)
+        self.send_end([])
+
+    def answer_done(self) -> None:
+        """Writes the answer; goes on with the next request or closes."""
+        self.call = None
+        self.flush()
+        if self.gone or self.closing:
+            return
+        http = self.http
+        if http.our_state is h11.DONE and http.their_state is h11.DONE:
+            self._next_cycle()
+        else:
+            self.shut()
+
+    def flush(self) -> None:
+        """Writes what was added, all at once."""
+        if self.out and not self.gone:
+            out = self.out
+            self.out = []
+            self.transport.write(out[0] if len(out) == 1 else b"".join(out))
+
+    def hold_reading(self, hold: bool) -> None:
+        """Stops or starts reading what the caller sends."""
+        if hold == self.held or self.gone or self.closing:
+            return
+        self.held = hold
+        if hold:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+        if not self.paused and not self.pumping:
+            self._rearm()
+
+    def cut(self) -> None:
+        """Breaks the connection so that the answer can't seem whole."""
+        self.call = None
+        if self.gone:
+            return
+        self.flush()
+        self.closing = True
+        raw = self.transport.get_extra_info("socket")
+        if isinstance(raw, asyncio.trsock.TransportSocket):
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.transport.abort()
+
+    def shut(self) -> None:
+        """Closes after all that was written has been sent."""
+        if self.closing or self.gone:
+            return
+        self.closing = True
+        if self.held:
+            self.transport.resume_reading()
+        self._set_wait(Wait.LINGER, LINGER_S)
+        if self.http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED):
+            self.transport.close()
+        elif self.transport.can_write_eof():
+            self.transport.write_eof()
+
+    def shut_if_idle(self) -> None:
+        """Closes unless a request is running or arriving."""
+        if self.call is None and self.head_bytes == 0:
+            self.shut()
+
+    # Within.
+
+    def pump(self) -> None:
+        """Acts on every event that the bytes read so far contain."""
+        if self.pumping or self.closing or self.gone:
+            return
+        self.pumping = True
+        try:
+            self._act()
+        except h11.RemoteProtocolError as error:
+            self._malformed(error)
+        except Exception:
+            log.exception("proxy: a request could not be handled.")
+            self._internal_error()
+        finally:
+            self.pumping = False
+        if self.call is not None:
+            self.call.flush()
+        self.flush()
+        if not self.closing and not self.paused:
+            self._rearm()
+
+    def _act(self) -> None:
+        next_event = self.http.next_event
+        while not self.closing:
+            event = next_event()
+            kind = type(event)
+            if kind is h11.Request:
+                self._request(event)
+            elif kind is h11.Data:
+                if self.call is not None:
+                    self.call.body_data(event.data)
+            elif kind is h11.EndOfMessage:
+                if self.call is not None:
+                    self.call.body_end(event.headers)
+            else:
+                return
+
+    def _request(self, event: h11.Request) -> None:
+        limit = self.limits.max_head_bytes
+        if self.head_bytes > limit:
+            size = sum(len(n) + len(v) + 4 for n, v in event.headers)
+            if size + len(event.target) > limit:
+                self.proxy.reject(self, Failure(ErrorKind.HEAD_TOO_LARGE))
+                return
+        self.proxy.begin(self, event)
+
+    def _malformed(self, error: h11.RemoteProtocolError) -> None:
+        if self.call is not None:
+            self.call.fail(Failure(ErrorKind.BODY_MALFORMED, str(error)))
+        else:
+            self.proxy.reject(self, _head_failure(error))
+
+    def _internal_error(self) -> None:
+        if self.call is not None:
+            self.call.fail(Failure(ErrorKind.INTERNAL))
+        else:
+            self.transport.abort()
+
+    def _next_cycle(self) -> None:
+        self.http.start_next_cycle()
+        self.head_bytes = len(self.http.trailing_data[0])
+        self.head_began = self.loop.time()
+        self.ahead_bytes = 0
+        if self.held:
+            self.hold_reading(False)
+        if self.proxy.refusing and not self.head_bytes:
+            self.shut()
+        elif self.pumping:
+            return
+        elif self.head_bytes:
+            self.loop.call_soon(self.pump)
+        elif not self.paused:
+            self._set_wait(Wait.IDLE, self.limits.idle_timeout_s)
+
+    def _count_ahead(self, nbytes: int) -> None:
+        self.ahead_bytes += nbytes
+        if self.ahead_bytes > self.limits.max_head_bytes:
+            self.hold_reading(True)
+
+    def _caller_gone(self) -> None:
+        call = self.call
+        self.call = None
+        if call is not None:
+            call.caller_gone()
+
+    def _rearm(self) -> None:
+        if self.call is None:
+            if self.head_bytes:
+                due = self.head_began + self.limits.head_timeout_s
+                self.wait = Wait.HEAD
+                self.watch.set(due)
+            else:
+                self._set_wait(Wait.IDLE, self.limits.idle_timeout_s)
+        elif self.http.their_state is h11.SEND_BODY and not self.held:
+            self._set_wait(Wait.BODY, self.limits.body_timeout_s)
+        else:
+            self.wait = Wait.ANSWER
+            self.watch.due = watchdog.NEVER
+
+    def _set_wait(self, wait: Wait, seconds: float) -> None:
+        self.wait = wait
+        self.watch.set(self.loop.time() + seconds)
+
+    def _expired(self) -> None:
+        if self.wait is Wait.IDLE:
+            self.shut()
+        elif self.wait is Wait.HEAD:
+            self.proxy.reject(self, Failure(ErrorKind.HEAD_TIMEOUT))
+        elif self.wait is Wait.BODY:
+            self.call.fail(Failure(ErrorKind.BODY_TIMEOUT))
+        else:
+            self._stalled()
+
+    def _stalled(self) -> None:
+        unsent = self.transport.get_write_buffer_size()
+        if unsent and (self.wait is Wait.LINGER or unsent < self.unsent):
+            self.unsent = unsent
+            self._set_wait(Wait.WRITE, self.limits.write_timeout_s)
+            return
+        self._caller_gone()
+        self.transport.abort()
+
+
+def _head_failure(error: h11.RemoteProtocolError) -> Failure:
+    detail = str(error)
+    if error.error_status_hint == 431:
+        return Failure(ErrorKind.HEAD_TOO_LARGE)
+    if "Content-Length" in detail:
+        return Failure(ErrorKind.AMBIGUOUS_LENGTH, detail)
+    if error.error_status_hint == 501:
+        return Failure(ErrorKind.METHOD_UNSUPPORTED, detail)
+    return Failure(ErrorKind.MALFORMED_REQUEST, detail)
--- /dev/null
+++ b/banyantiller/proxy/driver.py
@@ -0,0 +1,327 @@
+"""Drives one service's dispatcher: inputs, actions, timer and pools."""
+
+import asyncio
+import collections
+import itertools
+import ssl
+from collections.abc import Callable
+
+import structlog
+
+from banyantiller.bundle import options
+from banyantiller.config.defaults import BackendSettings
+from banyantiller.errors import ErrorKind, Ran
+from banyantiller.proxy import attempt as attempts
+from banyantiller.proxy import call as calls
+from banyantiller.proxy import pool as pools
+from banyantiller.proxy import probe, watchdog
+from banyantiller.routing import types
+
+log = structlog.get_logger("banyantiller.proxy")
+
+# A server that said it is leaving is asked so often whether it came back.
+RETURN_PROBE_S = 5.0
+
+LeavingHook = Callable[[str, str], None]
+
+
+class ServiceDriver:
+    """Owns the dispatcher and the pools of one service.
+
+    Attributes:
+        service: Options in force, with the shares of the present stage.
+        calls: Calls that the dispatcher knows, by number.
+        attempts: Tries that the dispatcher knows, by number.
+        pools: Pools by server name.
+        leaving: Servers that get nothing new, and why.
+    """
+
+    def __init__(
+        self,
+        service: options.Service,
+        create: Callable[..., types.Dispatcher],
+        charge: Callable[[float], bool],
+        settings: BackendSettings,
+        tls: ssl.SSLContext | None,
+        announce: LeavingHook,
+    ) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.service = service
+        self.charge = charge
+        self.settings = settings
+        self.tls = tls
+        self.announce = announce
+        self.alive = 1
+        self.calls: dict[int, calls.Call] = {}
+        self.attempts: dict[int, attempts.Attempt] = {}
+        self.pools: dict[str, pools.Pool] = {}
+        self.leaving: dict[str, str] = {}
+        self.numbers = itertools.count(1)
+        self.due: collections.deque[types.Action] = collections.deque()
+        self.performing = False
+        self.watch = watchdog.Watchdog(self.loop, self._tick)
+        self.return_watch = watchdog.Watchdog(self.loop, self._ask_leaving)
+        self._set_pools()
+        self.dispatcher = create(service, self._states(), self.loop.time())
+        self._set_timer()
+
+    # Called by the proxy.
+
+    def configure(self, service: options.Service) -> None:
+        """Takes new options; servers taken out drain."""
+        self.service = service
+        self._set_pools()
+        self._reconfigure()
+
+    def server_leaving(self, server: str, reason: str) -> None:
+        """Gives a server nothing new."""
+        if server in self.pools and server not in self.leaving:
+            self.leaving[server] = reason
+            if reason == "drain_answer":
+                self.return_watch.set(self.loop.time() + RETURN_PROBE_S)
+            self._reconfigure()
+
+    def server_back(self, server: str) -> None:
+        """Gives a server requests again."""
+        if self.leaving.pop(server, None) is not None:
+            self._reconfigure()
+
+    def members(self, alive: int) -> None:
+        """Shares the limit on connections between the daemons alive."""
+        self.alive = max(1, alive)
+        self.dispatcher.members(self.alive, self.loop.time())
+        for pool in self.pools.values():
+            pool.set_limit(self._limit())
+        self._set_timer()
+
+    def report(self, server: str, report: types.LoadReport) -> None:
+        """Takes a load report of a probe or of another daemon."""
+        if server not in self.pools:
+            return
+        if report.draining:
+            self._drain_told(server)
+        now = self.loop.time()
+        self.perform(self.dispatcher.report(server, report, now))
+
+    def retire(self) -> None:
+        """The service was taken out: running calls end, nothing is kept."""
+        self.return_watch.stop()
+        for pool in self.pools.values():
+            pool.leave()
+
+    def idle(self) -> bool:
+        """Whether no call is left."""
+        return not self.calls and not self.attempts
+
+    def close(self) -> None:
+        """Ends every try and closes every connection."""
+        self.watch.stop()
+        self.return_watch.stop()
+        for attempt in list(self.attempts.values()):
+            attempt.cancel()
+        self.attempts.clear()
+        for pool in self.pools.values():
+            pool.close()
+
+    # Called by calls and tries.
+
+    def submit(self, call: calls.Call) -> None:
+        """Hands a call to the dispatcher."""
+        call.call_id = next(self.numbers)
+        self.calls[call.call_id] = call
+        length = call.head.content_length
+        known = length if length is not None else call.body.size
+        wanted = types.Call(
+            call_id=call.call_id,
+            idempotent=call.idempotent,
+            deadline=call.deadline,
+            replayable=known <= call.body.limit
+            and (call.body.complete or not call.head.chunked),
+        )
+        self.perform(self.dispatcher.submit(wanted, self.loop.time()))
+
+    def head(
+        self, attempt: attempts.Attempt, result: types.AttemptResult
+    ) -> None:
+        """Takes the answer head of a try, or its failure."""
+        call = attempt.call
+        if not result.ok:
+            self.attempts.pop(attempt.attempt_id, None)
+            call.running.remove(attempt)
+            if attempt.connection is not None and attempt.connection.wrote:
+                call.tries += 1
+            if result.ran is not Ran.NO:
+                call.maybe_ran = True
+        now = self.loop.time()
+        self.perform(
+            self.dispatcher.attempt_head(attempt.attempt_id, result, now)
+        )
+        if result.report is not None and result.report.draining:
+            self._drain_told(attempt.server)
+
+    def done(self, attempt: attempts.Attempt) -> None:
+        """Takes the end of a relayed answer."""
+        if self.attempts.pop(attempt.attempt_id, None) is None:
+            return
+        attempt.call.running.remove(attempt)
+        now = self.loop.time()
+        self.perform(self.dispatcher.attempt_done(attempt.attempt_id, now))
+
+    def forget(self, call: calls.Call) -> None:
+        """Gives up a call; its tries are cancelled."""
+        if self.calls.pop(call.call_id, None) is None:
+            return
+        if call.relaying is not None:
+            call.relaying.cancel()
+            self.done(call.relaying)
+            return
+        now = self.loop.time()
+        self.perform(self.dispatcher.cancel(call.call_id, now))
+        for attempt in list(call.running):
+            self._cancel(attempt.attempt_id)
+
+    # Called by probes.
+
+    def probed(self, server: str, report: types.LoadReport) -> None:
+        """Takes the load that a probe found."""
+        if not report.draining and self.leaving.get(server) == "drain_answer":
+            self.server_back(server)
+        self.report(server, report)
+
+    def probe_failed(self, server: str) -> None:
+        """A probe got no usable answer."""
+        if server in self.pools:
+            now = self.loop.time()
+            self.perform(self.dispatcher.probe_failed(server, now))
+
+    # Within.
+
+    def perform(self, actions: list[types.Action]) -> None:
+        """Carries out actions in order, and those that they lead to."""
+        if actions:
+            self.due.extend(actions)
+            if not self.performing:
+                self.performing = True
+                try:
+                    while self.due:
+                        self._act(self.due.popleft())
+                finally:
+                    self.performing = False
+        self._set_timer()
+
+    def _act(self, action: types.Action) -> None:
+        kind = type(action)
+        if kind is types.Start:
+            self._start(action)
+        elif kind is types.Relay:
+            self._relay(action)
+        elif kind is types.Cancel:
+            self._cancel(action.attempt_id)
+        elif kind is types.Refuse:
+            self._refuse(action)
+        else:
+            self._probe(action.server)
+
+    def _start(self, action: types.Start) -> None:
+        call = self.calls.get(action.call_id)
+        pool = self.pools.get(action.server)
+        if call is None or pool is None:
+            result = types.AttemptResult(
+                ok=False, ran=Ran.NO, error=ErrorKind.NO_SERVER
+            )
+            now = self.loop.time()
+            self.due.extend(
+                self.dispatcher.attempt_head(action.attempt_id, result, now)
+            )
+            return
+        attempt = attempts.Attempt(self, call, action, pool)
+        self.attempts[action.attempt_id] = attempt
+        call.running.append(attempt)
+        pool.acquire(attempt)
+
+    def _relay(self, action: types.Relay) -> None:
+        attempt = self.attempts.get(action.attempt_id)
+        if attempt is not None and action.call_id in self.calls:
+            attempt.relay()
+
+    def _cancel(self, attempt_id: int) -> None:
+        attempt = self.attempts.pop(attempt_id, None)
+        if attempt is not None:
+            attempt.call.running.remove(attempt)
+            attempt.cancel()
+
+    def _refuse(self, action: types.Refuse) -> None:
+        call = self.calls.pop(action.call_id, None)
+        if call is None:
+            return
+        for attempt in list(call.running):
+            self._cancel(attempt.attempt_id)
+        call.refuse(action.failure)
+
+    def _probe(self, server: str) -> None:
+        pool = self.pools.get(server)
+        if pool is not None:
+            probe.Probe(self, server, pool).begin()
+
+    def _drain_told(self, server: str) -> None:
+        if server in self.pools and server not in self.leaving:
+            self.server_leaving(server, "drain_answer")
+            self.announce(self.service.name, server)
+
+    def _ask_leaving(self) -> None:
+        now = self.loop.time()
+        told = [s for s, r in self.leaving.items() if r == "drain_answer"]
+        for server in told:
+            if self.charge(now):
+                self._probe(server)
+        if told:
+            self.return_watch.set(now + RETURN_PROBE_S)
+
+    def _reconfigure(self) -> None:
+        now = self.loop.time()
+        self.perform(
+            self.dispatcher.configure(self.service, self._states(), now)
+        )
+
+    def _states(self) -> tuple[types.ServerState, ...]:
+        return tuple(
+            types.ServerState(
+                server.name,
+                server.zone,
+                server.slots or self.service.slots,
+                server.group,
+                server.name in self.leaving,
+            )
+            for server in self.service.servers
+        )
+
+    def _set_pools(self) -> None:
+        wanted = {
+            server.name: pools.Address(server.address, server.port)
+            for server in self.service.servers
+        }
+        for name, pool in list(self.pools.items()):
+            if wanted.get(name) != pool.address:
+                del self.pools[name]
+                self.leaving.pop(name, None)
+                pool.leave()
+        for name, address in wanted.items():
+            if name not in self.pools:
+                self.pools[name] = pools.Pool(
+                    address, self.settings, self.tls, self._limit()
+                )
+            else:
+                self.pools[name].set_limit(self._limit())
+
+    def _limit(self) -> int:
+        return max(1, self.service.connections // self.alive)
+
+    def _tick(self) -> None:
+        self.perform(self.dispatcher.tick(self.loop.time()))
+
+    def _set_timer(self) -> None:
+        due = self.dispatcher.next_tick()
+        if due is None:
+            self.watch.due = watchdog.NEVER
+        else:
+            self.watch.set(due)
--- /dev/null
+++ b/banyantiller/proxy/intake.py
@@ -0,0 +1,119 @@
+"""Checks of a new request before any backend server is chosen."""
+
+from typing import TYPE_CHECKING
+
+from banyantiller.errors import ErrorKind, Failure
+from banyantiller.proxy import headers, keys, matching
+
+if TYPE_CHECKING:
+    from banyantiller.proxy import call as calls
+    from banyantiller.proxy import proxy as proxies
+
+LONGEST_DEADLINE_S = 3600.0
+RETRY_AFTER_S = 1.0
+HTTP_VERSIONS = (b"1.1", b"1.0")
+IGNORED_UPGRADES = (b"", b"h2c")
+EXPECT_CONTINUE = (b"", b"100-continue")
+
+
+def admit(proxy: "proxies.Proxy", call: "calls.Call") -> Failure | None:
+    """Checks a request and fills in what the call needs to be forwarded.
+
+    Returns:
+        Why the request is refused, or None.
+    """
+    return (
+        _check_state(proxy)
+        or _check_head(call)
+        or _check_length(proxy, call)
+        or _match(proxy, call)
+        or _check_key(call)
+    )
+
+
+def _check_state(proxy: "proxies.Proxy") -> Failure | None:
+    if proxy.refusing:
+        return Failure(ErrorKind.DRAINING, "", RETRY_AFTER_S)
+    if proxy.fenced:
+        return Failure(ErrorKind.FENCED, "", RETRY_AFTER_S)
+    if proxy.version == 0:
+        return Failure(ErrorKind.NO_BUNDLE, "", RETRY_AFTER_S)
+    return None
+
+
+def _check_head(call: "calls.Call") -> Failure | None:
+    request = call.request
+    head = call.head
+    if request.http_version not in HTTP_VERSIONS:
+        return Failure(ErrorKind.VERSION_UNSUPPORTED)
+    if request.method == b"CONNECT":
+        return Failure(ErrorKind.METHOD_UNSUPPORTED, "CONNECT is not served.")
+    if head.upgrade not in IGNORED_UPGRADES:
+        return Failure(ErrorKind.METHOD_UNSUPPORTED, "Upgrade is not served.")
+    if head.expect not in EXPECT_CONTINUE:
+        return Failure(ErrorKind.EXPECTATION_UNSUPPORTED)
+    return None
+
+
+def _check_length(proxy: "proxies.Proxy", call: "calls.Call") -> Failure | None:
+    length = call.head.content_length
+    if length is None:
+        return None
+    if call.head.chunked:
+        detail = "Both Content-Length and Transfer-Encoding are given."
+        return Failure(ErrorKind.AMBIGUOUS_LENGTH, detail)
+    if length > proxy.settings.callers.max_body_bytes:
+        return Failure(ErrorKind.BODY_TOO_LARGE)
+    return None
+
+
+def _match(proxy: "proxies.Proxy", call: "calls.Call") -> Failure | None:
+    target = matching.split_target(call.request.target)
+    if target is None:
+        return Failure(ErrorKind.MALFORMED_REQUEST, "The target is not valid.")
+    host = target.host or call.head.host.decode("latin-1")
+    driver = proxy.routes.find(host, target.path)
+    if driver is None:
+        return Failure(ErrorKind.UNKNOWN_SERVICE)
+    service = driver.service
+    call.driver = driver
+    call.service = service
+    call.path = target.path
+    call.target = target.forward
+    call.idempotent = matching.is_idempotent(
+        service, call.request.method.decode("ascii"), target.path
+    )
+    remaining_s = call.head.remaining_s
+    if remaining_s is None:
+        remaining_s = service.deadline_s
+    call.deadline = call.began + min(remaining_s, LONGEST_DEADLINE_S)
+    call.fields = _backend_fields(proxy, call, host)
+    return None
+
+
+def _check_key(call: "calls.Call") -> Failure | None:
+    if call.idempotent:
+        return None
+    key = keys.read_key(call.service, call.head.fields)
+    if isinstance(key, Failure):
+        return key
+    if key:
+        call.key = key
+        call.claim = keys.KeyedCall(call, key)
+    return None
+
+
+def _backend_fields(
+    proxy: "proxies.Proxy", call: "calls.Call", host: str
+) -> list[headers.Field]:
+    head = call.head
+    fields = [(b"Host", host.encode("latin-1")), *head.fields]
+    if head.content_length is not None:
+        fields.append((b"Content-Length", b"%d" % head.content_length))
+    elif head.chunked:
+        fields.append(headers.CHUNKED)
+    fields.append(proxy.via)
+    fields.append((headers.REQUEST_ID_HEADER, call.request_id))
+    traceparent = head.traceparent or proxy.new_traceparent()
+    fields.append((b"traceparent", traceparent))
+    return fields
--- /dev/null
+++ b/banyantiller/proxy/keys.py
@@ -0,0 +1,180 @@
+"""Requests with an idempotency key: claim, run at most once, record."""
+
+import enum
+import hashlib
+import re
+from typing import TYPE_CHECKING
+
+import structlog
+
+from banyantiller.bundle import options
+from banyantiller.claims.types import (
+    ClaimOutcome,
+    ClaimRequest,
+    Denied,
+    Finished,
+    Granted,
+)
+from banyantiller.errors import ErrorKind, Failure
+from banyantiller.proxy import answers, headers
+
+if TYPE_CHECKING:
+    from banyantiller.proxy import call as calls
+
+log = structlog.get_logger("banyantiller.proxy")
+
+MAX_RECORDED_BODY_BYTES = 16384
+KEY_PATTERN = re.compile(rb"[\x21-\x7e]{1,255}")
+
+
+class State(enum.Enum):
+    """How far the claim of a key has come."""
+
+    WAITING = enum.auto()
+    CLAIMING = enum.auto()
+    GRANTED = enum.auto()
+    SETTLED = enum.auto()
+
+
+def read_key(
+    service: options.Service, fields: list[headers.Field]
+) -> str | Failure:
+    """Reads the idempotency key of a non-idempotent request.
+
+    Returns:
+        The key, empty if there is none, or why the request is refused.
+    """
+    values = headers.get_all(fields, service.key_header.lower().encode("ascii"))
+    if not values:
+        if service.key_required:
+            detail = f"This request needs the header {service.key_header}."
+            return Failure(ErrorKind.KEY_MISSING, detail)
+        return ""
+    if len(values) > 1 or not KEY_PATTERN.fullmatch(values[0]):
+        detail = (
+            f"{service.key_header} must be one value of 1 to 255 visible"
+            " ASCII characters."
+        )
+        return Failure(ErrorKind.KEY_MALFORMED, detail)
+    return values[0].decode("ascii")
+
+
+class KeyedCall:
+    """Claims the key of one call and settles the claim when it ends.
+
+    The claim waits for the request body, since the body is part of the
+    fingerprint. Of a body longer than what is kept for another try only the
+    start is.
+
+    Attributes:
+        state: How far the claim has come.
+        request: What is claimed, once the body is there.
+        nonce: Names the claim once granted.
+    """
+
+    def __init__(self, call: "calls.Call", key: str) -> None:
+        self.call = call
+        self.key = key
+        self.state = State.WAITING
+        self.request: ClaimRequest | None = None
+        self.nonce = ""
+        self.status = 0
+        self.fields: list[headers.Field] = []
+        self.body: bytearray | None = bytearray()
+        self.whole = False
+
+    def body_ready(self) -> None:
+        """Starts the claim; the body is complete or too long to keep."""
+        if self.state is State.WAITING and not self.call.over:
+            self.state = State.CLAIMING
+            self.request = self._request()
+            self.call.proxy.spawn(self._claim())
+
+    def answer_head(self, status: int, fields: list[headers.Field]) -> None:
+        """Takes the head of the relayed answer."""
+        self.status = status
+        self.fields = fields
+
+    def answer_data(self, data: bytes) -> None:
+        """Takes a part of the relayed answer."""
+        if self.body is None:
+            return
+        self.body += data
+        if len(self.body) > MAX_RECORDED_BODY_BYTES:
+            self.body = None
+
+    def answer_end(self) -> None:
+        """The relayed answer was whole."""
+        self.whole = True
+
+    def settle(self, maybe_ran: bool) -> None:
+        """Records how the call ended.
+
+        Args:
+            maybe_ran: Whether a try that has ended may have run the request.
+        """
+        if self.state is not State.GRANTED:
+            return
+        self.state = State.SETTLED
+        claims = self.call.proxy.claims
+        if self.status:
+            body = bytes(self.body or b"") if self.whole else None
+            if self.body is None:
+                body = None
+            record = answers.to_record(self.status, self.fields, body)
+            done = claims.finish(self.request, self.nonce, record)
+        elif maybe_ran:
+            done = claims.unsettled(self.request, self.nonce)
+        else:
+            done = claims.release(self.request, self.nonce)
+        self.call.proxy.spawn(done)
+
+    def _request(self) -> ClaimRequest:
+        call = self.call
+        digest = hashlib.sha256()
+        for part in (call.request.method, call.target, *call.body.parts):
+            digest.update(part)
+            if part is call.request.method or part is call.target:
+                digest.update(b"\n")
+        return ClaimRequest(
+            call.service.name,
+            self.key,
+            digest.hexdigest(),
+            call.service.key_retention_s,
+        )
+
+    async def _claim(self) -> None:
+        try:
+            outcome = await self.call.proxy.claims.claim(
+                self.request, self.call.deadline
+            )
+        except Exception:
+            log.exception("proxy: a key could not be claimed.")
+            outcome = Denied(Failure(ErrorKind.CLAIM_UNAVAILABLE))
+        self._take(outcome)
+
+    def _take(self, outcome: ClaimOutcome) -> None:
+        call = self.call
+        if isinstance(outcome, Granted):
+            self.nonce = outcome.nonce
+            self.state = State.GRANTED
+            if call.over:
+                self.settle(maybe_ran=False)
+            else:
+                call.driver.submit(call)
+            return
+        self.state = State.SETTLED
+        if call.over:
+            return
+        if isinstance(outcome, Denied):
+            call.refuse(outcome.failure)
+        elif isinstance(outcome, Finished):
+            self._repeat(outcome)
+
+    def _repeat(self, outcome: Finished) -> None:
+        if outcome.answer.body is None:
+            detail = "The request was run before; its answer was not kept."
+            self.call.refuse(Failure(ErrorKind.KEY_ALREADY_RUN, detail))
+            return
+        answer = answers.from_record(outcome.answer, self.call.request_id)
+        self.call.answer(answer, None)
--- /dev/null
+++ b/banyantiller/proxy/matching.py
@@ -0,0 +1,132 @@
+"""Which service a request belongs to, and whether it may be repeated."""
+
+from typing import Generic, NamedTuple, TypeVar
+from urllib.parse import urlsplit
+
+from banyantiller.bundle import options
+
+T = TypeVar("T")
+
+ANY_HOST = ""
+ROOT = "/"
+
+
+class Target(NamedTuple):
+    """A request target, split.
+
+    Attributes:
+        path: Path without the query.
+        forward: Target in origin form, as sent to the backend server.
+        host: Host of an absolute target, or empty.
+    """
+
+    path: str
+    forward: bytes
+    host: str
+
+
+class Routes(Generic[T]):
+    """Finds a service by host and path; the longest prefix wins.
+
+    Attributes:
+        by_host: Pairs of path prefix and value by host, longest prefix first.
+    """
+
+    def __init__(self) -> None:
+        self.by_host: dict[str, list[tuple[str, T]]] = {ANY_HOST: []}
+
+    def add(self, service: options.Service, value: T) -> None:
+        """Adds a service under each of its hosts."""
+        for host in service.hosts or (ANY_HOST,):
+            found = self.by_host.setdefault(host.lower(), [])
+            found.append((service.path, value))
+            found.sort(key=lambda item: -len(item[0]))
+
+    def find(self, host: str, path: str) -> T | None:
+        """Returns the value of the service that matches, or None.
+
+        Args:
+            host: Value of the Host header; a port in it is ignored.
+            path: Path of the request target.
+        """
+        found = self.by_host.get(host)
+        if found is None:
+            found = self.by_host.get(plain_host(host), ())
+        for prefix, value in found:
+            if under(prefix, path):
+                return value
+        for prefix, value in self.by_host[ANY_HOST]:
+            if under(prefix, path):
+                return value
+        return None
+
+
+def plain_host(host: str) -> str:
+    """Returns a host in lower case and without its port."""
+    host = host.lower()
+    name, colon, port = host.rpartition(":")
+    if colon and port.isdigit() and not name.endswith(":"):
+        return name
+    return host
+
+
+def under(prefix: str, path: str) -> bool:
+    """Tells whether a path lies under a prefix, by whole segments."""
+    if prefix == ROOT:
+        return True
+    if not path.startswith(prefix):
+        return False
+    return (
+        len(path) == len(prefix)
+        or prefix.endswith("/")
+        or path[len(prefix)] == "/"
+    )
+
+
+def split_target(target: bytes) -> Target | None:
+    """Splits a request target in origin, absolute or asterisk form.
+
+    Returns:
+        The target, or None if it has none of these forms.
+    """
+    text = target.decode("latin-1")
+    if text.startswith("/"):
+        return Target(text.partition("?")[0], target, "")
+    if text == "*":
+        return Target(ROOT, target, "")
+    return _split_absolute(text)
+
+
+def _split_absolute(text: str) -> Target | None:
+    try:
+        parts = urlsplit(text)
+    except ValueError:
+        return None
+    if parts.scheme.lower() not in ("http", "https") or not parts.netloc:
+        return None
+    if "@" in parts.netloc:
+        return None
+    path = parts.path or ROOT
+    forward = f"{path}?{parts.query}" if parts.query else path
+    return Target(path, forward.encode("latin-1"), parts.netloc)
+
+
+def is_idempotent(service: options.Service, method: str, path: str) -> bool:
+    """Tells whether the bundle states that a request may run twice.
+
+    The first rule that matches decides. Without a rule, and for a path that a
+    backend server may read as another one, the request may not be repeated.
+    """
+    if is_ambiguous(path):
+        return False
+    for rule in service.requests:
+        if rule.methods and method not in rule.methods:
+            continue
+        if under(rule.path, path):
+            return rule.idempotent
+    return False
+
+
+def is_ambiguous(path: str) -> bool:
+    """Tells whether dot segments, empty segments or escapes hide the path."""
+    return "%" in path or "//" in path or "/." in path or "\\" in path
--- /dev/null
+++ b/banyantiller/proxy/pool.py
@@ -0,0 +1,243 @@
+"""Connections to one backend server."""
+
+import asyncio
+import collections
+import functools
+import ssl
+from typing import NamedTuple, Protocol
+
+import structlog
+
+from banyantiller.config.defaults import BackendSettings
+from banyantiller.errors import ErrorKind
+from banyantiller.proxy import backend, watchdog
+
+log = structlog.get_logger("banyantiller.proxy")
+
+# A connection that stayed silent for so long makes its idle kin suspect.
+SILENCE_SUSPECT_S = 0.25
+
+
+class Address(NamedTuple):
+    """Where a backend server listens."""
+
+    host: str
+    port: int
+
+
+class Borrower(Protocol):
+    """Who wants a connection.
+
+    Attributes:
+        proven: Whether only a new connection or one that answered a moment
+            ago will do.
+        wanted: False once the borrower has given up.
+    """
+
+    proven: bool
+    wanted: bool
+
+    def connected(self, connection: backend.BackendConnection) -> None:
+        """Takes the connection."""
+
+    def connect_failed(self, kind: ErrorKind) -> None:
+        """No connection could be made."""
+
+
+class Pool:
+    """Lends connections to one server and keeps idle ones.
+
+    Attributes:
+        limit: Most connections, idle and connecting ones included.
+        open: Connections that exist.
+        connecting: Connections being made.
+        idle: Idle connections, the one used last at the end.
+        waiting: Borrowers for which the limit leaves no connection.
+        closing: Whether the server left; connections are then not kept.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        settings: BackendSettings,
+        tls: ssl.SSLContext | None,
+        limit: int,
+    ) -> None:
+        self.address = address
+        self.settings = settings
+        self.tls = tls
+        self.limit = limit
+        self.loop = asyncio.get_running_loop()
+        self.open: set[backend.BackendConnection] = set()
+        self.idle: list[backend.BackendConnection] = []
+        self.connecting: set[asyncio.Task[None]] = set()
+        self.waiting: collections.deque[Borrower] = collections.deque()
+        self.closing = False
+        self.watch = watchdog.Watchdog(self.loop, self._expire)
+
+    def acquire(self, borrower: Borrower) -> None:
+        """Lends a connection now or later, newest idle one first."""
+        connection = self._take_idle(borrower.proven)
+        if connection is not None:
+            borrower.connected(connection)
+        elif self._has_room():
+            self._connect(borrower)
+        else:
+            self.waiting.append(borrower)
+
+    def give_back(self, connection: backend.BackendConnection) -> None:
+        """Takes a connection that can be used again."""
+        if self.closing or len(self.open) > self.limit:
+            connection.abort()
+            return
+        borrower = self._next_waiting()
+        if borrower is not None:
+            borrower.connected(connection)
+            return
+        self.idle.append(connection)
+        if self.watch.due == watchdog.NEVER:
+            self.watch.set(self.loop.time() + self.settings.idle_timeout_s)
+
+    def lost(self, connection: backend.BackendConnection) -> None:
+        """Forgets a closed connection and serves who waits for room."""
+        self.open.discard(connection)
+        if connection in self.idle:
+            self.idle.remove(connection)
+        self._serve_waiting()
+
+    def suspect(self, since: float) -> None:
+        """Drops idle connections that did not answer after `since`.
+
+        Called when a connection was found dead or silent: what lost track of
+        it may have lost track of its kin, while new connections work.
+        """
+        for connection in list(self.idle):
+            if connection.last_answer < since:
+                connection.abort()
+
+    def set_limit(self, limit: int) -> None:
+        """Changes the limit; idle connections above it are closed."""
+        self.limit = limit
+        while self.idle and len(self.open) > limit:
+            self.idle[0].abort()
+        self._serve_waiting()
+
+    def leave(self) -> None:
+        """Closes idle connections; busy ones close after their answer."""
+        self.closing = True
+        self.watch.stop()
+        for connection in list(self.idle):
+            connection.abort()
+
+    def close(self) -> None:
+        """Closes everything at once."""
+        self.leave()
+        for task in self.connecting:
+            task.cancel()
+        for connection in list(self.open):
+            connection.abort()
+
+    def _take_idle(self, proven: bool) -> backend.BackendConnection | None:
+        now = self.loop.time()
+        age = self.settings.proven_s if proven else self.settings.idle_timeout_s
+        while self.idle:
+            connection = self.idle[-1]
+            if connection.last_answer + age < now:
+                return None
+            self.idle.pop()
+            if connection.usable():
+                return connection
+        return None
+
+    def _has_room(self) -> bool:
+        if len(self.open) + len(self.connecting) < self.limit:
+            return True
+        if not self.idle:
+            return False
+        self.idle[0].abort()
+        return True
+
+    def _next_waiting(self) -> Borrower | None:
+        while self.waiting:
+            borrower = self.waiting.popleft()
+            if borrower.wanted:
+                return borrower
+        return None
+
+    def _serve_waiting(self) -> None:
+        while self.waiting and (
+            len(self.open) + len(self.connecting) < self.limit
+        ):
+            borrower = self._next_waiting()
+            if borrower is not None:
+                self._connect(borrower)
+
+    def _connect(self, borrower: Borrower) -> None:
+        task = self.loop.create_task(self._open(borrower))
+        self.connecting.add(task)
+        task.add_done_callback(self.connecting.discard)
+
+    async def _open(self, borrower: Borrower) -> None:
+        kind = ErrorKind.CONNECT_FAILED
+        connection = None
+        try:
+            async with asyncio.timeout(self.settings.connect_timeout_s):
+                connection = await self._create()
+        except TimeoutError:
+            kind = ErrorKind.CONNECT_TIMEOUT
+        except ssl.SSLError:
+            kind = ErrorKind.TLS_FAILED
+        except OSError:
+            pass
+        self.connecting.discard(asyncio.current_task())
+        if connection is None:
+            if borrower.wanted:
+                borrower.connect_failed(kind)
+            self._serve_waiting()
+            return
+        self._opened(borrower, connection)
+
+    def _opened(
+        self, borrower: Borrower, connection: backend.BackendConnection
+    ) -> None:
+        if connection.gone:
+            if borrower.wanted:
+                borrower.connect_failed(ErrorKind.CONNECT_FAILED)
+            return
+        self.open.add(connection)
+        if borrower.wanted:
+            borrower.connected(connection)
+        else:
+            self.give_back(connection)
+
+    async def _create(self) -> backend.BackendConnection:
+        factory = functools.partial(
+            backend.BackendConnection,
+            self,
+            self.loop,
+            self.settings.max_head_bytes,
+            self.settings.silence_s,
+        )
+        if self.tls is None:
+            _, connection = await self.loop.create_connection(
+                factory, self.address.host, self.address.port
+            )
+            return connection
+        files = self.settings.tls
+        _, connection = await self.loop.create_connection(
+            factory,
+            self.address.host,
+            self.address.port,
+            ssl=self.tls,
+            server_hostname=files.server_name or self.address.host,
+        )
+        return connection
+
+    def _expire(self) -> None:
+        oldest_allowed = self.loop.time() - self.settings.idle_timeout_s
+        for connection in list(self.idle):
+            if connection.last_answer <= oldest_allowed:
+                connection.abort()
+        if self.idle:
+            oldest = min(item.last_answer for item in self.idle)
+            self.watch.set(oldest + self.settings.idle_timeout_s)
--- /dev/null
+++ b/banyantiller/proxy/proxy.py
@@ -0,0 +1,384 @@
+"""The data path of one daemon: listener, services, drain."""
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import h11
+import structlog
+
+from banyantiller.bundle import options
+from banyantiller.claims.types import Claims
+from banyantiller.config.defaults import Endpoint, Settings
+from banyantiller.errors import Failure
+from banyantiller.kernel import core
+from banyantiller.kernel.events import CallFinished, ServerLeaving
+from banyantiller.proxy import (
+    answers,
+    caller,
+    driver,
+    headers,
+    intake,
+    matching,
+    stages,
+    tls,
+    watchdog,
+)
+from banyantiller.proxy import call as calls
+from banyantiller.routing.types import Dispatcher, LoadReport
+
+log = structlog.get_logger("banyantiller.proxy")
+
+BACKLOG = 1024
+
+DispatcherFactory = Callable[..., Dispatcher]
+Charge = Callable[[float], bool]
+
+
+class Proxy:
+    """Takes calls from callers and relays the answers of backend servers.
+
+    Attributes:
+        fenced: Whether every call is refused as not run.
+        in_flight: Calls that have begun and not ended.
+        draining: Whether answers say `Connection: close`.
+        refusing: Whether new calls are refused, at the end of a drain.
+        version: Version of the bundle in force, 0 for none.
+        routes: Finds the driver of a request's service.
+        drivers: Drivers by service name.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        kernel: core.Kernel,
+        routing_factory: DispatcherFactory,
+        claims: Claims,
+        charge: Callable[[str], Charge],
+        wall: Callable[[], float],
+        seed: int,
+    ) -> None:
+        self.settings = settings
+        self.kernel = kernel
+        self.routing_factory = routing_factory
+        self.claims = claims
+        self.charge = charge
+        self.wall = wall
+        self.random = random.Random(seed)
+        self.loop = asyncio.get_running_loop()
+        self.fenced = False
+        self.in_flight = 0
+        self.draining = False
+        self.refusing = False
+        self.version = 0
+        self.bundle = options.Bundle(())
+        self.accepted_at = 0.0
+        self.alive = 1
+        self.routes: matching.Routes[driver.ServiceDriver] = matching.Routes()
+        self.drivers: dict[str, driver.ServiceDriver] = {}
+        self.retired: list[driver.ServiceDriver] = []
+        self.callers: set[caller.CallerConnection] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.emptied = asyncio.Event()
+        self.server: asyncio.Server | None = None
+        self.via = (b"Via", f"1.1 {settings.daemon}".encode("ascii"))
+        self.backend_tls = tls.for_backends(settings.backends.tls)
+        self.id_prefix = b"%016x" % self.random.getrandbits(64)
+        self.id_count = 0
+        self.stage_watch = watchdog.Watchdog(self.loop, self._next_stage)
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: Settings,
+        kernel: core.Kernel,
+        routing_factory: DispatcherFactory,
+        claims: Claims,
+        charge: Callable[[str], Charge],
+        wall: Callable[[], float],
+        seed: int,
+    ) -> "Proxy":
+        """Makes a proxy that does not listen yet; needs a running loop.
+
+        Args:
+            settings: Settings of the daemon.
+            kernel: Gets the events.
+            routing_factory: Makes a dispatcher; see `routing.types`.
+            claims: Arbitrates idempotency keys.
+            charge: Returns, for a service, the function that takes one probe
+                out of the measuring budget.
+            wall: Returns wall-clock seconds, for events and stages.
+            seed: Seed of identifiers and of the dispatchers.
+        """
+        return cls(
+            settings, kernel, routing_factory, claims, charge, wall, seed
+        )
+
+    # Called by the daemon.
+
+    def apply(
+        self, bundle: options.Bundle, version: int, accepted_at: float
+    ) -> None:
+        """Puts a bundle in force for new calls.
+
+        Running calls end on the bundle under which they began. Servers and
+        services that were taken out drain.
+        """
+        self.bundle = bundle
+        self.accepted_at = accepted_at
+        old = self.drivers
+        self.drivers = {}
+        self.routes = matching.Routes()
+        elapsed_s = self.wall() - accepted_at
+        for service in bundle.services:
+            staged = stages.at(service, elapsed_s)
+            found = old.pop(service.name, None)
+            if found is None:
+                found = self._new_driver(staged.service)
+            else:
+                found.configure(staged.service)
+            self.drivers[service.name] = found
+            self.routes.add(service, found)
+        for removed in old.values():
+            removed.retire()
+            self.retired.append(removed)
+        self.version = version
+        self._close_retired()
+        self._set_stage_watch(elapsed_s)
+
+    def server_leaving(self, service: str, server: str, reason: str) -> None:
+        """Gives a server no new requests."""
+        if service in self.drivers:
+            self.drivers[service].server_leaving(server, reason)
+
+    def server_back(self, service: str, server: str) -> None:
+        """Gives a server that left requests again."""
+        if service in self.drivers:
+            self.drivers[service].server_back(server)
+
+    def report(self, service: str, server: str, load: LoadReport) -> None:
+        """Takes a load report that another daemon passed on."""
+        if service in self.drivers:
+            self.drivers[service].report(server, load)
+
+    def members(self, alive: int) -> None:
+        """Takes the number of daemons believed alive, this one included."""
+        self.alive = alive
+        for item in self.drivers.values():
+            item.members(alive)
+
+    def shared_load(self) -> dict[str, dict[str, float]]:
+        """Returns this daemon's calls in flight by service and server."""
+        now = self.loop.time()
+        return {
+            name: item.dispatcher.shared_load(now)
+            for name, item in self.drivers.items()
+        }
+
+    async def start(self) -> Endpoint:
+        """Listens for callers.
+
+        Returns:
+            The address and the port that are bound.
+
+        Raises:
+            OSError: The address can't be bound.
+        """
+        listen = self.settings.callers.listen
+        self.server = await self.loop.create_server(
+            lambda: caller.CallerConnection(self),
+            listen.address,
+            listen.port,
+            ssl=tls.for_callers(self.settings.callers.tls),
+            backlog=BACKLOG,
+        )
+        bound = self.server.sockets[0].getsockname()
+        log.info("proxy: listening.", address=bound[0], port=bound[1])
+        return Endpoint(bound[0], bound[1])
+
+    async def drain(self, grace_s: float, limit_s: float) -> int:
+        """Ends without cutting a call.
+
+        Args:
+            grace_s: How long to listen on, so that balancers in front see
+                that readiness fell.
+            limit_s: Longest wait for calls in flight after that.
+
+        Returns:
+            Number of calls that were cut because the limit passed.
+        """
+        self.draining = True
+        await asyncio.sleep(grace_s)
+        self.refusing = True
+        if self.server is not None:
+            self.server.close()
+        for connection in list(self.callers):
+            connection.shut_if_idle()
+        self._note_emptied()
+        try:
+            await asyncio.wait_for(self.emptied.wait(), limit_s)
+        except TimeoutError:
+            pass
+        cut = self.in_flight
+        log.info("proxy: drained.", cut=cut)
+        return cut
+
+    async def close(self) -> None:
+        """Closes the listener and every connection at once."""
+        self.stage_watch.stop()
+        if self.server is not None:
+            self.server.close()
+        for connection in list(self.callers):
+            connection.transport.abort()
+        for item in [*self.drivers.values(), *self.retired]:
+            item.close()
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    # Called by connections and calls.
+
+    def enter(self, connection: caller.CallerConnection) -> bool:
+        """Adds a caller's connection; False if there are too many."""
+        self.callers.add(connection)
+        return len(self.callers) <= self.settings.callers.max_connections
+
+    def leave(self, connection: caller.CallerConnection) -> None:
+        """Removes a caller's connection."""
+        self.callers.discard(connection)
+        if self.refusing:
+            self._note_emptied()
+
+    def begin(
+        self, connection: caller.CallerConnection, request: h11.Request
+    ) -> None:
+        """Starts the call of a request head."""
+        head = headers.read_request(request)
+        call = calls.Call(self, connection, request, head)
+        connection.call = call
+        self.in_flight += 1
+        failure = intake.admit(self, call)
+        if failure is not None:
+            call.refuse(failure)
+        elif call.claim is None:
+            call.driver.submit(call)
+        else:
+            call.send_continue()
+
+    def reject(
+        self, connection: caller.CallerConnection, failure: Failure
+    ) -> None:
+        """Answers where no request head could be read, and closes."""
+        request_id = self.new_request_id()
+        answer = answers.from_failure(
+            failure, failure.answer.ran, self.settings.daemon, request_id
+        )
+        connection.send_own(answer, body_missing=True)
+        connection.answer_done()
+        event = CallFinished(
+            request_id=request_id.decode("ascii"),
+            service="",
+            idempotent=False,
+            key="",
+            server="",
+            status=answer.status,
+            error=failure.kind,
+            attempts=0,
+            cut=False,
+            duration_s=self.loop.time() - connection.head_began,
+            bundle=self.version,
+        )
+        self.in_flight += 1
+        self.finished(event)
+
+    def finished(self, event: CallFinished) -> None:
+        """Counts and tells the end of a call."""
+        self.in_flight -= 1
+        self.kernel.emit(event)
+        if self.settings.log.access:
+            log.info("proxy: call finished.", **event._asdict())
+        if self.retired:
+            self.loop.call_soon(self._close_retired)
+
+    def spawn(self, body: Coroutine[Any, Any, None]) -> None:
+        """Runs a claim's coroutine; a drain waits for it."""
+        task = self.loop.create_task(body)
+        self.tasks.add(task)
+        task.add_done_callback(self._task_done)
+
+    def new_request_id(self) -> bytes:
+        """Returns an identifier for a request that has none."""
+        self.id_count += 1
+        return b"%b%08x" % (self.id_prefix, self.id_count)
+
+    def new_traceparent(self) -> bytes:
+        """Returns a `traceparent` for a request that has none."""
+        trace_id = self.random.getrandbits(128)
+        return b"00-%032x-%016x-00" % (trace_id, trace_id >> 64 | 1)
+
+    # Within.
+
+    def _new_driver(self, service: options.Service) -> driver.ServiceDriver:
+        charge = self.charge(service.name)
+
+        def create(
+            service: options.Service, servers: tuple, now: float
+        ) -> Dispatcher:
+            return self.routing_factory(
+                service,
+                servers,
+                self.settings.daemon,
+                self.settings.zone,
+                self.random.getrandbits(32),
+                now,
+                charge,
+            )
+
+        made = driver.ServiceDriver(
+            service,
+            create,
+            charge,
+            self.settings.backends,
+            self.backend_tls,
+            self._announce_leaving,
+        )
+        made.members(self.alive)
+        return made
+
+    def _announce_leaving(self, service: str, server: str) -> None:
+        self.kernel.emit(
+            ServerLeaving(service, server, "drain_answer", self.wall())
+        )
+
+    def _next_stage(self) -> None:
+        elapsed_s = self.wall() - self.accepted_at
+        for service in self.bundle.services:
+            if service.stages:
+                staged = stages.at(service, elapsed_s)
+                self.drivers[service.name].configure(staged.service)
+        self._set_stage_watch(elapsed_s)
+
+    def _set_stage_watch(self, elapsed_s: float) -> None:
+        waits = [stages.at(s, elapsed_s).next_s for s in self.bundle.services]
+        known = [wait for wait in waits if wait is not None]
+        if known:
+            self.stage_watch.set(self.loop.time() + min(known))
+        else:
+            self.stage_watch.stop()
+
+    def _note_emptied(self) -> None:
+        if not self.callers and not self.tasks:
+            self.emptied.set()
+
+    def _close_retired(self) -> None:
+        for item in [old for old in self.retired if old.idle()]:
+            self.retired.remove(item)
+            item.close()
+
+    def _task_done(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if self.refusing:
+            self._note_emptied()
+        if not task.cancelled() and task.exception() is not None:
+            log.error("proxy: a claim failed.", error=repr(task.exception()))
--- /dev/null
+++ b/banyantiller/proxy/stages.py
@@ -0,0 +1,28 @@
+"""Traffic shares that follow each other after a bundle is accepted."""
+
+from typing import NamedTuple
+
+from banyantiller.bundle import options
+
+
+class Staged(NamedTuple):
+    """A service at one point of its stages.
+
+    Attributes:
+        service: Options with the shares that apply now.
+        next_s: Time until the next stage in seconds, or None.
+    """
+
+    service: options.Service
+    next_s: float | None
+
+
+def at(service: options.Service, elapsed_s: float) -> Staged:
+    """Returns the service as it is some time after acceptance."""
+    shares = service.shares
+    for stage in sorted(service.stages, key=lambda item: item.after_s):
+        if stage.after_s > elapsed_s:
+            next_s = stage.after_s - elapsed_s
+            return Staged(service._replace(shares=shares), next_s)
+        shares = stage.shares
+    return Staged(service._replace(shares=shares), None)
