Record what each daemon saw and write it in bounded, chained summaries

Daemons keep nothing, so what held has to be told by summaries in the object API, also through outages and lost answers. The recorder counts kernel events for a period and names at most most_requests requests that show a broken promise. The writer stores one update a period in blocks of 20 records, announces its run at the start and closes it at a graceful end. CallFinished gains shed, sent_after_s and told, ProbeSent is new, all optional.

--- a/banyantiller/config/defaults.py
+++ b/banyantiller/config/defaults.py
@@ -258,6 +258,10 @@
     most_requests: Annotated[
         int, Option("Most requests named in one summary.", low=1, high=1000)
     ] = 50
+    retention_days: Annotated[
+        int,
+        Option("Days for which summaries are kept.", unit="d", low=1, high=800),
+    ] = 30
 
 
 class Settings(NamedTuple):
@@ -303,3 +307,28 @@
     trace_file: Annotated[
         str, Option("File that records a trace for replay, or empty.")
     ] = ""
+
+
+class OperatorSettings(NamedTuple):
+    """Settings of the command-line tool for one operator."""
+
+    deployment: Annotated[
+        str,
+        Option(
+            "Name shared by all daemons of the fleet.", pattern=NAME_PATTERN
+        ),
+    ]
+    operator: Annotated[
+        str,
+        Option("Name of the operator in trusted_keys.", pattern=NAME_PATTERN),
+    ]
+    object_api: Annotated[
+        ObjectApiSettings, Option("The platform's object API.")
+    ]
+    key_file: Annotated[
+        str,
+        Option("Path of the operator's private key; needed to change things."),
+    ] = ""
+    trusted_keys: Annotated[
+        tuple[TrustedKey, ...], Option("Keys of operators.", most=64)
+    ] = ()
--- /dev/null
+++ b/banyantiller/evidence/counts.py
@@ -0,0 +1,76 @@
+"""What one period has counted so far."""
+
+from collections import Counter
+from typing import Any
+
+from banyantiller.evidence import latency
+from banyantiller.evidence import summary as summaries
+from banyantiller.kernel import events
+
+OTHER_SERVICES = "other"
+
+
+class PeriodCounts:
+    """Counters and bounded lists of the present period.
+
+    Attributes:
+        most_requests: Most breaches that are listed.
+        lists: Items by name of the summary's list.
+        omitted: Items that did not fit, by name of the list.
+    """
+
+    def __init__(self, most_requests: int) -> None:
+        self.most_requests = most_requests
+        self.calls: Counter[str] = Counter()
+        self.errors: Counter[str] = Counter()
+        self.durations: Counter[int] = Counter()
+        self.probes: Counter[str] = Counter()
+        self.breaches: Counter[str] = Counter()
+        self.omitted: Counter[str] = Counter()
+        self.cut = 0
+        self.runs = 0
+        self.attempts = 0
+        self.retries = 0
+        self.store_down_ms = 0
+        self.lists: dict[str, list[Any]] = {
+            name: [] for name in (*summaries.LISTS, "breaches")
+        }
+
+    def add_call(self, event: events.CallFinished) -> None:
+        """Counts a finished call."""
+        self.calls[event.service] += 1
+        self.durations[latency.bucket_of(event.duration_s)] += 1
+        self.attempts += event.attempts
+        if event.attempts > 1:
+            self.retries += event.attempts - 1
+        if event.attempts and not event.idempotent:
+            self.runs += 1
+        if event.error is not None:
+            self.errors[event.error.value] += 1
+        if event.cut:
+            self.cut += 1
+
+    def add_item(self, name: str, item: Any) -> None:
+        """Adds to a bounded list, or counts what does not fit."""
+        most = summaries.LISTS.get(name, self.most_requests)
+        if len(self.lists[name]) < most:
+            self.lists[name].append(item)
+        else:
+            self.omitted[name] += 1
+
+    def bounded_calls(self) -> dict[str, int]:
+        """Returns calls by service; the least used ones together."""
+        if len(self.calls) <= summaries.MOST_SERVICES:
+            return dict(self.calls)
+        kept = dict(self.calls.most_common(summaries.MOST_SERVICES))
+        kept[OTHER_SERVICES] = self.calls.total() - sum(kept.values())
+        return kept
+
+    def probes_spent(
+        self, rates: dict[str, float]
+    ) -> dict[str, summaries.ProbesSpent]:
+        """Returns probes by service with the budget known here."""
+        return {
+            service: summaries.ProbesSpent(sent, rates.get(service, 0.0))
+            for service, sent in self.probes.items()
+        }
--- /dev/null
+++ b/banyantiller/evidence/layout.py
@@ -0,0 +1,98 @@
+"""How evidence is laid out in the object API.
+
+A run is one life of a daemon, named by its start. `evidenceruns` holds one
+object a run, written at the start and at the graceful end. `evidence` holds
+blocks of a run's summaries; the records of all blocks of a run form one hash
+chain.
+"""
+
+import datetime
+from typing import Any, NamedTuple
+
+import msgspec
+
+from banyantiller.evidence import chain
+from banyantiller.evidence import summary as summaries
+
+BLOCK_KIND = "evidence"
+RUN_KIND = "evidenceruns"
+RECORDS_PER_BLOCK = 20
+MAX_BLOCK_BYTES = 600_000
+MILLISECONDS = 1000
+
+
+class Run(NamedTuple):
+    """One life of a daemon.
+
+    Attributes:
+        deployment: Fleet.
+        daemon: Name of the daemon.
+        zone: Its availability zone.
+        started_ms: Start, wall-clock milliseconds.
+        period_ms: Intended period of its summaries.
+        ended_ms: Graceful end, 0 before.
+    """
+
+    deployment: str
+    daemon: str
+    zone: str
+    started_ms: int
+    period_ms: int
+    ended_ms: int = 0
+
+    @property
+    def name(self) -> str:
+        """Object name of the run."""
+        return f"{self.deployment}.{self.daemon}.{self.started_ms}"
+
+    def block_name(self, number: int) -> str:
+        """Returns the object name of a block."""
+        return f"{self.name}.{number:06d}"
+
+
+def day_of(at_ms: int) -> str:
+    """Returns the UTC date of a time, as the label of a block."""
+    at = datetime.datetime.fromtimestamp(at_ms / MILLISECONDS, datetime.UTC)
+    return at.date().isoformat()
+
+
+def block_labels(run: Run, at_ms: int) -> dict[str, str]:
+    """Returns the labels by which blocks are listed."""
+    return {"deployment": run.deployment, "day": day_of(at_ms)}
+
+
+def run_value(run: Run) -> dict[str, Any]:
+    """Returns the JSON value of a run's object."""
+    return run._asdict()
+
+
+def run_from(value: dict[str, Any]) -> Run:
+    """Reads a run's object.
+
+    Raises:
+        msgspec.ValidationError: The value is not a run.
+    """
+    fields = [value.get(name) for name in Run._fields]
+    return msgspec.convert(fields, Run)
+
+
+def block_value(run: Run, records: list[dict[str, Any]]) -> dict[str, Any]:
+    """Returns the JSON value of a block."""
+    return {
+        "daemon": run.daemon,
+        "started_ms": run.started_ms,
+        "period_ms": run.period_ms,
+        "zone": run.zone,
+        "records": records,
+    }
+
+
+def seal(summary: summaries.Summary, tip: chain.Tip) -> dict[str, Any]:
+    """Returns the record that follows `tip` in a run's chain."""
+    return chain.sealed(
+        {
+            **summaries.encode(summary),
+            "sequence": tip.sequence + 1,
+            "previous": tip.digest,
+        }
+    )
--- /dev/null
+++ b/banyantiller/evidence/recorder.py
@@ -0,0 +1,260 @@
+"""Turns kernel events into one bounded summary for each period."""
+
+from collections.abc import Callable, Iterable
+
+import structlog
+
+from banyantiller.bundle import options
+from banyantiller.config import defaults
+from banyantiller.evidence import counts as counting
+from banyantiller.evidence import rules
+from banyantiller.evidence import summary as summaries
+from banyantiller.evidence.promises import Promise
+from banyantiller.kernel import core, events
+
+log = structlog.get_logger("banyantiller.evidence")
+
+MILLISECONDS = 1000
+MAX_ID = 64
+MOST_WATCHED_SERVERS = 4096
+
+
+class Recorder:
+    """Counts what the present period has shown.
+
+    Attributes:
+        wall: Returns wall-clock seconds.
+        most_requests: Most breaches that a summary lists.
+        from_ms: Start of the present period.
+        draining: Whether this daemon began its graceful shutdown.
+        leaving: When each leaving server was learned to be so, by service
+            and server, as wall-clock seconds.
+        allowed_s: Time for new requests to a leaving server, by service.
+        rates: Budget of probes a second of the whole fleet, by service.
+        counts: What the present period has counted.
+    """
+
+    def __init__(self, wall: Callable[[], float], most_requests: int) -> None:
+        self.wall = wall
+        self.most_requests = most_requests
+        self.from_ms = _milliseconds(wall())
+        self.draining = False
+        self.version = 0
+        self.leaving: dict[tuple[str, str], float] = {}
+        self.allowed_s: dict[str, float] = {}
+        self.rates: dict[str, float] = {}
+        self.store_down_since: float | None = None
+        self.audit_sequence = 0
+        self.audit_digest = ""
+        self.counts = counting.PeriodCounts(most_requests)
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: defaults.Settings,
+        kernel: core.Kernel,
+        wall: Callable[[], float],
+    ) -> "Recorder":
+        """Builds a recorder and subscribes it to the kernel's events."""
+        recorder = cls(wall, settings.evidence.most_requests)
+        handlers: dict[type, core.Handler] = {
+            events.CallFinished: recorder.call_finished,
+            events.BundleInForce: recorder.bundle_in_force,
+            events.BundleRefused: recorder.bundle_refused,
+            events.MemberChanged: recorder.member_changed,
+            events.ServerLeaving: recorder.server_leaving,
+            events.StoreState: recorder.store_state,
+            events.ProbeSent: recorder.probe_sent,
+            events.PromiseBroken: recorder.promise_broken,
+            events.DaemonDraining: recorder.daemon_draining,
+        }
+        for event_type, handler in handlers.items():
+            kernel.subscribe(event_type, handler)
+        return recorder
+
+    def configure(self, services: Iterable[options.Service]) -> None:
+        """Takes the services of a new bundle: their limits and budgets.
+
+        A server that the bundle names again and that left by an earlier
+        bundle is not leaving any more.
+        """
+        allowed: dict[str, float] = {}
+        rates: dict[str, float] = {}
+        for service in services:
+            allowed[service.name] = service.drain.stop_within_s
+            rates[service.name] = service.measuring.probes_per_second
+        self.allowed_s = allowed
+        self.rates = rates
+        self.leaving = {
+            key: at for key, at in self.leaving.items() if key[0] in allowed
+        }
+
+    def call_finished(self, event: events.CallFinished) -> None:
+        """Counts a call and judges it by itself."""
+        self.counts.add_call(event)
+        left_at = self.leaving.get((event.service, event.server))
+        suspect = event.error is not None or event.cut or event.attempts > 1
+        if suspect or left_at is not None:
+            self._judge(event, left_at)
+
+    def bundle_in_force(self, event: events.BundleInForce) -> None:
+        """Notes a bundle that came into force."""
+        self.version = event.version
+        self.counts.add_item(
+            "bundles",
+            summaries.BundleSeen(
+                event.version,
+                event.digest[:16],
+                _milliseconds(event.accepted_at),
+                _milliseconds(event.at),
+                event.source,
+            ),
+        )
+
+    def bundle_refused(self, event: events.BundleRefused) -> None:
+        """Notes a bundle that was refused."""
+        reason = event.reason[: summaries.MAX_TEXT]
+        at_ms = _milliseconds(event.at)
+        self.counts.add_item(
+            "refused",
+            summaries.RefusalSeen(event.version, reason, event.source, at_ms),
+        )
+
+    def member_changed(self, event: events.MemberChanged) -> None:
+        """Notes a change in the view of a peer."""
+        at_ms = _milliseconds(self.wall())
+        self.counts.add_item(
+            "members",
+            summaries.MemberSeen(
+                event.daemon, event.state, event.incarnation, at_ms
+            ),
+        )
+
+    def server_leaving(self, event: events.ServerLeaving) -> None:
+        """Notes that a server is leaving, from the first sign on."""
+        key = (event.service, event.server)
+        if key in self.leaving:
+            return
+        if len(self.leaving) < MOST_WATCHED_SERVERS:
+            self.leaving[key] = event.at
+        self.counts.add_item(
+            "leaving",
+            summaries.LeavingSeen(
+                event.service,
+                event.server,
+                event.reason,
+                _milliseconds(event.at),
+            ),
+        )
+
+    def store_state(self, event: events.StoreState) -> None:
+        """Counts the time without the object API."""
+        if event.reachable:
+            self.counts.store_down_ms += self._down_ms(event.at)
+            self.store_down_since = None
+        elif self.store_down_since is None:
+            self.store_down_since = event.at
+
+    def probe_sent(self, event: events.ProbeSent) -> None:
+        """Counts a probe."""
+        self.counts.probes[event.service] += 1
+
+    def daemon_draining(self, _: events.DaemonDraining) -> None:
+        """Notes that this daemon's graceful shutdown began."""
+        self.draining = True
+
+    def promise_broken(self, event: events.PromiseBroken) -> None:
+        """Notes a breach that another part saw."""
+        if event.promise not in list(Promise):
+            log.error(
+                "evidence: an unknown promise was named.", promise=event.promise
+            )
+            return
+        self._breach(event.promise, event.request_id, event.detail, event.at)
+
+    def audit_tip(self, sequence: int, digest: str) -> None:
+        """Notes the end of the audit trail as this daemon saw it."""
+        if sequence >= self.audit_sequence:
+            self.audit_sequence = sequence
+            self.audit_digest = digest
+
+    def close_period(
+        self, started: bool = False, final: bool = False
+    ) -> summaries.Summary:
+        """Ends the period and starts the next.
+
+        Args:
+            started: Whether the daemon has just started.
+            final: Whether the daemon ends gracefully now.
+        """
+        now = self.wall()
+        to_ms = max(self.from_ms, _milliseconds(now))
+        counts = self.counts
+        summary = summaries.Summary(
+            from_ms=self.from_ms,
+            to_ms=to_ms,
+            started=started,
+            final=final,
+            calls=counts.bounded_calls(),
+            errors=dict(counts.errors),
+            cut=counts.cut,
+            runs=counts.runs,
+            attempts=counts.attempts,
+            retries=counts.retries,
+            latency={str(key): n for key, n in counts.durations.items()},
+            version=self.version,
+            probes=counts.probes_spent(self.rates),
+            store_down_ms=counts.store_down_ms + self._down_ms(now),
+            breach_counts=dict(counts.breaches),
+            omitted=dict(counts.omitted),
+            audit_sequence=self.audit_sequence,
+            audit_digest=self.audit_digest,
+            **{name: tuple(items) for name, items in counts.lists.items()},
+        )
+        self.from_ms = to_ms
+        if self.store_down_since is not None:
+            self.store_down_since = now
+        self.counts = counting.PeriodCounts(self.most_requests)
+        return summary
+
+    def _judge(self, event: events.CallFinished, left_at: float | None) -> None:
+        now = self.wall()
+        since_s = None
+        if left_at is not None:
+            sent_at = now - event.duration_s + event.sent_after_s
+            since_s = sent_at - left_at
+        allowed_s = self.allowed_s.get(
+            event.service, options.DrainPolicy().stop_within_s
+        )
+        leaving = rules.Leaving(self.draining, since_s, allowed_s)
+        for breach in rules.breaches(event, leaving):
+            self._breach(breach.promise, event.request_id, breach.detail, now)
+
+    def _breach(
+        self, promise: str, request_id: str, detail: str, at: float
+    ) -> None:
+        log.error(
+            "evidence: a promise was broken.",
+            promise=str(promise),
+            request_id=request_id,
+            detail=detail,
+        )
+        self.counts.breaches[str(promise)] += 1
+        self.counts.add_item(
+            "breaches",
+            summaries.BreachSeen(
+                str(promise),
+                request_id[:MAX_ID],
+                detail[: summaries.MAX_TEXT],
+                _milliseconds(at),
+            ),
+        )
+
+    def _down_ms(self, now: float) -> int:
+        if self.store_down_since is None:
+            return 0
+        return max(0, _milliseconds(now - self.store_down_since))
+
+
+def _milliseconds(seconds: float) -> int:
+    return round(seconds * MILLISECONDS)
--- /dev/null
+++ b/banyantiller/evidence/summary.py
@@ -0,0 +1,235 @@
+"""Summaries: what one daemon saw in one period, in a bounded form.
+
+Times are whole wall-clock milliseconds so that they pass unchanged through
+any JSON library. Lists are bounded; what did not fit is counted in
+`omitted`, so that nobody takes a part for the whole.
+"""
+
+import typing
+from collections import Counter
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+import msgspec
+
+MOST_BUNDLES = 50
+MOST_REFUSALS = 10
+MOST_MEMBERS = 100
+MOST_LEAVING = 50
+MOST_SERVICES = 200
+MAX_TEXT = 120
+
+
+class BundleSeen(NamedTuple):
+    """A bundle that came into force at this daemon."""
+
+    version: int
+    digest: str
+    accepted_ms: int
+    at_ms: int
+    source: str
+
+
+class RefusalSeen(NamedTuple):
+    """A bundle that this daemon refused."""
+
+    version: int
+    reason: str
+    source: str
+    at_ms: int
+
+
+class MemberSeen(NamedTuple):
+    """A change in this daemon's view of a peer."""
+
+    daemon: str
+    state: str
+    incarnation: int
+    at_ms: int
+
+
+class LeavingSeen(NamedTuple):
+    """A server that this daemon learned to be leaving."""
+
+    service: str
+    server: str
+    reason: str
+    at_ms: int
+
+
+class BreachSeen(NamedTuple):
+    """A promise that this daemon saw broken."""
+
+    promise: str
+    request_id: str
+    detail: str
+    at_ms: int
+
+
+class ProbesSpent(NamedTuple):
+    """Probes that this daemon sent to one service.
+
+    Attributes:
+        sent: Probes in the period.
+        rate: Most probes a second by all daemons together, as this daemon
+            knew it; the least if it changed.
+    """
+
+    sent: int
+    rate: float
+
+
+class Summary(NamedTuple):
+    """What one daemon saw in one period.
+
+    Attributes:
+        from_ms: Start of the period.
+        to_ms: End of the period.
+        started: Whether it is the first of its daemon's run.
+        final: Whether the daemon ended gracefully after it.
+        merged: Number of periods that were joined in it.
+        calls: Finished calls by service.
+        errors: Failed calls by error kind.
+        cut: Answers that ended early.
+        runs: Non-idempotent calls of which bytes went to a server.
+        attempts: Tries that wrote at least one byte.
+        retries: Tries beyond the first of each call.
+        latency: Calls by bucket of duration; see `bucket_of`.
+        bundles: Bundles that came into force.
+        version: Version in force at the end, 0 for none.
+        refused: Bundles refused.
+        probes: Probes by service.
+        store_down_ms: Time for which the object API did not answer.
+        members: Changes in the view of peers.
+        leaving: Servers learned to be leaving.
+        breaches: Broken promises, with the requests.
+        breach_counts: All breaches by promise, also those not listed.
+        omitted: Items left out of a bounded list, by name of the list.
+        audit_sequence: Last audit entry seen, 0 for none.
+        audit_digest: Its digest.
+    """
+
+    from_ms: int
+    to_ms: int
+    started: bool = False
+    final: bool = False
+    merged: int = 1
+    calls: dict[str, int] = {}  # noqa: RUF012
+    errors: dict[str, int] = {}  # noqa: RUF012
+    cut: int = 0
+    runs: int = 0
+    attempts: int = 0
+    retries: int = 0
+    latency: dict[str, int] = {}  # noqa: RUF012
+    bundles: tuple[BundleSeen, ...] = ()
+    version: int = 0
+    refused: tuple[RefusalSeen, ...] = ()
+    probes: dict[str, ProbesSpent] = {}  # noqa: RUF012
+    store_down_ms: int = 0
+    members: tuple[MemberSeen, ...] = ()
+    leaving: tuple[LeavingSeen, ...] = ()
+    breaches: tuple[BreachSeen, ...] = ()
+    breach_counts: dict[str, int] = {}  # noqa: RUF012
+    omitted: dict[str, int] = {}  # noqa: RUF012
+    audit_sequence: int = 0
+    audit_digest: str = ""
+
+
+FIELD_TYPES = typing.get_type_hints(Summary)
+
+LISTS: dict[str, int] = {
+    "bundles": MOST_BUNDLES,
+    "refused": MOST_REFUSALS,
+    "members": MOST_MEMBERS,
+    "leaving": MOST_LEAVING,
+}
+
+
+def encode(summary: Summary) -> dict[str, Any]:
+    """Returns the JSON form: fields by name, without empty ones."""
+    defaults = Summary._field_defaults
+    return {
+        name: msgspec.to_builtins(value)
+        for name, value in summary._asdict().items()
+        if name not in defaults or value != defaults[name]
+    }
+
+
+def decode(record: Mapping[str, Any]) -> Summary:
+    """Reads the JSON form; unknown fields are ignored.
+
+    Raises:
+        msgspec.ValidationError: A field has the wrong type or is missing.
+    """
+    known = {
+        name: msgspec.convert(record[name], kind)
+        for name, kind in FIELD_TYPES.items()
+        if name in record
+    }
+    try:
+        return Summary(**known)
+    except TypeError as error:
+        raise msgspec.ValidationError(str(error)) from error
+
+
+def merge(first: Summary, second: Summary, most_requests: int) -> Summary:
+    """Joins two neighbouring summaries into one over both periods.
+
+    Args:
+        first: The earlier one.
+        second: The later one.
+        most_requests: Most breaches that are listed.
+
+    Returns:
+        A summary whose counts are exact and whose lists are bounded.
+    """
+    omitted = Counter(first.omitted)
+    omitted.update(second.omitted)
+    lists: dict[str, Any] = {}
+    for name, most in {**LISTS, "breaches": most_requests}.items():
+        items = getattr(first, name) + getattr(second, name)
+        lists[name] = items[:most]
+        omitted[name] += max(0, len(items) - most)
+    return Summary(
+        from_ms=first.from_ms,
+        to_ms=second.to_ms,
+        started=first.started,
+        final=second.final,
+        merged=first.merged + second.merged,
+        calls=added(first.calls, second.calls),
+        errors=added(first.errors, second.errors),
+        cut=first.cut + second.cut,
+        runs=first.runs + second.runs,
+        attempts=first.attempts + second.attempts,
+        retries=first.retries + second.retries,
+        latency=added(first.latency, second.latency),
+        version=second.version,
+        probes=_merged_probes(first.probes, second.probes),
+        store_down_ms=first.store_down_ms + second.store_down_ms,
+        breach_counts=added(first.breach_counts, second.breach_counts),
+        omitted={name: count for name, count in omitted.items() if count},
+        audit_sequence=second.audit_sequence or first.audit_sequence,
+        audit_digest=second.audit_digest or first.audit_digest,
+        **lists,
+    )
+
+
+def added(
+    first: Mapping[str, int], second: Mapping[str, int]
+) -> dict[str, int]:
+    """Adds two tables of counts."""
+    total = Counter(first)
+    total.update(second)
+    return dict(total)
+
+
+def _merged_probes(
+    first: Mapping[str, ProbesSpent], second: Mapping[str, ProbesSpent]
+) -> dict[str, ProbesSpent]:
+    probes = dict(first)
+    for service, spent in second.items():
+        before = probes.get(service, ProbesSpent(0, spent.rate))
+        probes[service] = ProbesSpent(
+            before.sent + spent.sent, min(before.rate, spent.rate)
+        )
+    return probes
--- a/banyantiller/kernel/events.py
+++ b/banyantiller/kernel/events.py
@@ -6,7 +6,7 @@
 
 from typing import NamedTuple
 
-from banyantiller.errors import ErrorKind
+from banyantiller.errors import ErrorKind, Ran
 
 
 class BundleInForce(NamedTuple):
@@ -58,6 +58,11 @@
         cut: Whether a relayed answer ended before it was whole.
         duration_s: From the first byte of the head to the last of the answer.
         bundle: Version of the bundle that the call ran under.
+        shed: Of the attempts, those that the server refused as not run.
+        sent_after_s: From the first byte of the head to the start of the
+            try that was answered.
+        told: For a failure, what the caller was told of whether the request
+            was run.
     """
 
     request_id: str
@@ -71,6 +76,23 @@
     cut: bool
     duration_s: float
     bundle: int
+    shed: int = 0
+    sent_after_s: float = 0.0
+    told: Ran | None = None
+
+
+class ProbeSent(NamedTuple):
+    """A probe was sent to a backend server.
+
+    Attributes:
+        service: Service name.
+        server: Server name.
+        at: When.
+    """
+
+    service: str
+    server: str
+    at: float
 
 
 class MemberChanged(NamedTuple):
--- a/banyantiller/tests/evidence/test_audit.py
+++ b/banyantiller/tests/evidence/test_audit.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Any
 
-from banyantiller.evidence import audit, chain
+from banyantiller.evidence import audit, chain, trail
 from banyantiller.store import interface, memory, table
 from banyantiller.tests import base
 
@@ -29,12 +29,12 @@
             self.assertIsInstance(outcome, audit.Appended)
 
     def put(self, sequence: int, value: dict[str, Any]) -> None:
-        item = self.item(audit.ENTRY_KIND, audit.entry_name(FLEET, sequence))
+        item = self.item(trail.ENTRY_KIND, trail.entry_name(FLEET, sequence))
         self.table.update(item, value)
 
     def remove(self, sequence: int) -> None:
         self.table.delete(
-            self.item(audit.ENTRY_KIND, audit.entry_name(FLEET, sequence))
+            self.item(trail.ENTRY_KIND, trail.entry_name(FLEET, sequence))
         )
 
     def item(self, kind: str, name: str) -> interface.StoredObject:
@@ -118,7 +118,7 @@
 
     def test_lagging_recorded_tip_costs_reads_only(self) -> None:
         self.run_paused(self.append_many(2))
-        tip = self.item(audit.TIP_KIND, FLEET)
+        tip = self.item(trail.TIP_KIND, FLEET)
         self.table.update(tip, {"sequence": 0, "digest": ""})
         outcome = self.run_paused(self.append("roll"))
         self.assertEqual(3, outcome.sequence)
@@ -137,8 +137,8 @@
         self.run_paused(self.append_many(5))
 
     def entry(self, sequence: int) -> dict[str, Any]:
-        name = audit.entry_name(FLEET, sequence)
-        return self.item(audit.ENTRY_KIND, name).value
+        name = trail.entry_name(FLEET, sequence)
+        return self.item(trail.ENTRY_KIND, name).value
 
     def test_untouched_trail_is_intact(self) -> None:
         self.assertEqual([], self.check())
@@ -184,7 +184,7 @@
         seen = chain.Tip(5, self.entry(5)["digest"])
         self.remove(5)
         self.table.update(
-            self.item(audit.TIP_KIND, FLEET),
+            self.item(trail.TIP_KIND, FLEET),
             {"sequence": 4, "digest": self.entry(4)["digest"]},
         )
         self.assertEqual([(5, chain.Damage.TRUNCATED)], self.check(seen))
@@ -194,7 +194,7 @@
         seen = chain.Tip(5, self.entry(5)["digest"])
         self.remove(5)
         self.table.update(
-            self.item(audit.TIP_KIND, FLEET),
+            self.item(trail.TIP_KIND, FLEET),
             {"sequence": 4, "digest": self.entry(4)["digest"]},
         )
         self.run_paused(self.append("forged"))
@@ -219,7 +219,7 @@
 
     def test_foreign_object_is_reported(self) -> None:
         labels = {"deployment": FLEET}
-        self.table.create(audit.ENTRY_KIND, "notes", {}, labels)
+        self.table.create(trail.ENTRY_KIND, "notes", {}, labels)
         self.assertEqual([(0, chain.Damage.UNREADABLE)], self.check())
 
     def test_unreadable_trail_is_not_intact(self) -> None:
