--- /dev/null
+++ b/banyantiller/tests/claims/faulty.py
@@ -0,0 +1,129 @@
+"""A store that misbehaves as told, and a backend that counts runs."""
+
+import asyncio
+import collections
+import itertools
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+from banyantiller.claims import arbiter, types
+from banyantiller.store import interface, memory, table
+
+ANSWER = types.RecordedAnswer(201, (("content-type", "text/plain"),), b"made")
+
+Gate = Callable[[str], Awaitable[None]]
+
+
+class Step(NamedTuple):
+    """What happens to one call of the store.
+
+    Attributes:
+        before_s: Time until it takes effect.
+        after_s: Time until it is answered.
+        fault: "", "lost", "late", "unavailable" or "stale".
+    """
+
+    before_s: float = 0.0
+    after_s: float = 0.0
+    fault: str = ""
+
+
+async def no_gate(point: str) -> None:
+    """Lets everything pass."""
+
+
+class FaultyStore(memory.MemoryStore):
+    """Passes a gate before and after the effect of each call."""
+
+    def __init__(
+        self,
+        objects: table.ObjectTable,
+        gate: Gate = no_gate,
+        steps: tuple[Step, ...] = (),
+    ) -> None:
+        super().__init__(objects)
+        self.gate = gate
+        self.steps = itertools.chain(steps, itertools.repeat(Step()))
+        self.old = objects.snapshot()
+
+    async def _read(self, effect: Callable[[], Any]) -> Any:
+        step = next(self.steps)
+        await self._come(step)
+        if step.fault == "unavailable":
+            return interface.Unavailable("as told")
+        self.stale_view = self.old if step.fault == "stale" else None
+        outcome = effect()
+        self.stale_view = None
+        self.old = self.table.snapshot()
+        await self._go(step)
+        return outcome
+
+    async def _write(self, effect: Callable[[], Any]) -> Any:
+        step = next(self.steps)
+        if step.fault == "late":
+            asyncio.get_running_loop().call_later(7.0, effect)
+            await self._come(step)
+            return interface.Unknown("as told")
+        await self._come(step)
+        if step.fault == "unavailable":
+            return interface.Unavailable("as told")
+        outcome = effect()
+        await self._go(step)
+        if step.fault == "lost":
+            return interface.Unknown("as told")
+        return outcome
+
+    async def _come(self, step: Step) -> None:
+        await self.gate("before")
+        await asyncio.sleep(step.before_s)
+
+    async def _go(self, step: Step) -> None:
+        await asyncio.sleep(step.after_s)
+        await self.gate("after")
+
+
+class Fleet:
+    """Daemons over one table, and a backend that counts runs by key."""
+
+    def __init__(self) -> None:
+        self.table = table.ObjectTable()
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.count = itertools.count()
+        self.skipped_s = 0.0
+
+    def wall(self) -> float:
+        """Returns wall-clock seconds; `skipped_s` passed without timers."""
+        return 1e9 + self.skipped_s + asyncio.get_running_loop().time()
+
+    def daemon(
+        self, name: str, gate: Gate = no_gate, steps: tuple[Step, ...] = ()
+    ) -> arbiter.StoreClaims:
+        """Returns the claims of one daemon."""
+        return arbiter.StoreClaims.from_settings(
+            FaultyStore(self.table, gate, steps),
+            "fleet",
+            name,
+            self.wall,
+            lambda: f"nonce-{name}-{next(self.count)}",
+        )
+
+    async def serve(
+        self,
+        daemon: arbiter.StoreClaims,
+        request: types.ClaimRequest,
+        deadline: float,
+        refused: bool = False,
+    ) -> types.ClaimOutcome:
+        """Does what a proxy does with one keyed request."""
+        gate = daemon.store.gate
+        outcome = await daemon.claim(request, deadline)
+        if not isinstance(outcome, types.Granted):
+            return outcome
+        if refused:
+            await daemon.release(request, outcome.nonce)
+            return outcome
+        await gate("send")
+        self.runs[request.key] += 1
+        await gate("sent")
+        await daemon.finish(request, outcome.nonce, ANSWER)
+        return outcome
