Add the command line from making keys to following a roll

Operators had no way to reach proposals and rolls. Whole bundles, earlier versions and differences by path are read by small library modules. Services are sorted on parsing, since parts have no order.

Run over an object store in memory only; the adapter for the real interface is exercised elsewhere.

--- a/banyantiller/bundle/acceptance.py
+++ b/banyantiller/bundle/acceptance.py
@@ -88,7 +88,8 @@
     if isinstance(attempt.head, HeadFound):
         earlier = await _judge(attempt, attempt.head)
         if isinstance(earlier, Rolled):
-            return earlier
+            note = earlier.note or "It was accepted before."
+            return Rolled(earlier.accepted, earlier.digest, note)
     refused = await _refusal(attempt, operator)
     if refused is not None:
         return refused
@@ -242,9 +243,13 @@
     return None
 
 
-def describe(outcome: RollOutcome) -> str:
-    """Returns one or more sentences on a roll that did not succeed."""
+def describe(outcome: RollOutcome | NotFound | Damaged) -> str:
+    """Returns one or more sentences on an outcome that is no success."""
     match outcome:
+        case NotFound(what):
+            return f"There is no {what}."
+        case Damaged(reason):
+            return reason
         case Lost(winner, version, digest):
             return (
                 f"Operator '{winner}' was first: version {version}"
--- /dev/null
+++ b/banyantiller/bundle/difference.py
@@ -0,0 +1,74 @@
+"""Compares two bundles value by value."""
+
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+
+from banyantiller.bundle import plain
+
+KEY_FIELDS = ("name", "group")
+
+
+class Difference(NamedTuple):
+    """One value that differs.
+
+    Attributes:
+        path: Path of the value, such as "services[desk].slots".
+        before: Plain value, or None if it was added.
+        after: Plain value, or None if it was removed.
+    """
+
+    path: str
+    before: Any
+    after: Any
+
+    @property
+    def kind(self) -> str:
+        """Returns "added", "removed" or "changed"."""
+        if self.before is None:
+            return "added"
+        return "removed" if self.after is None else "changed"
+
+
+def compare(before: Any, after: Any) -> tuple[Difference, ...]:
+    """Compares two typed values of the same type.
+
+    Items of a list that have a name are matched by name, others by place.
+    Unlike in canonical form, values at their default are compared too.
+    """
+    return tuple(_walk("", before, after))
+
+
+def _walk(path: str, before: Any, after: Any) -> Iterator[Difference]:
+    if before == after:
+        return
+    if hasattr(before, "_fields") and type(before) is type(after):
+        for name in before._fields:
+            where = f"{path}.{name}" if path else name
+            yield from _walk(where, getattr(before, name), getattr(after, name))
+    elif isinstance(before, tuple) and isinstance(after, tuple):
+        yield from _walk_items(path, _keyed(before), _keyed(after))
+    else:
+        yield Difference(path, plain.to_plain(before), plain.to_plain(after))
+
+
+def _walk_items(
+    path: str, before: dict[str, Any], after: dict[str, Any]
+) -> Iterator[Difference]:
+    for key in before | after:
+        where = f"{path}[{key}]"
+        yield from _walk(where, before.get(key), after.get(key))
+    kept = [key for key in before if key in after]
+    moved = [key for key in after if key in before]
+    if kept != moved:
+        yield Difference(path, kept, moved)
+
+
+def _keyed(items: tuple[Any, ...]) -> dict[str, Any]:
+    return {_key(index, item): item for index, item in enumerate(items)}
+
+
+def _key(index: int, item: Any) -> str:
+    for field in KEY_FIELDS:
+        if field in getattr(item, "_fields", ()):
+            return str(getattr(item, field))
+    return str(index)
--- a/banyantiller/bundle/parsing.py
+++ b/banyantiller/bundle/parsing.py
@@ -36,7 +36,10 @@
     problems.raise_errors()
     _check_size(bundle, problems)
     problems.raise_errors()
-    return ParsedBundle(bundle, problems.warnings())
+    # Services have no order: as parts they are sorted by name.
+    services = sorted(bundle.services, key=lambda item: item.name)
+    ordered = bundle._replace(services=tuple(services))
+    return ParsedBundle(ordered, problems.warnings())
 
 
 def parse_file(path: str) -> ParsedBundle:
--- a/banyantiller/config/settings.py
+++ b/banyantiller/config/settings.py
@@ -6,6 +6,7 @@
 from banyantiller.config import documents, loading
 from banyantiller.config.defaults import (
     Endpoint,
+    OperatorSettings,
     Settings,
     TlsFiles,
     TrustedKey,
@@ -49,6 +50,39 @@
     return settings, problems.warnings()
 
 
+def load_operator(path: str) -> OperatorSettings:
+    """Loads and checks the settings of an operator.
+
+    Raises:
+        ConfigError: With every error that was found.
+    """
+    settings, _ = parse_operator(documents.read_file(path), path)
+    return settings
+
+
+def parse_operator(
+    text: str, path: str
+) -> tuple[OperatorSettings, tuple[Problem, ...]]:
+    """Parses the settings of an operator and returns warnings besides.
+
+    Raises:
+        ConfigError: With every error that was found.
+    """
+    settings, problems = loading.load(text, path, OperatorSettings)
+    if settings is not None:
+        check_keys(settings.trusted_keys, problems)
+        tls = settings.object_api.tls
+        _check_tls(tls, "object_api.tls", False, problems)
+        _check_key_file(settings.key_file, problems)
+    problems.raise_errors()
+    return settings, problems.warnings()
+
+
+def _check_key_file(path: str, problems: Problems) -> None:
+    if path and not os.path.isfile(path):
+        problems.error("key_file", f"There is no file '{path}'.")
+
+
 def _check(settings: Settings, problems: Problems) -> None:
     _check_endpoints(settings, problems)
     _check_peers(settings, problems)
--- a/banyantiller/exceptions.py
+++ b/banyantiller/exceptions.py
@@ -30,7 +30,7 @@
 
 
 class SignatureError(BanyantillerError):
-    """A bundle is unsigned, wrongly signed, or signed by its proposer."""
+    """A bundle is refused: unsigned, wrongly signed, altered or too large."""
 
     exit_code = 3
 
@@ -51,3 +51,15 @@
     """A plug-in is missing, or two have the same name."""
 
     exit_code = 6
+
+
+class NotKnownError(BanyantillerError):
+    """A write may have taken effect; its answer was lost."""
+
+    exit_code = 7
+
+
+class WaitError(BanyantillerError):
+    """The bundle is accepted, but not yet in force in every daemon."""
+
+    exit_code = 8
--- a/banyantiller/tests/bundle/test_acceptance.py
+++ b/banyantiller/tests/bundle/test_acceptance.py
@@ -342,7 +342,7 @@
         async def body():
             store = MemoryStore()
             bundle = samples.bundle()
-            desk = bundle.services[0]
+            desk = bundle.services[1]
             # Each quote takes four bytes in the object, two in the part.
             big = desk._replace(hosts=('"' * 300_000,))
             done = await proposals.propose(
