Provoke every failure of the data path through a socket

The data path had one test. Now each error kind that it raises is provoked by a scripted backend server and caller on a paused clock, and answers are checked at every point at which a server can die, for idempotent, non-idempotent and keyed requests. Found by them and mended: trailer fields of answers were not filtered, and idle connections that had answered in the same instant as a silent one were kept.

--- a/banyantiller/proxy/call.py
+++ b/banyantiller/proxy/call.py
@@ -18,7 +18,6 @@
     from banyantiller.proxy import proxy as proxies
 
 CONTINUE = 100
-NOT_FORWARDED_TRAILERS = headers.HOP_BY_HOP | {b"content-length", b"host"}
 
 
 class Call:
@@ -88,7 +87,7 @@
 
     def body_end(self, trailers: Any) -> None:
         """Takes the end of the request body."""
-        kept = [t for t in trailers if t[0] not in NOT_FORWARDED_TRAILERS]
+        kept = headers.forward_trailers(trailers) if trailers else []
         self.body.end(kept)
         for attempt in self.running:
             if attempt.streaming:
@@ -208,7 +207,8 @@
         self.tries += 1
         if self.claim is not None:
             self.claim.answer_end()
-        self.caller.send_end(trailers)
+        kept = headers.forward_trailers(trailers) if trailers else []
+        self.caller.send_end(kept)
         self._finish(None, cut=False)
         self.caller.answer_done()
 
--- a/banyantiller/proxy/headers.py
+++ b/banyantiller/proxy/headers.py
@@ -1,6 +1,7 @@
 """Header fields on their way through: what is dropped, added and read."""
 
 import dataclasses
+from collections.abc import Iterable
 
 import h11
 
@@ -29,6 +30,7 @@
     DEADLINE_HEADER,
     REQUEST_ID_HEADER,
 }
+NOT_IN_TRAILERS = HOP_BY_HOP | {b"content-length", b"host"}
 KEPT_FROM_CONNECTION = frozenset((b"content-length", b"host"))
 CHUNKED = (b"Transfer-Encoding", b"chunked")
 CLOSE = (b"Connection", b"close")
@@ -115,7 +117,7 @@
     return [field for field in fields if field[0] not in dropped]
 
 
-def get(headers: object, name: bytes) -> bytes | None:
+def get(headers: Iterable[Field], name: bytes) -> bytes | None:
     """Returns the first value of a field, or None."""
     for found, value in headers:
         if found == name:
@@ -123,7 +125,7 @@
     return None
 
 
-def get_all(headers: object, name: bytes) -> list[bytes]:
+def get_all(headers: Iterable[Field], name: bytes) -> list[bytes]:
     """Returns every value of a field."""
     return [value for found, value in headers if found == name]
 
@@ -155,3 +157,8 @@
     fields.append(via)
     fields.append((REQUEST_ID_HEADER, request_id))
     return fields
+
+
+def forward_trailers(trailers: Iterable[Field]) -> list[Field]:
+    """Returns the trailer fields that may be passed on."""
+    return [field for field in trailers if field[0] not in NOT_IN_TRAILERS]
--- a/banyantiller/proxy/pool.py
+++ b/banyantiller/proxy/pool.py
@@ -106,13 +106,13 @@
         self._serve_waiting()
 
     def suspect(self, since: float) -> None:
-        """Drops idle connections that did not answer after `since`.
+        """Drops idle connections that did not answer later than `since`.
 
         Called when a connection was found dead or silent: what lost track of
         it may have lost track of its kin, while new connections work.
         """
         for connection in list(self.idle):
-            if connection.last_answer < since:
+            if connection.last_answer <= since:
                 connection.abort()
 
     def set_limit(self, limit: int) -> None:
@@ -137,6 +137,34 @@
         for connection in list(self.open):
             connection.abort()
 
+    async def create(self) -> backend.BackendConnection:
+        """Opens one connection.
+
+        Raises:
+            OSError: No connection could be made.
+        """
+        factory = functools.partial(
+            backend.BackendConnection,
+            self,
+            self.loop,
+            self.settings.max_head_bytes,
+            self.settings.silence_s,
+        )
+        if self.tls is None:
+            _, connection = await self.loop.create_connection(
+                factory, self.address.host, self.address.port
+            )
+            return connection
+        files = self.settings.tls
+        _, connection = await self.loop.create_connection(
+            factory,
+            self.address.host,
+            self.address.port,
+            ssl=self.tls,
+            server_hostname=files.server_name or self.address.host,
+        )
+        return connection
+
     def _take_idle(self, proven: bool) -> backend.BackendConnection | None:
         now = self.loop.time()
         age = self.settings.proven_s if proven else self.settings.idle_timeout_s
@@ -182,7 +210,7 @@
         connection = None
         try:
             async with asyncio.timeout(self.settings.connect_timeout_s):
-                connection = await self._create()
+                connection = await self.create()
         except TimeoutError:
             kind = ErrorKind.CONNECT_TIMEOUT
         except ssl.SSLError:
@@ -210,29 +238,6 @@
         else:
             self.give_back(connection)
 
-    async def _create(self) -> backend.BackendConnection:
-        factory = functools.partial(
-            backend.BackendConnection,
-            self,
-            self.loop,
-            self.settings.max_head_bytes,
-            self.settings.silence_s,
-        )
-        if self.tls is None:
-            _, connection = await self.loop.create_connection(
-                factory, self.address.host, self.address.port
-            )
-            return connection
-        files = self.settings.tls
-        _, connection = await self.loop.create_connection(
-            factory,
-            self.address.host,
-            self.address.port,
-            ssl=self.tls,
-            server_hostname=files.server_name or self.address.host,
-        )
-        return connection
-
     def _expire(self) -> None:
         oldest_allowed = self.loop.time() - self.settings.idle_timeout_s
         for connection in list(self.idle):
--- a/banyantiller/tests/proxy/fakes.py
+++ b/banyantiller/tests/proxy/fakes.py
@@ -40,7 +40,12 @@
                 length = int(line.partition(b":")[2])
                 return head, await self.reader.readexactly(length)
         if b"transfer-encoding: chunked" in head.lower():
-            return head, await self.reader.readuntil(b"0\r\n\r\n")
+            body = await self.reader.readuntil(b"\r\n0\r\n")
+            line = b""
+            while line != b"\r\n":
+                line = await self.reader.readline()
+                body += line
+            return head, body
         return head, b""
 
     async def send(self, data: bytes) -> None:
@@ -72,6 +77,9 @@
             await self.script(connection)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
+        except asyncio.CancelledError:
+            # The loop of the test is ending.
+            return
         finally:
             writer.close()
 
@@ -249,17 +257,8 @@
         self.servers: list[FakeServer] = []
 
     @classmethod
-    async def start(
-        cls,
-        *scripts: Script | None,
-        settings: defaults.Settings | None = None,
-        backends: defaults.BackendSettings | None = None,
-        **changes,
-    ) -> "Bench":
-        """Starts one backend server for each script; None refuses."""
-        settings = settings or make_settings()
-        if backends is not None:
-            settings = settings._replace(backends=backends)
+    def make(cls, settings: defaults.Settings) -> "Bench":
+        """Makes a proxy that neither listens nor has a bundle."""
         kernel = core.Kernel()
         claims = MemoryClaims()
         proxy = Proxy.from_settings(
@@ -273,6 +272,21 @@
         )
         bench = cls(proxy, claims)
         kernel.subscribe(events.CallFinished, bench.finished.append)
+        return bench
+
+    @classmethod
+    async def start(
+        cls,
+        *scripts: Script | None,
+        settings: defaults.Settings | None = None,
+        backends: defaults.BackendSettings | None = None,
+        **changes,
+    ) -> "Bench":
+        """Starts one backend server for each script; None refuses."""
+        settings = settings or make_settings()
+        if backends is not None:
+            settings = settings._replace(backends=backends)
+        bench = cls.make(settings)
         ports = []
         for port, script in enumerate(scripts, 9001):
             ports.append(port)
@@ -281,8 +295,8 @@
                 await bench.servers[-1].start(port)
         if ports:
             service = make_service(ports, **changes)
-            proxy.apply(options.Bundle((service,)), 1, 1000.0)
-        await proxy.start()
+            bench.proxy.apply(options.Bundle((service,)), 1, 1000.0)
+        await bench.proxy.start()
         return bench
 
     async def connect(self) -> FakeConnection:
--- /dev/null
+++ b/banyantiller/tests/proxy/test_at_most_once.py
@@ -0,0 +1,251 @@
+"""Tests of what is sent again, to whom, and what the caller is told."""
+
+import asyncio
+
+from banyantiller.bundle import options
+from banyantiller.claims.types import RecordedAnswer
+from banyantiller.tests import base
+from banyantiller.tests.proxy import fakes
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+GET = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+POST = (
+    b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+    b"Connection: close\r\n\r\nabc"
+)
+KEYED = POST.replace(b"Host: x", b"Host: x\r\nIdempotency-Key: k1")
+NOT_RUN = (
+    b"HTTP/1.1 503 X\r\nRequest-Not-Run: 1\r\nRetry-After: 3\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+
+
+def dying(when: str, seen: list[bytes]) -> fakes.Script:
+    """Returns a script of a server that dies at one point of an exchange."""
+
+    async def script(connection: fakes.FakeConnection) -> None:
+        if when == "before the request":
+            connection.reset()
+            return
+        head = await connection.head()
+        seen.append(head)
+        if when == "amid the request":
+            connection.reset()
+            return
+        if b"content-length" in head.lower():
+            await connection.reader.readexactly(3)
+        if when == "after the request":
+            return
+        if when == "amid the answer head":
+            await connection.send(OK[:10])
+            return
+        if when == "after the answer head":
+            await connection.send(OK[:-2])
+            return
+        await connection.send(OK[:-1])
+
+    return script
+
+
+DEATHS = (
+    "before the request",
+    "amid the request",
+    "after the request",
+    "amid the answer head",
+    "after the answer head",
+    "amid the answer body",
+)
+
+
+class AtMostOnceTest(base.TestCase):
+    def ask(
+        self, request: bytes, first: fakes.Script | None, second: fakes.Script
+    ) -> tuple[bytes, fakes.Bench]:
+        async def body() -> tuple[bytes, fakes.Bench]:
+            bench = await fakes.Bench.start(first, second)
+            answer = await bench.ask(request, wait_s=20)
+            await asyncio.sleep(0.1)
+            await bench.proxy.close()
+            return answer, bench
+
+        return self.run_paused(body())
+
+    def test_non_idempotent_request_is_not_sent_twice(self) -> None:
+        for when in DEATHS:
+            for request in (POST, KEYED):
+                first: list[bytes] = []
+                second: list[bytes] = []
+                answer, bench = self.ask(
+                    request, dying(when, first), fakes.answering(OK, second)
+                )
+                self.assertLessEqual(len(first) + len(second), 1, when)
+                self.assertEqual([], second, when)
+                if when in DEATHS[4:]:
+                    self.assertTrue(bench.finished[0].cut, when)
+                else:
+                    self.assertIn(b"request-ran: unknown", answer, when)
+
+    def test_idempotent_request_is_sent_again_until_an_answer_began(
+        self,
+    ) -> None:
+        for when in DEATHS:
+            second: list[bytes] = []
+            answer, bench = self.ask(
+                GET, dying(when, []), fakes.answering(OK, second)
+            )
+            if when in DEATHS[4:]:
+                self.assertEqual([], second, when)
+                self.assertTrue(bench.finished[0].cut, when)
+            else:
+                self.assertEqual(1, len(second), when)
+                self.assertIn(b"200", answer, when)
+                self.assertEqual(2, bench.finished[0].attempts, when)
+
+    def test_what_was_not_run_is_sent_elsewhere(self) -> None:
+        for first in (None, fakes.answering(NOT_RUN)):
+            for request in (GET, POST, KEYED):
+                second: list[bytes] = []
+                answer, _ = self.ask(
+                    request, first, fakes.answering(OK, second)
+                )
+                self.assertIn(b" 200 ", answer)
+                self.assertEqual(1, len(second))
+
+    def test_503_without_the_agreed_header_is_an_answer(self) -> None:
+        busy = b"HTTP/1.1 503 X\r\nContent-Length: 4\r\n\r\nbusy"
+        second: list[bytes] = []
+        answer, _ = self.ask(
+            POST, fakes.answering(busy), fakes.answering(OK, second)
+        )
+        self.assertTrue(answer.endswith(b"busy"))
+        self.assertEqual([], second)
+
+    def test_told_not_run_only_if_no_try_may_have_run(self) -> None:
+        answer, _ = self.ask(
+            GET, dying("after the request", []), fakes.answering(NOT_RUN)
+        )
+        self.assertIn(b"request-ran: unknown", answer)
+        self.assertNotIn(b"Retry-After", answer)
+        answer, _ = self.ask(
+            POST, fakes.answering(NOT_RUN), fakes.answering(NOT_RUN)
+        )
+        self.assertIn(b"request-ran: no", answer)
+
+    def test_claim_is_settled_by_what_happened(self) -> None:
+        big = b"HTTP/1.1 200 X\r\nContent-Length: 20000\r\n\r\n" + b"x" * 20000
+        cases = (
+            (fakes.answering(OK), "finish", b"ok"),
+            (fakes.answering(big), "finish", None),
+            (dying("amid the answer body", []), "finish", None),
+            (dying("after the request", []), "unsettled", None),
+            (fakes.answering(NOT_RUN), "release", None),
+            (None, "release", None),
+        )
+        for script, wanted, kept in cases:
+            _, bench = self.ask(KEYED, script, fakes.answering(NOT_RUN))
+            ((kind, key, *rest),) = bench.claims.settled
+            self.assertEqual((wanted, "k1"), (kind, key))
+            if wanted == "finish":
+                self.assertEqual((200, kept), (rest[0].status, rest[0].body))
+
+    def test_claim_of_a_caller_that_left_is_given_back(self) -> None:
+        async def body() -> None:
+            bench = await fakes.Bench.start(fakes.answering(OK))
+            caller = await bench.connect()
+            await caller.send(KEYED)
+            await asyncio.sleep(0.0005)
+            caller.reset()
+            await asyncio.sleep(1)
+            self.assertEqual([("release", "k1")], bench.claims.settled)
+            self.assertEqual([], bench.servers[0].connections)
+            await bench.proxy.close()
+
+        self.run_paused(body())
+
+    def test_repeated_request_gets_the_recorded_answer(self) -> None:
+        async def body() -> None:
+            seen: list[bytes] = []
+            bench = await fakes.Bench.start(fakes.answering(OK, seen))
+            first = await bench.ask(KEYED)
+            again = await bench.ask(KEYED)
+            self.assertEqual(1, len(seen))
+            self.assertNotIn(b"idempotency-replayed", first)
+            self.assertIn(b"idempotency-replayed: true", again)
+            self.assertTrue(again.endswith(b"\r\n\r\nok"))
+            bench.claims.held["k1"] = RecordedAnswer(200, (), None)
+            gone = await bench.ask(KEYED)
+            self.assertIn(b" 409 ", gone)
+            self.assertIn(b"request-ran: yes", gone)
+            self.assertIn(b'details="key_already_run"', gone)
+            await bench.proxy.close()
+
+        self.run_paused(body())
+
+    def test_non_idempotent_request_uses_no_connection_idle_for_long(
+        self,
+    ) -> None:
+        async def body() -> None:
+            bench = await fakes.Bench.start(fakes.answering(OK))
+            for pause, request, connections in (
+                (0.0, POST, 1),
+                (0.5, POST, 1),
+                (1.5, GET, 1),
+                (1.5, POST, 2),
+            ):
+                await asyncio.sleep(pause)
+                await bench.ask(request)
+                got = len(bench.servers[0].connections)
+                self.assertEqual(connections, got, (pause, request))
+            await bench.proxy.close()
+
+        self.run_paused(body())
+
+    def test_silent_connection_takes_its_idle_kin_along(self) -> None:
+        silent = False
+
+        async def script(connection: fakes.FakeConnection) -> None:
+            while True:
+                await connection.message()
+                if silent and connection in old:
+                    await asyncio.sleep(1000)
+                await asyncio.sleep(0.01)
+                await connection.send(OK)
+
+        old: list[fakes.FakeConnection] = []
+
+        async def body() -> None:
+            nonlocal silent
+            bench = await fakes.Bench.start(script)
+            await asyncio.gather(*(bench.ask(GET) for _ in range(4)))
+            old.extend(bench.servers[0].connections)
+            self.assertEqual(4, len(old))
+            silent = True
+            hurried = GET.replace(
+                b"Host", b"X-Request-Deadline-Ms: 500\r\nHost"
+            )
+            self.assertIn(b" 504 ", await bench.ask(hurried))
+            # The other three would be silent as well.
+            self.assertIn(b" 200 ", await bench.ask(hurried))
+            await bench.proxy.close()
+
+        self.run_paused(body())
+
+    def test_paths_that_hide_another_one_are_not_idempotent(self) -> None:
+        async def body() -> None:
+            rules = (options.RequestRule(True, path="/read"),)
+            bench = await fakes.Bench.start(fakes.answering(OK))
+            service = fakes.make_service([9001])._replace(requests=rules)
+            bench.proxy.apply(options.Bundle((service,)), 2, 1000.0)
+            for path, idempotent in (
+                (b"/read/a?x=/../y", True),
+                (b"/readme", False),
+                (b"/read/../pay", False),
+                (b"/read/%2e%2e/pay", False),
+                (b"/read//pay", False),
+            ):
+                await bench.ask(GET.replace(b"GET /", b"GET " + path))
+                got = bench.finished[-1].idempotent
+                self.assertEqual(idempotent, got, path)
+            await bench.proxy.close()
+
+        self.run_paused(body())
--- /dev/null
+++ b/banyantiller/tests/proxy/test_bodies.py
@@ -0,0 +1,169 @@
+"""Tests of back-pressure and of the body kept for another try."""
+
+import asyncio
+
+from banyantiller.config.defaults import BackendSettings
+from banyantiller.errors import ErrorKind
+from banyantiller.proxy import buffers
+from banyantiller.tests import base
+from banyantiller.tests.proxy import fakes
+
+MEGABYTE = b"x" * (1 << 20)
+GET_CLOSE = b"GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+# The sockets of the tests hold 64 KiB in each direction.
+BOUND = buffers.HIGH_WATER_BYTES + 2 * buffers.READ_BYTES
+
+
+async def big_answer(connection: fakes.FakeConnection) -> None:
+    await connection.message()
+    await connection.send(
+        b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(MEGABYTE)
+    )
+    await connection.send(MEGABYTE)
+    await connection.reader.read()
+
+
+class BodiesTest(base.TestCase):
+    def test_slow_reader_bounds_what_is_held_of_an_answer(self) -> None:
+        async def body() -> None:
+            bench = await fakes.Bench.start(big_answer)
+            caller = await bench.connect()
+            caller.writer.transport.pause_reading()
+            await caller.send(GET_CLOSE)
+            await asyncio.sleep(5)
+            (connection,) = bench.proxy.callers
+            held = connection.transport.get_write_buffer_size()
+            self.assertGreater(held, 0)
+            self.assertLessEqual(held, BOUND)
+            caller.writer.transport.resume_reading()
+            answer = await caller.reader.read()
+            self.assertEqual(MEGABYTE, answer[-len(MEGABYTE) :])
+            self.assertFalse(bench.finished[0].cut)
+            await bench.proxy.close()
+
+        self.run_paused(body())
+
+    def test_caller_that_stops_reading_is_closed(self) -> None:
+        async def body() -> None:
+            settings = fakes.make_settings(write_timeout_s=3.0)
+            bench = await fakes.Bench.start(big_answer, settings=settings)
+            caller = await bench.connect()
+            caller.writer.transport.pause_reading()
+            await caller.send(GET_CLOSE)
+            await asyncio.sleep(5)
+            self.assertEqual(ErrorKind.CALLER_GONE, bench.finished[0].error)
+            self.assertEqual(set(), bench.proxy.callers)
+            await bench.proxy.close()
+
+        self.run_paused(body())
+
+    def test_slow_server_bounds_what_is_held_of_a_request(self) -> None:
+        async def script(connection: fakes.FakeConnection) -> None:
+            await connection.head()
+            connection.writer.transport.pause_reading()
+            await asyncio.sleep(5)
+            connection.writer.transport.resume_reading()
+            self.assertEqual(
+                MEGABYTE, await connection.reader.readexactly(len(MEGABYTE))
+            )
+            await connection.send(
+                b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+            )
+
+        async def body() -> None:
+            bench = await fakes.Bench.start(script)
+            caller = await bench.connect()
+            caller.writer.write(
+                b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n"
+                b"Connection: close\r\n\r\n" % len(MEGABYTE)
+            )
+            caller.writer.write(MEGABYTE)
+            await asyncio.sleep(3)
+            pool = bench.proxy.drivers["orders"].pools["server-9001"]
+            (connection,) = pool.open
+            held = connection.transport.get_write_buffer_size()
+            self.assertGreater(held, 0)
+            self.assertLessEqual(held, BOUND)
+            self.assertIn(b" 200 ", await caller.head())
+            await bench.proxy.close()
+
+        self.run_paused(body())
+
+    def test_body_waits_for_a_server_within_the_limit(self) -> None:
+        async def body() -> None:
+            bench = await fakes.Bench.start(fakes.answering())
+            driver = bench.proxy.drivers["orders"]
+            driver.pools["server-9001"].limit = 0
+            caller = await bench.connect()
+            caller.writer.write(
+                b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
+                % len(MEGABYTE)
+            )
+            caller.writer.write(MEGABYTE)
+            await asyncio.sleep(3)
+            (call,) = driver.calls.values()
+            self.assertLessEqual(
+                call.body.size, call.body.limit + buffers.READ_BYTES
+            )
+            driver.pools["server-9001"].set_limit(1)
+            self.assertEqual(b"ok", (await caller.message())[1])
+            await bench.proxy.close()
+
+        self.run_paused(body())
+
+    def test_pipelined_bytes_are_bounded(self) -> None:
+        async def script(connection: fakes.FakeConnection) -> None:
+            await connection.message()
+            await asyncio.sleep(8)
+
+        async def body() -> None:
+            bench = await fakes.Bench.start(script)
+            caller = await bench.connect()
+            caller.writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n" * 40000)
+            await asyncio.sleep(5)
+            (connection,) = bench.proxy.callers
+            held = len(connection.http.trailing_data[0])
+            self.assertLessEqual(held, BOUND)
+            caller.reset()
+            await bench.proxy.close()
+
+        self.run_paused(body())
+
+    def test_body_over_the_replay_limit_is_not_sent_twice(self) -> None:
+        seen: list[bytes] = []
+
+        async def losing(connection: fakes.FakeConnection) -> None:
+            await connection.message()
+
+        async def body(size: int) -> bytes:
+            bench = await fakes.Bench.start(losing, fakes.answering(seen=seen))
+            answer = await bench.ask(
+                b"GET / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n"
+                b"Connection: close\r\n\r\n" % size + MEGABYTE[:size]
+            )
+            await bench.proxy.close()
+            return answer
+
+        self.assertIn(b" 200 ", self.run_paused(body(1000)))
+        self.assertEqual(1, len(seen))
+        self.assertIn(b" 502 ", self.run_paused(body(200000)))
+        self.assertEqual(1, len(seen))
+
+    def test_silence_within_an_answer_cuts_it(self) -> None:
+        async def script(connection: fakes.FakeConnection) -> None:
+            await connection.message()
+            await connection.send(
+                b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc"
+            )
+            await connection.reader.read()
+
+        async def body() -> None:
+            bench = await fakes.Bench.start(
+                script, backends=BackendSettings(silence_s=2.0)
+            )
+            await bench.ask(GET_CLOSE)
+            self.assertTrue(bench.finished[0].cut)
+            self.assertEqual("backend_timeout", bench.finished[0].error)
+            await bench.proxy.close()
+
+        self.run_paused(body())
--- /dev/null
+++ b/banyantiller/tests/proxy/test_changes.py
@@ -0,0 +1,191 @@
+"""Tests of planned changes: bundles, leaving servers, drain, members."""
+
+import asyncio
+
+from banyantiller.bundle import options
+from banyantiller.errors import ErrorKind
+from banyantiller.kernel import events
+from banyantiller.tests import base
+from banyantiller.tests.proxy import fakes
+
+GET = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+CLOSE = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+DRAINING = (
+    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+    b"endpoint-load-metrics: TEXT named_metrics.in_flight=3,"
+    b" named_metrics.draining=%d\r\n\r\nok"
+)
+
+
+class ChangesTest(base.TestCase):
+    def test_running_call_ends_on_its_bundle(self) -> None:
+        async def body() -> None:
+            bench = await fakes.Bench.start(
+                fakes.answering(wait_s=1.0), fakes.answering()
+            )
+            running = asyncio.create_task(bench.ask(CLOSE))
+            await asyncio.sleep(0.5)
+            other = fakes.make_service([9002])
+            bench.proxy.apply(options.Bundle((other,)), 2, 1000.0)
+            await bench.ask(CLOSE)
+            self.assertIn(b" 200 ", await running)
+            new, old = bench.finished
+            self.assertEqual(("server-9002", 2), (new.server, new.bundle))
+            self.assertEqual(("server-9001", 1), (old.server, old.bundle))
+            await asyncio.sleep(0.1)
+            eof = await bench.servers[0].connections[0].reader.read()
+            self.assertEqual(b"", eof)
+            await bench.proxy.close()
+
+        self.run_paused(body())
+
+    def test_service_taken_out_ends_its_calls(self) -> None:
+        async def body() -> None:
+            bench = await fakes.Bench.start(fakes.answering(wait_s=1.0))
+            running = asyncio.create_task(bench.ask(CLOSE))
+            await asyncio.sleep(0.5)
+            bench.proxy.apply(options.Bundle(()), 2, 1000.0)
+            self.assertIn(b" 404 ", await bench.ask(CLOSE))
+            self.assertIn(b" 200 ", await running)
+            await asyncio.sleep(0)
+            self.assertEqual([], bench.proxy.retired)
+            await bench.proxy.close()
+
+        self.run_paused(body())
+
+    def test_shares_follow_their_stages(self) -> None:
+        async def body() -> None:
+            bench = await fakes.Bench.start(fakes.answering())
+            shares = [
+                (options.Share("main", 100.0 - n), options.Share("new", n))
+                for n in (0.0, 50.0)
+            ]
+            service = fakes.make_service([9001])._replace(
+                shares=shares[0], stages=(options.Stage(5.0, shares[1]),)
+            )
+            loop = asyncio.get_running_loop()
+            begin = loop.time()
+            bench.proxy.wall = lambda: 1000.0 + loop.time() - begin
+            bench.proxy.apply(options.Bundle((service,)), 2, 1000.0)
+            dispatcher = bench.proxy.drivers["orders"].dispatcher
+            self.assertEqual(shares[0], dispatcher.service.shares)
+            await asyncio.sleep(5.1)
+            self.assertEqual(shares[1], dispatcher.service.shares)
+            await bench.proxy.close()
+
+        self.run_paused(body())
+
+    def test_server_that_says_it_drains_gets_nothing_more(self) -> None:
+        async def body() -> None:
+            seen: list[bytes] = []
+            told: list[events.ServerLeaving] = []
+            bench = await fakes.Bench.start(
+                fakes.answering(DRAINING % 1, seen), fakes.answering()
+            )
+            bench.proxy.kernel.subscribe(events.ServerLeaving, told.append)
+            for _ in range(4):
+                self.assertIn(b" 200 ", await bench.ask(CLOSE))
+            self.assertEqual(1, len(seen))
+            self.assertEqual(["server-9001"], [item.server for item in told])
+            # It comes back under the same name; a probe finds out.
+            bench.servers[0].script = fakes.answering(DRAINING % 0, seen)
+            await asyncio.sleep(6)
+            for connection in bench.servers[0].connections:
+                connection.reset()
+            await asyncio.sleep(6)
+            await bench.ask(CLOSE)
+            self.assertEqual("server-9001", bench.finished[-1].server)
+            await bench.proxy.close()
+
+        self.run_paused(body())
+
+    def test_drain_cuts_nothing(self) -> None:
+        async def body() -> None:
+            bench = await fakes.Bench.start(fakes.answering(wait_s=3.0))
+            idle = await bench.connect()
+            long = asyncio.create_task(bench.ask(GET))
+            await asyncio.sleep(0.1)
+            drained = asyncio.create_task(bench.proxy.drain(1.0, 20.0))
+            await asyncio.sleep(0.5)
+            late = asyncio.create_task(bench.ask(GET))
+            await asyncio.sleep(1.0)
+            self.assertEqual(b"", await idle.reader.read())
+            refused = None
+            try:
+                await bench.connect()
+            except ConnectionRefusedError as error:
+                refused = error
+            self.assertIsNotNone(refused)
+            for answer in await asyncio.gather(long, late):
+                self.assertIn(b"Connection: close", answer)
+                self.assertTrue(answer.endswith(b"ok"))
+            self.assertEqual(0, await drained)
+            self.assertFalse(any(item.cut for item in bench.finished))
+            await bench.proxy.close()
+
+        self.run_paused(body())
+
+    def test_drain_counts_what_it_cuts_at_its_limit(self) -> None:
+        async def body() -> None:
+            bench = await fakes.Bench.start(fakes.answering(wait_s=9.0))
+            running = asyncio.create_task(bench.ask(CLOSE))
+            await asyncio.sleep(0.1)
+            self.assertEqual(1, await bench.proxy.drain(0.0, 2.0))
+            await bench.proxy.close()
+            self.assertEqual(b"", await running)
+            self.assertEqual(ErrorKind.CALLER_GONE, bench.finished[0].error)
+
+        self.run_paused(body())
+
+    def test_connections_are_shared_between_the_daemons_alive(self) -> None:
+        async def body() -> None:
+            bench = await fakes.Bench.start(
+                fakes.answering(wait_s=0.1), connections=10
+            )
+            bench.proxy.members(3)
+            asked = [bench.ask(CLOSE) for _ in range(9)]
+            answers = await asyncio.gather(*asked)
+            self.assertTrue(all(b" 200 " in item for item in answers))
+            self.assertEqual(3, len(bench.servers[0].connections))
+            bench.proxy.members(100)
+            await bench.ask(CLOSE)
+            pool = bench.proxy.drivers["orders"].pools["server-9001"]
+            self.assertEqual((1, 1), (pool.limit, len(pool.open)))
+            shared = bench.proxy.shared_load()
+            self.assertEqual({"orders": {"server-9001": 0.0}}, shared)
+            await bench.proxy.close()
+
+        self.run_paused(body())
+
+    def test_idle_connections_to_a_server_are_closed(self) -> None:
+        async def body() -> None:
+            bench = await fakes.Bench.start(fakes.answering())
+            await bench.ask(CLOSE)
+            pool = bench.proxy.drivers["orders"].pools["server-9001"]
+            await asyncio.sleep(29)
+            self.assertEqual(1, len(pool.idle))
+            await asyncio.sleep(3)
+            self.assertEqual((0, 0), (len(pool.idle), len(pool.open)))
+            await bench.proxy.close()
+
+        self.run_paused(body())
+
+    def test_probe_reports_load_or_fails(self) -> None:
+        async def body() -> None:
+            seen: list[bytes] = []
+            bench = await fakes.Bench.start(
+                fakes.answering(DRAINING % 0, seen), fakes.answering(), None
+            )
+            driver = bench.proxy.drivers["orders"]
+            for number in (1, 2, 3):
+                driver._probe(f"server-900{number}")
+            await asyncio.sleep(3)
+            self.assertTrue(seen[0].startswith(b"GET /healthz HTTP/1.1"))
+            ((server, report),) = driver.dispatcher.reports
+            self.assertEqual(("server-9001", 3.0), (server, report.in_flight))
+            self.assertEqual("probe", report.source)
+            failed = sorted(driver.dispatcher.failed_probes)
+            self.assertEqual(["server-9002", "server-9003"], failed)
+            await bench.proxy.close()
+
+        self.run_paused(body())
