Judge from the evidence which promises held, were broken or are not known

A regulator asks for a period; the answer must not claim more than was seen. History puts sound records of each run together and lists every time that lacks one: a daemon that died, altered or removed records, a run that only peers saw, time after the last summary. Judging gives Held only without such a time, Broken with the requests named, else NotKnown since the first one. Bundles are judged by delay, reverts and clock tolerance, probes by the sum over the fleet against the budget.

--- /dev/null
+++ b/banyantiller/evidence/assessment.py
@@ -0,0 +1,177 @@
+"""Reads all evidence of a period and judges it."""
+
+from collections.abc import Mapping, Sequence
+from typing import Any, NamedTuple
+
+from banyantiller import exceptions
+from banyantiller.bundle import outcomes, reading
+from banyantiller.evidence import (
+    chain,
+    history,
+    judging,
+    judging_bundles,
+    layout,
+    trail,
+)
+from banyantiller.store import interface
+
+DAY_MS = 86_400_000
+SECOND_MS = 1000
+
+
+class Question(NamedTuple):
+    """What is asked.
+
+    Attributes:
+        deployment: Fleet.
+        period: Time that is judged.
+        every_ms: Length of the parts that are judged one by one.
+        tolerance_ms: Largest assumed difference between two clocks.
+    """
+
+    deployment: str
+    period: judging.Period
+    every_ms: int
+    tolerance_ms: int
+
+
+class Assessment(NamedTuple):
+    """What was found.
+
+    Attributes:
+        question: What was asked.
+        judgements: By promise and part.
+        histories: Runs of daemons.
+        audit: The check of the audit trail.
+    """
+
+    question: Question
+    judgements: tuple[judging.Judgement, ...]
+    histories: tuple[history.RunHistory, ...]
+    audit: trail.AuditReport
+
+
+async def assess(
+    store: interface.ObjectStore, question: Question
+) -> Assessment:
+    """Reads and judges.
+
+    Raises:
+        StoreError: The object API did not answer; nothing can be said.
+    """
+    period = question.period
+    blocks = await _blocks(store, question.deployment, period)
+    runs = await _values(
+        store, layout.RUN_KIND, {"deployment": question.deployment}
+    )
+    audit = await trail.verify(store, question.deployment, _tips(blocks))
+    if not audit.readable:
+        raise exceptions.StoreError(f"The object API failed: {audit.reason}.")
+    sound = sound_entries(audit)
+    stored = history.Stored(runs, blocks, history.gone_daemons(sound))
+    histories = history.build(stored, question.deployment, period.to_ms)
+    # The audit trail notes the end of a roll, so it is the least exact.
+    accepted = {
+        **_rolled(sound),
+        **judging_bundles.accepted_by_daemons(histories),
+        **await _head(store, question.deployment),
+    }
+    evidence = judging.Evidence(
+        histories, accepted, audit_gaps(audit, period.to_ms)
+    )
+    judgements = judging.judge(
+        evidence, period, question.every_ms, question.tolerance_ms
+    )
+    return Assessment(question, tuple(judgements), tuple(histories), audit)
+
+
+def sound_entries(audit: trail.AuditReport) -> list[dict[str, Any]]:
+    """Returns the audit entries against which nothing speaks."""
+    bad = {problem.sequence for problem in audit.problems}
+    return [item for item in audit.entries if item.get("sequence") not in bad]
+
+
+def audit_gaps(
+    audit: trail.AuditReport, until_ms: int
+) -> list[history.Unknown]:
+    """Returns the times between the sound neighbours of damaged entries."""
+    times = {
+        item["sequence"]: item["at_ms"]
+        for item in sound_entries(audit)
+        if isinstance(item.get("at_ms"), int)
+    }
+    gaps: list[history.Unknown] = []
+    for problem in audit.problems:
+        before = [at for n, at in times.items() if n < problem.sequence]
+        after = [at for n, at in times.items() if n > problem.sequence]
+        why = f"Audit trail: {problem.detail}"
+        gaps.append(
+            history.Unknown(
+                "", max(before, default=0), min(after, default=until_ms), why
+            )
+        )
+    return gaps
+
+
+def _tips(blocks: Sequence[Mapping[str, Any]]) -> set[chain.Tip]:
+    """Collects the audit tips that daemons carried in their summaries."""
+    tips: set[chain.Tip] = set()
+    for block in blocks:
+        records = block.get("records")
+        for record in records if isinstance(records, list) else ():
+            if not isinstance(record, dict):
+                continue
+            tips.add(
+                trail.tip_from(
+                    {
+                        "sequence": record.get("audit_sequence"),
+                        "digest": record.get("audit_digest"),
+                    }
+                )
+            )
+    return tips
+
+
+async def _blocks(
+    store: interface.ObjectStore, deployment: str, period: judging.Period
+) -> list[dict[str, Any]]:
+    """Lists blocks by day, from the day before, as blocks span midnight."""
+    blocks: list[dict[str, Any]] = []
+    day_ms = period.from_ms // DAY_MS * DAY_MS - DAY_MS
+    while day_ms <= period.to_ms:
+        labels = {"deployment": deployment, "day": layout.day_of(day_ms)}
+        blocks += await _values(store, layout.BLOCK_KIND, labels)
+        day_ms += DAY_MS
+    return blocks
+
+
+async def _values(
+    store: interface.ObjectStore, kind: str, labels: dict[str, str]
+) -> list[dict[str, Any]]:
+    outcome = await store.list(kind, labels)
+    if isinstance(outcome, interface.Unavailable):
+        raise exceptions.StoreError(f"The object API failed: {outcome.reason}.")
+    return [item.value for item in outcome.items]
+
+
+async def _head(
+    store: interface.ObjectStore, deployment: str
+) -> dict[int, int]:
+    head = await reading.read_head(store, deployment)
+    if not isinstance(head, outcomes.HeadFound):
+        return {}
+    accepted_ms = round(head.accepted.accepted_at * SECOND_MS)
+    return {head.accepted.manifest.version: accepted_ms}
+
+
+def _rolled(entries: Sequence[Mapping[str, Any]]) -> dict[int, int]:
+    """Returns the versions that the audit trail says were accepted."""
+    rolled: dict[int, int] = {}
+    for entry in entries:
+        detail = entry.get("detail")
+        if entry.get("action") != "roll_result" or not isinstance(detail, dict):
+            continue
+        version = detail.get("version")
+        if detail.get("result") == "rolled" and isinstance(version, int):
+            rolled.setdefault(version, entry.get("at_ms", 0))
+    return rolled
--- a/banyantiller/evidence/counts.py
+++ b/banyantiller/evidence/counts.py
@@ -71,6 +71,8 @@
     ) -> dict[str, summaries.ProbesSpent]:
         """Returns probes by service with the budget known here."""
         return {
-            service: summaries.ProbesSpent(sent, rates.get(service, 0.0))
+            service: summaries.ProbesSpent(
+                sent, rates.get(service, summaries.UNKNOWN_RATE)
+            )
             for service, sent in self.probes.items()
         }
--- /dev/null
+++ b/banyantiller/evidence/judging.py
@@ -0,0 +1,211 @@
+"""Judges from histories which promises held; pure.
+
+`Held` needs every known daemon to have reported, in sound records, for the
+whole period. A breach that was seen is `Broken` whatever else is unknown.
+Everything between is `NotKnown`, with the first unknown time and the reason.
+"""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from banyantiller.evidence import judging_bundles, judging_probes
+from banyantiller.evidence.history import RunHistory, Unknown
+from banyantiller.evidence.promises import Promise
+from banyantiller.evidence.summary import Summary
+from banyantiller.evidence.verdicts import (
+    Broken,
+    Finding,
+    Held,
+    Judgement,
+    Named,
+    NotKnown,
+    Verdict,
+)
+
+
+class Evidence(NamedTuple):
+    """All that a judgement rests on.
+
+    Attributes:
+        histories: Histories of all known runs.
+        accepted: Acceptance times by version, from all sources.
+        audit_gaps: Times for which the audit trail is damaged.
+    """
+
+    histories: Sequence[RunHistory]
+    accepted: dict[int, int]
+    audit_gaps: Sequence[Unknown]
+
+
+class Period(NamedTuple):
+    """A period that is judged, in wall-clock milliseconds."""
+
+    from_ms: int
+    to_ms: int
+
+
+def judge(
+    evidence: Evidence,
+    period: Period,
+    every_ms: int,
+    tolerance_ms: int = judging_bundles.CLOCK_TOLERANCE_MS,
+) -> list[Judgement]:
+    """Judges every promise for each part of a period.
+
+    Args:
+        evidence: What is known.
+        period: The whole period.
+        every_ms: Length of the parts.
+        tolerance_ms: Largest assumed difference between two clocks.
+    """
+    judgements: list[Judgement] = []
+    for promise in Promise:
+        for part in parts(period, every_ms):
+            verdict = _verdict(evidence, promise, part, tolerance_ms)
+            judgements.append(Judgement(promise, *part, verdict))
+    return judgements
+
+
+def parts(period: Period, every_ms: int) -> list[Period]:
+    """Cuts a period at multiples of `every_ms`."""
+    cut: list[Period] = []
+    start = period.from_ms
+    while start < period.to_ms:
+        end = min((start // every_ms + 1) * every_ms, period.to_ms)
+        cut.append(Period(start, end))
+        start = end
+    return cut
+
+
+def joined(judgements: Sequence[Judgement]) -> list[Judgement]:
+    """Joins neighbouring parts of one promise that both held."""
+    result: list[Judgement] = []
+    for item in judgements:
+        last = result[-1] if result else None
+        if (
+            last is not None
+            and last.promise is item.promise
+            and isinstance(last.verdict, Held)
+            and isinstance(item.verdict, Held)
+        ):
+            calls = last.verdict.calls + item.verdict.calls
+            result[-1] = last._replace(to_ms=item.to_ms, verdict=Held(calls))
+        else:
+            result.append(item)
+    return result
+
+
+def _verdict(
+    evidence: Evidence, promise: Promise, part: Period, tolerance_ms: int
+) -> Verdict:
+    histories = evidence.histories
+    finding = _seen_breaches(histories, promise, part)
+    unknown = _coverage(histories, part) + finding.unknown
+    if promise is Promise.MEASURING_IN_BUDGET:
+        more = judging_probes.find(histories, part)
+        finding = _together(finding, more)
+        unknown += more.unknown
+    if promise is Promise.BUNDLE_IN_FORCE:
+        more = judging_bundles.find(
+            histories, evidence.accepted, part, tolerance_ms
+        )
+        finding = _together(finding, more)
+        unknown += more.unknown
+        unknown += _overlapping(evidence.audit_gaps, part)
+    unknown = tuple(sorted(set(unknown), key=lambda item: item.from_ms))
+    if finding.named or finding.unnamed:
+        return Broken(finding.named, finding.unnamed, unknown)
+    if unknown:
+        return NotKnown(unknown[0].from_ms, unknown)
+    return Held(_calls(histories, part))
+
+
+def _together(first: Finding, second: Finding) -> Finding:
+    return Finding(
+        first.named + second.named,
+        first.unnamed + second.unnamed,
+        first.unknown + second.unknown,
+    )
+
+
+def _seen_breaches(
+    histories: Sequence[RunHistory], promise: Promise, part: Period
+) -> Finding:
+    named: list[Named] = []
+    unnamed = 0
+    for history in histories:
+        for summary in history.summaries:
+            listed = [b for b in summary.breaches if b.promise == promise]
+            for breach in listed:
+                at_ms = _within(breach.at_ms, summary)
+                if part.from_ms <= at_ms < part.to_ms:
+                    named.append(
+                        Named(
+                            history.run.daemon,
+                            breach.request_id,
+                            breach.detail,
+                            breach.at_ms,
+                        )
+                    )
+            if part.from_ms <= _within(summary.to_ms, summary) < part.to_ms:
+                counted = summary.breach_counts.get(promise, 0)
+                unnamed += max(0, counted - len(listed))
+    named.sort(key=lambda item: item.at_ms)
+    return Finding(tuple(named), unnamed)
+
+
+def _within(at_ms: int, summary: Summary) -> int:
+    """Moves a time into the summary's period, whose end is exclusive."""
+    last_ms = max(summary.from_ms, summary.to_ms - 1)
+    return min(max(at_ms, summary.from_ms), last_ms)
+
+
+def _coverage(
+    histories: Sequence[RunHistory], part: Period
+) -> tuple[Unknown, ...]:
+    unknown: list[Unknown] = []
+    for history in histories:
+        unknown += _overlapping(history.unknown, part)
+    return tuple(unknown) + _nobody(histories, part)
+
+
+def _overlapping(
+    unknown: Sequence[Unknown], part: Period
+) -> tuple[Unknown, ...]:
+    return tuple(
+        item._replace(
+            from_ms=max(item.from_ms, part.from_ms),
+            to_ms=min(item.to_ms, part.to_ms),
+        )
+        for item in unknown
+        if item.from_ms < part.to_ms and item.to_ms > part.from_ms
+    )
+
+
+def _nobody(
+    histories: Sequence[RunHistory], part: Period
+) -> tuple[Unknown, ...]:
+    """Lists the times at which no daemon is known to have lived."""
+    unknown: list[Unknown] = []
+    reached_ms = part.from_ms
+    why = "No daemon reported."
+    for history in sorted(histories, key=lambda item: item.run.started_ms):
+        started_ms = min(history.run.started_ms, part.to_ms)
+        if started_ms > reached_ms:
+            unknown.append(Unknown("", reached_ms, started_ms, why))
+        reached_ms = max(reached_ms, history.ended_ms)
+        if reached_ms >= part.to_ms:
+            return tuple(unknown)
+    if reached_ms < part.to_ms:
+        unknown.append(Unknown("", reached_ms, part.to_ms, why))
+    return tuple(unknown)
+
+
+def _calls(histories: Sequence[RunHistory], part: Period) -> int:
+    """Counts the calls of summaries that end within the part."""
+    return sum(
+        sum(summary.calls.values())
+        for history in histories
+        for summary in history.summaries
+        if part.from_ms <= _within(summary.to_ms, summary) < part.to_ms
+    )
--- /dev/null
+++ b/banyantiller/evidence/judging_bundles.py
@@ -0,0 +1,204 @@
+"""Judges whether accepted bundles came into force in time and stayed; pure."""
+
+from collections.abc import Sequence
+from typing import TYPE_CHECKING, NamedTuple
+
+from banyantiller.evidence.history import RunHistory, Unknown
+from banyantiller.evidence.verdicts import Finding, Named
+
+if TYPE_CHECKING:
+    from banyantiller.evidence.judging import Period
+
+IN_FORCE_LIMIT_MS = 4000
+CLOCK_TOLERANCE_MS = 500
+NEVER_MS = 1 << 62
+
+
+class _Due(NamedTuple):
+    """A version that has to be in force in a run by a time."""
+
+    version: int
+    accepted_ms: int
+    due_ms: int
+
+
+class _Reached(NamedTuple):
+    """When a run reached a version.
+
+    Attributes:
+        at_ms: Time, `NEVER_MS` for not at all.
+        listed: Whether the change itself was listed, with its time.
+        exact: Whether it can't have been earlier without being listed.
+    """
+
+    at_ms: int
+    listed: bool
+    exact: bool
+
+
+def find(
+    histories: Sequence[RunHistory],
+    accepted: dict[int, int],
+    part: "Period",
+    tolerance_ms: int,
+) -> Finding:
+    """Judges delays of the bundles accepted in a part, and reverts in it.
+
+    Args:
+        histories: Histories of all known runs.
+        accepted: Acceptance times by version.
+        part: Time of acceptance of the bundles that are judged.
+        tolerance_ms: Largest assumed difference between two clocks. A delay
+            nearer to the limit than that is not known.
+    """
+    findings: list[Finding] = []
+    for history in histories:
+        findings.append(_reverts(history, part))
+        findings.append(_superseded(history, accepted, part, tolerance_ms))
+    for version, accepted_ms in sorted(accepted.items()):
+        if not part.from_ms <= accepted_ms < part.to_ms:
+            continue
+        for history in histories:
+            started_ms = history.run.started_ms
+            due_ms = max(accepted_ms, started_ms) + IN_FORCE_LIMIT_MS
+            due = _Due(version, accepted_ms, due_ms)
+            findings.append(_delay(history, due, tolerance_ms))
+    return Finding(
+        tuple(item for finding in findings for item in finding.named),
+        0,
+        tuple(item for finding in findings for item in finding.unknown),
+    )
+
+
+def accepted_by_daemons(histories: Sequence[RunHistory]) -> dict[int, int]:
+    """Returns the acceptance times by version that daemons learned."""
+    return {
+        bundle.version: bundle.accepted_ms
+        for history in histories
+        for summary in history.summaries
+        for bundle in summary.bundles
+    }
+
+
+def _delay(history: RunHistory, due: _Due, tolerance_ms: int) -> Finding:
+    """Judges when one run applied one accepted version or a later one."""
+    if history.ended_ms < due.due_ms:
+        if history.living:
+            return _unsure(history, due, "It is not due yet.")
+        return Finding()
+    if _nothing_in_force(history, due):
+        return Finding()
+    reached = _reached(history, due.version)
+    if reached.at_ms <= due.due_ms - tolerance_ms:
+        early = reached.at_ms < due.accepted_ms - tolerance_ms
+        if early and reached.listed:
+            return _unsure(history, due, "The clocks differ too much.")
+        return Finding()
+    late_ms = due.due_ms + tolerance_ms
+    if reached.at_ms <= late_ms:
+        why = "The delay is too near the limit for the clocks."
+        return _unsure(history, due, why)
+    if not reached.exact:
+        return _unsure(history, due, "Some bundles were only counted.")
+    if _has_gap(history, due.accepted_ms, late_ms):
+        return _unsure(history, due, "Evidence is missing when it was due.")
+    return Finding((_late(history, due, reached.at_ms),))
+
+
+def _reached(history: RunHistory, version: int) -> _Reached:
+    for summary in history.summaries:
+        for bundle in summary.bundles:
+            if bundle.version >= version:
+                return _Reached(bundle.at_ms, True, True)
+        if summary.version >= version:
+            if summary.omitted.get("bundles"):
+                return _Reached(summary.to_ms, False, False)
+            return _Reached(summary.from_ms, False, True)
+    return _Reached(NEVER_MS, False, True)
+
+
+def _nothing_in_force(history: RunHistory, due: _Due) -> bool:
+    """Whether the run had no bundle, and so refused calls, when due."""
+    if history.run.started_ms < due.accepted_ms:
+        return False
+    earlier = [
+        bundle
+        for summary in history.summaries
+        for bundle in summary.bundles
+        if bundle.at_ms <= due.due_ms
+    ]
+    covered = any(item.to_ms >= due.due_ms for item in history.summaries)
+    return covered and not earlier
+
+
+def _reverts(history: RunHistory, part: "Period") -> Finding:
+    """Finds versions that went down within a run."""
+    named: list[Named] = []
+    highest = 0
+    for summary in history.summaries:
+        for bundle in summary.bundles:
+            inside = part.from_ms <= bundle.at_ms < part.to_ms
+            if bundle.version < highest and inside:
+                detail = (
+                    f"Version {bundle.version} came into force after"
+                    f" version {highest}."
+                )
+                named.append(
+                    Named(history.run.daemon, "", detail, bundle.at_ms)
+                )
+            highest = max(highest, bundle.version)
+    return Finding(tuple(named))
+
+
+def _superseded(
+    history: RunHistory,
+    accepted: dict[int, int],
+    part: "Period",
+    tolerance_ms: int,
+) -> Finding:
+    """Finds bundles applied after a newer one had to be in force."""
+    named: list[Named] = []
+    for summary in history.summaries:
+        for bundle in summary.bundles:
+            if not part.from_ms <= bundle.at_ms < part.to_ms:
+                continue
+            limit_ms = bundle.at_ms - IN_FORCE_LIMIT_MS - tolerance_ms
+            newer = [
+                version
+                for version, accepted_ms in accepted.items()
+                if version > bundle.version and accepted_ms < limit_ms
+            ]
+            if newer:
+                detail = (
+                    f"Version {bundle.version} came into force although"
+                    f" version {max(newer)} had been accepted before."
+                )
+                named.append(
+                    Named(history.run.daemon, "", detail, bundle.at_ms)
+                )
+    return Finding(tuple(named))
+
+
+def _has_gap(history: RunHistory, from_ms: int, to_ms: int) -> bool:
+    return any(
+        item.from_ms < to_ms and item.to_ms > from_ms
+        for item in history.unknown
+    )
+
+
+def _unsure(history: RunHistory, due: _Due, why: str) -> Finding:
+    detail = f"Version {due.version}: {why}"
+    return Finding(
+        unknown=(
+            Unknown(history.run.daemon, due.accepted_ms, due.due_ms, detail),
+        )
+    )
+
+
+def _late(history: RunHistory, due: _Due, reached_ms: int) -> Named:
+    since_ms = max(due.accepted_ms, history.run.started_ms)
+    when = "not at all"
+    if reached_ms != NEVER_MS:
+        when = f"after {(reached_ms - since_ms) / 1000:.1f} s"
+    detail = f"Version {due.version} came into force {when}."
+    return Named(history.run.daemon, "", detail, due.due_ms)
--- /dev/null
+++ b/banyantiller/evidence/judging_probes.py
@@ -0,0 +1,77 @@
+"""Judges the measuring budget over the fleet; pure."""
+
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
+
+from banyantiller.evidence.history import RunHistory, Unknown
+from banyantiller.evidence.summary import UNKNOWN_RATE, Summary
+from banyantiller.evidence.verdicts import Finding, Named
+
+if TYPE_CHECKING:
+    from banyantiller.evidence.judging import Period
+
+MILLISECONDS = 1000
+
+
+def find(histories: Sequence[RunHistory], part: "Period") -> Finding:
+    """Compares the probes of all daemons with each service's budget.
+
+    Summaries don't end where the part does, so the budget is taken over the
+    whole time that the counted summaries span. While the budget changed, the
+    largest one decides about a breach and the least one about keeping it.
+    """
+    summaries = [
+        summary
+        for history in histories
+        for summary in history.summaries
+        if _overlaps(summary, part)
+    ]
+    if not summaries:
+        return Finding()
+    services = sorted({name for item in summaries for name in item.probes})
+    named: list[Named] = []
+    unknown: list[Unknown] = []
+    for service in services:
+        _judge_service(service, summaries, part, named, unknown)
+    return Finding(tuple(named), 0, tuple(unknown))
+
+
+def _judge_service(
+    service: str,
+    summaries: Sequence[Summary],
+    part: "Period",
+    named: list[Named],
+    unknown: list[Unknown],
+) -> None:
+    spent = [
+        item.probes[service] for item in summaries if service in item.probes
+    ]
+    if any(item.rate == UNKNOWN_RATE for item in spent):
+        why = f"A daemon did not know the budget of service '{service}'."
+        unknown.append(Unknown("", part.from_ms, part.to_ms, why))
+        return
+    sent = sum(item.sent for item in spent)
+    span_s = _span_s(summaries)
+    most = max(item.rate for item in spent) * span_s
+    least = min(item.rate for item in spent) * span_s
+    if sent > most:
+        detail = (
+            f"Service '{service}': {sent} probes in {span_s:.0f} s; the budget"
+            f" allows {most:.0f}."
+        )
+        named.append(Named("", "", detail, part.from_ms))
+    elif sent > least:
+        why = f"The budget of service '{service}' changed within the period."
+        unknown.append(Unknown("", part.from_ms, part.to_ms, why))
+
+
+def _overlaps(summary: Summary, part: "Period") -> bool:
+    """Whether they share a time; an empty summary counts as an instant."""
+    end_ms = max(summary.to_ms, summary.from_ms + 1)
+    return summary.from_ms < part.to_ms and end_ms > part.from_ms
+
+
+def _span_s(summaries: Sequence[Summary]) -> float:
+    start = min(item.from_ms for item in summaries)
+    end = max(item.to_ms for item in summaries)
+    return (end - start) / MILLISECONDS
--- a/banyantiller/evidence/summary.py
+++ b/banyantiller/evidence/summary.py
@@ -18,6 +18,7 @@
 MOST_LEAVING = 50
 MOST_SERVICES = 200
 MAX_TEXT = 120
+UNKNOWN_RATE = -1.0
 
 
 class BundleSeen(NamedTuple):
@@ -72,7 +73,7 @@
     Attributes:
         sent: Probes in the period.
         rate: Most probes a second by all daemons together, as this daemon
-            knew it; the least if it changed.
+            knew it; the least if it changed; `UNKNOWN_RATE` if it did not.
     """
 
     sent: int
--- /dev/null
+++ b/banyantiller/tests/evidence/test_judging.py
@@ -0,0 +1,468 @@
+"""Tests of the judgement: deaths, outages, alterations, clocks, bundles."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from banyantiller import exceptions
+from banyantiller.bundle import options
+from banyantiller.evidence import assessment, audit, chain, judging, layout
+from banyantiller.evidence.promises import Promise
+from banyantiller.evidence.verdicts import Broken, Held, NotKnown, Verdict
+from banyantiller.kernel import events
+from banyantiller.store import memory, table
+from banyantiller.tests import base
+from banyantiller.tests.evidence import samples
+
+DaemonParts = samples.DaemonParts
+
+
+class JudgingCase(base.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.table = table.ObjectTable()
+        self.store = memory.MemoryStore(self.table)
+
+    def play(
+        self,
+        script: Callable[[DaemonParts, DaemonParts], Awaitable[None]],
+        **options_of_second: Any,
+    ) -> None:
+        """Runs a script with two daemons that start at time 0."""
+
+        async def scenario() -> None:
+            first = DaemonParts(self.table)
+            second = DaemonParts(self.table, "b2", seed=8, **options_of_second)
+            for parts in (first, second):
+                parts.start()
+            await script(first, second)
+            await first.kernel.stop()
+            await second.kernel.stop()
+
+        self.run_paused(scenario())
+
+    def ask(
+        self, until_s: float, since_s: float = 0.0, every_s: float = 3600.0
+    ) -> dict[Promise, list[Verdict]]:
+        """Judges a time given in seconds since the daemons' start."""
+        period = judging.Period(
+            round((samples.EPOCH + since_s) * 1000),
+            round((samples.EPOCH + until_s) * 1000),
+        )
+        question = assessment.Question(
+            samples.FLEET, period, round(every_s * 1000), 500
+        )
+        found = self.run_paused(assessment.assess(self.store, question))
+        answers: dict[Promise, list[Verdict]] = {}
+        for item in found.judgements:
+            answers.setdefault(item.promise, []).append(item.verdict)
+        return answers
+
+    def since(self, verdict: Verdict) -> float:
+        self.assertIsInstance(verdict, NotKnown)
+        return verdict.since_ms / 1000 - samples.EPOCH
+
+    def assert_all(self, kind: type, answers: dict[Promise, Any]) -> None:
+        for promise, verdicts in answers.items():
+            for verdict in verdicts:
+                self.assertIsInstance(verdict, kind, f"{promise}: {verdict}")
+
+
+async def quiet(first: DaemonParts, second: DaemonParts) -> None:
+    """Both daemons see a call and end gracefully after 100 s."""
+    first.kernel.emit(samples.call())
+    await asyncio.sleep(100)
+    await first.end()
+    await second.end()
+
+
+class CoverageTest(JudgingCase):
+    def test_all_reported_and_nothing_was_broken(self) -> None:
+        self.play(quiet)
+        answers = self.ask(90)
+        self.assert_all(Held, answers)
+        self.assertEqual(1, answers[Promise.AT_MOST_ONCE][0].calls)
+
+    def test_without_any_evidence_nothing_is_claimed(self) -> None:
+        self.assert_all(NotKnown, self.ask(90))
+
+    def test_time_after_the_graceful_end_of_all_is_not_claimed(self) -> None:
+        self.play(quiet)
+        verdict = self.ask(200)[Promise.AT_MOST_ONCE][0]
+        self.assertTrue(100 <= self.since(verdict) < 106)
+
+    def test_daemon_that_died_without_a_word(self) -> None:
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            await asyncio.sleep(45)
+            await second.die()
+            await asyncio.sleep(100)
+
+        self.play(script)
+        verdict = self.ask(120)[Promise.AT_MOST_ONCE][0]
+        self.assertAlmostEqual(40, self.since(verdict), 1)
+        self.assertEqual({"b2"}, {item.daemon for item in verdict.unknown})
+        self.assert_all(Held, self.ask(40))
+
+    def test_operator_states_that_a_dead_daemon_is_gone(self) -> None:
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            await asyncio.sleep(45)
+            await second.die()
+            await asyncio.sleep(100)
+            gone_ms = round((samples.EPOCH + 60) * 1000)
+            detail = {"daemon": "b2", "gone_ms": gone_ms}
+            await audit.append(
+                self.store, "fleet", "daemon_gone", "awa", detail, first.wall
+            )
+
+        self.play(script)
+        self.assert_all(Held, self.ask(120, since_s=60))
+        self.assert_all(NotKnown, self.ask(60, since_s=30))
+
+    def test_restart_under_the_same_name_ends_the_unknown_time(self) -> None:
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            await asyncio.sleep(45)
+            await second.die()
+            await asyncio.sleep(30)
+            again = DaemonParts(self.table, "b2")
+            again.start()
+            await asyncio.sleep(60)
+            await again.kernel.stop()
+
+        self.play(script)
+        answers = self.ask(120, every_s=10)
+        kinds = [type(item) for item in answers[Promise.WHOLE_OWN_ANSWER]]
+        self.assertEqual([Held] * 4, kinds[:4])
+        self.assertEqual([NotKnown] * 4, kinds[4:8])
+        self.assertEqual([Held] * 4, kinds[8:])
+
+    def test_daemon_that_wrote_nothing_but_was_seen_by_a_peer(self) -> None:
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            started_ms = round(first.wall() * 1000) + 15_000
+            await asyncio.sleep(16)
+            first.kernel.emit(events.MemberChanged("b3", "alive", started_ms))
+            await asyncio.sleep(84)
+
+        self.play(script)
+        verdict = self.ask(80)[Promise.AT_MOST_ONCE][0]
+        self.assertIn("b3", {item.daemon for item in verdict.unknown})
+
+    def test_own_run_seen_by_a_peer_with_a_clock_near_by(self) -> None:
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            started_ms = second.writer.run_info.started_ms + 40
+            first.kernel.emit(events.MemberChanged("b2", "alive", started_ms))
+            await quiet(first, second)
+
+        self.play(script)
+        self.assert_all(Held, self.ask(90))
+
+
+class OutageTest(JudgingCase):
+    def test_evidence_written_after_an_outage_counts(self) -> None:
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            second.store.faults.down = True
+            await asyncio.sleep(500)
+            second.kernel.emit(samples.call("r1", cut=True))
+            await asyncio.sleep(100)
+            second.store.faults.down = False
+            await asyncio.sleep(50)
+
+        self.play(script)
+        answers = self.ask(600)
+        self.assertIsInstance(answers[Promise.AT_MOST_ONCE][0], Held)
+        broken = answers[Promise.WHOLE_OWN_ANSWER][0]
+        self.assertEqual(["r1"], [item.request_id for item in broken.named])
+
+    def test_evidence_lost_by_a_death_within_an_outage(self) -> None:
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            await asyncio.sleep(35)
+            second.store.faults.down = True
+            await asyncio.sleep(60)
+            second.kernel.emit(samples.call("r1", cut=True))
+            await second.end()
+            await asyncio.sleep(100)
+
+        self.play(script)
+        answers = self.ask(150)
+        self.assertAlmostEqual(
+            30, self.since(answers[Promise.WHOLE_OWN_ANSWER][0]), 1
+        )
+
+    def test_store_down_while_asking_is_an_error(self) -> None:
+        self.play(quiet)
+        self.store.faults.down = True
+        self.assertRaises(exceptions.StoreError, self.ask, 90)
+
+
+class AlterationTest(JudgingCase):
+    def alter(self, change: Callable[[list[Any]], None]) -> None:
+        """Changes the records of the second daemon's first block."""
+        for item in self.table.list(layout.BLOCK_KIND).items:
+            if item.value["daemon"] == "b2":
+                change(item.value["records"])
+                self.table.update(item, item.value)
+                return
+
+    def test_altered_record_is_unknown_for_its_time_only(self) -> None:
+        def change(records: list[Any]) -> None:
+            records[3]["calls"] = {"registry": 5}
+
+        self.play(quiet)
+        self.alter(change)
+        kinds = [
+            type(v) for v in self.ask(90, every_s=10)[Promise.AT_MOST_ONCE]
+        ]
+        self.assertEqual(1, kinds.count(NotKnown))
+        self.assertIs(NotKnown, kinds[2])
+
+    def test_breach_removed_with_a_new_digest_is_found_by_the_link(
+        self,
+    ) -> None:
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            await asyncio.sleep(25)
+            second.kernel.emit(samples.call("r1", cut=True))
+            await quiet(first, second)
+
+        def change(records: list[Any]) -> None:
+            for index, record in enumerate(records):
+                if "breaches" in record:
+                    del record["breaches"], record["breach_counts"]
+                    records[index] = chain.sealed(record)
+
+        self.play(script)
+        before = self.ask(90)[Promise.WHOLE_OWN_ANSWER][0]
+        self.assertEqual(["r1"], [item.request_id for item in before.named])
+        self.alter(change)
+        after = self.ask(90)[Promise.WHOLE_OWN_ANSWER][0]
+        self.assertIsInstance(after, NotKnown)
+
+    def test_removed_record(self) -> None:
+        self.play(quiet)
+        self.alter(lambda records: records.pop(4))
+        verdict = self.ask(90)[Promise.AT_MOST_ONCE][0]
+        self.assertIn("missing", verdict.unknown[0].why)
+
+    def test_removed_end(self) -> None:
+        def change(records: list[Any]) -> None:
+            del records[-4:]
+
+        self.play(quiet)
+        self.alter(change)
+        verdict = self.ask(90)[Promise.AT_MOST_ONCE][0]
+        self.assertIn("last summary", verdict.unknown[0].why)
+
+    def test_garbage_in_place_of_a_block(self) -> None:
+        def change(records: list[Any]) -> None:
+            records[:] = [7, {"sequence": 2}, {"sequence": "x"}, None]
+
+        self.play(quiet)
+        self.alter(change)
+        self.assert_all(NotKnown, self.ask(90))
+
+    def test_all_evidence_of_a_daemon_removed_but_its_announcement(
+        self,
+    ) -> None:
+        self.play(quiet)
+        for item in self.table.list(layout.BLOCK_KIND).items:
+            if item.value["daemon"] == "b2":
+                self.table.delete(item)
+        self.assert_all(NotKnown, self.ask(90))
+
+    def test_damaged_audit_trail_leaves_bundles_unknown(self) -> None:
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            for _ in range(3):
+                await audit.append(
+                    self.store, "fleet", "roll", "awa", {}, first.wall
+                )
+                await asyncio.sleep(10)
+            await quiet(first, second)
+
+        self.play(script)
+        self.assert_all(Held, self.ask(90))
+        entry = self.table.list("auditentries").items[1]
+        self.table.delete(entry)
+        answers = self.ask(90, every_s=30)
+        kinds = [type(v) for v in answers[Promise.BUNDLE_IN_FORCE]]
+        self.assertEqual([NotKnown, Held, Held], kinds)
+        self.assertIsInstance(answers[Promise.AT_MOST_ONCE][0], Held)
+
+
+class BreachTest(JudgingCase):
+    def test_breach_is_told_although_another_daemon_is_unknown(self) -> None:
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            await asyncio.sleep(15)
+            second.kernel.emit(samples.call("r1", idempotent=False, attempts=2))
+            await first.die()
+            await asyncio.sleep(100)
+
+        self.play(script)
+        verdict = self.ask(60)[Promise.AT_MOST_ONCE][0]
+        self.assertIsInstance(verdict, Broken)
+        self.assertEqual("r1", verdict.named[0].request_id)
+        self.assertEqual("b1", verdict.unknown[0].daemon)
+
+    def test_breaches_beyond_the_list_are_counted(self) -> None:
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            for index in range(7):
+                second.kernel.emit(samples.call(f"r{index}", cut=True))
+            await quiet(first, second)
+
+        self.play(script, most_requests=3)
+        verdict = self.ask(90)[Promise.WHOLE_OWN_ANSWER][0]
+        self.assertEqual((3, 4), (len(verdict.named), verdict.unnamed))
+
+    def test_breach_belongs_to_one_part_only(self) -> None:
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            await asyncio.sleep(25)
+            second.kernel.emit(samples.call("r1", cut=True))
+            await quiet(first, second)
+
+        self.play(script)
+        verdicts = self.ask(90, every_s=10)[Promise.WHOLE_OWN_ANSWER]
+        kinds = [type(verdict) for verdict in verdicts]
+        self.assertEqual(1, kinds.count(Broken))
+        self.assertIs(Broken, kinds[2])
+
+    def probes(self, count: int, configured: bool = True) -> Verdict:
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            for parts in (first, second):
+                if configured:
+                    parts.recorder.configure([options.Service("registry", ())])
+                for _ in range(count):
+                    event = events.ProbeSent("registry", "s1", parts.wall())
+                    parts.kernel.emit(event)
+            await quiet(first, second)
+
+        self.play(script)
+        return self.ask(90)[Promise.MEASURING_IN_BUDGET][0]
+
+    def test_probes_within_the_budget(self) -> None:
+        self.assertIsInstance(self.probes(85), Held)
+
+    def test_probes_over_the_budget_of_the_fleet(self) -> None:
+        verdict = self.probes(110)
+        self.assertIsInstance(verdict, Broken)
+        self.assertIn("220 probes", verdict.named[0].detail)
+
+    def test_probes_without_a_known_budget(self) -> None:
+        self.assertIsInstance(self.probes(1, configured=False), NotKnown)
+
+
+class BundleTest(JudgingCase):
+    def judged(
+        self,
+        delays_s: dict[int, float],
+        until_s: float = 90.0,
+        offset_s: float = 0.0,
+    ) -> Verdict:
+        """Applies versions, accepted at 20 s times their number, in `b2`."""
+
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            now = asyncio.get_running_loop().time
+            for version, delay_s in delays_s.items():
+                accepted_s = 20.0 * version
+                accepted_at = samples.EPOCH + accepted_s
+                await asyncio.sleep(accepted_s - now())
+                first.bundle(version, accepted_at)
+                await asyncio.sleep(delay_s)
+                second.bundle(version, accepted_at)
+            await asyncio.sleep(100 - now())
+
+        self.play(script, clock_offset_s=offset_s)
+        return self.ask(until_s)[Promise.BUNDLE_IN_FORCE][0]
+
+    def test_in_force_in_time(self) -> None:
+        self.assertIsInstance(self.judged({1: 0.2, 2: 3.0}), Held)
+
+    def test_in_force_late(self) -> None:
+        verdict = self.judged({1: 0.2, 2: 6.0})
+        self.assertIsInstance(verdict, Broken)
+        self.assertEqual("b2", verdict.named[0].daemon)
+        self.assertIn("after 6.0 s", verdict.named[0].detail)
+
+    def test_delay_too_near_the_limit(self) -> None:
+        self.assertIsInstance(self.judged({1: 3.8}), NotKnown)
+
+    def test_clocks_that_differ_a_bit(self) -> None:
+        self.assertIsInstance(self.judged({1: 0.1}, offset_s=-0.4), Held)
+
+    def test_clocks_that_differ_more_than_assumed(self) -> None:
+        self.assertIsInstance(self.judged({1: 0.1}, offset_s=-3.0), NotKnown)
+
+    def test_version_that_is_not_due_yet(self) -> None:
+        self.assertIsInstance(self.judged({1: 0.1}, until_s=22), NotKnown)
+
+    def test_version_that_never_came(self) -> None:
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            for parts in (first, second):
+                parts.bundle(1, samples.EPOCH)
+            await asyncio.sleep(30)
+            first.bundle(2, first.wall())
+            await asyncio.sleep(70)
+
+        self.play(script)
+        verdict = self.ask(90)[Promise.BUNDLE_IN_FORCE][0]
+        self.assertIn("not at all", verdict.named[0].detail)
+
+    def test_revert_within_a_run(self) -> None:
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            for parts in (first, second):
+                parts.bundle(1, samples.EPOCH)
+                parts.bundle(2, samples.EPOCH)
+            await asyncio.sleep(1)
+            second.bundle(1, samples.EPOCH)
+            await asyncio.sleep(99)
+
+        self.play(script)
+        verdict = self.ask(90)[Promise.BUNDLE_IN_FORCE][0]
+        self.assertIn("after version 2", verdict.named[0].detail)
+
+    def test_restart_with_an_older_bundle(self) -> None:
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            for parts in (first, second):
+                parts.bundle(1, samples.EPOCH)
+                parts.bundle(2, samples.EPOCH + 0.1)
+            await asyncio.sleep(30)
+            await second.end()
+            again = DaemonParts(self.table, "b2")
+            again.start()
+            again.bundle(1, samples.EPOCH)
+            await asyncio.sleep(2)
+            again.bundle(2, samples.EPOCH + 0.1)
+            await asyncio.sleep(60)
+            await again.kernel.stop()
+
+        self.play(script)
+        verdict = self.ask(80)[Promise.BUNDLE_IN_FORCE][0]
+        self.assertIsInstance(verdict, Broken)
+        self.assertIn("although version 2", verdict.named[0].detail)
+
+    def test_daemon_that_starts_later_has_its_time_from_its_start(self) -> None:
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            for parts in (first, second):
+                parts.bundle(1, samples.EPOCH)
+            await asyncio.sleep(30)
+            third = DaemonParts(self.table, "b3")
+            third.start()
+            await asyncio.sleep(1)
+            third.bundle(1, samples.EPOCH)
+            await asyncio.sleep(69)
+            await third.kernel.stop()
+
+        self.play(script)
+        self.assert_all(Held, self.ask(90))
+
+    def test_version_known_only_from_the_audit_trail(self) -> None:
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            for parts in (first, second):
+                parts.bundle(1, samples.EPOCH)
+            await asyncio.sleep(20)
+            detail = {"version": 2, "digest": "d", "result": "rolled"}
+            await audit.append(
+                self.store, "fleet", "roll_result", "awa", detail, first.wall
+            )
+            await asyncio.sleep(80)
+
+        self.play(script)
+        verdict = self.ask(90)[Promise.BUNDLE_IN_FORCE][0]
+        self.assertIsInstance(verdict, Broken)
+        self.assertEqual(2, len(verdict.named))
