--- /dev/null
+++ b/standins/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration: a whole fleet under load, checked by its servers."""
--- /dev/null
+++ b/standins/demo/__main__.py
@@ -0,0 +1,124 @@
+"""Runs the demonstration: `python -m standins.demo`."""
+
+import asyncio
+import json
+import pathlib
+import sys
+import tempfile
+
+import defopt
+
+from standins.demo import callers, findings, fleet, processes, traffic
+
+STEP_SHARES = {"roll": 0.25, "server": 0.5, "daemon": 0.7}
+FIRST_READY_S = 10.0
+
+
+async def play(folder: pathlib.Path, seed: int) -> findings.Findings:
+    """Runs all steps and returns what held."""
+    crew = fleet.Fleet(folder)
+    try:
+        say("starting the platform, 3 backend servers and 2 daemons")
+        await crew.start()
+        say("rolling the first bundle")
+        first_s = await crew.roll(1, "The first bundle.")
+        users = callers.Callers(crew.gateways, seed)
+        followers = [
+            asyncio.ensure_future(gateway.follow_readiness())
+            for gateway in crew.gateways
+        ]
+        try:
+            await _wait_until_ready(crew)
+            events = await _run_load(crew, users, first_s, seed)
+        finally:
+            for follower in followers:
+                follower.cancel()
+            await asyncio.gather(*followers, return_exceptions=True)
+        counts = await crew.read_counts()
+        found = findings.judge(users, counts, events)
+        object_api = await crew.read_calls()
+        print(findings.table(found, users.tally, counts, object_api))
+        if not found.held:
+            _show_logs(crew)
+        return found
+    finally:
+        await crew.close()
+
+
+async def _wait_until_ready(crew: fleet.Fleet) -> None:
+    async with asyncio.timeout(FIRST_READY_S):
+        for gateway in crew.gateways:
+            await gateway.was_ready.wait()
+
+
+async def _run_load(
+    crew: fleet.Fleet, users: callers.Callers, first_s: float, seed: int
+) -> findings.Events:
+    """Sends all calls while bundles, servers and daemons change."""
+    arrivals = traffic.plan(seed, fleet.DAEMONS)
+    length = arrivals[-1].at
+    say(f"sending {len(arrivals)} calls over {length:.0f} s")
+    loop = asyncio.get_running_loop()
+    start = loop.time()
+    exits: dict[str, int] = {}
+
+    async def at(step: str) -> None:
+        await asyncio.sleep(start + STEP_SHARES[step] * length - loop.time())
+
+    async def roll() -> float:
+        await at("roll")
+        say("rolling the second bundle")
+        return await crew.roll(2, "The second bundle.")
+
+    async def stop_server() -> None:
+        await at("server")
+        say("stopping server-3")
+        exits["server-3"] = await crew.stop_server("server-3")
+
+    async def stop_daemon() -> None:
+        await at("daemon")
+        say("stopping daemon-2")
+        exits["daemon-2"] = await crew.stop_daemon(1)
+
+    async with asyncio.TaskGroup() as group:
+        group.create_task(traffic.send(users, arrivals))
+        second = group.create_task(roll())
+        group.create_task(stop_server())
+        group.create_task(stop_daemon())
+    return findings.Events((first_s, second.result()), exits)
+
+
+def _show_logs(crew: fleet.Fleet) -> None:
+    for child in crew.daemons:
+        say(f"log of {child.name}:\n{child.tail()}")
+
+
+def say(text: str) -> None:
+    """Prints a line of progress."""
+    print(text, file=sys.stderr, flush=True)
+
+
+def main(*, seed: int = 1) -> int:
+    """Runs a fleet under load and checks it by its backend servers' counts.
+
+    The last line of the output is JSON. The exit status is 0 only if
+    everything held.
+
+    Args:
+        seed: Seed of arrivals and of choices.
+    """
+    found = None
+    with tempfile.TemporaryDirectory(prefix="banyantiller-demo-") as folder:
+        try:
+            found = asyncio.run(play(pathlib.Path(folder), seed))
+        except* (processes.DemoError, TimeoutError) as group:
+            for error in group.exceptions:
+                say(f"failed: {error or type(error).__name__}")
+    if found is None:
+        return 1
+    print(json.dumps(found.last_line))
+    return 0 if found.held else 1
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(main))
--- /dev/null
+++ b/standins/demo/callers.py
@@ -0,0 +1,241 @@
+"""Callers of the demonstration: they send, check and send again.
+
+A caller sends again, to the other daemon, only what it was told has not run,
+or what carries an idempotency key.
+"""
+
+import asyncio
+import dataclasses
+import hashlib
+import json
+import random
+from typing import Any, NamedTuple
+
+from banyantiller.http import client, outcomes
+
+ADDRESS = "127.0.0.1"
+TIMEOUT_S = 10.0
+MOST_TRIES = 8
+PAUSE_S = 0.1
+READY_PERIOD_S = 0.1
+NO = "no"
+YES = "yes"
+FINAL = "final"
+CUT_STATUSES = (502, 504)
+
+
+class Gateway:
+    """One daemon as callers reach it.
+
+    Attributes:
+        ready: Whether the daemon wants callers, as last told.
+        was_ready: Set once the daemon has been ready.
+    """
+
+    def __init__(self, callers: int, admin: int) -> None:
+        self.user = client.HttpClient(ADDRESS, callers)
+        self.admin = client.HttpClient(ADDRESS, admin)
+        self.ready = False
+        self.was_ready = asyncio.Event()
+
+    async def follow_readiness(self) -> None:
+        """Does what the platform's balancer does."""
+        while True:
+            await self.check()
+            await asyncio.sleep(READY_PERIOD_S)
+
+    async def check(self) -> None:
+        """Asks once."""
+        outcome = await self.admin.request("GET", "/readyz", 1.0)
+        self.ready = (
+            isinstance(outcome, outcomes.Answered)
+            and outcome.response.status == 200
+        )
+        if self.ready:
+            self.was_ready.set()
+
+    async def bundle(self) -> int:
+        """Returns the version in force, 0 if the daemon doesn't answer."""
+        outcome = await self.admin.request("GET", "/status", 1.0)
+        if not isinstance(outcome, outcomes.Answered):
+            return 0
+        return int(json.loads(outcome.body)["bundle"])
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self.user.close()
+        await self.admin.close()
+
+
+class Sending(NamedTuple):
+    """One request of a caller.
+
+    Attributes:
+        call_id: Unique name; the request id unless it is repeated by key.
+        method: HTTP method.
+        target: Path and query, unique as well.
+        key: Idempotency key, or empty.
+        body: Body.
+    """
+
+    call_id: str
+    method: str
+    target: str
+    key: str = ""
+    body: bytes = b""
+
+
+@dataclasses.dataclass
+class Tally:
+    """What callers saw.
+
+    Attributes:
+        calls: Calls begun.
+        answered: Calls with a whole answer of their own.
+        lost: Calls without one, and why.
+        exchanged: Calls that got an answer to something else.
+        cut: Tries whose connection ended before a whole answer.
+        refused: Tries that were answered "not run" and sent again.
+        waited: Tries whose outcome was open, and that were sent again.
+        already_run: Repeated calls that were told so instead of the answer.
+        latencies: Seconds of each answered call.
+    """
+
+    calls: int = 0
+    answered: int = 0
+    lost: list[str] = dataclasses.field(default_factory=list)
+    exchanged: list[str] = dataclasses.field(default_factory=list)
+    cut: list[str] = dataclasses.field(default_factory=list)
+    refused: int = 0
+    waited: int = 0
+    already_run: int = 0
+    latencies: list[float] = dataclasses.field(default_factory=list)
+
+
+class Callers:
+    """Sends calls through the daemons that are ready.
+
+    Attributes:
+        gateways: The daemons.
+        tally: What was seen.
+        not_surely: Keys of which some answer did not say "not run".
+        confirmed: Keys whose caller got the answer.
+    """
+
+    def __init__(self, gateways: list[Gateway], seed: int) -> None:
+        self.gateways = gateways
+        self.tally = Tally()
+        self.random = random.Random(seed)
+        self.not_surely: set[str] = set()
+        self.confirmed: set[str] = set()
+
+    async def call(self, sending: Sending, first: int | None = None) -> None:
+        """Makes one call.
+
+        Args:
+            sending: The request.
+            first: Index of the daemon for the first try, or None for any.
+        """
+        self.tally.calls += 1
+        loop = asyncio.get_running_loop()
+        start = loop.time()
+        reason = ""
+        for number in range(MOST_TRIES):
+            gateway = self._choose(first if number == 0 else None)
+            outcome = await self._try(gateway, sending, number)
+            reason = self._judge(sending, outcome)
+            if not reason:
+                self.tally.latencies.append(loop.time() - start)
+                return
+            if reason.startswith(FINAL):
+                break
+            await asyncio.sleep(PAUSE_S * (number + 1))
+        self.tally.lost.append(f"{sending.call_id}: {reason}")
+
+    async def _try(
+        self, gateway: Gateway, sending: Sending, number: int
+    ) -> outcomes.Outcome:
+        headers = [("x-request-id", f"{sending.call_id}-{number}")]
+        if sending.key:
+            headers.append(("idempotency-key", sending.key))
+        return await gateway.user.request(
+            sending.method,
+            sending.target,
+            TIMEOUT_S,
+            tuple(headers),
+            sending.body,
+        )
+
+    def _judge(self, sending: Sending, outcome: outcomes.Outcome) -> str:
+        """Returns why there has to be another try, or nothing."""
+        if isinstance(outcome, outcomes.NotSent):
+            return f"not sent: {outcome.reason}"
+        if isinstance(outcome, outcomes.Lost):
+            self._note_cut(sending, outcome.reason)
+            return f"cut: {outcome.reason}"
+        if outcome.response.status == 200:
+            self._check_echo(sending, outcome)
+            return ""
+        return self._judge_refusal(sending, outcome)
+
+    def _judge_refusal(
+        self, sending: Sending, outcome: outcomes.Answered
+    ) -> str:
+        response = outcome.response
+        told = read_object(outcome.body)
+        text = f"status {response.status}: {outcome.body[:200]!r}"
+        if told.get("ran") == NO:
+            self.tally.refused += 1
+            return text
+        self.not_surely.add(sending.key)
+        if sending.key and told.get("ran") == YES:
+            self.tally.already_run += 1
+            return ""
+        if response.status in CUT_STATUSES:
+            self._note_cut(sending, text)
+        if sending.key and not told.get("retry"):
+            return f"{FINAL} {text}"
+        self.tally.waited += 1
+        return text
+
+    def _note_cut(self, sending: Sending, reason: str) -> None:
+        self.not_surely.add(sending.key)
+        self.tally.cut.append(f"{sending.call_id}: {reason}")
+
+    def _check_echo(self, sending: Sending, outcome: outcomes.Answered) -> None:
+        self.not_surely.add(sending.key)
+        if is_own(sending, outcome.body):
+            self.tally.answered += 1
+            self.confirmed.add(sending.key)
+        else:
+            self.tally.exchanged.append(
+                f"{sending.call_id}: {outcome.body[:200]!r}"
+            )
+
+    def _choose(self, first: int | None) -> Gateway:
+        if first is not None and self.gateways[first].ready:
+            return self.gateways[first]
+        ready = [item for item in self.gateways if item.ready]
+        return self.random.choice(ready or self.gateways)
+
+
+def is_own(sending: Sending, body: bytes) -> bool:
+    """Tells whether an answer is the one to this request."""
+    told = read_object(body)
+    own_id = str(told.get("request_id", "")).startswith(f"{sending.call_id}-")
+    return (
+        told.get("method") == sending.method
+        and told.get("target") == sending.target
+        and told.get("key") == sending.key
+        and told.get("sha256") == hashlib.sha256(sending.body).hexdigest()
+        and (own_id or bool(sending.key))
+    )
+
+
+def read_object(body: bytes) -> dict[str, Any]:
+    """Returns a JSON object, or an empty one if it is something else."""
+    try:
+        told = json.loads(body)
+    except ValueError:
+        return {}
+    return told if isinstance(told, dict) else {}
