Tell the evidence what was shed, told and charged for each call

The recorder could not see whether a try was refused as not run, what a caller was told, when a try was sent, that a probe was charged, or that a leaving server came back, so three promises could not be judged. The proxy now fills shed, told and sent_after_s of CallFinished, and emits ProbeCharged and ServerReturned. The recorder treats servers that a bundle drops as leaving, and forgets those that return. The budget over a period allows one probe more at its edges, as the permits do.

--- a/banyantiller/evidence/judging_probes.py
+++ b/banyantiller/evidence/judging_probes.py
@@ -11,6 +11,7 @@
     from banyantiller.evidence.judging import Period
 
 MILLISECONDS = 1000
+EDGE_S = 2.0
 
 
 def find(histories: Sequence[RunHistory], part: "Period") -> Finding:
@@ -52,8 +53,8 @@
         return
     sent = sum(item.sent for item in spent)
     span_s = _span_s(summaries)
-    most = max(item.rate for item in spent) * span_s
-    least = min(item.rate for item in spent) * span_s
+    most = _allowed(max(item.rate for item in spent), span_s)
+    least = _allowed(min(item.rate for item in spent), span_s)
     if sent > most:
         detail = (
             f"Service '{service}': {sent} probes in {span_s:.0f} s; the budget"
@@ -65,6 +66,17 @@
         unknown.append(Unknown("", part.from_ms, part.to_ms, why))
 
 
+def _allowed(rate: float, span_s: float) -> float:
+    """Returns the probes that a budget allows in a span.
+
+    At the edges of a span one probe more than the rate says may fall into
+    it, and clocks differ.
+    """
+    if rate <= 0:
+        return 0.0
+    return rate * span_s + max(1.0, rate * EDGE_S)
+
+
 def _overlaps(summary: Summary, part: "Period") -> bool:
     """Whether they share a time; an empty summary counts as an instant."""
     end_ms = max(summary.to_ms, summary.from_ms + 1)
--- a/banyantiller/evidence/recorder.py
+++ b/banyantiller/evidence/recorder.py
@@ -1,6 +1,7 @@
 """Turns kernel events into one bounded summary for each period."""
 
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 import structlog
 
@@ -17,6 +18,16 @@
 MILLISECONDS = 1000
 MAX_ID = 64
 MOST_WATCHED_SERVERS = 4096
+BY_BUNDLE = "bundle"
+
+ServerKey = tuple[str, str]
+
+
+class LeavingServer(NamedTuple):
+    """When a server was learned to be leaving, in wall-clock seconds."""
+
+    at: float
+    reason: str
 
 
 class Recorder:
@@ -27,8 +38,8 @@
         most_requests: Most breaches that a summary lists.
         from_ms: Start of the present period.
         draining: Whether this daemon began its graceful shutdown.
-        leaving: When each leaving server was learned to be so, by service
-            and server, as wall-clock seconds.
+        leaving: What is known of each leaving server, by service and server.
+        servers: Servers of the bundle in force, by service and server.
         allowed_s: Time for new requests to a leaving server, by service.
         rates: Budget of probes a second of the whole fleet, by service.
         counts: What the present period has counted.
@@ -40,7 +51,8 @@
         self.from_ms = _milliseconds(wall())
         self.draining = False
         self.version = 0
-        self.leaving: dict[tuple[str, str], float] = {}
+        self.leaving: dict[ServerKey, LeavingServer] = {}
+        self.servers: set[ServerKey] = set()
         self.allowed_s: dict[str, float] = {}
         self.rates: dict[str, float] = {}
         self.store_down_since: float | None = None
@@ -63,8 +75,9 @@
             events.BundleRefused: recorder.bundle_refused,
             events.MemberChanged: recorder.member_changed,
             events.ServerLeaving: recorder.server_leaving,
+            events.ServerReturned: recorder.server_returned,
             events.StoreState: recorder.store_state,
-            events.ProbeSent: recorder.probe_sent,
+            events.ProbeCharged: recorder.probe_charged,
             events.PromiseBroken: recorder.promise_broken,
             events.DaemonDraining: recorder.daemon_draining,
         }
@@ -75,27 +88,32 @@
     def configure(self, services: Iterable[options.Service]) -> None:
         """Takes the services of a new bundle: their limits and budgets.
 
-        A server that the bundle names again and that left by an earlier
-        bundle is not leaving any more.
+        Servers that the bundle does not name any more are leaving from now
+        on; those that it names again are not.
         """
-        allowed: dict[str, float] = {}
-        rates: dict[str, float] = {}
+        self.allowed_s = {}
+        self.rates = {}
+        present: set[ServerKey] = set()
         for service in services:
-            allowed[service.name] = service.drain.stop_within_s
-            rates[service.name] = service.measuring.probes_per_second
-        self.allowed_s = allowed
-        self.rates = rates
-        self.leaving = {
-            key: at for key, at in self.leaving.items() if key[0] in allowed
-        }
+            self.allowed_s[service.name] = service.drain.stop_within_s
+            self.rates[service.name] = service.measuring.probes_per_second
+            present |= {(service.name, item.name) for item in service.servers}
+        for key in self.servers - present:
+            self.leaving.pop(key, None)
+            self.server_leaving(
+                events.ServerLeaving(*key, BY_BUNDLE, self.wall())
+            )
+        for key in present - self.servers:
+            self.leaving.pop(key, None)
+        self.servers = present
 
     def call_finished(self, event: events.CallFinished) -> None:
         """Counts a call and judges it by itself."""
         self.counts.add_call(event)
-        left_at = self.leaving.get((event.service, event.server))
+        left = self.leaving.get((event.service, event.server))
         suspect = event.error is not None or event.cut or event.attempts > 1
-        if suspect or left_at is not None:
-            self._judge(event, left_at)
+        if suspect or left is not None:
+            self._judge(event, left)
 
     def bundle_in_force(self, event: events.BundleInForce) -> None:
         """Notes a bundle that came into force."""
@@ -136,7 +154,7 @@
         if key in self.leaving:
             return
         if len(self.leaving) < MOST_WATCHED_SERVERS:
-            self.leaving[key] = event.at
+            self.leaving[key] = LeavingServer(event.at, event.reason)
         self.counts.add_item(
             "leaving",
             summaries.LeavingSeen(
@@ -147,6 +165,10 @@
             ),
         )
 
+    def server_returned(self, event: events.ServerReturned) -> None:
+        """Notes that a server may get requests again."""
+        self.leaving.pop((event.service, event.server), None)
+
     def store_state(self, event: events.StoreState) -> None:
         """Counts the time without the object API."""
         if event.reachable:
@@ -155,7 +177,7 @@
         elif self.store_down_since is None:
             self.store_down_since = event.at
 
-    def probe_sent(self, event: events.ProbeSent) -> None:
+    def probe_charged(self, event: events.ProbeCharged) -> None:
         """Counts a probe."""
         self.counts.probes[event.service] += 1
 
@@ -217,12 +239,14 @@
         self.counts = counting.PeriodCounts(self.most_requests)
         return summary
 
-    def _judge(self, event: events.CallFinished, left_at: float | None) -> None:
+    def _judge(
+        self, event: events.CallFinished, left: LeavingServer | None
+    ) -> None:
         now = self.wall()
         since_s = None
-        if left_at is not None:
+        if left is not None:
             sent_at = now - event.duration_s + event.sent_after_s
-            since_s = sent_at - left_at
+            since_s = sent_at - left.at
         allowed_s = self.allowed_s.get(
             event.service, options.DrainPolicy().stop_within_s
         )
--- a/banyantiller/kernel/events.py
+++ b/banyantiller/kernel/events.py
@@ -81,17 +81,15 @@
     told: Ran | None = None
 
 
-class ProbeSent(NamedTuple):
-    """A probe was sent to a backend server.
+class ProbeCharged(NamedTuple):
+    """A probe was taken out of a service's measuring budget.
 
     Attributes:
         service: Service name.
-        server: Server name.
         at: When.
     """
 
     service: str
-    server: str
     at: float
 
 
@@ -125,6 +123,20 @@
     at: float
 
 
+class ServerReturned(NamedTuple):
+    """A backend server that was leaving gets requests again.
+
+    Attributes:
+        service: Service name.
+        server: Server name.
+        at: When.
+    """
+
+    service: str
+    server: str
+    at: float
+
+
 class StoreState(NamedTuple):
     """The object API became reachable or unreachable.
 
--- a/banyantiller/proxy/attempt.py
+++ b/banyantiller/proxy/attempt.py
@@ -102,6 +102,7 @@
         )
         if not_run:
             self.stage = Stage.OVER
+            self.call.shed += 1
         self.driver.head(self, result)
 
     def data(self, data: bytes) -> None:
--- a/banyantiller/proxy/call.py
+++ b/banyantiller/proxy/call.py
@@ -33,6 +33,8 @@
         running: Tries that have not ended.
         relaying: The try whose answer is relayed.
         maybe_ran: Whether an ended try may have run the request.
+        shed: Tries that their server refused as not run.
+        told: What a refusal told the caller of whether the request was run.
         status: Status sent to the caller, 0 before.
         over: Whether `CallFinished` was emitted.
     """
@@ -66,6 +68,8 @@
         self.running: list[attempts.Attempt] = []
         self.relaying: attempts.Attempt | None = None
         self.maybe_ran = False
+        self.shed = 0
+        self.told: Ran | None = None
         self.status = 0
         self.continued = False
         self.over = False
@@ -227,6 +231,7 @@
         ran = failure.answer.ran
         if ran is Ran.NO and self.maybe_ran:
             ran = Ran.UNKNOWN
+        self.told = ran
         answer = answers.from_failure(
             failure, ran, self.proxy.settings.daemon, self.request_id
         )
@@ -260,6 +265,9 @@
         self.proxy.finished(self._event(error, cut))
 
     def _event(self, error: ErrorKind | None, cut: bool) -> CallFinished:
+        sent_after_s = 0.0
+        if self.relaying is not None:
+            sent_after_s = self.relaying.began - self.began
         return CallFinished(
             request_id=self.request_id.decode("latin-1"),
             service=self.service.name if self.service is not None else "",
@@ -272,4 +280,7 @@
             cut=cut,
             duration_s=self.proxy.loop.time() - self.began,
             bundle=self.version,
+            shed=self.shed,
+            sent_after_s=sent_after_s,
+            told=self.told,
         )
--- a/banyantiller/proxy/driver.py
+++ b/banyantiller/proxy/driver.py
@@ -44,6 +44,7 @@
         settings: BackendSettings,
         tls: ssl.SSLContext | None,
         announce: LeavingHook,
+        returned: LeavingHook | None = None,
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self.service = service
@@ -51,6 +52,7 @@
         self.settings = settings
         self.tls = tls
         self.announce = announce
+        self.returned = returned
         self.alive = 1
         self.calls: dict[int, calls.Call] = {}
         self.attempts: dict[int, attempts.Attempt] = {}
@@ -84,6 +86,8 @@
     def server_back(self, server: str) -> None:
         """Gives a server requests again."""
         if self.leaving.pop(server, None) is not None:
+            if self.returned is not None:
+                self.returned(self.service.name, server)
             self._reconfigure()
 
     def members(self, alive: int) -> None:
--- a/banyantiller/proxy/proxy.py
+++ b/banyantiller/proxy/proxy.py
@@ -13,7 +13,12 @@
 from banyantiller.config.defaults import Endpoint, Settings
 from banyantiller.errors import Failure
 from banyantiller.kernel import core
-from banyantiller.kernel.events import CallFinished, ServerLeaving
+from banyantiller.kernel.events import (
+    CallFinished,
+    ProbeCharged,
+    ServerLeaving,
+    ServerReturned,
+)
 from banyantiller.proxy import (
     answers,
     caller,
@@ -320,7 +325,13 @@
     # Within.
 
     def _new_driver(self, service: options.Service) -> driver.ServiceDriver:
-        charge = self.charge(service.name)
+        take = self.charge(service.name)
+
+        def charge(now: float) -> bool:
+            if not take(now):
+                return False
+            self.kernel.emit(ProbeCharged(service.name, self.wall()))
+            return True
 
         def create(
             service: options.Service, servers: tuple, now: float
@@ -342,6 +353,7 @@
             self.settings.backends,
             self.backend_tls,
             self._announce_leaving,
+            self._announce_returned,
         )
         made.members(self.alive)
         return made
@@ -351,6 +363,9 @@
             ServerLeaving(service, server, "drain_answer", self.wall())
         )
 
+    def _announce_returned(self, service: str, server: str) -> None:
+        self.kernel.emit(ServerReturned(service, server, self.wall()))
+
     def _next_stage(self) -> None:
         elapsed_s = self.wall() - self.accepted_at
         for service in self.bundle.services:
