Test TLS towards the object API and read histories from their end

A watch scanned the whole history at each write, and a list sorted every object of every kind; both now touch only what they return. The adapter's TLS is exercised on loopback sockets: a server that isn't trusted gets no byte of a write, which is therefore told as without effect.

--- a/banyantiller/store/table.py
+++ b/banyantiller/store/table.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import itertools
 import json
 from collections.abc import Mapping
 from typing import Any, NamedTuple
@@ -87,8 +88,11 @@
         wanted = set((labels or {}).items())
         items = tuple(
             to_item(kind, name, record)
-            for (its_kind, name), record in sorted(records.items())
-            if its_kind == kind and wanted <= set(record.labels)
+            for name, record in sorted(
+                (name, record)
+                for (its_kind, name), record in records.items()
+                if its_kind == kind and wanted <= set(record.labels)
+            )
         )
         revision = self.revision
         if view is not None:
@@ -146,11 +150,11 @@
         """
         if revision < self.oldest or revision > self.revision:
             return None
-        return tuple(
-            entry
-            for entry in self.history
-            if entry.revision > revision and entry.event.item.kind == kind
+        newer = itertools.takewhile(
+            lambda entry: entry.revision > revision, reversed(self.history)
         )
+        found = [entry for entry in newer if entry.event.item.kind == kind]
+        return tuple(reversed(found))
 
     def compact(self) -> None:
         """Forgets the history, so that older watches get `Gone`."""
--- /dev/null
+++ b/banyantiller/tests/store/test_tls.py
@@ -0,0 +1,48 @@
+"""Tests of TLS towards the object API, on the loopback interface."""
+
+import asyncio
+import pathlib
+import tempfile
+
+from banyantiller.config import defaults
+from banyantiller.http import server
+from banyantiller.store import interface, kubernetes
+from banyantiller.tests import base
+from banyantiller.tests.proxy.test_tls import make_files
+from banyantiller.utils import tls
+from standins import object_api
+
+ADDRESS = "127.0.0.1"
+
+
+class TlsTest(base.TestCase):
+    def create_over(self, served, trusted):
+        """Creates an object; the server's files and what the client trusts."""
+
+        async def body():
+            listener = server.HttpServer(object_api.ObjectApi().handle)
+            context = tls.server_context(served)
+            bound = await listener.start(ADDRESS, 0, context)
+            settings = defaults.ObjectApiSettings(
+                defaults.Endpoint(ADDRESS, bound.port),
+                tls=defaults.TlsFiles(trust=trusted),
+            )
+            store = kubernetes.KubernetesStore.from_settings(settings, "f")
+            outcome = await store.create("things", "a", {})
+            await store.close()
+            await listener.close()
+            return outcome
+
+        return asyncio.run(body())
+
+    def test_trusted_server_is_used_and_another_gets_nothing(self):
+        with (
+            tempfile.TemporaryDirectory() as one,
+            tempfile.TemporaryDirectory() as two,
+        ):
+            mine = make_files(pathlib.Path(one))
+            other = make_files(pathlib.Path(two))
+            used = self.create_over(mine, mine.trust)
+            refused = self.create_over(mine, other.trust)
+        self.assertIsInstance(used, interface.Found)
+        self.assertIsInstance(refused, interface.Unavailable)
