Let a bundle follow a damaged or restored head, and check what is signed

A head that was forged, damaged or restored from an older copy could not be followed: the next version had the number of one that daemons hold already, and a damaged head refused every roll. A proposal now takes a version above the head's and above what any daemon reports, and names what the head holds as its parent. Commands verify the head as daemons do and say why daemons refuse it. Signing moves into a module of its own and refuses content that no bundle file could hold, so that a hand-made part cannot pass by signatures.

--- a/banyantiller/bundle/acceptance.py
+++ b/banyantiller/bundle/acceptance.py
@@ -10,13 +10,12 @@
 
 import structlog
 
-from banyantiller.bundle import reading, verification, writing
-from banyantiller.bundle.manifest import Accepted, Part
+from banyantiller.bundle import history, reading, verification, writing
+from banyantiller.bundle.manifest import Accepted
 from banyantiller.bundle.outcomes import (
     Damaged,
     HeadFound,
     Lost,
-    NoHead,
     NotFound,
     NotKnown,
     NotReached,
@@ -33,14 +32,18 @@
 
 MOST_ANCESTORS = 32
 PARTS_AT_ONCE = 8
+REPLACE_DAMAGED = (
+    "The accepted bundle in the object API is damaged; propose the change"
+    " again to replace it."
+)
 
 
 class _Attempt(NamedTuple):
-    """One roll: what is to be accepted, and after which head."""
+    """One roll: what is to be accepted, and what it follows."""
 
     store: interface.ObjectStore
     deployment: str
-    head: HeadFound | NoHead
+    base: reading.Base
     accepted: Accepted
     digest: str
 
@@ -65,31 +68,29 @@
         `NotKnown`, this roll has changed nothing that is in force.
     """
     proposal = await reading.read_proposal(store, deployment, digest)
-    if isinstance(proposal, NotFound):
-        return Refused((f"There is no {proposal.what}.",))
-    if isinstance(proposal, Damaged):
-        return Refused((proposal.reason,))
+    if isinstance(proposal, NotFound | Damaged):
+        return Refused((history.describe(proposal),))
     if isinstance(proposal, NotReached):
         return proposal
     head = await reading.read_head(store, deployment)
     if isinstance(head, NotReached):
         return head
-    if isinstance(head, Damaged):
-        return Refused((head.reason,))
-    now = operator.wall()
     accepted = Accepted(
-        proposal.manifest, proposal.signatures, now, operator.name
+        proposal.manifest,
+        proposal.signatures,
+        operator.wall(),
+        operator.name,
     )
-    attempt = _Attempt(store, deployment, head, accepted, proposal.digest)
+    base = reading.Base.from_head(head)
+    attempt = _Attempt(store, deployment, base, accepted, proposal.digest)
+    if isinstance(head, HeadFound) and await _is_accepted(attempt, head):
+        rolled = _rolled(attempt, head)
+        note = rolled.note or "It was accepted before."
+        return Rolled(rolled.accepted, rolled.digest, note)
     return await _roll(attempt, operator)
 
 
 async def _roll(attempt: _Attempt, operator: Operator) -> RollOutcome:
-    if isinstance(attempt.head, HeadFound):
-        earlier = await _judge(attempt, attempt.head)
-        if isinstance(earlier, Rolled):
-            note = earlier.note or "It was accepted before."
-            return Rolled(earlier.accepted, earlier.digest, note)
     refused = await _refusal(attempt, operator)
     if refused is not None:
         return refused
@@ -117,40 +118,18 @@
         reasons += (f"No key of operator '{operator.name}' is trusted.",)
     if reasons:
         return Refused(reasons)
-    if not _follows(attempt):
-        return _not_following(attempt)
-    return await _check_parts(attempt)
-
-
-def _follows(attempt: _Attempt) -> bool:
-    manifest = attempt.accepted.manifest
-    head = attempt.head
-    if isinstance(head, NoHead):
-        return manifest.version == 1 and not manifest.parent
-    before = head.accepted.manifest
-    return (
-        manifest.parent == head.digest
-        and manifest.version == before.version + 1
-    )
-
-
-def _not_following(attempt: _Attempt) -> OutOfDate | NotReached:
-    head = attempt.head
-    version = 0
-    if isinstance(head, HeadFound):
-        version = head.accepted.manifest.version
-    if version < attempt.accepted.manifest.version - 1:
-        return NotReached("its answers are older than the proposal")
-    if isinstance(head, NoHead):
-        return OutOfDate("", 0, "")
-    return OutOfDate(head.accepted.roller, version, head.digest)
+    base, manifest = attempt.base, accepted.manifest
+    if manifest.parent == base.digest and manifest.version > base.version:
+        return await _check_parts(attempt)
+    if base.item is not None and not base.version:
+        return Refused((REPLACE_DAMAGED,))
+    if base.version < manifest.version - 1:
+        return NotReached("it shows an older bundle than was proposed upon")
+    return OutOfDate(base.roller, base.version, base.digest)
 
 
 async def _check_parts(attempt: _Attempt) -> Refused | NotReached | None:
-    head = attempt.head
-    known: set[Part] = set()
-    if isinstance(head, HeadFound):
-        known = set(head.accepted.manifest.parts)
+    known = set(attempt.base.parts)
     fresh = [
         part for part in attempt.accepted.manifest.parts if part not in known
     ]
@@ -162,10 +141,8 @@
         for outcome in found:
             if isinstance(outcome, NotReached):
                 return outcome
-            if isinstance(outcome, NotFound):
-                return Refused((f"There is no {outcome.what}.",))
-            if isinstance(outcome, Damaged):
-                return Refused((outcome.reason,))
+            if isinstance(outcome, NotFound | Damaged):
+                return Refused((history.describe(outcome),))
     return None
 
 
@@ -191,8 +168,8 @@
 
 async def _write_once(attempt: _Attempt):
     value = reading.head_value(attempt.accepted)
-    if isinstance(attempt.head, HeadFound):
-        return await attempt.store.update(attempt.head.item, value)
+    if attempt.base.item is not None:
+        return await attempt.store.update(attempt.base.item, value)
     labels = {"deployment": attempt.deployment}
     return await attempt.store.create(
         reading.HEADS, attempt.deployment, value, labels
@@ -200,40 +177,30 @@
 
 
 async def _settle(attempt: _Attempt) -> RollOutcome | None:
-    """Reads back; None while the head is still the one that was read."""
+    """Reads back; None while the head tells nothing newer than before."""
     now = await reading.read_head(attempt.store, attempt.deployment)
-    if isinstance(now, HeadFound):
-        return await _judge(attempt, now)
-    return None
-
-
-async def _judge(attempt: _Attempt, now: HeadFound) -> Rolled | Lost | None:
-    """Compares a head with the attempt; None if it tells nothing."""
-    accepted = now.accepted
-    version = accepted.manifest.version
-    own = attempt.accepted.manifest.version
-    if now.digest == attempt.digest:
-        return Rolled(accepted, now.digest)
-    if version < own:
+    if not isinstance(now, HeadFound):
         return None
-    was_accepted = await _is_ancestor(attempt, now)
-    if was_accepted is None:
+    was_accepted = await _is_accepted(attempt, now)
+    if was_accepted:
+        return _rolled(attempt, now)
+    version = now.accepted.manifest.version
+    if was_accepted is None or version <= attempt.base.version:
         return None
-    if not was_accepted:
-        return Lost(accepted.roller, version, now.digest)
-    note = f"Version {version} of '{accepted.roller}' has followed since."
-    return Rolled(attempt.accepted, attempt.digest, note)
+    return Lost(now.accepted.roller, version, now.digest)
 
 
-async def _is_ancestor(attempt: _Attempt, later: HeadFound) -> bool | None:
-    """Tells whether a later head follows the attempt; None if unreadable."""
-    manifest = later.accepted.manifest
+async def _is_accepted(attempt: _Attempt, now: HeadFound) -> bool | None:
+    """Tells whether a head is the attempt or follows it; None if unclear."""
+    if now.digest == attempt.digest:
+        return True
     own = attempt.accepted.manifest.version
+    manifest = now.accepted.manifest
     for _ in range(MOST_ANCESTORS):
-        if manifest.version == own + 1:
-            return manifest.parent == attempt.digest
         if manifest.version <= own:
             return False
+        if manifest.parent == attempt.digest:
+            return True
         found = await reading.read_proposal(
             attempt.store, attempt.deployment, manifest.parent
         )
@@ -243,13 +210,22 @@
     return None
 
 
+def _rolled(attempt: _Attempt, now: HeadFound) -> Rolled:
+    if now.digest == attempt.digest:
+        return Rolled(now.accepted, now.digest)
+    accepted = now.accepted
+    note = (
+        f"Version {accepted.manifest.version} of '{accepted.roller}' has"
+        " followed since."
+    )
+    return Rolled(attempt.accepted, attempt.digest, note)
+
+
 def describe(outcome: RollOutcome | NotFound | Damaged) -> str:
     """Returns one or more sentences on an outcome that is no success."""
     match outcome:
-        case NotFound(what):
-            return f"There is no {what}."
-        case Damaged(reason):
-            return reason
+        case NotFound() | Damaged():
+            return history.describe(outcome)
         case Lost(winner, version, digest):
             return (
                 f"Operator '{winner}' was first: version {version}"
--- a/banyantiller/bundle/manifest.py
+++ b/banyantiller/bundle/manifest.py
@@ -27,7 +27,7 @@
 
     Attributes:
         deployment: Fleet that the bundle is for.
-        version: 1 for the first bundle, then one more than the parent's.
+        version: 1 for the first bundle, then higher than the parent's.
         parent: Digest of the parent manifest, empty for the first.
         proposer: Operator that proposed it.
         description: What the change is for.
--- a/banyantiller/bundle/outcomes.py
+++ b/banyantiller/bundle/outcomes.py
@@ -49,9 +49,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Damaged:
-    """The object was altered or is not of the expected form."""
+    """The object was altered or is not of the expected form.
+
+    Attributes:
+        reason: One sentence.
+        item: The object, where it may be replaced.
+    """
 
     reason: str
+    item: StoredObject | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/banyantiller/bundle/proposals.py
+++ b/banyantiller/bundle/proposals.py
@@ -1,12 +1,10 @@
-"""Proposes bundles and signs proposals."""
+"""Proposes bundles."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
 from banyantiller.bundle import (
     canonical,
-    plain,
     reading,
     signing,
     verification,
@@ -16,16 +14,11 @@
 from banyantiller.bundle.options import Bundle
 from banyantiller.bundle.outcomes import (
     Damaged,
-    HeadFound,
-    NotFound,
     NotKnown,
     NotReached,
-    ProposalFound,
     Proposed,
     ProposeOutcome,
     Refused,
-    Signed,
-    SignOutcome,
 )
 from banyantiller.config.defaults import TrustedKey
 from banyantiller.store import interface
@@ -57,14 +50,18 @@
     deployment: str,
     bundle: Bundle,
     operator: Operator,
+    floor: int = 0,
 ) -> ProposeOutcome:
-    """Proposes a bundle that follows the one in force.
+    """Proposes a bundle that follows the accepted one.
 
     Args:
         store: The object API.
         deployment: Fleet that the bundle is for.
         bundle: Its checked content.
         operator: The proposer.
+        floor: Highest version known to be in force at any daemon. Should
+            the object API have lost accepted bundles, the next version
+            still is above all that daemons hold.
 
     Returns:
         `Proposed` once the proposal and all its parts are stored. Proposing
@@ -73,10 +70,17 @@
     head = await reading.read_head(store, deployment)
     if isinstance(head, NotReached):
         return head
-    if isinstance(head, Damaged):
-        return Refused((head.reason,))
+    base = reading.Base.from_head(head)
     parts = canonical.split(bundle)
-    manifest = _next_manifest(head, deployment, bundle, operator.name, parts)
+    lowest = max(base.version, floor, 1 if base.digest else 0)
+    manifest = Manifest(
+        deployment=deployment,
+        version=lowest + 1,
+        parent=base.digest,
+        proposer=operator.name,
+        description=bundle.description,
+        parts=tuple(part for part, _ in parts.values()),
+    )
     signature = signing.sign(
         operator.private, operator.name, signing.PROPOSE, manifest
     )
@@ -88,80 +92,12 @@
     )
     if reasons:
         return Refused(reasons)
-    known = head.accepted.manifest.parts if isinstance(head, HeadFound) else ()
-    failed = await _store_parts(store, parts, set(known))
+    failed = await _store_parts(store, parts, set(base.parts))
     if failed is not None:
         return failed
     return await _store_proposal(store, manifest, signature, operator, now)
 
 
-async def sign(
-    store: interface.ObjectStore,
-    deployment: str,
-    digest: str,
-    operator: Operator,
-) -> SignOutcome:
-    """Adds the operator's signature to a proposal.
-
-    Args:
-        store: The object API.
-        deployment: Fleet that the proposal is for.
-        digest: Digest of the proposal, at least 32 digits.
-        operator: The signer, who must not be the proposer.
-
-    Returns:
-        `Signed` once the object API has shown the signature.
-    """
-    recorded = False
-    unsure = False
-    reason = ""
-    for pause in writing.pauses():
-        proposal = await reading.read_proposal(store, deployment, digest)
-        if isinstance(proposal, NotFound | Damaged):
-            return Refused((_sentence(proposal),))
-        if isinstance(proposal, ProposalFound):
-            signature = signing.sign(
-                operator.private, operator.name, signing.SIGN, proposal.manifest
-            )
-            if signature in proposal.signatures:
-                return Signed(proposal.manifest, proposal.digest)
-            reasons = _refusals(proposal, signature, deployment, operator)
-            if reasons:
-                return Refused(reasons)
-            if not recorded:
-                failed = await operator.audit("sign", _detail(proposal))
-                if failed:
-                    return NotReached(failed)
-                recorded = True
-            outcome = await _add_signature(store, proposal, signature)
-            if isinstance(outcome, interface.Found):
-                return Signed(proposal.manifest, proposal.digest)
-            unsure = unsure or isinstance(outcome, interface.Unknown)
-            reason = getattr(outcome, "reason", "others signed first")
-        else:
-            reason = proposal.reason
-        await asyncio.sleep(pause)
-    return NotKnown(reason) if unsure else NotReached(reason)
-
-
-def _next_manifest(
-    head: Any,
-    deployment: str,
-    bundle: Bundle,
-    proposer: str,
-    parts: dict[str, tuple[Part, bytes]],
-) -> Manifest:
-    found = isinstance(head, HeadFound)
-    return Manifest(
-        deployment=deployment,
-        version=head.accepted.manifest.version + 1 if found else 1,
-        parent=head.digest if found else "",
-        proposer=proposer,
-        description=bundle.description,
-        parts=tuple(part for part, _ in parts.values()),
-    )
-
-
 async def _store_parts(
     store: interface.ObjectStore,
     parts: dict[str, tuple[Part, bytes]],
@@ -215,47 +151,3 @@
     if isinstance(outcome, NotReached | NotKnown):
         return outcome
     return Proposed(manifest, digest)
-
-
-def _refusals(
-    proposal: ProposalFound,
-    signature: Signature,
-    deployment: str,
-    operator: Operator,
-) -> tuple[str, ...]:
-    signatures = (*proposal.signatures, signature)
-    if len(signatures) > reading.MAX_SIGNATURES:
-        return ("The proposal has too many signatures.",)
-    proposed = tuple(
-        item for item in signatures if item.role == signing.PROPOSE
-    )
-    return verification.check_manifest(
-        proposal.manifest, deployment
-    ) + verification.check_signatures(
-        proposal.manifest,
-        (*proposed, signature),
-        operator.trusted,
-        operator.wall(),
-    )
-
-
-async def _add_signature(
-    store: interface.ObjectStore,
-    proposal: ProposalFound,
-    signature: Signature,
-) -> interface.UpdateOutcome:
-    signatures = [*proposal.signatures, signature]
-    value = dict(proposal.item.value)
-    value["signatures"] = [plain.to_plain(item) for item in signatures]
-    return await store.update(proposal.item, value)
-
-
-def _detail(proposal: ProposalFound) -> dict[str, Any]:
-    manifest = proposal.manifest
-    return {"digest": proposal.digest, "version": manifest.version}
-
-
-def _sentence(problem: NotFound | Damaged) -> str:
-    if isinstance(problem, Damaged):
-        return problem.reason
-    return f"There is no {problem.what}."
--- a/banyantiller/bundle/reading.py
+++ b/banyantiller/bundle/reading.py
@@ -1,6 +1,6 @@
 """Reads accepted bundles, parts and proposals from the object API."""
 
-from typing import Any
+from typing import Any, NamedTuple
 
 from banyantiller.bundle import canonical, plain
 from banyantiller.bundle.manifest import Accepted, Manifest, Part, Signature
@@ -41,7 +41,7 @@
     try:
         accepted = canonical.decode_accepted(_bytes(item, "accepted"))
     except canonical.CanonicalError as error:
-        return Damaged(f"The accepted bundle is damaged: {error}.")
+        return Damaged(f"The accepted bundle is damaged: {error}.", item)
     digest = canonical.manifest_digest(accepted.manifest)
     return HeadFound(accepted, digest, item)
 
@@ -55,6 +55,47 @@
     }
 
 
+class Base(NamedTuple):
+    """What a next bundle follows.
+
+    Attributes:
+        version: Version in force, 0 if there is none or it is unreadable.
+        digest: Digest that the next bundle names as its parent, or empty.
+        roller: Who rolled it, or empty.
+        parts: Its parts, which are stored already.
+        item: The head to replace, or None if there is none.
+    """
+
+    version: int = 0
+    digest: str = ""
+    roller: str = ""
+    parts: tuple[Part, ...] = ()
+    item: interface.StoredObject | None = None
+
+    @classmethod
+    def from_head(cls, head: HeadFound | NoHead | Damaged) -> "Base":
+        """Takes what a read of the head found.
+
+        A head that is damaged can be followed too, by the digest of what
+        it holds; otherwise nobody could replace it.
+        """
+        if isinstance(head, HeadFound):
+            accepted = head.accepted
+            manifest = accepted.manifest
+            return cls(
+                manifest.version,
+                head.digest,
+                accepted.roller,
+                manifest.parts,
+                head.item,
+            )
+        if isinstance(head, NoHead) or head.item is None:
+            return cls()
+        text = str(head.item.value.get("accepted"))
+        digest = canonical.digest(text.encode("utf-8", "replace"))
+        return cls(digest=digest, item=head.item)
+
+
 async def read_part(store: interface.ObjectStore, part: Part) -> ReadPart:
     """Reads a part and checks it against the manifest's reference."""
     outcome = await store.get(PARTS, part.digest)
--- /dev/null
+++ b/banyantiller/bundle/validity.py
@@ -0,0 +1,36 @@
+"""Checks the content of a bundle that did not come from a file here."""
+
+from collections.abc import Iterator
+from typing import Any
+
+from banyantiller.bundle import consistency
+from banyantiller.bundle.options import Bundle
+from banyantiller.config import loading
+from banyantiller.config.options import Option
+from banyantiller.config.problems import Problems
+
+
+def faults(bundle: Bundle) -> tuple[str, ...]:
+    """Lists what is wrong with a bundle: single values, then consistency."""
+    found = tuple(_walk(bundle, Option(""), ""))
+    if found:
+        return found
+    problems = Problems("")
+    consistency.check(bundle, problems)
+    return tuple(f"{item.path}: {item.message}" for item in problems.errors())
+
+
+def _walk(value: Any, option: Option, path: str) -> Iterator[str]:
+    if loading.is_group(type(value)):
+        for field in loading.fields_of(type(value)):
+            where = f"{path}.{field.name}" if path else field.name
+            yield from _walk(getattr(value, field.name), field.option, where)
+    elif isinstance(value, tuple):
+        if option.most is not None and len(value) > option.most:
+            yield f"{path}: {len(value)} items are more than {option.most}."
+        for index, item in enumerate(value):
+            yield from _walk(item, option, f"{path}[{index}]")
+    elif value is not None:
+        message = loading.fault(value, option)
+        if message:
+            yield f"{path}: {message}"
--- a/banyantiller/commands/cli.py
+++ b/banyantiller/commands/cli.py
@@ -27,6 +27,10 @@
     "compare",
     "status",
     "reference",
+    "held",
+    "audit",
+    "gone",
+    "report",
 )
 
 DESCRIPTION = """\
@@ -38,7 +42,9 @@
 Exit status: 0 done; 1 failed; 2 command line, settings or bundle not valid;
 3 bundle refused; 4 another operator's change came first; 5 object API gave
 no answer, nothing was changed; 6 plug-in missing; 7 not known whether the
-change was made; 8 accepted, but not in force everywhere in time.
+change was made; 8 accepted, but not in force everywhere in time; 9 a
+promise was broken or the audit trail is damaged; 10 not known whether every
+promise held.
 """
 
 
--- /dev/null
+++ b/banyantiller/commands/held.py
@@ -0,0 +1,99 @@
+"""`banyantiller held`: tells which promises held in a period."""
+
+from banyantiller import exceptions
+from banyantiller.commands import context, evidence_output, output, times
+from banyantiller.evidence import assessment, judging
+from banyantiller.evidence.verdicts import Broken, NotKnown
+
+BROKEN_STATUS = 9
+NOT_KNOWN_STATUS = 10
+DEFAULT_SPAN_MS = 3_600_000
+SECOND_MS = 1000
+
+
+def held(
+    *,
+    since: str = "",
+    until: str = "",
+    every: str = "1h",
+    clock_tolerance: float = 0.5,
+    settings: str = context.DEFAULT_SETTINGS,
+    json: bool = False,
+) -> int:
+    """Tells for each promise whether it held, was broken, or is not known.
+
+    Without times, the last hour is judged up to where every daemon has had
+    time to report. A time is a UTC time such as 2026-12-02T10:00:00Z or a
+    duration before now such as 90m.
+
+    The exit status is 0 if everything held, 9 if a promise was broken, and
+    10 if none was seen broken but something is not known.
+
+    Args:
+        since: Start of the period.
+        until: End of the period.
+        every: Length of the parts that are judged one by one.
+        clock_tolerance: Largest assumed difference between the clocks of
+            two machines, in seconds.
+        settings: Settings file of the operator.
+        json: Print JSON for programs.
+    """
+
+    async def body(session: context.Session) -> int:
+        question = await ask(session, since, until, every, clock_tolerance)
+        found = await assessment.assess(session.store, question)
+        data = evidence_output.assessment_data(found)
+        output.emit(json, data, evidence_output.assessment_lines(found))
+        return status_of(found)
+
+    return context.run(settings, body)
+
+
+async def ask(
+    session: context.Session,
+    since: str,
+    until: str,
+    every: str,
+    clock_tolerance: float,
+) -> assessment.Question:
+    """Turns options of the command line into a question.
+
+    Raises:
+        ConfigError: A time is not valid or the period is empty.
+        StoreError: The object API did not answer.
+    """
+    now = session.wall()
+    every_s = times.duration_s(every)
+    if not every_s:
+        raise exceptions.ConfigError(f"'{every}' is no duration such as 10m.")
+    period = await assessment.settled_period(
+        session.store,
+        session.deployment,
+        round(now * SECOND_MS),
+        DEFAULT_SPAN_MS,
+    )
+    if until:
+        period = period._replace(to_ms=times.moment_ms(until, now))
+    if since:
+        period = period._replace(from_ms=times.moment_ms(since, now))
+    if period.from_ms >= period.to_ms:
+        raise exceptions.ConfigError(
+            f"The period from {times.text_of(period.from_ms)} to"
+            f" {times.text_of(period.to_ms)} is empty."
+        )
+    return assessment.Question(
+        session.deployment,
+        judging.Period(*period),
+        round(every_s * SECOND_MS),
+        round(clock_tolerance * SECOND_MS),
+    )
+
+
+def status_of(found: assessment.Assessment) -> int:
+    """Returns the exit status that tells the worst answer."""
+    verdicts = [item.verdict for item in found.judgements]
+    if any(isinstance(verdict, Broken) for verdict in verdicts):
+        return BROKEN_STATUS
+    if any(isinstance(verdict, NotKnown) for verdict in verdicts):
+        return NOT_KNOWN_STATUS
+    return 0
--- a/banyantiller/commands/proposals.py
+++ b/banyantiller/commands/proposals.py
@@ -15,8 +15,7 @@
     """
 
     async def body(session: context.Session) -> int:
-        head = await references.head(session)
-        parent = head.digest if head is not None else ""
+        seen = await references.view(session)
         found = await history.find_proposals(
             session.store, session.deployment, ""
         )
@@ -24,7 +23,7 @@
             failures.raise_for(found)
         rows = []
         for item in found:
-            if item.manifest.parent != parent:
+            if item.manifest.parent != seen.base.digest:
                 continue
             signers = [s.operator for s in item.signatures if s.role == "sign"]
             rows.append((item, signers))
--- a/banyantiller/commands/propose.py
+++ b/banyantiller/commands/propose.py
@@ -3,7 +3,14 @@
 from banyantiller.bundle import difference, parsing, proposals
 from banyantiller.bundle.options import Bundle
 from banyantiller.bundle.outcomes import Proposed
-from banyantiller.commands import changes, context, failures, output, references
+from banyantiller.commands import (
+    changes,
+    context,
+    failures,
+    output,
+    references,
+    statuses,
+)
 
 
 def propose(
@@ -24,12 +31,15 @@
     parsed = parsing.parse_file(file)
 
     async def body(session: context.Session) -> int:
-        before = await _in_force(session)
+        seen = await references.view(session)
+        before = await _content(session, seen)
+        known = await statuses.read(session)
         outcome = await proposals.propose(
             session.store,
             session.deployment,
             parsed.bundle,
             session.operator(),
+            floor=max((item.bundle for item in known), default=0),
         )
         if not isinstance(outcome, Proposed):
             failures.raise_for(outcome)
@@ -41,11 +51,13 @@
                 "digest": outcome.digest,
                 "version": version,
                 "changes": changes.data(found),
+                "doubts": seen.doubts,
                 "warnings": [
                     output.problem_data(item) for item in parsed.warnings
                 ],
             },
             [
+                *seen.doubts,
                 *(item.text() for item in parsed.warnings),
                 *changes.lines(found),
                 f"Proposed version {version}: {outcome.digest}",
@@ -58,8 +70,7 @@
     return context.run(settings, body)
 
 
-async def _in_force(session: context.Session) -> Bundle:
-    head = await references.head(session)
-    if head is None:
+async def _content(session: context.Session, seen: references.View) -> Bundle:
+    if seen.head is None or seen.doubts:
         return Bundle(())
-    return await references.content(session, head.accepted.manifest)
+    return await references.content(session, seen.head.accepted.manifest)
--- a/banyantiller/commands/reference.py
+++ b/banyantiller/commands/reference.py
@@ -19,7 +19,7 @@
 """
 
 SETTINGS = """\
-The settings of one daemon, a YAML file given by `banyantillerd --settings`.
+The settings of one daemon, a YAML file given as `banyantillerd FILE`.
 Addresses are IP numbers; paths are relative to the working directory of the
 daemon. Check a file by `banyantiller validate FILE --kind settings`.
 """
--- a/banyantiller/commands/references.py
+++ b/banyantiller/commands/references.py
@@ -4,15 +4,28 @@
 from typing import NamedTuple
 
 from banyantiller import exceptions
-from banyantiller.bundle import canonical, history, parsing, reading
+from banyantiller.bundle import (
+    canonical,
+    history,
+    parsing,
+    reading,
+    verification,
+)
 from banyantiller.bundle.manifest import Manifest, Signature
 from banyantiller.bundle.options import Bundle
-from banyantiller.bundle.outcomes import HeadFound, NoHead, ProposalFound
+from banyantiller.bundle.outcomes import (
+    Damaged,
+    HeadFound,
+    NotReached,
+    ProposalFound,
+    Refused,
+)
 from banyantiller.commands import failures
 from banyantiller.commands.context import Session
 
 IN_FORCE = "accepted"
 SHORTEST_DIGEST = 6
+REFUSED = "Daemons refuse what the object API holds as accepted."
 
 
 class Named(NamedTuple):
@@ -33,18 +46,53 @@
     roller: str = ""
 
 
-async def head(session: Session) -> HeadFound | None:
-    """Reads the accepted bundle, None if there never was one.
+class View(NamedTuple):
+    """What the object API holds as accepted.
+
+    Attributes:
+        base: What a next bundle follows.
+        head: The accepted bundle, None if there is none or it is damaged.
+        doubts: Why daemons refuse it; empty if they take it.
+    """
+
+    base: reading.Base
+    head: HeadFound | None
+    doubts: tuple[str, ...]
+
+
+async def view(session: Session) -> View:
+    """Reads the accepted bundle and verifies it as daemons do.
 
     Raises:
-        BanyantillerError: It cannot be read.
+        StoreError: It cannot be read.
     """
     found = await reading.read_head(session.store, session.deployment)
-    if isinstance(found, NoHead):
-        return None
-    if not isinstance(found, HeadFound):
+    if isinstance(found, NotReached):
         failures.raise_for(found)
-    return found
+    base = reading.Base.from_head(found)
+    if isinstance(found, Damaged):
+        return View(base, None, (REFUSED, found.reason))
+    if not isinstance(found, HeadFound):
+        return View(base, None, ())
+    reasons = verification.verify(
+        found.accepted,
+        session.settings.trusted_keys,
+        session.deployment,
+        session.wall(),
+    )
+    return View(base, found, (REFUSED, *reasons) if reasons else ())
+
+
+async def head(session: Session) -> HeadFound | None:
+    """Reads the accepted bundle, None if there never was one.
+
+    Raises:
+        BanyantillerError: It cannot be read, or daemons refuse it.
+    """
+    seen = await view(session)
+    if seen.doubts:
+        failures.raise_for(Refused(seen.doubts))
+    return seen.head
 
 
 async def find(session: Session, text: str) -> Named:
--- a/banyantiller/commands/sign.py
+++ b/banyantiller/commands/sign.py
@@ -1,6 +1,6 @@
 """`banyantiller sign`: signs a proposal."""
 
-from banyantiller.bundle import proposals
+from banyantiller.bundle import approval
 from banyantiller.bundle.outcomes import Signed
 from banyantiller.commands import context, failures, output, references
 
@@ -23,9 +23,7 @@
 
     async def body(session: context.Session) -> int:
         proposal = await references.find_proposal(session, digest)
-        # Whoever signs must be able to read what is signed.
-        await references.content(session, proposal.manifest)
-        outcome = await proposals.sign(
+        outcome = await approval.sign(
             session.store,
             session.deployment,
             proposal.digest,
--- a/banyantiller/commands/status.py
+++ b/banyantiller/commands/status.py
@@ -17,9 +17,8 @@
     """
 
     async def body(session: context.Session) -> int:
-        head = await references.head(session)
-        version = head.accepted.manifest.version if head is not None else 0
-        digest = head.digest if head is not None else ""
+        seen = await references.view(session)
+        version, digest = seen.base.version, seen.base.digest
         now = session.wall()
         found = await statuses.read(session)
         speaking = statuses.speaking(found, now)
@@ -31,11 +30,13 @@
             json,
             {
                 "accepted": {"version": version, "digest": digest},
+                "doubts": seen.doubts,
                 "daemons": [
                     {**item._asdict(), "state": name} for item, name in rows
                 ],
             },
             [
+                *seen.doubts,
                 f"Accepted: version {version} {digest[:12]}".rstrip(),
                 *output.table(
                     ("DAEMON", "ZONE", "VERSION", "STATE", "SAID"),
--- a/banyantiller/tests/commands/test_cli.py
+++ b/banyantiller/tests/commands/test_cli.py
@@ -159,6 +159,31 @@
         )
 
 
+class DamageTest(CliTestCase):
+    def test_a_forged_head_is_told_and_can_be_replaced(self):
+        self.do("roll", self.prepare("b.yaml"), by="ana")
+        key = (reading.HEADS, samples.DEPLOYMENT)
+        record = self.store.table.records[key]
+        data = record.data.replace(b"First.", b"Forged")
+        self.store.table.records[key] = record._replace(data=data)
+        result = self.run_cli("show", by="ana")
+        self.assertEqual(3, result.status)
+        self.assertIn("Daemons refuse what the object API", result.err)
+        self.assertIn("does not fit the bundle", result.err)
+        self.assertEqual(2, len(self.do("status", by="ana")["doubts"]))
+        proposed = self.do("propose", self.path("c.yaml"), by="ana")
+        self.assertIn("Daemons refuse", proposed["doubts"][0])
+        self.do("sign", proposed["digest"], by="ben")
+        rolled = self.do("roll", proposed["digest"], by="ana")
+        self.assertEqual(2, rolled["version"])
+        self.assertEqual(2, self.do("show", by="ana")["version"])
+
+    def test_versions_stay_above_what_daemons_hold(self):
+        self.put_status("one", bundle=7, digest="")
+        proposed = self.do("propose", self.path("b.yaml"), by="ana")
+        self.assertEqual(8, proposed["version"])
+
+
 class ExitStatusTest(CliTestCase):
     def check(self, status: int, part: str, *argv: str, by: str = "") -> None:
         result = self.run_cli(*argv, by=by)
