--- /dev/null
+++ b/banyantiller/commands/report.py
@@ -0,0 +1,57 @@
+"""`banyantiller report`: writes what held in a period as one HTML file."""
+
+from banyantiller import exceptions
+from banyantiller.commands import context, held, output, report_page
+from banyantiller.evidence import assessment, charts
+
+SECOND_MS = 1000
+
+
+def report(
+    *,
+    output_file: str,
+    since: str = "",
+    until: str = "",
+    every: str = "1h",
+    clock_tolerance: float = 0.5,
+    settings: str = context.DEFAULT_SETTINGS,
+    json: bool = False,
+) -> int:
+    """Writes what held in a period as one HTML file with plots.
+
+    Times are given as for `held`, and the exit status is the same. Needs
+    the optional extra `report`.
+
+    Args:
+        output_file: Path of the file to write.
+        since: Start of the period.
+        until: End of the period.
+        every: Length of the parts that are judged one by one.
+        clock_tolerance: Largest assumed difference between the clocks of
+            two machines, in seconds.
+        settings: Settings file of the operator.
+        json: Print JSON for programs.
+    """
+    charts.load_library()
+
+    async def body(session: context.Session) -> int:
+        question = await held.ask(session, since, until, every, clock_tolerance)
+        found = await assessment.assess(session.store, question)
+        made_ms = round(session.wall() * SECOND_MS)
+        page = report_page.build(found, made_ms)
+        _write(output_file, page)
+        data = {"file": output_file, "bytes": len(page.encode())}
+        output.emit(json, data, [f"Wrote {output_file}."])
+        return held.status_of(found)
+
+    return context.run(settings, body)
+
+
+def _write(path: str, text: str) -> None:
+    try:
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(text)
+    except OSError as error:
+        raise exceptions.BanyantillerError(
+            f"'{path}' can't be written: {error.strerror}."
+        ) from error
--- a/banyantiller/evidence/assessment.py
+++ b/banyantiller/evidence/assessment.py
@@ -17,6 +17,7 @@
 
 DAY_MS = 86_400_000
 SECOND_MS = 1000
+WRITE_TIME_MS = 5000
 
 
 class Question(NamedTuple):
@@ -51,6 +52,37 @@
     audit: trail.AuditReport
 
 
+async def settled_period(
+    store: interface.ObjectStore, deployment: str, now_ms: int, span_ms: int
+) -> judging.Period:
+    """Returns the latest period about which daemons had time to report.
+
+    Args:
+        store: The object API.
+        deployment: Fleet.
+        now_ms: Wall-clock milliseconds.
+        span_ms: Longest period wanted; it starts no earlier than the first
+            known daemon.
+
+    Raises:
+        StoreError: The object API did not answer.
+    """
+    values = await _values(store, layout.RUN_KIND, {"deployment": deployment})
+    runs = history.announced(values)
+    if not runs:
+        return judging.Period(now_ms - span_ms, now_ms)
+    if all(run.ended_ms for run in runs):
+        until_ms = max(run.ended_ms for run in runs)
+    else:
+        period_ms = max(run.period_ms for run in runs if not run.ended_ms)
+        until_ms = now_ms - period_ms * 3 // 2 - WRITE_TIME_MS
+    until_ms = min(until_ms, now_ms)
+    first_ms = min(run.started_ms for run in runs)
+    return judging.Period(
+        min(max(until_ms - span_ms, first_ms), until_ms), until_ms
+    )
+
+
 async def assess(
     store: interface.ObjectStore, question: Question
 ) -> Assessment:
@@ -113,6 +145,17 @@
     return gaps
 
 
+async def carried_tips(
+    store: interface.ObjectStore, deployment: str, period: judging.Period
+) -> set[chain.Tip]:
+    """Returns the audit tips that daemons carried in a period.
+
+    Raises:
+        StoreError: The object API did not answer.
+    """
+    return _tips(await _blocks(store, deployment, period))
+
+
 def _tips(blocks: Sequence[Mapping[str, Any]]) -> set[chain.Tip]:
     """Collects the audit tips that daemons carried in their summaries."""
     tips: set[chain.Tip] = set()
--- /dev/null
+++ b/banyantiller/evidence/charts.py
@@ -0,0 +1,213 @@
+"""Plots for the report, as SVG; needs the optional extra `report`."""
+
+import base64
+import datetime
+import io
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from banyantiller import exceptions
+from banyantiller.evidence import latency
+from banyantiller.evidence.assessment import Assessment
+from banyantiller.evidence.history import RunHistory
+from banyantiller.evidence.promises import Promise
+from banyantiller.evidence.summary import Summary
+from banyantiller.evidence.verdicts import Broken, Held, NotKnown
+
+SIZE_IN = (9.0, 2.8)
+HELD_COLOUR = "#2a7f4f"
+BROKEN_COLOUR = "#b3261e"
+NOT_KNOWN_COLOUR = "#b9bcc4"
+COLOURS: dict[type, str] = {
+    Held: HELD_COLOUR,
+    Broken: BROKEN_COLOUR,
+    NotKnown: NOT_KNOWN_COLOUR,
+}
+MILLISECONDS = 1000
+
+Draw = Callable[[Any], None]
+
+
+def load_library() -> Any:
+    """Imports matplotlib without a display.
+
+    Raises:
+        PluginError: It is not installed.
+    """
+    try:
+        import matplotlib
+    except ImportError:
+        raise exceptions.PluginError(
+            "The report needs matplotlib; install it with"
+            " pip install 'banyantiller[report]'."
+        ) from None
+    matplotlib.use("svg")
+    from matplotlib import pyplot
+
+    return pyplot
+
+
+def answers(found: Assessment) -> str:
+    """Draws when each promise held, was broken or is not known."""
+
+    def draw(axes: Any) -> None:
+        names = list(Promise)
+        for item in found.judgements:
+            start, end = _time(item.from_ms), _time(item.to_ms)
+            axes.barh(
+                names.index(item.promise),
+                end - start,
+                left=start,
+                color=COLOURS[type(item.verdict)],
+                edgecolor="white",
+            )
+        axes.set_yticks(range(len(names)), [str(name) for name in names])
+        axes.invert_yaxis()
+
+    return _draw(draw, "held (green), broken (red), not known (grey)")
+
+
+def calls(found: Assessment) -> str:
+    """Draws calls and failed calls a second over time."""
+
+    def draw(axes: Any) -> None:
+        for label, count in (("calls", _calls), ("failed", _failed)):
+            points = _rates(found.histories, count)
+            axes.step(*points, where="post", label=label)
+        axes.set_ylabel("1/s")
+        axes.legend(loc="upper left", frameon=False)
+
+    return _draw(draw, "calls a second over all daemons")
+
+
+def latencies(found: Assessment) -> str:
+    """Draws the median and the 99th percentile over time."""
+
+    def draw(axes: Any) -> None:
+        periods = _merged_latency(found.histories)
+        for percent in (50, 99):
+            times = [_time(start) for start in sorted(periods)]
+            values = [
+                (latency.percentile_s(periods[start], percent) or 0)
+                * MILLISECONDS
+                for start in sorted(periods)
+            ]
+            axes.plot(times, values, marker=".", label=f"p{percent}")
+        axes.set_yscale("log")
+        axes.set_ylabel("ms")
+        axes.legend(loc="upper left", frameon=False)
+
+    return _draw(draw, "time from request head to end of answer")
+
+
+def bundles(found: Assessment) -> str:
+    """Draws the delay from acceptance to force at each daemon."""
+
+    def draw(axes: Any) -> None:
+        seen = [
+            bundle
+            for history in found.histories
+            for summary in history.summaries
+            for bundle in summary.bundles
+        ]
+        axes.plot(
+            [_time(item.accepted_ms) for item in seen],
+            [(item.at_ms - item.accepted_ms) / MILLISECONDS for item in seen],
+            "o",
+            markersize=3,
+        )
+        axes.set_ylabel("s")
+
+    return _draw(draw, "delay from acceptance of a bundle to force")
+
+
+def coverage(found: Assessment) -> str:
+    """Draws the times for which each daemon's evidence is sound."""
+
+    def draw(axes: Any) -> None:
+        names = sorted({item.run.daemon for item in found.histories})
+        for history in found.histories:
+            row = names.index(history.run.daemon)
+            for summary in history.summaries:
+                _bar(axes, row, summary.from_ms, summary.to_ms, HELD_COLOUR)
+            for gap in history.unknown:
+                _bar(axes, row, gap.from_ms, gap.to_ms, NOT_KNOWN_COLOUR)
+        axes.set_yticks(range(len(names)), names)
+        period = found.question.period
+        axes.set_xlim(_time(period.from_ms), _time(period.to_ms))
+
+    return _draw(draw, "sound evidence by daemon (green), none (grey)")
+
+
+def _bar(axes: Any, row: int, from_ms: int, to_ms: int, colour: str) -> None:
+    start, end = _time(from_ms), _time(to_ms)
+    axes.barh(row, end - start, left=start, color=colour)
+
+
+def _draw(draw: Draw, title: str) -> str:
+    """Draws one plot and returns it as a data URI."""
+    pyplot = load_library()
+    figure, axes = pyplot.subplots(figsize=SIZE_IN)
+    try:
+        draw(axes)
+        axes.set_title(title, loc="left", fontsize=10)
+        for side in ("top", "right"):
+            axes.spines[side].set_visible(False)
+        figure.autofmt_xdate()
+        buffer = io.BytesIO()
+        figure.savefig(buffer, format="svg", bbox_inches="tight")
+    finally:
+        pyplot.close(figure)
+    encoded = base64.b64encode(buffer.getvalue()).decode("ascii")
+    return f"data:image/svg+xml;base64,{encoded}"
+
+
+def _time(at_ms: int) -> datetime.datetime:
+    return datetime.datetime.fromtimestamp(at_ms / MILLISECONDS, datetime.UTC)
+
+
+def _calls(summary: Summary) -> int:
+    return sum(summary.calls.values())
+
+
+def _failed(summary: Summary) -> int:
+    return sum(summary.errors.values())
+
+
+def _rates(
+    histories: Sequence[RunHistory], count: Callable[[Summary], int]
+) -> tuple[list[datetime.datetime], list[float]]:
+    """Adds up the daemons' rates; each is constant within a summary."""
+    steps: dict[int, float] = {}
+    for history in histories:
+        for summary in history.summaries:
+            span_s = (summary.to_ms - summary.from_ms) / MILLISECONDS
+            if span_s > 0:
+                rate = count(summary) / span_s
+                steps[summary.from_ms] = steps.get(summary.from_ms, 0) + rate
+                steps[summary.to_ms] = steps.get(summary.to_ms, 0) - rate
+    times: list[datetime.datetime] = []
+    values: list[float] = []
+    level = 0.0
+    for at_ms in sorted(steps):
+        level += steps[at_ms]
+        times.append(_time(at_ms))
+        values.append(max(0.0, level))
+    return times, values
+
+
+def _merged_latency(
+    histories: Sequence[RunHistory],
+) -> dict[int, dict[str, int]]:
+    """Adds up the daemons' durations by end of period."""
+    merged: dict[int, dict[str, int]] = {}
+    for history in histories:
+        for summary in history.summaries:
+            if not summary.latency:
+                continue
+            period_ms = max(history.run.period_ms, 1)
+            start = summary.to_ms // period_ms * period_ms
+            total = merged.setdefault(start, {})
+            for bucket, number in summary.latency.items():
+                total[bucket] = total.get(bucket, 0) + number
+    return merged
--- a/banyantiller/evidence/history.py
+++ b/banyantiller/evidence/history.py
@@ -73,6 +73,17 @@
     damaged: dict[int, str]
 
 
+def announced(values: Iterable[Mapping[str, Any]]) -> list[layout.Run]:
+    """Reads the objects of runs; unreadable ones are left out."""
+    runs: list[layout.Run] = []
+    for value in values:
+        try:
+            runs.append(layout.run_from(dict(value)))
+        except msgspec.ValidationError:
+            continue
+    return runs
+
+
 def gone_daemons(entries: Iterable[Mapping[str, Any]]) -> dict[str, int]:
     """Reads operators' statements that daemons are gone.
 
@@ -106,7 +117,8 @@
         records[key] = _Records(run, {}, {})
     histories: list[RunHistory] = []
     for key in sorted(records):
-        limit_ms = _limit(runs, key, stored.gone, now_ms)
+        gone_ms = _gone_ms(records[key], stored.gone)
+        limit_ms = _limit(runs, key, gone_ms, now_ms)
         history = _history(records[key], limit_ms)
         living = history.ended_ms == now_ms
         histories.append(history._replace(living=living))
@@ -117,11 +129,7 @@
     stored: Stored, deployment: str
 ) -> dict[tuple[str, int], _Records]:
     found: dict[tuple[str, int], _Records] = {}
-    for value in stored.runs:
-        try:
-            run = layout.run_from(dict(value))
-        except msgspec.ValidationError:
-            continue
+    for run in announced(stored.runs):
         found[run.daemon, run.started_ms] = _Records(run, {}, {})
     raw: dict[tuple[str, int], dict[int, list[Any]]] = {}
     for block in stored.blocks:
@@ -214,10 +222,20 @@
     )
 
 
+def _gone_ms(records: _Records, gone: Mapping[str, int]) -> int | None:
+    """Returns when a run was stated to be gone, unless it reported later."""
+    gone_ms = gone.get(records.run.daemon)
+    if gone_ms is None or gone_ms < records.run.started_ms:
+        return None
+    if any(item.to_ms > gone_ms for item in records.sound.values()):
+        return None
+    return gone_ms
+
+
 def _limit(
     runs: Mapping[tuple[str, int], layout.Run],
     key: tuple[str, int],
-    gone: Mapping[str, int],
+    gone_ms: int | None,
     now_ms: int,
 ) -> int:
     """Returns the last time at which a run can have lived."""
@@ -226,8 +244,7 @@
     limits += [
         start for name, start in runs if name == daemon and start > started_ms
     ]
-    gone_ms = gone.get(daemon)
-    if gone_ms is not None and gone_ms >= started_ms:
+    if gone_ms is not None:
         limits.append(gone_ms)
     return min(limits)
 
