--- a/banyantiller/membership/messages.py
+++ b/banyantiller/membership/messages.py
@@ -18,7 +18,7 @@
 
 
 class Hello(NamedTuple):
-    """First message on a link, in both directions.
+    """Tells who is at the other end of a link, in both directions.
 
     Attributes:
         protocol: Newest protocol version that the sender speaks.
@@ -140,6 +140,16 @@
     age_ms: int = 0
 
 
+class Challenge(NamedTuple):
+    """Sent before Hello, so that the other side's proof is fresh.
+
+    Attributes:
+        nonce: Random bytes that the other side's proof has to cover.
+    """
+
+    nonce: bytes
+
+
 MESSAGE_TYPES: dict[int, type] = {
     1: Hello,
     2: Heartbeat,
@@ -150,6 +160,7 @@
     7: PartData,
     8: LoadShare,
     9: ServersLeaving,
+    10: Challenge,
 }
 NUMBERS = {kind: number for number, kind in MESSAGE_TYPES.items()}
 
--- /dev/null
+++ b/banyantiller/tests/membership/support.py
@@ -0,0 +1,133 @@
+"""Several `Peers` in one process, over the paused loop's sockets."""
+
+import asyncio
+import dataclasses
+import random
+
+from banyantiller.config import defaults
+from banyantiller.kernel import core, events
+from banyantiller.membership import peers as peering
+
+FIRST_PORT = 7000
+EPOCH = 1_800_000_000.0
+ZONES = ("plateau", "medina", "yoff", "pikine")
+SECRET = "one secret of the fleet"
+
+
+def wall() -> float:
+    """Wall-clock seconds that follow the paused loop."""
+    return EPOCH + asyncio.get_running_loop().time()
+
+
+def endpoint(index: int) -> defaults.Endpoint:
+    return defaults.Endpoint("127.0.0.1", FIRST_PORT + index)
+
+
+def settings(
+    index: int, seeds: int | tuple = 2, **peers: object
+) -> defaults.Settings:
+    """Settings of daemon number `index`, with the first ones as seeds."""
+    if isinstance(seeds, int):
+        seeds = tuple(endpoint(i) for i in range(seeds))
+    chosen = {
+        "listen": endpoint(index),
+        "seeds": seeds,
+        "secret": SECRET,
+        **peers,
+    }
+    return defaults.Settings(
+        deployment="registry",
+        daemon=f"d{index}",
+        zone=ZONES[index % len(ZONES)],
+        callers=defaults.CallerSettings(listen=endpoint(1000 + index)),
+        admin=endpoint(2000 + index),
+        peers=defaults.PeerSettings(**chosen),
+        object_api=defaults.ObjectApiSettings(endpoint=endpoint(3000)),
+    )
+
+
+@dataclasses.dataclass
+class Node:
+    """One daemon's membership and what it told."""
+
+    settings: defaults.Settings
+    kernel: core.Kernel
+    peers: peering.Peers
+    changes: list[events.MemberChanged]
+
+    @property
+    def name(self) -> str:
+        return self.settings.daemon
+
+    def alive(self) -> set[str]:
+        return {entry.daemon for entry in self.peers.alive(suspects=False)}
+
+    def state(self, daemon: str) -> int | None:
+        entry = self.peers.table.entries.get(daemon)
+        return entry.state if entry else None
+
+    async def start(self) -> None:
+        await self.peers.start()
+
+    async def close(self) -> None:
+        await self.peers.close()
+        await self.kernel.stop()
+
+    async def kill(self) -> None:
+        """Ends without a word: links are lost and nothing listens."""
+        await self.kernel.stop()
+        await self.peers.dialer.close()
+        for link in list(self.peers.links.links.values()):
+            link.code = 1000
+            link.abort()
+        self.peers.links.server.close()
+        await self.peers.links.server.wait_closed()
+
+
+def node(chosen: defaults.Settings, seed: int = 1) -> Node:
+    kernel = core.Kernel(seed)
+    changes: list[events.MemberChanged] = []
+    kernel.subscribe(events.MemberChanged, changes.append)
+    peers = peering.Peers.from_settings(chosen, kernel, wall, seed)
+    return Node(chosen, kernel, peers, changes)
+
+
+async def start_fleet(count: int, **peers: object) -> list[Node]:
+    nodes = [node(settings(index, **peers)) for index in range(count)]
+    for item in nodes:
+        await item.start()
+    return nodes
+
+
+async def close_fleet(nodes: list[Node]) -> None:
+    await asyncio.gather(*(item.close() for item in nodes))
+
+
+def mute(one: Node, other: Node) -> None:
+    """Makes the link between two go silent both ways while it stays open."""
+    for here, there in ((one, other), (other, one)):
+        link = here.peers.links.links.get(there.name)
+        if link is not None:
+            link.send = _drop
+
+
+async def _drop(data: bytes) -> None:
+    await asyncio.sleep(0)
+
+
+def reachable(nodes: list[Node]) -> set[str]:
+    """Names that the first node reaches over links."""
+    by_name = {item.name: item for item in nodes}
+    seen = {nodes[0].name}
+    todo = [nodes[0]]
+    while todo:
+        for name in todo.pop().peers.linked():
+            if name in by_name and name not in seen:
+                seen.add(name)
+                todo.append(by_name[name])
+    return seen
+
+
+def shuffled(items: list, seed: int) -> list:
+    rng = random.Random(seed)
+    return rng.sample(items, len(items))
--- /dev/null
+++ b/banyantiller/tests/membership/test_peers.py
@@ -0,0 +1,275 @@
+"""Tests of several daemons' membership on the paused clock."""
+
+import asyncio
+
+import websockets
+from websockets.asyncio import client
+
+from banyantiller import exceptions
+from banyantiller.config import defaults
+from banyantiller.membership import link, messages, table
+from banyantiller.tests.base import TestCase
+from banyantiller.tests.membership import support
+
+
+class FleetTest(TestCase):
+    def on_fleet(self, count, body, **peers):
+        """Runs `body(nodes)` on a fleet that has settled, then ends it."""
+
+        async def run():
+            nodes = await support.start_fleet(count, **peers)
+            await asyncio.sleep(6)
+            self.assertEqual(
+                [count] * count, [len(item.alive()) for item in nodes]
+            )
+            await body(nodes)
+            failures = [item.kernel.failures for item in nodes]
+            await support.close_fleet(nodes)
+            self.assertEqual([{}] * len(nodes), failures)
+
+        self.run_paused(run())
+
+    def test_all_meet_and_stay_within_the_budget(self):
+        async def body(nodes):
+            names = {item.name for item in nodes}
+            self.assertEqual(names, support.reachable(nodes))
+            before = [vars(x.peers.traffic).copy() for x in nodes]
+            await asyncio.sleep(30)
+            for item, old in zip(nodes, before, strict=True):
+                now = vars(item.peers.traffic)
+                moved = now["bytes_in"] + now["bytes_out"]
+                moved -= old["bytes_in"] + old["bytes_out"]
+                self.assertLess(moved / 30, 1000)
+                self.assertLessEqual(len(item.peers.linked()), 13)
+            self.assertEqual(0, sum(x.peers.traffic.dropped for x in nodes))
+
+        self.on_fleet(14, body)
+
+    def test_a_daemon_that_ends_without_a_word(self):
+        async def body(nodes):
+            await nodes[1].kill()
+            gone = nodes.pop(1)
+            await asyncio.sleep(12)
+            for item in nodes:
+                self.assertEqual(table.State.DEAD, item.state(gone.name))
+                states = [x.state for x in item.changes if x.daemon == "d1"]
+                self.assertEqual("dead", states[-1])
+            self.assertEqual(len(nodes), len(support.reachable(nodes)))
+            await asyncio.sleep(table.FORGET_S + 10)
+            self.assertEqual({None}, {x.state("d1") for x in nodes})
+
+        self.on_fleet(6, body)
+
+    def test_a_daemon_that_leaves(self):
+        async def body(nodes):
+            nodes[2].peers.leave()
+            await asyncio.sleep(0.2)
+            told = {x.state("d2") for x in nodes if x.name != "d2"}
+            self.assertEqual({table.State.LEAVING}, told)
+            await nodes.pop(2).close()
+            await asyncio.sleep(1)
+            self.assertEqual({table.State.DEAD}, {x.state("d2") for x in nodes})
+
+        self.on_fleet(6, body)
+
+    def test_a_silent_link_is_replaced_and_nobody_dies(self):
+        async def body(nodes):
+            other = next(
+                x for x in nodes if x.name == nodes[0].peers.linked()[0]
+            )
+            silent = nodes[0].peers.links.links[other.name]
+            support.mute(nodes[0], other)
+            await asyncio.sleep(10)
+            self.assertIsNot(silent, nodes[0].peers.links.links[other.name])
+            states = [c.state for x in nodes for c in x.changes]
+            self.assertNotIn("dead", states)
+
+        self.on_fleet(5, body)
+
+    def test_a_long_pause_is_not_a_death_and_is_refuted(self):
+        async def body(nodes):
+            for other in nodes[1:]:
+                support.mute(nodes[0], other)
+            asleep = nodes[0].peers
+            listening = asleep.links.server
+            listening.close(close_connections=False)
+            asleep.dialer.closed = True
+            await asyncio.sleep(30)
+            self.assertNotIn("d0", nodes[1].alive())
+            asleep.dialer.closed = False
+            await asyncio.sleep(5)
+            self.assertEqual({5}, {len(x.alive()) for x in nodes})
+
+        self.on_fleet(5, body)
+
+    def test_a_tick_that_comes_late_forgives_silence(self):
+        async def body(nodes):
+            peers = nodes[0].peers
+            now = asyncio.get_running_loop().time()
+            before = dict(peers.links.links)
+            peers._tick(now + 60)
+            await asyncio.sleep(0.1)
+            self.assertEqual(before, peers.links.links)
+            peers.next_tick = now + 60
+            peers._tick(now + 120)
+
+        self.on_fleet(3, body)
+
+    def test_a_split_heals_by_seeds_and_hints(self):
+        async def run():
+            west = [support.node(support.settings(i, seeds=1)) for i in (0, 1)]
+            east = [
+                support.node(support.settings(i, seeds=(support.endpoint(2),)))
+                for i in (2, 3)
+            ]
+            for item in west + east:
+                await item.start()
+            await asyncio.sleep(10)
+            self.assertEqual({2}, {len(x.alive()) for x in west + east})
+            east[1].peers.hint([support.endpoint(1), support.endpoint(99)])
+            await asyncio.sleep(20)
+            self.assertEqual({4}, {len(x.alive()) for x in west + east})
+            await support.close_fleet(west + east)
+
+        self.run_paused(run())
+
+    def test_a_restart_with_a_clock_set_back_takes_its_name(self):
+        async def body(nodes):
+            await nodes[0].kill()
+            again = support.node(support.settings(0))
+            own = again.peers.table.own
+            again.peers.table.own = own._replace(incarnation=1)
+            await again.start()
+            nodes[0] = again
+            await asyncio.sleep(15)
+            self.assertFalse(again.peers.displaced)
+            self.assertEqual({4}, {len(x.alive()) for x in nodes})
+
+        self.on_fleet(4, body)
+
+    def test_of_two_daemons_with_one_name_the_later_stays(self):
+        async def body(nodes):
+            await asyncio.sleep(10)
+            listen = {"listen": support.endpoint(50)}
+            second = support.node(support.settings(0, **listen))
+            await second.start()
+            await asyncio.sleep(15)
+            self.assertTrue(nodes[0].peers.displaced)
+            self.assertEqual([], nodes[0].peers.linked())
+            self.assertFalse(second.peers.displaced)
+            self.assertEqual(
+                {support.FIRST_PORT + 50},
+                {x.peers.table.entries["d0"].port for x in nodes[1:]},
+            )
+            nodes.append(second)
+
+        self.on_fleet(4, body)
+
+    def test_messages_reach_subscribers(self):
+        async def body(nodes):
+            got = []
+            for item in nodes:
+                item.peers.subscribe(
+                    messages.BundleRequest, lambda d, m: got.append((d, m))
+                )
+            request = messages.BundleRequest(3)
+            self.assertEqual(2, nodes[0].peers.broadcast(request))
+            self.assertTrue(nodes[0].peers.send("d1", request))
+            self.assertFalse(nodes[0].peers.send("d9", request))
+            nodes[0].peers.announce(7, "ab" * 32)
+            await asyncio.sleep(0.1)
+            self.assertEqual([("d0", request)] * 3, got)
+            entry = nodes[1].peers.table.entries["d0"]
+            self.assertEqual(7, entry.bundle)
+
+        self.on_fleet(3, body)
+
+
+class StrangerTest(TestCase):
+    def test_wrong_secret_and_no_secret(self):
+        async def run():
+            good = await support.start_fleet(2)
+            bad = support.node(support.settings(5, secret="guessed"))
+            await bad.start()
+            await asyncio.sleep(8)
+            self.assertEqual({"d5"}, bad.alive())
+            self.assertEqual([], bad.peers.linked())
+            self.assertEqual({"d0", "d1"}, good[0].alive())
+            self.assertIn(1008, good[0].peers.links.refused)
+            await support.close_fleet([*good, bad])
+
+        self.run_paused(run())
+
+    def test_a_stranger_is_cut_off_whatever_it_sends(self):
+        async def talk(endpoint, frames):
+            uri = f"ws://{endpoint.address}:{endpoint.port}/"
+            async with client.connect(uri, proxy=None) as websocket:
+                await websocket.recv()
+                for frame in frames:
+                    await websocket.send(frame)
+                async with asyncio.timeout(10):
+                    await websocket.wait_closed()
+
+        async def run():
+            (node,) = await support.start_fleet(1)
+            beat = messages.encode(messages.Heartbeat(1, 1, b""))
+            entry = support.node(support.settings(9)).peers.table.own
+            forged = messages.encode(messages.Members((entry,)))
+            for frames in ([], [beat], [forged] * 3, [b"x" * 100_000], ["a"]):
+                try:
+                    await talk(node.peers.links.endpoint, frames)
+                except websockets.ConnectionClosed:
+                    pass
+            await asyncio.sleep(2)
+            self.assertEqual({"d0"}, node.alive())
+            self.assertEqual(0, node.peers.traffic.messages_in)
+            self.assertEqual(0, node.peers.links.connections)
+            await node.close()
+
+        self.run_paused(run())
+
+    def test_peers_must_be_authenticated(self):
+        async def run(chosen):
+            with self.assertRaises(exceptions.ConfigError):
+                support.node(support.settings(0, **chosen))
+
+        self.run_paused(run({"secret": ""}))
+        files = defaults.TlsFiles(certificate="a", key="b")
+        self.run_paused(run({"tls": files}))
+
+
+class LinkTest(TestCase):
+    def test_a_full_outbox_refuses_and_counts(self):
+        async def run():
+            nodes = await support.start_fleet(2)
+            await asyncio.sleep(2)
+            peers = nodes[0].peers
+            data = messages.PartData(b"x" * 500_000)
+            sent = [peers.send("d1", data) for _ in range(6)]
+            self.assertEqual([True] * 2 + [False] * 4, sent)
+            self.assertEqual(4, peers.traffic.dropped)
+            await asyncio.sleep(1)
+            self.assertTrue(peers.send("d1", data))
+            await support.close_fleet(nodes)
+
+        self.run_paused(run())
+
+    def test_a_malformed_message_ends_the_link(self):
+        async def run():
+            nodes = await support.start_fleet(2)
+            await asyncio.sleep(2)
+            broken = nodes[0].peers.links.links["d1"]
+            broken.post_bytes(b"\x82\x02\x00")
+            broken.post_bytes(b"\xff")
+            await asyncio.sleep(0.01)
+            self.assertIsNot(broken, nodes[0].peers.links.links.get("d1"))
+            await asyncio.sleep(5)
+            self.assertEqual(2, len(nodes[0].alive()))
+            await support.close_fleet(nodes)
+
+        self.run_paused(run())
+
+    def test_frame_sizes(self):
+        sizes = [link.frame_size(n, False) for n in (0, 125, 126, 70_000)]
+        self.assertEqual([2, 127, 130, 70_010], sizes)
+        self.assertEqual(6, link.frame_size(0, True))
