Assemble the daemon and run the whole path in memory

Cause: the parts exist apart; a caller's request has to pass through all. Change: the daemon builds its parts from settings and plug-ins, passes on bundles, membership, isolation and leaving VMs, serves the admin pages, reloads on SIGHUP and drains on SIGTERM. Four tests run whole daemons over in-memory sockets: a keyed request through two daemons, a stop under load, an outage of the object API, and a fenced daemon.

--- /dev/null
+++ b/banyantiller/daemon/admin_server.py
@@ -0,0 +1,39 @@
+"""Serves the admin pages over HTTP."""
+
+from banyantiller.config import defaults
+from banyantiller.http import messages, server
+from banyantiller.telemetry import admin
+
+CLOSE_GRACE_S = 1.0
+
+
+class AdminServer:
+    """The admin listener of a daemon.
+
+    Attributes:
+        admin: Makes the pages.
+        server: The listening server.
+    """
+
+    def __init__(self, pages: admin.Admin) -> None:
+        self.admin = pages
+        self.server = server.HttpServer(self._handle)
+
+    async def start(self, endpoint: defaults.Endpoint) -> defaults.Endpoint:
+        """Listens and returns where.
+
+        Raises:
+            OSError: The address can't be used.
+        """
+        bound = await self.server.start(endpoint.address, endpoint.port)
+        return defaults.Endpoint(bound.address, bound.port)
+
+    async def close(self) -> None:
+        """Stops listening and ends requests in flight."""
+        await self.server.close(CLOSE_GRACE_S)
+
+    async def _handle(self, request: messages.Request) -> messages.Response:
+        page = self.admin.answer(request.method, request.target)
+        return messages.Response(
+            page.status, (("content-type", page.content_type),), page.body
+        )
--- /dev/null
+++ b/banyantiller/daemon/assembly.py
@@ -0,0 +1,193 @@
+"""Builds a daemon out of its parts and connects them."""
+
+import random
+from collections.abc import Callable
+
+import structlog
+
+from banyantiller import exceptions, plugins
+from banyantiller.claims import arbiter
+from banyantiller.config import defaults
+from banyantiller.daemon import admin_server, bundles, leaving_servers
+from banyantiller.evidence import recorder as recording
+from banyantiller.evidence import writer as writing
+from banyantiller.kernel import core, events
+from banyantiller.measuring import budget as budgeting
+from banyantiller.membership import peers as peering
+from banyantiller.proxy import proxy as proxying
+from banyantiller.replica import spread as spreading
+from banyantiller.store import interface as store_interface
+from banyantiller.telemetry import admin, metrics, tallies
+from banyantiller.vmlist import interface as vm_interface
+
+log = structlog.get_logger("banyantiller.daemon")
+
+SEED_BITS = 64
+
+
+class Daemon:
+    """The parts of one daemon.
+
+    Attributes:
+        settings: Settings in force.
+        kernel: Runs the tasks and delivers events.
+        draining: Whether the graceful end has begun.
+    """
+
+    def __init__(
+        self,
+        settings: defaults.Settings,
+        registry: plugins.Registry,
+        wall: Callable[[], float],
+        seed: int,
+    ) -> None:
+        self.settings = settings
+        self.registry = registry
+        self.wall = wall
+        self.kernel = core.Kernel(seed)
+        self.draining = False
+        self.counts = tallies.CallTallies()
+        self.instruments = metrics.Metrics()
+        self.store: store_interface.ObjectStore = registry.get(
+            "object_api", settings.object_api.adapter
+        )(settings.object_api, settings.deployment)
+        self.vms = _vm_list(settings, registry)
+        self.peers = peering.Peers.from_settings(
+            settings, self.kernel, wall, seed
+        )
+        self.spread = spreading.BundleSpread.from_settings(
+            settings, self.store, self.peers, self.kernel, wall, seed
+        )
+        self.claims = arbiter.StoreClaims.from_settings(
+            self.store, settings.deployment, settings.daemon, wall
+        )
+        self.budget = budgeting.Budget.from_settings(
+            self.store, settings.deployment, settings.daemon, wall
+        )
+        self.proxy = proxying.Proxy.from_settings(
+            settings,
+            self.kernel,
+            registry.get("routing", settings.routing),
+            self.claims,
+            self.budget.charger,
+            wall,
+            seed,
+        )
+        self.recorder = recording.Recorder.from_settings(
+            settings, self.kernel, wall
+        )
+        self.writer = writing.Writer.from_settings(
+            settings, self.store, self.recorder, wall, seed
+        )
+        self.admin = admin.Admin(self.readiness, self.state, self.instruments)
+        self.admin_server = admin_server.AdminServer(self.admin)
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: defaults.Settings,
+        registry: plugins.Registry,
+        wall: Callable[[], float],
+    ) -> "Daemon":
+        """Builds a daemon that is seeded by the system's random source.
+
+        Args:
+            settings: Validated settings.
+            registry: Plug-ins to take adapters and the routing from.
+            wall: Returns wall-clock seconds.
+        """
+        seed = random.SystemRandom().getrandbits(SEED_BITS)
+        return cls(settings, registry, wall, seed)
+
+    async def start(self) -> None:
+        """Connects the parts and starts listeners and tasks.
+
+        Raises:
+            ConfigError: An address can't be used.
+        """
+        try:
+            await self._start()
+        except OSError as error:
+            raise exceptions.ConfigError(
+                f"An address can't be listened on: {error}."
+            ) from error
+
+    async def _start(self) -> None:
+        metrics.add_calls(self.instruments, self.counts)
+        self.kernel.subscribe(events.CallFinished, self.counts.record)
+        self.registry.connect(self.kernel)
+        bundles.connect(self)
+        endpoint = await self.admin_server.start(self.settings.admin)
+        peer_endpoint = await self.peers.start()
+        self.kernel.start("spread", self.spread.run)
+        self.kernel.start("claims", self.claims.run)
+        self.kernel.start("measuring", self.budget.run)
+        self.kernel.start("evidence", self.writer.run)
+        leaving_servers.start(self)
+        callers = await self.proxy.start()
+        log.info(
+            "daemon: started.",
+            callers=callers.port,
+            peers=peer_endpoint.port,
+            admin=endpoint.port,
+        )
+
+    async def stop(self) -> int:
+        """Ends gracefully: drains calls, writes evidence, leaves the peers.
+
+        Returns:
+            Number of calls that were cut at the drain limit.
+        """
+        self.draining = True
+        self.kernel.emit(events.DaemonDraining(self.wall()))
+        log.info("daemon: draining.", in_flight=self.proxy.in_flight)
+        drain = self.settings.drain
+        cut = await self.proxy.drain(drain.grace_s, drain.limit_s)
+        self.peers.leave()
+        await self.kernel.stop()
+        await self.claims.drain()
+        await self.writer.finish()
+        await self.proxy.close()
+        await self.peers.close()
+        await self.admin_server.close()
+        await self.store.close()
+        self.instruments.close()
+        log.info("daemon: ended.", cut=cut)
+        return cut
+
+    def readiness(self) -> admin.Readiness:
+        """Tells whether callers should be sent here."""
+        if self.draining:
+            return admin.Readiness(False, "the daemon is draining")
+        if self.spread.held is None:
+            return admin.Readiness(False, "no bundle is in force")
+        if self.proxy.fenced:
+            return admin.Readiness(False, "no object API and no peer answers")
+        return admin.Readiness(True)
+
+    def state(self) -> dict[str, object]:
+        """Returns the daemon's state for the status page."""
+        held = self.spread.held
+        return {
+            "deployment": self.settings.deployment,
+            "daemon": self.settings.daemon,
+            "zone": self.settings.zone,
+            "bundle": held.accepted.manifest.version if held else 0,
+            "digest": held.digest if held else "",
+            "in_flight": self.proxy.in_flight,
+            "draining": self.draining,
+            "isolated": self.spread.isolated,
+            "fenced": self.proxy.fenced,
+            "members": sorted(entry.daemon for entry in self.peers.alive()),
+            "object_api_calls": dict(self.store.calls),
+            "task_failures": dict(self.kernel.failures),
+        }
+
+
+def _vm_list(
+    settings: defaults.Settings, registry: plugins.Registry
+) -> vm_interface.VmList | None:
+    if settings.vm_list is None:
+        return None
+    factory = registry.get("vm_list", settings.vm_list.adapter)
+    return factory(settings.vm_list)
--- /dev/null
+++ b/banyantiller/daemon/bundles.py
@@ -0,0 +1,38 @@
+"""Passes the bundle in force, membership and isolation on to the parts."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from banyantiller.kernel import events
+from banyantiller.replica import spread as spreading
+
+if TYPE_CHECKING:
+    from banyantiller.daemon import assembly
+
+ISOLATION_PERIOD_S = 0.25
+
+
+def connect(daemon: "assembly.Daemon") -> None:
+    """Subscribes the data path to bundles, members and isolation."""
+
+    def on_bundle(held: spreading.Held) -> None:
+        manifest = held.accepted.manifest
+        daemon.budget.configure(held.bundle.services)
+        daemon.recorder.configure(held.bundle.services)
+        daemon.proxy.apply(
+            held.bundle, manifest.version, held.accepted.accepted_at
+        )
+
+    def on_member(_: events.MemberChanged) -> None:
+        daemon.proxy.members(len(daemon.peers.alive()))
+
+    daemon.spread.subscribe(on_bundle)
+    daemon.kernel.subscribe(events.MemberChanged, on_member)
+    daemon.kernel.start("isolation", lambda: _follow_isolation(daemon))
+
+
+async def _follow_isolation(daemon: "assembly.Daemon") -> None:
+    while True:
+        fence = daemon.settings.outage.when_isolated == "fence"
+        daemon.proxy.fenced = fence and daemon.spread.isolated
+        await asyncio.sleep(ISOLATION_PERIOD_S)
--- /dev/null
+++ b/banyantiller/daemon/leaving_servers.py
@@ -0,0 +1,53 @@
+"""Follows the VM list and tells the data path which servers are leaving."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import structlog
+
+from banyantiller.vmlist import interface, tracker
+
+if TYPE_CHECKING:
+    from banyantiller.daemon import assembly
+
+log = structlog.get_logger("banyantiller.daemon")
+
+
+def start(daemon: "assembly.Daemon") -> None:
+    """Starts the task if the settings name a VM list."""
+    if daemon.vms is not None:
+        daemon.kernel.start("vm list", lambda: _follow(daemon))
+
+
+async def _follow(daemon: "assembly.Daemon") -> None:
+    assert daemon.vms is not None
+    assert daemon.settings.vm_list is not None
+    seen = tracker.VmTracker()
+    while True:
+        listed = await daemon.vms.read()
+        if isinstance(listed, interface.VmsListed):
+            for change in seen.observe(listed):
+                _apply(daemon, change)
+        await asyncio.sleep(daemon.settings.vm_list.period_s)
+
+
+def _apply(daemon: "assembly.Daemon", change: tracker.VmChange) -> None:
+    held = daemon.spread.held
+    if held is None:
+        return
+    for service in held.bundle.services:
+        for server in service.servers:
+            if server.vm == change.vm.name:
+                _tell(daemon, service.name, server.name, change.change)
+
+
+def _tell(
+    daemon: "assembly.Daemon",
+    service: str,
+    server: str,
+    change: tracker.Change,
+) -> None:
+    if change in (tracker.Change.LEAVING, tracker.Change.GONE):
+        daemon.proxy.server_leaving(service, server, "vm_list")
+    elif change is tracker.Change.BACK:
+        daemon.proxy.server_back(service, server)
--- /dev/null
+++ b/banyantiller/daemon/lifecycle.py
@@ -0,0 +1,50 @@
+"""Start, reload and graceful end of a daemon."""
+
+import asyncio
+import signal
+
+import structlog
+
+from banyantiller import exceptions
+from banyantiller.config import settings as loading
+from banyantiller.daemon import assembly, reload
+
+log = structlog.get_logger("banyantiller.daemon")
+
+
+class Lifecycle:
+    """Turns signals into the steps of a daemon's life.
+
+    Attributes:
+        daemon: The daemon that is run.
+        path: Path of its settings file, read again on SIGHUP.
+        ending: Set once the daemon was told to end.
+    """
+
+    def __init__(self, daemon: assembly.Daemon, path: str) -> None:
+        self.daemon = daemon
+        self.path = path
+        self.ending = asyncio.Event()
+
+    async def run(self) -> int:
+        """Runs the daemon until SIGTERM or SIGINT, then drains it.
+
+        Returns:
+            Number of calls that were cut because the drain limit passed.
+        """
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.ending.set)
+        loop.add_signal_handler(signal.SIGINT, self.ending.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        await self.daemon.start()
+        await self.ending.wait()
+        return await self.daemon.stop()
+
+    def reload(self) -> None:
+        """Reads the settings file again; a bad file changes nothing."""
+        try:
+            fresh = loading.load(self.path)
+        except exceptions.BanyantillerError as error:
+            log.error("daemon: settings were not reloaded.", error=str(error))
+            return
+        reload.apply(self.daemon, fresh)
--- /dev/null
+++ b/banyantiller/daemon/run.py
@@ -0,0 +1,70 @@
+"""Command line of the daemon: one settings file, then run until told to end."""
+
+import argparse
+import asyncio
+import gc
+import sys
+import time
+
+import structlog
+
+from banyantiller import exceptions, plugins
+from banyantiller.config import settings as loading
+from banyantiller.daemon import assembly, lifecycle
+from banyantiller.telemetry import logs
+
+log = structlog.get_logger("banyantiller.daemon")
+
+GC_THRESHOLDS = (50_000, 20, 50)
+EXIT_CUT = 1
+
+
+def run(argv: list[str]) -> int:
+    """Runs a daemon until SIGTERM or SIGINT.
+
+    Args:
+        argv: Arguments after the program's name.
+
+    Returns:
+        0 after a graceful end, 1 when calls were cut at the drain limit, or
+        the exit code of the error that kept the daemon from starting.
+    """
+    options = _parser().parse_args(argv)
+    try:
+        return asyncio.run(_main(options.settings))
+    except exceptions.BanyantillerError as error:
+        sys.stderr.write(f"banyantillerd: {error}\n")
+        return error.exit_code
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="banyantillerd",
+        description="Balances calls over backend servers.",
+    )
+    parser.add_argument("settings", help="path of the YAML settings file")
+    return parser
+
+
+async def _main(path: str) -> int:
+    settings = loading.load(path)
+    logs.configure(
+        settings.log, deployment=settings.deployment, daemon=settings.daemon
+    )
+    registry = plugins.Registry.from_entry_points()
+    daemon = assembly.Daemon.from_settings(settings, registry, time.time)
+    _tune_collector()
+    cycle = lifecycle.Lifecycle(daemon, path)
+    cut = await cycle.run()
+    return EXIT_CUT if cut else 0
+
+
+def _tune_collector() -> None:
+    """Keeps long-lived objects out of collections and makes these rare.
+
+    A full collection of the loaded modules takes several milliseconds, which
+    every call in flight would wait for.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
--- /dev/null
+++ b/banyantiller/tests/daemon/test_whole_path.py
@@ -0,0 +1,189 @@
+"""Tests of whole daemons over in-memory sockets and one object table."""
+
+import asyncio
+from typing import Any
+
+from banyantiller import plugins
+from banyantiller.config import defaults
+from banyantiller.daemon import assembly
+from banyantiller.http import client, messages, outcomes, server
+from banyantiller.routing import adaptive
+from banyantiller.store import memory
+from banyantiller.store import table as tables
+from banyantiller.tests import base
+from banyantiller.tests.bundle import samples
+
+BACKEND_PORTS = (9001, 9002, 9003)
+WALL = samples.NOW
+SETTLED_S = 5.0
+
+
+def settings(number: int, **changes: Any) -> defaults.Settings:
+    """Returns settings of the daemon with a number."""
+    local = "127.0.0.1"
+    made = defaults.Settings(
+        deployment=samples.DEPLOYMENT,
+        daemon=f"d{number}",
+        zone=f"zone-{number}",
+        callers=defaults.CallerSettings(
+            defaults.Endpoint(local, 8000 + number)
+        ),
+        admin=defaults.Endpoint(local, 8100 + number),
+        peers=defaults.PeerSettings(
+            listen=defaults.Endpoint(local, 8200 + number),
+            seeds=(defaults.Endpoint(local, 8201),),
+            secret="a shared secret for tests",
+        ),
+        object_api=defaults.ObjectApiSettings(defaults.Endpoint(local, 1)),
+        trusted_keys=samples.TRUSTED,
+        drain=defaults.DrainSettings(grace_s=1.0, limit_s=10.0),
+    )
+    return made._replace(**changes)
+
+
+class Fleet:
+    """Daemons, backend servers and the object table of one test."""
+
+    def __init__(self) -> None:
+        self.table = tables.ObjectTable()
+        self.stores: list[memory.MemoryStore] = []
+        self.daemons: list[assembly.Daemon] = []
+        self.servers: list[server.HttpServer] = []
+        self.runs: list[str] = []
+        self.service_s = 0.01
+
+    async def start(self, count: int) -> None:
+        """Starts the servers and `count` daemons, and rolls a bundle."""
+        for port in BACKEND_PORTS:
+            backend = server.HttpServer(self.answer)
+            await backend.start("127.0.0.1", port)
+            self.servers.append(backend)
+        for number in range(1, count + 1):
+            await self.add(settings(number))
+        store = memory.MemoryStore(self.table)
+        digest = await samples.prepare(store, samples.BUNDLE)
+        await samples.roll(store, digest)
+        await asyncio.sleep(SETTLED_S)
+
+    async def add(self, chosen: defaults.Settings) -> assembly.Daemon:
+        """Starts one daemon."""
+        registry = plugins.Registry()
+        store = memory.MemoryStore(self.table)
+        registry.add("object_api", "kubernetes", lambda *_: store)
+        registry.add("routing", "adaptive", adaptive.create)
+        loop = asyncio.get_running_loop()
+        daemon = assembly.Daemon(
+            chosen, registry, lambda: WALL + loop.time(), len(self.daemons)
+        )
+        await daemon.start()
+        self.stores.append(store)
+        self.daemons.append(daemon)
+        return daemon
+
+    async def answer(self, request: messages.Request) -> messages.Response:
+        """Answers as a backend server; counts runs by body."""
+        self.runs.append(request.body.decode())
+        await asyncio.sleep(self.service_s)
+        return messages.Response(200, (), b"done " + request.body)
+
+    async def stop(self) -> list[int]:
+        """Stops all daemons and servers; returns calls cut by each."""
+        cut = [await daemon.stop() for daemon in self.daemons]
+        for backend in self.servers:
+            await backend.close()
+        return cut
+
+
+async def send(
+    port: int,
+    method: str,
+    target: str,
+    body: bytes = b"",
+    key: str = "",
+) -> messages.Response:
+    """Sends one request on a connection of its own."""
+    headers = (("idempotency-key", key),) if key else ()
+    http = client.HttpClient("127.0.0.1", port)
+    try:
+        outcome = await http.request(method, target, 30.0, headers, body)
+    finally:
+        await http.close()
+    assert isinstance(outcome, outcomes.Answered), outcome
+    return outcome.response._replace(body=outcome.body)
+
+
+class WholePathTest(base.TestCase):
+    def test_lookup_and_keyed_request_over_two_daemons(self) -> None:
+        async def scenario() -> None:
+            fleet = Fleet()
+            await fleet.start(2)
+            answer = await send(8001, "GET", "/orders/1")
+            self.assertEqual(200, answer.status, answer)
+            first = await send(8001, "POST", "/orders", b"deposit", '"k1"')
+            again = await send(8002, "POST", "/orders", b"deposit", '"k1"')
+            self.assertEqual(b"done deposit", first.body)
+            self.assertEqual(b"done deposit", again.body)
+            self.assertEqual("true", again.header("idempotency-replayed"))
+            self.assertEqual(1, fleet.runs.count("deposit"))
+            self.assertEqual([0, 0], await fleet.stop())
+
+        self.run_paused(scenario())
+
+    def test_stop_ends_calls_in_flight_and_refuses_none_meanwhile(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            fleet = Fleet()
+            await fleet.start(1)
+            fleet.service_s = 3.0
+            call = asyncio.create_task(send(8001, "GET", "/orders/1"))
+            await asyncio.sleep(0.5)
+            ending = asyncio.create_task(fleet.daemons[0].stop())
+            await asyncio.sleep(0.5)
+            late = asyncio.create_task(send(8001, "GET", "/orders/2"))
+            self.assertFalse(fleet.daemons[0].readiness().ready)
+            self.assertEqual(0, await ending)
+            self.assertEqual(200, (await call).status)
+            answer = await late
+            self.assertEqual(200, answer.status, answer)
+            self.assertEqual("close", answer.header("connection"))
+
+        self.run_paused(scenario())
+
+    def test_bundle_stays_in_force_without_the_object_api(self) -> None:
+        async def scenario() -> None:
+            fleet = Fleet()
+            await fleet.start(2)
+            for store in fleet.stores:
+                store.faults.down = True
+            await asyncio.sleep(60.0)
+            answer = await send(8002, "GET", "/orders/1")
+            self.assertEqual(200, answer.status, answer)
+            refused = await send(8002, "POST", "/orders", b"deposit", '"k2"')
+            self.assertEqual(503, refused.status)
+            self.assertEqual("no", refused.header("request-ran"))
+            self.assertEqual(0, fleet.runs.count("deposit"))
+            await fleet.stop()
+
+        self.run_paused(scenario())
+
+    def test_isolated_daemon_fences_itself_if_told_so(self) -> None:
+        async def scenario() -> None:
+            fleet = Fleet()
+            await fleet.start(0)
+            outage = defaults.OutageSettings("fence", 10.0)
+            daemon = await fleet.add(settings(1, outage=outage))
+            await asyncio.sleep(SETTLED_S)
+            self.assertTrue(daemon.readiness().ready)
+            fleet.stores[0].faults.down = True
+            await asyncio.sleep(15.0)
+            self.assertFalse(daemon.readiness().ready)
+            answer = await send(8001, "GET", "/orders/1")
+            self.assertEqual(503, answer.status)
+            self.assertEqual("no", answer.header("request-ran"))
+            fleet.stores[0].faults.down = False
+            await asyncio.sleep(15.0)
+            self.assertTrue(daemon.readiness().ready)
+            await fleet.stop()
+
+        self.run_paused(scenario())
