Run the demonstration end to end

The backend stand-in failed when it printed its counts: asdict() rebuilds a Counter from pairs as counts of tuples. The counts are plain dicts now and a test reads them over HTTP as the demonstration does.

--- a/banyantiller/tests/standins/test_backend.py
+++ b/banyantiller/tests/standins/test_backend.py
@@ -36,9 +36,10 @@
             headers = (("idempotency-key", "k"), ("x-request-id", "r"))
             for _ in range(2):
                 answer = await user.request("POST", "/d", 9, headers, b"body")
-            return answer, stand_in.counts
+            told = await user.request("GET", "/standin/runs", 9)
+            return answer, stand_in.counts, json.loads(told.body)
 
-        answer, counts = self.run_with(check)
+        answer, counts, report = self.run_with(check)
         told = json.loads(answer.body)
         self.assertEqual(hashlib.sha256(b"body").hexdigest(), told["sha256"])
         self.assertEqual(
@@ -46,6 +47,7 @@
             tuple(told[name] for name in ("target", "key", "request_id")),
         )
         self.assertEqual({"k": 2}, counts.runs_by_key)
+        self.assertEqual({"k": 2}, report["runs_by_key"])
         self.assertEqual({"r": 2}, counts.runs_by_id)
         report = "TEXT named_metrics.in_flight=1"
         self.assertEqual(
--- a/standins/backend_state.py
+++ b/standins/backend_state.py
@@ -1,7 +1,6 @@
 """Settings, faults, counts and answers of the backend stand-in."""
 
 import asyncio
-import collections
 import dataclasses
 import hashlib
 import math
@@ -98,12 +97,8 @@
     cancelled: int = 0
     probes: int = 0
     runs: int = 0
-    runs_by_key: collections.Counter[str] = dataclasses.field(
-        default_factory=collections.Counter
-    )
-    runs_by_id: collections.Counter[str] = dataclasses.field(
-        default_factory=collections.Counter
-    )
+    runs_by_key: dict[str, int] = dataclasses.field(default_factory=dict)
+    runs_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
     drain_at: float | None = None
     last_after_drain_s: float = 0.0
 
@@ -122,11 +117,11 @@
         self.runs += 1
         key = request.header("idempotency-key")
         if key:
-            self.runs_by_key[key] += 1
+            self.runs_by_key[key] = self.runs_by_key.get(key, 0) + 1
         request_id = request.header("x-request-id")
-        known = request_id in self.runs_by_id
-        if request_id and (known or len(self.runs_by_id) < MOST_IDS):
-            self.runs_by_id[request_id] += 1
+        before = self.runs_by_id.get(request_id, 0)
+        if request_id and (before or len(self.runs_by_id) < MOST_IDS):
+            self.runs_by_id[request_id] = before + 1
 
     def report(self) -> dict[str, Any]:
         """Returns the fields."""
