--- /dev/null
+++ b/banyantiller/tests/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the specifications and of the code against them."""
--- a/spec/__init__.py
+++ b/spec/__init__.py
@@ -1,1 +1,1 @@
-"""Specifications of the core protocols, checked exhaustively."""
+"""Small specifications of the core protocols, for a model checker."""
