--- a/banyantiller/bundle/proposals.py
+++ b/banyantiller/bundle/proposals.py
@@ -23,6 +23,8 @@
 from banyantiller.config.defaults import TrustedKey
 from banyantiller.store import interface
 
+RENEW_AFTER_S = 3600.0
+
 Audit = Callable[[str, dict[str, Any]], Awaitable[str]]
 """Records an action and its particulars; returns why it failed, or ""."""
 
@@ -92,7 +94,7 @@
     )
     if reasons:
         return Refused(reasons)
-    failed = await _store_parts(store, parts, set(base.parts))
+    failed = await _store_parts(store, parts, set(base.parts), now)
     if failed is not None:
         return failed
     return await _store_proposal(store, manifest, signature, operator, now)
@@ -102,27 +104,43 @@
     store: interface.ObjectStore,
     parts: dict[str, tuple[Part, bytes]],
     known: set[Part],
+    now: float,
 ) -> Refused | NotReached | NotKnown | None:
     for part, data in parts.values():
         if part in known:
             continue
-        value = reading.part_value(part, data)
+        value = reading.part_value(part, data, now)
         if writing.value_size(value) > interface.MAX_VALUE_BYTES:
             message = f"Service '{part.service}' is too large for one object."
             return Refused((message,))
-        outcome = await writing.ensure(
+        failed = await _store_part(store, part, value)
+        if failed is not None:
+            return failed
+    return None
+
+
+async def _store_part(
+    store: interface.ObjectStore, part: Part, value: dict[str, Any]
+) -> Refused | NotReached | NotKnown | None:
+    """Stores a part, or renews an old one so that nobody prunes it."""
+    for _ in writing.pauses():
+        item = await writing.ensure(
             store,
             reading.PARTS,
             part.digest,
             value,
             {"service": part.service},
-            lambda item, value=value: item.value == value,
+            lambda item: item.value.get("data") == value["data"],
         )
-        if isinstance(outcome, Damaged):
-            return Refused((outcome.reason,))
-        if isinstance(outcome, NotReached | NotKnown):
-            return outcome
-    return None
+        if isinstance(item, Damaged):
+            return Refused((item.reason,))
+        if isinstance(item, NotReached | NotKnown):
+            return item
+        age_s = value["stored_at"] - reading.stored_at(item.value)
+        if age_s < RENEW_AFTER_S:
+            return None
+        await store.update(item, value)
+    return NotReached("an old part could not be renewed")
 
 
 async def _store_proposal(
--- a/banyantiller/bundle/reading.py
+++ b/banyantiller/bundle/reading.py
@@ -110,9 +110,19 @@
         return Damaged(f"A part is damaged: {error}.")
 
 
-def part_value(part: Part, data: bytes) -> dict[str, Any]:
+def part_value(part: Part, data: bytes, stored_at: float) -> dict[str, Any]:
     """Builds the value of a part object."""
-    return {"service": part.service, "data": data.decode()}
+    return {
+        "service": part.service,
+        "data": data.decode(),
+        "stored_at": stored_at,
+    }
+
+
+def stored_at(value: dict[str, Any]) -> float:
+    """Returns when a part was last stored, in wall-clock seconds."""
+    at = value.get("stored_at")
+    return float(at) if isinstance(at, int | float) else 0.0
 
 
 def proposal_name(deployment: str, digest: str) -> str:
--- /dev/null
+++ b/banyantiller/bundle/retention.py
@@ -0,0 +1,148 @@
+"""Deletes proposals and parts that nothing needs any more.
+
+Parts are listed before proposals. A part that a proposal uses anew is written
+again when it is old, so its resource version changes and a delete that was
+decided before fails. A part is therefore never deleted under a proposal that
+was made within `MIN_AGE_S` of storing its parts.
+"""
+
+import dataclasses
+from typing import Any
+
+from banyantiller.bundle import reading
+from banyantiller.bundle.manifest import Manifest
+from banyantiller.bundle.outcomes import (
+    Damaged,
+    HeadFound,
+    NoHead,
+    NotReached,
+    ProposalFound,
+    Refused,
+)
+from banyantiller.bundle.proposals import Operator
+from banyantiller.store import interface
+
+MIN_AGE_S = 86400.0
+LEAST_VERSIONS = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pruned:
+    """What was deleted, or would be.
+
+    Attributes:
+        proposals: Names of proposals.
+        parts: Names of parts.
+        failed: Deletes that the object API did not confirm.
+    """
+
+    proposals: tuple[str, ...]
+    parts: tuple[str, ...]
+    failed: int = 0
+
+
+PruneOutcome = Pruned | Refused | NotReached
+
+
+async def prune(
+    store: interface.ObjectStore,
+    deployment: str,
+    versions: int,
+    operator: Operator,
+    dry_run: bool = False,
+) -> PruneOutcome:
+    """Deletes what neither the kept versions nor young proposals need.
+
+    Args:
+        store: The object API of the deployment.
+        deployment: Fleet whose bundles are pruned.
+        versions: Accepted versions to keep, the one in force included.
+        operator: Who prunes.
+        dry_run: Only tell what would be deleted.
+    """
+    if versions < LEAST_VERSIONS:
+        return Refused((f"Keep at least {LEAST_VERSIONS} versions.",))
+    head = await reading.read_head(store, deployment)
+    if isinstance(head, NotReached):
+        return head
+    if isinstance(head, NoHead):
+        return Refused(("No bundle was accepted yet.",))
+    if isinstance(head, Damaged):
+        return Refused((head.reason,))
+    parts = await store.list(reading.PARTS)
+    proposals = await store.list(reading.PROPOSALS, {"deployment": deployment})
+    for listed in (parts, proposals):
+        if isinstance(listed, interface.Unavailable):
+            return NotReached(listed.reason)
+    old = operator.wall() - MIN_AGE_S
+    doomed = _choose(head, proposals.items, parts.items, versions, old)
+    return await _delete(store, doomed, operator, dry_run)
+
+
+def _choose(
+    head: HeadFound,
+    proposals: tuple[interface.StoredObject, ...],
+    parts: tuple[interface.StoredObject, ...],
+    versions: int,
+    old: float,
+) -> list[interface.StoredObject]:
+    decoded = [reading.decode_proposal(item) for item in proposals]
+    found = [item for item in decoded if isinstance(item, ProposalFound)]
+    kept = _accepted(head, found, versions)
+    for item in found:
+        if item.manifest.parent == head.digest or item.proposed_at > old:
+            kept[item.digest] = item.manifest
+    needed = {
+        part.digest for manifest in kept.values() for part in manifest.parts
+    }
+    doomed = [item.item for item in found if item.digest not in kept]
+    return doomed + [
+        item
+        for item in parts
+        if item.name not in needed and _stored_at(item) <= old
+    ]
+
+
+def _accepted(
+    head: HeadFound, found: list[ProposalFound], versions: int
+) -> dict[str, Manifest]:
+    """Returns the latest accepted manifests by digest."""
+    by_digest = {item.digest: item.manifest for item in found}
+    manifest = head.accepted.manifest
+    kept = {head.digest: manifest}
+    while len(kept) < versions and manifest.parent in by_digest:
+        kept[manifest.parent] = by_digest[manifest.parent]
+        manifest = kept[manifest.parent]
+    return kept
+
+
+def _stored_at(item: interface.StoredObject) -> float:
+    return reading.stored_at(item.value)
+
+
+async def _delete(
+    store: interface.ObjectStore,
+    doomed: list[interface.StoredObject],
+    operator: Operator,
+    dry_run: bool,
+) -> PruneOutcome:
+    names: dict[str, tuple[str, ...]] = {
+        kind: tuple(item.name for item in doomed if item.kind == kind)
+        for kind in (reading.PROPOSALS, reading.PARTS)
+    }
+    chosen = Pruned(names[reading.PROPOSALS], names[reading.PARTS])
+    if dry_run or not doomed:
+        return chosen
+    detail: dict[str, Any] = {
+        "proposals": len(chosen.proposals),
+        "parts": len(chosen.parts),
+    }
+    failure = await operator.audit("prune", detail)
+    if failure:
+        return NotReached(failure)
+    failed = 0
+    for item in doomed:
+        outcome = await store.delete(item)
+        done = isinstance(outcome, interface.Found | interface.Missing)
+        failed += 0 if done else 1
+    return dataclasses.replace(chosen, failed=failed)
--- a/banyantiller/bundle/writing.py
+++ b/banyantiller/bundle/writing.py
@@ -22,9 +22,8 @@
 
 
 def value_size(value: dict[str, Any]) -> int:
-    """Returns the size of a value as the object API holds it."""
-    text = json.dumps(value, separators=(",", ":"), ensure_ascii=False)
-    return len(text.encode("utf-8"))
+    """Returns the most bytes that a value takes as JSON."""
+    return len(json.dumps(value, separators=(",", ":")))
 
 
 async def ensure(
--- a/banyantiller/commands/changes.py
+++ b/banyantiller/commands/changes.py
@@ -3,10 +3,11 @@
 import json
 from typing import Any
 
+import yaml
+
 from banyantiller.bundle.difference import Difference
 
 SIGNS = {"added": "+", "removed": "-", "changed": "~"}
-LONGEST_VALUE = 120
 
 
 def data(found: tuple[Difference, ...]) -> list[dict[str, Any]]:
@@ -23,21 +24,24 @@
 
 
 def lines(found: tuple[Difference, ...]) -> list[str]:
-    """Returns differences as lines for people."""
-    return [_line(item) for item in found] or ["Nothing differs."]
+    """Returns differences as lines for people, whole values as YAML."""
+    shown = [line for item in found for line in _lines(item)]
+    return shown or ["Nothing differs."]
 
 
-def _line(item: Difference) -> str:
+def _lines(item: Difference) -> list[str]:
     sign = SIGNS[item.kind]
     if item.kind == "changed":
-        values = f"{_short(item.before)} -> {_short(item.after)}"
-    else:
-        values = _short(item.after if item.before is None else item.before)
-    return f"{sign} {item.path}: {values}"
-
-
-def _short(value: Any) -> str:
-    text = json.dumps(value, ensure_ascii=False)
-    if len(text) > LONGEST_VALUE:
-        return f"{text[:LONGEST_VALUE]}..."
-    return text
+        return [
+            f"{sign} {item.path}: {_text(item.before)} -> {_text(item.after)}"
+        ]
+    value = item.after if item.before is None else item.before
+    if not isinstance(value, dict):
+        return [f"{sign} {item.path}: {_text(value)}"]
+    block = yaml.safe_dump(value, sort_keys=False, allow_unicode=True)
+    inner = [f"{sign}     {line}" for line in block.splitlines()]
+    return [f"{sign} {item.path}:", *inner]
+
+
+def _text(value: Any) -> str:
+    return json.dumps(value, ensure_ascii=False)
--- a/banyantiller/commands/cli.py
+++ b/banyantiller/commands/cli.py
@@ -26,6 +26,7 @@
     "show",
     "compare",
     "status",
+    "prune",
     "reference",
     "held",
     "audit",
--- a/banyantiller/commands/output.py
+++ b/banyantiller/commands/output.py
@@ -59,7 +59,9 @@
 
 
 def table(head: Sequence[str], rows: Sequence[Sequence[str]]) -> list[str]:
-    """Aligns rows under a head."""
+    """Aligns rows under a head; says so if there are none."""
+    if not rows:
+        return ["None."]
     widths = [
         max(len(row[column]) for row in (head, *rows))
         for column in range(len(head))
--- a/banyantiller/commands/roll.py
+++ b/banyantiller/commands/roll.py
@@ -50,9 +50,11 @@
         if not isinstance(outcome, Rolled):
             failures.raise_for(outcome)
         version = outcome.accepted.manifest.version
-        output.progress(json, f"Accepted version {version}. {outcome.note}")
+        if wait:
+            output.progress(json, f"Accepted version {version}.")
         waited = _Wait(session, version, timeout_s, daemons, json)
         found = await waited.run() if wait else ()
+        line = f"Rolled version {version}: {outcome.digest}"
         output.emit(
             json,
             {
@@ -61,7 +63,7 @@
                 "note": outcome.note,
                 "daemons": [item._asdict() for item in found],
             },
-            [f"Rolled version {version}: {outcome.digest}"],
+            [line, outcome.note] if outcome.note else [line],
         )
         return 0
 
--- a/banyantiller/commands/validate.py
+++ b/banyantiller/commands/validate.py
@@ -30,7 +30,7 @@
     _, warnings = PARSERS[kind](documents.read_file(file), file)
     problems = [output.problem_data(item) for item in warnings]
     lines = [item.text() for item in warnings]
-    count = f" with {len(warnings)} warnings" if warnings else ""
+    count = f"; warnings: {len(warnings)}" if warnings else ""
     output.emit(
         json,
         {"file": file, "valid": True, "problems": problems},
--- a/banyantiller/config/problems.py
+++ b/banyantiller/config/problems.py
@@ -83,15 +83,15 @@
         return _ordered(item for item in self.found if item.warning)
 
     def raise_errors(self) -> None:
-        """Raises every error at once, if there is any.
+        """Raises every error at once, if there is any, and the warnings.
 
         Raises:
             ConfigError: With the whole list, one line each.
         """
-        errors = self.errors()
-        if errors:
-            lines = "\n".join(item.text() for item in errors)
-            raise exceptions.ConfigError(lines, errors)
+        if self.errors():
+            problems = _ordered(self.found)
+            lines = "\n".join(item.text() for item in problems)
+            raise exceptions.ConfigError(lines, problems)
 
 
 def suggestion(name: str, known: Iterable[str]) -> str:
