Provoke the judgements that no test had reached

New tests cover a second record of one number, a changed budget, evidence missing when a version was due, versions that were only counted, a fresh daemon without a bundle, a head that no daemon saw, a stale read after a lost answer, and the first sign of leaving.

--- a/banyantiller/tests/evidence/test_judging.py
+++ b/banyantiller/tests/evidence/test_judging.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from banyantiller import exceptions
-from banyantiller.bundle import options
+from banyantiller.bundle import manifest, options, reading
 from banyantiller.evidence import assessment, audit, chain, judging, layout
 from banyantiller.evidence.promises import Promise
 from banyantiller.evidence.verdicts import Broken, Held, NotKnown, Verdict
@@ -241,6 +241,21 @@
         verdict = self.ask(90)[Promise.AT_MOST_ONCE][0]
         self.assertIn("missing", verdict.unknown[0].why)
 
+    def test_second_record_of_the_same_number(self) -> None:
+        """Someone adds a block with another version of a record."""
+        self.play(quiet)
+        item = next(
+            item
+            for item in self.table.list(layout.BLOCK_KIND).items
+            if item.value["daemon"] == "b2"
+        )
+        forged = chain.sealed({**item.value["records"][3], "cut": 1})
+        value = {**item.value, "records": [forged]}
+        name = item.name + "x"
+        self.table.create(layout.BLOCK_KIND, name, value, item.labels)
+        verdict = self.ask(90)[Promise.AT_MOST_ONCE][0]
+        self.assertIn("exists twice", verdict.unknown[0].why)
+
     def test_removed_end(self) -> None:
         def change(records: list[Any]) -> None:
             del records[-4:]
@@ -343,6 +358,22 @@
         self.assertIsInstance(verdict, Broken)
         self.assertIn("220 probes", verdict.named[0].detail)
 
+    def test_probes_while_the_budget_changed(self) -> None:
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            service = options.Service("registry", ())
+            low = options.MeasuringPolicy(probes_per_second=0.5)
+            first.recorder.configure([service])
+            second.recorder.configure([service._replace(measuring=low)])
+            for parts in (first, second):
+                for _ in range(50):
+                    event = events.ProbeCharged("registry", parts.wall())
+                    parts.kernel.emit(event)
+            await quiet(first, second)
+
+        self.play(script)
+        verdict = self.ask(90)[Promise.MEASURING_IN_BUDGET][0]
+        self.assertIsInstance(verdict, NotKnown)
+
     def test_probes_without_a_known_budget(self) -> None:
         self.assertIsInstance(self.probes(1, configured=False), NotKnown)
 
@@ -403,6 +434,88 @@
         verdict = self.ask(90)[Promise.BUNDLE_IN_FORCE][0]
         self.assertIn("not at all", verdict.named[0].detail)
 
+    def test_evidence_missing_when_the_version_was_due(self) -> None:
+        """The gap lies in a later part than the acceptance."""
+
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            for parts in (first, second):
+                parts.bundle(1, samples.EPOCH)
+            await asyncio.sleep(29)
+            first.bundle(2, first.wall())
+            await asyncio.sleep(2)
+            await second.die()
+            await asyncio.sleep(30)
+            again = DaemonParts(self.table, "b2")
+            again.start()
+            again.bundle(2, samples.EPOCH + 29)
+            await asyncio.sleep(30)
+            await again.kernel.stop()
+
+        self.play(script)
+        verdict = self.ask(80, every_s=10)[Promise.BUNDLE_IN_FORCE][2]
+        self.assertIsInstance(verdict, NotKnown)
+        self.assertIn("Evidence is missing", verdict.unknown[0].why)
+
+    def test_versions_that_were_only_counted(self) -> None:
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            for parts in (first, second):
+                parts.bundle(1, samples.EPOCH)
+            await asyncio.sleep(10.2)
+            for version in range(2, 101):
+                for parts in (first, second):
+                    parts.bundle(version, parts.wall())
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(80)
+
+        self.play(script)
+        accepted_at = samples.EPOCH + 10.2 + 0.05 * 98
+        detail = {"version": 100, "result": "rolled"}
+        self.run_paused(
+            audit.append(
+                self.store,
+                "fleet",
+                "roll_result",
+                "awa",
+                detail,
+                lambda: accepted_at,
+            )
+        )
+        verdict = self.ask(90)[Promise.BUNDLE_IN_FORCE][0]
+        self.assertIsInstance(verdict, NotKnown)
+        self.assertIn("only counted", verdict.unknown[0].why)
+
+    def test_fresh_daemon_without_a_bundle_serves_nothing(self) -> None:
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            for parts in (first, second):
+                parts.bundle(1, samples.EPOCH)
+            await asyncio.sleep(5)
+            third = DaemonParts(self.table, "b3")
+            third.start()
+            await asyncio.sleep(95)
+            await third.kernel.stop()
+
+        self.play(script)
+        self.assert_all(Held, self.ask(90))
+
+    def test_accepted_head_that_no_daemon_has_seen(self) -> None:
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            for parts in (first, second):
+                parts.bundle(1, samples.EPOCH)
+            await asyncio.sleep(20)
+            accepted = manifest.Accepted(
+                manifest.Manifest("fleet", 2, "", "awa", "", ()),
+                (),
+                first.wall(),
+                "awa",
+            )
+            value = reading.head_value(accepted)
+            self.table.create(reading.HEADS, "fleet", value)
+            await asyncio.sleep(80)
+
+        self.play(script)
+        verdict = self.ask(90)[Promise.BUNDLE_IN_FORCE][0]
+        self.assertIsInstance(verdict, Broken)
+
     def test_revert_within_a_run(self) -> None:
         async def script(first: DaemonParts, second: DaemonParts) -> None:
             for parts in (first, second):
--- a/banyantiller/tests/evidence/test_recorder.py
+++ b/banyantiller/tests/evidence/test_recorder.py
@@ -76,6 +76,13 @@
         late = samples.call("r6", duration_s=0.6, sent_after_s=0.2)
         self.assertEqual([("leaving_server_spared", "r6")], self.broken(late))
 
+    def test_first_sign_of_leaving_counts(self) -> None:
+        for reason in ("drain_answer", "vm_list"):
+            left = events.ServerLeaving("registry", "s1", reason, self.now)
+            self.kernel.emit(left)
+            self.now += 2.0
+        self.assertEqual(1, len(self.broken(samples.call(duration_s=0.1))))
+
     def test_server_that_came_back_is_not_leaving(self) -> None:
         left = events.ServerLeaving("registry", "s1", "vm_list", self.now)
         self.kernel.emit(left)
--- a/banyantiller/tests/evidence/test_writer.py
+++ b/banyantiller/tests/evidence/test_writer.py
@@ -116,6 +116,23 @@
         self.assertEqual([], chain.check_links(records))
         self.assertTrue(records[max(records)]["final"])
 
+    def test_stale_read_after_a_lost_answer_is_no_alteration(self) -> None:
+        async def scenario() -> None:
+            parts = samples.DaemonParts(self.table)
+            parts.start()
+            await asyncio.sleep(22)
+            parts.store.serve_stale(True)
+            await asyncio.sleep(18)
+            parts.store.faults.lose_answers = 1
+            await asyncio.sleep(30)
+            parts.store.serve_stale(False)
+            await asyncio.sleep(30)
+            await parts.end()
+
+        self.run_paused(scenario())
+        self.assertEqual(1, len(self.blocks()))
+        self.assertEqual([], chain.check_links(self.records()))
+
     def test_altered_block_is_left_as_it_is(self) -> None:
         async def scenario() -> None:
             parts = samples.DaemonParts(self.table)
