Tell the kernel of servers that leave by the VM list

Only a server's own drain answer made a ServerLeaving event, so the evidence could not judge requests to servers that the VM list shows as leaving, nor cuts while they leave. The follower of the VM list now emits the event as well; a return is told by the service's driver already. Tests: python -m pytest banyantiller/tests/daemon, 6 passed.

--- a/banyantiller/daemon/leaving_servers.py
+++ b/banyantiller/daemon/leaving_servers.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from banyantiller.kernel import events
 from banyantiller.vmlist import interface, tracker
 
 if TYPE_CHECKING:
@@ -49,5 +50,8 @@
 ) -> None:
     if change in (tracker.Change.LEAVING, tracker.Change.GONE):
         daemon.proxy.server_leaving(service, server, "vm_list")
+        daemon.kernel.emit(
+            events.ServerLeaving(service, server, "vm_list", daemon.wall())
+        )
     elif change is tracker.Change.BACK:
         daemon.proxy.server_back(service, server)
