Require a clean end of both daemons in the demonstration

Only the daemon that is stopped under load was asked for its exit status; the other one is now stopped after the load and has to end with status 0 as well.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -34,6 +34,8 @@
         counts: Requests and runs so far.
         slots: Free slots.
         in_flight: Requests that run or wait.
+        journal: Keeps each run on file, or None.
+        slowed: Set, and replaced, when the speed changes.
     """
 
     def __init__(self, settings: backend_state.Settings) -> None:
@@ -43,6 +45,10 @@
         self.times = backend_state.ServiceTimes(settings)
         self.slots = asyncio.Semaphore(settings.slots)
         self.in_flight = 0
+        self.journal: backend_state.Journal | None = None
+        if settings.journal:
+            self.journal = backend_state.Journal(settings.journal)
+        self.slowed = asyncio.Event()
         self.resumed = asyncio.Event()
         self.resumed.set()
         self.draining = asyncio.Event()
@@ -84,7 +90,9 @@
 
     async def _run(self, request: messages.Request) -> messages.Response:
         self.counts.note_run(request)
-        await asyncio.sleep(self.times.draw() * self.faults.slow)
+        if self.journal is not None:
+            self.journal.note_run(request)
+        await self._work(self.times.draw())
         await self.resumed.wait()
         answer = self._answer(200, backend_state.echo(self.counts, request))
         self.counts.answered += 1
@@ -93,6 +101,20 @@
             return backend_state.cut_answer(answer, self.faults.cut)
         return answer
 
+    async def _work(self, left_s: float) -> None:
+        """Spends the time of a request; a change of speed counts at once."""
+        loop = asyncio.get_running_loop()
+        while left_s > 0.0:
+            began = loop.time()
+            slow = self.faults.slow
+            slowed = self.slowed
+            try:
+                async with asyncio.timeout(left_s * slow):
+                    await slowed.wait()
+            except TimeoutError:
+                return
+            left_s -= (loop.time() - began) / slow
+
     def _answer(
         self, status: int, value: object, headers: messages.Headers = ()
     ) -> messages.Response:
@@ -130,6 +152,8 @@
             except answers.BadRequestError as error:
                 return answers.to_json(400, {"error": str(error)})
             self._apply_pause()
+            self.slowed.set()
+            self.slowed = asyncio.Event()
         return answers.to_json(200, self.faults.report_fields())
 
     def _apply_pause(self) -> None:
@@ -168,6 +192,7 @@
     sigma: float = 0.5,
     seed: int = 1,
     drain_s: float = 4.0,
+    journal: str = "",
 ) -> None:
     """Serves on the loopback address until SIGTERM.
 
@@ -180,9 +205,10 @@
         sigma: Spread of the logarithm of the time; 0 for a constant time.
         seed: Seed of the times.
         drain_s: Seconds between SIGTERM and the end of listening.
+        journal: File that gets a line for each run, or empty.
     """
     settings = backend_state.Settings(
-        name, slots, queue, service_s, sigma, seed, drain_s
+        name, slots, queue, service_s, sigma, seed, drain_s, journal
     )
     asyncio.run(serve(settings, port))
 
--- a/standins/backend_state.py
+++ b/standins/backend_state.py
@@ -4,6 +4,7 @@
 import dataclasses
 import hashlib
 import math
+import os
 import random
 from collections.abc import AsyncIterator
 from typing import Any, NamedTuple
@@ -25,6 +26,7 @@
     sigma: float = 0.5
     seed: int = 1
     drain_s: float = 4.0
+    journal: str = ""
 
 
 @dataclasses.dataclass
@@ -32,7 +34,7 @@
     """What fails.
 
     Attributes:
-        slow: Factor on the time of each request.
+        slow: Factor on the time of each request, running ones included.
         paused: Nothing is answered, and nothing ends, until it is unset.
         fail_status: Status of a fast failure of each request, or 0.
         fail_health: Whether `/healthz` fails.
@@ -71,6 +73,26 @@
         return self.random.lognormvariate(self.mean, self.sigma)
 
 
+class Journal:
+    """A file that keeps each run, so that a killed server's runs are known.
+
+    Attributes:
+        file: Descriptor of the file.
+    """
+
+    def __init__(self, path: str) -> None:
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        self.file = os.open(path, flags, 0o600)
+
+    def note_run(self, request: messages.Request) -> None:
+        """Writes a line with the request id and the idempotency key."""
+        fields = (
+            request.header("x-request-id"),
+            request.header("idempotency-key"),
+        )
+        os.write(self.file, "\t".join(fields).encode() + b"\n")
+
+
 @dataclasses.dataclass
 class Counts:
     """What happened.
--- a/standins/demo/__main__.py
+++ b/standins/demo/__main__.py
@@ -34,6 +34,7 @@
             for follower in followers:
                 follower.cancel()
             await asyncio.gather(*followers, return_exceptions=True)
+        events.exits["daemon-1"] = await crew.stop_daemon(0)
         counts = await crew.read_counts()
         found = findings.judge(users, counts, events)
         object_api = await crew.read_calls()
