Print what is missing once, and judge what is due with what came later

Parts with the same answer are joined, missing evidence is listed once with the promises that it concerns, the default period ends where everything is due, and evidence after a period's end is used to judge it. A fleet that had no time to report yet is told so. Tests: python -m pytest banyantiller/tests/{evidence,commands}, all passed.

--- a/banyantiller/commands/evidence_output.py
+++ b/banyantiller/commands/evidence_output.py
@@ -6,10 +6,11 @@
 from banyantiller.evidence import chain, trail
 from banyantiller.evidence.assessment import Assessment
 from banyantiller.evidence.history import RunHistory, Unknown
-from banyantiller.evidence.judging import Judgement, joined
+from banyantiller.evidence.judging import Judgement, connected, joined
+from banyantiller.evidence.promises import Promise
 from banyantiller.evidence.verdicts import Broken, Held, Named, NotKnown
 
-MOST_LINES = 10
+MOST_LINES = 20
 
 ANSWERS: dict[type, str] = {
     Held: "held",
@@ -76,8 +77,10 @@
         f"{found.question.deployment}: {times.text_of(period.from_ms)} to"
         f" {times.text_of(period.to_ms)}, {_daemons(found)}"
     ]
-    for item in joined(found.judgements):
+    judgements = joined(found.judgements)
+    for item in judgements:
         lines += _judgement_lines(item)
+    lines += _missing_lines(judgements)
     lines.append(audit_line(found.audit))
     lines += problem_lines(found.audit.problems)
     return lines
@@ -118,26 +121,38 @@
     match item.verdict:
         case Held(calls):
             return [f"{head}  {calls} calls seen"]
-        case Broken(named, unnamed, unknown):
+        case Broken(named, unnamed, _):
             lines = [f"{head}  {len(named) + unnamed} breaches"]
             lines += _bounded([_named_line(breach) for breach in named])
             if unnamed:
                 lines.append(f"  and {unnamed} that were only counted")
-            return lines + _unknown_lines(unknown)
-        case NotKnown(since_ms, unknown):
-            head = f"{head}  since {times.text_of(since_ms)}"
-            return [head, *_unknown_lines(unknown)]
-
-
-def _unknown_lines(unknown: tuple[Unknown, ...]) -> list[str]:
-    return _bounded(
-        [
-            f"  not known: {part.daemon or 'fleet'}"
-            f" {times.text_of(part.from_ms)} to {times.text_of(part.to_ms)}:"
-            f" {part.why}"
-            for part in unknown
-        ]
-    )
+            return lines
+        case NotKnown(since_ms, _):
+            return [f"{head}  since {times.text_of(since_ms)}"]
+
+
+def _missing_lines(judgements: list[Judgement]) -> list[str]:
+    """Returns what is missing, once for all promises that it concerns."""
+    promises: dict[Unknown, list[str]] = {}
+    for item in judgements:
+        if not isinstance(item.verdict, Held):
+            for part in connected(item.verdict.unknown):
+                names = promises.setdefault(part, [])
+                if item.promise not in names:
+                    names.append(item.promise)
+    lines = [
+        f"  {part.daemon or 'fleet'}"
+        f" {times.text_of(part.from_ms)} to {times.text_of(part.to_ms)}:"
+        f" {part.why}{_concerned(names)}"
+        for part, names in sorted(promises.items(), key=lambda pair: pair[0][1])
+    ]
+    return ["not known:", *_bounded(lines)] if lines else []
+
+
+def _concerned(names: list[str]) -> str:
+    if len(names) == len(Promise):
+        return ""
+    return f" ({', '.join(names)})"
 
 
 def _bounded(lines: list[str]) -> list[str]:
--- a/banyantiller/commands/held.py
+++ b/banyantiller/commands/held.py
@@ -60,22 +60,25 @@
 
     Raises:
         ConfigError: A time is not valid or the period is empty.
+        BanyantillerError: No daemon has had time to report yet.
         StoreError: The object API did not answer.
     """
     now = session.wall()
     every_s = times.duration_s(every)
     if not every_s:
         raise exceptions.ConfigError(f"'{every}' is no duration such as 10m.")
-    period = await assessment.settled_period(
-        session.store,
-        session.deployment,
-        round(now * SECOND_MS),
-        DEFAULT_SPAN_MS,
+    settled = await assessment.settled(
+        session.store, session.deployment, round(now * SECOND_MS)
     )
-    if until:
-        period = period._replace(to_ms=times.moment_ms(until, now))
+    to_ms = times.moment_ms(until, now) if until else settled.until_ms
+    from_ms = max(to_ms - DEFAULT_SPAN_MS, settled.first_ms)
     if since:
-        period = period._replace(from_ms=times.moment_ms(since, now))
+        from_ms = times.moment_ms(since, now)
+    period = judging.Period(from_ms, to_ms)
+    if period.from_ms >= period.to_ms and not since and not until:
+        raise exceptions.BanyantillerError(
+            "No daemon has had time to report yet; ask again in a minute."
+        )
     if period.from_ms >= period.to_ms:
         raise exceptions.ConfigError(
             f"The period from {times.text_of(period.from_ms)} to"
@@ -83,9 +86,10 @@
         )
     return assessment.Question(
         session.deployment,
-        judging.Period(*period),
+        period,
         round(every_s * SECOND_MS),
         round(clock_tolerance * SECOND_MS),
+        settled.known_ms,
     )
 
 
--- a/banyantiller/commands/report_page.py
+++ b/banyantiller/commands/report_page.py
@@ -6,7 +6,7 @@
 from banyantiller.commands import evidence_output, times
 from banyantiller.evidence import charts
 from banyantiller.evidence.assessment import Assessment
-from banyantiller.evidence.judging import Judgement, joined
+from banyantiller.evidence.judging import Judgement, connected, joined
 from banyantiller.evidence.promises import STATEMENTS, Promise
 from banyantiller.evidence.verdicts import Broken, Held, NotKnown
 
@@ -111,7 +111,7 @@
         f"Not known: {html.escape(part.daemon or 'fleet')}"
         f" {times.text_of(part.from_ms)} to {times.text_of(part.to_ms)}:"
         f" {html.escape(part.why)}"
-        for part in unknown
+        for part in connected(unknown)
     ]
     return "<br>".join(lines)
 
--- a/banyantiller/evidence/assessment.py
+++ b/banyantiller/evidence/assessment.py
@@ -18,6 +18,7 @@
 DAY_MS = 86_400_000
 SECOND_MS = 1000
 WRITE_TIME_MS = 5000
+LOOK_AHEAD_MS = 30_000
 
 
 class Question(NamedTuple):
@@ -28,12 +29,15 @@
         period: Time that is judged.
         every_ms: Length of the parts that are judged one by one.
         tolerance_ms: Largest assumed difference between two clocks.
+        known_ms: Time up to which every daemon had time to report; what is
+            known between the period's end and then is used as well.
     """
 
     deployment: str
     period: judging.Period
     every_ms: int
     tolerance_ms: int
+    known_ms: int = 0
 
 
 class Assessment(NamedTuple):
@@ -52,17 +56,29 @@
     audit: trail.AuditReport
 
 
-async def settled_period(
-    store: interface.ObjectStore, deployment: str, now_ms: int, span_ms: int
-) -> judging.Period:
-    """Returns the latest period about which daemons had time to report.
+class Settled(NamedTuple):
+    """What can be judged now.
+
+    Attributes:
+        first_ms: Start of the first known daemon.
+        until_ms: End of the latest time of which everything is due.
+        known_ms: Time up to which every daemon had time to report.
+    """
+
+    first_ms: int
+    until_ms: int
+    known_ms: int
+
+
+async def settled(
+    store: interface.ObjectStore, deployment: str, now_ms: int
+) -> Settled:
+    """Finds out up to when daemons had time to report.
 
     Args:
         store: The object API.
         deployment: Fleet.
         now_ms: Wall-clock milliseconds.
-        span_ms: Longest period wanted; it starts no earlier than the first
-            known daemon.
 
     Raises:
         StoreError: The object API did not answer.
@@ -70,17 +86,17 @@
     values = await _values(store, layout.RUN_KIND, {"deployment": deployment})
     runs = history.announced(values)
     if not runs:
-        return judging.Period(now_ms - span_ms, now_ms)
-    if all(run.ended_ms for run in runs):
-        until_ms = max(run.ended_ms for run in runs)
-    else:
-        period_ms = max(run.period_ms for run in runs if not run.ended_ms)
-        until_ms = now_ms - period_ms * 3 // 2 - WRITE_TIME_MS
-    until_ms = min(until_ms, now_ms)
+        return Settled(0, now_ms, now_ms)
     first_ms = min(run.started_ms for run in runs)
-    return judging.Period(
-        min(max(until_ms - span_ms, first_ms), until_ms), until_ms
+    living = [run.period_ms for run in runs if not run.ended_ms]
+    if not living:
+        ended_ms = min(max(run.ended_ms for run in runs), now_ms)
+        return Settled(first_ms, ended_ms, ended_ms)
+    known_ms = now_ms - max(living) * 3 // 2 - WRITE_TIME_MS
+    due_ms = (
+        judging_bundles.IN_FORCE_LIMIT_MS + judging_bundles.CLOCK_TOLERANCE_MS
     )
+    return Settled(first_ms, known_ms - due_ms, known_ms)
 
 
 async def assess(
@@ -101,7 +117,9 @@
         raise exceptions.StoreError(f"The object API failed: {audit.reason}.")
     sound = sound_entries(audit)
     stored = history.Stored(runs, blocks, history.gone_daemons(sound))
-    histories = history.build(stored, question.deployment, period.to_ms)
+    known_ms = min(period.to_ms + LOOK_AHEAD_MS, question.known_ms)
+    end_ms = max(period.to_ms, known_ms)
+    histories = history.build(stored, question.deployment, end_ms)
     # The audit trail notes the end of a roll, so it is the least exact.
     accepted = {
         **_rolled(sound),
--- a/banyantiller/evidence/judging.py
+++ b/banyantiller/evidence/judging.py
@@ -78,21 +78,45 @@
 
 
 def joined(judgements: Sequence[Judgement]) -> list[Judgement]:
-    """Joins neighbouring parts of one promise that both held."""
+    """Joins neighbouring parts of one promise with the same answer."""
     result: list[Judgement] = []
     for item in judgements:
+        last = result[-1] if result else None
+        verdict = None
+        if last is not None and last.promise is item.promise:
+            verdict = _both(last.verdict, item.verdict)
+        if last is None or verdict is None:
+            result.append(item)
+        else:
+            result[-1] = last._replace(to_ms=item.to_ms, verdict=verdict)
+    return result
+
+
+def _both(first: Verdict, second: Verdict) -> Verdict | None:
+    """Returns one verdict for two neighbouring parts, None if they differ."""
+    match first, second:
+        case Held(), Held():
+            return Held(first.calls + second.calls)
+        case NotKnown(), NotKnown():
+            unknown = connected(first.unknown + second.unknown)
+            return NotKnown(first.since_ms, unknown)
+    return None
+
+
+def connected(unknown: Sequence[Unknown]) -> tuple[Unknown, ...]:
+    """Joins touching times of one daemon that have the same reason."""
+    result: list[Unknown] = []
+    for item in sorted(unknown, key=lambda part: (part[0], part.why, part[1])):
         last = result[-1] if result else None
         if (
             last is not None
-            and last.promise is item.promise
-            and isinstance(last.verdict, Held)
-            and isinstance(item.verdict, Held)
+            and (last.daemon, last.why) == (item.daemon, item.why)
+            and item.from_ms <= last.to_ms
         ):
-            calls = last.verdict.calls + item.verdict.calls
-            result[-1] = last._replace(to_ms=item.to_ms, verdict=Held(calls))
+            result[-1] = last._replace(to_ms=max(last.to_ms, item.to_ms))
         else:
             result.append(item)
-    return result
+    return tuple(sorted(result, key=lambda part: part.from_ms))
 
 
 def _verdict(
