--- a/banyantiller/daemon/assembly.py
+++ b/banyantiller/daemon/assembly.py
@@ -179,6 +179,7 @@
             "isolated": self.spread.isolated,
             "fenced": self.proxy.fenced,
             "members": sorted(entry.daemon for entry in self.peers.alive()),
+            "peer_traffic": vars(self.peers.traffic),
             "object_api_calls": dict(self.store.calls),
             "task_failures": dict(self.kernel.failures),
         }
--- a/banyantiller/replica/spread.py
+++ b/banyantiller/replica/spread.py
@@ -188,17 +188,17 @@
         version = held.version
         source = self.sources.get(version, "peer")
         self.sources = {v: s for v, s in self.sources.items() if v > version}
+        for callback in self.callbacks:
+            try:
+                callback(held)
+            except Exception:
+                log.exception("replica: a subscriber failed.")
         log.info(
             "replica: bundle in force.",
             version=version,
             digest=held.digest[:12],
             source=source,
         )
-        for callback in self.callbacks:
-            try:
-                callback(held)
-            except Exception:
-                log.exception("replica: a subscriber failed.")
         self.peers.announce(version, held.digest)
         self.status.note(held)
         self.kernel.emit(
--- a/banyantiller/replica/state.py
+++ b/banyantiller/replica/state.py
@@ -81,7 +81,8 @@
         held: The bundle in force, or None.
         candidates: Verified newer bundles by version.
         parts: Canonical JSON of needed parts by digest.
-        spare: Parts that no known bundle needs yet, oldest first.
+        spare: Parts that no known bundle needs, not yet or no longer, oldest
+            first.
     """
 
     def __init__(
@@ -260,5 +261,8 @@
         if self.held is not None:
             manifest = self.held.accepted.manifest
             needed.update(part.digest for part in manifest.parts)
-        self.parts = {d: x for d, x in self.parts.items() if d in needed}
+        # Operators go back to earlier content under a new version, whose
+        # parts are then not written again.
+        for digest in [d for d in self.parts if d not in needed]:
+            self._keep_spare(digest, self.parts.pop(digest))
         self.services = {d: x for d, x in self.services.items() if d in needed}
--- a/banyantiller/tests/replica/test_state.py
+++ b/banyantiller/tests/replica/test_state.py
@@ -122,6 +122,13 @@
         self.assertEqual(1, self.replica.advance().version)
         self.assertEqual({}, self.replica.spare)
 
+    def test_earlier_content_under_a_new_version_needs_no_part(self):
+        self.put(1)
+        self.put(2)
+        made, _ = accepted(3, number=1)
+        self.assertEqual(state.Adopt(()), self.offer(made))
+        self.assertEqual(3, self.replica.advance().version)
+
     def test_spare_parts_are_bounded(self):
         for number in range(30):
             self.replica.add_part(b"%d" % number * 50_000, keep_spare=True)
