Decide by waits, fading reports and doubt

What changed: a report counts as requests ahead of the call, fades within 0.8 service times into what is usual, and counts for nothing once own calls prove reports wrong. Hedges wait for the 97% quantile, or 1.5 service times on a suspect server. Slowness below twofold is taken for chance.

--- a/banyantiller/routing/adaptive.py
+++ b/banyantiller/routing/adaptive.py
@@ -8,7 +8,7 @@
 from banyantiller.routing import ejection, learning
 from banyantiller.routing.calls import CallState
 from banyantiller.routing.flow import CallFlow
-from banyantiller.routing.service import ServiceKnowledge, usable
+from banyantiller.routing.service import ServiceKnowledge
 from banyantiller.routing.tuning import Tuning
 from banyantiller.routing.types import (
     Action,
@@ -21,8 +21,6 @@
 )
 from banyantiller.routing.views import ServerView
 
-NO_SERVER_RETRY_S = 1.0
-
 Charge = Callable[[float], bool]
 
 
@@ -59,9 +57,6 @@
         if call.deadline <= now:
             kind = ErrorKind.DEADLINE_BEFORE_START
             return [self.flow.refuse(state, kind)]
-        if not any(usable(v) for v in known.candidates(state.group)):
-            kind = ErrorKind.NO_SERVER
-            return [self.flow.refuse(state, kind, NO_SERVER_RETRY_S)]
         return self.flow.begin(state, now)
 
     def attempt_head(
@@ -111,6 +106,7 @@
         learning.learn_report(self.known, view, report, len(view.own), now)
         if report.source == "probe" and view.probing:
             view.probing = False
+            view.update_closed()
             ejection.answered(view, now)
         return self.flow.start_waiting(now)
 
@@ -120,6 +116,7 @@
         if view is None or not view.probing:
             return []
         view.probing = False
+        view.update_closed()
         learning.note_failure(self.known, view, now, sure=True)
         self._plan_recovery(view)
         return []
@@ -162,6 +159,7 @@
         if view.probing or not self.charge(now):
             return []
         view.probing = True
+        view.update_closed()
         return [Probe(view.state.name)]
 
 
--- a/banyantiller/routing/ejection.py
+++ b/banyantiller/routing/ejection.py
@@ -13,6 +13,7 @@
 
 FAILURE_WEIGHT = 0.34
 EJECT_AT = 0.6
+FORGOTTEN = 0.1
 
 
 def failed(
@@ -33,6 +34,7 @@
     """
     view.failures += FAILURE_WEIGHT * (1.0 - view.failures)
     view.failed_at = now
+    view.watched = True
     if "ejection" in tuning.off or view.ejected_until > now:
         return
     if not (sure or view.trial or view.failures >= EJECT_AT):
@@ -43,22 +45,25 @@
     view.ejections += 1
     view.ejected_until = now + length
     view.trial = True
+    view.update_closed()
 
 
 def answered(view: ServerView, now: float) -> None:
     """Takes a good answer; ends an ejection's trial."""
-    view.failures *= 1.0 - FAILURE_WEIGHT
     if not view.trial:
-        if view.failures < 0.1:
+        view.failures *= 1.0 - FAILURE_WEIGHT
+        if view.failures < FORGOTTEN:
+            view.failures = 0.0
             view.ejections = 0
         return
     view.trial = False
     view.ejected_until = LONG_AGO
     view.failures = 0.0
+    view.update_closed()
     ramp.begin(view, now)
 
 
 def _may_eject(group: Sequence[ServerView], tuning: Tuning, now: float) -> bool:
-    usable = [v for v in group if not (v.state.leaving or v.draining)]
+    usable = [view for view in group if view.is_usable()]
     out = sum(1 for v in usable if v.ejected_until > now or v.trial)
     return out + 1 <= tuning.eject_share * len(usable)
--- a/banyantiller/routing/flow.py
+++ b/banyantiller/routing/flow.py
@@ -3,7 +3,7 @@
 from functools import partial
 
 from banyantiller.errors import ErrorKind, Failure, Ran
-from banyantiller.routing import choice, learning, refusal
+from banyantiller.routing import choice, learning, limits, refusal
 from banyantiller.routing.calls import Attempt, CallState
 from banyantiller.routing.service import ServiceKnowledge
 from banyantiller.routing.timers import Timers
@@ -20,6 +20,8 @@
 RETRIED_STATUSES = frozenset({502, 503, 504})
 LEAST_RECHECK_S = 0.002
 MOST_RECHECK_S = 0.05
+HEDGE_AHEAD = 0.5
+NO_SERVER_RETRY_S = 1.0
 
 
 class CallFlow:
@@ -49,6 +51,8 @@
             if view is not None:
                 self.timers.at(call.deadline, partial(self._expire, call))
                 return [self._start(call, view, now)]
+        if not self.known.has_usable():
+            return [self.refuse(call, ErrorKind.NO_SERVER, NO_SERVER_RETRY_S)]
         refused = self._refuse_early(call, now)
         if refused:
             return refused
@@ -131,14 +135,20 @@
 
     def start_waiting(self, now: float) -> list[Action]:
         """Starts waiting calls for which there is a server now."""
+        if self.recheck_at is None:
+            return []
         actions: list[Action] = []
         some_left = False
         for queue in self.known.waiting.values():
             while (call := queue.first()) is not None:
                 view = self._server_for(call, now)
-                if view is None:
+                if view is None and self.known.has_usable():
                     some_left = True
                     break
+                if view is None:
+                    kind = ErrorKind.NO_SERVER
+                    actions.append(self.refuse(call, kind, NO_SERVER_RETRY_S))
+                    continue
                 queue.remove(call)
                 actions.append(self._start(call, view, now))
         self.recheck_at = None
@@ -147,12 +157,15 @@
         return actions
 
     def _server_for(self, call: CallState, now: float) -> ServerView | None:
-        view = self.known.choose(call, now, fresh=True)
-        if view is None and call.tried:
-            view = self.known.choose(call, now, fresh=False)
-        if view is None or self.known.is_full(view, now):
+        found = self.known.choose(call, now, fresh=True)
+        if found is None and call.tried:
+            found = self.known.choose(call, now, fresh=False)
+        if found is None:
+            return None
+        slots = found.view.state.slots
+        if limits.full(found.ahead, slots, self.known.tuning):
             return None
-        return view
+        return found.view
 
     def _start(
         self, call: CallState, view: ServerView, now: float, hedge: bool = False
@@ -169,31 +182,39 @@
         return Start(call.call_id, attempt.attempt_id, view.state.name, hedge)
 
     def _plan_hedge(self, attempt: Attempt, now: float) -> None:
-        delay = self.known.late.delay()
-        if delay is not None and "hedges" not in self.known.tuning.off:
-            self.timers.at(now + delay, partial(self._hedge, attempt))
+        known = self.known
+        late = known.late.delay()
+        if late is None or "hedges" in known.tuning.off:
+            return
+        early = known.tuning.hedge_early * known.believed.service_s
+        self.timers.at(now + min(early, late), partial(self._hedge, attempt))
 
     def _hedge(self, attempt: Attempt, now: float) -> list[Action]:
         call = attempt.call
-        if call.finished or call.running != [attempt]:
+        if call.finished or call.running != [attempt] or not call.replayable:
             return []
-        if not call.replayable:
+        known = self.known
+        if call.attempts >= known.options.retry.attempts:
             return []
-        if call.attempts >= self.known.options.retry.attempts:
+        late_at = attempt.started + (known.late.delay() or 0.0)
+        if now < late_at and not self._is_suspect(attempt, now):
+            self.timers.at(late_at, partial(self._hedge, attempt))
             return []
-        view = self.known.choose(call, now, fresh=True)
-        if view is None or not self._has_free_slot(view, now):
-            pause = max(self.known.believed.service_s / 2, LEAST_RECHECK_S)
+        found = known.choose(call, now, fresh=True)
+        if found is None or found.ahead >= HEDGE_AHEAD:
+            pause = max(known.believed.service_s / 2, LEAST_RECHECK_S)
             self.timers.at(now + pause, partial(self._hedge, attempt))
             return []
-        if not self.known.extra.take(self.known.tuning.hedge_reserve):
+        if not known.extra.take(known.tuning.hedge_reserve):
             return []
-        return [self._start(call, view, now, hedge=True)]
+        return [self._start(call, found.view, now, hedge=True)]
 
-    def _has_free_slot(self, view: ServerView, now: float) -> bool:
+    def _is_suspect(self, attempt: Attempt, now: float) -> bool:
         known = self.known
-        load = choice.believed_load(view, known.believed, known.tuning, now)
-        return load < view.state.slots
+        factor = choice.slowness(
+            attempt.view, known.believed, known.tuning, now
+        )
+        return factor >= known.tuning.slow_from
 
     def _may_retry(self, call: CallState, ran: Ran, now: float) -> bool:
         if "retries" in self.known.tuning.off or not call.replayable:
@@ -207,7 +228,7 @@
     def _refuse_early(self, call: CallState, now: float) -> list[Action]:
         known = self.known
         queue = known.waiting[call.group]
-        views = known.candidates(call.group)
+        views = known.groups.get(call.group, ())
         wait = refusal.expected_wait(
             len(queue),
             known.drain.per_second(now),
--- a/banyantiller/routing/hedging.py
+++ b/banyantiller/routing/hedging.py
@@ -1,6 +1,7 @@
 """When to hedge: a running estimate of a high quantile of the latency."""
 
 FIRST_STEPS = 20
+LEAST_STEP = 0.05
 
 
 class LatencyQuantile:
@@ -8,7 +9,7 @@
 
     Attributes:
         quantile: Share of latencies below the estimate.
-        value: The estimate in seconds, 0 while too little is known.
+        value: The estimate in seconds, 0 while nothing is known.
         seen: Number of latencies taken.
     """
 
@@ -23,7 +24,7 @@
         if self.seen == 1:
             self.value = seconds
             return
-        step = max(0.05, 1.0 / self.seen) * self.value
+        step = max(LEAST_STEP, 1.0 / self.seen) * self.value
         if seconds > self.value:
             self.value += step * self.quantile
         else:
--- a/banyantiller/routing/learning.py
+++ b/banyantiller/routing/learning.py
@@ -16,6 +16,9 @@
 )
 FIRST_FAILING_STATUS = 500
 SILENT_AGE = 6.0
+CHECK_MARGIN = 0.25
+DOUBT_RISE = 0.1
+DOUBT_FALL = 0.01
 
 
 def learn_result(
@@ -27,8 +30,9 @@
     """Takes the answer head or the failure of a try."""
     view = attempt.view
     if result.report is not None:
-        own_then = len(view.own) - 1
-        learn_report(known, view, result.report, own_then, now)
+        if len(view.own) > 1:
+            _check_report(known, attempt, result.report, now)
+        learn_report(known, view, result.report, len(view.own) - 1, now)
     if result.error is ErrorKind.BACKEND_SHED:
         usual = known.believed.service_s
         limits.shed(view, result.retry_after_s, usual, now)
@@ -46,12 +50,14 @@
     known: ServiceKnowledge,
     view: ServerView,
     report: LoadReport,
-    own_then: int,
+    own: int,
     now: float,
 ) -> None:
     """Takes a report of a server's load."""
-    view.learn_load(report, own_then, now)
-    known.believed.learn_others(view.others / view.state.slots)
+    if "reports" in known.tuning.off:
+        return
+    if view.learn_load(report, own, now):
+        known.believed.learn_others(view.others)
 
 
 def learn_cancelled(
@@ -63,6 +69,7 @@
     usual = known.believed.service_s
     if age > max(view.latency, usual):
         view.learn_latency(age, now)
+        view.watched = True
     if age > SILENT_AGE * usual:
         note_failure(known, view, now, sure=False)
 
@@ -71,7 +78,7 @@
     known: ServiceKnowledge, view: ServerView, now: float, sure: bool
 ) -> None:
     """Counts a failure against a server; ejects it if that is due."""
-    group = known.candidates(known.group_of(view))
+    group = known.group_of(view)
     ejection.failed(view, group, known.tuning, now, sure)
 
 
@@ -79,7 +86,36 @@
     known: ServiceKnowledge, attempt: Attempt, now: float
 ) -> None:
     seconds = now - attempt.started
-    attempt.view.learn_latency(seconds, now)
+    view = attempt.view
+    view.learn_latency(seconds, now)
     known.believed.learn_latency(seconds)
     if not attempt.hedge:
         known.late.learn(seconds)
+    usual = known.believed.service_s
+    view.watched = (
+        view.latency > usual
+        or view.failures > 0.0
+        or now - view.warm_from < known.tuning.ramp_s
+    )
+
+
+def _check_report(
+    known: ServiceKnowledge, attempt: Attempt, report: LoadReport, now: float
+) -> None:
+    """Compares a report with the own tries that must be on the server."""
+    if "trust" in known.tuning.off:
+        return
+    view = attempt.view
+    latest = now - CHECK_MARGIN * known.believed.service_s
+    certain = view.settled(latest) - (attempt.started <= latest)
+    if certain <= 0:
+        return
+    wrong = report.in_flight < certain
+    view.doubt = _moved(view.doubt, wrong)
+    known.believed.doubt = _moved(known.believed.doubt, wrong)
+
+
+def _moved(doubt: float, wrong: bool) -> float:
+    if wrong:
+        return doubt + DOUBT_RISE * (1.0 - doubt)
+    return doubt * (1.0 - DOUBT_FALL)
--- a/banyantiller/routing/limits.py
+++ b/banyantiller/routing/limits.py
@@ -4,20 +4,21 @@
 from banyantiller.routing.views import ServerView
 
 LEAST = 1.0
+WITHOUT = 10
 SHED_FACTOR = 0.5
+RISE = 0.1
 LONGEST_HOLD_S = 5.0
 
 
-def first(slots: int) -> float:
+def first(slots: int, tuning: Tuning) -> float:
     """Returns the limit of a server about which nothing is known."""
-    return float(slots)
+    return float(slots * WITHOUT if "limits" in tuning.off else slots)
 
 
 def answered(view: ServerView) -> None:
     """Raises the limit by degrees while answers come."""
-    most = first(view.state.slots)
-    if view.limit < most:
-        view.limit = min(most, view.limit + 0.1)
+    if view.limit < view.slots:
+        view.limit = min(view.slots, view.limit + RISE)
 
 
 def shed(
@@ -33,9 +34,10 @@
     """
     view.limit = max(LEAST, view.limit * SHED_FACTOR)
     wait = usual_s if retry_after_s is None else retry_after_s
-    view.hold_until = max(view.hold_until, now + min(wait, LONGEST_HOLD_S))
+    view.held_until = max(view.held_until, now + min(wait, LONGEST_HOLD_S))
+    view.update_closed()
 
 
-def full(load: float, slots: int, tuning: Tuning) -> bool:
+def full(ahead: float, slots: int, tuning: Tuning) -> bool:
     """Tells whether a call should rather wait here than on the server."""
-    return "holding" not in tuning.off and load >= tuning.hold_at * slots
+    return "holding" not in tuning.off and ahead >= tuning.hold_at * slots
--- a/banyantiller/routing/ramp.py
+++ b/banyantiller/routing/ramp.py
@@ -7,6 +7,7 @@
 def begin(view: ServerView, now: float) -> None:
     """Starts the ramp of a server that is new or back."""
     view.warm_from = now
+    view.watched = True
 
 
 def factor(view: ServerView, tuning: Tuning, now: float) -> float:
--- a/banyantiller/routing/service.py
+++ b/banyantiller/routing/service.py
@@ -1,9 +1,10 @@
 """What a dispatcher knows about its service, its servers and groups."""
 
 import random
+from collections.abc import Sequence
 
 from banyantiller.bundle import options
-from banyantiller.routing import choice, limits, ramp, tuning
+from banyantiller.routing import beliefs, choice, limits, ramp, tuning
 from banyantiller.routing.budget import ExtraCalls
 from banyantiller.routing.calls import CallState
 from banyantiller.routing.hedging import LatencyQuantile
@@ -34,7 +35,11 @@
     """
 
     def __init__(
-        self, service: options.Service, zone: str, seed: int, now: float
+        self,
+        service: options.Service,
+        zone: str,
+        seed: int,
+        now: float,
     ) -> None:
         self.options = service
         self.zone = zone
@@ -43,7 +48,7 @@
         self.views: dict[str, ServerView] = {}
         self.groups: dict[str, list[ServerView]] = {"": []}
         self.waiting: dict[str, WaitingCalls] = {"": WaitingCalls()}
-        self.believed = choice.Believed()
+        self.believed = beliefs.Believed()
         self.sharing = GroupSharing()
         self.extra = ExtraCalls(service.retry.budget_percent, self.tuning.burst)
         self.late = LatencyQuantile(self.tuning.hedge_quantile)
@@ -74,41 +79,55 @@
                 view = self._new_view(state)
                 if not first:
                     ramp.begin(view, now)
+            if view.state.leaving and not state.leaving:
+                view.draining = False
+                ramp.begin(view, now)
             view.state = state
             view.local = state.zone == self.zone
+            view.slots = state.slots
+            view.update_closed()
+            self.believed.prepare(state.slots, int(view.limit))
             kept[state.name] = view
         self.views = kept
         self._regroup()
 
-    def candidates(self, group: str) -> list[ServerView]:
-        """Returns the servers of a group, or all if none of it is usable."""
-        views = self.groups.get(group, [])
-        if any(usable(view) for view in views):
-            return views
-        return self.groups[""]
+    def group_of(self, view: ServerView) -> list[ServerView]:
+        """Returns the servers of a server's group."""
+        name = view.state.group if self.options.shares else ""
+        return self.groups.get(name, self.groups[""])
 
-    def group_of(self, view: ServerView) -> str:
-        """Returns the name of the group that a server counts to."""
-        return view.state.group if self.options.shares else ""
-
-    def is_full(self, view: ServerView, now: float) -> bool:
-        """Tells whether a call should wait here rather than on a server."""
-        load = choice.believed_load(view, self.believed, self.tuning, now)
-        return limits.full(load, view.state.slots, self.tuning)
+    def has_usable(self) -> bool:
+        """Tells whether any server may get new calls at all."""
+        return any(view.is_usable() for view in self.views.values())
 
     def choose(
         self, call: CallState, now: float, fresh: bool
-    ) -> ServerView | None:
+    ) -> choice.Choice | None:
         """Returns the best server for a call, or None.
 
+        A call of a group without usable servers may go to any server.
+
         Args:
             call: The call.
             now: The loop's time.
             fresh: Whether servers that the call has tried are left out.
         """
+        views = self.groups.get(call.group, ())
+        found = self._choose_from(views, call, now, fresh)
+        if found is not None or any(view.is_usable() for view in views):
+            return found
+        return self._choose_from(self.groups[""], call, now, fresh)
+
+    def _choose_from(
+        self,
+        views: Sequence[ServerView],
+        call: CallState,
+        now: float,
+        fresh: bool,
+    ) -> choice.Choice | None:
         without = call.tried if fresh else ()
         return choice.choose(
-            self.candidates(call.group),
+            views,
             without,
             call.idempotent,
             self.believed,
@@ -118,9 +137,8 @@
         )
 
     def _new_view(self, state: ServerState) -> ServerView:
-        view = ServerView(state, state.zone == self.zone)
-        view.limit = limits.first(state.slots)
-        return view
+        limit = limits.first(state.slots, self.tuning)
+        return ServerView(state, False, state.slots, limit)
 
     def _regroup(self) -> None:
         groups: dict[str, list[ServerView]] = {"": list(self.views.values())}
@@ -133,8 +151,3 @@
         self.sharing.configure(
             self.options.shares, (v.state.group for v in self.views.values())
         )
-
-
-def usable(view: ServerView) -> bool:
-    """Tells whether a server may get new calls at all."""
-    return not (view.state.leaving or view.draining)
--- a/banyantiller/routing/tuning.py
+++ b/banyantiller/routing/tuning.py
@@ -4,7 +4,7 @@
 
 MECHANISMS = (
     "reports",
-    "ageing",
+    "trust",
     "zone",
     "slowness",
     "outstanding",
@@ -14,7 +14,6 @@
     "ramp",
     "limits",
     "holding",
-    "peers",
 )
 
 
@@ -22,11 +21,20 @@
     """Numbers that decide how the policy weighs what it knows.
 
     Attributes:
-        belief_half: Age at which a report counts half, in service times.
+        belief_age: Age at which a report's weight has fallen to 1/e, in
+            service times.
+        doubt_from: Share of wrong reports from which all are believed less;
+            from twice of it on they count for nothing.
+        slow_from: Times slower than usual from which a server counts as
+            slow; less is taken for chance.
+        jitter: Random part of the expected delay that breaks ties, in
+            service times.
         cross_zone_s: Latency that another availability zone adds.
-        hold_at: Believed requests per slot above which a call waits in the
-            daemon.
+        hold_at: Requests ahead for each slot from which a call rather waits
+            in the daemon.
         hedge_quantile: Share of calls that should answer before a hedge.
+        hedge_early: Age at which a try on a suspect server is hedged, in
+            service times.
         hedge_reserve: Tokens of the extra-call budget kept for retries.
         burst: Most tokens of the extra-call budget.
         eject_s: First length of an ejection.
@@ -38,10 +46,14 @@
         off: Mechanisms that are switched off, for measurements only.
     """
 
-    belief_half: float = 2.0
+    belief_age: float = 0.8
+    doubt_from: float = 0.03
+    slow_from: float = 2.0
+    jitter: float = 0.02
     cross_zone_s: float = 0.0016
     hold_at: float = 3.0
-    hedge_quantile: float = 0.9
+    hedge_quantile: float = 0.97
+    hedge_early: float = 1.5
     hedge_reserve: float = 2.0
     burst: float = 20.0
     eject_s: float = 0.2
@@ -52,6 +64,10 @@
     probe_recovery: bool = True
     off: frozenset[str] = frozenset()
 
+    def belief_s(self, service_s: float) -> float:
+        """Returns the age at which a report's weight has fallen to 1/e."""
+        return self.belief_age * service_s
+
 
 def for_objective(objective: str) -> Tuning:
     """Returns the constants for "latency" or "cost"."""
--- a/banyantiller/routing/views.py
+++ b/banyantiller/routing/views.py
@@ -1,6 +1,7 @@
 """What one daemon believes of one server, with the age of what it knows."""
 
 import dataclasses
+import math
 
 from banyantiller.routing.types import LoadReport, ServerState
 
@@ -15,16 +16,17 @@
     Attributes:
         state: What the bundle and the VM list say.
         local: Whether it is in this daemon's availability zone.
+        slots: Requests that it runs at once.
+        limit: Most own tries at once.
         own: Start time by number of this daemon's tries on it.
         others: Requests of other daemons on it, as last reported.
         others_at: When that was true.
-        peers: Sum of what other daemons say they have on it.
-        peers_at: When that was true.
+        doubt: Moving share of reports that own tries showed to be wrong.
         latency: Moving average of the time to an answer head, 0 if unknown.
         latency_at: When the average last changed.
+        watched: Whether it was slow, failing or cold lately.
         draining: Whether it said that it is leaving.
-        limit: Most own tries at once.
-        hold_until: Gets nothing before this time, because it said so.
+        held_until: Gets nothing before this time, because it said so.
         failures: Moving share of failures, 0 to 1.
         failed_at: When it last failed.
         ejected_until: Ejected until then.
@@ -33,20 +35,23 @@
         probing: Whether a probe is on its way.
         recovering: Whether the end of its ejection is planned for.
         warm_from: When its cold-start ramp began.
+        closed_until: Latest time before which it gets nothing, for any of
+            these reasons.
     """
 
     state: ServerState
     local: bool
+    slots: int
+    limit: float
     own: dict[int, float] = dataclasses.field(default_factory=dict)
     others: float = 0.0
     others_at: float = LONG_AGO
-    peers: float = 0.0
-    peers_at: float = LONG_AGO
+    doubt: float = 0.0
     latency: float = 0.0
     latency_at: float = LONG_AGO
+    watched: bool = False
     draining: bool = False
-    limit: float = 1.0
-    hold_until: float = LONG_AGO
+    held_until: float = LONG_AGO
     failures: float = 0.0
     failed_at: float = LONG_AGO
     ejected_until: float = LONG_AGO
@@ -55,27 +60,49 @@
     probing: bool = False
     recovering: bool = False
     warm_from: float = LONG_AGO
+    closed_until: float = LONG_AGO
 
-    def oldest_start(self) -> float | None:
-        """Returns the start of the oldest own try, or None."""
+    def is_usable(self) -> bool:
+        """Tells whether it may get new calls at all."""
+        return not (self.state.leaving or self.draining)
+
+    def update_closed(self) -> None:
+        """Works out `closed_until` after a change of its reasons."""
+        if self.probing or not self.is_usable():
+            self.closed_until = math.inf
+        else:
+            self.closed_until = max(self.ejected_until, self.held_until)
+
+    def oldest_start(self, now: float) -> float:
+        """Returns the start of the oldest own try, `now` without one."""
         for started in self.own.values():
             return started
-        return None
+        return now
+
+    def settled(self, latest: float) -> int:
+        """Counts own tries that started at `latest` or before."""
+        return sum(1 for started in self.own.values() if started <= latest)
 
-    def learn_load(self, report: LoadReport, own_then: int, now: float) -> None:
+    def learn_load(self, report: LoadReport, own: int, now: float) -> bool:
         """Takes the server's own word on its load.
 
         Args:
             report: Requests on the server, without the answered one.
-            own_then: How many of them are this daemon's.
+            own: How many of them are this daemon's.
             now: Time of arrival.
+
+        Returns:
+            Whether it is newer than what was known.
         """
-        self.draining = report.draining
+        if report.draining != self.draining:
+            self.draining = report.draining
+            self.update_closed()
         taken_at = now - report.age_s
         if taken_at < self.others_at:
-            return
-        self.others = max(0.0, report.in_flight - own_then)
+            return False
+        self.others = max(0.0, report.in_flight - own)
         self.others_at = taken_at
+        return True
 
     def learn_latency(self, seconds: float, now: float) -> None:
         """Takes the time that one answer head took."""
