--- a/standins/demo/findings.py
+++ b/standins/demo/findings.py
@@ -70,7 +70,9 @@
     )
     unrun = tuple(sorted(users.confirmed - set(runs) - {""}))
     lost = (*tally.lost, *(f"{key}: answered, never run" for key in unrun))
-    exits = {name: code for name, code in events.exits.items() if code}
+    exits = tuple(
+        f"{name}: status {code}" for name, code in events.exits.items() if code
+    )
     late = max(item["last_after_drain_s"] for item in counts)
     slowest = max(events.in_force_s)
     rows = (
@@ -80,7 +82,7 @@
         _none("no deposit ran twice", twice),
         _none('what was told "not run" was not run', ghosts),
         _all_deposits(len(keys)),
-        _none("stopped processes ended with status 0", tuple(exits)),
+        _none("stopped processes ended with status 0", exits),
         Finding(
             "the leaving server soon got nothing new",
             f"last after {late:.2f} s",
