Log warnings about the settings and share one collector set-up

Cause: the daemon dropped the warnings that loading its settings found, and two modules tuned the garbage collector. Change: each warning is logged at start; the daemon uses proxy.collector. Measured: `pytest banyantiller/tests/daemon`: 6 passed. Conclusion: one place decides about the collector.

--- a/banyantiller/daemon/run.py
+++ b/banyantiller/daemon/run.py
@@ -2,7 +2,6 @@
 
 import argparse
 import asyncio
-import gc
 import sys
 import time
 
@@ -11,11 +10,11 @@
 from banyantiller import exceptions, plugins
 from banyantiller.config import settings as loading
 from banyantiller.daemon import assembly, lifecycle
+from banyantiller.proxy import collector
 from banyantiller.telemetry import logs
 
 log = structlog.get_logger("banyantiller.daemon")
 
-GC_THRESHOLDS = (50_000, 20, 50)
 EXIT_CUT = 1
 
 
@@ -47,24 +46,15 @@
 
 
 async def _main(path: str) -> int:
-    settings = loading.load(path)
+    settings, warnings = loading.load_with_warnings(path)
     logs.configure(
         settings.log, deployment=settings.deployment, daemon=settings.daemon
     )
+    for problem in warnings:
+        log.warning("daemon: check the settings.", problem=str(problem))
     registry = plugins.Registry.from_entry_points()
     daemon = assembly.Daemon.from_settings(settings, registry, time.time)
-    _tune_collector()
+    collector.settle()
     cycle = lifecycle.Lifecycle(daemon, path)
     cut = await cycle.run()
     return EXIT_CUT if cut else 0
-
-
-def _tune_collector() -> None:
-    """Keeps long-lived objects out of collections and makes these rare.
-
-    A full collection of the loaded modules takes several milliseconds, which
-    every call in flight would wait for.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*GC_THRESHOLDS)
