Hold the probe budget of the fleet without counting daemons

Cause: a share of the budget taken from a believed member count breaks it when daemons disagree, restart every second or can't see each other. Change: each service has a few permits in the object API, taken by conditional update. A holder counts its time from before it asks, everybody else from when they first see the take, so no clocks are compared. Without the object API nothing is taken. The last holder leaves a turn to those that wait.

--- /dev/null
+++ b/banyantiller/measuring/budget.py
@@ -0,0 +1,156 @@
+"""The fleet's budget for probes, kept in the object API.
+
+The task here reads and takes permits for services that want probes; the
+decisions are in `banyantiller.measuring.permits`. Without the object API
+nothing is taken, so no probes are sent. See docs/design/measuring-budget.md.
+"""
+
+import asyncio
+import random
+import secrets
+from collections.abc import Callable, Iterable
+
+import structlog
+
+from banyantiller.bundle import options
+from banyantiller.measuring import objects, permits
+from banyantiller.store import interface
+
+log = structlog.get_logger("banyantiller.measuring")
+
+KIND = "probebudgets"
+PACE_S = 0.25
+
+Charger = Callable[[float], bool]
+NonceSource = Callable[[], str]
+
+
+def make_nonce() -> str:
+    """Returns 64 random bits, unique over all daemons and restarts."""
+    return secrets.token_hex(8)
+
+
+class Budget:
+    """One daemon's part in the budgets of all services.
+
+    Attributes:
+        ledgers: Permits known and held, by service.
+        wished: Set when a probe was wanted and none was left.
+    """
+
+    def __init__(
+        self,
+        store: interface.ObjectStore,
+        deployment: str,
+        wall: Callable[[], float],
+        rng: random.Random,
+        nonce: NonceSource = make_nonce,
+    ) -> None:
+        self.store = store
+        self.deployment = deployment
+        self.wall = wall
+        self.random = rng
+        self.nonce = nonce
+        self.ledgers: dict[str, permits.Ledger] = {}
+        self.wished = asyncio.Event()
+
+    @classmethod
+    def from_settings(
+        cls,
+        store: interface.ObjectStore,
+        deployment: str,
+        daemon: str,
+        wall: Callable[[], float],
+        nonce: NonceSource = make_nonce,
+    ) -> "Budget":
+        """Constructs the budgets of one daemon.
+
+        Args:
+            store: The object API.
+            deployment: Name of the fleet.
+            daemon: Name of this daemon; seeds its waiting times.
+            wall: Returns wall-clock seconds.
+            nonce: Returns a text that no other call of it anywhere returns.
+        """
+        return cls(store, deployment, wall, random.Random(daemon), nonce)
+
+    def configure(self, services: Iterable[options.Service]) -> None:
+        """Takes the budgets of the bundle in force."""
+        before = self.ledgers
+        self.ledgers = {}
+        for service in services:
+            rate = service.measuring.probes_per_second
+            ledger = before.get(service.name)
+            if ledger is None:
+                ledger = permits.Ledger(rate, self.random)
+            else:
+                ledger.configure(rate)
+            self.ledgers[service.name] = ledger
+
+    def charger(self, service: str) -> Charger:
+        """Returns the function that charges a service's probes.
+
+        It is called with the loop's time, and answers whether one probe may
+        be sent at once. A refusal is noted as a wish, and permits are then
+        taken within seconds, so a caller that still wants the probe asks
+        again about once a second.
+        """
+
+        def charge(now: float) -> bool:
+            ledger = self.ledgers.get(service)
+            if ledger is None:
+                return False
+            if ledger.charge(now, self.wall()):
+                return True
+            self.wished.set()
+            return False
+
+        return charge
+
+    async def run(self) -> None:
+        """Takes permits for services that want probes, one call at a time."""
+        while True:
+            await self.wished.wait()
+            await asyncio.sleep(PACE_S * self.random.uniform(0.5, 1.5))
+            now = asyncio.get_running_loop().time()
+            wishing = [
+                name
+                for name, ledger in self.ledgers.items()
+                if ledger.wishes(now)
+            ]
+            if not wishing:
+                self.wished.clear()
+                continue
+            due = [n for n in wishing if self.ledgers[n].due <= now]
+            if due:
+                name = min(due, key=lambda n: self.ledgers[n].due)
+                await self.fetch(name)
+
+    async def fetch(self, service: str) -> None:
+        """Reads a service's permits and takes some if any are free."""
+        ledger = self.ledgers[service]
+        loop = asyncio.get_running_loop()
+        name = f"{self.deployment}-{service}"
+        got = await self.store.get(KIND, name)
+        if isinstance(got, interface.Missing):
+            begin = ledger.begin(self.nonce())
+            await self.store.create(KIND, name, begin.value)
+            ledger.lost(loop.time())
+            return
+        if isinstance(got, interface.Unavailable):
+            ledger.lost(loop.time())
+            return
+        ledger.observe(got.item.value, loop.time())
+        sent_at = loop.time()
+        wall = self.wall()
+        write = ledger.plan(sent_at, self.nonce())
+        if write is None:
+            return
+        written = await self.store.update(got.item, write.value)
+        is_taken = isinstance(written, interface.Found)
+        if isinstance(write, objects.Ask):
+            return
+        if is_taken and isinstance(write, objects.Take):
+            ledger.took(write, sent_at, wall)
+        else:
+            ledger.lost(loop.time())
