--- /dev/null
+++ b/banyantiller/tests/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Random faults over several real parts on the paused clock."""
--- a/spec/acceptance.py
+++ b/spec/acceptance.py
@@ -70,48 +70,46 @@
     return state._replace(operators=put(state.operators, index, operator))
 
 
-def write(state: State, index: int, variant: str) -> tuple[State, bool]:
-    """Lets the write of an operator reach the store."""
+def write(state: State, index: int, variant: str) -> State | None:
+    """Lets a write reach the store; None when its condition fails."""
     base = state.operators[index].base
     condition = variant != "accept_without_condition"
     if condition and head(state) != base:
-        return state, False
+        return None
     history = state.history + ((base + 1, index),)
-    return state._replace(history=history), True
+    return state._replace(history=history)
 
 
-def read_back(state: State, index: int, seen: int) -> list[Step]:
+def tell(state: State, index: int, phase: str) -> Step:
+    """Lets an operator be told what became of its bundle."""
+    return (f"tell_{phase}({index})", with_operator(state, index, phase=phase))
+
+
+def read_back(state: State, index: int, seen: int) -> Step:
     """Settles an unknown outcome from the first `seen` accepted bundles."""
-    operator = state.operators[index]
+    base = state.operators[index].base
     found = [
         proposer
         for version, proposer in state.history[:seen]
-        if version == operator.base + 1
+        if version == base + 1
     ]
-    label = f"read_back({index},{seen})"
-    if index in found:
-        return [(label, with_operator(state, index, phase=ACCEPTED))]
     if found:
-        return [(label, with_operator(state, index, phase=LOST))]
-    if operator.retried:
-        return []
+        return tell(state, index, ACCEPTED if index in found else LOST)
     again = with_operator(state, index, phase=SENT, retried=True)
-    return [(label, again)]
+    return f"read_back({index},{seen})", again
 
 
 def unsure_steps(state: State, index: int, variant: str) -> list[Step]:
     """Lists the steps of an operator whose answer was lost."""
-    steps: list[Step] = []
-    for seen in range(len(state.history) + 1):
-        steps += read_back(state, index, seen)
+    steps = [
+        read_back(state, index, seen) for seen in range(len(state.history) + 1)
+    ]
     if variant == "unknown_means_accepted":
-        told = with_operator(state, index, phase=ACCEPTED)
-        steps.append((f"tell_accepted({index})", told))
+        steps.append(tell(state, index, ACCEPTED))
     if variant == "unchanged_head_means_lost" and (
         head(state) == state.operators[index].base
     ):
-        told = with_operator(state, index, phase=LOST)
-        steps.append((f"tell_lost({index})", told))
+        steps.append(tell(state, index, LOST))
     return steps
 
 
@@ -120,26 +118,34 @@
     operator = state.operators[index]
     lost = with_operator(state, index, phase=UNSURE)
     steps = [(f"answer_lost({index})", lost)]
-    phase = ACCEPTED if operator.phase == WRITTEN else LOST
+    if operator.phase == WRITTEN:
+        return steps + [tell(state, index, ACCEPTED)]
     first_try = not operator.retried or variant == "accept_without_read_back"
-    if phase == LOST and not first_try:
-        phase = UNSURE
-    told = with_operator(state, index, phase=phase)
-    return steps + [(f"answer({index})", told)]
+    return steps + ([tell(state, index, LOST)] if first_try else [])
 
 
 def sent_steps(state: State, index: int, variant: str) -> list[Step]:
     """Lists what can become of a write that was sent."""
-    after, taken = write(state, index, variant)
-    phase = WRITTEN if taken else CONFLICTED
-    return [
-        (f"write({index})", with_operator(after, index, phase=phase)),
-        (
-            f"time_out({index})",
-            with_operator(state, index, phase=UNSURE, late=True),
-        ),
+    late = with_operator(state, index, phase=UNSURE, late=True)
+    steps = [
+        (f"time_out({index})", late),
         (f"fail({index})", with_operator(state, index, phase=UNSURE)),
     ]
+    after = write(state, index, variant)
+    if after is None:
+        conflict = with_operator(state, index, phase=CONFLICTED)
+        return steps + [(f"conflict({index})", conflict)]
+    written = with_operator(after, index, phase=WRITTEN)
+    return steps + [(f"write({index})", written)]
+
+
+def late_step(state: State, index: int, variant: str) -> Step:
+    """Lets an abandoned write take effect, or find another head."""
+    after = write(state, index, variant)
+    if after is None:
+        dropped = with_operator(state, index, late=False)
+        return f"late_conflict({index})", dropped
+    return f"write({index})", with_operator(after, index, late=False)
 
 
 def operator_steps(state: State, index: int, variant: str) -> list[Step]:
@@ -160,9 +166,7 @@
     elif phase == UNSURE:
         steps += unsure_steps(state, index, variant)
     if state.operators[index].late:
-        after, _ = write(state, index, variant)
-        landed = with_operator(after, index, late=False)
-        steps.append((f"late_write({index})", landed))
+        steps.append(late_step(state, index, variant))
     return steps
 
 
--- a/spec/claims.py
+++ b/spec/claims.py
@@ -1,11 +1,16 @@
-"""Claim of one idempotency key by conditional create, over several daemons.
-
-Each try of the caller reaches another daemon, at any time and side by side.
-A daemon creates the key's record with a nonce of its own and sends the
-request to a backend server only when the claim was granted. An answer of
-the store can be lost before or after the write took effect, and a write
-whose answer timed out may still take effect later. A daemon may be paused
-for any time between two steps, or be killed.
+"""Claim of one idempotency key by conditional writes, over several daemons.
+
+Each try of the caller reaches a daemon, at any time and side by side. The
+key's record in the store holds the try that owns it and a state. A try
+creates the record, or takes a released one over by conditional update; it
+sends the request to a backend server only when its claim was granted. After
+a lost answer it reads back, and nothing but its own nonce grants. What a
+try leaves behind is settled in the background: a claim that was not sent is
+released, also when nobody knows whether it took effect, and one that was
+sent is ended. Every answer of the store can be lost before or after the
+write took effect, an abandoned write may take effect later, and a daemon may
+be paused for any time between two steps. A daemon that is killed is one that
+takes no further step.
 """
 
 from typing import NamedTuple
@@ -13,50 +18,69 @@
 from spec.specification import Broken, Specification, Step, Steps, put
 
 TRIES = 3
+LATE_WRITES = 1
+WRITES = 4
+
+CLAIMED = "claimed"
+RELEASED = "released"
+ENDED = "ended"
 
 IDLE = "idle"
 SENT = "sent"
-CREATED = "created"
-CONFLICTED = "conflicted"
-UNSURE = "unsure"
+READING = "reading"
 GRANTED = "granted"
-RELEASING = "releasing"
-RUN = "run"
-UNSETTLED = "unsettled"
-FINISHED = "finished"
+SENT_ON = "sent_on"
 NOT_RUN = "not_run"
 REPEATED = "repeated"
-DEAD = "dead"
 
-FREE = -1
-HOLDING = (GRANTED, RUN, UNSETTLED, FINISHED)
+NOBODY = -1
+UNREAD = -1
+
+
+class Record(NamedTuple):
+    """The key's record in the store.
+
+    Attributes:
+        revision: Counts its writes; 0 while it does not exist.
+        owner: Try whose nonce it holds.
+        state: What it says of the owner's claim.
+    """
+
+    revision: int = 0
+    owner: int = NOBODY
+    state: str = ""
 
 
 class Try(NamedTuple):
-    """One try of the caller, handled by one daemon.
+    """One try of the caller.
 
     Attributes:
-        phase: Where it is; `NOT_RUN` and `REPEATED` are what was told.
-        runs: How often the backend server ran the request for it.
-        late_create: Whether an abandoned create may still take effect.
-        late_delete: Whether an abandoned delete may still take effect.
+        phase: Where it is; `SENT_ON` once a server got it, `NOT_RUN` and
+            `REPEATED` are what the caller was told.
+        base: Revision on which its claim is conditional.
+        runs: How often a backend server ran the request for it.
+        late: Abandoned claims that may still take effect, by revision.
+        end: State that its claim is to get in the background, or empty.
+        end_base: Revision that was read for that, or `UNREAD`.
     """
 
     phase: str = IDLE
+    base: int = 0
     runs: int = 0
-    late_create: bool = False
-    late_delete: bool = False
+    late: frozenset[int] = frozenset()
+    end: str = ""
+    end_base: int = UNREAD
 
 
 class State(NamedTuple):
     """State of the key's record and of all tries.
 
     Attributes:
-        owner: Try whose nonce the record holds, or `FREE`.
+        record: The record.
         tries: All tries.
     """
 
-    owner: int = FREE
+    record: Record = Record()
     tries: tuple[Try, ...] = (Try(),) * TRIES
 
 
@@ -66,151 +90,150 @@
     return state._replace(tries=put(state.tries, index, changed))
 
 
-def create(state: State, index: int) -> tuple[State, bool]:
-    """Lets a create reach the store; it must not find a record."""
-    if state.owner != FREE:
-        return state, False
-    return state._replace(owner=index), True
+def write(state: State, index: int, base: int, said: str) -> State | None:
+    """Lets a write reach the store; None when its condition fails."""
+    if state.record.revision != base or base == WRITES:
+        return None
+    return state._replace(record=Record(base + 1, index, said))
 
 
-def delete(state: State, index: int, variant: str) -> State:
-    """Lets a delete reach the store; it must find the try's own record."""
-    if state.owner == index or variant == "release_without_condition":
-        return state._replace(owner=FREE)
-    return state
+def is_known_unsent(state: State) -> bool:
+    """Tells whether the daemon of the record's owner knows it was not sent.
+
+    Another try that reaches the same daemon may then claim the record.
+    """
+    owner = state.tries[state.record.owner]
+    is_unsent = owner.phase == NOT_RUN and owner.end == RELEASED
+    return state.record.state == CLAIMED and is_unsent
+
+
+def reading_steps(state: State, index: int, variant: str) -> list[Step]:
+    """Lists how a try goes on from the record as it is."""
+    record = state.record
+    is_own = record.owner == index and record.state == CLAIMED
+    if is_own or (record.revision and variant == "read_back_without_nonce"):
+        granted = with_try(state, index, phase=GRANTED)
+        return [(f"grant({index})", granted)]
+    claims = with_try(state, index, phase=SENT, base=record.revision)
+    again = [(f"claim_again({index})", claims)]
+    if record.state in ("", RELEASED):
+        return again
+    told = with_try(state, index, phase=REPEATED, end=RELEASED)
+    steps = [(f"tell_repeated({index})", told)]
+    if is_known_unsent(state) or variant == "lease_expiry_grants":
+        steps += again
+    return steps
 
 
 def sent_steps(state: State, index: int) -> list[Step]:
-    """Lists what can become of a create that was sent."""
-    after, taken = create(state, index)
-    phase = CREATED if taken else CONFLICTED
-    return [
-        (f"create({index})", with_try(after, index, phase=phase)),
-        (
-            f"create_times_out({index})",
-            with_try(state, index, phase=UNSURE, late_create=True),
-        ),
-        (f"create_fails({index})", with_try(state, index, phase=UNSURE)),
-    ]
+    """Lists what can become of a claim that was sent."""
+    item = state.tries[index]
+    unsure = with_try(state, index, phase=READING)
+    steps = [(f"fail({index})", unsure)]
+    landed = write(state, index, item.base, CLAIMED)
+    if landed is not None:
+        lost = with_try(landed, index, phase=READING)
+        steps.append((f"claim({index})", lost))
+    if sum(len(other.late) for other in state.tries) < LATE_WRITES:
+        late = with_try(unsure, index, late=item.late | {item.base})
+        steps.append((f"time_out({index})", late))
+    return steps
 
 
-def unsure_steps(state: State, index: int, variant: str) -> list[Step]:
-    """Lists how a try whose answer was lost goes on."""
-    not_run = with_try(state, index, phase=NOT_RUN)
-    steps = [(f"give_up({index})", not_run)]
+def claiming_steps(state: State, index: int, variant: str) -> list[Step]:
+    """Lists the steps of a try up to its grant or its refusal."""
+    phase = state.tries[index].phase
+    gives_up = with_try(state, index, phase=NOT_RUN, end=RELEASED)
+    steps = [(f"tell_not_run({index})", gives_up)]
+    if phase == SENT:
+        return steps + sent_steps(state, index)
     if variant == "claim_without_read_back":
         granted = with_try(state, index, phase=GRANTED)
         return steps + [(f"assume_granted({index})", granted)]
-    found = state.owner != FREE
-    mine = state.owner == index or variant == "read_back_without_nonce"
-    if found and mine:
-        phase = GRANTED
-    elif found:
-        phase = REPEATED
-    else:
-        phase = SENT
-    settled = with_try(state, index, phase=phase)
-    return steps + [(f"read_back({index})", settled)]
-
-
-def granted_steps(state: State, index: int) -> list[Step]:
-    """Lists what a daemon does with a granted claim."""
-    return [
-        (f"run({index})", run(state, index, RUN)),
-        (f"run_unsettled({index})", run(state, index, UNSETTLED)),
-        (f"bytes_lost({index})", with_try(state, index, phase=UNSETTLED)),
-        (f"connect_fails({index})", with_try(state, index, phase=RELEASING)),
-    ]
+    return steps + reading_steps(state, index, variant)
 
 
-def run(state: State, index: int, phase: str) -> State:
-    """Lets a backend server run the request for a try."""
+def granted_steps(state: State, index: int, variant: str) -> list[Step]:
+    """Lists what a daemon does with a granted claim."""
     runs = state.tries[index].runs + 1
-    return with_try(state, index, phase=phase, runs=runs)
-
-
-def releasing_steps(state: State, index: int, variant: str) -> list[Step]:
-    """Lists what can become of the delete of a claim."""
-    deleted = delete(state, index, variant)
-    late = with_try(state, index, phase=NOT_RUN, late_delete=True)
-    again = with_try(deleted, index, phase=NOT_RUN, late_delete=True)
-    return [
-        (f"delete({index})", with_try(deleted, index, phase=NOT_RUN)),
-        (f"delete_times_out({index})", late),
-        (f"delete_twice({index})", again),
-    ]
-
-
-def run_steps(state: State, index: int, variant: str) -> list[Step]:
-    """Lists what follows after the request was sent to a server."""
-    finished = with_try(state, index, phase=FINISHED)
-    steps = [(f"finish({index})", finished)]
-    if variant == "release_after_send":
-        released = delete(state, index, variant)
-        released = with_try(released, index, phase=UNSETTLED)
-        steps.append((f"release_after_send({index})", released))
-    if variant == "not_run_after_send":
-        told = with_try(state, index, phase=NOT_RUN)
-        steps.append((f"tell_not_run({index})", told))
-    return steps
+    end = RELEASED if variant == "release_after_send" else ENDED
+    ran = with_try(state, index, phase=SENT_ON, runs=runs, end=end)
+    unsent = with_try(state, index, phase=NOT_RUN, end=RELEASED)
+    return [(f"run({index})", ran), (f"tell_not_run({index})", unsent)]
+
 
+def is_settled(state: State, index: int) -> bool:
+    """Tells whether the record needs no end of a try's claim any more.
 
-def take_over(state: State, index: int) -> list[Step]:
-    """Lets a try take the record of another whose lease has expired."""
-    if state.owner in (FREE, index):
+    A record released by another try is written once more, as a late claim
+    may be conditional on just that revision.
+    """
+    record = state.record
+    if not record.revision:
+        return False
+    if record.owner == index:
+        return record.state != CLAIMED
+    both = record.state == state.tries[index].end == RELEASED
+    return not both
+
+
+def settling_steps(state: State, index: int, variant: str) -> list[Step]:
+    """Lists how the end of a claim is written in the background."""
+    item = state.tries[index]
+    if not item.end:
         return []
-    taken = with_try(state._replace(owner=index), index, phase=GRANTED)
-    return [(f"take_over({index})", taken)]
+    if item.end_base == UNREAD:
+        if is_settled(state, index):
+            done = with_try(state, index, end="")
+            return [(f"settled({index})", done)]
+        revision = state.record.revision
+        seen = with_try(state, index, end_base=revision)
+        return [(f"read_to_settle({index})", seen)]
+    again = with_try(state, index, end_base=UNREAD)
+    base = item.end_base
+    if variant == "release_without_condition":
+        base = state.record.revision
+    landed = write(state, index, base, item.end)
+    steps = [(f"settle_fails({index})", again)]
+    if landed is not None:
+        done = with_try(landed, index, end="", end_base=UNREAD)
+        lost = with_try(landed, index, end_base=UNREAD)
+        steps.append((f"{item.end}({index})", done))
+        steps.append((f"{item.end}({index})", lost))
+    return steps
+
+
+def late_steps(state: State, index: int) -> list[Step]:
+    """Lists abandoned claims that take effect late, or never."""
+    steps: list[Step] = []
+    late = state.tries[index].late
+    for base in sorted(late):
+        dropped = with_try(state, index, late=late - {base})
+        landed = write(dropped, index, base, CLAIMED)
+        if landed is not None:
+            steps.append((f"claim({index})", landed))
+        else:
+            steps.append((f"late_claim_conflicts({index})", dropped))
+    return steps
 
 
 def phase_steps(state: State, index: int, variant: str) -> list[Step]:
     """Lists the steps that the phase of a try allows."""
     phase = state.tries[index].phase
     if phase == IDLE:
+        if index and state.tries[index - 1].phase == IDLE:
+            return []
         return [(f"send({index})", with_try(state, index, phase=SENT))]
-    if phase == SENT:
-        return sent_steps(state, index)
-    if phase in (CREATED, CONFLICTED):
-        told = GRANTED if phase == CREATED else REPEATED
-        lost = with_try(state, index, phase=UNSURE)
-        steps = [
-            (f"answer({index})", with_try(state, index, phase=told)),
-            (f"answer_lost({index})", lost),
-        ]
-        expired = phase == CONFLICTED and variant == "lease_expiry_grants"
-        return steps + (take_over(state, index) if expired else [])
-    if phase == UNSURE:
-        return unsure_steps(state, index, variant)
+    if phase in (SENT, READING):
+        return claiming_steps(state, index, variant)
     if phase == GRANTED:
-        return granted_steps(state, index)
-    if phase == RELEASING:
-        return releasing_steps(state, index, variant)
-    if phase in (RUN, UNSETTLED):
-        return run_steps(state, index, variant)
+        return granted_steps(state, index, variant)
+    if phase == SENT_ON and variant == "not_run_after_send":
+        told = with_try(state, index, phase=NOT_RUN)
+        return [(f"tell_not_run({index})", told)]
     return []
 
 
-def late_steps(state: State, index: int, variant: str) -> list[Step]:
-    """Lists abandoned writes that take effect late."""
-    steps: list[Step] = []
-    if state.tries[index].late_create:
-        after, _ = create(state, index)
-        landed = with_try(after, index, late_create=False)
-        steps.append((f"late_create({index})", landed))
-    if state.tries[index].late_delete:
-        after = delete(state, index, variant)
-        landed = with_try(after, index, late_delete=False)
-        steps.append((f"late_delete({index})", landed))
-    return steps
-
-
-def kill(state: State, index: int) -> list[Step]:
-    """Lets the daemon of a try die while it is at work."""
-    if state.tries[index].phase in (IDLE, NOT_RUN, REPEATED, FINISHED, DEAD):
-        return []
-    return [(f"kill({index})", with_try(state, index, phase=DEAD))]
-
-
 def steps_of(variant: str) -> Steps:
     """Makes the step function of a variant."""
 
@@ -218,8 +241,8 @@
         found: list[Step] = []
         for index in range(len(state.tries)):
             found += phase_steps(state, index, variant)
-            found += late_steps(state, index, variant)
-            found += kill(state, index)
+            found += settling_steps(state, index, variant)
+            found += late_steps(state, index)
         return found
 
     return steps
@@ -237,13 +260,18 @@
 
 def granted_to_one(state: State) -> bool:
     """At most one try holds the right to run, or has used it."""
-    holders = [item for item in state.tries if item.phase in HOLDING]
+    holders = [item for item in state.tries if item.phase in (GRANTED, SENT_ON)]
     return len(holders) <= 1
 
 
 CLAIMS = Specification(
     name="claims",
-    bounds={"keys": 1, "tries": TRIES, "daemons": TRIES},
+    bounds={
+        "keys": 1,
+        "tries": TRIES,
+        "late_writes_at_once": LATE_WRITES,
+        "writes": WRITES,
+    },
     initial=State(),
     steps=steps_of,
     properties={
@@ -255,7 +283,7 @@
         Broken(
             "claim_without_read_back",
             "runs_at_most_once",
-            "A lost answer of a create counts as granted.",
+            "A lost answer of a claim counts as granted.",
         ),
         Broken(
             "read_back_without_nonce",
@@ -270,7 +298,7 @@
         Broken(
             "release_without_condition",
             "granted_to_one",
-            "A late delete removes the claim of another try.",
+            "A release is written though the record has changed.",
         ),
         Broken(
             "lease_expiry_grants",
--- a/spec/spread.py
+++ b/spec/spread.py
@@ -91,15 +91,17 @@
     return steps
 
 
-def apply(state: State, index: int, version: int, variant: str) -> State:
+def apply(state: State, index: int, version: int, variant: str) -> Step:
     """Lets a daemon apply what it fetched, if that is still newer."""
     held, fetched = state.daemons[index]
     rest = fetched - {version}
     unchecked = variant == "compare_only_when_fetched"
     if not unchecked and not newer(version, held, variant):
-        return with_daemon(state, index, Daemon(held, rest))
+        dropped = with_daemon(state, index, Daemon(held, rest))
+        return f"drop({index},{version})", dropped
     applied = with_daemon(state, index, Daemon(version, rest))
-    return applied._replace(reverted=state.reverted or version < held)
+    reverted = state.reverted or version < held
+    return f"apply({index},{version})", applied._replace(reverted=reverted)
 
 
 def daemon_steps(state: State, index: int, variant: str) -> list[Step]:
@@ -107,8 +109,7 @@
     daemon = state.daemons[index]
     steps = fetches(state, index, variant)
     for version in sorted(daemon.fetched):
-        after = apply(state, index, version, variant)
-        steps.append((f"apply({index},{version})", after))
+        steps.append(apply(state, index, version, variant))
     if daemon != Daemon():
         restarted = with_daemon(state, index, Daemon())
         steps.append((f"restart({index})", restarted))
