--- a/banyantiller/commands/gone.py
+++ b/banyantiller/commands/gone.py
@@ -33,8 +33,9 @@
 
     async def body(session: context.Session) -> int:
         now = session.wall()
-        gone_ms = times.moment_ms(at, now) if at else round(now * SECOND_MS)
-        if gone_ms > now * SECOND_MS:
+        now_ms = round(now * SECOND_MS)
+        gone_ms = times.moment_ms(at, now) if at else now_ms
+        if gone_ms > now_ms:
             raise exceptions.ConfigError("The stated time is in the future.")
         outcome = await audit.append(
             session.store,
--- a/banyantiller/daemon/leaving_servers.py
+++ b/banyantiller/daemon/leaving_servers.py
@@ -15,11 +15,28 @@
 
 
 def start(daemon: "assembly.Daemon") -> None:
-    """Starts the task if the settings name a VM list."""
+    """Logs leaving servers; follows the VM list if the settings name one."""
+    daemon.kernel.subscribe(events.ServerLeaving, _log_leaving)
+    daemon.kernel.subscribe(events.ServerReturned, _log_returned)
     if daemon.vms is not None:
         daemon.kernel.start("vm list", lambda: _follow(daemon))
 
 
+def _log_leaving(event: events.ServerLeaving) -> None:
+    log.info(
+        "daemon: a server is leaving.",
+        service=event.service,
+        server=event.server,
+        reason=event.reason,
+    )
+
+
+def _log_returned(event: events.ServerReturned) -> None:
+    log.info(
+        "daemon: a server is back.", service=event.service, server=event.server
+    )
+
+
 async def _follow(daemon: "assembly.Daemon") -> None:
     assert daemon.vms is not None
     assert daemon.settings.vm_list is not None
--- a/banyantiller/evidence/charts.py
+++ b/banyantiller/evidence/charts.py
@@ -64,7 +64,7 @@
         axes.set_yticks(range(len(names)), [str(name) for name in names])
         axes.invert_yaxis()
 
-    return _draw(draw, "held (green), broken (red), not known (grey)")
+    return _draw(found, draw, "held (green), broken (red), not known (grey)")
 
 
 def calls(found: Assessment) -> str:
@@ -77,7 +77,7 @@
         axes.set_ylabel("1/s")
         axes.legend(loc="upper left", frameon=False)
 
-    return _draw(draw, "calls a second over all daemons")
+    return _draw(found, draw, "calls a second over all daemons")
 
 
 def latencies(found: Assessment) -> str:
@@ -93,11 +93,11 @@
                 for start in sorted(periods)
             ]
             axes.plot(times, values, marker=".", label=f"p{percent}")
-        axes.set_yscale("log")
+        axes.set_ylim(bottom=0)
         axes.set_ylabel("ms")
         axes.legend(loc="upper left", frameon=False)
 
-    return _draw(draw, "time from request head to end of answer")
+    return _draw(found, draw, "time from request head to end of answer")
 
 
 def bundles(found: Assessment) -> str:
@@ -118,7 +118,7 @@
         )
         axes.set_ylabel("s")
 
-    return _draw(draw, "delay from acceptance of a bundle to force")
+    return _draw(found, draw, "delay from acceptance of a bundle to force")
 
 
 def coverage(found: Assessment) -> str:
@@ -133,10 +133,8 @@
             for gap in history.unknown:
                 _bar(axes, row, gap.from_ms, gap.to_ms, NOT_KNOWN_COLOUR)
         axes.set_yticks(range(len(names)), names)
-        period = found.question.period
-        axes.set_xlim(_time(period.from_ms), _time(period.to_ms))
 
-    return _draw(draw, "sound evidence by daemon (green), none (grey)")
+    return _draw(found, draw, "sound evidence by daemon (green), none (grey)")
 
 
 def _bar(axes: Any, row: int, from_ms: int, to_ms: int, colour: str) -> None:
@@ -144,12 +142,14 @@
     axes.barh(row, end - start, left=start, color=colour)
 
 
-def _draw(draw: Draw, title: str) -> str:
+def _draw(found: Assessment, draw: Draw, title: str) -> str:
     """Draws one plot and returns it as a data URI."""
     pyplot = load_library()
     figure, axes = pyplot.subplots(figsize=SIZE_IN)
     try:
         draw(axes)
+        period = found.question.period
+        axes.set_xlim(_time(period.from_ms), _time(period.to_ms))
         axes.set_title(title, loc="left", fontsize=10)
         for side in ("top", "right"):
             axes.spines[side].set_visible(False)
--- a/banyantiller/tests/commands/test_evidence.py
+++ b/banyantiller/tests/commands/test_evidence.py
@@ -113,6 +113,13 @@
         status, _ = self.data("held", "--since", "60s", "--until", "56s")
         self.assertEqual(10, status)
 
+    def test_statement_about_now_and_about_the_future(self) -> None:
+        self.now += 0.0006
+        self.assertEqual(0, self.run_cli("gone", "b2")[0])
+        status, text = self.run_cli("gone", "b2", "--at", "2100-01-01")
+        self.assertEqual(2, status)
+        self.assertIn("in the future", text)
+
     def test_false_statement_that_a_daemon_is_gone(self) -> None:
         """The daemon reported after the stated time, so it counts nothing."""
         self.live(die=True)
