Bound status writes in a row of changes

Cause: every daemon wrote its status at every change, so the writes of the fleet grew with its size (66.7 object API calls a second at 56 daemons and 0.86 rolls a second). Conclusion: calls of the object API no longer follow the fleet's size in a row of changes; the operators' own calls remain.

--- a/banyantiller/replica/status.py
+++ b/banyantiller/replica/status.py
@@ -20,6 +20,7 @@
 RENEW_SPACING_S = 2.0
 DELAY_S = 0.1
 DELAY_SPACING_S = 0.01
+GAP_SPACING_S = 0.5
 RETRY_S = 1.0
 LONGEST_RETRY_S = 15.0
 REMOVE_S = 1.0
@@ -28,8 +29,11 @@
 class StatusWriter:
     """Keeps one daemon's status object up to date.
 
-    A change is written within a fraction of a second; without one the
-    object is renewed about every `RENEW_S`, less often in a large fleet.
+    A change is written within a fraction of a second, or after a gap that
+    grows with the fleet when changes follow each other closely, so that all
+    daemons together write no more than two statuses a second in the long
+    run. Without a change the object is renewed about every `RENEW_S`, less
+    often in a large fleet.
 
     Attributes:
         item: The object as last seen, or None.
@@ -51,6 +55,7 @@
         self.held: Held | None = None
         self.changed = asyncio.Event()
         self.item: interface.StoredObject | None = None
+        self.next_write = 0.0
 
     def note(self, held: Held) -> None:
         """Notes the bundle in force and has it written."""
@@ -85,10 +90,13 @@
             return
         # Daemons that change together write a little apart.
         longest = DELAY_S + DELAY_SPACING_S * members
-        await asyncio.sleep(longest * self.random.random())
+        gap = self.next_write - asyncio.get_running_loop().time()
+        await asyncio.sleep(max(gap, 0.0) + longest * self.random.random())
 
     async def _write(self) -> bool:
         self.changed.clear()
+        now = asyncio.get_running_loop().time()
+        self.next_write = now + GAP_SPACING_S * len(self.peers.alive())
         value = self._value()
         name = self.settings.daemon
         if self.item is None:
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -4,9 +4,9 @@
 rolls bundles and prints a table and one JSON line. No calls of callers run,
 so all that a daemon uses is control: links, watches and reads, probes,
 evidence and status. Bytes are those of WebSocket frames and of the object
-API's connections, both ways, without TCP and IP headers. A change is in force when a daemon logs it; its time
-counts from the moment the acceptance was being written. Times are taken on
-one machine that all daemons share.
+API's connections, both ways, without TCP and IP headers. A change is in
+force when a daemon logs it; its time counts from the moment the acceptance
+was being written. Times are taken on one machine that all daemons share.
 """
 
 import asyncio
@@ -201,6 +201,7 @@
             "daemon_mb": round(statistics.mean(memory), 1),
             "plain_proxy_mb": round(plain, 1),
             "reverted": world.reverted(),
+            "logged_errors": sum(d.errors for d in world.daemons),
         }
     finally:
         await world.close()
@@ -269,7 +270,7 @@
     print(table(figures))
     if json_line:
         print(json.dumps(figures))
-    return 1 if figures["reverted"] else 0
+    return 1 if figures["reverted"] or figures["logged_errors"] else 0
 
 
 if __name__ == "__main__":
--- a/bench/fleet_processes.py
+++ b/bench/fleet_processes.py
@@ -11,6 +11,7 @@
 from standins.demo import files, processes
 
 IN_FORCE_LINE = b"replica: bundle in force."
+ERROR_FIELD = b'"level": "error"'
 CHUNK_BYTES = 65536
 CALL_S = 5.0
 TICKS_A_SECOND = 100
@@ -113,6 +114,7 @@
         child: The running process.
         runs: Number of processes so far.
         history: Bundles that came into force, over all processes.
+        errors: Lines logged as errors, over all processes.
     """
 
     def __init__(self, name: str, path: str, admin: int) -> None:
@@ -121,6 +123,7 @@
         self.admin = client.HttpClient(files.ADDRESS, admin)
         self.runs = 0
         self.history: list[InForce] = []
+        self.errors = 0
 
     async def start(self, children: processes.Children) -> None:
         """Starts a process."""
@@ -147,6 +150,7 @@
         whole = data[: data.rfind(b"\n") + 1]
         self.offset += len(whole)
         for line in whole.splitlines():
+            self.errors += ERROR_FIELD in line
             if IN_FORCE_LINE not in line:
                 continue
             fields = json.loads(line)
