Record traces of the decision code and replay them against stated outcomes

Cause: a failure seen once could not be run again against changed code, and no stated outcome of the failures of the field was checked as a whole.

--- a/banyantiller/daemon/assembly.py
+++ b/banyantiller/daemon/assembly.py
@@ -67,7 +67,7 @@
         self.proxy = proxying.Proxy.from_settings(
             settings,
             self.kernel,
-            registry.get("routing", settings.routing),
+            _routing(settings, registry),
             self.claims,
             self.budget.charger,
             wall,
@@ -192,3 +192,14 @@
         return None
     factory = registry.get("vm_list", settings.vm_list.adapter)
     return factory(settings.vm_list)
+
+
+def _routing(
+    settings: defaults.Settings, registry: plugins.Registry
+) -> plugins.Factory:
+    factory = registry.get("routing", settings.routing)
+    if not settings.trace_file:
+        return factory
+    from banyantiller.replay import recording
+
+    return recording.record_to_files(factory, settings.trace_file)
--- /dev/null
+++ b/banyantiller/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Recorded traces, and their replay against the real decision code."""
--- /dev/null
+++ b/banyantiller/tests/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of traces and of their replay."""
