--- a/banyantiller/routing/adaptive.py
+++ b/banyantiller/routing/adaptive.py
@@ -99,9 +99,13 @@
     def report(
         self, server: str, report: LoadReport, now: float
     ) -> list[Action]:
-        """Takes a report from a probe or a peer."""
+        """Takes a report from a probe; what peers tell is not used.
+
+        Peers' figures made every daemon choose the same server at once; see
+        the design note.
+        """
         view = self.known.views.get(server)
-        if view is None:
+        if view is None or report.source == "peer":
             return []
         learning.learn_report(self.known, view, report, len(view.own), now)
         if report.source == "probe" and view.probing:
@@ -123,7 +127,8 @@
 
     def members(self, alive: int, now: float) -> None:
         """Takes the number of daemons believed alive, this one included."""
-        del alive, now
+        del now
+        self.known.window.alive = alive
 
     def shared_load(self, now: float) -> dict[str, float]:
         """Returns this daemon's own in-flight calls by server, for peers."""
--- a/banyantiller/routing/beliefs.py
+++ b/banyantiller/routing/beliefs.py
@@ -24,9 +24,9 @@
         self.doubt = 0.0
         self.excess: dict[int, float] = collections.defaultdict(float)
 
-    def prepare(self, slots: int, most: int) -> None:
-        """Guesses waits for up to `most` own tries, before any report."""
-        for own in range(most + 1):
+    def prepare(self, slots: int) -> None:
+        """Guesses waits at servers of so many slots, before any report."""
+        for own in range(slots + 1):
             free = slots - own
             self.excess.setdefault(free, max(0.0, 1.0 - free) + own / slots)
 
--- a/banyantiller/routing/choice.py
+++ b/banyantiller/routing/choice.py
@@ -13,6 +13,7 @@
 MOST_CANDIDATES = 24
 SUSPECT_AGE = 3.0
 SLOWNESS_HALF = 10.0
+MOST_DOUBLINGS = 4
 FAILURE_PENALTY = 10.0
 FAILURE_HALF_S = 1.0
 FORGOTTEN_AGE = 4.0
@@ -65,7 +66,7 @@
         if view.closed_until > now:
             continue
         own = len(view.own)
-        if own >= view.limit:
+        if own >= view.slots:
             continue
         ahead = excess[view.slots - own]
         if view.others_at > recent:
@@ -124,7 +125,7 @@
     usual = believed.service_s
     factor = 1.0
     if "slowness" not in tuning.off:
-        half = SLOWNESS_HALF * usual
+        half = SLOWNESS_HALF * usual * 2 ** min(view.given_up, MOST_DOUBLINGS)
         weight = half / (half + now - view.latency_at)
         factor += (view.latency / usual - 1.0) * weight
         if factor < tuning.slow_from:
--- a/banyantiller/routing/flow.py
+++ b/banyantiller/routing/flow.py
@@ -3,7 +3,7 @@
 from functools import partial
 
 from banyantiller.errors import ErrorKind, Failure, Ran
-from banyantiller.routing import choice, learning, limits, refusal
+from banyantiller.routing import choice, learning, refusal
 from banyantiller.routing.calls import Attempt, CallState
 from banyantiller.routing.service import ServiceKnowledge
 from banyantiller.routing.timers import Timers
@@ -157,15 +157,14 @@
         return actions
 
     def _server_for(self, call: CallState, now: float) -> ServerView | None:
-        found = self.known.choose(call, now, fresh=True)
-        if found is None and call.tried:
-            found = self.known.choose(call, now, fresh=False)
-        if found is None:
-            return None
-        slots = found.view.state.slots
-        if limits.full(found.ahead, slots, self.known.tuning):
+        known = self.known
+        busy = len(self.attempts) + 1 > known.window.size
+        if busy and self.attempts and "limits" not in known.tuning.off:
             return None
-        return found.view
+        found = known.choose(call, now, fresh=True)
+        if found is None and call.tried:
+            found = known.choose(call, now, fresh=False)
+        return None if found is None else found.view
 
     def _start(
         self, call: CallState, view: ServerView, now: float, hedge: bool = False
--- a/banyantiller/routing/learning.py
+++ b/banyantiller/routing/learning.py
@@ -15,7 +15,6 @@
     }
 )
 FIRST_FAILING_STATUS = 500
-SILENT_AGE = 6.0
 CHECK_MARGIN = 0.25
 DOUBT_RISE = 0.1
 DOUBT_FALL = 0.01
@@ -33,16 +32,17 @@
         if len(view.own) > 1:
             _check_report(known, attempt, result.report, now)
         learn_report(known, view, result.report, len(view.own) - 1, now)
+        known.window.learn(result.report.in_flight, view.slots, known.tuning)
     if result.error is ErrorKind.BACKEND_SHED:
         usual = known.believed.service_s
-        limits.shed(view, result.retry_after_s, usual, now)
+        limits.hold(view, result.retry_after_s, usual, now)
+        known.window.shed()
         return
     if not result.ok or result.status >= FIRST_FAILING_STATUS:
         sure = result.error in SURE_FAILURES and result.ran is Ran.NO
         note_failure(known, view, now, sure)
         return
     _learn_latency(known, attempt, now)
-    limits.answered(view)
     ejection.answered(view, now)
 
 
@@ -67,11 +67,13 @@
     age = now - attempt.started
     view = attempt.view
     usual = known.believed.service_s
-    if age > max(view.latency, usual):
-        view.learn_latency(age, now)
-        view.watched = True
-    if age > SILENT_AGE * usual:
-        note_failure(known, view, now, sure=False)
+    if age < usual:
+        return
+    view.given_up += 1
+    view.learn_latency(max(age, view.latency), now)
+    view.watched = True
+    if view.trial or view.given_up >= known.tuning.silent_after:
+        note_failure(known, view, now, sure=True)
 
 
 def note_failure(
@@ -88,6 +90,7 @@
     seconds = now - attempt.started
     view = attempt.view
     view.learn_latency(seconds, now)
+    view.given_up = 0
     known.believed.learn_latency(seconds)
     if not attempt.hedge:
         known.late.learn(seconds)
--- a/banyantiller/routing/limits.py
+++ b/banyantiller/routing/limits.py
@@ -1,30 +1,64 @@
-"""Limits of own tries at once on a server, adapted to what it can take."""
+"""Limits of what this daemon sends at once, adapted to what servers take.
+
+On one server the daemon has at most as many tries as that has slots. Over
+all servers of the service it has a window, which shrinks while servers say
+that they have a backlog or shed, and grows while they do not. It never
+shrinks below the daemon's even part of all slots.
+"""
 
 from banyantiller.routing.tuning import Tuning
 from banyantiller.routing.views import ServerView
 
-LEAST = 1.0
-WITHOUT = 10
-SHED_FACTOR = 0.5
-RISE = 0.1
+SHRINK = 0.95
+SHED_SHRINK = 0.8
+GROWTH = 0.1
 LONGEST_HOLD_S = 5.0
 
 
-def first(slots: int, tuning: Tuning) -> float:
-    """Returns the limit of a server about which nothing is known."""
-    return float(slots * WITHOUT if "limits" in tuning.off else slots)
+class Window:
+    """Most tries of this daemon at once over all servers.
+
+    Attributes:
+        size: The limit.
+        slots: Requests that all usable servers run at once.
+        alive: Number of daemons believed alive.
+    """
+
+    def __init__(self) -> None:
+        self.size = 1.0
+        self.slots = 0
+        self.alive = 1
+
+    def configure(self, slots: int) -> None:
+        """Takes the number of all slots; opens the window if they grew."""
+        if slots > self.slots:
+            self.size = float(slots)
+        self.slots = slots
+        self.size = min(self.size, float(max(slots, 1)))
 
+    def least(self) -> float:
+        """Returns the even part of this daemon, at least one try."""
+        return max(1.0, self.slots / max(self.alive, 1))
 
-def answered(view: ServerView) -> None:
-    """Raises the limit by degrees while answers come."""
-    if view.limit < view.slots:
-        view.limit = min(view.slots, view.limit + RISE)
+    def learn(self, in_flight: float, slots: int, tuning: Tuning) -> None:
+        """Takes the load that a server told on an answer."""
+        if in_flight >= tuning.backlog_at * slots:
+            self._shrink(SHRINK)
+        else:
+            self.size = min(float(self.slots), self.size + GROWTH)
 
+    def shed(self) -> None:
+        """Takes that a server shed a try."""
+        self._shrink(SHED_SHRINK)
 
-def shed(
+    def _shrink(self, factor: float) -> None:
+        self.size = max(self.least(), self.size * factor)
+
+
+def hold(
     view: ServerView, retry_after_s: float | None, usual_s: float, now: float
 ) -> None:
-    """Lowers the limit and holds the server for a while.
+    """Holds a server that shed a try.
 
     Args:
         view: The server.
@@ -32,12 +66,7 @@
         usual_s: Usual time of one request.
         now: The loop's time.
     """
-    view.limit = max(LEAST, view.limit * SHED_FACTOR)
     wait = usual_s if retry_after_s is None else retry_after_s
-    view.held_until = max(view.held_until, now + min(wait, LONGEST_HOLD_S))
+    until = now + min(wait, LONGEST_HOLD_S)
+    view.held_until = max(view.held_until, until)
     view.update_closed()
-
-
-def full(ahead: float, slots: int, tuning: Tuning) -> bool:
-    """Tells whether a call should rather wait here than on the server."""
-    return "holding" not in tuning.off and ahead >= tuning.hold_at * slots
--- a/banyantiller/routing/service.py
+++ b/banyantiller/routing/service.py
@@ -32,6 +32,7 @@
         extra: Budget of retries and hedges.
         late: Latency above which a call is hedged.
         drain: Calls that end here each second.
+        window: Most tries of this daemon at once.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         self.extra = ExtraCalls(service.retry.budget_percent, self.tuning.burst)
         self.late = LatencyQuantile(self.tuning.hedge_quantile)
         self.drain = DrainRate(now)
+        self.window = limits.Window()
 
     def retune(self, constants: Tuning) -> None:
         """Replaces the constants, for measurements."""
@@ -86,9 +88,11 @@
             view.local = state.zone == self.zone
             view.slots = state.slots
             view.update_closed()
-            self.believed.prepare(state.slots, int(view.limit))
+            self.believed.prepare(state.slots)
             kept[state.name] = view
         self.views = kept
+        usable = (v.slots for v in kept.values() if v.is_usable())
+        self.window.configure(sum(usable))
         self._regroup()
 
     def group_of(self, view: ServerView) -> list[ServerView]:
@@ -137,8 +141,7 @@
         )
 
     def _new_view(self, state: ServerState) -> ServerView:
-        limit = limits.first(state.slots, self.tuning)
-        return ServerView(state, False, state.slots, limit)
+        return ServerView(state, False, state.slots)
 
     def _regroup(self) -> None:
         groups: dict[str, list[ServerView]] = {"": list(self.views.values())}
--- a/banyantiller/routing/tuning.py
+++ b/banyantiller/routing/tuning.py
@@ -13,7 +13,6 @@
     "ejection",
     "ramp",
     "limits",
-    "holding",
 )
 
 
@@ -30,13 +29,14 @@
         jitter: Random part of the expected delay that breaks ties, in
             service times.
         cross_zone_s: Latency that another availability zone adds.
-        hold_at: Requests ahead for each slot from which a call rather waits
-            in the daemon.
+        backlog_at: Reported requests for each slot from which a server
+            counts as overloaded.
         hedge_quantile: Share of calls that should answer before a hedge.
         hedge_early: Age at which a try on a suspect server is hedged, in
             service times.
         hedge_reserve: Tokens of the extra-call budget kept for retries.
         burst: Most tokens of the extra-call budget.
+        silent_after: Overdue tries given up in a row that eject a server.
         eject_s: First length of an ejection.
         eject_longest_s: Longest ejection.
         eject_share: Largest part of a group that may be ejected at once.
@@ -51,15 +51,16 @@
     slow_from: float = 2.0
     jitter: float = 0.02
     cross_zone_s: float = 0.0016
-    hold_at: float = 3.0
+    backlog_at: float = 3.0
     hedge_quantile: float = 0.97
     hedge_early: float = 1.5
     hedge_reserve: float = 2.0
     burst: float = 20.0
+    silent_after: int = 3
     eject_s: float = 0.2
     eject_longest_s: float = 5.0
     eject_share: float = 0.5
-    ramp_s: float = 2.0
+    ramp_s: float = 0.5
     ramp_factor: float = 4.0
     probe_recovery: bool = True
     off: frozenset[str] = frozenset()
--- a/banyantiller/routing/views.py
+++ b/banyantiller/routing/views.py
@@ -17,13 +17,13 @@
         state: What the bundle and the VM list say.
         local: Whether it is in this daemon's availability zone.
         slots: Requests that it runs at once.
-        limit: Most own tries at once.
         own: Start time by number of this daemon's tries on it.
         others: Requests of other daemons on it, as last reported.
         others_at: When that was true.
         doubt: Moving share of reports that own tries showed to be wrong.
         latency: Moving average of the time to an answer head, 0 if unknown.
         latency_at: When the average last changed.
+        given_up: Overdue tries given up since the last good answer.
         watched: Whether it was slow, failing or cold lately.
         draining: Whether it said that it is leaving.
         held_until: Gets nothing before this time, because it said so.
@@ -42,13 +42,13 @@
     state: ServerState
     local: bool
     slots: int
-    limit: float
     own: dict[int, float] = dataclasses.field(default_factory=dict)
     others: float = 0.0
     others_at: float = LONG_AGO
     doubt: float = 0.0
     latency: float = 0.0
     latency_at: float = LONG_AGO
+    given_up: int = 0
     watched: bool = False
     draining: bool = False
     held_until: float = LONG_AGO
