--- a/banyantiller/proxy/answers.py
+++ b/banyantiller/proxy/answers.py
@@ -18,12 +18,12 @@
 
     Attributes:
         status: Status code.
-        fields: Header fields, with the length.
+        fields: Pairs of header name and value, with the length.
         body: Body; left out when the request was HEAD.
     """
 
     status: int
-    fields: list[headers.Field]
+    fields: list[tuple[bytes, bytes]]
     body: bytes
 
 
@@ -89,7 +89,7 @@
     )
     kept = tuple(
         (name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in fields
-        if name.lower() not in dropped
+        for name, lower, value in fields
+        if lower not in dropped
     )
     return RecordedAnswer(status, kept, body)
--- a/banyantiller/proxy/attempt.py
+++ b/banyantiller/proxy/attempt.py
@@ -1,7 +1,7 @@
 """One try of a call at one backend server."""
 
 import enum
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import h11
 
@@ -34,6 +34,7 @@
         stage: How far it has come.
         connection: The connection, once there is one.
         response: The answer head, once it arrived.
+        fields: Header fields of the answer head.
         began: Loop time at which the request was sent.
     """
 
@@ -54,6 +55,7 @@
         self.stage = Stage.CONNECTING
         self.connection: backend.BackendConnection | None = None
         self.response: h11.Response | None = None
+        self.fields: list[headers.Field] = []
         self.began = 0.0
 
     @property
@@ -88,7 +90,8 @@
     def head(self, event: h11.Response) -> None:
         """Reports the answer head; the dispatcher decides about it."""
         self.response = event
-        metrics = headers.get(event.headers, load.HEADER)
+        self.fields = headers.received(event.headers)
+        metrics = headers.get(self.fields, load.HEADER)
         report = None if metrics is None else load.read_header(metrics)
         not_run = self._is_not_run(event)
         result = AttemptResult(
@@ -97,7 +100,7 @@
             error=ErrorKind.BACKEND_SHED if not_run else None,
             status=event.status_code,
             report=report,
-            retry_after_s=_retry_after(event) if not_run else None,
+            retry_after_s=self._retry_after() if not_run else None,
             replayable=self.call.body.kept,
         )
         if not_run:
@@ -110,11 +113,11 @@
         if self.stage is Stage.RELAYING:
             self.call.relay_data(data)
 
-    def end(self, trailers: Any) -> None:
+    def end(self, event: h11.EndOfMessage) -> None:
         """Relays the end of the answer; the slot is free."""
         if self.stage is Stage.RELAYING:
             self.stage = Stage.OVER
-            self.call.relay_end(trailers)
+            self.call.relay_end(event)
             self.driver.done(self)
 
     def failed(self, kind: ErrorKind) -> None:
@@ -141,7 +144,7 @@
     def relay(self) -> None:
         """Starts to relay the answer."""
         self.stage = Stage.RELAYING
-        self.call.relay_head(self, self.response)
+        self.call.relay_head(self)
 
     def cancel(self) -> None:
         """Gives up; closing the connection cancels the server's work."""
@@ -165,8 +168,14 @@
     def _is_not_run(self, event: h11.Response) -> bool:
         if event.status_code != NOT_RUN_STATUS:
             return False
-        name = self.call.service.not_run_header.lower().encode("ascii")
-        return headers.get(event.headers, name) is not None
+        name = headers.wire_name(self.call.service.not_run_header)
+        return headers.get(self.fields, name) is not None
+
+    def _retry_after(self) -> float | None:
+        value = headers.get(self.fields, b"retry-after")
+        if value is None or not value.isdigit():
+            return None
+        return float(value)
 
     def _suspect_kin(self) -> None:
         if not self.connection.heard and self.connection.reused:
@@ -179,10 +188,3 @@
             ok=False, ran=ran, error=kind, replayable=self.call.body.kept
         )
         self.driver.head(self, result)
-
-
-def _retry_after(event: h11.Response) -> float | None:
-    value = headers.get(event.headers, b"retry-after")
-    if value is None or not value.isdigit():
-        return None
-    return float(value)
--- a/banyantiller/proxy/backend.py
+++ b/banyantiller/proxy/backend.py
@@ -29,7 +29,7 @@
     def data(self, data: bytes) -> None:
         """Takes a part of the answer body."""
 
-    def end(self, trailers: Any) -> None:
+    def end(self, event: h11.EndOfMessage) -> None:
         """Takes the end of the answer."""
 
     def failed(self, kind: ErrorKind) -> None:
@@ -150,9 +150,9 @@
         """Adds a part of the request body."""
         self.out.append(self.http.send(h11.Data(data=data)))
 
-    def send_end(self, trailers: Any) -> None:
+    def send_end(self, event: h11.EndOfMessage) -> None:
         """Adds the end of the request body."""
-        data = self.http.send(h11.EndOfMessage(headers=trailers))
+        data = self.http.send(event)
         if data:
             self.out.append(data)
 
@@ -234,7 +234,9 @@
 
     def _head(self, event: h11.Response) -> None:
         if self.head_bytes > self.max_head_bytes:
-            size = sum(len(n) + len(v) + 4 for n, v in event.headers)
+            size = sum(
+                len(n) + len(v) + 4 for n, v in event.headers.raw_items()
+            )
             if size > self.max_head_bytes:
                 self._fail(ErrorKind.BACKEND_HEAD_TOO_LARGE)
                 self.abort()
@@ -261,7 +263,7 @@
             self.home.give_back(self)
         else:
             self.abort()
-        exchange.end(event.headers)
+        exchange.end(event)
 
     def _can_reuse(self) -> bool:
         http = self.http
--- a/banyantiller/proxy/body.py
+++ b/banyantiller/proxy/body.py
@@ -1,7 +1,8 @@
 """The request body as far as it is kept for another try."""
 
-from collections.abc import Iterable
-from typing import Any
+import h11
+
+from banyantiller.proxy import headers
 
 
 class RequestBody:
@@ -13,10 +14,10 @@
         size: Bytes received.
         kept: Whether `parts` still holds all that was received.
         complete: Whether the end was received.
-        trailers: Trailer fields, once complete.
+        end_event: The end as it is passed on, once complete.
     """
 
-    __slots__ = ("complete", "kept", "limit", "parts", "size", "trailers")
+    __slots__ = ("complete", "end_event", "kept", "limit", "parts", "size")
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
@@ -24,7 +25,7 @@
         self.size = 0
         self.kept = True
         self.complete = False
-        self.trailers: Any = ()
+        self.end_event = headers.END
 
     def add(self, data: bytes, streaming: bool) -> None:
         """Takes a part.
@@ -40,10 +41,10 @@
             if streaming:
                 self.let_go()
 
-    def end(self, trailers: Iterable[tuple[bytes, bytes]]) -> None:
+    def end(self, event: h11.EndOfMessage) -> None:
         """Takes the end."""
         self.complete = True
-        self.trailers = trailers
+        self.end_event = event
 
     def let_go(self) -> None:
         """Forgets the body if it is over the limit; a try has begun."""
--- a/banyantiller/proxy/call.py
+++ b/banyantiller/proxy/call.py
@@ -1,6 +1,6 @@
 """One call: from the request head to the end of its answer."""
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import h11
 
@@ -89,13 +89,13 @@
             self._body_ready()
             self.regulate()
 
-    def body_end(self, trailers: Any) -> None:
+    def body_end(self, event: h11.EndOfMessage) -> None:
         """Takes the end of the request body."""
-        kept = headers.forward_trailers(trailers) if trailers else []
-        self.body.end(kept)
+        end = headers.forward_end(event)
+        self.body.end(end)
         for attempt in self.running:
             if attempt.streaming:
-                attempt.connection.send_end(kept)
+                attempt.connection.send_end(end)
         self._body_ready()
 
     def flush(self) -> None:
@@ -137,11 +137,18 @@
         """Returns the request head for a new try."""
         remaining = self.deadline - self.proxy.loop.time()
         remaining_ms = max(1, int(remaining * 1000))
-        fields = self.fields + [(headers.DEADLINE_HEADER, b"%d" % remaining_ms)]
+        deadline = (
+            headers.DEADLINE_HEADER,
+            headers.DEADLINE_HEADER,
+            b"%d" % remaining_ms,
+        )
+        fields = [*self.fields, deadline]
         if self.caller.http.they_are_waiting_for_100_continue:
-            fields.append((b"Expect", b"100-continue"))
+            fields.append(headers.EXPECT_CONTINUE)
         return h11.Request(
-            method=self.request.method, target=self.target, headers=fields
+            method=self.request.method,
+            target=self.target,
+            headers=headers.Checked(fields),
         )
 
     def send_kept_body(self, attempt: "attempts.Attempt") -> None:
@@ -150,7 +157,7 @@
         for part in self.body.parts:
             connection.send_data(part)
         if self.body.complete:
-            connection.send_end(self.body.trailers)
+            connection.send_end(self.body.end_event)
         self.body.let_go()
         if not self.caller.pumping:
             connection.flush()
@@ -172,9 +179,9 @@
             self.send_continue()
         elif len(self.running) == 1:
             fields = [
-                field
-                for field in event.headers
-                if field[0] not in headers.HOP_BY_HOP
+                item
+                for item in headers.received(event.headers)
+                if item[1] not in headers.HOP_BY_HOP
             ]
             self.caller.send_informational(event.status_code, fields)
 
@@ -183,14 +190,13 @@
         if self.caller.http.they_are_waiting_for_100_continue:
             self.caller.send_informational(CONTINUE, [])
 
-    def relay_head(
-        self, attempt: "attempts.Attempt", response: h11.Response
-    ) -> None:
+    def relay_head(self, attempt: "attempts.Attempt") -> None:
         """Starts to relay an answer."""
         self.relaying = attempt
+        response = attempt.response
         self.status = response.status_code
         fields = headers.forward_answer(
-            response, self.proxy.via, self.request_id
+            attempt.fields, self.proxy.via, self.request_id
         )
         if self.claim is not None:
             self.claim.answer_head(self.status, fields)
@@ -206,13 +212,12 @@
             self.claim.answer_data(data)
         self.caller.send_data(data)
 
-    def relay_end(self, trailers: Any) -> None:
+    def relay_end(self, event: h11.EndOfMessage) -> None:
         """Ends the answer and the call."""
         self.tries += 1
         if self.claim is not None:
             self.claim.answer_end()
-        kept = headers.forward_trailers(trailers) if trailers else []
-        self.caller.send_end(kept)
+        self.caller.send_end(headers.forward_end(event))
         self._finish(None, cut=False)
         self.caller.answer_done()
 
@@ -263,6 +268,8 @@
         if self.claim is not None:
             self.claim.settle(self.maybe_ran)
         self.proxy.finished(self._event(error, cut))
+        # Without cycles the call is freed as soon as nobody needs it.
+        self.relaying = None
 
     def _event(self, error: ErrorKind | None, cut: bool) -> CallFinished:
         sent_after_s = 0.0
--- a/banyantiller/proxy/caller.py
+++ b/banyantiller/proxy/caller.py
@@ -134,7 +134,9 @@
         self, status: int, fields: list[headers.Field]
     ) -> None:
         """Adds an informational answer."""
-        event = h11.InformationalResponse(status_code=status, headers=fields)
+        event = h11.InformationalResponse(
+            status_code=status, headers=headers.Checked(fields)
+        )
         self.out.append(self.http.send(event))
         if not self.pumping:
             self.flush()
@@ -157,28 +159,31 @@
         """
         if body_missing or self.proxy.draining:
             fields = [*fields, headers.CLOSE]
-        event = h11.Response(status_code=status, headers=fields, reason=reason)
+        event = h11.Response(
+            status_code=status, headers=headers.Checked(fields), reason=reason
+        )
         self.out.append(self.http.send(event))
 
     def send_data(self, data: bytes) -> None:
         """Adds a part of an answer body."""
         self.out.append(self.http.send(h11.Data(data=data)))
 
-    def send_end(self, trailers: Any) -> None:
+    def send_end(self, event: h11.EndOfMessage) -> None:
         """Adds the end of an answer; HTTP/1.0 has no trailers."""
-        if trailers and self.http.their_http_version < b"1.1":
-            trailers = []
-        data = self.http.send(h11.EndOfMessage(headers=trailers))
+        if event.headers and self.http.their_http_version < b"1.1":
+            event = headers.END
+        data = self.http.send(event)
         if data:
             self.out.append(data)
 
     def send_own(self, answer: answers.OwnAnswer, body_missing: bool) -> None:
         """Adds a whole answer that no backend server gave."""
-        self.send_head(answer.status, b"", answer.fields, body_missing)
+        fields = headers.received(headers.check(answer.fields))
+        self.send_head(answer.status, b"", fields, body_missing)
         is_head = self.call and self.call.request.method == b"HEAD"
         if answer.body and not is_head:
             self.send_data(answer.body)
-        self.send_end([])
+        self.send_end(headers.END)
 
     def answer_done(self) -> None:
         """Writes the answer; goes on with the next request or closes."""
@@ -275,14 +280,18 @@
                     self.call.body_data(event.data)
             elif kind is h11.EndOfMessage:
                 if self.call is not None:
-                    self.call.body_end(event.headers)
+                    self.call.body_end(event)
+                if self.call is not None:
+                    return
             else:
                 return
 
     def _request(self, event: h11.Request) -> None:
         limit = self.limits.max_head_bytes
         if self.head_bytes > limit:
-            size = sum(len(n) + len(v) + 4 for n, v in event.headers)
+            size = sum(
+                len(n) + len(v) + 4 for n, v in event.headers.raw_items()
+            )
             if size + len(event.target) > limit:
                 self.proxy.reject(self, Failure(ErrorKind.HEAD_TOO_LARGE))
                 return
--- a/banyantiller/proxy/headers.py
+++ b/banyantiller/proxy/headers.py
@@ -1,10 +1,29 @@
-"""Header fields on their way through: what is dropped, added and read."""
+"""Header fields on their way through: what is dropped, added and read.
+
+A field that is forwarded was checked by h11 when it came in. It is kept in
+the form that h11 keeps it in, so that sending it costs no second check.
+"""
 
 import dataclasses
+import functools
 from collections.abc import Iterable
+from typing import Any
 
 import h11
 
+# h11 takes headers of this type as they are. It has no public name.
+Checked = type(h11.EndOfMessage().headers)
+END = h11.EndOfMessage()
+
+# Name as written, name in lower case, value.
+Field = tuple[bytes, bytes, bytes]
+
+
+def field(name: bytes, value: bytes) -> Field:
+    """Returns a field of our own; name and value must be valid."""
+    return (name, name.lower(), value)
+
+
 DEADLINE_HEADER = b"x-request-deadline-ms"
 REQUEST_ID_HEADER = b"x-request-id"
 RAN_HEADER = b"request-ran"
@@ -32,10 +51,9 @@
 }
 NOT_IN_TRAILERS = HOP_BY_HOP | {b"content-length", b"host"}
 KEPT_FROM_CONNECTION = frozenset((b"content-length", b"host"))
-CHUNKED = (b"Transfer-Encoding", b"chunked")
-CLOSE = (b"Connection", b"close")
-
-Field = tuple[bytes, bytes]
+CHUNKED = field(b"Transfer-Encoding", b"chunked")
+CLOSE = field(b"Connection", b"close")
+EXPECT_CONTINUE = field(b"Expect", b"100-continue")
 
 
 @dataclasses.dataclass(slots=True)
@@ -70,12 +88,12 @@
     fields: list[Field] = []
     head = RequestHead(fields)
     named: list[bytes] = []
-    for field in request.headers:
-        name = field[0]
+    for raw, value in request.headers.raw_items():
+        name = raw.lower()
         if name in READ_FROM_REQUESTS:
-            _read_field(head, named, name, field[1])
+            _read_field(head, named, name, value)
         else:
-            fields.append(field)
+            fields.append((raw, name, value))
     if named:
         head.fields = _without(fields, named)
     return head
@@ -114,24 +132,40 @@
 
 def _without(fields: list[Field], named: list[bytes]) -> list[Field]:
     dropped = set(named) - KEPT_FROM_CONNECTION
-    return [field for field in fields if field[0] not in dropped]
+    return [item for item in fields if item[1] not in dropped]
 
 
-def get(headers: Iterable[Field], name: bytes) -> bytes | None:
+@functools.lru_cache
+def wire_name(name: str) -> bytes:
+    """Returns a field name of the settings as it is compared."""
+    return name.lower().encode("ascii")
+
+
+def get(fields: Iterable[Field], name: bytes) -> bytes | None:
     """Returns the first value of a field, or None."""
-    for found, value in headers:
+    for _, found, value in fields:
         if found == name:
             return value
     return None
 
 
-def get_all(headers: Iterable[Field], name: bytes) -> list[bytes]:
+def get_all(fields: Iterable[Field], name: bytes) -> list[bytes]:
     """Returns every value of a field."""
-    return [value for found, value in headers if found == name]
+    return [value for _, found, value in fields if found == name]
+
+
+def check(pairs: list[tuple[bytes, bytes]]) -> Any:
+    """Has h11 check fields that it did not receive itself."""
+    return h11.EndOfMessage(headers=pairs).headers
+
+
+def received(head: Any) -> list[Field]:
+    """Returns the fields of a received head or of received trailers."""
+    return [(raw, raw.lower(), value) for raw, value in head.raw_items()]
 
 
 def forward_answer(
-    response: h11.Response, via: Field, request_id: bytes
+    received_fields: list[Field], via: Field, request_id: bytes
 ) -> list[Field]:
     """Returns the fields of an answer to relay to the caller.
 
@@ -140,25 +174,28 @@
     fields: list[Field] = []
     named: list[bytes] = []
     chunked = False
-    for field in response.headers:
-        name = field[0]
+    for item in received_fields:
+        name = item[1]
         if name in HOP_BY_HOP:
             if name == b"connection":
-                named.extend(_tokens(field[1]))
+                named.extend(_tokens(item[2]))
             elif name == b"transfer-encoding":
                 chunked = True
         elif name != REQUEST_ID_HEADER:
-            fields.append(field)
+            fields.append(item)
     if named:
         fields = _without(fields, named)
     if chunked:
-        fields = [field for field in fields if field[0] != b"content-length"]
+        fields = [item for item in fields if item[1] != b"content-length"]
         fields.append(CHUNKED)
     fields.append(via)
-    fields.append((REQUEST_ID_HEADER, request_id))
+    fields.append((REQUEST_ID_HEADER, REQUEST_ID_HEADER, request_id))
     return fields
 
 
-def forward_trailers(trailers: Iterable[Field]) -> list[Field]:
-    """Returns the trailer fields that may be passed on."""
-    return [field for field in trailers if field[0] not in NOT_IN_TRAILERS]
+def forward_end(end: h11.EndOfMessage) -> h11.EndOfMessage:
+    """Returns the end of a body to pass on, with the trailers allowed."""
+    if not end.headers:
+        return END
+    kept = [f for f in received(end.headers) if f[1] not in NOT_IN_TRAILERS]
+    return h11.EndOfMessage(headers=Checked(kept))
--- a/banyantiller/proxy/intake.py
+++ b/banyantiller/proxy/intake.py
@@ -107,13 +107,15 @@
     proxy: "proxies.Proxy", call: "calls.Call", host: str
 ) -> list[headers.Field]:
     head = call.head
-    fields = [(b"Host", host.encode("latin-1")), *head.fields]
+    fields = [(b"Host", b"host", host.encode("latin-1")), *head.fields]
     if head.content_length is not None:
-        fields.append((b"Content-Length", b"%d" % head.content_length))
+        length = b"%d" % head.content_length
+        fields.append((b"Content-Length", b"content-length", length))
     elif head.chunked:
         fields.append(headers.CHUNKED)
     fields.append(proxy.via)
-    fields.append((headers.REQUEST_ID_HEADER, call.request_id))
+    name = headers.REQUEST_ID_HEADER
+    fields.append((name, name, call.request_id))
     traceparent = head.traceparent or proxy.new_traceparent()
-    fields.append((b"traceparent", traceparent))
+    fields.append((b"traceparent", b"traceparent", traceparent))
     return fields
--- a/banyantiller/proxy/keys.py
+++ b/banyantiller/proxy/keys.py
@@ -44,7 +44,7 @@
     Returns:
         The key, empty if there is none, or why the request is refused.
     """
-    values = headers.get_all(fields, service.key_header.lower().encode("ascii"))
+    values = headers.get_all(fields, headers.wire_name(service.key_header))
     if not values:
         if service.key_required:
             detail = f"This request needs the header {service.key_header}."
--- a/banyantiller/proxy/probe.py
+++ b/banyantiller/proxy/probe.py
@@ -1,6 +1,6 @@
 """A probe: one cheap request that asks a server for its load."""
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import h11
 
@@ -51,7 +51,7 @@
             headers=[(b"Host", host.encode("ascii")), USER_AGENT],
         )
         connection.begin(self, request)
-        connection.send_end([])
+        connection.send_end(headers.END)
         connection.flush()
 
     def connect_failed(self, kind: ErrorKind) -> None:  # noqa: ARG002
@@ -63,14 +63,14 @@
 
     def head(self, event: h11.Response) -> None:
         """Reads the load."""
-        value = headers.get(event.headers, load.HEADER)
+        value = headers.get(headers.received(event.headers), load.HEADER)
         if value is not None:
             self.report = load.read_header(value, "probe")
 
     def data(self, data: bytes) -> None:
         """The body of a probe's answer is dropped."""
 
-    def end(self, trailers: Any) -> None:  # noqa: ARG002
+    def end(self, event: h11.EndOfMessage) -> None:  # noqa: ARG002
         """Passes the load on."""
         self.watch.stop()
         self.wanted = False
--- a/banyantiller/proxy/proxy.py
+++ b/banyantiller/proxy/proxy.py
@@ -87,7 +87,8 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.emptied = asyncio.Event()
         self.server: asyncio.Server | None = None
-        self.via = (b"Via", f"1.1 {settings.daemon}".encode("ascii"))
+        via = f"1.1 {settings.daemon}".encode("ascii")
+        self.via = headers.field(b"Via", via)
         self.backend_tls = tls.for_backends(settings.backends.tls)
         self.id_prefix = b"%016x" % self.random.getrandbits(64)
         self.id_count = 0
@@ -293,6 +294,7 @@
             cut=False,
             duration_s=self.loop.time() - connection.head_began,
             bundle=self.version,
+            told=failure.answer.ran,
         )
         self.in_flight += 1
         self.finished(event)
