Never tell a call that may have run that it did not

Cause, found in review and by the tests that come with this: a call whose first try was lost and whose retry was refused a connection got the second failure, which says "not run"; a usual time of zero divided by zero; a probe without any answer closed its server for good; a service with only non-idempotent calls never got an ejected server back without probes.

Change: the first failure that leaves it open whether the call ran is the one that the caller gets; the usual time has a floor; probes expire after 2 s; a server is tried with any call 5 s after its ejection. Waiting calls with less than half the usual time left are refused at once. Retry-After counts servers that asked to be left alone.

--- a/banyantiller/routing/adaptive.py
+++ b/banyantiller/routing/adaptive.py
@@ -14,13 +14,14 @@
     Action,
     AttemptResult,
     Call,
-    Cancel,
     LoadReport,
     Probe,
     ServerState,
 )
 from banyantiller.routing.views import ServerView
 
+PROBE_LIMIT_S = 2.0
+
 Charge = Callable[[float], bool]
 
 
@@ -70,14 +71,11 @@
         call = attempt.call
         call.replayable = call.replayable and result.replayable
         learning.learn_result(self.known, attempt, result, now)
-        self._plan_recovery(attempt.view)
         if result.ok and not flow.worth_retry(call, result, now):
-            return flow.relay(attempt, now) + flow.start_waiting(now)
-        flow.end(attempt)
-        actions: list[Action] = [Cancel(attempt_id)] if result.ok else []
-        if not call.running:
-            actions += flow.after_failure(call, result, now)
-        return actions + flow.start_waiting(now)
+            actions = flow.relay(attempt, now)
+        else:
+            actions = flow.failed(attempt, result, now)
+        return actions + self._follow_up(now)
 
     def attempt_done(self, attempt_id: int, now: float) -> list[Action]:
         """Takes the end of a relayed answer; the slot is free."""
@@ -93,8 +91,7 @@
         call = self.flow.calls.get(call_id)
         if call is None:
             return []
-        actions = self.flow.forget(call, now)
-        return actions + self.flow.start_waiting(now)
+        return self.flow.forget(call, now) + self._follow_up(now)
 
     def report(
         self, server: str, report: LoadReport, now: float
@@ -122,8 +119,7 @@
         view.probing = False
         view.update_closed()
         learning.note_failure(self.known, view, now, sure=True)
-        self._plan_recovery(view)
-        return []
+        return self._follow_up(now)
 
     def members(self, alive: int, now: float) -> None:
         """Takes the number of daemons believed alive, this one included."""
@@ -138,7 +134,7 @@
 
     def tick(self, now: float) -> list[Action]:
         """Does what is due: deadlines, hedges, probes, recovery."""
-        return self.flow.timers.run_due(now) + self.flow.start_waiting(now)
+        return self.flow.timers.run_due(now) + self._follow_up(now)
 
     def next_tick(self) -> float | None:
         """Returns the time of the next due work, or None."""
@@ -148,25 +144,28 @@
             return recheck if first is None else first
         return min(first, recheck)
 
-    def _plan_recovery(self, view: ServerView) -> None:
-        if view.trial and not view.recovering:
-            view.recovering = True
-            work = partial(self._recover, view)
+    def _follow_up(self, now: float) -> list[Action]:
+        while self.known.ejected:
+            view = self.known.ejected.pop()
+            work = partial(self._probe, view)
             self.flow.timers.at(view.ejected_until, work)
+        return self.flow.start_waiting(now)
 
-    def _recover(self, view: ServerView, now: float) -> list[Action]:
-        view.recovering = False
+    def _probe(self, view: ServerView, now: float) -> list[Action]:
+        """Tests a server whose ejection is over, if probes may do it."""
         if not self.known.tuning.probe_recovery or not view.trial:
             return []
-        if view.ejected_until > now:
-            self._plan_recovery(view)
-            return []
-        if view.probing or not self.charge(now):
+        if view.ejected_until > now or view.probing or not self.charge(now):
             return []
         view.probing = True
         view.update_closed()
+        late = partial(self._probe_late, view)
+        self.flow.timers.at(now + PROBE_LIMIT_S, late)
         return [Probe(view.state.name)]
 
+    def _probe_late(self, view: ServerView, now: float) -> list[Action]:
+        return self.probe_failed(view.state.name, now)
+
 
 def create(
     service: options.Service,
--- a/banyantiller/routing/beliefs.py
+++ b/banyantiller/routing/beliefs.py
@@ -3,6 +3,7 @@
 import collections
 
 FIRST_SERVICE_S = 0.02
+LEAST_SERVICE_S = 1e-4
 AVERAGE_WEIGHT = 0.02
 
 
@@ -34,7 +35,8 @@
         """Takes the time that one answer head took."""
         self.answers += 1
         weight = max(AVERAGE_WEIGHT, 1.0 / self.answers)
-        self.service_s += weight * (seconds - self.service_s)
+        moved = self.service_s + weight * (seconds - self.service_s)
+        self.service_s = max(moved, LEAST_SERVICE_S)
 
     def learn_others(self, others: float) -> None:
         """Takes one report of other daemons' requests on a server."""
--- a/banyantiller/routing/calls.py
+++ b/banyantiller/routing/calls.py
@@ -40,7 +40,7 @@
         running: Tries that are running.
         tried: Names of the servers that it was sent to.
         attempts: Number of tries so far.
-        last_error: Failure of the last try, if it failed.
+        unsure: Failure of the first try that a server may have run, or None.
         finished: Whether it has its final answer.
     """
 
@@ -53,7 +53,7 @@
     running: list[Attempt] = dataclasses.field(default_factory=list)
     tried: list[str] = dataclasses.field(default_factory=list)
     attempts: int = 0
-    last_error: ErrorKind | None = None
+    unsure: ErrorKind | None = None
     finished: bool = False
 
     @classmethod
--- a/banyantiller/routing/choice.py
+++ b/banyantiller/routing/choice.py
@@ -17,6 +17,7 @@
 FAILURE_PENALTY = 10.0
 FAILURE_HALF_S = 1.0
 FORGOTTEN_AGE = 4.0
+TRIAL_PATIENCE_S = 5.0
 
 
 class Choice(NamedTuple):
@@ -73,7 +74,7 @@
             ahead = blend(view, ahead, believed, tuning, now)
         delay = 1.0 + ahead / view.slots
         if own or view.watched:
-            if view.trial and (own or not idempotent):
+            if view.trial and not _may_try(view, idempotent, now):
                 continue
             delay *= slowness(view, believed, tuning, now)
         if not view.local:
@@ -86,6 +87,12 @@
     return None if best is None else Choice(best, best_ahead)
 
 
+def _may_try(view: ServerView, idempotent: bool, now: float) -> bool:
+    if view.own:
+        return False
+    return idempotent or now > view.ejected_until + TRIAL_PATIENCE_S
+
+
 def blend(
     view: ServerView,
     usual: float,
--- a/banyantiller/routing/ejection.py
+++ b/banyantiller/routing/ejection.py
@@ -22,7 +22,7 @@
     tuning: Tuning,
     now: float,
     sure: bool,
-) -> None:
+) -> bool:
     """Takes a failure of a server and ejects it if that is due.
 
     Args:
@@ -31,21 +31,25 @@
         tuning: Constants.
         now: The loop's time.
         sure: Whether one such failure is enough, as a refused connection.
+
+    Returns:
+        Whether it was ejected.
     """
     view.failures += FAILURE_WEIGHT * (1.0 - view.failures)
     view.failed_at = now
     view.watched = True
     if "ejection" in tuning.off or view.ejected_until > now:
-        return
+        return False
     if not (sure or view.trial or view.failures >= EJECT_AT):
-        return
-    if not _may_eject(group, tuning, now):
-        return
+        return False
+    if not _may_eject(view, group, tuning, now):
+        return False
     length = min(tuning.eject_s * 2**view.ejections, tuning.eject_longest_s)
     view.ejections += 1
     view.ejected_until = now + length
     view.trial = True
     view.update_closed()
+    return True
 
 
 def answered(view: ServerView, now: float) -> None:
@@ -63,7 +67,12 @@
     ramp.begin(view, now)
 
 
-def _may_eject(group: Sequence[ServerView], tuning: Tuning, now: float) -> bool:
-    usable = [view for view in group if view.is_usable()]
-    out = sum(1 for v in usable if v.ejected_until > now or v.trial)
-    return out + 1 <= tuning.eject_share * len(usable)
+def _may_eject(
+    view: ServerView, group: Sequence[ServerView], tuning: Tuning, now: float
+) -> bool:
+    usable = [other for other in group if other.is_usable()]
+    out = 1
+    for other in usable:
+        if other is not view and (other.trial or other.ejected_until > now):
+            out += 1
+    return out <= tuning.eject_share * len(usable)
--- a/banyantiller/routing/flow.py
+++ b/banyantiller/routing/flow.py
@@ -53,9 +53,10 @@
                 return [self._start(call, view, now)]
         if not self.known.has_usable():
             return [self.refuse(call, ErrorKind.NO_SERVER, NO_SERVER_RETRY_S)]
-        refused = self._refuse_early(call, now)
-        if refused:
-            return refused
+        kind = refusal.early(self.known, call, queue, now)
+        if kind is not None:
+            wait = refusal.expected_wait(self.known, queue, now)
+            return [self.refuse(call, kind, wait)]
         self.timers.at(call.deadline, partial(self._expire, call))
         longest = now + self.known.options.queue.longest_s
         if longest < call.deadline:
@@ -96,27 +97,31 @@
     def refuse(
         self, call: CallState, kind: ErrorKind, wait_s: float | None = None
     ) -> Refuse:
-        """Gives a call its final failure at once."""
+        """Gives a call its final failure at once.
+
+        A call that a server may have run is never told that it was not run.
+        """
         self._finish(call)
+        if call.unsure is not None and Failure(kind).answer.ran is Ran.NO:
+            return Refuse(call.call_id, Failure(call.unsure))
         if wait_s is None:
             return Refuse(call.call_id, Failure(kind))
         return Refuse(call.call_id, refusal.failure(kind, wait_s))
 
-    def after_failure(
-        self, call: CallState, result: AttemptResult, now: float
+    def failed(
+        self, attempt: Attempt, result: AttemptResult, now: float
     ) -> list[Action]:
-        """Retries a call whose last try failed, or refuses it."""
-        kind = result.error or ErrorKind.INTERNAL
-        if not self._may_retry(call, result.ran, now):
-            return [self.refuse(call, kind, self._retry_hint(kind, result))]
-        view = self._server_for(call, now)
-        if view is not None and self.known.extra.take():
-            return [self._start(call, view, now)]
-        if view is None and self.known.extra.take():
-            self.known.waiting[call.group].add(call)
-            self._plan_recheck(now)
-            return []
-        return [self.refuse(call, kind, self._retry_hint(kind, result))]
+        """Takes a try that got no answer, or one that is not relayed."""
+        call = attempt.call
+        self.end(attempt)
+        if result.ran is not Ran.NO and call.unsure is None:
+            call.unsure = result.error or ErrorKind.CONNECTION_LOST
+        actions: list[Action] = []
+        if result.ok:
+            actions.append(Cancel(attempt.attempt_id))
+        if not call.running:
+            actions += self._retry(call, result, now)
+        return actions
 
     def worth_retry(
         self, call: CallState, result: AttemptResult, now: float
@@ -141,21 +146,41 @@
         some_left = False
         for queue in self.known.waiting.values():
             while (call := queue.first()) is not None:
+                if refusal.is_hopeless(self.known, call, now):
+                    kind = ErrorKind.DEADLINE_UNREACHABLE
+                    wait = refusal.expected_wait(self.known, queue, now)
+                    actions.append(self.refuse(call, kind, wait))
+                    continue
                 view = self._server_for(call, now)
-                if view is None and self.known.has_usable():
+                if view is not None:
+                    queue.remove(call)
+                    actions.append(self._start(call, view, now))
+                    continue
+                if self.known.has_usable():
                     some_left = True
                     break
-                if view is None:
-                    kind = ErrorKind.NO_SERVER
-                    actions.append(self.refuse(call, kind, NO_SERVER_RETRY_S))
-                    continue
-                queue.remove(call)
-                actions.append(self._start(call, view, now))
+                kind = ErrorKind.NO_SERVER
+                actions.append(self.refuse(call, kind, NO_SERVER_RETRY_S))
         self.recheck_at = None
         if some_left:
             self._plan_recheck(now)
         return actions
 
+    def _retry(
+        self, call: CallState, result: AttemptResult, now: float
+    ) -> list[Action]:
+        kind = result.error or ErrorKind.INTERNAL
+        if not self._may_retry(call, result.ran, now):
+            return [self.refuse(call, kind, self._retry_hint(kind, result))]
+        view = self._server_for(call, now)
+        if view is not None and self.known.extra.take():
+            return [self._start(call, view, now)]
+        if view is None and self.known.extra.take():
+            self.known.waiting[call.group].add(call)
+            self._plan_recheck(now)
+            return []
+        return [self.refuse(call, kind, self._retry_hint(kind, result))]
+
     def _server_for(self, call: CallState, now: float) -> ServerView | None:
         known = self.known
         busy = len(self.attempts) + 1 > known.window.size
@@ -224,47 +249,21 @@
             return False
         return call.deadline > now
 
-    def _refuse_early(self, call: CallState, now: float) -> list[Action]:
-        known = self.known
-        queue = known.waiting[call.group]
-        views = known.groups.get(call.group, ())
-        wait = refusal.expected_wait(
-            len(queue),
-            known.drain.per_second(now),
-            sum(view.state.slots for view in views),
-            known.believed.service_s,
-        )
-        if len(queue) >= known.options.queue.limit:
-            return [self.refuse(call, ErrorKind.QUEUE_FULL, wait)]
-        if known.believed.answers == 0:
-            return []
-        latest = call.deadline - known.believed.service_s
-        latest = min(latest, now + known.options.queue.longest_s)
-        if now + wait > latest:
-            return [self.refuse(call, ErrorKind.DEADLINE_UNREACHABLE, wait)]
-        return []
-
     def _expire(self, call: CallState, now: float) -> list[Action]:
         if call.finished:
             return []
-        started = call.attempts > 0
-        kind = (
-            ErrorKind.DEADLINE_AFTER_START
-            if started
-            else ErrorKind.DEADLINE_BEFORE_START
-        )
-        actions = self.give_up_tries(call, now)
-        wait = None if started else self.known.believed.service_s
-        return [*actions, self.refuse(call, kind, wait)]
+        if call.running:
+            actions = self.give_up_tries(call, now)
+            kind = ErrorKind.DEADLINE_AFTER_START
+            return [*actions, self.refuse(call, kind)]
+        kind = ErrorKind.DEADLINE_BEFORE_START
+        return [self.refuse(call, kind, self.known.believed.service_s)]
 
     def _waited_too_long(self, call: CallState, now: float) -> list[Action]:
-        del now
-        if (
-            call.finished
-            or call.call_id not in self.known.waiting[call.group].waiting
-        ):
+        queue = self.known.waiting[call.group]
+        if call.finished or call.call_id not in queue.waiting:
             return []
-        wait = self.known.options.queue.longest_s
+        wait = refusal.expected_wait(self.known, queue, now)
         return [self.refuse(call, ErrorKind.QUEUE_FULL, wait)]
 
     def _retry_hint(
--- a/banyantiller/routing/learning.py
+++ b/banyantiller/routing/learning.py
@@ -81,7 +81,8 @@
 ) -> None:
     """Counts a failure against a server; ejects it if that is due."""
     group = known.group_of(view)
-    ejection.failed(view, group, known.tuning, now, sure)
+    if ejection.failed(view, group, known.tuning, now, sure):
+        known.ejected.append(view)
 
 
 def _learn_latency(
--- a/banyantiller/routing/refusal.py
+++ b/banyantiller/routing/refusal.py
@@ -1,53 +1,57 @@
-"""How soon calls drain, and so when to refuse and when to come back."""
+"""How soon waiting calls start, and so when to refuse and come back."""
 
 import math
 
 from banyantiller.errors import ErrorKind, Failure
+from banyantiller.routing.calls import CallState
+from banyantiller.routing.service import ServiceKnowledge
+from banyantiller.routing.waiting import WaitingCalls
 
 LEAST_RETRY_AFTER_S = 0.05
 MOST_RETRY_AFTER_S = 30.0
-MEMORY_S = 1.0
 LEAST_PART = 0.05
-
-
-class DrainRate:
-    """A fading count of answers, which gives the calls ended each second.
-
-    Attributes:
-        count: Answers, each fading with its age.
-        at: When the count was last changed.
-    """
-
-    def __init__(self, now: float) -> None:
-        self.count = 0.0
-        self.at = now
-
-    def ended(self, now: float) -> None:
-        """Counts one call that ended."""
-        self.count = self._faded(now) + 1.0
-        self.at = now
-
-    def per_second(self, now: float) -> float:
-        """Returns the calls that end each second."""
-        return self._faded(now) / MEMORY_S
-
-    def _faded(self, now: float) -> float:
-        return self.count * math.exp((self.at - now) / MEMORY_S)
+HOPELESS_PART = 0.5
+
+
+def early(
+    known: ServiceKnowledge,
+    call: CallState,
+    queue: WaitingCalls,
+    now: float,
+) -> ErrorKind | None:
+    """Returns why a call may not wait, or None if it may."""
+    if len(queue) >= known.options.queue.limit:
+        return ErrorKind.QUEUE_FULL
+    if known.believed.answers == 0:
+        return None
+    latest = call.deadline - known.believed.service_s
+    latest = min(latest, now + known.options.queue.longest_s)
+    if now + expected_wait(known, queue, now) > latest:
+        return ErrorKind.DEADLINE_UNREACHABLE
+    return None
+
+
+def is_hopeless(known: ServiceKnowledge, call: CallState, now: float) -> bool:
+    """Tells whether a waiting call would hardly be answered in time."""
+    if known.believed.answers == 0:
+        return False
+    least = HOPELESS_PART * known.believed.service_s
+    return call.deadline - now < least
 
 
 def expected_wait(
-    ahead: int, rate: float, slots: int, service_s: float
+    known: ServiceKnowledge, queue: WaitingCalls, now: float
 ) -> float:
-    """Returns the seconds until a call with some calls ahead starts.
-
-    Args:
-        ahead: Calls that start first.
-        rate: Calls that end here each second, 0 if none did lately.
-        slots: Requests that the servers run at once.
-        service_s: Usual time of one request.
-    """
-    at_least = LEAST_PART * slots / service_s
-    return (ahead + 1) / max(rate, at_least)
+    """Returns the seconds until a call at the end of a queue starts."""
+    views = known.views.values()
+    slots = sum(view.slots for view in views)
+    at_least = LEAST_PART * max(slots, 1) / known.believed.service_s
+    rate = max(known.drain.per_second(now), at_least)
+    wait = (len(queue) + 1) / rate
+    opens = min((view.closed_until for view in views), default=now)
+    if math.isfinite(opens):
+        wait = max(wait, opens - now)
+    return wait
 
 
 def failure(kind: ErrorKind, wait_s: float) -> Failure:
--- a/banyantiller/routing/service.py
+++ b/banyantiller/routing/service.py
@@ -7,8 +7,8 @@
 from banyantiller.routing import beliefs, choice, limits, ramp, tuning
 from banyantiller.routing.budget import ExtraCalls
 from banyantiller.routing.calls import CallState
+from banyantiller.routing.drain import DrainRate
 from banyantiller.routing.hedging import LatencyQuantile
-from banyantiller.routing.refusal import DrainRate
 from banyantiller.routing.shares import GroupSharing
 from banyantiller.routing.tuning import Tuning
 from banyantiller.routing.types import ServerState
@@ -33,6 +33,7 @@
         late: Latency above which a call is hedged.
         drain: Calls that end here each second.
         window: Most tries of this daemon at once.
+        ejected: Servers ejected since these were last planned for.
     """
 
     def __init__(
@@ -55,6 +56,7 @@
         self.late = LatencyQuantile(self.tuning.hedge_quantile)
         self.drain = DrainRate(now)
         self.window = limits.Window()
+        self.ejected: list[ServerView] = []
 
     def retune(self, constants: Tuning) -> None:
         """Replaces the constants, for measurements."""
--- a/banyantiller/routing/views.py
+++ b/banyantiller/routing/views.py
@@ -33,7 +33,6 @@
         ejections: Ejections in a row, for their length.
         trial: Whether a try after an ejection is awaited.
         probing: Whether a probe is on its way.
-        recovering: Whether the end of its ejection is planned for.
         warm_from: When its cold-start ramp began.
         closed_until: Latest time before which it gets nothing, for any of
             these reasons.
@@ -58,7 +57,6 @@
     ejections: int = 0
     trial: bool = False
     probing: bool = False
-    recovering: bool = False
     warm_from: float = LONG_AGO
     closed_until: float = LONG_AGO
 
--- /dev/null
+++ b/banyantiller/tests/routing/test_shares.py
@@ -0,0 +1,80 @@
+"""Traffic shares of groups of servers."""
+
+import hypothesis
+from hypothesis import strategies
+
+from banyantiller.bundle import options
+from banyantiller.errors import ErrorKind, Ran
+from banyantiller.routing import shares, types
+from banyantiller.tests.base import TestCase
+from banyantiller.tests.routing.driver import Driver, failed, of, states
+
+
+def service(**percents):
+    wanted = tuple(options.Share(g, p) for g, p in percents.items())
+    return options.Service("lookups", (), shares=wanted)
+
+
+def servers():
+    return states(4) + tuple(
+        types.ServerState(f"n{i}", "plateau", 2, "next") for i in range(2)
+    )
+
+
+class SharesTest(TestCase):
+    @hypothesis.settings(derandomize=True, max_examples=30, deadline=None)
+    @hypothesis.given(strategies.lists(strategies.integers(1, 99), min_size=2))
+    def test_within_one_percent_over_a_thousand_calls(self, weights):
+        total = sum(weights)
+        wanted = tuple(
+            options.Share(f"g{i}", 100 * w / total)
+            for i, w in enumerate(weights)
+        )
+        sharing = shares.GroupSharing()
+        sharing.configure(wanted, [share.group for share in wanted])
+        counts = dict.fromkeys(sharing.weights, 0)
+        for _ in range(1000):
+            counts[sharing.next_group()] += 1
+        for share in wanted:
+            error = counts[share.group] / 1000 - share.percent / 100
+            self.assertLessEqual(abs(error), 0.01)
+
+    def test_calls_go_by_shares_through_the_dispatcher(self):
+        driver = Driver(servers(), service(main=90.0, next=10.0))
+        counts = {"b": 0, "n": 0}
+        for _ in range(1000):
+            (start,) = driver.submit()
+            counts[start.server[0]] += 1
+            driver.answer(start.attempt_id)
+        self.assertEqual({"b": 900, "n": 100}, counts)
+
+    def test_group_without_usable_servers_uses_the_others(self):
+        driver = Driver(servers(), service(main=50.0, next=50.0))
+        gone = tuple(s._replace(leaving=s.group == "next") for s in servers())
+        driver.dispatcher.configure(driver.service, gone, driver.now)
+        for _ in range(20):
+            (start,) = driver.submit()
+            self.assertEqual("b", start.server[0])
+            driver.answer(start.attempt_id)
+
+    def test_retry_stays_in_its_group(self):
+        driver = Driver(servers(), service(main=50.0, next=50.0))
+        driver.warm(100)
+        bad = failed(ErrorKind.CONNECT_FAILED, Ran.NO)
+        for _ in range(10):
+            (first,) = driver.submit()
+            (second,) = of(driver.head(first.attempt_id, bad), types.Start)
+            self.assertEqual(first.server[0], second.server[0])
+            driver.answer(second.attempt_id)
+            driver.now += 10.0
+
+    def test_stages_follow_the_time_since_acceptance(self):
+        first, last = (options.Share("a", 100),), (options.Share("b", 100),)
+        staged = options.Service(
+            "lookups",
+            (),
+            shares=first,
+            stages=(options.Stage(60.0, last),),
+        )
+        self.assertEqual(first, shares.shares_at(staged, 59.9))
+        self.assertEqual(last, shares.shares_at(staged, 60.0))
--- /dev/null
+++ b/banyantiller/tests/routing/test_waiting.py
@@ -0,0 +1,126 @@
+"""Waiting calls: early refusal, deadlines, the window, and timers."""
+
+from banyantiller.bundle import options
+from banyantiller.errors import ErrorKind, Ran
+from banyantiller.routing import types
+from banyantiller.tests.base import TestCase
+from banyantiller.tests.routing.driver import (
+    Driver,
+    failed,
+    good,
+    of,
+    states,
+)
+
+
+def full(waiting=0, patience=5.0, **kwargs):
+    """Returns a driver whose one slot is taken, with calls waiting."""
+    driver = Driver(states(1, slots=1), **kwargs)
+    driver.warm(60)
+    (running,) = driver.submit(idempotent=False)
+    for _ in range(waiting):
+        driver.submit(idempotent=False, patience=patience)
+    return driver, running
+
+
+class EarlyRefusalTest(TestCase):
+    def test_deadline_that_cannot_be_met_is_refused_at_once(self):
+        driver, _ = full(waiting=20)
+        (refusal,) = driver.submit(patience=0.05)
+        self.assertEqual(ErrorKind.DEADLINE_UNREACHABLE, refusal.failure.kind)
+        self.assertEqual(Ran.NO, refusal.failure.answer.ran)
+        self.assertGreater(refusal.failure.retry_after, 0.2)
+
+    def test_waiting_call_that_got_hopeless_is_refused_before_its_deadline(
+        self,
+    ):
+        driver, running = full()
+        driver.submit(patience=0.1)
+        driver.now += 0.095
+        actions = driver.answer(running.attempt_id, after=0.0)
+        refusals = of(actions, types.Refuse)
+        self.assertEqual(
+            [ErrorKind.DEADLINE_UNREACHABLE],
+            [refusal.failure.kind for refusal in refusals],
+        )
+
+    def test_longest_wait_ends_in_a_refusal(self):
+        queue = options.QueuePolicy(longest_s=0.5)
+        service = options.Service("lookups", (), queue=queue)
+        driver, _ = full(waiting=1, service=service)
+        started = driver.now
+        refusals = of(driver.run_due(started + 4.0), types.Refuse)
+        self.assertEqual(
+            [ErrorKind.QUEUE_FULL], [r.failure.kind for r in refusals]
+        )
+
+    def test_deadline_of_a_running_call_cancels_it(self):
+        driver, running = full()
+        actions = driver.run_due(driver.now + 6.0)
+        self.assertIn(types.Cancel(running.attempt_id), actions)
+        (refusal,) = of(actions, types.Refuse)
+        self.assertEqual(ErrorKind.DEADLINE_AFTER_START, refusal.failure.kind)
+
+    def test_deadline_already_over(self):
+        driver = Driver(states(1))
+        (refusal,) = driver.submit(patience=0.0)
+        self.assertEqual(ErrorKind.DEADLINE_BEFORE_START, refusal.failure.kind)
+
+
+class WindowTest(TestCase):
+    def overload(self, driver, calls):
+        for _ in range(calls):
+            for start in of(driver.submit(), types.Start):
+                driver.answer(start.attempt_id, in_flight=9.0)
+
+    def test_backlogs_shrink_the_window_to_the_even_part(self):
+        driver = Driver(states(4, slots=2))
+        driver.dispatcher.members(4, driver.now)
+        self.overload(driver, 100)
+        started = [of(driver.submit(), types.Start) for _ in range(8)]
+        self.assertEqual(2, sum(len(starts) for starts in started))
+
+    def test_window_opens_again(self):
+        driver = Driver(states(4, slots=2))
+        driver.dispatcher.members(4, driver.now)
+        self.overload(driver, 100)
+        driver.warm(200)
+        started = [of(driver.submit(), types.Start) for _ in range(8)]
+        self.assertEqual(8, sum(len(starts) for starts in started))
+
+    def test_wrong_member_counts_leave_one_call_at_least(self):
+        for alive in (0, 1, 10_000):
+            driver = Driver(states(2, slots=1))
+            driver.dispatcher.members(alive, driver.now)
+            self.overload(driver, 100)
+            self.assertEqual(1, len(of(driver.submit(), types.Start)))
+
+
+class TimersTest(TestCase):
+    def test_no_work_stays_due(self):
+        driver = Driver(states(3, slots=1), charge=lambda _: True)
+        driver.warm(100)
+        bad = failed(ErrorKind.CONNECT_FAILED, Ran.NO)
+        for number in range(300):
+            starts = of(driver.submit(patience=0.5), types.Start)
+            for start in starts:
+                if number % 3:
+                    driver.head(start.attempt_id, bad)
+            driver.run_due(driver.now + 0.01)
+            driver.dispatcher.tick(driver.now)
+            due = driver.dispatcher.next_tick()
+            self.assertTrue(due is None or due > driver.now)
+        driver.run_due(driver.now + 60.0)
+        self.assertEqual({}, driver.dispatcher.flow.calls)
+        self.assertEqual({}, driver.dispatcher.flow.attempts)
+
+    def test_nothing_is_due_without_calls(self):
+        driver = Driver(states(3))
+        self.assertIsNone(driver.dispatcher.next_tick())
+
+    def test_late_results_of_forgotten_tries_are_ignored(self):
+        driver, running = full()
+        driver.dispatcher.cancel(running.call_id, driver.now)
+        self.assertEqual([], driver.head(running.attempt_id, good()))
+        done = driver.dispatcher.attempt_done(running.attempt_id, driver.now)
+        self.assertEqual([], done)
--- a/bench/decisions_scenarios.py
+++ b/bench/decisions_scenarios.py
@@ -8,11 +8,20 @@
 NOISE = (1.0,) * 7 + (0.5, 0.5, 0.2)
 
 
+def steady(load):
+    """Returns a load that stays the same."""
+    return lambda _: load
+
+
+def nothing(*_):
+    """Leaves the servers alone."""
+
+
 class Scenario(NamedTuple):
     """Load over capacity by the part of the run gone, and disturbances."""
 
-    load: Callable[[float], float] = lambda _: 0.7
-    disturb: Callable[..., None] = lambda *_: None
+    load: Callable[[float], float]
+    disturb: Callable[..., None] = nothing
 
 
 def slow_server(world, rng, seconds):
@@ -99,15 +108,15 @@
 
 
 SCENARIOS = {
-    "steady70": Scenario(),
-    "steady90": Scenario(lambda _: 0.9),
-    "slow": Scenario(disturb=slow_server),
-    "noisy": Scenario(lambda _: 0.6, noisy),
-    "restart": Scenario(disturb=rolling_restart),
-    "failfast": Scenario(disturb=fail_fast),
-    "cold": Scenario(disturb=cold_start),
-    "stale": Scenario(disturb=lambda w, *_: setattr(w, "report_age", 0.5)),
-    "lost": Scenario(lambda _: 0.5, lost),
+    "steady70": Scenario(steady(0.7)),
+    "steady90": Scenario(steady(0.9)),
+    "slow": Scenario(steady(0.7), slow_server),
+    "noisy": Scenario(steady(0.6), noisy),
+    "restart": Scenario(steady(0.7), rolling_restart),
+    "failfast": Scenario(steady(0.7), fail_fast),
+    "cold": Scenario(steady(0.7), cold_start),
+    "stale": Scenario(steady(0.7), lambda w, *_: setattr(w, "report_age", 0.5)),
+    "lost": Scenario(steady(0.5), lost),
     "storm": Scenario(
         lambda part: 1.3 if 0.2 < part < 0.4 else 0.7,
         lambda w, *_: setattr(w, "resend", True),
