--- a/banyantiller/tests/faults/seeds.py
+++ b/banyantiller/tests/faults/seeds.py
@@ -8,36 +8,60 @@
 import os
 import secrets
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from typing import Any
 
 import hypothesis
+from hypothesis import strategies
 
 SECONDS = "BANYANTILLER_FUZZ_SECONDS"
 SEED = "BANYANTILLER_FUZZ_SEED"
 SEED_BITS = 48
-MANY = 1_000_000
+
+
+def is_long() -> bool:
+    """Tells whether a long run with new seeds is asked for."""
+    return bool(os.environ.get(SECONDS))
 
 
 def seeds(count: int) -> Iterator[int]:
     """Yields the seeds of one test; a failing test names its seed."""
-    seconds = float(os.environ.get(SECONDS, "0"))
-    if not seconds:
+    if not is_long():
         yield from range(count)
         return
     first = int(os.environ.get(SEED) or secrets.randbits(SEED_BITS))
-    end = time.monotonic() + seconds
+    end = time.monotonic() + float(os.environ[SECONDS])
     while time.monotonic() < end:
         yield first
         first += 1
 
 
-def settings(examples: int) -> hypothesis.settings:
-    """Returns settings of Hypothesis with a bounded number of examples."""
-    is_long = bool(os.environ.get(SECONDS))
-    return hypothesis.settings(
-        max_examples=MANY if is_long else examples,
-        derandomize=not is_long,
+def explore(
+    check: Callable[..., None],
+    examples: int,
+    *values: strategies.SearchStrategy[Any],
+) -> None:
+    """Calls a check with many values, and shrinks those that fail it.
+
+    Args:
+        check: Raises an error if something is wrong.
+        examples: Values to try for each seed.
+        values: What the check is called with.
+    """
+    settings = hypothesis.settings(
+        max_examples=examples,
+        derandomize=not is_long(),
         deadline=None,
         database=None,
+        print_blob=False,
         suppress_health_check=list(hypothesis.HealthCheck),
     )
+
+    def tried(chosen: tuple[Any, ...]) -> None:
+        check(*chosen)
+
+    for seed in seeds(1):
+        test = settings(hypothesis.given(strategies.tuples(*values))(tried))
+        if is_long():
+            test = hypothesis.seed(seed)(test)
+        test()
--- a/banyantiller/tests/replay/test_player.py
+++ b/banyantiller/tests/replay/test_player.py
@@ -5,7 +5,6 @@
 import pathlib
 import tempfile
 
-import hypothesis
 from hypothesis import strategies
 
 from banyantiller.commands import cli
@@ -107,8 +106,6 @@
             max_size=3,
         )
 
-        @seeds.settings(150)
-        @hypothesis.given(rows, edits)
         def check(rows, edits):
             changed = text(*rows)
             for place, new in edits:
@@ -118,7 +115,7 @@
             except traces.TraceError:
                 pass
 
-        check()
+        seeds.explore(check, 150, rows, edits)
 
     def test_command_exits_with_0_only_if_all_hold(self):
         never = {"expect": "never_started", "call": 1}
--- a/banyantiller/tests/spec/test_bundles_conformance.py
+++ b/banyantiller/tests/spec/test_bundles_conformance.py
@@ -13,7 +13,7 @@
 from spec import acceptance, conformance, spread
 
 FAULTS = ("", "", "", "lost", "late", "unavailable", "stale")
-ROLL_SEEDS = 6
+ROLL_SEEDS = 15
 SPREAD_SEEDS = 6
 VERSIONS = 4
 ROLL_LABELS = {"write", "tell_accepted", "tell_lost"}
@@ -127,22 +127,22 @@
 class BundlesConformanceTest(base.TestCase):
     def test_racing_rolls_are_a_run_of_the_specification(self):
         kinds = set()
+        follower = conformance.Follower(
+            acceptance.ACCEPTANCE, shown(ROLL_LABELS)
+        )
         for seed in seeds.seeds(ROLL_SEEDS):
             trace = self.run_paused(record_rolls(seed))
             kinds |= {conformance.kind_of(label) for label in trace}
-            found = conformance.follow(
-                acceptance.ACCEPTANCE, trace, shown(ROLL_LABELS)
-            )
+            found = follower.follow(trace)
             self.assertIsNone(found, f"seed {seed}: {trace}: {found}")
         self.assertEqual(ROLL_LABELS, kinds)
 
     def test_spread_is_a_run_of_the_specification(self):
         self.patch(spread, "VERSIONS", VERSIONS)
+        follower = conformance.Follower(spread.SPREAD, shown(SPREAD_LABELS))
         for seed in seeds.seeds(SPREAD_SEEDS):
             trace, versions = self.run_paused(record_spread(seed))
-            found = conformance.follow(
-                spread.SPREAD, trace, shown(SPREAD_LABELS)
-            )
+            found = follower.follow(trace)
             self.assertIsNone(found, f"seed {seed}: {trace}: {found}")
             self.assertEqual([VERSIONS] * spread.DAEMONS, versions, trace)
 
@@ -158,5 +158,6 @@
             ),
         )
         for specification, labels, trace in wrong:
-            found = conformance.follow(specification, trace, shown(labels))
+            follower = conformance.Follower(specification, shown(labels))
+            found = follower.follow(trace)
             self.assertEqual(len(trace) - 1, found.position)
--- a/banyantiller/tests/spec/test_claims_conformance.py
+++ b/banyantiller/tests/spec/test_claims_conformance.py
@@ -30,7 +30,7 @@
     records.State.UNKNOWN: "ended",
 }
 FAULTS = ("", "", "lost", "late", "unavailable", "stale")
-SEEDS = 15
+SEEDS = 40
 
 NONCES = contextvars.ContextVar("nonces")
 
@@ -143,10 +143,11 @@
 
     def test_every_trace_is_a_run_of_the_specification(self):
         lengths = []
+        follower = conformance.Follower(spec_claims.CLAIMS, visible)
         for seed in seeds.seeds(SEEDS):
             trace = self.run_paused(record(seed))
             lengths.append(len(trace))
-            found = conformance.follow(spec_claims.CLAIMS, trace, visible)
+            found = follower.follow(trace)
             self.assertIsNone(found, f"seed {seed}: {trace}: {found}")
         self.assertGreater(max(lengths), 8)
 
@@ -157,6 +158,7 @@
             ["claim(0)", "grant(0)", "run(0)", "tell_not_run(0)"],
             ["grant(0)"],
         )
+        follower = conformance.Follower(spec_claims.CLAIMS, visible)
         for trace in wrong:
-            found = conformance.follow(spec_claims.CLAIMS, trace, visible)
+            found = follower.follow(trace)
             self.assertEqual(len(trace) - 1, found.position)
