--- a/banyantiller/tests/standins/test_backend.py
+++ b/banyantiller/tests/standins/test_backend.py
@@ -3,8 +3,11 @@
 import asyncio
 import hashlib
 import json
+import os
+import pathlib
+import tempfile
 
-from banyantiller.http import client, outcomes, server
+from banyantiller.http import client, messages, outcomes, server
 from banyantiller.tests import base
 from standins import backend, backend_state
 
@@ -91,6 +94,31 @@
         self.assertEqual(200, answered.response.status)
         self.assertEqual(1, counts.runs)
 
+    def test_change_of_speed_counts_for_running_requests(self):
+        async def check(user, stand_in, listener):
+            await set_faults(user, {"slow": 10.0})
+            running = asyncio.ensure_future(user.request("GET", "/a", 99))
+            await asyncio.sleep(5.0)
+            await set_faults(user, {"slow": 1.0})
+            answer = json.loads((await running).body)
+            return answer["work_s"], answer["held_s"], stand_in.counts.busy_s
+
+        work_s, held_s, busy_s = self.run_with(check)
+        self.assertAlmostEqual(1.0, work_s)
+        self.assertAlmostEqual(5.5, held_s, places=2)
+        self.assertAlmostEqual(5.5, busy_s, places=2)
+
+    def test_journal_has_a_run_before_its_answer(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name) / "runs"
+        journal = backend_state.Journal(str(path))
+        self.addCleanup(os.close, journal.file)
+        headers = (("x-request-id", "r"), ("idempotency-key", "k"))
+        journal.note_run(messages.Request("POST", "/", headers))
+        journal.note_run(messages.Request("GET", "/", headers[:1]))
+        self.assertEqual("r\tk\nr\t\n", path.read_text())
+
     def test_unknown_fault_is_refused(self):
         async def check(user, stand_in, listener):
             return [
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -79,22 +79,33 @@
             self.counts.shed += 1
             return self._answer(503, {"error": "not run"}, NOT_RUN)
         self.in_flight += 1
+        arrived = asyncio.get_running_loop().time()
         try:
             async with self.slots:
-                return await self._run(request)
+                return await self._run(request, arrived)
         except asyncio.CancelledError:
             self.counts.cancelled += 1
             raise
         finally:
             self.in_flight -= 1
 
-    async def _run(self, request: messages.Request) -> messages.Response:
+    async def _run(
+        self, request: messages.Request, arrived: float
+    ) -> messages.Response:
         self.counts.note_run(request)
         if self.journal is not None:
             self.journal.note_run(request)
-        await self._work(self.times.draw())
-        await self.resumed.wait()
-        answer = self._answer(200, backend_state.echo(self.counts, request))
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        work_s = self.times.draw()
+        try:
+            await self._work(work_s)
+            await self.resumed.wait()
+        finally:
+            self.counts.busy_s += loop.time() - began
+        timing = backend_state.Timing(work_s, loop.time() - arrived)
+        told = backend_state.echo(self.counts, request, timing)
+        answer = self._answer(200, told)
         self.counts.answered += 1
         if self.faults.cut and self.faults.cut_next > 0:
             self.faults.cut_next -= 1
--- a/standins/backend_state.py
+++ b/standins/backend_state.py
@@ -105,6 +105,7 @@
         shed: Requests refused as not run.
         cancelled: Requests whose caller left before the answer.
         probes: Requests for health.
+        busy_s: Time for which slots were taken.
         runs_by_key: Runs by idempotency key.
         runs_by_id: Runs by request id, for the first `MOST_IDS`.
         drain_at: Loop time at which draining began, or None.
@@ -118,6 +119,7 @@
     shed: int = 0
     cancelled: int = 0
     probes: int = 0
+    busy_s: float = 0.0
     runs: int = 0
     runs_by_key: dict[str, int] = dataclasses.field(default_factory=dict)
     runs_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -150,8 +152,25 @@
         return dataclasses.asdict(self)
 
 
-def echo(counts: Counts, request: messages.Request) -> dict[str, Any]:
-    """Returns what tells this request from every other."""
+class Timing(NamedTuple):
+    """Where the time of one request went, in seconds.
+
+    Attributes:
+        work_s: Time that the request takes alone.
+        held_s: Time from its arrival to its answer.
+    """
+
+    work_s: float
+    held_s: float
+
+
+UNTIMED = Timing(0.0, 0.0)
+
+
+def echo(
+    counts: Counts, request: messages.Request, timing: Timing = UNTIMED
+) -> dict[str, Any]:
+    """Returns what tells this request from every other, and its timing."""
     size = min(int(request.query.get("size", "0")), MOST_PADDING)
     return {
         "server": counts.server,
@@ -161,6 +180,7 @@
         "key": request.header("idempotency-key"),
         "bytes": len(request.body),
         "sha256": hashlib.sha256(request.body).hexdigest(),
+        **timing._asdict(),
         "padding": "x" * size,
     }
 
