Drop the timers of finished calls

Timers now know their call; the next due time skips those of finished ones. Tests: pytest banyantiller/tests/routing banyantiller/tests/proxy pass.

--- a/banyantiller/routing/flow.py
+++ b/banyantiller/routing/flow.py
@@ -49,7 +49,7 @@
         if not queue.waiting:
             view = self._server_for(call, now)
             if view is not None:
-                self.timers.at(call.deadline, partial(self._expire, call))
+                self.timers.at(call.deadline, partial(self._expire, call), call)
                 return [self._start(call, view, now)]
         if not self.known.has_usable():
             return [self.refuse(call, ErrorKind.NO_SERVER, NO_SERVER_RETRY_S)]
@@ -57,10 +57,10 @@
         if kind is not None:
             wait = refusal.expected_wait(self.known, queue, now)
             return [self.refuse(call, kind, wait)]
-        self.timers.at(call.deadline, partial(self._expire, call))
+        self.timers.at(call.deadline, partial(self._expire, call), call)
         longest = now + self.known.options.queue.longest_s
         if longest < call.deadline:
-            self.timers.at(longest, partial(self._waited_too_long, call))
+            self.timers.at(longest, partial(self._waited_too_long, call), call)
         queue.add(call)
         self._plan_recheck(now)
         return []
@@ -211,7 +211,9 @@
         if late is None or "hedges" in known.tuning.off:
             return
         early = known.tuning.hedge_early * known.believed.service_s
-        self.timers.at(now + min(early, late), partial(self._hedge, attempt))
+        self.timers.at(
+            now + min(early, late), partial(self._hedge, attempt), attempt.call
+        )
 
     def _hedge(self, attempt: Attempt, now: float) -> list[Action]:
         call = attempt.call
@@ -222,12 +224,14 @@
             return []
         late_at = attempt.started + (known.late.delay() or 0.0)
         if now < late_at and not self._is_suspect(attempt, now):
-            self.timers.at(late_at, partial(self._hedge, attempt))
+            self.timers.at(late_at, partial(self._hedge, attempt), attempt.call)
             return []
         found = known.choose(call, now, fresh=True)
         if found is None or found.ahead >= HEDGE_AHEAD:
             pause = max(known.believed.service_s / 2, LEAST_RECHECK_S)
-            self.timers.at(now + pause, partial(self._hedge, attempt))
+            self.timers.at(
+                now + pause, partial(self._hedge, attempt), attempt.call
+            )
             return []
         if not known.extra.take(known.tuning.hedge_reserve):
             return []
--- a/banyantiller/routing/timers.py
+++ b/banyantiller/routing/timers.py
@@ -3,6 +3,7 @@
 import heapq
 from collections.abc import Callable
 
+from banyantiller.routing.calls import CallState
 from banyantiller.routing.types import Action
 
 Work = Callable[[float], list[Action]]
@@ -12,18 +13,23 @@
     """A heap of work by time.
 
     Attributes:
-        heap: Time, order of arrival and work.
+        heap: Time, order of arrival, work, and the call that it is for.
         arrivals: Number of timers set so far.
     """
 
     def __init__(self) -> None:
-        self.heap: list[tuple[float, int, Work]] = []
+        self.heap: list[tuple[float, int, Work, CallState | None]] = []
         self.arrivals = 0
 
-    def at(self, when: float, work: Work) -> None:
-        """Runs `work` when `tick` is called at `when` or later."""
+    def at(
+        self, when: float, work: Work, call: CallState | None = None
+    ) -> None:
+        """Runs `work` when `tick` is called at `when` or later.
+
+        Work for a call is forgotten once the call is finished.
+        """
         self.arrivals += 1
-        heapq.heappush(self.heap, (when, self.arrivals, work))
+        heapq.heappush(self.heap, (when, self.arrivals, work, call))
 
     def run_due(self, now: float) -> list[Action]:
         """Runs what is due and returns its actions."""
@@ -34,5 +40,14 @@
         return actions
 
     def first(self) -> float | None:
-        """Returns the time of the earliest work, or None."""
-        return self.heap[0][0] if self.heap else None
+        """Returns the time of the earliest work, or None.
+
+        Without dropping the work of finished calls, the driver would wake up
+        once or twice for each of them.
+        """
+        while self.heap:
+            when, _, _, call = self.heap[0]
+            if call is None or not call.finished:
+                return when
+            heapq.heappop(self.heap)
+        return None
--- /dev/null
+++ b/banyantiller/tests/routing/test_timers.py
@@ -0,0 +1,19 @@
+"""Tests of the timers of a dispatcher."""
+
+from banyantiller.routing import calls, timers, types
+from banyantiller.tests import base
+
+
+class TimersTest(base.TestCase):
+    def test_work_of_a_finished_call_is_dropped(self) -> None:
+        call = calls.CallState.from_call(types.Call(1, True, 9.0), "main", 0.0)
+        work = timers.Timers()
+        work.at(1.0, lambda now: [], call)
+        work.at(9.0, lambda now: [], call)
+        work.at(5.0, lambda now: [])
+        self.assertEqual(1.0, work.first())
+        call.finished = True
+        self.assertEqual(5.0, work.first())
+        work.run_due(5.0)
+        self.assertIsNone(work.first())
+        self.assertEqual([], work.heap)
