Turn equal names down before they are greeted, and back off from short links

Cause: a restarted daemon whose clock was set back was answered before its name was checked, so it saw links come up and go down and dialled again at once: thousands of handshakes in 10 s in a test. Change: the name is checked before the listening side answers. A link that lived for less than a second counts as a failed dial.

--- a/banyantiller/membership/dialing.py
+++ b/banyantiller/membership/dialing.py
@@ -14,6 +14,7 @@
 LONGEST_BACKOFF_S = 10.0
 CONTACT_S = 5.0
 TRIM_AFTER_S = 5.0
+STABLE_S = 1.0
 MOST_DIALS = 8
 DOUBT_AFTER_FAILURES = 2
 
@@ -86,6 +87,8 @@
         endpoint = Endpoint(hello.address, hello.port)
         until = now + self.settings.suspect_s / 2
         self.doubts[link.daemon] = Doubt(endpoint, until)
+        if now - link.opened < STABLE_S:
+            self._failed(endpoint)
         # The side that dialled tries first, so that the two do not cross.
         first = 0.0 if link.dialed else FIRST_BACKOFF_S
         pause = first + FIRST_BACKOFF_S * self.random.random()
@@ -94,8 +97,6 @@
     def linked(self, link: Link) -> None:
         """Notes a link that is up."""
         self.doubts.pop(link.daemon, None)
-        hello = link.hello
-        self.attempts.pop(Endpoint(hello.address, hello.port), None)
 
     def overdue(self, now: float) -> list[str]:
         """Returns and drops the doubted peers whose time is over."""
@@ -201,8 +202,13 @@
 
     def _forget(self, now: float) -> None:
         old = now - LONGEST_BACKOFF_S
+        stable = {
+            Endpoint(link.hello.address, link.hello.port)
+            for link in self.links.links.values()
+            if now - link.opened >= STABLE_S
+        }
         for endpoint, attempts in list(self.attempts.items()):
-            if attempts.next_at < old:
+            if attempts.next_at < old or endpoint in stable:
                 del self.attempts[endpoint]
         for name in [n for n in self.surplus if n not in self.links.links]:
             del self.surplus[name]
--- a/banyantiller/membership/handshake.py
+++ b/banyantiller/membership/handshake.py
@@ -11,6 +11,7 @@
 import hashlib
 import hmac
 import secrets
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 import cbor2
@@ -80,7 +81,11 @@
 
 
 async def greet(
-    channel: Channel, role: str, own: messages.Hello, secret: str
+    channel: Channel,
+    role: str,
+    own: messages.Hello,
+    secret: str,
+    admit: Callable[[messages.Hello], None] = lambda _: None,
 ) -> messages.Hello:
     """Runs the handshake on a fresh link.
 
@@ -89,6 +94,9 @@
         role: `DIALER` or `LISTENER`.
         own: What this daemon says of itself; its proof is filled in.
         secret: Shared secret, or empty under TLS alone.
+        admit: Called with the other side's verified `Hello`, on the
+            listening side before it is answered; raises `RefusedError` to
+            turn the other side down.
 
     Returns:
         The other side's verified `Hello`.
@@ -106,10 +114,12 @@
         await _introduce(channel, role, own, secret, nonces)
         hello = await _receive(channel, messages.Hello)
         check(hello, LISTENER, own, secret, nonces)
+        admit(hello)
         return hello
     nonces = Nonces(dialer=theirs, listener=nonce)
     hello = await _receive(channel, messages.Hello)
     check(hello, DIALER, own, secret, nonces)
+    admit(hello)
     await _introduce(channel, role, own, secret, nonces)
     return hello
 
--- a/banyantiller/membership/links.py
+++ b/banyantiller/membership/links.py
@@ -166,9 +166,12 @@
         try:
             async with asyncio.timeout(HANDSHAKE_S):
                 hello = await handshake.greet(
-                    websocket, role, self.own(), self.settings.secret
+                    websocket,
+                    role,
+                    self.own(),
+                    self.settings.secret,
+                    self._check_name,
                 )
-                self._check_name(hello)
         except handshake.RefusedError as error:
             await self._refuse(websocket, error)
             return None
--- a/banyantiller/membership/messages.py
+++ b/banyantiller/membership/messages.py
@@ -133,7 +133,29 @@
 
 
 class ServersLeaving(NamedTuple):
-    """Servers of one service that must get nothing new."""
+    """Servers of one service that must get nothing new.
+
+    Attributes:
+        service: Service name.
+        servers: Server names.
+        age_ms: Time since this was learned first-hand.
+        by_vm_list: Whether the VM list says so, and not the servers.
+    """
+
+    service: str
+    servers: tuple[str, ...]
+    age_ms: int = 0
+    by_vm_list: bool = False
+
+
+class ServersReturned(NamedTuple):
+    """Servers of one service that said that they do not drain any more.
+
+    Attributes:
+        service: Service name.
+        servers: Server names.
+        age_ms: Time since they said so.
+    """
 
     service: str
     servers: tuple[str, ...]
@@ -161,6 +183,7 @@
     8: LoadShare,
     9: ServersLeaving,
     10: Challenge,
+    11: ServersReturned,
 }
 NUMBERS = {kind: number for number, kind in MESSAGE_TYPES.items()}
 
--- a/banyantiller/tests/membership/test_peers.py
+++ b/banyantiller/tests/membership/test_peers.py
@@ -143,6 +143,8 @@
             nodes[0] = again
             await asyncio.sleep(15)
             self.assertFalse(again.peers.displaced)
+            refused = [x.peers.links.refused.get(4003, 0) for x in nodes]
+            self.assertLess(sum(refused), 4)
             self.assertEqual({4}, {len(x.alive()) for x in nodes})
 
         self.on_fleet(4, body)
--- a/banyantiller/tests/replica/test_spread.py
+++ b/banyantiller/tests/replica/test_spread.py
@@ -68,6 +68,18 @@
         self.on_fleet(14, body)
         self.assertLess(max(rates), 3.0)
 
+    def test_reads_are_rarer_in_a_large_fleet(self):
+        async def body(fleet):
+            spread = fleet.daemons[0].spread
+            small = spread.reader.read_period()
+            table = fleet.daemons[0].node.peers.table
+            for index in range(100):
+                entry = table.own._replace(daemon=f"other{index}")
+                table.apply(entry, 0.0)
+            self.assertGreater(spread.reader.read_period(), 6 * small)
+
+        self.on_fleet(2, body)
+
     def test_an_hour_without_the_object_api(self):
         peers = members.settings(0).peers._replace(
             heartbeat_s=5.0, suspect_s=20.0
@@ -258,6 +270,18 @@
 
         self.on_fleet(3, body)
 
+    def test_another_bundle_in_force_at_a_peer_is_reported_once(self):
+        async def body(fleet):
+            for sequence in (90, 91):
+                beat = messages.Heartbeat(sequence, 1, b"another.")
+                fleet.daemons[1].node.peers.send("d0", beat)
+            await asyncio.sleep(1)
+            (refused,) = fleet.daemons[0].refused
+            self.assertIn("Daemon 'd1'", refused.reason)
+            self.assertEqual(1, fleet.daemons[0].version)
+
+        self.on_fleet(2, body)
+
     def test_forged_offers_from_a_peer(self):
         async def body(fleet):
             held = fleet.daemons[1].spread.held.accepted
