--- /dev/null
+++ b/banyantiller/tests/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that run the examples."""
--- /dev/null
+++ b/examples/claims.py
@@ -0,0 +1,38 @@
+"""Runs a keyed request at most once: `python examples/claims.py`."""
+
+import asyncio
+import time
+
+from banyantiller.claims.arbiter import StoreClaims
+from banyantiller.claims.types import ClaimRequest, Finished, Granted
+from banyantiller.claims.types import RecordedAnswer as Answer
+from banyantiller.store.memory import MemoryStore
+
+
+async def deposit(claims: StoreClaims, request: ClaimRequest) -> str:
+    """Pays a deposit unless its key was used; tells what came of it."""
+    deadline = asyncio.get_running_loop().time() + 5
+    match await claims.claim(request, deadline):
+        case Granted(nonce):
+            await claims.finish(request, nonce, Answer(201, (), b"paid"))
+            return "paid now"
+        case Finished(answer):
+            return f"paid before, answer {answer.body!r}"
+        case denied:
+            return f"not run: {denied.failure.detail}"
+
+
+async def main() -> None:
+    """Two daemons get the same key."""
+    store = MemoryStore()
+    one, two = (
+        StoreClaims.from_settings(store, "orders", name, time.time)
+        for name in ("daemon-1", "daemon-2")
+    )
+    request = ClaimRequest("desk", "key-7", "fingerprint", retention_s=60)
+    print(await deposit(one, request))
+    print(await deposit(two, request))
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
