Let the VM list lead daemons to each other

Cause: a daemon whose seeds were all replaced, or two halves of a fleet after a split, had nothing but the seeds of their settings to find each other. Change: the balancer VMs of the VM list are hints: their addresses with the port for peers are dialled now and then while no member is known there. Nothing is concluded from a VM that is missing from the list. The own endpoint is no hint, so a daemon alone does not wait for peers.

--- a/banyantiller/daemon/leaving_servers.py
+++ b/banyantiller/daemon/leaving_servers.py
@@ -5,12 +5,15 @@
 
 import structlog
 
+from banyantiller.config import defaults
 from banyantiller.kernel import events
 from banyantiller.vmlist import interface, tracker
 
 if TYPE_CHECKING:
     from banyantiller.daemon import assembly
 
+BALANCER = "balancer"
+
 log = structlog.get_logger("banyantiller.daemon")
 
 
@@ -44,11 +47,22 @@
     while True:
         listed = await daemon.vms.read()
         if isinstance(listed, interface.VmsListed):
+            _hint_peers(daemon, listed)
             for change in seen.observe(listed):
                 _apply(daemon, change)
         await asyncio.sleep(daemon.settings.vm_list.period_s)
 
 
+def _hint_peers(daemon: "assembly.Daemon", listed: interface.VmsListed) -> None:
+    # All daemons of a fleet listen for peers on one port, each on its VM.
+    port = daemon.settings.peers.listen.port
+    daemon.peers.hint(
+        defaults.Endpoint(vm.address, port)
+        for vm in listed.vms
+        if vm.role == BALANCER
+    )
+
+
 def _apply(daemon: "assembly.Daemon", change: tracker.VmChange) -> None:
     held = daemon.spread.held
     if held is None:
--- a/banyantiller/membership/peers.py
+++ b/banyantiller/membership/peers.py
@@ -183,7 +183,8 @@
         Meant for a VM list that lags: the endpoints are only tried now and
         then, and nothing is concluded from one that is missing.
         """
-        self.dialer.hints = tuple(endpoints)
+        own = self.links.endpoint
+        self.dialer.hints = tuple(x for x in endpoints if x != own)
 
     def announce(self, version: int, digest: str) -> None:
         """Tells all linked peers at once which bundle is in force here.
