Keep a bundle whose parts are nowhere from holding others back

Cause: a daemon that had read a head, but none of its parts, before an outage asked peers for nothing below that version, and its missing parts could fill every request for parts. Change: a peer's bundle is asked for whenever it is above the one in force here and not known yet, and a peer is asked for parts of what it has in force only. A refused part names its version. Conclusion: a higher version that can't be had no longer delays a lower one.

--- a/banyantiller/replica/fetching.py
+++ b/banyantiller/replica/fetching.py
@@ -91,7 +91,10 @@
         if not holders:
             return
         peer = self.random.choice(holders)
-        asked = self.replica.missing()[:PARTS_A_REQUEST]
+        # A peer has the parts of what is in force there. Those of a newer
+        # bundle may be nowhere, and must not keep an older one waiting.
+        missing = self.replica.missing(self.announced[peer])
+        asked = missing[:PARTS_A_REQUEST]
         digests = tuple(bytes.fromhex(part.digest) for part in asked)
         if not self.peers.send(peer, messages.PartRequest(digests)):
             return
--- a/banyantiller/replica/spread.py
+++ b/banyantiller/replica/spread.py
@@ -175,7 +175,7 @@
         }
         result = self.replica.advance(self._floor() if before is None else 0)
         if isinstance(result, state.Refuse):
-            self._refused(self.replica.newest, result.reason, "parts")
+            self._refused(result.version, result.reason, "parts")
         elif result is not None:
             if not descends[result.version]:
                 log.error(
@@ -274,7 +274,10 @@
         if beat.bundle >= self._floor():
             now = asyncio.get_running_loop().time()
             self.highest = (beat.bundle, now)
-        if beat.bundle > self.replica.newest:
+        if (
+            beat.bundle > self.replica.version
+            and beat.bundle not in self.replica.candidates
+        ):
             self._ask(peer, beat.bundle)
         elif beat.bundle and beat.bundle == self.replica.version:
             self._compare(peer, beat)
@@ -287,7 +290,7 @@
         if asked_version >= version and now - asked_at < REQUEST_WAIT_S:
             return
         self.asked = (version, now)
-        self.peers.send(peer, messages.BundleRequest(self.replica.newest))
+        self.peers.send(peer, messages.BundleRequest(version - 1))
 
     def _compare(self, peer: str, beat: messages.Heartbeat) -> None:
         own = bytes.fromhex(self.held.digest)[: len(beat.digest)]
--- a/banyantiller/replica/state.py
+++ b/banyantiller/replica/state.py
@@ -56,10 +56,12 @@
     Attributes:
         reason: One sentence or more.
         fork: Whether another bundle is known under the same version.
+        version: Version that is refused, where the caller can't know it.
     """
 
     reason: str
     fork: bool = False
+    version: int = 0
 
 
 Verdict = Adopt | Ignore | Refuse
@@ -171,11 +173,16 @@
             self._keep_spare(digest, data)
         return False
 
-    def missing(self) -> tuple[Part, ...]:
-        """Returns the parts that candidates wait for, newest first."""
+    def missing(self, at_most: int | None = None) -> tuple[Part, ...]:
+        """Returns the parts that candidates wait for, newest first.
+
+        Args:
+            at_most: Highest version that counts, or None for all.
+        """
         found = {
             part.digest: part
             for version in sorted(self.candidates, reverse=True)
+            if at_most is None or version <= at_most
             for part in self.candidates[version].accepted.manifest.parts
             if part.digest not in self.parts
         }
@@ -209,7 +216,8 @@
         except canonical.CanonicalError as error:
             del self.candidates[manifest.version]
             self._prune()
-            return Refuse(f"A signed part is not valid: {error}.")
+            reason = f"A signed part is not valid: {error}."
+            return Refuse(reason, version=manifest.version)
         bundle = Bundle(services, manifest.description)
         self.held = Held(candidate.accepted, bundle, candidate.digest)
         for version in [v for v in self.candidates if v <= manifest.version]:
--- a/banyantiller/tests/replica/test_spread.py
+++ b/banyantiller/tests/replica/test_spread.py
@@ -12,7 +12,7 @@
 from banyantiller.tests.base import TestCase
 from banyantiller.tests.bundle import samples
 from banyantiller.tests.membership import support as members
-from banyantiller.tests.replica import support
+from banyantiller.tests.replica import support, test_state
 
 WITHIN_S = 4.0
 
@@ -270,6 +270,17 @@
 
         self.on_fleet(3, body)
 
+    def test_a_bundle_without_parts_does_not_keep_others_waiting(self):
+        async def body(fleet):
+            late = fleet.daemons[0]
+            late.store.faults.down = True
+            newer, _ = test_state.accepted(3, number=50)
+            late.spread._offer(newer, "watch")
+            await self.in_force(fleet, await fleet.roll())
+            self.assertEqual([3], list(late.spread.replica.candidates))
+
+        self.on_fleet(2, body)
+
     def test_another_bundle_in_force_at_a_peer_is_reported_once(self):
         async def body(fleet):
             for sequence in (90, 91):
--- a/banyantiller/tests/replica/test_state.py
+++ b/banyantiller/tests/replica/test_state.py
@@ -152,5 +152,7 @@
         )
         self.offer(made._replace(manifest=manifest, signatures=signatures))
         self.replica.add_part(data)
-        self.assertIsInstance(self.replica.advance(), state.Refuse)
+        refused = self.replica.advance()
+        self.assertIsInstance(refused, state.Refuse)
+        self.assertEqual(2, refused.version)
         self.assertEqual(1, self.replica.version)
