--- /dev/null
+++ b/banyantiller/leaving/__init__.py
@@ -0,0 +1,1 @@
+"""Backend servers that are leaving and must get nothing new."""
--- /dev/null
+++ b/banyantiller/tests/leaving/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of leaving servers."""
