--- a/banyantiller/routing/choice.py
+++ b/banyantiller/routing/choice.py
@@ -54,16 +54,15 @@
     """
     if len(views) > MOST_CANDIDATES:
         views = rng.sample(views, MOST_CANDIDATES)
+    first = int(rng.random() * len(views))
     best = None
     least = math.inf
     best_ahead = 0.0
     excess = believed.excess
-    draw = rng.random
-    jitter = tuning.jitter
     zone = "zone" not in tuning.off
     far = tuning.cross_zone_s / believed.service_s if zone else 0.0
     recent = now - FORGOTTEN_AGE * tuning.belief_s(believed.service_s)
-    for view in views:
+    for view in (*views[first:], *views[:first]):
         if view.closed_until > now:
             continue
         own = len(view.own)
@@ -79,7 +78,6 @@
             delay *= slowness(view, believed, tuning, now)
         if not view.local:
             delay += far
-        delay += jitter * draw()
         if delay < least and view.state.name not in without:
             best = view
             least = delay
--- a/banyantiller/routing/learning.py
+++ b/banyantiller/routing/learning.py
@@ -97,7 +97,7 @@
         known.late.learn(seconds)
     usual = known.believed.service_s
     view.watched = (
-        view.latency > usual
+        view.latency > known.tuning.slow_from * usual
         or view.failures > 0.0
         or now - view.warm_from < known.tuning.ramp_s
     )
--- a/banyantiller/routing/timers.py
+++ b/banyantiller/routing/timers.py
@@ -6,6 +6,8 @@
 from banyantiller.routing.calls import CallState
 from banyantiller.routing.types import Action
 
+LEAST_SWEEP = 256
+
 Work = Callable[[float], list[Action]]
 
 
@@ -15,11 +17,13 @@
     Attributes:
         heap: Time, order of arrival, work, and the call that it is for.
         arrivals: Number of timers set so far.
+        sweep_at: Length of the heap at which finished calls are swept out.
     """
 
     def __init__(self) -> None:
         self.heap: list[tuple[float, int, Work, CallState | None]] = []
         self.arrivals = 0
+        self.sweep_at = LEAST_SWEEP
 
     def at(
         self, when: float, work: Work, call: CallState | None = None
@@ -30,6 +34,8 @@
         """
         self.arrivals += 1
         heapq.heappush(self.heap, (when, self.arrivals, work, call))
+        if len(self.heap) >= self.sweep_at:
+            self._sweep()
 
     def run_due(self, now: float) -> list[Action]:
         """Runs what is due and returns its actions."""
@@ -51,3 +57,12 @@
                 return when
             heapq.heappop(self.heap)
         return None
+
+    def _sweep(self) -> None:
+        self.heap = [
+            item
+            for item in self.heap
+            if item[3] is None or not item[3].finished
+        ]
+        heapq.heapify(self.heap)
+        self.sweep_at = max(LEAST_SWEEP, 2 * len(self.heap))
--- a/banyantiller/routing/tuning.py
+++ b/banyantiller/routing/tuning.py
@@ -26,8 +26,6 @@
             from twice of it on they count for nothing.
         slow_from: Times slower than usual from which a server counts as
             slow; less is taken for chance.
-        jitter: Random part of the expected delay that breaks ties, in
-            service times.
         cross_zone_s: Latency that another availability zone adds.
         backlog_at: Reported requests for each slot from which a server
             counts as overloaded.
@@ -49,7 +47,6 @@
     belief_age: float = 0.8
     doubt_from: float = 0.03
     slow_from: float = 2.0
-    jitter: float = 0.02
     cross_zone_s: float = 0.0016
     backlog_at: float = 3.0
     hedge_quantile: float = 0.97
--- a/banyantiller/tests/routing/test_timers.py
+++ b/banyantiller/tests/routing/test_timers.py
@@ -17,3 +17,12 @@
         work.run_due(5.0)
         self.assertIsNone(work.first())
         self.assertEqual([], work.heap)
+
+    def test_finished_calls_do_not_pile_up(self) -> None:
+        work = timers.Timers()
+        for number in range(10_000):
+            wanted = types.Call(number, True, 9.0)
+            call = calls.CallState.from_call(wanted, "main", 0.0)
+            work.at(9.0, lambda now: [], call)
+            call.finished = number % 100 > 0
+        self.assertLess(len(work.heap), 500)
