Let daemons tell each other of leaving servers, and ask again for probes

Cause: the daemon knew leaving servers only from its own answers and its own VM list, so others went on using them; and a server that came back stayed out for good: its daemon asked for a return probe each 5 s, while the measuring budget grants one for 1 s to 2 s after it was refused. Change: the daemon uses the part for leaving servers, joined to bundles, peers, the VM list and the proxy's events. A refused return probe is asked for again after 0.5 s.

--- a/banyantiller/daemon/leaving_servers.py
+++ b/banyantiller/daemon/leaving_servers.py
@@ -1,4 +1,4 @@
-"""Follows the VM list and tells the data path which servers are leaving."""
+"""Connects the part that knows leaving servers with the daemon's others."""
 
 import asyncio
 from typing import TYPE_CHECKING
@@ -7,7 +7,10 @@
 
 from banyantiller.config import defaults
 from banyantiller.kernel import events
-from banyantiller.vmlist import interface, tracker
+from banyantiller.leaving import task as leaving
+from banyantiller.leaving.types import Reason
+from banyantiller.membership import messages
+from banyantiller.vmlist import interface
 
 if TYPE_CHECKING:
     from banyantiller.daemon import assembly
@@ -18,11 +21,14 @@
 
 
 def start(daemon: "assembly.Daemon") -> None:
-    """Logs leaving servers; follows the VM list if the settings name one."""
+    """Follows servers that leave, and the VM list if the settings name one."""
+    part = _make(daemon)
+    _connect(daemon, part)
+    daemon.kernel.start("leaving servers", part.run)
     daemon.kernel.subscribe(events.ServerLeaving, _log_leaving)
     daemon.kernel.subscribe(events.ServerReturned, _log_returned)
     if daemon.vms is not None:
-        daemon.kernel.start("vm list", lambda: _follow(daemon))
+        daemon.kernel.start("vm list", lambda: _follow(daemon, part))
 
 
 def _log_leaving(event: events.ServerLeaving) -> None:
@@ -40,16 +46,50 @@
     )
 
 
-async def _follow(daemon: "assembly.Daemon") -> None:
+def _make(daemon: "assembly.Daemon") -> leaving.LeavingServers:
+    def leave(service: str, server: str, reason: str) -> None:
+        daemon.proxy.server_leaving(service, server, reason)
+        if reason != Reason.DRAIN_ANSWER:
+            daemon.kernel.emit(
+                events.ServerLeaving(service, server, reason, daemon.wall())
+            )
+
+    vm_list = daemon.settings.vm_list
+    period_s = vm_list.period_s if vm_list is not None else 0.0
+    outlets = leaving.Outlets(
+        leave, daemon.proxy.server_back, daemon.peers.broadcast
+    )
+    return leaving.LeavingServers.from_settings(daemon.vms, period_s, outlets)
+
+
+def _connect(daemon: "assembly.Daemon", part: leaving.LeavingServers) -> None:
+    """Passes bundles, words of servers and words of peers to the part."""
+
+    def on_leaving(event: events.ServerLeaving) -> None:
+        if event.reason == Reason.DRAIN_ANSWER:
+            part.drain_told(event.service, event.server)
+
+    def on_returned(event: events.ServerReturned) -> None:
+        now = asyncio.get_running_loop().time()
+        part.open_told(event.service, event.server, now)
+
+    daemon.spread.subscribe(lambda held: part.configure(held.bundle.services))
+    daemon.kernel.subscribe(events.ServerLeaving, on_leaving)
+    daemon.kernel.subscribe(events.ServerReturned, on_returned)
+    for kind in (messages.ServersLeaving, messages.ServersReturned):
+        daemon.peers.subscribe(kind, lambda _, told: part.peer_told(told))
+
+
+async def _follow(
+    daemon: "assembly.Daemon", part: leaving.LeavingServers
+) -> None:
     assert daemon.vms is not None
     assert daemon.settings.vm_list is not None
-    seen = tracker.VmTracker()
     while True:
         listed = await daemon.vms.read()
         if isinstance(listed, interface.VmsListed):
             _hint_peers(daemon, listed)
-            for change in seen.observe(listed):
-                _apply(daemon, change)
+            part.take_list(listed)
         await asyncio.sleep(daemon.settings.vm_list.period_s)
 
 
@@ -61,28 +101,3 @@
         for vm in listed.vms
         if vm.role == BALANCER
     )
-
-
-def _apply(daemon: "assembly.Daemon", change: tracker.VmChange) -> None:
-    held = daemon.spread.held
-    if held is None:
-        return
-    for service in held.bundle.services:
-        for server in service.servers:
-            if server.vm == change.vm.name:
-                _tell(daemon, service.name, server.name, change.change)
-
-
-def _tell(
-    daemon: "assembly.Daemon",
-    service: str,
-    server: str,
-    change: tracker.Change,
-) -> None:
-    if change in (tracker.Change.LEAVING, tracker.Change.GONE):
-        daemon.proxy.server_leaving(service, server, "vm_list")
-        daemon.kernel.emit(
-            events.ServerLeaving(service, server, "vm_list", daemon.wall())
-        )
-    elif change is tracker.Change.BACK:
-        daemon.proxy.server_back(service, server)
--- a/banyantiller/leaving/task.py
+++ b/banyantiller/leaving/task.py
@@ -92,6 +92,10 @@
         """A server, asked at a loop time, said that it does not drain."""
         key = Server(service, server)
         self._act(self.tracker.open_told(key, asked_at, _now()))
+        entry = self.tracker.entries.get(key)
+        if entry is not None and entry.reason is not None:
+            # The data path gave it requests again, but another reason holds.
+            self.outlets.leave(service, server, entry.reason.value)
 
     def refused(self, service: str, server: str) -> None:
         """A server refused a connection."""
@@ -117,6 +121,13 @@
                 actions = self.tracker.peer_told_return(key, age_s, now)
             self._act(actions)
 
+    def take_list(self, listed: interface.VmsListed) -> None:
+        """Takes a list if it is newer than those read before."""
+        before = self.vms.as_of
+        changes = self.vms.observe(listed)
+        if self.vms.as_of != before:
+            self._act(self.tracker.vms_read(changes, _now()))
+
     async def run(self) -> None:
         """Repeats, reminds and ends what is due."""
         while True:
@@ -132,16 +143,9 @@
         while self.vm_list is not None:
             listed = await self.vm_list.read()
             if isinstance(listed, interface.VmsListed):
-                self._take_list(listed)
+                self.take_list(listed)
             await asyncio.sleep(self.period_s)
 
-    def _take_list(self, listed: interface.VmsListed) -> None:
-        """Takes a list if it is newer than those read before."""
-        before = self.vms.as_of
-        changes = self.vms.observe(listed)
-        if self.vms.as_of != before:
-            self._act(self.tracker.vms_read(changes, _now()))
-
     def _act(self, actions: list[Action]) -> None:
         for action in actions:
             service, name = action.server
--- a/banyantiller/proxy/driver.py
+++ b/banyantiller/proxy/driver.py
@@ -21,6 +21,7 @@
 
 # A server that said it is leaving is asked so often whether it came back.
 RETURN_PROBE_S = 5.0
+REFUSED_PROBE_S = 0.5
 
 LeavingHook = Callable[[str, str], None]
 
@@ -275,11 +276,15 @@
     def _ask_leaving(self) -> None:
         now = self.loop.time()
         told = [s for s, r in self.leaving.items() if r == "drain_answer"]
+        pause_s = RETURN_PROBE_S
         for server in told:
             if self.charge(now):
                 self._probe(server)
+            else:
+                # A refused probe is granted for a short time only, soon.
+                pause_s = REFUSED_PROBE_S
         if told:
-            self.return_watch.set(now + RETURN_PROBE_S)
+            self.return_watch.set(now + pause_s)
 
     def _reconfigure(self) -> None:
         now = self.loop.time()
--- /dev/null
+++ b/banyantiller/tests/leaving/test_daemon.py
@@ -0,0 +1,55 @@
+"""Whole daemons: what one learns of a leaving server reaches the others."""
+
+import asyncio
+
+from banyantiller.http import messages
+from banyantiller.tests import base
+from banyantiller.tests.daemon import test_whole_path as whole
+
+METRICS = "endpoint-load-metrics"
+STOP_WITHIN_S = 3.0
+
+
+class Fleet(whole.Fleet):
+    """A fleet whose first server may say that it drains."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.draining = False
+
+    async def answer(self, request: messages.Request) -> messages.Response:
+        """Answers with the load of a server."""
+        draining = int(self.draining)
+        told = (
+            "TEXT named_metrics.in_flight=1,"
+            f" named_metrics.draining={draining}"
+        )
+        return messages.Response(200, ((METRICS, told),), b"done")
+
+    def out_of_use(self) -> list[int]:
+        """Returns how many servers get nothing new, by daemon."""
+        return [
+            sum(len(d.leaving) for d in daemon.proxy.drivers.values())
+            for daemon in self.daemons
+        ]
+
+
+class LeavingDaemonTest(base.TestCase):
+    def test_drain_told_to_one_daemon_stops_all_and_return_reaches_all(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            fleet = Fleet()
+            await fleet.start(3)
+            fleet.draining = True
+            await whole.send(8001, "GET", "/orders/1")
+            await asyncio.sleep(STOP_WITHIN_S)
+            self.assertEqual([1, 1, 1], fleet.out_of_use())
+            await asyncio.sleep(100)
+            self.assertEqual([1, 1, 1], fleet.out_of_use())
+            fleet.draining = False
+            await asyncio.sleep(100)
+            self.assertEqual([0, 0, 0], fleet.out_of_use())
+            await fleet.stop()
+
+        self.run_paused(scenario())
