--- a/banyantiller/claims/known.py
+++ b/banyantiller/claims/known.py
@@ -3,7 +3,7 @@
 import collections
 from typing import NamedTuple
 
-from banyantiller.claims import types
+from banyantiller.claims import records, types
 
 MOST_ENTRIES = 10_000
 MOST_BYTES = 2_000_000
@@ -63,6 +63,16 @@
         while self.size > self.most_bytes:
             self.forget(next(iter(self.entries)))
 
+    def remember(
+        self, name: str, record: records.Record | None, wall: float
+    ) -> None:
+        """Remembers a record if its outcome can't change any more."""
+        final = (records.State.DONE, records.State.UNKNOWN)
+        if record is None or record.state not in final:
+            return
+        outcome = records.judge(record, record.fingerprint, wall)
+        self.put(name, record.fingerprint, outcome, record.expires_at)
+
     def get(self, name: str, wall: float) -> Entry | None:
         """Returns the entry of a key if it still holds."""
         entry = self.entries.get(name)
--- a/banyantiller/tests/claims/test_arbiter.py
+++ b/banyantiller/tests/claims/test_arbiter.py
@@ -221,7 +221,7 @@
     async def orphan_scenario(self, same_daemon: bool) -> None:
         fleet = Fleet()
         first, second = fleet.daemon("d1"), fleet.daemon("d2")
-        settling = asyncio.create_task(first.run())
+        settling = asyncio.create_task(first.settler.run())
         first.store.faults.slow_s = 3.0
         request = make_request()
         denied = await first.claim(request, soon(1.0))
@@ -280,7 +280,7 @@
         async def scenario() -> None:
             fleet = Fleet()
             first, second = fleet.daemon("d1"), fleet.daemon("d2")
-            settling = asyncio.create_task(first.run())
+            settling = asyncio.create_task(first.settler.run())
             request = make_request()
             granted = await first.claim(request, soon())
             first.store.faults.down = True
--- a/banyantiller/tests/claims/test_at_most_once.py
+++ b/banyantiller/tests/claims/test_at_most_once.py
@@ -80,7 +80,7 @@
     if wake:
         stop.woken.set()
         await path
-        settling = asyncio.create_task(first.run())
+        settling = asyncio.create_task(first.settler.run())
         await asyncio.sleep(20)
         settling.cancel()
         await fleet.serve(first, REQUEST, loop.time() + 5)
@@ -129,7 +129,7 @@
         await asyncio.gather(claiming, return_exceptions=True)
         if not claiming.cancelled():
             await first.release(REQUEST, claiming.result().nonce)
-        settling = asyncio.create_task(first.run())
+        settling = asyncio.create_task(first.settler.run())
         await asyncio.sleep(30)
         settling.cancel()
         deadline = asyncio.get_running_loop().time() + 5
@@ -145,7 +145,7 @@
                 faulty.Step(before_s=2.0),
             )
             first = fleet.daemon("d1", steps=slow_release)
-            settling = asyncio.create_task(first.run())
+            settling = asyncio.create_task(first.settler.run())
             denied = await fleet.serve(first, REQUEST, 0.5)
             self.assertTrue(says_ran(denied, Ran.NO))
             await asyncio.sleep(1)
@@ -241,7 +241,7 @@
         except TimeoutError:
             pass
 
-    settling = [asyncio.create_task(daemon.run()) for daemon in daemons]
+    settling = [asyncio.create_task(daemon.settler.run()) for daemon in daemons]
     await asyncio.gather(*map(follow, callers))
     await asyncio.sleep(200)
     for index in range(3):
