Give each server one spare try and count the answered request

Change: the limit is the slots and one more, the window grows likewise.

The contract now says that a reported load counts the request that is being answered, as backend servers do when they write its head.

The tests of waiting calls fill the spare try as well; what they demand is the same.

--- a/banyantiller/routing/adaptive.py
+++ b/banyantiller/routing/adaptive.py
@@ -104,7 +104,7 @@
         view = self.known.views.get(server)
         if view is None or report.source == "peer":
             return []
-        learning.learn_report(self.known, view, report, len(view.own), now)
+        learning.learn_report(self.known, view, report, now)
         if report.source == "probe" and view.probing:
             view.probing = False
             view.update_closed()
--- a/banyantiller/routing/choice.py
+++ b/banyantiller/routing/choice.py
@@ -7,6 +7,7 @@
 
 from banyantiller.routing import ramp
 from banyantiller.routing.beliefs import Believed
+from banyantiller.routing.limits import SPARE
 from banyantiller.routing.tuning import Tuning
 from banyantiller.routing.views import ServerView
 
@@ -66,7 +67,7 @@
         if view.closed_until > now:
             continue
         own = len(view.own)
-        if own >= view.slots:
+        if own >= view.slots + SPARE:
             continue
         ahead = excess[view.slots - own]
         if view.others_at > recent:
--- a/banyantiller/routing/learning.py
+++ b/banyantiller/routing/learning.py
@@ -31,7 +31,7 @@
     if result.report is not None:
         if len(view.own) > 1:
             _check_report(known, attempt, result.report, now)
-        learn_report(known, view, result.report, len(view.own) - 1, now)
+        learn_report(known, view, result.report, now)
         known.window.learn(result.report.in_flight, view.slots, known.tuning)
     if result.error is ErrorKind.BACKEND_SHED:
         usual = known.believed.service_s
@@ -50,13 +50,12 @@
     known: ServiceKnowledge,
     view: ServerView,
     report: LoadReport,
-    own: int,
     now: float,
 ) -> None:
     """Takes a report of a server's load."""
     if "reports" in known.tuning.off:
         return
-    if view.learn_load(report, own, now):
+    if view.learn_load(report, now):
         known.believed.learn_others(view.others)
 
 
@@ -106,7 +105,11 @@
 def _check_report(
     known: ServiceKnowledge, attempt: Attempt, report: LoadReport, now: float
 ) -> None:
-    """Compares a report with the own tries that must be on the server."""
+    """Compares a report with the own tries that must be on the server.
+
+    The answered try is not counted, as a server may have let it go before it
+    took the figure.
+    """
     if "trust" in known.tuning.off:
         return
     view = attempt.view
--- a/banyantiller/routing/limits.py
+++ b/banyantiller/routing/limits.py
@@ -1,14 +1,16 @@
 """Limits of what this daemon sends at once, adapted to what servers take.
 
-On one server the daemon has at most as many tries as that has slots. Over
-all servers of the service it has a window, which shrinks while servers say
-that they have a backlog or shed, and grows while they do not. It never
-shrinks below the daemon's even part of all slots.
+On one server the daemon has at most one try more than that has slots, which
+keeps it busy while an answer travels. Over all servers of the service it
+has a window, which shrinks while servers say that they have a backlog or
+shed, and grows while they do not. It never shrinks below the daemon's even
+part of all slots.
 """
 
 from banyantiller.routing.tuning import Tuning
 from banyantiller.routing.views import ServerView
 
+SPARE = 1
 SHRINK = 0.95
 SHED_SHRINK = 0.8
 GROWTH = 0.1
@@ -21,20 +23,23 @@
     Attributes:
         size: The limit.
         slots: Requests that all usable servers run at once.
+        most: Largest size, with the spare tries.
         alive: Number of daemons believed alive.
     """
 
     def __init__(self) -> None:
         self.size = 1.0
         self.slots = 0
+        self.most = 1.0
         self.alive = 1
 
-    def configure(self, slots: int) -> None:
+    def configure(self, slots: int, servers: int) -> None:
         """Takes the number of all slots; opens the window if they grew."""
+        self.most = max(1.0, float(slots + SPARE * servers))
         if slots > self.slots:
-            self.size = float(slots)
+            self.size = self.most
         self.slots = slots
-        self.size = min(self.size, float(max(slots, 1)))
+        self.size = min(self.size, self.most)
 
     def least(self) -> float:
         """Returns the even part of this daemon, at least one try."""
@@ -45,7 +50,7 @@
         if in_flight >= tuning.backlog_at * slots:
             self._shrink(SHRINK)
         else:
-            self.size = min(float(self.slots), self.size + GROWTH)
+            self.size = min(self.most, self.size + GROWTH)
 
     def shed(self) -> None:
         """Takes that a server shed a try."""
--- a/banyantiller/routing/service.py
+++ b/banyantiller/routing/service.py
@@ -93,8 +93,8 @@
             self.believed.prepare(state.slots)
             kept[state.name] = view
         self.views = kept
-        usable = (v.slots for v in kept.values() if v.is_usable())
-        self.window.configure(sum(usable))
+        usable = [v.slots for v in kept.values() if v.is_usable()]
+        self.window.configure(sum(usable), len(usable))
         self._regroup()
 
     def group_of(self, view: ServerView) -> list[ServerView]:
--- a/banyantiller/routing/types.py
+++ b/banyantiller/routing/types.py
@@ -37,7 +37,8 @@
     """Load of a server as it or another daemon tells it.
 
     Attributes:
-        in_flight: Requests running or queued on the server.
+        in_flight: Requests running or queued on the server, with the one
+            that is being answered.
         age_s: Age of the figure on arrival, 0 when told on an answer.
         draining: Whether the server says that it is leaving.
         source: "answer", "probe" or "peer".
--- a/banyantiller/routing/views.py
+++ b/banyantiller/routing/views.py
@@ -81,12 +81,11 @@
         """Counts own tries that started at `latest` or before."""
         return sum(1 for started in self.own.values() if started <= latest)
 
-    def learn_load(self, report: LoadReport, own: int, now: float) -> bool:
+    def learn_load(self, report: LoadReport, now: float) -> bool:
         """Takes the server's own word on its load.
 
         Args:
-            report: Requests on the server, without the answered one.
-            own: How many of them are this daemon's.
+            report: Requests on the server, with the answered one.
             now: Time of arrival.
 
         Returns:
@@ -98,7 +97,7 @@
         taken_at = now - report.age_s
         if taken_at < self.others_at:
             return False
-        self.others = max(0.0, report.in_flight - own)
+        self.others = max(0.0, report.in_flight - len(self.own))
         self.others_at = taken_at
         return True
 
--- a/banyantiller/tests/routing/driver.py
+++ b/banyantiller/tests/routing/driver.py
@@ -3,6 +3,7 @@
 from banyantiller.bundle import options
 from banyantiller.errors import ErrorKind, Ran
 from banyantiller.routing import adaptive, types
+from banyantiller.routing.types import Start
 
 ZONES = ("plateau", "medina", "yoff", "pikine")
 
@@ -86,6 +87,13 @@
         self.actions += actions
         return actions
 
+    def fill(self, calls):
+        """Starts calls that take up every try that servers may have."""
+        starts = [
+            of(self.submit(idempotent=False), Start) for _ in range(calls)
+        ]
+        return [start for (start,) in starts]
+
     def warm(self, calls=60):
         """Answers some calls so that latencies are known."""
         for _ in range(calls):
--- a/bench/decisions_world.py
+++ b/bench/decisions_world.py
@@ -127,8 +127,8 @@
 
     def _finish(self, request, version):
         if request in self.running and request.version == version:
-            self.drop(request)
             self.reply(request, status=200)
+            self.drop(request)
 
     def _told(self):
         self.loads.append((self.world.now, self.load()))
