--- a/banyantiller/tests/replica/test_spread.py
+++ b/banyantiller/tests/replica/test_spread.py
@@ -293,6 +293,19 @@
 
         self.on_fleet(2, body)
 
+    def test_a_key_that_is_trusted_later_lets_the_bundle_in(self):
+        async def body(fleet):
+            late = fleet.daemons[0]
+            late.spread.replica.trusted = samples.TRUSTED[:1]
+            await fleet.roll()
+            await asyncio.sleep(5)
+            self.assertEqual([1, 2], fleet.versions())
+            self.assertIn("No key of operator", late.refused[0].reason)
+            late.spread.replica.trusted = samples.TRUSTED
+            await self.in_force(fleet, 2, 20)
+
+        self.on_fleet(2, body)
+
     def test_forged_offers_from_a_peer(self):
         async def body(fleet):
             held = fleet.daemons[1].spread.held.accepted
