Close test gaps of store and HTTP, and end the demonstration on SIGTERM

Change: tests for expired pages, unsent values, reads over broken connections, bare deletes, histories, second answers in one read, pipelining, 100-continue and connection limits; a call of the demonstration ends after 15 s, and SIGTERM ends every process it started.

--- a/banyantiller/tests/http/test_exchange.py
+++ b/banyantiller/tests/http/test_exchange.py
@@ -57,6 +57,82 @@
 
         self.assertEqual(b"GET /mine ", self.exchange(echo, use).body)
 
+    def test_second_answer_in_one_read_is_no_answer(self):
+        async def twice(reader, writer):
+            while await reader.read(65536):
+                writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na")
+                writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nb")
+
+        async def body():
+            listener = await asyncio.start_server(twice, ADDRESS, 0)
+            port = listener.sockets[0].getsockname()[1]
+            user = client.HttpClient(ADDRESS, port)
+            found = [await user.request("GET", "/", 1) for _ in range(2)]
+            await user.close()
+            listener.close()
+            return [answer.body for answer in found]
+
+        self.assertEqual([b"a", b"a"], self.run_paused(body()))
+
+    def test_no_answer_in_time_ends_idle_connections(self):
+        async def handler(request):
+            await asyncio.sleep(float(request.target[1:]))
+            return messages.Response(200)
+
+        async def use(user, listener):
+            both = [user.request("GET", "/0.1", 1) for _ in range(2)]
+            await asyncio.gather(*both)
+            idle = len(user.idle)
+            await user.request("GET", "/9", 0.5)
+            return idle, len(user.idle)
+
+        self.assertEqual((2, 0), self.exchange(handler, use))
+
+    def test_pipelined_requests_are_answered_in_order(self):
+        async def slow(request):
+            await asyncio.sleep(1)
+            return messages.Response(200, (), request.target.encode())
+
+        async def use(user, listener):
+            reader, writer = await asyncio.open_connection(ADDRESS, user.port)
+            for first in ("ab", "c", "d"):
+                for name in first:
+                    head = f"GET /{name} HTTP/1.1\r\nhost: x\r\n\r\n"
+                    writer.write(head.encode())
+                await asyncio.sleep(0.9)
+            await asyncio.sleep(3)
+            writer.close()
+            return await reader.read()
+
+        answer = self.exchange(slow, use)
+        names = [line[:2] for line in answer.split(b"\r\n\r\n")[1:]]
+        self.assertEqual([b"/a", b"/b", b"/c", b"/d"], names)
+
+    def test_body_is_asked_for_when_the_caller_waits(self):
+        async def use(user, listener):
+            reader, writer = await asyncio.open_connection(ADDRESS, user.port)
+            writer.write(
+                b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\n"
+                b"expect: 100-continue\r\n\r\n"
+            )
+            first = await reader.readline()
+            writer.write(b"x")
+            await reader.readuntil(b"POST / x")
+            writer.close()
+            return first
+
+        self.assertIn(b" 100 ", self.exchange(echo, use))
+
+    def test_connections_over_the_limit_are_closed(self):
+        async def use(user, listener):
+            first = await user.request("GET", "/", 1)
+            second = await user.request("GET", "/", 1, fresh=True)
+            return type(first), type(second)
+
+        limits = LIMITS._replace(connections=1)
+        found = self.exchange(echo, use, limits)
+        self.assertEqual((outcomes.Answered, outcomes.Lost), found)
+
     def test_refused_connection_is_not_sent(self):
         async def body():
             user = client.HttpClient(ADDRESS, 1)
@@ -152,9 +228,14 @@
             return messages.Response(200, body=b"done")
 
         async def use(user, listener):
+            idle = await asyncio.open_connection(ADDRESS, user.port)
             running = asyncio.ensure_future(user.request("GET", "/", 9))
             await asyncio.sleep(1)
-            await listener.close(grace_s=9)
+            closing = asyncio.ensure_future(listener.close(grace_s=9))
+            await asyncio.sleep(0.1)
+            self.assertEqual(b"", await idle[0].read())
+            await closing
+            self.assertEqual(3, round(asyncio.get_running_loop().time()))
             return await running, await user.request("GET", "/", 1)
 
         done, refused = self.exchange(slow, use)
--- a/banyantiller/tests/store/test_kubernetes.py
+++ b/banyantiller/tests/store/test_kubernetes.py
@@ -182,14 +182,47 @@
             for number in range(kubernetes.PAGE_ITEMS + 1):
                 await store.create("k", f"{number:04}", {})
             keep = api.rest._keep_page
-            api.rest._keep_page = lambda rest: "forgotten"
-            lost = await store.list("k")
-            api.rest._keep_page = keep
-            return lost, await store.list("k")
+            tokens = ["expired"] * 4
+            api.rest._keep_page = lambda rest: (
+                tokens.pop() if tokens else keep(rest)
+            )
+            return await store.list("k"), await store.list("k")
 
         lost, listed = self.run_with_api(check)
         self.assertIsInstance(lost, interface.Unavailable)
-        self.assertIsInstance(listed, interface.Listed)
+        self.assertEqual(kubernetes.PAGE_ITEMS + 1, len(listed.items))
+
+    def test_too_large_value_is_not_sent(self):
+        async def check(store, api):
+            await store.create("k", "a", {"text": "x" * 1_000_000})
+            return store.calls["create"], api.counts.report()["total"]
+
+        self.assertEqual((0, 0), self.run_with_api(check))
+
+    def test_update_without_a_version_is_refused(self):
+        async def check(store, api):
+            made = await store.create("k", "a", {"n": 1})
+            return await store.update(made.item._replace(version=""), {})
+
+        self.assertIsInstance(self.run_with_api(check), interface.Unavailable)
+
+    def test_read_is_sent_again_when_a_reused_connection_breaks(self):
+        api = object_api.ObjectApi()
+        cuts = []
+
+        async def handler(request):
+            if cuts and request.method != "POST":
+                raise cuts.pop()
+            return await api.handle(request)
+
+        async def check(store):
+            await store.create("k", "a", {"n": 1})
+            cuts.append(connections.CutError())
+            return await store.get("k", "a"), store.calls["get"]
+
+        found, calls = self.run_with(handler, check)
+        self.assertEqual({"n": 1}, found.item.value)
+        self.assertEqual(2, calls)
 
 
 class RawAnswerTest(AdapterTestCase):
@@ -252,6 +285,24 @@
         found = [kinds[0] for kinds in self.outcomes_of(*expected)]
         self.assertEqual(list(expected.values()), found)
 
+    def test_bare_success_is_enough_for_a_delete_only(self):
+        body = b'{"kind":"Status","status":"Success"}'
+
+        async def handler(request):
+            return messages.Response(200, (), body)
+
+        async def check(store):
+            item = interface.StoredObject("k", "a", "1", {})
+            return (
+                await store.delete(item),
+                await store.update(item, {}),
+                await store.create("k", "a", {}),
+            )
+
+        found = self.run_with(handler, check)
+        expected = [interface.Found, interface.Unknown, interface.Unknown]
+        self.assertEqual(expected, [type(outcome) for outcome in found])
+
     def test_oversized_answer(self):
         size = kubernetes.LIMITS.body_bytes + 1
         answer = messages.Response(200, (), b" " * size)
--- a/banyantiller/tests/store/test_memory.py
+++ b/banyantiller/tests/store/test_memory.py
@@ -90,6 +90,20 @@
         self.assertIsInstance(events[0], interface.Unavailable)
         self.assertAlmostEqual(3, took, places=3)
 
+    def test_watch_before_the_history_or_after_the_present_is_gone(self):
+        async def body():
+            shared = table.ObjectTable(history=2)
+            store = memory.MemoryStore(shared)
+            for name in "abc":
+                await store.create("k", name, {})
+            whole = await anext(store.watch("k", "2"))
+            found = [await anext(store.watch("k", v)) for v in ("1", "9", "x")]
+            return whole, found
+
+        whole, found = self.run_paused(body())
+        self.assertEqual("b", whole.item.name)
+        self.assertEqual([interface.Gone()] * 3, found)
+
     def test_compacted_history_is_gone(self):
         async def body():
             store = memory.MemoryStore()
--- a/standins/demo/__main__.py
+++ b/standins/demo/__main__.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import pathlib
+import signal
 import sys
 import tempfile
 
@@ -17,6 +18,7 @@
 async def play(folder: pathlib.Path, seed: int) -> findings.Findings:
     """Runs all steps and returns what held."""
     crew = fleet.Fleet(folder)
+    _end_on_sigterm()
     try:
         say("starting the platform, 3 backend servers and 2 daemons")
         await crew.start()
@@ -89,6 +91,14 @@
     return findings.Events((first_s, second.result()), exits)
 
 
+def _end_on_sigterm() -> None:
+    """Ends every process before this one when it is told to end."""
+    task = asyncio.current_task()
+    assert task is not None
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+
+
 def _show_logs(crew: fleet.Fleet) -> None:
     for child in crew.daemons:
         say(f"log of {child.name}:\n{child.tail()}")
@@ -115,6 +125,8 @@
         except* (processes.DemoError, TimeoutError) as group:
             for error in group.exceptions:
                 say(f"failed: {error or type(error).__name__}")
+        except* asyncio.CancelledError:
+            say("failed: told to end")
     if found is None:
         return 1
     print(json.dumps(found.last_line))
--- a/standins/demo/callers.py
+++ b/standins/demo/callers.py
@@ -16,6 +16,7 @@
 ADDRESS = "127.0.0.1"
 TIMEOUT_S = 10.0
 MOST_TRIES = 8
+LONGEST_CALL_S = 15.0
 PAUSE_S = 0.1
 READY_PERIOD_S = 0.1
 NO = "no"
@@ -141,6 +142,8 @@
         start = loop.time()
         reason = ""
         for number in range(MOST_TRIES):
+            if loop.time() - start > LONGEST_CALL_S:
+                break
             gateway = self._choose(first if number == 0 else None)
             outcome = await self._try(gateway, sending, number)
             reason = self._judge(sending, outcome)
