--- a/banyantiller/claims/sweeping.py
+++ b/banyantiller/claims/sweeping.py
@@ -2,8 +2,11 @@
 
 Claims carry a label with the minute in which they expire. A marker object
 holds the last minute that was swept, so a pass reads the marker and lists
-only the minutes that became due. A claim that is still `CLAIMED` is never
-deleted: its daemon may be paused and may still send the request.
+only the minutes that became due. The marker also says that a daemon is busy
+with a minute; that only saves calls, as each deletion is conditional.
+
+A claim that is still `CLAIMED` is never deleted: its daemon may be paused and
+may still send the request.
 """
 
 import asyncio
@@ -21,7 +24,9 @@
 MARGIN_S = 3600.0
 PERIOD_S = 60.0
 MOST_MINUTES = 10
-DELETE_PAUSE_S = 0.1
+BUSY_S = 900.0
+BATCH = 4
+BATCH_PAUSE_S = 0.05
 
 
 class Sweeper:
@@ -55,29 +60,36 @@
     async def sweep(self) -> None:
         """Sweeps the minutes that became due, up to a bound."""
         marker = await self._read_marker()
+        if marker is None or _busy_until(marker) > self.wall():
+            return
         for _ in range(MOST_MINUTES):
-            if marker is None:
+            swept = _swept(marker)
+            if not self._is_due(swept + 1):
                 return
-            bucket = _bucket_of(marker) + 1
-            if (bucket + 1) * records.BUCKET_S + MARGIN_S > self.wall():
+            marker = await self._mark(marker, swept, self.wall() + BUSY_S)
+            if marker is None or not await self._sweep_bucket(swept + 1):
                 return
-            if not await self._sweep_bucket(bucket):
+            marker = await self._mark(marker, swept + 1, 0.0)
+            if marker is None:
                 return
-            marker = await self._advance(marker, bucket)
+
+    def _is_due(self, bucket: int) -> bool:
+        end = (bucket + 1) * records.BUCKET_S
+        return end + MARGIN_S <= self.wall()
 
     async def _read_marker(self) -> interface.StoredObject | None:
         got = await self.store.get(MARKER_KIND, self.deployment)
         if isinstance(got, interface.Missing):
             now = int(self.wall() // records.BUCKET_S)
-            got = await self.store.create(
-                MARKER_KIND, self.deployment, {"swept": now - 1}
-            )
+            value = _to_value(now - 1, 0.0)
+            got = await self.store.create(MARKER_KIND, self.deployment, value)
         return got.item if isinstance(got, interface.Found) else None
 
-    async def _advance(
-        self, marker: interface.StoredObject, bucket: int
+    async def _mark(
+        self, marker: interface.StoredObject, swept: int, busy_until: float
     ) -> interface.StoredObject | None:
-        written = await self.store.update(marker, {"swept": bucket})
+        value = _to_value(swept, busy_until)
+        written = await self.store.update(marker, value)
         return written.item if isinstance(written, interface.Found) else None
 
     async def _sweep_bucket(self, bucket: int) -> bool:
@@ -88,18 +100,35 @@
         listed = await self.store.list(records.KIND, labels)
         if isinstance(listed, interface.Unavailable):
             return False
-        for item in listed.items:
-            record = records.from_object(item)
-            if record is None or record.state == records.State.CLAIMED:
-                self.kept += 1
-                continue
-            deleted = await self.store.delete(item)
-            if isinstance(deleted, interface.Unavailable | interface.Unknown):
+        expired = [item for item in listed.items if _may_delete(item)]
+        self.kept += len(listed.items) - len(expired)
+        for start in range(0, len(expired), BATCH):
+            batch = expired[start : start + BATCH]
+            if not all(await asyncio.gather(*map(self._delete, batch))):
                 return False
-            self.deleted += 1
-            await asyncio.sleep(DELETE_PAUSE_S)
+            await asyncio.sleep(BATCH_PAUSE_S)
         return True
 
+    async def _delete(self, item: interface.StoredObject) -> bool:
+        deleted = await self.store.delete(item)
+        self.deleted += isinstance(deleted, interface.Found)
+        return not isinstance(
+            deleted, interface.Unavailable | interface.Unknown
+        )
+
 
-def _bucket_of(marker: interface.StoredObject) -> int:
+def _may_delete(item: interface.StoredObject) -> bool:
+    record = records.from_object(item)
+    return record is not None and record.state != records.State.CLAIMED
+
+
+def _swept(marker: interface.StoredObject) -> int:
     return int(marker.value["swept"])
+
+
+def _busy_until(marker: interface.StoredObject) -> float:
+    return float(marker.value.get("busy_until", 0.0))
+
+
+def _to_value(swept: int, busy_until: float) -> dict[str, float]:
+    return {"swept": swept, "busy_until": busy_until}
--- a/banyantiller/tests/claims/test_sweeping.py
+++ b/banyantiller/tests/claims/test_sweeping.py
@@ -1,5 +1,6 @@
 """Tests of deleting expired claims, and of the cache of known keys."""
 
+import asyncio
 import random
 
 from banyantiller.claims import known, records, sweeping, types
@@ -75,11 +76,37 @@
             sweeper.store.steps = iter([unavailable, faulty.Step()] * 100)
             await sweep_often(sweeper, 5)
             sweeper.store.steps = iter([faulty.Step()] * 1000)
+            fleet.skipped_s += sweeping.BUSY_S
             await sweep_often(sweeper)
             self.assertEqual(1, sweeper.deleted)
 
         self.run_paused(scenario())
 
+    def test_one_daemon_sweeps_at_a_time_and_another_takes_over(self) -> None:
+        async def scenario() -> None:
+            fleet = faulty.Fleet()
+            sweepers = [make_sweeper(fleet) for _ in range(14)]
+            await sweepers[0].sweep()
+            daemon = fleet.daemon("d1")
+            for number in range(50):
+                request = make_request(f"k{number}")
+                await fleet.serve(daemon, request, PATIENCE_S)
+            fleet.skipped_s += RETENTION_S + sweeping.MARGIN_S
+            await sweep_often(sweepers[0])
+            fleet.skipped_s += 120
+            sweeping_first = asyncio.create_task(sweepers[0].sweep())
+            await asyncio.sleep(0.2)
+            await asyncio.gather(*(s.sweep() for s in sweepers[1:]))
+            self.assertEqual(0, sum(s.deleted for s in sweepers[1:]))
+            sweeping_first.cancel()
+            self.assertTrue(0 < sweepers[0].deleted < 50)
+            fleet.skipped_s += sweeping.BUSY_S
+            await sweep_often(sweepers[1])
+            deleted = [sweeper.deleted for sweeper in sweepers[:2]]
+            self.assertEqual(50, sum(deleted))
+
+        self.run_paused(scenario())
+
     def test_key_released_long_ago_keeps_its_whole_retention(self) -> None:
         async def scenario() -> None:
             fleet = faulty.Fleet()
