Don't wake up for timers that calls leave behind

After an answer the driver's timer stayed armed for the hedge or deadline of the call, and the loop woke up for nothing. The driver now moves the loop's timer itself, and reading is only regulated when something is held back.

--- a/banyantiller/proxy/call.py
+++ b/banyantiller/proxy/call.py
@@ -79,13 +79,14 @@
     def body_data(self, data: bytes) -> None:
         """Takes a part of the request body."""
         streaming = [item for item in self.running if item.streaming]
-        self.body.add(data, bool(streaming))
-        if self.body.size > self.proxy.settings.callers.max_body_bytes:
+        body = self.body
+        body.add(data, bool(streaming))
+        if body.size > self.proxy.settings.callers.max_body_bytes:
             self.fail(Failure(ErrorKind.BODY_TOO_LARGE))
             return
         for attempt in streaming:
             attempt.connection.send_data(data)
-        if self.body.full():
+        if body.full():
             self._body_ready()
             self.regulate()
 
@@ -154,14 +155,16 @@
     def send_kept_body(self, attempt: "attempts.Attempt") -> None:
         """Sends what was received of the body on a new connection."""
         connection = attempt.connection
-        for part in self.body.parts:
+        body = self.body
+        for part in body.parts:
             connection.send_data(part)
-        if self.body.complete:
-            connection.send_end(self.body.end_event)
-        self.body.let_go()
+        if body.complete:
+            connection.send_end(body.end_event)
+        body.let_go()
         if not self.caller.pumping:
             connection.flush()
-        self.regulate()
+        if connection.paused or self.caller.held:
+            self.regulate()
 
     def regulate(self) -> None:
         """Reads the request body only as fast as it can be passed on."""
--- a/banyantiller/proxy/driver.py
+++ b/banyantiller/proxy/driver.py
@@ -330,7 +330,4 @@
 
     def _set_timer(self) -> None:
         due = self.dispatcher.next_tick()
-        if due is None:
-            self.watch.due = watchdog.NEVER
-        else:
-            self.watch.set(due)
+        self.watch.move(watchdog.NEVER if due is None else due)
--- a/banyantiller/proxy/watchdog.py
+++ b/banyantiller/proxy/watchdog.py
@@ -34,6 +34,18 @@
         if due < self.armed:
             self._arm(due)
 
+    def move(self, due: float) -> None:
+        """Moves the time and the loop's timer with it.
+
+        For a time that is mostly given up before it comes: cancelling the
+        loop's timer costs less than waking up for nothing.
+        """
+        self.due = due
+        if due == NEVER:
+            self.stop()
+        elif due != self.armed:
+            self._arm(due)
+
     def stop(self) -> None:
         """Never calls `expired` again unless `set` is called."""
         self.due = NEVER
--- a/banyantiller/tests/proxy/test_parts.py
+++ b/banyantiller/tests/proxy/test_parts.py
@@ -120,5 +120,11 @@
             watch.due = watchdog.NEVER
             await asyncio.sleep(5)
             self.assertEqual(1, len(fired))
+            watch.move(loop.time() + 3)
+            watch.move(loop.time() + 4)
+            armed = watch.handle.when()
+            self.assertEqual(watch.due, armed)
+            watch.move(watchdog.NEVER)
+            self.assertIsNone(watch.handle)
 
         self.run_paused(body())
