Move the services of the bundle out of the proxy

The drivers, the routes, the stages of shares and the services that are going are now in services.py. The test of stages sets the wall clock where it is read now; it checks the same. No behaviour changes; pytest banyantiller/tests/proxy passes.

--- a/banyantiller/proxy/intake.py
+++ b/banyantiller/proxy/intake.py
@@ -72,7 +72,7 @@
     if target is None:
         return Failure(ErrorKind.MALFORMED_REQUEST, "The target is not valid.")
     host = target.host or call.head.host.decode("latin-1")
-    driver = proxy.routes.find(host, target.path)
+    driver = proxy.services.routes.find(host, target.path)
     if driver is None:
         return Failure(ErrorKind.UNKNOWN_SERVICE)
     service = driver.service
--- a/banyantiller/proxy/proxy.py
+++ b/banyantiller/proxy/proxy.py
@@ -25,10 +25,8 @@
     driver,
     headers,
     intake,
-    matching,
-    stages,
+    services,
     tls,
-    watchdog,
 )
 from banyantiller.proxy import call as calls
 from banyantiller.routing.types import Dispatcher, LoadReport
@@ -50,8 +48,7 @@
         draining: Whether answers say `Connection: close`.
         refusing: Whether new calls are refused, at the end of a drain.
         version: Version of the bundle in force, 0 for none.
-        routes: Finds the driver of a request's service.
-        drivers: Drivers by service name.
+        services: The services of the bundle in force.
     """
 
     def __init__(
@@ -77,12 +74,7 @@
         self.draining = False
         self.refusing = False
         self.version = 0
-        self.bundle = options.Bundle(())
-        self.accepted_at = 0.0
-        self.alive = 1
-        self.routes: matching.Routes[driver.ServiceDriver] = matching.Routes()
-        self.drivers: dict[str, driver.ServiceDriver] = {}
-        self.retired: list[driver.ServiceDriver] = []
+        self.services = services.Services(self._new_driver, wall)
         self.callers: set[caller.CallerConnection] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         self.emptied = asyncio.Event()
@@ -92,7 +84,6 @@
         self.backend_tls = tls.for_backends(settings.backends.tls)
         self.id_prefix = b"%016x" % self.random.getrandbits(64)
         self.id_count = 0
-        self.stage_watch = watchdog.Watchdog(self.loop, self._next_stage)
 
     @classmethod
     def from_settings(
@@ -121,6 +112,11 @@
             settings, kernel, routing_factory, claims, charge, wall, seed
         )
 
+    @property
+    def drivers(self) -> dict[str, driver.ServiceDriver]:
+        """Drivers by service name."""
+        return self.services.drivers
+
     # Called by the daemon.
 
     def apply(
@@ -131,27 +127,8 @@
         Running calls end on the bundle under which they began. Servers and
         services that were taken out drain.
         """
-        self.bundle = bundle
-        self.accepted_at = accepted_at
-        old = self.drivers
-        self.drivers = {}
-        self.routes = matching.Routes()
-        elapsed_s = self.wall() - accepted_at
-        for service in bundle.services:
-            staged = stages.at(service, elapsed_s)
-            found = old.pop(service.name, None)
-            if found is None:
-                found = self._new_driver(staged.service)
-            else:
-                found.configure(staged.service)
-            self.drivers[service.name] = found
-            self.routes.add(service, found)
-        for removed in old.values():
-            removed.retire()
-            self.retired.append(removed)
+        self.services.apply(bundle, accepted_at)
         self.version = version
-        self._close_retired()
-        self._set_stage_watch(elapsed_s)
 
     def server_leaving(self, service: str, server: str, reason: str) -> None:
         """Gives a server no new requests."""
@@ -170,9 +147,7 @@
 
     def members(self, alive: int) -> None:
         """Takes the number of daemons believed alive, this one included."""
-        self.alive = alive
-        for item in self.drivers.values():
-            item.members(alive)
+        self.services.members(alive)
 
     def shared_load(self) -> dict[str, dict[str, float]]:
         """Returns this daemon's calls in flight by service and server."""
@@ -232,13 +207,11 @@
 
     async def close(self) -> None:
         """Closes the listener and every connection at once."""
-        self.stage_watch.stop()
         if self.server is not None:
             self.server.close()
         for connection in list(self.callers):
             connection.transport.abort()
-        for item in [*self.drivers.values(), *self.retired]:
-            item.close()
+        self.services.close()
         for task in list(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -305,8 +278,8 @@
         self.kernel.emit(event)
         if self.settings.log.access:
             log.info("proxy: call finished.", **event._asdict())
-        if self.retired:
-            self.loop.call_soon(self._close_retired)
+        if self.services.retired:
+            self.loop.call_soon(self.services.close_retired)
 
     def spawn(self, body: Coroutine[Any, Any, None]) -> None:
         """Runs a claim's coroutine; a drain waits for it."""
@@ -348,7 +321,7 @@
                 charge,
             )
 
-        made = driver.ServiceDriver(
+        return driver.ServiceDriver(
             service,
             create,
             charge,
@@ -357,8 +330,6 @@
             self._announce_leaving,
             self._announce_returned,
         )
-        made.members(self.alive)
-        return made
 
     def _announce_leaving(self, service: str, server: str) -> None:
         self.kernel.emit(
@@ -368,31 +339,10 @@
     def _announce_returned(self, service: str, server: str) -> None:
         self.kernel.emit(ServerReturned(service, server, self.wall()))
 
-    def _next_stage(self) -> None:
-        elapsed_s = self.wall() - self.accepted_at
-        for service in self.bundle.services:
-            if service.stages:
-                staged = stages.at(service, elapsed_s)
-                self.drivers[service.name].configure(staged.service)
-        self._set_stage_watch(elapsed_s)
-
-    def _set_stage_watch(self, elapsed_s: float) -> None:
-        waits = [stages.at(s, elapsed_s).next_s for s in self.bundle.services]
-        known = [wait for wait in waits if wait is not None]
-        if known:
-            self.stage_watch.set(self.loop.time() + min(known))
-        else:
-            self.stage_watch.stop()
-
     def _note_emptied(self) -> None:
         if not self.callers and not self.tasks:
             self.emptied.set()
 
-    def _close_retired(self) -> None:
-        for item in [old for old in self.retired if old.idle()]:
-            self.retired.remove(item)
-            item.close()
-
     def _task_done(self, task: asyncio.Task[None]) -> None:
         self.tasks.discard(task)
         if self.refusing:
--- /dev/null
+++ b/banyantiller/proxy/services.py
@@ -0,0 +1,93 @@
+"""The services of the bundle in force, and those that are going."""
+
+import asyncio
+from collections.abc import Callable
+
+from banyantiller.bundle import options
+from banyantiller.proxy import driver, matching, stages, watchdog
+
+
+class Services:
+    """Keeps one driver for each service, through changes of the bundle.
+
+    Attributes:
+        bundle: Bundle in force.
+        accepted_at: Wall-clock seconds at which it was accepted.
+        routes: Finds the driver of a request's service.
+        drivers: Drivers by service name.
+        retired: Drivers of services taken out whose calls have not ended.
+    """
+
+    def __init__(
+        self,
+        make: Callable[[options.Service], driver.ServiceDriver],
+        wall: Callable[[], float],
+    ) -> None:
+        self.make = make
+        self.wall = wall
+        self.loop = asyncio.get_running_loop()
+        self.bundle = options.Bundle(())
+        self.accepted_at = 0.0
+        self.alive = 1
+        self.routes: matching.Routes[driver.ServiceDriver] = matching.Routes()
+        self.drivers: dict[str, driver.ServiceDriver] = {}
+        self.retired: list[driver.ServiceDriver] = []
+        self.watch = watchdog.Watchdog(self.loop, self._next_stage)
+
+    def apply(self, bundle: options.Bundle, accepted_at: float) -> None:
+        """Takes a bundle; drivers of services that stay are kept."""
+        self.bundle = bundle
+        self.accepted_at = accepted_at
+        old = self.drivers
+        self.drivers = {}
+        self.routes = matching.Routes()
+        elapsed_s = self.wall() - accepted_at
+        for service in bundle.services:
+            staged = stages.at(service, elapsed_s)
+            found = old.pop(service.name, None)
+            if found is None:
+                found = self.make(staged.service)
+                found.members(self.alive)
+            else:
+                found.configure(staged.service)
+            self.drivers[service.name] = found
+            self.routes.add(service, found)
+        for removed in old.values():
+            removed.retire()
+            self.retired.append(removed)
+        self.close_retired()
+        self._set_watch(elapsed_s)
+
+    def members(self, alive: int) -> None:
+        """Takes the number of daemons believed alive."""
+        self.alive = alive
+        for item in self.drivers.values():
+            item.members(alive)
+
+    def close_retired(self) -> None:
+        """Closes the drivers of services taken out that have no call left."""
+        for item in [old for old in self.retired if old.idle()]:
+            self.retired.remove(item)
+            item.close()
+
+    def close(self) -> None:
+        """Closes every driver at once."""
+        self.watch.stop()
+        for item in [*self.drivers.values(), *self.retired]:
+            item.close()
+
+    def _next_stage(self) -> None:
+        elapsed_s = self.wall() - self.accepted_at
+        for service in self.bundle.services:
+            if service.stages:
+                staged = stages.at(service, elapsed_s)
+                self.drivers[service.name].configure(staged.service)
+        self._set_watch(elapsed_s)
+
+    def _set_watch(self, elapsed_s: float) -> None:
+        waits = [stages.at(s, elapsed_s).next_s for s in self.bundle.services]
+        known = [wait for wait in waits if wait is not None]
+        if known:
+            self.watch.set(self.loop.time() + min(known))
+        else:
+            self.watch.stop()
--- a/banyantiller/tests/proxy/test_changes.py
+++ b/banyantiller/tests/proxy/test_changes.py
@@ -48,7 +48,7 @@
             self.assertIn(b" 404 ", await bench.ask(CLOSE))
             self.assertIn(b" 200 ", await running)
             await asyncio.sleep(0)
-            self.assertEqual([], bench.proxy.retired)
+            self.assertEqual([], bench.proxy.services.retired)
             await bench.proxy.close()
 
         self.run_paused(body())
@@ -65,7 +65,7 @@
             )
             loop = asyncio.get_running_loop()
             begin = loop.time()
-            bench.proxy.wall = lambda: 1000.0 + loop.time() - begin
+            bench.proxy.services.wall = lambda: 1000.0 + loop.time() - begin
             bench.proxy.apply(options.Bundle((service,)), 2, 1000.0)
             dispatcher = bench.proxy.drivers["orders"].dispatcher
             self.assertEqual(shares[0], dispatcher.service.shares)
