--- a/banyantiller/leaving/tracker.py
+++ b/banyantiller/leaving/tracker.py
@@ -2,10 +2,14 @@
 
 The tracker has no sockets and no clock: it takes what was learned, with the
 loop's time, and returns what to do. A server gets nothing new while at least
-one reason holds. A drain answer holds until the server itself, asked after
-it, says otherwise: to this daemon or to another one. The VM list holds until
-a newer list says otherwise. Refused connections hold for a short time only,
-because trying again is harmless: a refused request was not run.
+one reason holds.
+
+- A drain answer holds until the server itself, asked after it, says otherwise
+  to this daemon or to another one.
+- The VM list holds until a newer list says otherwise. A VM that came back ends
+  a drain answer as well.
+- Refused connections hold for a short time only, because trying again is
+  harmless: a refused request was not run.
 
 What this daemon learned first-hand is told to the others, several times
 within the bundle's time for leaving as messages may be lost, and then as a
@@ -272,7 +276,9 @@
         if entry.member.vm in self.vms_leaving:
             entry.vm.begin(now)
         elif entry.vm.is_first_hand:
+            # A VM that came back runs a server that was started anew.
             entry.vm.end()
+            entry.opened(now, now, returns=0)
 
     def _settle_all(self, now: float) -> list[Action]:
         actions: list[Action] = []
--- a/banyantiller/tests/leaving/test_daemon.py
+++ b/banyantiller/tests/leaving/test_daemon.py
@@ -21,8 +21,7 @@
         """Answers with the load of a server."""
         draining = int(self.draining)
         told = (
-            "TEXT named_metrics.in_flight=1,"
-            f" named_metrics.draining={draining}"
+            f"TEXT named_metrics.in_flight=1, named_metrics.draining={draining}"
         )
         return messages.Response(200, ((METRICS, told),), b"done")
 
--- a/banyantiller/tests/leaving/test_tracker.py
+++ b/banyantiller/tests/leaving/test_tracker.py
@@ -115,6 +115,15 @@
         returned = self.tracker.vms_read([back], 13.0)
         self.assertEqual([Back(S1)], moves(returned))
 
+    def test_vm_that_comes_back_ends_a_drain_that_nobody_could_ask(
+        self,
+    ) -> None:
+        self.tracker.drain_told(S1, 10.0)
+        for change in (vm_tracker.Change.GONE, vm_tracker.Change.BACK):
+            actions = self.tracker.vms_read([vm_change(change, "vm-s1")], 20.0)
+        self.assertEqual([Back(S1)], moves(actions))
+        self.assertIn(TellReturn(S1, 0.0), actions)
+
     def test_old_vm_list_is_not_told_on(self) -> None:
         leaving = vm_change(vm_tracker.Change.LEAVING, "vm-s1")
         told = self.tracker.vms_read([leaving], 10.0)
--- a/banyantiller/tests/measuring/test_budget.py
+++ b/banyantiller/tests/measuring/test_budget.py
@@ -295,3 +295,11 @@
         ledger.took(take, 50.0, 0.0)
         self.assertFalse(ledger.charge(50.0 + take.use_s + 0.01, 0.0))
         self.assertEqual(wide["permits"][1:], take.value["permits"][1:])
+
+    def test_permits_of_a_raised_budget_are_read_before_they_are_taken(
+        self,
+    ) -> None:
+        ledger = permits.Ledger(1.0, random.Random(1))
+        ledger.observe(ledger.begin("n1").value, 0.0)
+        ledger.configure(3.0)
+        self.assertNotIsInstance(ledger.plan(0.5, "n2"), objects.Take)
