Bound pipelined requests and let early answers end

Three faults found by review and by new tests: a caller that pipelined requests could make the daemon buffer all of them, since each finished answer let reading go on; requests were started although the caller read none of the earlier answers; and a caller that stopped sending on seeing an early answer lost the rest of it to the body timeout. Reading is now held for two reasons kept apart (body, read ahead), and the timer of a caller's connection has its own module, patience.py. A request that h11 refuses to send now ends as an internal error at once.

--- a/banyantiller/proxy/attempt.py
+++ b/banyantiller/proxy/attempt.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 import h11
+import structlog
 
 from banyantiller.bundle.options import NOT_RUN_STATUS
 from banyantiller.errors import ErrorKind, Ran
@@ -15,6 +16,8 @@
     from banyantiller.proxy import call as calls
     from banyantiller.proxy import driver as drivers
 
+log = structlog.get_logger("banyantiller.proxy")
+
 
 class Stage(enum.Enum):
     """How far a try has come."""
@@ -74,8 +77,14 @@
         self.stage = Stage.SENT
         self.connection = connection
         self.began = self.driver.loop.time()
-        connection.begin(self, self.call.backend_request())
-        self.call.send_kept_body(self)
+        try:
+            connection.begin(self, self.call.backend_request())
+            self.call.send_kept_body(self)
+        except h11.LocalProtocolError:
+            log.exception("proxy: a request could not be sent.")
+            ran = Ran.UNKNOWN if connection.wrote else Ran.NO
+            connection.abort()
+            self._report_failure(ErrorKind.INTERNAL, ran)
 
     def connect_failed(self, kind: ErrorKind) -> None:
         """Reports that not one byte was written."""
--- a/banyantiller/proxy/call.py
+++ b/banyantiller/proxy/call.py
@@ -163,7 +163,7 @@
         body.let_go()
         if not self.caller.pumping:
             connection.flush()
-        if connection.paused or self.caller.held:
+        if connection.paused or self.caller.body_held:
             self.regulate()
 
     def regulate(self) -> None:
--- a/banyantiller/proxy/caller.py
+++ b/banyantiller/proxy/caller.py
@@ -1,7 +1,6 @@
 """One connection from a caller: h11 as the server."""
 
 import asyncio
-import enum
 import socket
 import struct
 from typing import TYPE_CHECKING, Any
@@ -10,7 +9,7 @@
 import structlog
 
 from banyantiller.errors import ErrorKind, Failure
-from banyantiller.proxy import answers, buffers, headers, watchdog
+from banyantiller.proxy import answers, buffers, headers, patience
 
 if TYPE_CHECKING:
     from banyantiller.proxy import call as calls
@@ -18,29 +17,17 @@
 
 log = structlog.get_logger("banyantiller.proxy")
 
-# How long what a caller still sends is read and dropped after an answer that
-# came before the end of its request, so that the answer is not lost.
-LINGER_S = 2.0
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
-class Wait(enum.Enum):
-    """What the connection's timer waits for."""
-
-    IDLE = enum.auto()
-    HEAD = enum.auto()
-    BODY = enum.auto()
-    ANSWER = enum.auto()
-    WRITE = enum.auto()
-    LINGER = enum.auto()
-
-
 class CallerConnection(asyncio.BufferedProtocol):
     """Reads requests one after the other and writes their answers in order.
 
     Attributes:
         call: The call whose answer is due, or None.
         head_began: Loop time of the first byte of the present head.
+        held: Whether reading has stopped, because the body can't be passed
+            on yet (`body_held`) or enough is read ahead (`ahead_held`).
         paused: Whether the transport's write buffer is full.
         pumping: Whether events are being passed on; writing waits for the end.
         closing: Whether nothing more will be answered.
@@ -61,12 +48,12 @@
         self.ahead_bytes = 0
         self.paused = False
         self.held = False
+        self.body_held = False
+        self.ahead_held = False
         self.pumping = False
         self.closing = False
         self.gone = False
-        self.wait = Wait.IDLE
-        self.unsent = 0
-        self.watch = watchdog.Watchdog(self.loop, self._expired)
+        self.patience = patience.Patience(self)
 
     # Called by the transport.
 
@@ -77,7 +64,7 @@
             buffers.HIGH_WATER_BYTES, buffers.LOW_WATER_BYTES
         )
         self.head_began = self.loop.time()
-        self._set_wait(Wait.IDLE, self.limits.idle_timeout_s)
+        self.patience.idle()
         if not self.proxy.enter(self):
             detail = "Too many connections."
             self.proxy.reject(self, Failure(ErrorKind.QUEUE_FULL, detail, 1.0))
@@ -94,6 +81,8 @@
             if self.head_bytes == 0:
                 self.head_began = self.loop.time()
             self.head_bytes += nbytes
+            if self.paused:
+                self._hold_ahead(True)
         elif self.http.their_state is h11.DONE:
             self._count_ahead(nbytes)
         self.http.receive_data(buffers.SHARED[:nbytes])
@@ -108,15 +97,14 @@
         """Cancels the running call."""
         self.gone = True
         self._caller_gone()
-        self.watch.stop()
+        self.patience.stop()
         self.proxy.leave(self)
 
     def pause_writing(self) -> None:
         """The caller reads slowly: stop reading its answer."""
         self.paused = True
-        self.unsent = self.transport.get_write_buffer_size()
         if not self.closing:
-            self._set_wait(Wait.WRITE, self.limits.write_timeout_s)
+            self.patience.writing()
         if self.call is not None:
             self.call.caller_writable(False)
 
@@ -124,9 +112,11 @@
         """The caller caught up."""
         self.paused = False
         if not self.closing:
-            self._rearm()
+            self.patience.reconsider()
         if self.call is not None:
             self.call.caller_writable(True)
+        elif self.head_bytes:
+            self.loop.call_soon(self._go_on)
 
     # Called by the call.
 
@@ -159,6 +149,8 @@
         """
         if body_missing or self.proxy.draining:
             fields = [*fields, headers.CLOSE]
+        if self.patience.wait is patience.Wait.BODY:
+            self.patience.answering()
         event = h11.Response(
             status_code=status, headers=headers.Checked(fields), reason=reason
         )
@@ -205,16 +197,9 @@
             self.transport.write(out[0] if len(out) == 1 else b"".join(out))
 
     def hold_reading(self, hold: bool) -> None:
-        """Stops or starts reading what the caller sends."""
-        if hold == self.held or self.gone or self.closing:
-            return
-        self.held = hold
-        if hold:
-            self.transport.pause_reading()
-        else:
-            self.transport.resume_reading()
-        if not self.paused and not self.pumping:
-            self._rearm()
+        """Stops or starts reading the body of the present request."""
+        self.body_held = hold
+        self._regulate()
 
     def cut(self) -> None:
         """Breaks the connection so that the answer can't seem whole."""
@@ -233,14 +218,20 @@
         if self.closing or self.gone:
             return
         self.closing = True
+        self.patience.lingering()
+        if self._all_read():
+            self.transport.close()
+            return
         if self.held:
             self.transport.resume_reading()
-        self._set_wait(Wait.LINGER, LINGER_S)
-        if self.http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED):
-            self.transport.close()
-        elif self.transport.can_write_eof():
+        if self.transport.can_write_eof():
             self.transport.write_eof()
 
+    def give_up(self) -> None:
+        """Closes at once; a running call counts as left by its caller."""
+        self._caller_gone()
+        self.transport.abort()
+
     def shut_if_idle(self) -> None:
         """Closes unless a request is running or arriving."""
         if self.call is None and self.head_bytes == 0:
@@ -252,6 +243,9 @@
         """Acts on every event that the bytes read so far contain."""
         if self.pumping or self.closing or self.gone:
             return
+        if self.paused and self.call is None:
+            # The next request waits until earlier answers are being read.
+            return
         self.pumping = True
         try:
             self._act()
@@ -266,7 +260,7 @@
             self.call.flush()
         self.flush()
         if not self.closing and not self.paused:
-            self._rearm()
+            self.patience.reconsider()
 
     def _act(self) -> None:
         next_event = self.http.next_event
@@ -313,9 +307,9 @@
         self.http.start_next_cycle()
         self.head_bytes = len(self.http.trailing_data[0])
         self.head_began = self.loop.time()
-        self.ahead_bytes = 0
-        if self.held:
-            self.hold_reading(False)
+        self.ahead_bytes = self.head_bytes
+        self.body_held = False
+        self._hold_ahead(self.head_bytes > self.limits.max_head_bytes)
         if self.proxy.refusing and not self.head_bytes:
             self.shut()
         elif self.pumping:
@@ -323,12 +317,39 @@
         elif self.head_bytes:
             self.loop.call_soon(self.pump)
         elif not self.paused:
-            self._set_wait(Wait.IDLE, self.limits.idle_timeout_s)
+            self.patience.idle()
+
+    def _all_read(self) -> bool:
+        # Closing with bytes unread would reset the connection, and the
+        # answer on its way would be lost.
+        ended = self.http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+        return ended and not self.held and not self.http.trailing_data[0]
+
+    def _hold_ahead(self, hold: bool) -> None:
+        self.ahead_held = hold
+        self._regulate()
+
+    def _regulate(self) -> None:
+        hold = self.body_held or self.ahead_held
+        if hold == self.held or self.gone or self.closing:
+            return
+        self.held = hold
+        if hold:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+        if not self.paused and not self.pumping:
+            self.patience.reconsider()
+
+    def _go_on(self) -> None:
+        self.pump()
+        if self.call is None and not self.paused:
+            self._hold_ahead(False)
 
     def _count_ahead(self, nbytes: int) -> None:
         self.ahead_bytes += nbytes
         if self.ahead_bytes > self.limits.max_head_bytes:
-            self.hold_reading(True)
+            self._hold_ahead(True)
 
     def _caller_gone(self) -> None:
         call = self.call
@@ -336,43 +357,6 @@
         if call is not None:
             call.caller_gone()
 
-    def _rearm(self) -> None:
-        if self.call is None:
-            if self.head_bytes:
-                due = self.head_began + self.limits.head_timeout_s
-                self.wait = Wait.HEAD
-                self.watch.set(due)
-            else:
-                self._set_wait(Wait.IDLE, self.limits.idle_timeout_s)
-        elif self.http.their_state is h11.SEND_BODY and not self.held:
-            self._set_wait(Wait.BODY, self.limits.body_timeout_s)
-        else:
-            self.wait = Wait.ANSWER
-            self.watch.due = watchdog.NEVER
-
-    def _set_wait(self, wait: Wait, seconds: float) -> None:
-        self.wait = wait
-        self.watch.set(self.loop.time() + seconds)
-
-    def _expired(self) -> None:
-        if self.wait is Wait.IDLE:
-            self.shut()
-        elif self.wait is Wait.HEAD:
-            self.proxy.reject(self, Failure(ErrorKind.HEAD_TIMEOUT))
-        elif self.wait is Wait.BODY:
-            self.call.fail(Failure(ErrorKind.BODY_TIMEOUT))
-        else:
-            self._stalled()
-
-    def _stalled(self) -> None:
-        unsent = self.transport.get_write_buffer_size()
-        if unsent and (self.wait is Wait.LINGER or unsent < self.unsent):
-            self.unsent = unsent
-            self._set_wait(Wait.WRITE, self.limits.write_timeout_s)
-            return
-        self._caller_gone()
-        self.transport.abort()
-
 
 def _head_failure(error: h11.RemoteProtocolError) -> Failure:
     detail = str(error)
--- a/banyantiller/tests/proxy/test_bodies.py
+++ b/banyantiller/tests/proxy/test_bodies.py
@@ -129,6 +129,54 @@
 
         self.run_paused(body())
 
+    def test_answers_to_pipelined_requests_wait_for_a_slow_reader(
+        self,
+    ) -> None:
+        async def body() -> None:
+            bench = await fakes.Bench.start(
+                fakes.answering(
+                    b"HTTP/1.1 200 X\r\nContent-Length: 9000\r\n\r\n"
+                    + MEGABYTE[:9000]
+                )
+            )
+            caller = await bench.connect()
+            caller.writer.transport.pause_reading()
+            caller.writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n" * 9000)
+            await asyncio.sleep(5)
+            (connection,) = bench.proxy.callers
+            held = connection.transport.get_write_buffer_size()
+            self.assertLessEqual(held, BOUND)
+            self.assertLessEqual(len(connection.http.trailing_data[0]), BOUND)
+            caller.writer.transport.resume_reading()
+            for _ in range(9000):
+                _, answer = await caller.message()
+                self.assertEqual(9000, len(answer))
+            await bench.proxy.close()
+
+        self.run_paused(body())
+
+    def test_early_answer_is_whole_though_the_caller_stops_sending(
+        self,
+    ) -> None:
+        async def script(connection: fakes.FakeConnection) -> None:
+            await connection.head()
+            head = b"HTTP/1.1 413 X\r\nContent-Length: 4\r\n\r\n"
+            await connection.send(head + b"to")
+            await asyncio.sleep(15)
+            await connection.send(b"o!")
+            await connection.reader.read()
+
+        async def body() -> None:
+            bench = await fakes.Bench.start(script)
+            answer = await bench.ask(
+                b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\na"
+            )
+            self.assertTrue(answer.endswith(b"too!"), answer)
+            self.assertFalse(bench.finished[0].cut)
+            await bench.proxy.close()
+
+        self.run_paused(body())
+
     def test_body_over_the_replay_limit_is_not_sent_twice(self) -> None:
         seen: list[bytes] = []
 
