--- a/banyantiller/replay/dispatcher_player.py
+++ b/banyantiller/replay/dispatcher_player.py
@@ -17,6 +17,7 @@
 
 MOST_STEPS = 2_000_000
 LONGEST_TAIL_S = 120.0
+LATE_TICK_S = 0.05
 
 Create = Callable[..., types.Dispatcher]
 Work = Callable[[], None]
@@ -31,6 +32,8 @@
         behaviours: How servers answer, by name.
         attempts: Running tries and their calls, by the dispatcher's number.
         busy: When each slot of a server is free, as a heap, by server.
+        tick_after_s: Time by which a tick of the player's own comes later
+            than it is due, so that a recorded one comes first.
     """
 
     def __init__(self, header: inputs.Header, create: Create) -> None:
@@ -45,6 +48,7 @@
         self.charges: list[bool] = []
         self.probed_at = -float("inf")
         self.busy: dict[str, list[float]] = {}
+        self.tick_after_s = 0.0
         self.work: list[tuple[float, int, Work]] = []
         self.order = itertools.count()
         self.dispatcher = create(
@@ -63,6 +67,9 @@
             case inputs.Calls():
                 for index in range(item.count):
                     self._plan_call(at + index * item.every_s, item, index)
+            case inputs.Tick():
+                self.tick_after_s = LATE_TICK_S
+                self.at(at, lambda: self._input(item))
             case inputs.Charged():
                 self.charges.append(item.granted)
             case _:
@@ -87,6 +94,8 @@
 
     def _next_due(self) -> float | None:
         tick = self.dispatcher.next_tick()
+        if tick is not None:
+            tick += self.tick_after_s
         planned = self.work[0][0] if self.work else None
         times = [when for when in (tick, planned) if when is not None]
         return max(min(times), self.now) if times else None
--- a/banyantiller/replay/paused.py
+++ b/banyantiller/replay/paused.py
@@ -105,11 +105,11 @@
         PluginError: The library that pauses the clock is not installed.
     """
     try:
-        import async_solipsism
+        from banyantiller.replay import clock
     except ImportError as error:
         body.close()
         raise exceptions.PluginError(
             "Traces of this core need the extra 'replay'."
         ) from error
-    with asyncio.Runner(loop_factory=async_solipsism.EventLoop) as runner:
+    with asyncio.Runner(loop_factory=clock.PausedLoop) as runner:
         return runner.run(body)
--- a/banyantiller/replay/traces.py
+++ b/banyantiller/replay/traces.py
@@ -153,7 +153,7 @@
 def write(at: float, name: str, value: Any) -> str:
     """Returns the line of a typed input."""
     fields = plain.to_plain(value)
-    return json.dumps({TIME: round(at, 6), name: fields}) + "\n"
+    return json.dumps({TIME: at, name: fields}) + "\n"
 
 
 def _object(number: int, row: str) -> dict[str, Any]:
--- a/banyantiller/tests/base.py
+++ b/banyantiller/tests/base.py
@@ -4,9 +4,10 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
-import async_solipsism
 import testtools
 
+from banyantiller.replay import clock
+
 T = TypeVar("T")
 
 
@@ -16,7 +17,7 @@
     Sockets of the loop are in memory, so nothing leaves the process, and a
     coroutine that waits for what can never happen raises an error.
     """
-    with asyncio.Runner(loop_factory=async_solipsism.EventLoop) as runner:
+    with asyncio.Runner(loop_factory=clock.PausedLoop) as runner:
         return runner.run(body)
 
 
