--- a/banyantiller/tests/proxy/test_forward.py
+++ b/banyantiller/tests/proxy/test_forward.py
@@ -64,6 +64,36 @@
             seen[0].endswith(b"3\r\nabc\r\n2\r\nde\r\n0\r\nSum: 7\r\n\r\n")
         )
 
+    def test_messages_may_come_in_any_pieces(self) -> None:
+        answer = (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n0\r\n\r\n"
+        )
+
+        async def script(connection: fakes.FakeConnection) -> None:
+            _, sent = await connection.message()
+            self.assertTrue(sent.endswith(b"Sum: 7\r\n\r\n"), sent)
+            self.assertEqual(b"abcde", bytes(c for c in sent if c in b"abcde"))
+            for number in range(len(answer)):
+                await connection.send(answer[number : number + 1])
+                await asyncio.sleep(0.001)
+            await connection.reader.read()
+
+        async def body(step: int) -> None:
+            bench = await fakes.Bench.start(script)
+            caller = await bench.connect()
+            for at in range(0, len(CHUNKED_POST), step):
+                await caller.send(CHUNKED_POST[at : at + step])
+                await asyncio.sleep(0.001)
+            got = await caller.reader.read()
+            body = got.partition(b"\r\n\r\n")[2]
+            self.assertEqual(b"abc", bytes(c for c in body if c in b"abc"))
+            self.assertTrue(got.endswith(b"0\r\n\r\n"), got)
+            await bench.proxy.close()
+
+        for step in (1, 2, 7):
+            self.run_paused(body(step))
+
     def test_http_1_0_caller_gets_no_chunks_and_no_trailers(self) -> None:
         answer = (
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -43,8 +43,10 @@
 
     Attributes:
         rate: Calls per second through the proxy; as many go directly.
-        calls: Calls through the proxy that were answered.
-        lost: Calls of either kind without a whole answer.
+        calls: Calls through the proxy that a server answered.
+        refused: Calls through the proxy that it refused.
+        unsent: Calls for which no connection was free in this process.
+        lost: Sent calls of either kind without a whole answer.
         direct_ms: Quantiles of direct calls in milliseconds.
         proxied_ms: Quantiles of calls through the proxy.
         cpu_us: Processor time of the proxy for one call in microseconds.
@@ -53,6 +55,8 @@
 
     rate: int
     calls: int
+    refused: int
+    unsent: int
     lost: int
     direct_ms: list[float]
     proxied_ms: list[float]
@@ -67,13 +71,13 @@
 class Caller(asyncio.Protocol):
     """One keep-alive connection with at most one call on it."""
 
-    def __init__(self, free: list["Caller"], latencies: list[float]) -> None:
-        self.free = free
-        self.latencies = latencies
+    def __init__(self, path: "Path") -> None:
+        self.path = path
         self.transport: Any = None
         self.sent_at = 0.0
         self.got = 0
         self.need = 0
+        self.refused = False
 
     def connection_made(self, transport: Any) -> None:
         """Keeps the transport."""
@@ -89,14 +93,13 @@
     def data_received(self, data: bytes) -> None:
         """Counts the answer and notes the latency at its end."""
         if not self.need:
-            if not data.startswith(b"HTTP/1.1 200"):
-                return
             head, _, _ = data.partition(b"\r\n\r\n")
-            self.need = len(head) + 4 + overhead_roles.ANSWER_BYTES
+            self.refused = not data.startswith(b"HTTP/1.1 200")
+            _, _, length = head.lower().partition(b"content-length: ")
+            self.need = len(head) + 4 + int(length.split(b"\r\n")[0])
         self.got += len(data)
         if self.got >= self.need:
-            self.latencies.append(time.perf_counter() - self.sent_at)
-            self.free.append(self)
+            self.path.ended(self, time.perf_counter() - self.sent_at)
 
 
 class Path:
@@ -107,6 +110,8 @@
         self.free: list[Caller] = []
         self.latencies: list[float] = []
         self.sent = 0
+        self.unsent = 0
+        self.refused = 0
 
     async def open(self, count: int) -> None:
         """Opens connections, spread over the ports."""
@@ -114,7 +119,7 @@
         for number in range(count):
             port = self.ports[number % len(self.ports)]
             _, caller = await loop.create_connection(
-                lambda: Caller(self.free, self.latencies),
+                lambda: Caller(self),
                 overhead_roles.ADDRESS,
                 port,
             )
@@ -122,14 +127,30 @@
 
     def call(self) -> None:
         """Sends one request on the connection that was free longest."""
-        self.sent += 1
         if self.free:
+            self.sent += 1
             self.free.pop(0).call()
+        else:
+            self.unsent += 1
+
+    def ended(self, caller: Caller, latency: float) -> None:
+        """Notes a whole answer; a refusal has no latency."""
+        if caller.refused:
+            self.refused += 1
+        else:
+            self.latencies.append(latency)
+        self.free.append(caller)
+
+    def waiting(self) -> int:
+        """Returns the number of calls without a whole answer."""
+        return self.sent - self.refused - len(self.latencies)
 
     def reset(self) -> None:
         """Forgets what was measured."""
         self.latencies.clear()
         self.sent = 0
+        self.unsent = 0
+        self.refused = 0
 
 
 class Load:
@@ -151,7 +172,7 @@
             self.paths[turn].call()
             turn = 1 - turn
         for _ in range(50):
-            if all(len(p.latencies) == p.sent for p in self.paths):
+            if not any(path.waiting() for path in self.paths):
                 return
             await asyncio.sleep(LOST_AFTER_S / 50)
 
@@ -198,7 +219,9 @@
     return Point(
         rate=rate,
         calls=calls,
-        lost=direct.sent + proxied.sent - calls - len(direct.latencies),
+        refused=proxied.refused,
+        unsent=direct.unsent + proxied.unsent,
+        lost=direct.waiting() + proxied.waiting(),
         direct_ms=quantiles_ms(direct.latencies),
         proxied_ms=quantiles_ms(proxied.latencies),
         cpu_us=used / max(1, calls) * 1e6,
@@ -229,12 +252,14 @@
 def print_table(points: list[Point]) -> None:
     """Prints the curve over load."""
     print(
-        "calls/s  calls  lost  direct p50/p99 ms  proxied p50/p99 ms"
+        "calls/s  calls refused unsent lost  direct p50/p99 ms"
+        "  proxied p50/p99 ms"
         "  added p50/p99/p99.9 ms  cpu us/call  busy"
     )
     for point in points:
         print(
-            f"{point.rate:7d} {point.calls:6d} {point.lost:5d}"
+            f"{point.rate:7d} {point.calls:6d} {point.refused:7d}"
+            f" {point.unsent:6d} {point.lost:4d}"
             f"   {point.direct_ms[0]:7.3f} /{point.direct_ms[2]:7.3f}"
             f"    {point.proxied_ms[0]:7.3f} /{point.proxied_ms[2]:7.3f}"
             f"   {point.added_ms(0):7.3f} /{point.added_ms(2):7.3f}"
@@ -256,6 +281,8 @@
             {
                 "calls_per_second": point.rate,
                 "calls": point.calls,
+                "refused": point.refused,
+                "unsent": point.unsent,
                 "added_p50_ms": round(point.added_ms(0), 3),
                 "added_p99_ms": round(point.added_ms(2), 3),
                 "cpu_us_per_call": round(point.cpu_us, 1),
