--- a/banyantiller/tests/proxy/fakes.py
+++ b/banyantiller/tests/proxy/fakes.py
@@ -257,14 +257,18 @@
         self.servers: list[FakeServer] = []
 
     @classmethod
-    def make(cls, settings: defaults.Settings) -> "Bench":
+    def make(
+        cls,
+        settings: defaults.Settings,
+        create: Callable[..., types.Dispatcher] = RoundRobin.create,
+    ) -> "Bench":
         """Makes a proxy that neither listens nor has a bundle."""
         kernel = core.Kernel()
         claims = MemoryClaims()
         proxy = Proxy.from_settings(
             settings,
             kernel,
-            RoundRobin.create,
+            create,
             claims,
             lambda service: lambda now: True,
             lambda: 1000.0,
@@ -280,13 +284,14 @@
         *scripts: Script | None,
         settings: defaults.Settings | None = None,
         backends: defaults.BackendSettings | None = None,
+        create: Callable[..., types.Dispatcher] = RoundRobin.create,
         **changes,
     ) -> "Bench":
         """Starts one backend server for each script; None refuses."""
         settings = settings or make_settings()
         if backends is not None:
             settings = settings._replace(backends=backends)
-        bench = cls.make(settings)
+        bench = cls.make(settings, create)
         ports = []
         for port, script in enumerate(scripts, 9001):
             ports.append(port)
