Test that a refused caller may finish what it sends

A server that closes while bytes are on their way resets the connection and the caller may never read why it was refused; lingering had no test.

--- a/banyantiller/tests/http/test_exchange.py
+++ b/banyantiller/tests/http/test_exchange.py
@@ -212,6 +212,21 @@
         codes = [int(answer.split(b" ")[1]) for answer in answers]
         self.assertEqual([400, 431, 413, 408, 408], codes)
 
+    def test_refused_caller_may_finish_what_it_sends(self):
+        async def use(user, listener):
+            reader, writer = await asyncio.open_connection(ADDRESS, user.port)
+            head = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 9000\r\n\r\n"
+            writer.write(head + b"x" * 2000)
+            answer = await reader.read()
+            for _ in range(7):
+                writer.write(b"x" * 1000)
+                await asyncio.sleep(0.1)
+                await writer.drain()
+            writer.close()
+            return answer
+
+        self.assertIn(b" 413 ", self.exchange(echo, use))
+
     def test_failing_handler_is_a_500_and_the_connection_goes_on(self):
         async def fail(request):
             raise ValueError("broken")
