Test a body that grows too large midway, and keyed requests that wait

Two paths had no test: a chunked body that outgrows the limit after a server got its first part must be told "unknown", although the table says "no" for the kind; and a keyed request with Expect is asked for its body by the daemon.

--- a/banyantiller/tests/proxy/test_at_most_once.py
+++ b/banyantiller/tests/proxy/test_at_most_once.py
@@ -111,6 +111,42 @@
                 self.assertIn(b" 200 ", answer)
                 self.assertEqual(1, len(second))
 
+    def test_body_that_grows_too_large_midway_may_have_run(self) -> None:
+        async def body() -> None:
+            settings = fakes.make_settings(max_body_bytes=4)
+            bench = await fakes.Bench.start(
+                fakes.answering(), settings=settings
+            )
+            caller = await bench.connect()
+            await caller.send(
+                b"POST / HTTP/1.1\r\nHost: x\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+            )
+            await asyncio.sleep(0.1)
+            await caller.send(b"3\r\ndef\r\n")
+            head = await caller.head()
+            self.assertIn(b" 413 ", head)
+            self.assertIn(b"request-ran: unknown", head)
+            await bench.proxy.close()
+
+        self.run_paused(body())
+
+    def test_keyed_request_is_asked_for_its_body_at_once(self) -> None:
+        async def body() -> None:
+            seen: list[bytes] = []
+            bench = await fakes.Bench.start(fakes.answering(OK, seen))
+            caller = await bench.connect()
+            head, _, sent = KEYED.partition(b"\r\n\r\n")
+            await caller.send(head + b"\r\nExpect: 100-continue\r\n\r\n")
+            self.assertIn(b" 100 ", await caller.head())
+            self.assertEqual([], seen)
+            await caller.send(sent)
+            self.assertEqual(b"ok", (await caller.message())[1])
+            self.assertNotIn(b"Expect", seen[0])
+            await bench.proxy.close()
+
+        self.run_paused(body())
+
     def test_503_without_the_agreed_header_is_an_answer(self) -> None:
         busy = b"HTTP/1.1 503 X\r\nContent-Length: 4\r\n\r\nbusy"
         second: list[bytes] = []
