Carry out nested actions in one place

An action that leads to another input went through the timer as well, once for each level. Actions are now only queued while others are carried out, and the timer is set once at the end. Kept because it is shorter to follow.

--- a/banyantiller/proxy/driver.py
+++ b/banyantiller/proxy/driver.py
@@ -203,15 +203,15 @@
 
     def perform(self, actions: list[types.Action]) -> None:
         """Carries out actions in order, and those that they lead to."""
-        if actions:
-            self.due.extend(actions)
-            if not self.performing:
-                self.performing = True
-                try:
-                    while self.due:
-                        self._act(self.due.popleft())
-                finally:
-                    self.performing = False
+        self.due.extend(actions)
+        if self.performing:
+            return
+        self.performing = True
+        try:
+            while self.due:
+                self._act(self.due.popleft())
+        finally:
+            self.performing = False
         self._set_timer()
 
     def _act(self, action: types.Action) -> None:
