--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Benches: each module is run as `python -m bench.NAME`."""
+"""Measurements: each module is run as `python -m bench.NAME`."""
