--- a/banyantiller/routing/adaptive.py
+++ b/banyantiller/routing/adaptive.py
@@ -108,7 +108,7 @@
         if report.source == "probe" and view.probing:
             view.probing = False
             view.update_closed()
-            ejection.answered(view, now)
+            ejection.answered(view)
         return self.flow.start_waiting(now)
 
     def probe_failed(self, server: str, now: float) -> list[Action]:
--- a/banyantiller/routing/choice.py
+++ b/banyantiller/routing/choice.py
@@ -12,7 +12,6 @@
 from banyantiller.routing.views import ServerView
 
 MOST_CANDIDATES = 24
-SUSPECT_AGE = 3.0
 SLOWNESS_HALF = 10.0
 MOST_DOUBLINGS = 4
 FAILURE_PENALTY = 10.0
@@ -73,7 +72,7 @@
         if view.others_at > recent:
             ahead = blend(view, ahead, believed, tuning, now)
         delay = 1.0 + ahead / view.slots
-        if own or view.watched:
+        if view.watched:
             if view.trial and not _may_try(view, idempotent, now):
                 continue
             delay *= slowness(view, believed, tuning, now)
@@ -126,7 +125,7 @@
     """Returns how many times slower than usual a server is believed to be.
 
     An average fades with its age, so that a server that got better is tried
-    again. A try that is overdue counts at once.
+    again. A try that was given up counts with the time that it took.
     """
     usual = believed.service_s
     factor = 1.0
@@ -136,10 +135,7 @@
         factor += (view.latency / usual - 1.0) * weight
         if factor < tuning.slow_from:
             factor = 1.0
-    if "outstanding" not in tuning.off:
-        overdue = (now - view.oldest_start(now)) / usual
-        if overdue > SUSPECT_AGE:
-            factor = max(factor, overdue)
+        factor += tuning.given_up_factor * view.given_up * weight
     if view.failures > 0.0:
         fading = FAILURE_HALF_S / (FAILURE_HALF_S + now - view.failed_at)
         factor *= 1.0 + FAILURE_PENALTY * view.failures * fading
--- a/banyantiller/routing/ejection.py
+++ b/banyantiller/routing/ejection.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Sequence
 
-from banyantiller.routing import ramp
 from banyantiller.routing.tuning import Tuning
 from banyantiller.routing.views import LONG_AGO, ServerView
 
@@ -52,7 +51,7 @@
     return True
 
 
-def answered(view: ServerView, now: float) -> None:
+def answered(view: ServerView) -> None:
     """Takes a good answer; ends an ejection's trial."""
     if not view.trial:
         view.failures *= 1.0 - FAILURE_WEIGHT
@@ -64,7 +63,6 @@
     view.ejected_until = LONG_AGO
     view.failures = 0.0
     view.update_closed()
-    ramp.begin(view, now)
 
 
 def _may_eject(
--- a/banyantiller/routing/learning.py
+++ b/banyantiller/routing/learning.py
@@ -43,7 +43,7 @@
         note_failure(known, view, now, sure)
         return
     _learn_latency(known, attempt, now)
-    ejection.answered(view, now)
+    ejection.answered(view)
 
 
 def learn_report(
@@ -96,7 +96,9 @@
         known.late.learn(seconds)
     usual = known.believed.service_s
     view.watched = (
-        view.latency > known.tuning.slow_from * usual
+        view.given_up > 0
+        or view.latency > known.tuning.slow_from * usual
+        or view.trial
         or view.failures > 0.0
         or now - view.warm_from < known.tuning.ramp_s
     )
--- a/banyantiller/routing/ramp.py
+++ b/banyantiller/routing/ramp.py
@@ -1,11 +1,11 @@
-"""Cold start: a server that is new or back gets its share by degrees."""
+"""Cold start: a server that is new to a service gets its share by degrees."""
 
 from banyantiller.routing.tuning import Tuning
 from banyantiller.routing.views import ServerView
 
 
 def begin(view: ServerView, now: float) -> None:
-    """Starts the ramp of a server that is new or back."""
+    """Starts the ramp of a new server."""
     view.warm_from = now
     view.watched = True
 
--- a/banyantiller/routing/service.py
+++ b/banyantiller/routing/service.py
@@ -85,7 +85,6 @@
                     ramp.begin(view, now)
             if view.state.leaving and not state.leaving:
                 view.draining = False
-                ramp.begin(view, now)
             view.state = state
             view.local = state.zone == self.zone
             view.slots = state.slots
--- a/banyantiller/routing/tuning.py
+++ b/banyantiller/routing/tuning.py
@@ -7,7 +7,6 @@
     "trust",
     "zone",
     "slowness",
-    "outstanding",
     "hedges",
     "retries",
     "ejection",
@@ -34,6 +33,8 @@
             service times.
         hedge_reserve: Tokens of the extra-call budget kept for retries.
         burst: Most tokens of the extra-call budget.
+        given_up_factor: Times slower that a server is taken to be for each
+            overdue try given up there in a row.
         silent_after: Overdue tries given up in a row that eject a server.
         eject_s: First length of an ejection.
         eject_longest_s: Longest ejection.
@@ -53,6 +54,7 @@
     hedge_early: float = 1.5
     hedge_reserve: float = 2.0
     burst: float = 20.0
+    given_up_factor: float = 0.5
     silent_after: int = 3
     eject_s: float = 0.2
     eject_longest_s: float = 5.0
--- a/banyantiller/routing/views.py
+++ b/banyantiller/routing/views.py
@@ -71,12 +71,6 @@
         else:
             self.closed_until = max(self.ejected_until, self.held_until)
 
-    def oldest_start(self, now: float) -> float:
-        """Returns the start of the oldest own try, `now` without one."""
-        for started in self.own.values():
-            return started
-        return now
-
     def settled(self, latest: float) -> int:
         """Counts own tries that started at `latest` or before."""
         return sum(1 for started in self.own.values() if started <= latest)
