Name the calls that a drain did not wait for

A daemon writes its last summary before it closes the connections that are left at the drain limit, so a cut there was seen by nobody and shutdown_cuts_nothing would have been answered as held. The daemon now emits PromiseBroken for each call in flight at the limit, with its request, before the last summary.

--- a/banyantiller/daemon/assembly.py
+++ b/banyantiller/daemon/assembly.py
@@ -8,7 +8,12 @@
 from banyantiller import exceptions, plugins
 from banyantiller.claims import arbiter
 from banyantiller.config import defaults
-from banyantiller.daemon import admin_server, bundles, leaving_servers
+from banyantiller.daemon import (
+    admin_server,
+    bundles,
+    cut_calls,
+    leaving_servers,
+)
 from banyantiller.evidence import recorder as recording
 from banyantiller.evidence import writer as writing
 from banyantiller.kernel import core, events
@@ -143,6 +148,7 @@
         log.info("daemon: draining.", in_flight=self.proxy.in_flight)
         drain = self.settings.drain
         cut = await self.proxy.drain(drain.grace_s, drain.limit_s)
+        cut_calls.report(self)
         self.peers.leave()
         await self.kernel.stop()
         await self.claims.drain()
