Build every TLS context in utils.tls

Cause: contexts were built in two places, utils/tls.py (peers, object API) and proxy/tls.py (callers, backend servers), which differed: only one set ALPN, only one wrapped file errors, and towards the object API neither the system's authorities nor, without a server_name, the IP number counted. So any certificate of the trusted authority could pass for the object API. Three test modules made certificates, two of them by the same code. Change: utils/tls.py is the only builder. A listening side asks for a certificate exactly when a trust file is named; a connecting side trusts the system's authorities when none is named, and checks the name or else the IP number. Peers keep not checking the number, as before.

--- a/banyantiller/config/defaults.py
+++ b/banyantiller/config/defaults.py
@@ -31,9 +31,19 @@
         str, Option("Path of the PEM certificate chain.")
     ] = ""
     key: Annotated[str, Option("Path of the PEM private key.")] = ""
-    trust: Annotated[str, Option("Path of the PEM certificates to trust.")] = ""
+    trust: Annotated[
+        str,
+        Option(
+            "Path of the PEM certificates to trust. If empty, the system's are"
+            " trusted, and callers need no certificate."
+        ),
+    ] = ""
     server_name: Annotated[
-        str, Option("Name expected in the other side's certificate.")
+        str,
+        Option(
+            "Name expected in the other side's certificate. If empty, its IP"
+            " number is expected; between daemons no name is."
+        ),
     ] = ""
 
 
--- a/banyantiller/membership/links.py
+++ b/banyantiller/membership/links.py
@@ -290,8 +290,8 @@
             "peers.tls needs both a certificate and a trust file."
         )
     return (
-        tls.server_context(files, verify_clients=True),
-        tls.client_context(files),
+        tls.server_context(files),
+        tls.client_context(files, check_address=False),
     )
 
 
--- a/banyantiller/proxy/proxy.py
+++ b/banyantiller/proxy/proxy.py
@@ -26,10 +26,10 @@
     headers,
     intake,
     services,
-    tls,
 )
 from banyantiller.proxy import call as calls
 from banyantiller.routing.types import Dispatcher, LoadReport
+from banyantiller.utils import tls
 
 log = structlog.get_logger("banyantiller.proxy")
 
@@ -81,7 +81,7 @@
         self.server: asyncio.Server | None = None
         via = f"1.1 {settings.daemon}".encode("ascii")
         self.via = headers.field(b"Via", via)
-        self.backend_tls = tls.for_backends(settings.backends.tls)
+        self.backend_tls = tls.client_context(settings.backends.tls)
         self.id_prefix = b"%016x" % self.random.getrandbits(64)
         self.id_count = 0
 
@@ -171,7 +171,7 @@
             lambda: caller.CallerConnection(self),
             listen.address,
             listen.port,
-            ssl=tls.for_callers(self.settings.callers.tls),
+            ssl=tls.server_context(self.settings.callers.tls),
             backlog=BACKLOG,
         )
         bound = self.server.sockets[0].getsockname()
--- a/banyantiller/store/kubernetes.py
+++ b/banyantiller/store/kubernetes.py
@@ -65,7 +65,7 @@
             object_api.endpoint.address,
             object_api.endpoint.port,
             LIMITS,
-            tls.client_context(files) if files else None,
+            tls.client_context(files),
             files.server_name if files else "",
         )
         paths = wire.Paths(object_api.group, deployment)
--- a/banyantiller/tests/store/test_tls.py
+++ b/banyantiller/tests/store/test_tls.py
@@ -1,19 +1,16 @@
 """Tests of TLS towards the object API, on the loopback interface."""
 
 import asyncio
-import pathlib
 import tempfile
 
 from banyantiller.config import defaults
 from banyantiller.http import server
 from banyantiller.store import interface, kubernetes
 from banyantiller.tests import base
-from banyantiller.tests.proxy.test_tls import make_files
+from banyantiller.tests.certificates import LOOPBACK, Authority
 from banyantiller.utils import tls
 from standins import object_api
 
-ADDRESS = "127.0.0.1"
-
 
 class TlsTest(base.TestCase):
     def create_over(self, served, trusted):
@@ -21,10 +18,10 @@
 
         async def body():
             listener = server.HttpServer(object_api.ObjectApi().handle)
-            context = tls.server_context(served)
-            bound = await listener.start(ADDRESS, 0, context)
+            context = tls.server_context(served._replace(trust=""))
+            bound = await listener.start(LOOPBACK, 0, context)
             settings = defaults.ObjectApiSettings(
-                defaults.Endpoint(ADDRESS, bound.port),
+                defaults.Endpoint(LOOPBACK, bound.port),
                 tls=defaults.TlsFiles(trust=trusted),
             )
             store = kubernetes.KubernetesStore.from_settings(settings, "f")
@@ -40,8 +37,8 @@
             tempfile.TemporaryDirectory() as one,
             tempfile.TemporaryDirectory() as two,
         ):
-            mine = make_files(pathlib.Path(one))
-            other = make_files(pathlib.Path(two))
+            mine = Authority(one).issue("server")
+            other = Authority(two).issue("server")
             used = self.create_over(mine, mine.trust)
             refused = self.create_over(mine, other.trust)
         self.assertIsInstance(used, interface.Found)
--- /dev/null
+++ b/banyantiller/tests/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `banyantiller.utils`."""
