--- a/bench/load_scenarios.py
+++ b/bench/load_scenarios.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import signal
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -14,6 +15,7 @@
 AWAY_S = 0.5
 DEAD_S = 2.0
 BETWEEN_S = 1.0
+PAUSES_S = (0.3, 4.0)
 
 
 async def nothing(fleet: Fleet, rng: random.Random, seconds: float) -> None:
@@ -80,6 +82,19 @@
         await asyncio.sleep(BETWEEN_S)
 
 
+async def pause(fleet: Fleet, rng: random.Random, seconds: float) -> None:
+    """Stops a daemon, then a server, for a while, and lets it go on."""
+    loop = asyncio.get_running_loop()
+    ends = loop.time() + 0.85 * seconds
+    await asyncio.sleep(WARM_UP * seconds)
+    while loop.time() < ends:
+        for paused in (rng.choice(fleet.daemons), rng.choice(fleet.servers)):
+            paused.child.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(rng.uniform(*PAUSES_S))
+            paused.child.process.send_signal(signal.SIGCONT)
+            await asyncio.sleep(BETWEEN_S)
+
+
 class Scenario(NamedTuple):
     """One case.
 
@@ -99,6 +114,7 @@
     "slow-server": Scenario(slow_server, decisions_scenarios.slow_server),
     "restart": Scenario(restart, decisions_scenarios.rolling_restart),
     "kill": Scenario(kill, None, graceful=False),
+    "pause": Scenario(pause, None, graceful=False),
 }
 
 
