Add stale reads to the specification of claims and faults to the code's checks

Cause: with longer work between grant and run, a trace of the real claims had no run in the specification: after a stale read a daemon tells a caller "in progress" though the key has just been released. Nothing is run or granted by it, so the specification lacked a step, not the code a check. Change: a try may read an older state of the record. Tests now put one fault each into claims, rolls, replica and budget and see that the traces are found, so that a check that can't fail would be noticed.

--- a/banyantiller/tests/spec/test_bundles_conformance.py
+++ b/banyantiller/tests/spec/test_bundles_conformance.py
@@ -3,7 +3,9 @@
 import asyncio
 import random
 
+from banyantiller.bundle import acceptance as rolling
 from banyantiller.bundle import outcomes, reading
+from banyantiller.replica import state as replica_state
 from banyantiller.store import table
 from banyantiller.tests import base
 from banyantiller.tests.bundle import samples
@@ -146,6 +148,27 @@
             self.assertIsNone(found, f"seed {seed}: {trace}: {found}")
             self.assertEqual([VERSIONS] * spread.DAEMONS, versions, trace)
 
+    def test_code_that_takes_an_unchanged_head_for_lost_is_found(self):
+        async def settle(attempt):
+            return outcomes.Lost("another", 0, "")
+
+        self.patch(rolling, "_settle", settle)
+        follower = conformance.Follower(
+            acceptance.ACCEPTANCE, shown(ROLL_LABELS)
+        )
+        traces = [self.run_paused(record_rolls(seed)) for seed in range(10)]
+        self.assertNotEqual([], [t for t in traces if follower.follow(t)])
+
+    def test_code_that_goes_back_is_found(self):
+        self.patch(replica_state.Replica, "version", 0)
+        self.patch(spread, "VERSIONS", VERSIONS)
+        follower = conformance.Follower(spread.SPREAD, shown(SPREAD_LABELS))
+        found = []
+        for seed in range(SPREAD_SEEDS):
+            trace, _ = self.run_paused(record_spread(seed))
+            found.append(follower.follow(trace))
+        self.assertNotEqual([None], sorted({str(f) for f in found}))
+
     def test_traces_that_no_run_explains_are_found(self):
         wrong = (
             (acceptance.ACCEPTANCE, ROLL_LABELS, ["tell_accepted(0)"]),
--- a/banyantiller/tests/spec/test_claims_conformance.py
+++ b/banyantiller/tests/spec/test_claims_conformance.py
@@ -4,7 +4,7 @@
 import contextvars
 import random
 
-from banyantiller.claims import records, types
+from banyantiller.claims import attempts, records, types
 from banyantiller.errors import Ran
 from banyantiller.store import table
 from banyantiller.tests import base
@@ -31,6 +31,7 @@
 }
 FAULTS = ("", "", "lost", "late", "unavailable", "stale")
 SEEDS = 40
+WORK_S = 0.7
 
 NONCES = contextvars.ContextVar("nonces")
 
@@ -95,7 +96,7 @@
             self.note("tell_not_run" if not_run else "tell_repeated", nonce)
             return
         self.note("grant", nonce)
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(WORK_S)
         if refused:
             self.note("tell_not_run", nonce)
             await daemon.release(REQUEST, nonce)
@@ -151,6 +152,16 @@
             self.assertIsNone(found, f"seed {seed}: {trace}: {found}")
         self.assertGreater(max(lengths), 8)
 
+    def test_code_that_takes_any_claim_over_is_found(self):
+        self.patch(
+            attempts.Arbitration,
+            "_is_unsent",
+            lambda arbitration, record: record.state == records.State.CLAIMED,
+        )
+        follower = conformance.Follower(spec_claims.CLAIMS, visible)
+        traces = [self.run_paused(record(seed)) for seed in range(20)]
+        self.assertNotEqual([], [t for t in traces if follower.follow(t)])
+
     def test_traces_that_no_run_explains_are_found(self):
         wrong = (
             ["claim(0)", "grant(0)", "run(0)", "released(0)"],
--- a/banyantiller/tests/spec/test_measuring_conformance.py
+++ b/banyantiller/tests/spec/test_measuring_conformance.py
@@ -5,7 +5,7 @@
 import random
 
 from banyantiller.bundle import options
-from banyantiller.measuring import budget, objects
+from banyantiller.measuring import budget, objects, permits
 from banyantiller.store import table
 from banyantiller.tests import base
 from banyantiller.tests.claims import faulty
@@ -128,6 +128,12 @@
             self.assertEqual([], [gap for gap in gaps if gap < spacing], seed)
         self.assertGreater(probes, SEEDS)
 
+    def test_code_that_does_not_wait_for_the_last_holder_is_found(self):
+        self.patch(permits.Ledger, "free_at", lambda ledger, index: 0.0)
+        follower = conformance.Follower(measuring.MEASURING, visible)
+        traces = [self.run_paused(record(seed))[0] for seed in range(4)]
+        self.assertNotEqual([], [t for t in traces if follower.follow(t)])
+
     def test_traces_that_no_run_explains_are_found(self):
         wrong = (
             ["probe(0)"],
--- a/spec/claims.py
+++ b/spec/claims.py
@@ -8,9 +8,9 @@
 try leaves behind is settled in the background: a claim that was not sent is
 released, also when nobody knows whether it took effect, and one that was
 sent is ended. Every answer of the store can be lost before or after the
-write took effect, an abandoned write may take effect later, and a daemon may
-be paused for any time between two steps. A daemon that is killed is one that
-takes no further step.
+write took effect, an abandoned write may take effect later, reads may be
+stale, and a daemon may be paused for any time between two steps. A daemon
+that is killed is one that takes no further step.
 """
 
 from typing import NamedTuple
@@ -108,21 +108,23 @@
 
 
 def reading_steps(state: State, index: int, variant: str) -> list[Step]:
-    """Lists how a try goes on from the record as it is."""
+    """Lists how a try goes on from the record as it is, or as it was."""
     record = state.record
+    told = with_try(state, index, phase=REPEATED, end=RELEASED)
+    steps = [(f"tell_repeated({index})", told)]
     is_own = record.owner == index and record.state == CLAIMED
     if is_own or (record.revision and variant == "read_back_without_nonce"):
         granted = with_try(state, index, phase=GRANTED)
-        return [(f"grant({index})", granted)]
+        # Before its own claim there may have been one of another try.
+        stale = steps if record.revision > 1 else []
+        return [(f"grant({index})", granted), *stale]
     claims = with_try(state, index, phase=SENT, base=record.revision)
     again = [(f"claim_again({index})", claims)]
-    if record.state in ("", RELEASED):
+    if not record.revision:
         return again
-    told = with_try(state, index, phase=REPEATED, end=RELEASED)
-    steps = [(f"tell_repeated({index})", told)]
-    if is_known_unsent(state) or variant == "lease_expiry_grants":
-        steps += again
-    return steps
+    if record.state == RELEASED or is_known_unsent(state):
+        return steps + again
+    return steps + (again if variant == "lease_expiry_grants" else [])
 
 
 def sent_steps(state: State, index: int) -> list[Step]:
