Split loading into fields, scalars, bounds and the walk

Cause: config/loading.py held four jobs in 310 lines: the declared types, the reading of YAML scalars, the judging of values by their option, and the walk over the document. Others imported it for the first and third only, and bundle/plain.py took types apart by code of its own. Change: config/fields.py, config/scalars.py and config/bounds.py take the first three; plain.py uses fields.py. Conclusion: each module has one job; behaviour is the same.

--- a/banyantiller/bundle/plain.py
+++ b/banyantiller/bundle/plain.py
@@ -6,10 +6,11 @@
 """
 
 import functools
-import types
 import typing
 from typing import Any
 
+from banyantiller.config import fields
+
 SCALARS = (str, int, float, bool)
 
 
@@ -44,18 +45,16 @@
     """
     if kind in SCALARS:
         return _scalar(plain, kind, path)
-    if hasattr(kind, "_fields"):
+    if fields.is_group(kind):
         return _group(plain, kind, path)
-    origin = typing.get_origin(kind)
-    if origin is typing.Annotated:
-        return from_plain(plain, typing.get_args(kind)[0], path)
-    if origin in (types.UnionType, typing.Union):
-        if plain is None:
-            return None
+    if typing.get_origin(kind) is typing.Annotated:
         return from_plain(plain, typing.get_args(kind)[0], path)
+    optional = fields.optional_of(kind)
+    if optional is not None:
+        return None if plain is None else from_plain(plain, optional, path)
     if not isinstance(plain, list):
         raise PlainError(f"{path} is not a list")
-    item = typing.get_args(kind)[0]
+    item = fields.item_of(kind)
     return tuple(
         from_plain(child, item, f"{path}[{index}]")
         for index, child in enumerate(plain)
--- a/banyantiller/bundle/validity.py
+++ b/banyantiller/bundle/validity.py
@@ -5,14 +5,14 @@
 
 from banyantiller.bundle import consistency
 from banyantiller.bundle.options import Bundle
-from banyantiller.config import loading
+from banyantiller.config import bounds, fields
 from banyantiller.config.options import Option
 from banyantiller.config.problems import Problems
 
 
 def faults(bundle: Bundle) -> tuple[str, ...]:
     """Lists what is wrong with a bundle: single values, then consistency."""
-    found = tuple(_walk(bundle, Option(""), ""))
+    found = tuple(_walk(bundle, fields.NO_OPTION, ""))
     if found:
         return found
     problems = Problems("")
@@ -21,8 +21,8 @@
 
 
 def _walk(value: Any, option: Option, path: str) -> Iterator[str]:
-    if loading.is_group(type(value)):
-        for field in loading.fields_of(type(value)):
+    if fields.is_group(type(value)):
+        for field in fields.fields_of(type(value)):
             where = f"{path}.{field.name}" if path else field.name
             yield from _walk(getattr(value, field.name), field.option, where)
     elif isinstance(value, tuple):
@@ -31,6 +31,6 @@
         for index, item in enumerate(value):
             yield from _walk(item, option, f"{path}[{index}]")
     elif value is not None:
-        message = loading.fault(value, option)
+        message = bounds.fault(value, option)
         if message:
             yield f"{path}: {message}"
--- a/banyantiller/config/reference.py
+++ b/banyantiller/config/reference.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterator
 from typing import Any
 
-from banyantiller.config import loading
-from banyantiller.config.loading import Field
+from banyantiller.config import fields
+from banyantiller.config.fields import Field
 
 TYPE_NAMES = {
     str: "text",
@@ -35,16 +35,16 @@
 def _groups(root: type) -> list[type]:
     found = [root]
     for group in found:
-        for field in loading.fields_of(group):
+        for field in fields.fields_of(group):
             inner = _inner(field.kind)
-            if loading.is_group(inner) and inner not in found:
+            if fields.is_group(inner) and inner not in found:
                 found.append(inner)
     return found
 
 
 def _inner(kind: Any) -> Any:
-    kind = loading.optional_of(kind) or kind
-    return loading.item_of(kind) or kind
+    kind = fields.optional_of(kind) or kind
+    return fields.item_of(kind) or kind
 
 
 def _section(group: type) -> list[str]:
@@ -56,7 +56,7 @@
         "",
         "| option | type | default | meaning |",
         "|---|---|---|---|",
-        *(_row(field) for field in loading.fields_of(group)),
+        *(_row(field) for field in fields.fields_of(group)),
         "",
     ]
 
@@ -72,13 +72,13 @@
 
 
 def _type(kind: Any) -> str:
-    optional = loading.optional_of(kind)
+    optional = fields.optional_of(kind)
     if optional is not None:
         return _type(optional)
-    item = loading.item_of(kind)
+    item = fields.item_of(kind)
     if item is not None:
         return f"list of {_type(item)}"
-    if loading.is_group(kind):
+    if fields.is_group(kind):
         name = kind.__name__
         return f"[{name}](#{name.lower()})"
     return TYPE_NAMES[kind]
@@ -87,7 +87,7 @@
 def _default(value: Any) -> str:
     if value is None:
         return "none"
-    if loading.is_group(type(value)):
+    if fields.is_group(type(value)):
         return "its defaults"
     if isinstance(value, tuple):
         value = list(value)
--- a/banyantiller/tests/config/test_settings.py
+++ b/banyantiller/tests/config/test_settings.py
@@ -3,7 +3,7 @@
 import textwrap
 
 from banyantiller import exceptions
-from banyantiller.config import documents, loading, settings
+from banyantiller.config import documents, fields, loading, scalars, settings
 from banyantiller.config.defaults import Settings
 from banyantiller.tests.base import TestCase
 
@@ -58,13 +58,13 @@
     def test_every_declared_type_can_be_loaded(self):
         pending = [Settings]
         while pending:
-            for field in loading.fields_of(pending.pop()):
-                kind = loading.optional_of(field.kind) or field.kind
-                kind = loading.item_of(kind) or kind
-                if loading.is_group(kind):
+            for field in fields.fields_of(pending.pop()):
+                kind = fields.optional_of(field.kind) or field.kind
+                kind = fields.item_of(kind) or kind
+                if fields.is_group(kind):
                     pending.append(kind)
                 else:
-                    self.assertIn(kind, loading.SCALARS)
+                    self.assertIn(kind, scalars.READERS)
 
 
 class BadSettingsTest(TestCase):
