Refuse scalar tags on lists and mappings instead of raising

Cause: a file may write `port: !!int {a: 1}`. The reader of whole numbers looked at the tag alone, took the mapping for a scalar and raised a TypeError, so a user got a traceback in place of an error with its place. `!!null [1]` was taken for nothing, where an option may be left out. Change: the form of a node decides before its tag (config/scalars.py). Conclusion: every such file now gives one error that names the form found.

--- a/banyantiller/config/scalars.py
+++ b/banyantiller/config/scalars.py
@@ -31,7 +31,15 @@
 
 
 def tag(node: yaml.Node) -> str:
-    """Returns the kind of a node, such as "str", "null" or "seq"."""
+    """Returns the kind of a node, such as "str", "null" or "seq".
+
+    A file may put the tag of a scalar on a list or a mapping; the tag of the
+    node's form counts then.
+    """
+    if isinstance(node, yaml.SequenceNode):
+        return "seq"
+    if isinstance(node, yaml.MappingNode):
+        return "map"
     return node.tag.removeprefix(TAG_PREFIX)
 
 
@@ -47,8 +55,6 @@
 
 def read_text(node: yaml.Node) -> str | None:
     """Reads a text; a date counts as one, for options that hold a date."""
-    if not isinstance(node, yaml.ScalarNode):
-        return None
     if tag(node) not in ("str", "timestamp"):
         return None
     return node.value if _is_encodable(node.value) else None
--- a/banyantiller/tests/config/test_settings.py
+++ b/banyantiller/tests/config/test_settings.py
@@ -150,6 +150,19 @@
             text = GOOD.replace("port: 8080", f"port: {wrong}")
             self.assertEqual(1, len(errors_of(text)), wrong)
 
+    def test_a_tag_does_not_make_a_list_or_mapping_a_scalar(self):
+        for tag in ("int", "float", "bool", "null", "str"):
+            for value, name in (("[1]", "a list"), ("{a: 1}", "a mapping")):
+                tagged = f"!!{tag} {value}"
+                text = GOOD.replace("port: 8080", f"port: {tagged}")
+                (found,) = errors_of(text)
+                self.assertIn(f"found {name}.", found)
+                text = GOOD + f"log: {{access: {tagged}}}\n"
+                (found,) = errors_of(text)
+                self.assertIn(f"found {name}.", found)
+                text = GOOD + f"vm_list: {tagged}\n"
+                self.assertNotEqual([], errors_of(text))
+
 
 class BadDocumentTest(TestCase):
     def refusal(self, text: str) -> str:
