--- a/banyantiller/evidence/promises.py
+++ b/banyantiller/evidence/promises.py
@@ -58,9 +58,9 @@
     Promise.AT_MOST_ONCE: Statement(
         "A non-idempotent request runs at most once.",
         "More than one try, of one call, that wrote bytes to a server and was"
-        " not refused by it as not run; a key that was granted twice.",
-        "What backend servers do among themselves, and requests that callers"
-        " repeat without an idempotency key.",
+        " not refused by it as not run.",
+        "What backend servers do among themselves, a key granted twice, and"
+        " requests that callers repeat without an idempotency key.",
     ),
     Promise.LEAVING_SERVER_SPARED: Statement(
         "A leaving server gets no new requests after a few seconds.",
@@ -70,7 +70,8 @@
     ),
     Promise.SHUTDOWN_CUTS_NOTHING: Statement(
         "A graceful shutdown of a server or a daemon cuts no request.",
-        "An answer that was cut while its daemon or its server was leaving.",
+        "An answer that was cut while its daemon or its server was leaving,"
+        " and a call in flight at the drain limit.",
         "Shutdowns that were killed: the daemon can't report them.",
     ),
     Promise.BUNDLE_IN_FORCE: Statement(
