Describe failed outcomes and settle failed tries in one place

Cause: the sentences on failed outcomes stood in history.py, acceptance.py and, written again, in approval.py. Three loops kept the same two variables to tell "nothing was changed" from "not known". One of them ended without a reason if an object existed but could not be read: "the object API failed: .". Conclusion: same outcomes, one text for each, and no empty reason.

--- a/banyantiller/bundle/acceptance.py
+++ b/banyantiller/bundle/acceptance.py
@@ -10,14 +10,13 @@
 
 import structlog
 
-from banyantiller.bundle import history, reading, verification, writing
+from banyantiller.bundle import descriptions, reading, verification, writing
 from banyantiller.bundle.manifest import Accepted
 from banyantiller.bundle.outcomes import (
     Damaged,
     HeadFound,
     Lost,
     NotFound,
-    NotKnown,
     NotReached,
     OutOfDate,
     ProposalFound,
@@ -69,7 +68,7 @@
     """
     proposal = await reading.read_proposal(store, deployment, digest)
     if isinstance(proposal, NotFound | Damaged):
-        return Refused((history.describe(proposal),))
+        return Refused((descriptions.describe(proposal),))
     if isinstance(proposal, NotReached):
         return proposal
     head = await reading.read_head(store, deployment)
@@ -142,28 +141,23 @@
             if isinstance(outcome, NotReached):
                 return outcome
             if isinstance(outcome, NotFound | Damaged):
-                return Refused((history.describe(outcome),))
+                return Refused((descriptions.describe(outcome),))
     return None
 
 
 async def _write(attempt: _Attempt) -> RollOutcome:
     """Writes the head; a try after a lost answer has the same condition."""
-    unsure = False
-    reason = ""
+    tries = writing.FailedTries()
     for pause in writing.pauses():
         outcome = await _write_once(attempt)
         if isinstance(outcome, interface.Found):
             return Rolled(attempt.accepted, attempt.digest)
-        if isinstance(outcome, interface.Unavailable | interface.Unknown):
-            unsure = unsure or isinstance(outcome, interface.Unknown)
-            reason = outcome.reason
-        else:
-            reason = "the head was changed, but its state cannot be read"
+        tries.add(outcome, "the head was changed, but its state cannot be read")
         settled = await _settle(attempt)
         if settled is not None:
             return settled
         await asyncio.sleep(pause)
-    return NotKnown(reason) if unsure else NotReached(reason)
+    return tries.outcome()
 
 
 async def _write_once(attempt: _Attempt):
@@ -219,31 +213,3 @@
         " followed since."
     )
     return Rolled(attempt.accepted, attempt.digest, note)
-
-
-def describe(outcome: RollOutcome | NotFound | Damaged) -> str:
-    """Returns one or more sentences on an outcome that is no success."""
-    match outcome:
-        case NotFound() | Damaged():
-            return history.describe(outcome)
-        case Lost(winner, version, digest):
-            return (
-                f"Operator '{winner}' was first: version {version}"
-                f" ({digest[:12]}) is in force. Propose the change again."
-            )
-        case OutOfDate(roller, version, digest):
-            return (
-                f"The proposal is out of date: version {version}"
-                f" ({digest[:12] or 'none'}) of '{roller}' is in force."
-                " Propose the change again."
-            )
-        case Refused(reasons):
-            return " ".join(reasons)
-        case NotReached(reason):
-            return f"Nothing was changed; the object API failed: {reason}."
-        case NotKnown(reason):
-            return (
-                "It is not known whether the write took effect:"
-                f" {reason}. Run the same command again to find out."
-            )
-    return ""
--- a/banyantiller/bundle/approval.py
+++ b/banyantiller/bundle/approval.py
@@ -4,6 +4,7 @@
 from typing import Any, NamedTuple
 
 from banyantiller.bundle import (
+    descriptions,
     history,
     plain,
     reading,
@@ -17,7 +18,6 @@
 from banyantiller.bundle.outcomes import (
     Damaged,
     NotFound,
-    NotKnown,
     NotReached,
     ProposalFound,
     Refused,
@@ -74,8 +74,7 @@
 
 async def _write(attempt: _Attempt, proposal: ProposalFound) -> SignOutcome:
     """Adds the signature, also beside one that was added meanwhile."""
-    unsure = False
-    reason = ""
+    tries = writing.FailedTries()
     current: Any = proposal
     for pause in writing.pauses():
         if isinstance(current, ProposalFound):
@@ -85,21 +84,18 @@
             outcome = await _add(attempt.store, current, signature)
             if isinstance(outcome, interface.Found):
                 return Signed(current.manifest, current.digest)
-            unsure = unsure or isinstance(outcome, interface.Unknown)
-            reason = getattr(outcome, "reason", "others wrote first")
+            tries.add(outcome, "others wrote first")
         await asyncio.sleep(pause)
         current = await _read(attempt)
-    return NotKnown(reason) if unsure else NotReached(reason)
+    return tries.outcome()
 
 
 async def _read(attempt: _Attempt) -> ProposalFound | Refused | NotReached:
     found = await reading.read_proposal(
         attempt.store, attempt.deployment, attempt.digest
     )
-    if isinstance(found, NotFound):
-        return Refused((f"There is no {found.what}.",))
-    if isinstance(found, Damaged):
-        return Refused((found.reason,))
+    if isinstance(found, NotFound | Damaged):
+        return Refused((descriptions.describe(found),))
     return found
 
 
@@ -134,7 +130,7 @@
     if isinstance(content, NotReached):
         return content
     if not isinstance(content, Bundle):
-        return Refused((history.describe(content),))
+        return Refused((descriptions.describe(content),))
     faults = validity.faults(content)
     return Refused(faults) if faults else None
 
--- /dev/null
+++ b/banyantiller/bundle/descriptions.py
@@ -0,0 +1,42 @@
+"""Sentences on outcomes that are no success."""
+
+from banyantiller.bundle.outcomes import (
+    Damaged,
+    Lost,
+    NotFound,
+    NotKnown,
+    NotReached,
+    OutOfDate,
+    Refused,
+)
+
+Failed = Lost | OutOfDate | Refused | NotFound | Damaged | NotReached | NotKnown
+
+
+def describe(outcome: Failed) -> str:
+    """Returns one or more sentences on an outcome that is no success."""
+    match outcome:
+        case NotFound(what):
+            return f"There is no {what}."
+        case Damaged(reason):
+            return reason
+        case Lost(winner, version, digest):
+            return (
+                f"Operator '{winner}' was first: version {version}"
+                f" ({digest[:12]}) is in force. Propose the change again."
+            )
+        case OutOfDate(roller, version, digest):
+            return (
+                f"The proposal is out of date: version {version}"
+                f" ({digest[:12] or 'none'}) of '{roller}' is in force."
+                " Propose the change again."
+            )
+        case Refused(reasons):
+            return " ".join(reasons)
+        case NotReached(reason):
+            return f"Nothing was changed; the object API failed: {reason}."
+        case NotKnown(reason):
+            return (
+                "It is not known whether the write took effect:"
+                f" {reason}. Run the same command again to find out."
+            )
--- a/banyantiller/bundle/history.py
+++ b/banyantiller/bundle/history.py
@@ -63,10 +63,3 @@
         for item in decoded
         if isinstance(item, ProposalFound) and item.digest.startswith(prefix)
     )
-
-
-def describe(outcome: NotFound | Damaged) -> str:
-    """Returns one sentence on what could not be read."""
-    if isinstance(outcome, Damaged):
-        return outcome.reason
-    return f"There is no {outcome.what}."
--- a/banyantiller/bundle/proposals.py
+++ b/banyantiller/bundle/proposals.py
@@ -86,11 +86,7 @@
         operator.private, operator.name, signing.PROPOSE, manifest
     )
     now = operator.wall()
-    reasons = verification.check_manifest(
-        manifest, deployment
-    ) + verification.check_proposer(
-        manifest, (signature,), operator.trusted, now
-    )
+    reasons = _reasons(manifest, signature, operator, now)
     if reasons:
         return Refused(reasons)
     failed = await _store_parts(store, parts, set(base.parts), now)
@@ -99,6 +95,18 @@
     return await _store_proposal(store, manifest, signature, operator, now)
 
 
+def _reasons(
+    manifest: Manifest, signature: Signature, operator: Operator, now: float
+) -> tuple[str, ...]:
+    """Lists why daemons would refuse the proposal even if another signs it."""
+    return (
+        *verification.check_manifest(manifest, manifest.deployment),
+        *verification.check_proposer(
+            manifest, (signature,), operator.trusted, now
+        ),
+    )
+
+
 def _next_version(base: reading.Base, floor: int) -> int:
     # Version 1 is only for a bundle without a parent.
     lowest = 1 if base.digest else 0
--- a/banyantiller/tests/bundle/test_acceptance.py
+++ b/banyantiller/tests/bundle/test_acceptance.py
@@ -4,6 +4,7 @@
     acceptance,
     approval,
     canonical,
+    descriptions,
     proposals,
     reading,
 )
@@ -180,7 +181,7 @@
             before = await head_of(store)
             outcome = await samples.roll(store, other, "ben")
             self.assertEqual(OutOfDate("ana", 1, first), outcome)
-            self.assertIn("out of date", acceptance.describe(outcome))
+            self.assertIn("out of date", descriptions.describe(outcome))
             self.assertEqual(before, await head_of(store))
 
         self.run_paused(body())
@@ -238,7 +239,7 @@
             self.patch(slow, "update", late_update)
             outcome = await samples.roll(slow, one)
             self.assertEqual(Lost("ben", 2, two), outcome)
-            self.assertIn("'ben' was first", acceptance.describe(outcome))
+            self.assertIn("'ben' was first", descriptions.describe(outcome))
             self.assertEqual(two, (await head_of(fast)).digest)
 
         self.run_paused(body())
--- /dev/null
+++ b/banyantiller/tests/bundle/test_writing.py
@@ -0,0 +1,46 @@
+"""Tests of writes whose outcome has to be read back."""
+
+from banyantiller.bundle import writing
+from banyantiller.bundle.outcomes import Damaged, NotKnown, NotReached
+from banyantiller.store import interface
+from banyantiller.store.memory import MemoryStore
+from banyantiller.tests.base import TestCase
+
+
+class UnreadableStore(MemoryStore):
+    """A store that takes writes and answers no read."""
+
+    async def get(self, kind, name):
+        return interface.Unavailable("no answer")
+
+
+class EnsureTest(TestCase):
+    def ensure(self, store, text):
+        return self.run_paused(
+            writing.ensure(
+                store,
+                "things",
+                "a",
+                {"text": text},
+                {},
+                lambda item: item.value["text"] == text,
+            )
+        )
+
+    def test_the_same_object_is_found_and_another_one_is_not_taken(self):
+        store = MemoryStore()
+        created = self.ensure(store, "one")
+        self.assertEqual(created, self.ensure(store, "one"))
+        self.assertIsInstance(self.ensure(store, "two"), Damaged)
+
+    def test_an_object_that_exists_but_cannot_be_read(self):
+        store = UnreadableStore()
+        self.ensure(store, "one")
+        expected = NotReached("it exists, but cannot be read")
+        self.assertEqual(expected, self.ensure(store, "one"))
+
+    def test_a_lost_answer_stays_in_doubt(self):
+        store = UnreadableStore()
+        store.faults.lose_answers = 1
+        self.assertIsInstance(self.ensure(store, "one"), NotKnown)
+        self.assertEqual(writing.MOST_TRIES, store.calls["create"])
--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -15,6 +15,7 @@
 from banyantiller.bundle import (
     acceptance,
     approval,
+    descriptions,
     outcomes,
     parsing,
     proposals,
@@ -98,7 +99,7 @@
             self.store, files.DEPLOYMENT, digest, self.operators[0]
         )
         if not isinstance(rolled, outcomes.Rolled):
-            raise processes.DemoError(acceptance.describe(rolled))
+            raise processes.DemoError(descriptions.describe(rolled))
         self.version = number
         return rolled.accepted.accepted_at
 
--- a/bench/load_fleet.py
+++ b/bench/load_fleet.py
@@ -13,6 +13,7 @@
 from banyantiller.bundle import (
     acceptance,
     approval,
+    descriptions,
     outcomes,
     parsing,
     proposals,
@@ -217,7 +218,7 @@
         )
         await store.close()
         if not isinstance(rolled, outcomes.Rolled):
-            raise processes.DemoError(acceptance.describe(rolled))
+            raise processes.DemoError(descriptions.describe(rolled))
 
     def _bundle(self, ports: dict[str, int]) -> dict[str, Any]:
         size = self.plan.size
