Shorten the commands and share their small steps

Cause: gone, prune, roll, audit and held.ask were 42 to 55 lines long, four modules had their own SECOND_MS and rounding, and nine places spelled "raise if it is not the outcome that means success". Change: what a command prints is built by _data and _lines as in the other commands; times.to_ms converts; failures.expect returns the wanted outcome or raises. Output and exit statuses are unchanged. Conclusion: each command reads as read, act, print.

--- a/banyantiller/commands/audit.py
+++ b/banyantiller/commands/audit.py
@@ -8,7 +8,8 @@
 
 DAMAGED_STATUS = 9
 RECENT_MS = 86_400_000
-SECOND_MS = 1000
+
+Entries = tuple[dict[str, Any], ...]
 
 
 def audit(
@@ -44,27 +45,35 @@
                 f"The object API failed: {report.reason}."
             )
         shown = report.entries[-last:] if last > 0 else report.entries
-        data = {
-            **evidence_output.audit_data(report),
-            "shown": [_entry_data(entry) for entry in shown],
-        }
-        lines = [_entry_line(entry) for entry in shown]
-        lines.append(evidence_output.audit_line(report))
-        lines += evidence_output.problem_lines(report.problems)
-        output.emit(json, data, lines)
+        output.emit(json, _data(report, shown), _lines(report, shown))
         return 0 if report.intact else DAMAGED_STATUS
 
     return context.run(settings, body)
 
 
 async def _seen(session: context.Session) -> set[chain.Tip]:
-    now_ms = round(session.wall() * SECOND_MS)
+    now_ms = times.to_ms(session.wall())
     period = judging.Period(now_ms - RECENT_MS, now_ms)
     return await assessment.carried_tips(
         session.store, session.deployment, period
     )
 
 
+def _data(report: trail.AuditReport, shown: Entries) -> dict[str, Any]:
+    return {
+        **evidence_output.audit_data(report),
+        "shown": [_entry_data(entry) for entry in shown],
+    }
+
+
+def _lines(report: trail.AuditReport, shown: Entries) -> list[str]:
+    return [
+        *(_entry_line(entry) for entry in shown),
+        evidence_output.audit_line(report),
+        *evidence_output.problem_lines(report.problems),
+    ]
+
+
 def _tip(text: str) -> chain.Tip:
     sequence, _, digest = text.partition(":")
     if not sequence.isdecimal() or not digest:
--- a/banyantiller/commands/gone.py
+++ b/banyantiller/commands/gone.py
@@ -5,8 +5,6 @@
 from banyantiller.evidence import audit, history
 from banyantiller.evidence.audit import Appended, NotKnown
 
-SECOND_MS = 1000
-
 
 def gone(
     daemon: str,
@@ -33,27 +31,10 @@
 
     async def body(session: context.Session) -> int:
         now = session.wall()
-        now_ms = round(now * SECOND_MS)
-        gone_ms = times.moment_ms(at, now) if at else now_ms
-        if gone_ms > now_ms:
+        gone_ms = times.moment_ms(at, now) if at else times.to_ms(now)
+        if gone_ms > times.to_ms(now):
             raise exceptions.ConfigError("The stated time is in the future.")
-        outcome = await audit.append(
-            session.store,
-            session.deployment,
-            history.GONE_ACTION,
-            session.settings.operator,
-            {"daemon": daemon, "gone_ms": gone_ms},
-            session.wall,
-        )
-        if isinstance(outcome, NotKnown):
-            raise exceptions.NotKnownError(
-                f"It is not known whether the statement was written:"
-                f" {outcome.reason}. Look at `banyantiller audit`."
-            )
-        if not isinstance(outcome, Appended):
-            raise exceptions.StoreError(
-                f"The statement was not written: {outcome.reason}."
-            )
+        outcome = await _state(session, daemon, gone_ms)
         when = times.text_of(gone_ms)
         data = {"daemon": daemon, "gone": when, "sequence": outcome.sequence}
         lines = [
@@ -63,3 +44,26 @@
         return 0
 
     return context.run(settings, body)
+
+
+async def _state(
+    session: context.Session, daemon: str, gone_ms: int
+) -> Appended:
+    outcome = await audit.append(
+        session.store,
+        session.deployment,
+        history.GONE_ACTION,
+        session.settings.operator,
+        {"daemon": daemon, "gone_ms": gone_ms},
+        session.wall,
+    )
+    if isinstance(outcome, NotKnown):
+        raise exceptions.NotKnownError(
+            f"It is not known whether the statement was written:"
+            f" {outcome.reason}. Look at `banyantiller audit`."
+        )
+    if not isinstance(outcome, Appended):
+        raise exceptions.StoreError(
+            f"The statement was not written: {outcome.reason}."
+        )
+    return outcome
--- a/banyantiller/commands/held.py
+++ b/banyantiller/commands/held.py
@@ -8,7 +8,6 @@
 BROKEN_STATUS = 9
 NOT_KNOWN_STATUS = 10
 DEFAULT_SPAN_MS = 3_600_000
-SECOND_MS = 1000
 
 
 def held(
@@ -68,31 +67,37 @@
     if not every_s:
         raise exceptions.ConfigError(f"'{every}' is no duration such as 10m.")
     settled = await assessment.settled(
-        session.store, session.deployment, round(now * SECOND_MS)
+        session.store, session.deployment, times.to_ms(now)
     )
     to_ms = times.moment_ms(until, now) if until else settled.until_ms
     from_ms = max(to_ms - DEFAULT_SPAN_MS, settled.first_ms)
     if since:
         from_ms = times.moment_ms(since, now)
     period = judging.Period(from_ms, to_ms)
-    if period.from_ms >= period.to_ms and not since and not until:
-        raise exceptions.BanyantillerError(
-            "No daemon has had time to report yet; ask again in a minute."
-        )
-    if period.from_ms >= period.to_ms:
-        raise exceptions.ConfigError(
-            f"The period from {times.text_of(period.from_ms)} to"
-            f" {times.text_of(period.to_ms)} is empty."
-        )
+    _check_not_empty(period, chosen=bool(since or until))
     return assessment.Question(
         session.deployment,
         period,
-        round(every_s * SECOND_MS),
-        round(clock_tolerance * SECOND_MS),
+        times.to_ms(every_s),
+        times.to_ms(clock_tolerance),
         settled.known_ms,
     )
 
 
+def _check_not_empty(period: judging.Period, chosen: bool) -> None:
+    """Refuses a period without length, which `chosen` blames on the user."""
+    if period.from_ms < period.to_ms:
+        return
+    if not chosen:
+        raise exceptions.BanyantillerError(
+            "No daemon has had time to report yet; ask again in a minute."
+        )
+    raise exceptions.ConfigError(
+        f"The period from {times.text_of(period.from_ms)} to"
+        f" {times.text_of(period.to_ms)} is empty."
+    )
+
+
 def status_of(found: assessment.Assessment) -> int:
     """Returns the exit status that tells the worst answer."""
     verdicts = [item.verdict for item in found.judgements]
--- a/banyantiller/commands/proposals.py
+++ b/banyantiller/commands/proposals.py
@@ -24,10 +24,10 @@
         found = await history.find_proposals(
             session.store, session.deployment, ""
         )
-        if not isinstance(found, tuple):
-            failures.raise_for(found)
         waiting = [
-            item for item in found if item.manifest.parent == seen.base.digest
+            item
+            for item in failures.expect(found, tuple)
+            if item.manifest.parent == seen.base.digest
         ]
         lines = output.table(HEAD, [_cells(item) for item in waiting])
         output.emit(json, [_data(item) for item in waiting], lines)
--- a/banyantiller/commands/propose.py
+++ b/banyantiller/commands/propose.py
@@ -53,10 +53,9 @@
             session.operator(),
             floor=max((item.bundle for item in known), default=0),
         )
-        if not isinstance(outcome, Proposed):
-            failures.raise_for(outcome)
+        proposed = failures.expect(outcome, Proposed)
         found = difference.compare(before, parsed.bundle)
-        result = _Result(outcome, found, seen.doubts, parsed.warnings)
+        result = _Result(proposed, found, seen.doubts, parsed.warnings)
         output.emit(json, _data(result), _lines(result))
         return 0
 
--- a/banyantiller/commands/prune.py
+++ b/banyantiller/commands/prune.py
@@ -1,5 +1,7 @@
 """`banyantiller prune`: deletes old versions of bundles."""
 
+from typing import Any
+
 from banyantiller.bundle import retention
 from banyantiller.commands import context, failures, output
 
@@ -31,23 +33,26 @@
             session.operator(),
             dry_run,
         )
-        if not isinstance(outcome, retention.Pruned):
-            failures.raise_for(outcome)
-        verb = "Would delete" if dry_run else "Deleted"
-        count = f"{len(outcome.proposals)} proposals"
-        output.emit(
-            json,
-            {
-                "dry_run": dry_run,
-                "proposals": outcome.proposals,
-                "parts": outcome.parts,
-                "failed": outcome.failed,
-            },
-            [
-                f"{verb} {count} and {len(outcome.parts)} parts;"
-                f" {outcome.failed} deletes were not confirmed.",
-            ],
-        )
+        pruned = failures.expect(outcome, retention.Pruned)
+        output.emit(json, _data(pruned, dry_run), [_line(pruned, dry_run)])
         return 0
 
     return context.run(settings, body)
+
+
+def _data(pruned: retention.Pruned, dry_run: bool) -> dict[str, Any]:
+    return {
+        "dry_run": dry_run,
+        "proposals": pruned.proposals,
+        "parts": pruned.parts,
+        "failed": pruned.failed,
+    }
+
+
+def _line(pruned: retention.Pruned, dry_run: bool) -> str:
+    verb = "Would delete" if dry_run else "Deleted"
+    return (
+        f"{verb} {len(pruned.proposals)} proposals and"
+        f" {len(pruned.parts)} parts;"
+        f" {pruned.failed} deletes were not confirmed."
+    )
--- a/banyantiller/commands/references.py
+++ b/banyantiller/commands/references.py
@@ -126,14 +126,11 @@
         found = await reading.read_proposal(
             session.store, session.deployment, prefix
         )
-        if not isinstance(found, ProposalFound):
-            failures.raise_for(found)
-        return found
-    many = await history.find_proposals(
+        return failures.expect(found, ProposalFound)
+    listed = await history.find_proposals(
         session.store, session.deployment, prefix
     )
-    if not isinstance(many, tuple):
-        failures.raise_for(many)
+    many = failures.expect(listed, tuple)
     if len(many) != 1:
         count = "No proposal" if not many else f"{len(many)} proposals"
         raise exceptions.BanyantillerError(
@@ -168,22 +165,19 @@
         BanyantillerError: A part cannot be read or was altered.
     """
     found = await history.read_bundle(session.store, manifest)
-    if not isinstance(found, Bundle):
-        failures.raise_for(found)
-    return found
+    return failures.expect(found, Bundle)
 
 
 async def _version(session: Session, version: int) -> Named:
     found = await history.read_version(
         session.store, session.deployment, version
     )
-    if not isinstance(found, Manifest):
-        failures.raise_for(found)
-    digest = canonical.manifest_digest(found)
+    manifest = failures.expect(found, Manifest)
+    digest = canonical.manifest_digest(manifest)
     current = await head(session)
     if current is not None and current.digest == digest:
         return _of_head(current)
-    return Named(found, digest)
+    return Named(manifest, digest)
 
 
 def _of_head(found: HeadFound) -> Named:
--- a/banyantiller/commands/report.py
+++ b/banyantiller/commands/report.py
@@ -1,11 +1,9 @@
 """`banyantiller report`: writes what held in a period as one HTML file."""
 
 from banyantiller import exceptions
-from banyantiller.commands import context, held, output, report_page
+from banyantiller.commands import context, held, output, report_page, times
 from banyantiller.evidence import assessment, charts
 
-SECOND_MS = 1000
-
 
 def report(
     *,
@@ -37,8 +35,7 @@
     async def body(session: context.Session) -> int:
         question = await held.ask(session, since, until, every, clock_tolerance)
         found = await assessment.assess(session.store, question)
-        made_ms = round(session.wall() * SECOND_MS)
-        page = report_page.build(found, made_ms)
+        page = report_page.build(found, times.to_ms(session.wall()))
         _write(output_file, page)
         data = {"file": output_file, "bytes": len(page.encode())}
         output.emit(json, data, [f"Wrote {output_file}."])
--- a/banyantiller/commands/roll.py
+++ b/banyantiller/commands/roll.py
@@ -48,28 +48,32 @@
             proposal.digest,
             session.operator(),
         )
-        if not isinstance(outcome, Rolled):
-            failures.raise_for(outcome)
-        version = outcome.accepted.manifest.version
+        rolled = failures.expect(outcome, Rolled)
+        version = rolled.accepted.manifest.version
+        found: tuple[statuses.DaemonStatus, ...] = ()
         if wait:
             output.progress(json, f"Accepted version {version}.")
-        waited = _Wait(session, version, timeout_s, daemons, json)
-        found = await waited.run() if wait else ()
-        line = f"Rolled version {version}: {outcome.digest}"
-        lines = [line, outcome.note] if outcome.note else [line]
-        output.emit(json, _data(outcome, found), lines)
+            waiting = _Wait(session, version, timeout_s, daemons, json)
+            found = await waiting.run()
+        output.emit(json, _data(rolled, found), _lines(rolled))
         return 0
 
     return context.run(settings, body)
 
 
+def _lines(rolled: Rolled) -> list[str]:
+    version = rolled.accepted.manifest.version
+    line = f"Rolled version {version}: {rolled.digest}"
+    return [line, rolled.note] if rolled.note else [line]
+
+
 def _data(
-    outcome: Rolled, found: tuple[statuses.DaemonStatus, ...]
+    rolled: Rolled, found: tuple[statuses.DaemonStatus, ...]
 ) -> dict[str, Any]:
     return {
-        "digest": outcome.digest,
-        "version": outcome.accepted.manifest.version,
-        "note": outcome.note,
+        "digest": rolled.digest,
+        "version": rolled.accepted.manifest.version,
+        "note": rolled.note,
         "daemons": [item._asdict() for item in found],
     }
 
--- a/banyantiller/commands/sign.py
+++ b/banyantiller/commands/sign.py
@@ -29,15 +29,14 @@
             proposal.digest,
             session.operator(),
         )
-        if not isinstance(outcome, Signed):
-            failures.raise_for(outcome)
-        version = outcome.manifest.version
+        signed = failures.expect(outcome, Signed)
+        version = signed.manifest.version
         output.emit(
             json,
-            {"digest": outcome.digest, "version": version},
+            {"digest": signed.digest, "version": version},
             [
-                f"Signed version {version}: {outcome.digest}",
-                f"Roll it by: banyantiller roll {outcome.digest[:12]}",
+                f"Signed version {version}: {signed.digest}",
+                f"Roll it by: banyantiller roll {signed.digest[:12]}",
             ],
         )
         return 0
--- a/banyantiller/commands/times.py
+++ b/banyantiller/commands/times.py
@@ -7,7 +7,12 @@
 
 UNITS_S = {"s": 1, "m": 60, "h": 3600, "d": 86400}
 AGO = re.compile(r"(\d+)([smhd])")
-MILLISECONDS = 1000
+SECOND_MS = 1000
+
+
+def to_ms(seconds: float) -> int:
+    """Converts seconds to whole milliseconds."""
+    return round(seconds * SECOND_MS)
 
 
 def duration_s(text: str) -> float | None:
@@ -34,7 +39,7 @@
     """
     ago_s = duration_s(text)
     if ago_s is not None:
-        return round((now - ago_s) * MILLISECONDS)
+        return to_ms(now - ago_s)
     try:
         moment = datetime.datetime.fromisoformat(text)
     except ValueError:
@@ -44,10 +49,10 @@
         ) from None
     if moment.tzinfo is None:
         moment = moment.replace(tzinfo=datetime.UTC)
-    return round(moment.timestamp() * MILLISECONDS)
+    return to_ms(moment.timestamp())
 
 
 def text_of(at_ms: int) -> str:
     """Returns a time in UTC, such as "2026-12-02T10:00:00Z"."""
-    at = datetime.datetime.fromtimestamp(at_ms / MILLISECONDS, datetime.UTC)
+    at = datetime.datetime.fromtimestamp(at_ms / SECOND_MS, datetime.UTC)
     return f"{at:%Y-%m-%dT%H:%M:%SZ}"
