--- a/banyantiller/replay/recording.py
+++ b/banyantiller/replay/recording.py
@@ -5,6 +5,7 @@
 it on request. The length of a recording is bounded.
 """
 
+import atexit
 import json
 from collections.abc import Callable
 from typing import Any
@@ -28,9 +29,8 @@
     """Writes the lines of one trace, up to a bound.
 
     Attributes:
-        close: Ends the recording.
         written: Bytes so far.
-        is_full: Whether the bound was reached.
+        is_full: Whether nothing more is written.
     """
 
     def __init__(
@@ -40,11 +40,16 @@
         close: Callable[[], None] = lambda: None,
     ) -> None:
         self.write = write
-        self.close = close
+        self.end = close
         self.most_bytes = most_bytes
         self.written = 0
         self.is_full = False
 
+    def close(self) -> None:
+        """Ends the recording."""
+        self.is_full = True
+        self.end()
+
     def begin(self, header: inputs.Header) -> None:
         """Writes the header."""
         self.write(json.dumps(plain.to_plain(header)) + "\n")
@@ -235,6 +240,7 @@
         file = open(  # noqa: SIM115
             name, "w", buffering=BUFFER_BYTES, encoding="utf-8"
         )
+        atexit.register(file.close)
         log.info("replay: recording a trace.", file=name)
         recorded = record(create, file.write, close=file.close)
         return recorded(service, *others)
