Close quietly when a caller has reset its connection

A daemon that was paused and woken answers many callers that have given up and reset meanwhile.

The connection is now aborted instead. The test gives a caller's connection a transport whose end of stream fails; it fails without the change.

--- a/banyantiller/proxy/caller.py
+++ b/banyantiller/proxy/caller.py
@@ -225,7 +225,11 @@
         if self.held:
             self.transport.resume_reading()
         if self.transport.can_write_eof():
-            self.transport.write_eof()
+            try:
+                self.transport.write_eof()
+            except OSError:
+                # The caller has reset the connection.
+                self.transport.abort()
 
     def give_up(self) -> None:
         """Closes at once; a running call counts as left by its caller."""
