Don't say "held" of answers cut at the drain limit or of unlisted bundles

Cause: at the drain limit the evidence named a breach of the shutdown promise only, and only for calls in flight. An answer that had begun and was cut was no breach of "whole answer", since its end is counted after the last summary. And when a summary lists 50 bundles and counts the others, a revert among those showed as held. Change: both promises are named for answers that had begun or that are not sent yet; bundles that were only counted make their time not known. The statement on leaving servers says that tries without an answer are not seen. A drain still returns 0 cut calls for an answer that is only waiting in the write buffer.

--- a/banyantiller/daemon/cut_calls.py
+++ b/banyantiller/daemon/cut_calls.py
@@ -8,21 +8,31 @@
 if TYPE_CHECKING:
     from banyantiller.daemon import assembly
 
+IN_FLIGHT = "The call was in flight at the drain limit of its daemon."
+NOT_WHOLE = "The answer had begun and was cut at the drain limit."
+
 
 def report(daemon: "assembly.Daemon") -> None:
-    """Emits a breach for each call in flight at the drain limit.
+    """Emits the breaches of each call in flight at the drain limit.
 
-    It has to be called before the last summary is written; the connections
-    are closed only afterwards.
+    An answer that a slow caller has not taken yet counts as well. It has to
+    be called before the last summary is written; the connections are closed
+    only afterwards.
     """
     for connection in daemon.proxy.callers:
-        if connection.call is None:
-            continue
-        daemon.kernel.emit(
-            events.PromiseBroken(
-                Promise.SHUTDOWN_CUTS_NOTHING,
-                connection.call.request_id.decode("latin-1"),
-                "The call was in flight at the drain limit of its daemon.",
-                daemon.wall(),
-            )
-        )
+        call = connection.call
+        request_id = "" if call is None else call.request_id.decode("latin-1")
+        is_unsent = connection.transport.get_write_buffer_size() > 0
+        has_begun = call is not None and call.status != 0
+        if call is not None or is_unsent:
+            _emit(daemon, request_id, Promise.SHUTDOWN_CUTS_NOTHING, IN_FLIGHT)
+        if has_begun or is_unsent:
+            _emit(daemon, request_id, Promise.WHOLE_OWN_ANSWER, NOT_WHOLE)
+
+
+def _emit(
+    daemon: "assembly.Daemon", request_id: str, promise: Promise, detail: str
+) -> None:
+    daemon.kernel.emit(
+        events.PromiseBroken(promise, request_id, detail, daemon.wall())
+    )
--- a/banyantiller/evidence/judging_bundles.py
+++ b/banyantiller/evidence/judging_bundles.py
@@ -54,6 +54,7 @@
     findings: list[Finding] = []
     for history in histories:
         findings.append(_reverts(history, part))
+        findings.append(_unlisted(history, part))
         findings.append(_superseded(history, accepted, part, tolerance_ms))
     for version, accepted_ms in sorted(accepted.items()):
         if not part.from_ms <= accepted_ms < part.to_ms:
@@ -150,6 +151,25 @@
     return Finding(tuple(named))
 
 
+def _unlisted(history: RunHistory, part: "Period") -> Finding:
+    """Finds the times for which not all bundles are listed, so any order."""
+    why = "Some bundles were only counted."
+    return Finding(
+        unknown=tuple(
+            Unknown(
+                history.run.daemon,
+                max(summary.from_ms, part.from_ms),
+                min(summary.to_ms, part.to_ms),
+                why,
+            )
+            for summary in history.summaries
+            if summary.omitted.get("bundles")
+            and summary.from_ms < part.to_ms
+            and summary.to_ms > part.from_ms
+        )
+    )
+
+
 def _superseded(
     history: RunHistory,
     accepted: dict[int, int],
--- a/banyantiller/evidence/promises.py
+++ b/banyantiller/evidence/promises.py
@@ -66,7 +66,8 @@
         "A leaving server gets no new requests after a few seconds.",
         "A call that arrived later than the set time after the daemon learned"
         " that the server is leaving, and was still answered by it.",
-        "A server that leaves without telling the platform or any daemon.",
+        "A server that leaves without telling the platform or any daemon, and"
+        " a request that a leaving server got and did not answer.",
     ),
     Promise.SHUTDOWN_CUTS_NOTHING: Statement(
         "A graceful shutdown of a server or a daemon cuts no request.",
--- /dev/null
+++ b/banyantiller/tests/daemon/test_cut_calls.py
@@ -0,0 +1,62 @@
+"""Tests of what a drain that reaches its limit tells the evidence."""
+
+import asyncio
+import types
+
+from banyantiller.daemon import cut_calls
+from banyantiller.evidence.promises import Promise
+from banyantiller.kernel import events
+from banyantiller.tests import base
+from banyantiller.tests.proxy import fakes
+
+GET = b"GET / HTTP/1.1\r\nHost: x\r\nX-Request-Id: r1\r\n\r\n"
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+CUT = Promise.SHUTDOWN_CUTS_NOTHING
+PART = Promise.WHOLE_OWN_ANSWER
+
+
+class CutCallsTest(base.TestCase):
+    def reported(self, answer: bytes) -> list[tuple[str, str]]:
+        """Returns the breaches while an answer is due to a silent caller."""
+
+        async def script(connection: fakes.FakeConnection) -> None:
+            await connection.head()
+            await connection.send(answer)
+            await asyncio.sleep(60)
+
+        async def body() -> list[tuple[str, str]]:
+            bench = await fakes.Bench.start(script)
+            told: list[tuple[str, str]] = []
+            kernel = bench.proxy.kernel
+            kernel.subscribe(
+                events.PromiseBroken,
+                lambda event: told.append((event.promise, event.request_id)),
+            )
+            caller = await bench.connect()
+            caller.writer.transport.pause_reading()
+            await caller.send(GET)
+            await asyncio.sleep(1)
+            cut_calls.report(
+                types.SimpleNamespace(
+                    proxy=bench.proxy, kernel=kernel, wall=lambda: 0.0
+                )
+            )
+            await bench.proxy.close()
+            return told
+
+        return self.run_paused(body())
+
+    def test_call_without_an_answer(self) -> None:
+        self.assertEqual([(CUT, "r1")], self.reported(b""))
+
+    def test_answer_that_had_begun(self) -> None:
+        told = self.reported(HEAD % 2 + b"o")
+        self.assertEqual([(CUT, "r1"), (PART, "r1")], told)
+
+    def test_whole_answer_that_the_caller_has_not_taken(self) -> None:
+        size = 96 * 1024
+        told = self.reported(HEAD % size + bytes(size))
+        self.assertEqual([(CUT, ""), (PART, "")], told)
+
+    def test_idle_connection(self) -> None:
+        self.assertEqual([], self.reported(HEAD % 2 + b"ok"))
--- a/banyantiller/tests/evidence/test_judging.py
+++ b/banyantiller/tests/evidence/test_judging.py
@@ -8,6 +8,7 @@
 from banyantiller.bundle import manifest, options, reading
 from banyantiller.evidence import assessment, audit, chain, judging, layout
 from banyantiller.evidence.promises import Promise
+from banyantiller.evidence.summary import MOST_BUNDLES
 from banyantiller.evidence.verdicts import Broken, Held, NotKnown, Verdict
 from banyantiller.kernel import events
 from banyantiller.store import memory, table
@@ -406,6 +407,21 @@
     def test_in_force_in_time(self) -> None:
         self.assertIsInstance(self.judged({1: 0.2, 2: 3.0}), Held)
 
+    def test_order_of_bundles_that_were_only_counted(self) -> None:
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            await asyncio.sleep(20)
+            for version in (*range(1, MOST_BUNDLES + 2), MOST_BUNDLES):
+                for parts in (first, second):
+                    parts.bundle(version, samples.EPOCH + 20)
+            await asyncio.sleep(80)
+            await first.end()
+            await second.end()
+
+        self.play(script)
+        verdict = self.ask(90)[Promise.BUNDLE_IN_FORCE][0]
+        self.assertIsInstance(verdict, NotKnown)
+        self.assertIn("only counted", verdict.unknown[0].why)
+
     def test_in_force_late(self) -> None:
         verdict = self.judged({1: 0.2, 2: 6.0})
         self.assertIsInstance(verdict, Broken)
