Let no failing step of a call keep its slot

Cause: an exception between an answer's head and its end, or in the relaying of it, left the dispatcher waiting for `attempt_done`; with as many such exceptions as slots a service stopped for good. Exceptions inside a nested action hit the call whose bytes were being read instead of their own, and one in `tick` ended the timer of deadlines.

Change: `guard.run` runs each step of an end; the driver guards every action by itself and ends the try of a failed one; `Attempt.crash` and `Call.crash` end a try and a call with INTERNAL whatever else fails; a try knows whether the dispatcher has taken its answer head (`Stage.ANSWERED`); a failed `tick` is tried again after 0.1 s; an unexpected error of connecting is reported.

--- a/banyantiller/proxy/attempt.py
+++ b/banyantiller/proxy/attempt.py
@@ -4,11 +4,10 @@
 from typing import TYPE_CHECKING
 
 import h11
-import structlog
 
 from banyantiller.bundle.options import NOT_RUN_STATUS
 from banyantiller.errors import ErrorKind, Ran
-from banyantiller.proxy import backend, headers, load
+from banyantiller.proxy import backend, guard, headers, load
 from banyantiller.proxy import pool as pools
 from banyantiller.routing.types import AttemptResult, Start
 
@@ -16,18 +15,21 @@
     from banyantiller.proxy import call as calls
     from banyantiller.proxy import driver as drivers
 
-log = structlog.get_logger("banyantiller.proxy")
-
 
 class Stage(enum.Enum):
     """How far a try has come."""
 
     CONNECTING = enum.auto()
     SENT = enum.auto()
+    ANSWERED = enum.auto()
     RELAYING = enum.auto()
     OVER = enum.auto()
 
 
+# The dispatcher took the answer head and waits for the end of the answer.
+ACCEPTED = (Stage.ANSWERED, Stage.RELAYING)
+
+
 class Attempt:
     """Sends a call on a connection and hands its answer on.
 
@@ -77,14 +79,8 @@
         self.stage = Stage.SENT
         self.connection = connection
         self.began = self.driver.loop.time()
-        try:
-            connection.begin(self, self.call.backend_request())
-            self.call.send_kept_body(self)
-        except h11.LocalProtocolError:
-            log.exception("proxy: a request could not be sent.")
-            ran = Ran.UNKNOWN if connection.wrote else Ran.NO
-            connection.abort()
-            self._report_failure(ErrorKind.INTERNAL, ran)
+        if not guard.run(self._send):
+            self.crash()
 
     def connect_failed(self, kind: ErrorKind) -> None:
         """Reports that not one byte was written."""
@@ -115,6 +111,8 @@
         if not_run:
             self.stage = Stage.OVER
             self.call.shed += 1
+        else:
+            self.stage = Stage.ANSWERED
         self.driver.head(self, result)
 
     def data(self, data: bytes) -> None:
@@ -126,16 +124,18 @@
         """Relays the end of the answer; the slot is free."""
         if self.stage is Stage.RELAYING:
             self.stage = Stage.OVER
-            self.call.relay_end(event)
+            if not guard.run(self.call.relay_end, event):
+                self.call.crash()
             self.driver.done(self)
 
     def failed(self, kind: ErrorKind) -> None:
         """Reports a broken connection, or cuts the relayed answer."""
-        self._suspect_kin()
-        if self.stage is Stage.RELAYING:
+        guard.run(self._suspect_kin)
+        if self.stage in ACCEPTED:
             self.stage = Stage.OVER
-            self.driver.done(self)
-            self.call.broke(kind)
+            guard.run(self.driver.done, self)
+            if not guard.run(self.call.broke, kind):
+                self.call.crash()
         elif self.stage is Stage.SENT:
             wrote = self.connection.wrote
             self._report_failure(kind, Ran.UNKNOWN if wrote else Ran.NO)
@@ -155,6 +155,21 @@
         self.stage = Stage.RELAYING
         self.call.relay_head(self)
 
+    def crash(self) -> None:
+        """Ends the try, and a relayed call, after a fault of our own."""
+        stage = self.stage
+        self.stage = Stage.OVER
+        self.wanted = False
+        wrote = self.connection is not None and self.connection.wrote
+        if self.connection is not None:
+            guard.run(self.connection.abort)
+        if stage in ACCEPTED:
+            guard.run(self.driver.done, self)
+            self.call.crash()
+        elif stage is not Stage.OVER:
+            ran = Ran.UNKNOWN if wrote else Ran.NO
+            self._report_failure(ErrorKind.INTERNAL, ran)
+
     def cancel(self) -> None:
         """Gives up; closing the connection cancels the server's work."""
         if self.stage is Stage.OVER:
@@ -174,6 +189,10 @@
 
     # Within.
 
+    def _send(self) -> None:
+        self.connection.begin(self, self.call.backend_request())
+        self.call.send_kept_body(self)
+
     def _is_not_run(self, event: h11.Response) -> bool:
         if event.status_code != NOT_RUN_STATUS:
             return False
--- a/banyantiller/proxy/backend.py
+++ b/banyantiller/proxy/backend.py
@@ -8,7 +8,7 @@
 import structlog
 
 from banyantiller.errors import ErrorKind
-from banyantiller.proxy import buffers, watchdog
+from banyantiller.proxy import buffers, guard, watchdog
 
 log = structlog.get_logger("banyantiller.proxy")
 
@@ -257,13 +257,17 @@
         self.last_answer = self.loop.time()
         # First the connection, then the exchange, whose end may start a call
         # that waits for a connection.
+        if not guard.run(self._go_home):
+            guard.run(self.abort)
+        guard.run(exchange.end, event)
+
+    def _go_home(self) -> None:
         if self._can_reuse():
             self.http.start_next_cycle()
             self.reused = True
             self.home.give_back(self)
         else:
             self.abort()
-        exchange.end(event)
 
     def _can_reuse(self) -> bool:
         http = self.http
@@ -296,7 +300,7 @@
         exchange = self.exchange
         self.exchange = None
         if exchange is not None:
-            exchange.failed(kind)
+            guard.run(exchange.failed, kind)
             exchange.flush()
 
     def _leave(self) -> None:
--- a/banyantiller/proxy/call.py
+++ b/banyantiller/proxy/call.py
@@ -7,7 +7,7 @@
 from banyantiller.bundle import options
 from banyantiller.errors import ErrorKind, Failure, Ran
 from banyantiller.kernel.events import CallFinished
-from banyantiller.proxy import answers, headers
+from banyantiller.proxy import answers, guard, headers
 from banyantiller.proxy import body as bodies
 
 if TYPE_CHECKING:
@@ -120,9 +120,17 @@
         """Ends the call because nobody waits for its answer."""
         if self.over:
             return
-        self._stop_tries()
+        guard.run(self._stop_tries)
         self._finish(ErrorKind.CALLER_GONE, cut=False)
 
+    def crash(self) -> None:
+        """Ends the call after a fault of our own, whatever else fails."""
+        if not self.over and guard.run(self.fail, Failure(ErrorKind.INTERNAL)):
+            return
+        guard.run(self.caller.cut)
+        if not self.over:
+            self._finish(ErrorKind.INTERNAL, cut=self.status != 0)
+
     def caller_writable(self, now: bool) -> None:
         """Stops or starts reading the answer."""
         if self.relaying is None or not self.relaying.streaming:
@@ -269,8 +277,8 @@
         if self.driver is not None:
             self.driver.calls.pop(self.call_id, None)
         if self.claim is not None:
-            self.claim.settle(self.maybe_ran)
-        self.proxy.finished(self._event(error, cut))
+            guard.run(self.claim.settle, self.maybe_ran)
+        guard.run(self.proxy.finished, self._event(error, cut))
         # Without cycles the call is freed as soon as nobody needs it.
         self.relaying = None
 
--- a/banyantiller/proxy/caller.py
+++ b/banyantiller/proxy/caller.py
@@ -303,7 +303,7 @@
 
     def _internal_error(self) -> None:
         if self.call is not None:
-            self.call.fail(Failure(ErrorKind.INTERNAL))
+            self.call.crash()
         else:
             self.transport.abort()
 
--- a/banyantiller/proxy/driver.py
+++ b/banyantiller/proxy/driver.py
@@ -13,8 +13,8 @@
 from banyantiller.errors import ErrorKind, Ran
 from banyantiller.proxy import attempt as attempts
 from banyantiller.proxy import call as calls
+from banyantiller.proxy import guard, probe, watchdog
 from banyantiller.proxy import pool as pools
-from banyantiller.proxy import probe, watchdog
 from banyantiller.routing import types
 
 log = structlog.get_logger("banyantiller.proxy")
@@ -22,6 +22,7 @@
 # A server that said it is leaving is asked so often whether it came back.
 RETURN_PROBE_S = 5.0
 REFUSED_PROBE_S = 0.5
+FAILED_TICK_PAUSE_S = 0.1
 
 LeavingHook = Callable[[str, str], None]
 
@@ -177,7 +178,7 @@
         if self.calls.pop(call.call_id, None) is None:
             return
         if call.relaying is not None:
-            call.relaying.cancel()
+            guard.run(call.relaying.cancel)
             self.done(call.relaying)
             return
         now = self.loop.time()
@@ -209,10 +210,12 @@
         self.performing = True
         try:
             while self.due:
-                self._act(self.due.popleft())
+                action = self.due.popleft()
+                if not guard.run(self._act, action):
+                    self._end_failed(action)
         finally:
             self.performing = False
-        self._set_timer()
+            self._set_timer()
 
     def _act(self, action: types.Action) -> None:
         kind = type(action)
@@ -227,6 +230,14 @@
         else:
             self._probe(action.server)
 
+    def _end_failed(self, action: types.Action) -> None:
+        # The dispatcher counts a slot as taken until it hears the end.
+        if not isinstance(action, types.Start | types.Relay):
+            return
+        attempt = self.attempts.get(action.attempt_id)
+        if attempt is not None:
+            guard.run(attempt.crash)
+
     def _start(self, action: types.Start) -> None:
         call = self.calls.get(action.call_id)
         pool = self.pools.get(action.server)
@@ -253,7 +264,7 @@
         attempt = self.attempts.pop(attempt_id, None)
         if attempt is not None:
             attempt.call.running.remove(attempt)
-            attempt.cancel()
+            guard.run(attempt.cancel)
 
     def _refuse(self, action: types.Refuse) -> None:
         call = self.calls.pop(action.call_id, None)
@@ -261,7 +272,8 @@
             return
         for attempt in list(call.running):
             self._cancel(attempt.attempt_id)
-        call.refuse(action.failure)
+        if not guard.run(call.refuse, action.failure):
+            call.crash()
 
     def _probe(self, server: str) -> None:
         pool = self.pools.get(server)
@@ -326,6 +338,11 @@
         return max(1, self.service.connections // self.alive)
 
     def _tick(self) -> None:
+        if not guard.run(self._act_on_time):
+            # Without a timer no deadline would pass any more.
+            self.watch.move(self.loop.time() + FAILED_TICK_PAUSE_S)
+
+    def _act_on_time(self) -> None:
         self.perform(self.dispatcher.tick(self.loop.time()))
 
     def _set_timer(self) -> None:
--- a/banyantiller/proxy/pool.py
+++ b/banyantiller/proxy/pool.py
@@ -217,6 +217,9 @@
             kind = ErrorKind.TLS_FAILED
         except OSError:
             pass
+        except Exception:
+            log.exception("proxy: a connection could not be made.")
+            kind = ErrorKind.INTERNAL
         self.connecting.discard(asyncio.current_task())
         if connection is None:
             if borrower.wanted:
