Check the table of packages against the imports

Cause: the page on the architecture said which package may import which, but `utils` and `replay` had no row and ten rows lacked imports that exist (such as bundle -> store, store -> config). Nothing compared the two. Measured: pytest of tests/test_architecture.py: 3 passed. In a copy, an import of proxy by store makes 1 of the 3 fail, and the former page 2 of them. Conclusion: the table holds and stays true; basic parts import nothing else.

--- /dev/null
+++ b/banyantiller/tests/test_architecture.py
@@ -0,0 +1,68 @@
+"""Tests that packages import what the page on the architecture says."""
+
+import ast
+import pathlib
+import re
+
+from banyantiller.tests import base
+
+PACKAGE = pathlib.Path(__file__).parents[1]
+PAGE = PACKAGE.parent / "docs" / "developer-guide" / "architecture.md"
+ROW = re.compile(r"^\| (`[^|]*) \| [^|]* \| ([^|]*) \|$", re.MULTILINE)
+NAME = re.compile(r"`(\w+)`")
+BASIC = {"errors", "exceptions", "config"}
+OUTSIDE = {"__init__", "__main__", "tests"}
+
+
+def parts() -> set[str]:
+    """Returns the names of packages and modules right below the root."""
+    found = {path.parent.name for path in PACKAGE.glob("*/__init__.py")}
+    found |= {path.stem for path in PACKAGE.glob("*.py")}
+    return found - OUTSIDE
+
+
+def allowed(everything: set[str]) -> dict[str, set[str]]:
+    """Reads which other parts each part may import."""
+    found = {}
+    for names, imports in ROW.findall(PAGE.read_text()):
+        listed = set(NAME.findall(imports))
+        if imports.startswith("all but"):
+            listed = everything - listed
+        for name in NAME.findall(names):
+            found[name] = listed | BASIC
+            if name not in BASIC | {"kernel"}:
+                found[name].add("plugins")
+    return found
+
+
+def imported(path: pathlib.Path) -> set[str]:
+    """Returns the parts that a module imports."""
+    found = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            found |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom):
+            found |= {f"{node.module}.{alias.name}" for alias in node.names}
+    inner = [name for name in found if name.startswith("banyantiller.")]
+    return {name.split(".")[1] for name in inner}
+
+
+class ArchitectureTest(base.TestCase):
+    def test_each_part_has_a_row(self):
+        self.assertEqual(parts(), set(allowed(parts())))
+
+    def test_parts_import_only_what_the_table_allows(self):
+        table = allowed(parts())
+        for path in PACKAGE.rglob("*.py"):
+            part = path.relative_to(PACKAGE).with_suffix("").parts[0]
+            if part not in OUTSIDE:
+                others = imported(path) & parts() - {part}
+                self.assertEqual(set(), others - table[part], path)
+
+    def test_basic_parts_import_only_each_other(self):
+        for path in [
+            *(PACKAGE / "config").rglob("*.py"),
+            PACKAGE / "errors.py",
+            PACKAGE / "exceptions.py",
+        ]:
+            self.assertEqual(set(), (imported(path) & parts()) - BASIC, path)
--- a/banyantiller/utils/__init__.py
+++ b/banyantiller/utils/__init__.py
@@ -1,1 +1,1 @@
-"""Small helpers that no single part owns."""
+"""What several parts share and none of them owns."""
