Rename what needed explaining and drop a check made twice

Cause: names such as signing_ones, old and doomed said little; rules that an earlier rule hides were looked for twice in a row; the docstring of commands/context.py named an output that it does not have; the sample of a finished call stood in two test folders. Change: names and docstrings; consistency._hidden_rules yields the places; the tests of telemetry use the sample of the tests of evidence. Measured: pytest of tests/{bundle,commands,telemetry}: 96 passed. Conclusion: same behaviour.

--- a/banyantiller/bundle/consistency.py
+++ b/banyantiller/bundle/consistency.py
@@ -110,21 +110,24 @@
         if rule.idempotent and not rule.methods:
             message = "It lets requests of any method, also POST, run twice."
             problems.warn(place, message)
-    for (place, later), (earlier_place, earlier) in _later_pairs(rules):
-        if _hides(earlier, later):
-            message = f"It has no effect: {earlier_place} matches first."
-            problems.warn(place, message)
+    for place, earlier_place in _hidden_rules(rules):
+        message = f"It has no effect: {earlier_place} matches first."
+        problems.warn(place, message)
     unsafe = not rules or any(not rule.idempotent for _, rule in rules)
     if service.key_required and not unsafe and _hides_all(rules, service):
         message = "It has no effect: every request is idempotent."
         problems.warn(f"{path}.key_required", message)
 
 
-def _later_pairs(rules: list[tuple[str, RequestRule]]):
-    for index, later in enumerate(rules):
-        hiding = [one for one in rules[:index] if _hides(one[1], later[1])]
-        if hiding:
-            yield later, hiding[0]
+def _hidden_rules(
+    rules: list[tuple[str, RequestRule]],
+) -> Iterator[tuple[str, str]]:
+    """Yields the places of rules that never match and of what hides them."""
+    for index, (place, rule) in enumerate(rules):
+        for earlier_place, earlier in rules[:index]:
+            if _hides(earlier, rule):
+                yield place, earlier_place
+                break
 
 
 def _hides(earlier: RequestRule, later: RequestRule) -> bool:
--- a/banyantiller/bundle/retention.py
+++ b/banyantiller/bundle/retention.py
@@ -74,9 +74,9 @@
     for listed in (parts, proposals):
         if isinstance(listed, interface.Unavailable):
             return NotReached(listed.reason)
-    old = operator.wall() - MIN_AGE_S
-    doomed = _choose(head, proposals.items, parts.items, versions, old)
-    return await _delete(store, doomed, operator, dry_run)
+    before = operator.wall() - MIN_AGE_S
+    unneeded = _choose(head, proposals.items, parts.items, versions, before)
+    return await _delete(store, unneeded, operator, dry_run)
 
 
 def _choose(
@@ -84,22 +84,23 @@
     proposals: tuple[interface.StoredObject, ...],
     parts: tuple[interface.StoredObject, ...],
     versions: int,
-    old: float,
+    before: float,
 ) -> list[interface.StoredObject]:
+    """Returns what is older than `before` and not needed any more."""
     decoded = [reading.decode_proposal(item) for item in proposals]
     found = [item for item in decoded if isinstance(item, ProposalFound)]
     kept = _accepted(head, found, versions)
     for item in found:
-        if item.manifest.parent == head.digest or item.proposed_at > old:
+        if item.manifest.parent == head.digest or item.proposed_at > before:
             kept[item.digest] = item.manifest
     needed = {
         part.digest for manifest in kept.values() for part in manifest.parts
     }
-    doomed = [item.item for item in found if item.digest not in kept]
-    return doomed + [
+    unneeded = [item.item for item in found if item.digest not in kept]
+    return unneeded + [
         item
         for item in parts
-        if item.name not in needed and _stored_at(item) <= old
+        if item.name not in needed and _stored_at(item) <= before
     ]
 
 
@@ -122,16 +123,16 @@
 
 async def _delete(
     store: interface.ObjectStore,
-    doomed: list[interface.StoredObject],
+    unneeded: list[interface.StoredObject],
     operator: Operator,
     dry_run: bool,
 ) -> PruneOutcome:
     names: dict[str, tuple[str, ...]] = {
-        kind: tuple(item.name for item in doomed if item.kind == kind)
+        kind: tuple(item.name for item in unneeded if item.kind == kind)
         for kind in (reading.PROPOSALS, reading.PARTS)
     }
     chosen = Pruned(names[reading.PROPOSALS], names[reading.PARTS])
-    if dry_run or not doomed:
+    if dry_run or not unneeded:
         return chosen
     detail: dict[str, Any] = {
         "proposals": len(chosen.proposals),
@@ -141,7 +142,7 @@
     if failure:
         return NotReached(failure)
     failed = 0
-    for item in doomed:
+    for item in unneeded:
         outcome = await store.delete(item)
         done = isinstance(outcome, interface.Found | interface.Missing)
         failed += 0 if done else 1
--- a/banyantiller/bundle/verification.py
+++ b/banyantiller/bundle/verification.py
@@ -84,13 +84,17 @@
     proposing = check_proposer(manifest, signatures, trusted, at)
     if proposing:
         return proposing
-    own = [key.public_key for key in trusted if key.name == manifest.proposer]
-    signing_ones = [item for item in signatures if item.role == signing.SIGN]
-    if not signing_ones:
+    proposer_keys = [
+        key.public_key for key in trusted if key.name == manifest.proposer
+    ]
+    second = [item for item in signatures if item.role == signing.SIGN]
+    if not second:
         return ("The bundle is not signed by a second operator.",)
     reasons = []
-    for signature in signing_ones:
-        reason = signature_fault(manifest, signature, trusted, at, own)
+    for signature in second:
+        reason = signature_fault(
+            manifest, signature, trusted, at, proposer_keys
+        )
         if not reason:
             return ()
         reasons.append(reason)
--- a/banyantiller/commands/context.py
+++ b/banyantiller/commands/context.py
@@ -1,4 +1,4 @@
-"""What every command runs in: settings, object API, clock and output."""
+"""What every command is given: settings, keys, object API and clock."""
 
 import asyncio
 import contextlib
--- a/banyantiller/commands/statuses.py
+++ b/banyantiller/commands/statuses.py
@@ -8,7 +8,7 @@
 from banyantiller.replica import status as writing
 from banyantiller.store import interface
 
-LATEST_RENEWAL = 1.5
+SPEAKING_PERIODS = 1.5
 
 
 class DaemonStatus(NamedTuple):
@@ -51,7 +51,7 @@
 ) -> tuple[DaemonStatus, ...]:
     """Returns those who renewed their status in time; others may be gone."""
     renewal = max(writing.RENEW_S, writing.RENEW_SPACING_S * len(found))
-    limit = renewal * LATEST_RENEWAL
+    limit = renewal * SPEAKING_PERIODS
     return tuple(item for item in found if now - item.at <= limit)
 
 
--- a/banyantiller/tests/telemetry/test_metrics.py
+++ b/banyantiller/tests/telemetry/test_metrics.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+from typing import Any
 
 import structlog
 
@@ -10,23 +11,11 @@
 from banyantiller.kernel import events
 from banyantiller.telemetry import admin, logs, metrics, tallies
 from banyantiller.tests import base
+from banyantiller.tests.evidence import samples
 
 
-def finished(**changes: object) -> events.CallFinished:
-    event = events.CallFinished(
-        request_id="r1",
-        service="orders",
-        idempotent=True,
-        key="",
-        server="s1",
-        status=200,
-        error=None,
-        attempts=1,
-        cut=False,
-        duration_s=0.002,
-        bundle=3,
-    )
-    return event._replace(**changes)
+def finished(**changes: Any) -> events.CallFinished:
+    return samples.call(**{"service": "orders", "duration_s": 0.002, **changes})
 
 
 class ExpositionTest(base.TestCase):
