Give operators a module of their own in bundle

Cause: signing, rolling and pruning imported Operator from the module that proposes, so a reader looked there for what proposing has to do with them. Change: bundle/operators.py holds Operator and Audit; users import it there. Conclusion: same behaviour; the module that proposes only proposes.

--- a/banyantiller/bundle/acceptance.py
+++ b/banyantiller/bundle/acceptance.py
@@ -12,6 +12,7 @@
 
 from banyantiller.bundle import descriptions, reading, verification, writing
 from banyantiller.bundle.manifest import Accepted
+from banyantiller.bundle.operators import Operator
 from banyantiller.bundle.outcomes import (
     Damaged,
     HeadFound,
@@ -24,7 +25,6 @@
     Rolled,
     RollOutcome,
 )
-from banyantiller.bundle.proposals import Operator
 from banyantiller.store import interface
 
 log = structlog.get_logger("banyantiller.bundle")
--- a/banyantiller/bundle/approval.py
+++ b/banyantiller/bundle/approval.py
@@ -14,6 +14,7 @@
     writing,
 )
 from banyantiller.bundle.manifest import Signature
+from banyantiller.bundle.operators import Operator
 from banyantiller.bundle.options import Bundle
 from banyantiller.bundle.outcomes import (
     Damaged,
@@ -24,7 +25,6 @@
     Signed,
     SignOutcome,
 )
-from banyantiller.bundle.proposals import Operator
 from banyantiller.store import interface
 
 
--- a/banyantiller/bundle/proposals.py
+++ b/banyantiller/bundle/proposals.py
@@ -1,7 +1,6 @@
-"""Proposes bundles."""
+"""Proposes bundles: stores their parts, then the signed proposal."""
 
-from collections.abc import Awaitable, Callable
-from typing import Any, NamedTuple
+from typing import Any
 
 from banyantiller.bundle import (
     canonical,
@@ -11,6 +10,7 @@
     writing,
 )
 from banyantiller.bundle.manifest import Manifest, Part, Signature
+from banyantiller.bundle.operators import Operator
 from banyantiller.bundle.options import Bundle
 from banyantiller.bundle.outcomes import (
     Damaged,
@@ -20,32 +20,10 @@
     ProposeOutcome,
     Refused,
 )
-from banyantiller.config.defaults import TrustedKey
 from banyantiller.store import interface
 
 RENEW_AFTER_S = 3600.0
 
-Audit = Callable[[str, dict[str, Any]], Awaitable[str]]
-"""Records an action and its particulars; returns why it failed, or ""."""
-
-
-class Operator(NamedTuple):
-    """Who acts, and what is needed to act and to be recorded.
-
-    Attributes:
-        name: Name in the trusted keys.
-        private: Private key as 64 hex digits.
-        trusted: Keys of all operators.
-        audit: Records an action in the audit trail before it is done.
-        wall: Returns wall-clock seconds.
-    """
-
-    name: str
-    private: str
-    trusted: tuple[TrustedKey, ...]
-    audit: Audit
-    wall: Callable[[], float]
-
 
 async def propose(
     store: interface.ObjectStore,
--- a/banyantiller/bundle/retention.py
+++ b/banyantiller/bundle/retention.py
@@ -11,6 +11,7 @@
 
 from banyantiller.bundle import reading
 from banyantiller.bundle.manifest import Manifest
+from banyantiller.bundle.operators import Operator
 from banyantiller.bundle.outcomes import (
     Damaged,
     HeadFound,
@@ -19,7 +20,6 @@
     ProposalFound,
     Refused,
 )
-from banyantiller.bundle.proposals import Operator
 from banyantiller.store import interface
 
 MIN_AGE_S = 86400.0
--- a/banyantiller/commands/context.py
+++ b/banyantiller/commands/context.py
@@ -10,7 +10,7 @@
 from typing import Any, NamedTuple
 
 from banyantiller import exceptions, plugins
-from banyantiller.bundle import proposals, signing
+from banyantiller.bundle import operators, signing
 from banyantiller.config import documents, settings
 from banyantiller.config.defaults import ObjectApiSettings, OperatorSettings
 from banyantiller.evidence import audit
@@ -63,7 +63,7 @@
         """Returns the fleet that the settings name."""
         return self.settings.deployment
 
-    def operator(self) -> proposals.Operator:
+    def operator(self) -> operators.Operator:
         """Returns the operator with the private key and the audit trail.
 
         Raises:
@@ -82,7 +82,7 @@
             )
             return getattr(outcome, "reason", "")
 
-        return proposals.Operator(
+        return operators.Operator(
             self.settings.operator,
             private,
             self.settings.trusted_keys,
--- a/banyantiller/replay/rolls_player.py
+++ b/banyantiller/replay/rolls_player.py
@@ -7,6 +7,7 @@
 from banyantiller.bundle import (
     acceptance,
     approval,
+    operators,
     options,
     outcomes,
     proposals,
@@ -252,8 +253,8 @@
             version = head.accepted.manifest.version
             self.log.accepted.append((version, head.digest))
 
-    def _operator(self, name: str) -> proposals.Operator:
-        return proposals.Operator(
+    def _operator(self, name: str) -> operators.Operator:
+        return operators.Operator(
             name,
             self.keys[name].private,
             self.trusted,
--- a/banyantiller/tests/bundle/samples.py
+++ b/banyantiller/tests/bundle/samples.py
@@ -5,6 +5,7 @@
 from banyantiller.bundle import (
     acceptance,
     approval,
+    operators,
     parsing,
     proposals,
     signing,
@@ -57,9 +58,9 @@
     return parsing.parse(text, "b.yaml").bundle
 
 
-def operator(name: str, trail: Trail | None = None) -> proposals.Operator:
+def operator(name: str, trail: Trail | None = None) -> operators.Operator:
     audit = (trail or Trail()).record
-    return proposals.Operator(
+    return operators.Operator(
         name, KEYS[name].private, TRUSTED, audit, lambda: NOW
     )
 
--- a/banyantiller/tests/bundle/test_retention.py
+++ b/banyantiller/tests/bundle/test_retention.py
@@ -1,6 +1,6 @@
 """Tests that pruning deletes nothing that anyone needs."""
 
-from banyantiller.bundle import proposals, reading, retention
+from banyantiller.bundle import operators, proposals, reading, retention
 from banyantiller.bundle.options import Bundle
 from banyantiller.bundle.outcomes import (
     HeadFound,
@@ -21,7 +21,7 @@
     return BUNDLE.replace("desk-2", f"desk-{number}")
 
 
-def late_operator() -> proposals.Operator:
+def late_operator() -> operators.Operator:
     return samples.operator("ana")._replace(wall=lambda: LATER)
 
 
--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -16,6 +16,7 @@
     acceptance,
     approval,
     descriptions,
+    operators,
     outcomes,
     parsing,
     proposals,
@@ -210,7 +211,7 @@
             return ""
 
         self.operators = [
-            proposals.Operator(name, pair.private, trusted, audit, time.time)
+            operators.Operator(name, pair.private, trusted, audit, time.time)
             for name, pair in pairs.items()
         ]
         endpoint = defaults.Endpoint(files.ADDRESS, self.object_api)
--- a/bench/load_fleet.py
+++ b/bench/load_fleet.py
@@ -14,6 +14,7 @@
     acceptance,
     approval,
     descriptions,
+    operators,
     outcomes,
     parsing,
     proposals,
@@ -203,7 +204,7 @@
             return ""
 
         ana, ben = (
-            proposals.Operator(name, pair.private, trusted, audit, time.time)
+            operators.Operator(name, pair.private, trusted, audit, time.time)
             for name, pair in pairs.items()
         )
         endpoint = defaults.Endpoint(files.ADDRESS, self.platform.object_api)
