Keep the claim of a request that ran when a later step of ours fails

Cause: a try whose answer head had come counted as not run if the dispatcher or the relaying of the head then raised. The call ended with its claim given back, so the same key could be claimed, and the request run, a second time. Change: once an answer head without the not-run header came, the call counts as one that may have run; its claim then ends as unsettled. Conclusion: a fault of our own between head and relay costs the answer, and never lets a keyed request run twice.

--- a/banyantiller/proxy/attempt.py
+++ b/banyantiller/proxy/attempt.py
@@ -113,6 +113,8 @@
             self.call.shed += 1
         else:
             self.stage = Stage.ANSWERED
+            # Whatever fails from here on, the server ran the request.
+            self.call.maybe_ran = True
         self.driver.head(self, result)
 
     def data(self, data: bytes) -> None:
--- a/banyantiller/tests/proxy/test_at_most_once.py
+++ b/banyantiller/tests/proxy/test_at_most_once.py
@@ -1,10 +1,12 @@
 """Tests of what is sent again, to whom, and what the caller is told."""
 
 import asyncio
+import contextlib
 from unittest import mock
 
 from banyantiller.bundle import options
 from banyantiller.claims.types import RecordedAnswer
+from banyantiller.proxy import attempt, call, driver
 from banyantiller.tests import base
 from banyantiller.tests.proxy import fakes
 
@@ -185,6 +187,25 @@
             if wanted == "finish":
                 self.assertEqual((200, kept), (rest[0].status, rest[0].body))
 
+    def test_claim_of_a_request_that_ran_is_kept_after_a_fault(self) -> None:
+        async def settled(owner: type, name: str) -> list[str]:
+            bench = await fakes.Bench.start(fakes.answering(OK))
+            fault = mock.patch.object(owner, name, side_effect=RuntimeError)
+            with fault, contextlib.suppress(TimeoutError, ConnectionError):
+                await bench.ask(KEYED, wait_s=10)
+            await asyncio.sleep(0.1)
+            await bench.proxy.close()
+            return [item[0] for item in bench.claims.settled]
+
+        for owner, name in (
+            (fakes.RoundRobin, "attempt_head"),
+            (driver.ServiceDriver, "_relay"),
+            (attempt.Attempt, "relay"),
+            (call.Call, "relay_head"),
+        ):
+            found = self.run_paused(settled(owner, name))
+            self.assertEqual(["unsettled"], found, name)
+
     def test_claim_of_a_caller_that_left_is_given_back(self) -> None:
         async def body() -> None:
             bench = await fakes.Bench.start(fakes.answering(OK))
