Send tries elsewhere that wait for a connection to a leaving server

Cause: with more tries than connections to a server, tries waited in its pool, and were sent when a connection became free, however long after the server had said that it leaves or the bundle had dropped it. In the test it got a new request 5 s after it left. Change: when a server leaves or is taken out, those that still wait get "no server", which is known as not run, and the dispatcher starts them on another server or refuses them at once. Conclusion: a small connections limit no longer breaks the promise about leaving servers; tries that are connecting already still go out.

--- a/banyantiller/proxy/driver.py
+++ b/banyantiller/proxy/driver.py
@@ -74,8 +74,12 @@
     def configure(self, service: options.Service) -> None:
         """Takes new options; servers taken out drain."""
         self.service = service
+        before = self.pools.copy()
         self._set_pools()
         self._reconfigure()
+        for name, pool in before.items():
+            if self.pools.get(name) is not pool:
+                pool.turn_away()
 
     def server_leaving(self, server: str, reason: str) -> None:
         """Gives a server nothing new."""
@@ -84,6 +88,7 @@
             if reason == "drain_answer":
                 self.return_watch.set(self.loop.time() + RETURN_PROBE_S)
             self._reconfigure()
+            self.pools[server].turn_away()
 
     def server_back(self, server: str) -> None:
         """Gives a server requests again."""
--- a/banyantiller/proxy/pool.py
+++ b/banyantiller/proxy/pool.py
@@ -122,6 +122,11 @@
             self.idle[0].abort()
         self._serve_waiting()
 
+    def turn_away(self) -> None:
+        """Sends borrowers elsewhere who still wait for a connection."""
+        while (borrower := self._next_waiting()) is not None:
+            borrower.connect_failed(ErrorKind.NO_SERVER)
+
     def leave(self) -> None:
         """Closes idle connections; busy ones close after their answer."""
         self.closing = True
--- a/banyantiller/tests/proxy/test_changes.py
+++ b/banyantiller/tests/proxy/test_changes.py
@@ -1,6 +1,7 @@
 """Tests of planned changes: bundles, leaving servers, drain, members."""
 
 import asyncio
+from collections.abc import Callable
 
 from banyantiller.bundle import options
 from banyantiller.errors import ErrorKind
@@ -99,6 +100,35 @@
 
         self.run_paused(body())
 
+    def test_tries_that_wait_for_a_connection_go_elsewhere(self) -> None:
+        async def body(leave: Callable[[fakes.Bench], None]) -> None:
+            first: list[bytes] = []
+            second: list[bytes] = []
+            bench = await fakes.Bench.start(
+                fakes.answering(seen=first, wait_s=5.0),
+                fakes.answering(seen=second),
+                connections=1,
+            )
+            running = asyncio.create_task(bench.ask(GET))
+            await asyncio.sleep(0.1)
+            waiting = asyncio.create_task(bench.ask(GET))
+            await asyncio.sleep(0.1)
+            leave(bench)
+            for answer in await asyncio.gather(running, waiting):
+                self.assertIn(b" 200 ", answer)
+            self.assertEqual((1, 1), (len(first), len(second)))
+            await bench.proxy.close()
+
+        def by_word(bench: fakes.Bench) -> None:
+            bench.proxy.server_leaving("orders", "server-9001", "vm_list")
+
+        def by_bundle(bench: fakes.Bench) -> None:
+            service = fakes.make_service([9002, 9003], connections=1)
+            bench.proxy.apply(options.Bundle((service,)), 2, 1000.0)
+
+        self.run_paused(body(by_word))
+        self.run_paused(body(by_bundle))
+
     def test_drain_cuts_nothing(self) -> None:
         async def body() -> None:
             bench = await fakes.Bench.start(fakes.answering(wait_s=3.0))
