--- a/banyantiller/tests/commands/test_evidence.py
+++ b/banyantiller/tests/commands/test_evidence.py
@@ -11,7 +11,7 @@
 
 from banyantiller.commands import cli, context, times
 from banyantiller.evidence import audit
-from banyantiller.store import memory, table
+from banyantiller.store import interface, memory, table
 from banyantiller.tests import base
 from banyantiller.tests.evidence import samples
 
@@ -168,8 +168,21 @@
 
     def test_store_down(self) -> None:
         self.store.faults.down = True
-        for command in ("held", "audit"):
-            self.assertEqual(5, self.run_cli(command)[0])
+        for argv in (("held",), ("audit",), ("gone", "b2")):
+            self.assertEqual(5, self.run_cli(*argv)[0])
+
+    def test_statement_whose_answer_is_lost(self) -> None:
+        create = self.store.create
+
+        async def last_create(*args: Any) -> interface.CreateOutcome:
+            await create(*args)
+            self.store.faults.down = True
+            return interface.Unknown("the answer was lost")
+
+        with mock.patch.object(self.store, "create", last_create):
+            status, text = self.run_cli("gone", "b2")
+        self.assertEqual(7, status)
+        self.assertIn("not known whether the statement was written", text)
 
 
 class AuditTest(EvidenceCase):
--- a/banyantiller/tests/kernel/test_core.py
+++ b/banyantiller/tests/kernel/test_core.py
@@ -1,6 +1,7 @@
 """Tests of the kernel's tasks and events."""
 
 import asyncio
+import itertools
 
 from banyantiller.kernel import core, events, mailbox
 from banyantiller.tests import base
@@ -35,6 +36,36 @@
 
         self.run_paused(scenario())
 
+    def test_a_name_is_used_by_one_task_at_a_time(self) -> None:
+        async def scenario() -> None:
+            kernel = core.Kernel()
+            kernel.start("reader", lambda: asyncio.sleep(1000))
+            with self.assertRaises(ValueError):
+                kernel.start("reader", lambda: asyncio.sleep(1000))
+            await kernel.stop(["reader", "unknown"])
+            kernel.start("reader", lambda: asyncio.sleep(0))
+            await kernel.tasks["reader"]
+
+        self.run_paused(scenario())
+
+    def test_restarts_do_not_become_ever_rarer(self) -> None:
+        starts: list[float] = []
+
+        async def body() -> None:
+            starts.append(asyncio.get_running_loop().time())
+            raise OSError("refused")
+
+        async def scenario() -> None:
+            kernel = core.Kernel(seed=1)
+            kernel.start("reader", body)
+            await asyncio.sleep(100)
+            await kernel.stop()
+
+        self.run_paused(scenario())
+        pauses = [b - a for a, b in itertools.pairwise(starts)]
+        self.assertLessEqual(max(pauses), core.LONGEST_RESTART_S + 1e-6)
+        self.assertGreater(max(pauses), core.LONGEST_RESTART_S / 2)
+
     def test_failing_handler_does_not_stop_the_others(self) -> None:
         seen: list[events.DaemonDraining] = []
         kernel = core.Kernel()
