Name the server of a call that got no answer, so that leaving is judged

Cause: the event of a finished call named only a server that answered. A leaving server that got a new request long after it was known to leave, and did not answer it, which is what such servers do, was invisible to the evidence, and "leaving server spared" showed as held. Change: the event names the server of the last try that was sent, with the time of sending, when none answered; the recorder's rule then applies as it is. The statement of the promise says what stays unseen: a try without an answer after which the call was tried elsewhere. Conclusion: of the requests that a leaving server leaves unanswered, those that end their call are now judged.

--- a/banyantiller/evidence/promises.py
+++ b/banyantiller/evidence/promises.py
@@ -64,10 +64,10 @@
     ),
     Promise.LEAVING_SERVER_SPARED: Statement(
         "A leaving server gets no new requests after a few seconds.",
-        "A call that arrived later than the set time after the daemon learned"
-        " that the server is leaving, and was still answered by it.",
+        "A call whose answered or last try was sent later than the set time"
+        " after the daemon learned that the server is leaving.",
         "A server that leaves without telling the platform or any daemon, and"
-        " a request that a leaving server got and did not answer.",
+        " a try without an answer after which the call was tried elsewhere.",
     ),
     Promise.SHUTDOWN_CUTS_NOTHING: Statement(
         "A graceful shutdown of a server or a daemon cuts no request.",
--- a/banyantiller/kernel/events.py
+++ b/banyantiller/kernel/events.py
@@ -51,7 +51,8 @@
         service: Service name, empty if none matched.
         idempotent: Whether the bundle states it may be repeated.
         key: Idempotency key, or empty.
-        server: Backend server that answered, or empty.
+        server: Backend server that answered or, if none did, was sent the
+            request last; else empty.
         status: Status code sent to the caller, 0 if none was.
         error: The failure, or None for a relayed answer.
         attempts: Backend tries that wrote at least one byte.
@@ -60,7 +61,7 @@
         bundle: Version of the bundle that the call ran under.
         shed: Of the attempts, those that the server refused as not run.
         sent_after_s: From the first byte of the head to the start of the
-            try that was answered.
+            try at `server`.
         told: For a failure, what the caller was told of whether the request
             was run.
     """
--- a/banyantiller/proxy/attempt.py
+++ b/banyantiller/proxy/attempt.py
@@ -79,6 +79,7 @@
         self.stage = Stage.SENT
         self.connection = connection
         self.began = self.driver.loop.time()
+        self.call.last = self
         if not guard.run(self._send):
             self.crash()
 
--- a/banyantiller/proxy/call.py
+++ b/banyantiller/proxy/call.py
@@ -32,6 +32,7 @@
         tries: Ended tries that wrote at least one byte.
         running: Tries that have not ended.
         relaying: The try whose answer is relayed.
+        last: The try that was sent last.
         maybe_ran: Whether an ended try may have run the request.
         shed: Tries that their server refused as not run.
         told: What a refusal told the caller of whether the request was run.
@@ -67,6 +68,7 @@
         self.tries = 0
         self.running: list[attempts.Attempt] = []
         self.relaying: attempts.Attempt | None = None
+        self.last: attempts.Attempt | None = None
         self.maybe_ran = False
         self.shed = 0
         self.told: Ran | None = None
@@ -281,17 +283,19 @@
         guard.run(self.proxy.finished, self._event(error, cut))
         # Without cycles the call is freed as soon as nobody needs it.
         self.relaying = None
+        self.last = None
 
     def _event(self, error: ErrorKind | None, cut: bool) -> CallFinished:
         sent_after_s = 0.0
-        if self.relaying is not None:
-            sent_after_s = self.relaying.began - self.began
+        tried = self.relaying or self.last
+        if tried is not None:
+            sent_after_s = tried.began - self.began
         return CallFinished(
             request_id=self.request_id.decode("latin-1"),
             service=self.service.name if self.service is not None else "",
             idempotent=self.idempotent,
             key=self.key,
-            server=self.relaying.server if self.relaying is not None else "",
+            server=tried.server if tried is not None else "",
             status=self.status,
             error=error,
             attempts=self.tries,
--- a/banyantiller/tests/proxy/test_changes.py
+++ b/banyantiller/tests/proxy/test_changes.py
@@ -129,6 +129,18 @@
         self.run_paused(body(by_word))
         self.run_paused(body(by_bundle))
 
+    def test_end_of_a_call_names_the_server_that_did_not_answer(self) -> None:
+        async def body() -> None:
+            bench = await fakes.Bench.start(fakes.answering(wait_s=60.0))
+            hurried = CLOSE.replace(
+                b"Host", b"X-Request-Deadline-Ms: 500\r\nHost"
+            )
+            self.assertIn(b" 504 ", await bench.ask(hurried))
+            self.assertEqual("server-9001", bench.finished[0].server)
+            await bench.proxy.close()
+
+        self.run_paused(body())
+
     def test_drain_cuts_nothing(self) -> None:
         async def body() -> None:
             bench = await fakes.Bench.start(fakes.answering(wait_s=3.0))
