Take plain events through h11's states directly

Cause: for each event h11 scans the fields for four rare ones and applies its table of states until nothing changes; this took about a fifth of a profile of one call, and the proxy looked at each field in lower case once more.

Change: `codec.Connection` derives from h11's connection and goes straight to the next state where that is known (Data, EndOfMessage, requests and responses without Connection, Expect and Upgrade); all other cases go through h11, which still parses, checks and writes each message. Fields are read in the form in which h11 keeps them.

Since h11's private names are used, its version stays pinned.

--- a/banyantiller/proxy/backend.py
+++ b/banyantiller/proxy/backend.py
@@ -8,7 +8,7 @@
 import structlog
 
 from banyantiller.errors import ErrorKind
-from banyantiller.proxy import buffers, guard, watchdog
+from banyantiller.proxy import buffers, codec, guard, watchdog
 
 log = structlog.get_logger("banyantiller.proxy")
 
@@ -75,7 +75,7 @@
         self.loop = loop
         self.max_head_bytes = max_head_bytes
         self.silence_s = silence_s
-        self.http = h11.Connection(
+        self.http = codec.Connection(
             h11.CLIENT, max_incomplete_event_size=max_head_bytes
         )
         self.transport: asyncio.Transport | None = None
--- a/banyantiller/proxy/caller.py
+++ b/banyantiller/proxy/caller.py
@@ -9,7 +9,7 @@
 import structlog
 
 from banyantiller.errors import ErrorKind, Failure
-from banyantiller.proxy import answers, buffers, headers, patience
+from banyantiller.proxy import answers, buffers, codec, headers, patience
 
 if TYPE_CHECKING:
     from banyantiller.proxy import call as calls
@@ -37,7 +37,7 @@
         self.proxy = proxy
         self.loop = proxy.loop
         self.limits = proxy.settings.callers
-        self.http = h11.Connection(
+        self.http = codec.Connection(
             h11.SERVER, max_incomplete_event_size=self.limits.max_head_bytes
         )
         self.transport: Any = None
--- /dev/null
+++ b/banyantiller/proxy/codec.py
@@ -0,0 +1,140 @@
+"""h11's connection with short ways through its state machine.
+
+h11 parses, checks and writes every message. For each event it also scans the
+fields for several rare ones and applies its table of states more than once.
+The plain cases, in which the next state is known, are taken directly here;
+all others, such as `Connection`, `Expect`, `Upgrade`, chunked bodies and
+errors, go through h11 as they are. The names of h11 that this relies on are
+not public, so the version is pinned and `test_codec` compares both.
+"""
+
+from collections.abc import Iterator
+from typing import Any
+
+import h11
+from h11._readers import READERS
+from h11._writers import WRITERS
+
+CLIENT = h11.CLIENT
+SERVER = h11.SERVER
+# Fields that may change more than the state of the sender.
+RARE_FIELDS = frozenset((b"connection", b"expect", b"upgrade"))
+BROKEN = (h11.CLOSED, h11.ERROR, h11.MUST_CLOSE)
+CURRENT_VERSION = b"1.1"
+
+
+class Checked(type(h11.EndOfMessage().headers)):
+    """Fields that h11 takes as they are: each was checked before."""
+
+    def __iter__(self) -> Iterator[tuple[bytes, bytes]]:
+        """Yields names in lower case and values."""
+        return iter([item[1:] for item in self._full_items])
+
+
+def full_fields(headers: Any) -> list[tuple[bytes, bytes, bytes]]:
+    """Returns name as written, name in lower case and value of each field.
+
+    The list belongs to the headers and must not be changed.
+    """
+    return headers._full_items
+
+
+class Connection(h11.Connection):
+    """An `h11.Connection` that takes the plain events directly."""
+
+    def _process_event(self, role: Any, event: Any) -> None:
+        way = SHORT_WAYS.get(type(event))
+        if way is None or not way(self, role, event):
+            super()._process_event(role, event)
+
+    def _clean_up_response_headers_for_sending(
+        self, response: h11.Response
+    ) -> h11.Response:
+        if self._cstate.keep_alive and _has_plain_length(response):
+            return response
+        return super()._clean_up_response_headers_for_sending(response)
+
+    def enter(self, role: Any, state: Any, event: Any) -> None:
+        """Moves one side to a state; sets how it is read or written."""
+        self._cstate.states[role] = state
+        if role is self.our_role:
+            self._writer = self._get_io_object(role, event, WRITERS)
+        else:
+            self._reader = self._get_io_object(role, event, READERS)
+
+    def is_plain(self) -> bool:
+        """Tells whether no rare condition of the connection holds."""
+        state = self._cstate
+        return state.keep_alive and not state.pending_switch_proposals
+
+
+def _take_data(http: Connection, role: Any, event: h11.Data) -> bool:
+    del event
+    if http._cstate.states[role] is not h11.SEND_BODY:
+        return False
+    if role is CLIENT:
+        http.client_is_waiting_for_100_continue = False
+    return True
+
+
+def _take_end(http: Connection, role: Any, event: h11.EndOfMessage) -> bool:
+    states = http._cstate.states
+    other = SERVER if role is CLIENT else CLIENT
+    if states[role] is not h11.SEND_BODY or states[other] in BROKEN:
+        return False
+    if not http.is_plain():
+        return False
+    if role is CLIENT:
+        http.client_is_waiting_for_100_continue = False
+    http.enter(role, h11.DONE, event)
+    return True
+
+
+def _take_request(http: Connection, role: Any, event: h11.Request) -> bool:
+    states = http._cstate.states
+    if states[CLIENT] is not h11.IDLE or states[SERVER] is not h11.IDLE:
+        return False
+    if role is not CLIENT or not http.is_plain():
+        return False
+    if event.method == b"CONNECT" or not _has_plain_head(event):
+        return False
+    http._request_method = event.method
+    if role is http.their_role:
+        http.their_http_version = event.http_version
+    http.enter(CLIENT, h11.SEND_BODY, event)
+    http.enter(SERVER, h11.SEND_RESPONSE, event)
+    return True
+
+
+def _take_response(http: Connection, role: Any, event: h11.Response) -> bool:
+    states = http._cstate.states
+    if role is not SERVER or states[SERVER] is not h11.SEND_RESPONSE:
+        return False
+    if not http.is_plain():
+        return False
+    if not _has_plain_head(event):
+        return False
+    if role is http.their_role:
+        http.their_http_version = event.http_version
+    http.client_is_waiting_for_100_continue = False
+    http.enter(SERVER, h11.SEND_BODY, event)
+    return True
+
+
+def _has_plain_head(event: Any) -> bool:
+    if event.http_version != CURRENT_VERSION:
+        return False
+    return not any(item[1] in RARE_FIELDS for item in event.headers._full_items)
+
+
+def _has_plain_length(response: h11.Response) -> bool:
+    names = [item[1] for item in response.headers._full_items]
+    return b"content-length" in names and b"transfer-encoding" not in names
+
+
+SHORT_WAYS = {
+    h11.Data: _take_data,
+    h11.EndOfMessage: _take_end,
+    h11.Request: _take_request,
+    h11.Response: _take_response,
+}
--- a/banyantiller/proxy/headers.py
+++ b/banyantiller/proxy/headers.py
@@ -11,8 +11,9 @@
 
 import h11
 
-# h11 takes headers of this type as they are. It has no public name.
-Checked = type(h11.EndOfMessage().headers)
+from banyantiller.proxy import codec
+
+Checked = codec.Checked
 END = h11.EndOfMessage()
 
 # Name as written, name in lower case, value.
@@ -88,12 +89,11 @@
     fields: list[Field] = []
     head = RequestHead(fields)
     named: list[bytes] = []
-    for raw, value in request.headers.raw_items():
-        name = raw.lower()
-        if name in READ_FROM_REQUESTS:
-            _read_field(head, named, name, value)
+    for item in codec.full_fields(request.headers):
+        if item[1] in READ_FROM_REQUESTS:
+            _read_field(head, named, item[1], item[2])
         else:
-            fields.append((raw, name, value))
+            fields.append(item)
     if named:
         head.fields = _without(fields, named)
     return head
@@ -161,7 +161,7 @@
 
 def received(head: Any) -> list[Field]:
     """Returns the fields of a received head or of received trailers."""
-    return [(raw, raw.lower(), value) for raw, value in head.raw_items()]
+    return codec.full_fields(head)
 
 
 def forward_answer(
