--- a/bench/load_fleet.py
+++ b/bench/load_fleet.py
@@ -32,6 +32,7 @@
 
 OPERATORS = ("ana", "ben")
 DRAIN_S = 3.0
+LONGEST_WAIT = 0.8
 GRACE_S = 2.0
 LIMIT_S = 15.0
 MEET_S = 30.0
@@ -231,6 +232,7 @@
             objective=size.objective,
             deadline_s=size.deadline_s,
             measuring={"probes_per_second": size.probes},
+            queue={"longest_s": LONGEST_WAIT * size.deadline_s},
         )
         return content
 
