Settle the claims of calls that a drain's limit cuts, and count late readers

Cause: at the end of a shutdown the connections were closed last, after the claims had been written for the last time, and the claims' tasks were cancelled just before the cut calls settled theirs. A keyed request that had only waited for a connection kept its key for good although it was not run. And a drain returned 0 cut calls for an answer that its caller had not taken. Change: closing ends the calls first and waits up to 2 s for their claims; the daemon then writes what is left and its last summary. The drain's count includes connections with unsent bytes. Conclusion: a cut at the limit leaves no key claimed without need, and the exit status tells of every answer that was cut here.

--- a/banyantiller/daemon/assembly.py
+++ b/banyantiller/daemon/assembly.py
@@ -151,9 +151,10 @@
         cut_calls.report(self)
         self.peers.leave()
         await self.kernel.stop()
+        # Closing settles the claims of calls that are cut by it.
+        await self.proxy.close()
         await self.claims.drain()
         await self.writer.finish()
-        await self.proxy.close()
         await self.peers.close()
         await self.admin_server.close()
         await self.store.close()
--- a/banyantiller/proxy/proxy.py
+++ b/banyantiller/proxy/proxy.py
@@ -34,6 +34,7 @@
 log = structlog.get_logger("banyantiller.proxy")
 
 BACKLOG = 1024
+SETTLE_S = 2.0
 
 DispatcherFactory = Callable[..., Dispatcher]
 Charge = Callable[[float], bool]
@@ -187,7 +188,8 @@
             limit_s: Longest wait for calls in flight after that.
 
         Returns:
-            Number of calls that were cut because the limit passed.
+            Number of calls that were cut because the limit passed, with
+            those whose caller has not taken the whole answer yet.
         """
         self.draining = True
         await asyncio.sleep(grace_s)
@@ -201,17 +203,22 @@
             await asyncio.wait_for(self.emptied.wait(), limit_s)
         except TimeoutError:
             pass
-        cut = self.in_flight
+        cut = self.in_flight + sum(map(_has_unsent, self.callers))
         log.info("proxy: drained.", cut=cut)
         return cut
 
     async def close(self) -> None:
-        """Closes the listener and every connection at once."""
+        """Closes the listener and every connection at once.
+
+        The claims of calls that this cuts get a moment to be settled.
+        """
         if self.server is not None:
             self.server.close()
         for connection in list(self.callers):
-            connection.transport.abort()
+            connection.give_up()
         self.services.close()
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=SETTLE_S)
         for task in list(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -349,3 +356,9 @@
             self._note_emptied()
         if not task.cancelled() and task.exception() is not None:
             log.error("proxy: a claim failed.", error=repr(task.exception()))
+
+
+def _has_unsent(connection: caller.CallerConnection) -> bool:
+    if connection.call is not None:
+        return False
+    return connection.transport.get_write_buffer_size() > 0
--- a/banyantiller/tests/proxy/test_changes.py
+++ b/banyantiller/tests/proxy/test_changes.py
@@ -179,6 +179,41 @@
 
         self.run_paused(body())
 
+    def test_drain_counts_answers_that_are_not_taken_yet(self) -> None:
+        async def body() -> None:
+            size = 96 * 1024
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size
+            bench = await fakes.Bench.start(fakes.answering(head + bytes(size)))
+            caller = await bench.connect()
+            caller.writer.transport.pause_reading()
+            await caller.send(GET)
+            await asyncio.sleep(1)
+            self.assertEqual(1, await bench.proxy.drain(0.0, 1.0))
+            await bench.proxy.close()
+
+        self.run_paused(body())
+
+    def test_close_settles_the_claims_of_the_calls_it_cuts(self) -> None:
+        async def body() -> None:
+            bench = await fakes.Bench.start(
+                fakes.answering(wait_s=60.0), connections=1
+            )
+            callers = [await bench.connect() for _ in range(2)]
+            keys = (b"sent", b"waiting")
+            for caller, key in zip(callers, keys, strict=True):
+                await caller.send(
+                    b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n"
+                    b"Idempotency-Key: %b\r\n\r\n" % key
+                )
+                await asyncio.sleep(0.1)
+            await bench.proxy.close()
+            self.assertEqual(
+                {("unsettled", "sent"), ("release", "waiting")},
+                set(bench.claims.settled),
+            )
+
+        self.run_paused(body())
+
     def test_connections_are_shared_between_the_daemons_alive(self) -> None:
         async def body() -> None:
             bench = await fakes.Bench.start(
