Refuse peers.tls without a trust file when settings are checked

Change: the check of settings tells it, with its place, like all other errors. Conclusion: what validate accepts is not refused later for this reason.

--- a/banyantiller/config/settings.py
+++ b/banyantiller/config/settings.py
@@ -120,6 +120,9 @@
     if peers.tls is None and not peers.secret:
         message = "Peers need 'tls' or a 'secret' to authenticate each other."
         problems.error("peers", message)
+    if peers.tls is not None and not peers.tls.trust:
+        message = "Peers verify each other, so 'trust' is required here."
+        problems.error("peers.tls", message)
     if peers.secret and len(peers.secret) < SHORTEST_SECRET:
         message = f"It is shorter than {SHORTEST_SECRET} characters."
         problems.warn("peers.secret", message)
--- a/banyantiller/tests/config/test_settings.py
+++ b/banyantiller/tests/config/test_settings.py
@@ -1,10 +1,12 @@
 """Tests of loading settings: every error, with its place."""
 
+import tempfile
 import textwrap
 
 from banyantiller import exceptions
 from banyantiller.config import documents, fields, loading, scalars, settings
 from banyantiller.config.defaults import Settings
+from banyantiller.tests import certificates
 from banyantiller.tests.base import TestCase
 
 KEY = "ab" * 32
@@ -140,6 +142,17 @@
         text = GOOD.replace("  secret: 0123456789abcdef\n", "")
         self.assertIn("peers: Peers need 'tls' or", errors_of(text)[0])
 
+    def test_peers_need_a_trust_file_with_their_certificate(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        files = certificates.Authority(folder.name).issue("d0")
+        own = f"certificate: {files.certificate}, key: {files.key}"
+        secret = "secret: 0123456789abcdef"
+        (found,) = errors_of(GOOD.replace(secret, f"tls: {{{own}}}"))
+        self.assertIn("peers.tls: Peers verify each other", found)
+        trusting = f"tls: {{{own}, trust: {files.trust}}}"
+        self.assertEqual([], errors_of(GOOD.replace(secret, trusting)))
+
     def test_one_operator_alone_is_warned_about(self):
         text = GOOD[: GOOD.index("  - {name: ben")]
         _, warnings = settings.parse(text, "s.yaml")
