Don't say "held" while changes of members were only counted

Cause: a run that died before it wrote anything is known only from what its peers saw. A summary lists 100 changes of members; with more of them, as when a peer flaps, such a run was left out and every promise showed as held. Change: times whose changes of members are not all listed are not known.

--- a/banyantiller/evidence/judging.py
+++ b/banyantiller/evidence/judging.py
@@ -190,9 +190,20 @@
     unknown: list[Unknown] = []
     for history in histories:
         unknown += _overlapping(history.unknown, part)
+        unknown += _overlapping(_unlisted_members(history), part)
     return tuple(unknown) + _nobody(histories, part)
 
 
+def _unlisted_members(history: RunHistory) -> tuple[Unknown, ...]:
+    """Lists when a run that wrote nothing itself may have been left out."""
+    why = "Some changes of members were only counted."
+    return tuple(
+        Unknown(history.run.daemon, summary.from_ms, summary.to_ms, why)
+        for summary in history.summaries
+        if summary.omitted.get("members")
+    )
+
+
 def _overlapping(
     unknown: Sequence[Unknown], part: Period
 ) -> tuple[Unknown, ...]:
--- a/banyantiller/tests/evidence/test_judging.py
+++ b/banyantiller/tests/evidence/test_judging.py
@@ -8,7 +8,7 @@
 from banyantiller.bundle import manifest, options, reading
 from banyantiller.evidence import assessment, audit, chain, judging, layout
 from banyantiller.evidence.promises import Promise
-from banyantiller.evidence.summary import MOST_BUNDLES
+from banyantiller.evidence.summary import MOST_BUNDLES, MOST_MEMBERS
 from banyantiller.evidence.verdicts import Broken, Held, NotKnown, Verdict
 from banyantiller.kernel import events
 from banyantiller.store import memory, table
@@ -147,6 +147,20 @@
         verdict = self.ask(80)[Promise.AT_MOST_ONCE][0]
         self.assertIn("b3", {item.daemon for item in verdict.unknown})
 
+    def test_members_that_were_only_counted(self) -> None:
+        async def script(first: DaemonParts, second: DaemonParts) -> None:
+            start_ms = round(samples.EPOCH * 1000)
+            await asyncio.sleep(15)
+            for _ in range(MOST_MEMBERS):
+                flap = events.MemberChanged("b2", "suspect", start_ms)
+                first.kernel.emit(flap)
+            silent = events.MemberChanged("b3", "alive", start_ms)
+            first.kernel.emit(silent)
+            await quiet(first, second)
+
+        self.play(script)
+        self.assert_all(NotKnown, self.ask(90))
+
     def test_own_run_seen_by_a_peer_with_a_clock_near_by(self) -> None:
         async def script(first: DaemonParts, second: DaemonParts) -> None:
             started_ms = second.writer.run_info.started_ms + 40
