--- a/banyantiller/routing/adaptive.py
+++ b/banyantiller/routing/adaptive.py
@@ -21,7 +21,6 @@
 from banyantiller.routing.views import ServerView
 
 PROBE_LIMIT_S = 2.0
-ASK_AGAIN_S = 1.0
 
 Charge = Callable[[float], bool]
 
@@ -156,12 +155,7 @@
         """Tests a server whose ejection is over, if probes may do it."""
         if not self.known.tuning.probe_recovery or not view.trial:
             return []
-        if view.ejected_until > now or view.probing:
-            return []
-        if not self.charge(now):
-            # The budget notes the wish and gets permits within seconds.
-            again = partial(self._probe, view)
-            self.flow.timers.at(now + ASK_AGAIN_S, again)
+        if view.ejected_until > now or view.probing or not self.charge(now):
             return []
         view.probing = True
         view.update_closed()
