Leave the first given-up try out of account

Cause: at 70% load about 3% of tries are given up by chance, and counting them against servers moved calls about. Change: only further given-up tries in a row count.

--- a/banyantiller/routing/choice.py
+++ b/banyantiller/routing/choice.py
@@ -135,7 +135,8 @@
         factor += (view.latency / usual - 1.0) * weight
         if factor < tuning.slow_from:
             factor = 1.0
-        factor += tuning.given_up_factor * view.given_up * weight
+        repeated = max(0, view.given_up - 1)
+        factor += tuning.given_up_factor * repeated * weight
     if view.failures > 0.0:
         fading = FAILURE_HALF_S / (FAILURE_HALF_S + now - view.failed_at)
         factor *= 1.0 + FAILURE_PENALTY * view.failures * fading
--- a/banyantiller/routing/tuning.py
+++ b/banyantiller/routing/tuning.py
@@ -34,7 +34,8 @@
         hedge_reserve: Tokens of the extra-call budget kept for retries.
         burst: Most tokens of the extra-call budget.
         given_up_factor: Times slower that a server is taken to be for each
-            overdue try given up there in a row.
+            overdue try given up there in a row after the first, which may be
+            chance.
         silent_after: Overdue tries given up in a row that eject a server.
         eject_s: First length of an ejection.
         eject_longest_s: Longest ejection.
