--- a/banyantiller/routing/adaptive.py
+++ b/banyantiller/routing/adaptive.py
@@ -21,6 +21,7 @@
 from banyantiller.routing.views import ServerView
 
 PROBE_LIMIT_S = 2.0
+ASK_AGAIN_S = 1.0
 
 Charge = Callable[[float], bool]
 
@@ -155,7 +156,15 @@
         """Tests a server whose ejection is over, if probes may do it."""
         if not self.known.tuning.probe_recovery or not view.trial:
             return []
-        if view.ejected_until > now or view.probing or not self.charge(now):
+        if view.ejected_until > now or view.probing:
+            return []
+        is_known = self.known.views.get(view.state.name) is view
+        if not (is_known and view.is_usable()):
+            return []
+        if not self.charge(now):
+            # The budget notes the wish and gets permits within seconds.
+            again = partial(self._probe, view)
+            self.flow.timers.at(now + ASK_AGAIN_S, again)
             return []
         view.probing = True
         view.update_closed()
--- a/banyantiller/tests/routing/test_ejection.py
+++ b/banyantiller/tests/routing/test_ejection.py
@@ -89,6 +89,19 @@
         driver.dispatcher.report("b00", report, driver.now)
         self.assertFalse(driver.dispatcher.known.views["b00"].trial)
 
+    def test_no_probe_is_asked_for_a_server_that_leaves_or_is_gone(self):
+        leaving = (states(1, leaving=True)[0], states(2)[1])
+        for present in (leaving, states(2)[1:]):
+            asked = []
+            driver = Driver(states(2), charge=asked.append)
+            driver.warm(50)
+            while not closed(driver):
+                spread(driver, 1, {"b00"})
+            dispatcher = driver.dispatcher
+            dispatcher.configure(driver.service, present, driver.now)
+            driver.run_due(driver.now + 30.0)
+            self.assertEqual([], asked)
+
     def test_probe_without_any_answer_does_not_close_a_server_for_good(self):
         driver = Driver(states(2), charge=lambda _: True)
         driver.warm(50)
