Measure the overhead of a whole daemon too

Cause: bench.overhead runs the data path and its routing alone, so its figure leaves out metrics, evidence and all else that a daemon does beside a call.

Change: with `--whole` an installed banyantillerd takes the place of the data path; its bundle is proposed, signed and rolled through a stand-in of the object API. The last line keeps its keys. Processor time is read from the process table in ticks of 10 ms.

--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -1,6 +1,6 @@
 """Latency and processor time that the daemon's data path adds to a call.
 
-    python -m bench.overhead [--seconds N] [--rates 100,200] [--json]
+    python -m bench.overhead [--seconds N] [--rates 100,200] [--whole] [--json]
 
 Three kinds of processes run on the loopback interface: a backend process
 with ten servers, a process with the daemon's data path and its routing, and
@@ -8,20 +8,24 @@
 times of a fixed rate whether or not earlier ones were answered, each one in
 turn directly or through the proxy, so that both meet the same conditions.
 Latency counts from the moment of sending. The last line of the output is one
-JSON object.
+JSON object. With `--whole` a real daemon takes the place of the data path.
 """
 
 import argparse
 import asyncio
+import contextlib
 import json
+import pathlib
 import random
 import selectors
 import subprocess
 import sys
+import tempfile
 import time
+from collections.abc import AsyncIterator
 from typing import Any, NamedTuple
 
-from bench import overhead_roles
+from bench import overhead_roles, overhead_whole
 
 DEFAULT_SECONDS = 60.0
 RATES = (100, 200, 400, 800, 1200, 1600)
@@ -202,8 +206,11 @@
         return json.loads(self.process.stdout.readline())
 
 
+Proxying = Role | overhead_whole.WholeDaemon
+
+
 async def measure_point(
-    load: Load, proxy: Role, rate: int, seconds: float
+    load: Load, proxy: Proxying, rate: int, seconds: float
 ) -> Point:
     """Measures at one rate."""
     direct, proxied = load.paths
@@ -230,7 +237,7 @@
 
 
 async def measure(
-    backend: Role, proxy: Role, rates: list[int], seconds: float
+    backend: Role, proxy: Proxying, rates: list[int], seconds: float
 ) -> list[Point]:
     """Measures at every rate, one after the other."""
     direct = Path(backend.ports)
@@ -293,11 +300,34 @@
     }
 
 
+@contextlib.asynccontextmanager
+async def proxying(backend: Role, whole: bool) -> AsyncIterator[Proxying]:
+    """Runs what proxies: a whole daemon, or its data path alone."""
+    if whole:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder)
+            async with overhead_whole.running(path, backend.ports) as daemon:
+                yield daemon
+        return
+    proxy = Role("proxy", *(str(port) for port in backend.ports))
+    try:
+        yield proxy
+    finally:
+        proxy.stop()
+
+
+async def measure_all(
+    backend: Role, rates: list[int], arguments: argparse.Namespace
+) -> list[Point]:
+    """Starts what proxies, measures at every rate and ends it."""
+    async with proxying(backend, arguments.whole) as proxy:
+        return await measure(backend, proxy, rates, arguments.seconds)
+
+
 def run(arguments: argparse.Namespace) -> dict[str, Any]:
     """Starts the processes, measures and ends them."""
     rates = [int(rate) for rate in arguments.rates.split(",")]
     backend = Role("backend")
-    proxy = Role("proxy", *(str(port) for port in backend.ports))
     try:
         # Selecting, unlike polling, waits for less than a millisecond.
         with asyncio.Runner(
@@ -305,11 +335,8 @@
                 selectors.SelectSelector()
             )
         ) as runner:
-            points = runner.run(
-                measure(backend, proxy, rates, arguments.seconds)
-            )
+            points = runner.run(measure_all(backend, rates, arguments))
     finally:
-        proxy.stop()
         backend.stop()
     print_table(points)
     stated = STATED_RATE if STATED_RATE in rates else rates[0]
@@ -321,6 +348,7 @@
     parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
     parser.add_argument("--seconds", type=float, default=DEFAULT_SECONDS)
     parser.add_argument("--rates", default=",".join(map(str, RATES)))
+    parser.add_argument("--whole", action="store_true")
     parser.add_argument("--json", action="store_true")
     print(json.dumps(run(parser.parse_args())))
 
