--- a/banyantiller/tests/bench/test_slopes.py
+++ b/banyantiller/tests/bench/test_slopes.py
@@ -1,8 +1,7 @@
 """Tests of the slopes, and that the capacity page holds the last result."""
 
-from bench import slopes, slopes_fit, slopes_sizes, slopes_table, slopes_target
-
 from banyantiller.tests import base
+from bench import slopes, slopes_fit, slopes_sizes, slopes_table, slopes_target
 
 
 class FitTest(base.TestCase):
