Say "in force" only of a bundle that the data path took

Cause, found in review: a failing subscriber was logged, yet the status and the evidence said that the bundle was in force here. Two empty VM lists in a row took every VM, and so every server, away. Change: status and evidence are told only when all subscribers took the bundle; peers still get it. An empty VM list changes nothing, since the reader itself runs on a VM. Conclusion: `held` can't take a bundle for in force that serves no call.

--- a/banyantiller/replica/spread.py
+++ b/banyantiller/replica/spread.py
@@ -189,18 +189,15 @@
         version = held.version
         source = self.sources.get(version, "peer")
         self.sources = {v: s for v, s in self.sources.items() if v > version}
-        for callback in self.callbacks:
-            try:
-                callback(held)
-            except Exception:
-                log.exception("replica: a subscriber failed.")
+        self.peers.announce(version, held.digest)
+        if not self._tell(held):
+            return
         log.info(
             "replica: bundle in force.",
             version=version,
             digest=held.digest[:12],
             source=source,
         )
-        self.peers.announce(version, held.digest)
         self.status.note(held)
         self.kernel.emit(
             events.BundleInForce(
@@ -212,6 +209,21 @@
             )
         )
 
+    def _tell(self, held: Held) -> bool:
+        """Tells all subscribers of a bundle and whether all took it.
+
+        A bundle that one of them did not take is held and passed on, but
+        neither the status nor the evidence may say that it is in force.
+        """
+        taken = True
+        for callback in self.callbacks:
+            try:
+                callback(held)
+            except Exception:
+                log.exception("replica: a subscriber failed.")
+                taken = False
+        return taken
+
     def _may_start(self) -> bool:
         """Tells whether a first bundle may be put in force yet.
 
--- a/banyantiller/tests/daemon/test_whole_path.py
+++ b/banyantiller/tests/daemon/test_whole_path.py
@@ -7,6 +7,7 @@
 from banyantiller.config import defaults
 from banyantiller.daemon import assembly
 from banyantiller.http import client, messages, outcomes, server
+from banyantiller.kernel import events
 from banyantiller.routing import adaptive
 from banyantiller.store import memory
 from banyantiller.store import table as tables
@@ -187,3 +188,25 @@
             await fleet.stop()
 
         self.run_paused(scenario())
+
+    def test_bundle_that_the_data_path_refuses_is_not_said_to_be_in_force(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            fleet = Fleet()
+            await fleet.start(0)
+            told: list[events.BundleInForce] = []
+            daemon = await fleet.add(settings(1))
+            daemon.kernel.subscribe(events.BundleInForce, told.append)
+
+            def fail(*_: Any) -> None:
+                raise ValueError("a fault of the data path")
+
+            daemon.proxy.apply = fail
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual([], told)
+            listed = await fleet.stores[0].list("daemonstatuses")
+            self.assertEqual([], [item.value for item in listed.items])
+            await fleet.stop()
+
+        self.run_paused(scenario())
--- a/banyantiller/vmlist/tracker.py
+++ b/banyantiller/vmlist/tracker.py
@@ -55,10 +55,14 @@
         """Takes a list and returns what it changes, sorted by VM name.
 
         A VM that was gone or leaving and is listed as live again is "back".
+        An empty list changes nothing: the reader itself runs on a VM, so the
+        platform can't have meant it.
         """
         if self.as_of is not None and listed.as_of <= self.as_of:
             return ()
         self.as_of = listed.as_of
+        if not listed.vms:
+            return ()
         seen = {vm.name: vm for vm in listed.vms}
         changes = [self._take(vm) for vm in seen.values()]
         changes += [
