Set the framing of plain messages without a second scan

Change: one pass over the fields of a plain head finds its declared length and whether it is plain at all; chunked bodies, HEAD, 204, 304 and answers without a length go through h11 as before. Bodies are still counted by h11's own readers and writers.

--- a/banyantiller/proxy/codec.py
+++ b/banyantiller/proxy/codec.py
@@ -18,7 +18,14 @@
 CLIENT = h11.CLIENT
 SERVER = h11.SERVER
 # Fields that may change more than the state of the sender.
-RARE_FIELDS = frozenset((b"connection", b"expect", b"upgrade"))
+RARE_FIELDS = frozenset(
+    (b"connection", b"expect", b"transfer-encoding", b"upgrade")
+)
+# In place of the length that a head declares.
+RARE = -2
+UNSTATED = -1
+BODILESS_STATUSES = (204, 304)
+BY_LENGTH = "content-length"
 BROKEN = (h11.CLOSED, h11.ERROR, h11.MUST_CLOSE)
 CURRENT_VERSION = b"1.1"
 
@@ -50,17 +57,25 @@
     def _clean_up_response_headers_for_sending(
         self, response: h11.Response
     ) -> h11.Response:
-        if self._cstate.keep_alive and _has_plain_length(response):
+        if self._cstate.keep_alive and _plain_length(response) >= 0:
             return response
         return super()._clean_up_response_headers_for_sending(response)
 
-    def enter(self, role: Any, state: Any, event: Any) -> None:
-        """Moves one side to a state; sets how it is read or written."""
+    def enter(self, role: Any, state: Any) -> None:
+        """Moves one side to a state without a body."""
         self._cstate.states[role] = state
         if role is self.our_role:
-            self._writer = self._get_io_object(role, event, WRITERS)
+            self._writer = WRITERS.get((role, state))
         else:
-            self._reader = self._get_io_object(role, event, READERS)
+            self._reader = READERS.get((role, state))
+
+    def enter_body(self, role: Any, length: int) -> None:
+        """Moves one side to its body of a known length in bytes."""
+        self._cstate.states[role] = h11.SEND_BODY
+        if role is self.our_role:
+            self._writer = WRITERS[h11.SEND_BODY][BY_LENGTH](length)
+        else:
+            self._reader = READERS[h11.SEND_BODY][BY_LENGTH](length)
 
     def is_plain(self) -> bool:
         """Tells whether no rare condition of the connection holds."""
@@ -78,6 +93,7 @@
 
 
 def _take_end(http: Connection, role: Any, event: h11.EndOfMessage) -> bool:
+    del event
     states = http._cstate.states
     other = SERVER if role is CLIENT else CLIENT
     if states[role] is not h11.SEND_BODY or states[other] in BROKEN:
@@ -86,7 +102,7 @@
         return False
     if role is CLIENT:
         http.client_is_waiting_for_100_continue = False
-    http.enter(role, h11.DONE, event)
+    http.enter(role, h11.DONE)
     return True
 
 
@@ -94,15 +110,16 @@
     states = http._cstate.states
     if states[CLIENT] is not h11.IDLE or states[SERVER] is not h11.IDLE:
         return False
-    if role is not CLIENT or not http.is_plain():
+    if role is not CLIENT:
         return False
-    if event.method == b"CONNECT" or not _has_plain_head(event):
+    length = _plain_length(event)
+    if length == RARE or event.method == b"CONNECT":
         return False
     http._request_method = event.method
     if role is http.their_role:
         http.their_http_version = event.http_version
-    http.enter(CLIENT, h11.SEND_BODY, event)
-    http.enter(SERVER, h11.SEND_RESPONSE, event)
+    http.enter_body(CLIENT, max(0, length))
+    http.enter(SERVER, h11.SEND_RESPONSE)
     return True
 
 
@@ -112,24 +129,28 @@
         return False
     if not http.is_plain():
         return False
-    if not _has_plain_head(event):
+    length = _plain_length(event)
+    bodiless = event.status_code in BODILESS_STATUSES
+    if length < 0 or bodiless or http._request_method == b"HEAD":
         return False
     if role is http.their_role:
         http.their_http_version = event.http_version
     http.client_is_waiting_for_100_continue = False
-    http.enter(SERVER, h11.SEND_BODY, event)
+    http.enter_body(SERVER, length)
     return True
 
 
-def _has_plain_head(event: Any) -> bool:
+def _plain_length(event: Any) -> int:
+    """Returns the declared length, `UNSTATED`, or `RARE` for a rare head."""
     if event.http_version != CURRENT_VERSION:
-        return False
-    return not any(item[1] in RARE_FIELDS for item in event.headers._full_items)
-
-
-def _has_plain_length(response: h11.Response) -> bool:
-    names = [item[1] for item in response.headers._full_items]
-    return b"content-length" in names and b"transfer-encoding" not in names
+        return RARE
+    length = UNSTATED
+    for _, name, value in event.headers._full_items:
+        if name == b"content-length":
+            length = int(value)
+        elif name in RARE_FIELDS:
+            return RARE
+    return length
 
 
 SHORT_WAYS = {
--- a/banyantiller/tests/proxy/test_codec.py
+++ b/banyantiller/tests/proxy/test_codec.py
@@ -32,6 +32,7 @@
 )
 BODIES = (b"", b"abc", b"ab", b"3\r\nabc\r\n0\r\n\r\n", b"abcd")
 ENDS = (None, None, None, b"")
+HOST = (b"Host", b"x")
 SENT_FIELDS = (
     (),
     ((b"Content-Length", b"3"),),
@@ -52,8 +53,7 @@
     kind = draw.randrange(5)
     if kind == 0 and role is h11.CLIENT:
         method = draw.choice(("GET", "HEAD", "POST", "CONNECT"))
-        host = (b"Host", b"x")
-        return h11.Request(method=method, target="/", headers=[host, *fields])
+        return h11.Request(method=method, target="/", headers=[HOST, *fields])
     if kind == 0 or (kind == 1 and role is h11.SERVER):
         status = draw.choice((200, 204, 304))
         return h11.Response(status_code=status, headers=list(fields))
@@ -64,6 +64,7 @@
             (
                 h11.InformationalResponse(status_code=100, headers=[]),
                 h11.ConnectionClosed(),
+                h11.Request(method="GET", target="/", headers=[HOST]),
                 h11.Response(status_code=200, headers=list(fields)),
                 h11.EndOfMessage(headers=[(b"X", b"y")]),
             )
