Drop an unused function of the slopes

slopes_world.address_of was left from a first form of the measurement of a call; nothing used it. Change: the function and its two imports are gone; no behaviour changes. Tests: python -m pytest banyantiller/tests/bench/test_slopes.py, 9 passed.

--- a/bench/slopes_world.py
+++ b/bench/slopes_world.py
@@ -11,9 +11,7 @@
 
 import yaml
 
-from banyantiller.http import client
 from bench import fleet, fleet_world, overhead_roles
-from standins.demo import files
 
 T = TypeVar("T")
 
@@ -131,11 +129,6 @@
     return times[-1] - started_at
 
 
-def address_of(world: LoadWorld) -> client.HttpClient:
-    """Returns a client of the daemon's caller side."""
-    return client.HttpClient(files.ADDRESS, world.caller_port())
-
-
 def set_answer(answer_bytes: int, extra_headers: int) -> None:
     """Sets what backend servers in this process answer."""
     fields = b"".join(
