End a call whose granted key can't be acted on

Cause: the claim's task ended with any exception that handing the call to the dispatcher raised; the call then had no end, its caller waited for ever and its key stayed claimed.

Change: such a call ends with INTERNAL and releases its key, as not run.

--- a/banyantiller/proxy/keys.py
+++ b/banyantiller/proxy/keys.py
@@ -16,7 +16,7 @@
     Granted,
 )
 from banyantiller.errors import ErrorKind, Failure
-from banyantiller.proxy import answers, headers
+from banyantiller.proxy import answers, guard, headers
 
 if TYPE_CHECKING:
     from banyantiller.proxy import call as calls
@@ -150,7 +150,8 @@
         except Exception:
             log.exception("proxy: a key could not be claimed.")
             outcome = Denied(Failure(ErrorKind.CLAIM_UNAVAILABLE))
-        self._take(outcome)
+        if not guard.run(self._take, outcome):
+            self.call.crash()
 
     def _take(self, outcome: ClaimOutcome) -> None:
         call = self.call
--- a/banyantiller/tests/proxy/test_own_faults.py
+++ b/banyantiller/tests/proxy/test_own_faults.py
@@ -22,6 +22,10 @@
     b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
     b"X-Request-Deadline-Ms: 2000\r\n\r\n"
 )
+KEYED = (
+    b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n"
+    b"Connection: close\r\nIdempotency-Key: k1\r\n\r\n"
+)
 SLOTS = 4
 CALLS = 3 * SLOTS
 STEPS = (
@@ -119,3 +123,19 @@
             with self.subTest(step=f"{owner.__name__}.{name}"):
                 fault = mock.patch.object(owner, name, failing)
                 self.run_paused(self.check(fault, Script()))
+
+    def test_call_with_a_granted_key_ends_and_releases_it(self) -> None:
+        async def body() -> None:
+            bench = await fakes.Bench.start(fakes.answering())
+            fault = mock.patch.object(driver.ServiceDriver, "submit", failing)
+            with fault:
+                answer = await bench.ask(KEYED)
+            self.assertIn(b"HTTP/1.1 500 ", answer)
+            (event,) = bench.finished
+            self.assertEqual(ErrorKind.INTERNAL, event.error)
+            await asyncio.sleep(1.0)
+            self.assertEqual([("release", "k1")], bench.claims.settled)
+            self.assertEqual(0, bench.proxy.in_flight)
+            await bench.proxy.close()
+
+        self.run_paused(body())
