Let a fuzzed caller send on after the proxy has closed

The proxy did what it should. Change: the caller takes a closed connection for an end without an answer; all other checks (idle afterwards, the next caller is served, listed errors) stay.

--- a/banyantiller/tests/fuzz/test_proxy.py
+++ b/banyantiller/tests/fuzz/test_proxy.py
@@ -155,8 +155,13 @@
                 caller.writer.write_eof()
         except (ConnectionError, RuntimeError, NotImplementedError):
             pass
-        async with asyncio.timeout(LONGEST_S):
-            got = await caller.reader.read()
+        got = b""
+        try:
+            async with asyncio.timeout(LONGEST_S):
+                got = await caller.reader.read()
+        except ConnectionError:
+            # It sent more after the proxy had answered and closed.
+            pass
         caller.writer.close()
         await until_idle(bench)
         await self.still_serves(bench)
