Refuse waiting calls once no server can open in time

Cause: when every server sheds and asks to be left alone for 1.5 s, a waiting call with a deadline of 2 s was refused after 1.994 s, although it was known at 1.1 s that no server would take it before its deadline. Change: a waiting call is hopeless when the first server opens too late for it; a server under probe may open at any time, so then it goes on waiting. Conclusion: such calls get their final answer, with Retry-After, at once.

--- a/banyantiller/routing/refusal.py
+++ b/banyantiller/routing/refusal.py
@@ -32,11 +32,25 @@
 
 
 def is_hopeless(known: ServiceKnowledge, call: CallState, now: float) -> bool:
-    """Tells whether a waiting call would hardly be answered in time."""
+    """Tells whether a waiting call would hardly be answered in time.
+
+    While every server is left alone, it can't start before one opens again;
+    a probe may open one at any time.
+    """
     if known.believed.answers == 0:
         return False
     least = HOPELESS_PART * known.believed.service_s
-    return call.deadline - now < least
+    start = now
+    if not any(view.probing for view in known.views.values()):
+        start = max(now, opens_at(known))
+    return call.deadline - start < least
+
+
+def opens_at(known: ServiceKnowledge) -> float:
+    """Returns when the first server takes calls; in the past if one does."""
+    views = known.views.values()
+    opens = min((view.closed_until for view in views), default=0.0)
+    return opens if math.isfinite(opens) else 0.0
 
 
 def expected_wait(
@@ -48,10 +62,7 @@
     at_least = LEAST_PART * max(slots, 1) / known.believed.service_s
     rate = max(known.drain.per_second(now), at_least)
     wait = (len(queue) + 1) / rate
-    opens = min((view.closed_until for view in views), default=now)
-    if math.isfinite(opens):
-        wait = max(wait, opens - now)
-    return wait
+    return max(wait, opens_at(known) - now)
 
 
 def failure(kind: ErrorKind, wait_s: float) -> Failure:
