End every process of the fleet bench on SIGTERM

Cause: a bench that was told to end by SIGTERM would have left its daemons and stand-ins running. Change: SIGTERM cancels the measurement, whose end closes the world by process id, as for errors.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -12,6 +12,7 @@
 import asyncio
 import json
 import pathlib
+import signal
 import statistics
 import sys
 import tempfile
@@ -230,6 +231,14 @@
     return figures
 
 
+async def run(*arguments: Any) -> dict[str, Any]:
+    """Runs `measure`; SIGTERM ends every process as an error does."""
+    task = asyncio.current_task()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    return await measure(*arguments)
+
+
 def table(figures: dict[str, Any]) -> str:
     """Returns the figures as lines of name and value."""
     width = max(map(len, figures))
@@ -261,12 +270,13 @@
     with tempfile.TemporaryDirectory(prefix="banyantiller-fleet-") as folder:
         path = pathlib.Path(folder)
         try:
-            figures = asyncio.run(
-                measure(path, daemons, services, rolls, idle_s)
-            )
+            figures = asyncio.run(run(path, daemons, services, rolls, idle_s))
         except processes.DemoError as error:
             say(f"failed: {error}")
             return 1
+        except asyncio.CancelledError:
+            say("ended before its time")
+            return 1
     print(table(figures))
     if json_line:
         print(json.dumps(figures))
