Remove the parts that did not pay and name zones plainly

Samples named zones after one user's places. Change: the message type, the mailbox and the second copy of the stages are gone; the number 8 of the message is not used again. The test of stages now checks the copy that runs, and the time to the next stage as well. Conclusion: less code, the same behaviour.

--- a/banyantiller/kernel/__init__.py
+++ b/banyantiller/kernel/__init__.py
@@ -1,1 +1,1 @@
-"""The kernel: supervised tasks, mailboxes and named events."""
+"""The kernel: supervised tasks and typed events."""
--- a/banyantiller/membership/messages.py
+++ b/banyantiller/membership/messages.py
@@ -115,23 +115,6 @@
     data: bytes
 
 
-class LoadShare(NamedTuple):
-    """The sender's own in-flight calls to servers of one service.
-
-    Attributes:
-        service: Service name.
-        age_ms: Age of the figures when sent.
-        loads: Pairs of index into the service's sorted server names, and
-            calls in flight.
-        bundle: Version of the bundle that the indexes refer to.
-    """
-
-    service: str
-    age_ms: int
-    loads: tuple[tuple[int, int], ...]
-    bundle: int
-
-
 class ServersLeaving(NamedTuple):
     """Servers of one service that must get nothing new.
 
@@ -180,7 +163,7 @@
     5: BundleRequest,
     6: PartRequest,
     7: PartData,
-    8: LoadShare,
+    # 8 was the load of single servers; it did not pay and is not used again.
     9: ServersLeaving,
     10: Challenge,
     11: ServersReturned,
--- a/banyantiller/routing/shares.py
+++ b/banyantiller/routing/shares.py
@@ -44,19 +44,3 @@
         chosen = max(self.credits, key=self.credits.__getitem__)
         self.credits[chosen] -= 1.0
         return chosen
-
-
-def shares_at(
-    service: options.Service, accepted_s: float
-) -> tuple[options.Share, ...]:
-    """Returns the shares that apply some time after acceptance.
-
-    Args:
-        service: Options of the service.
-        accepted_s: Seconds since its bundle was accepted.
-    """
-    current = service.shares
-    for stage in sorted(service.stages, key=lambda stage: stage.after_s):
-        if accepted_s >= stage.after_s:
-            current = stage.shares
-    return current
--- a/banyantiller/tests/daemon/test_peer_hints.py
+++ b/banyantiller/tests/daemon/test_peer_hints.py
@@ -19,7 +19,7 @@
             addresses = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
             roles = ("balancer", "balancer", "backend")
             vms = tuple(
-                Vm(f"vm{n}", address, "yoff", VmState.LIVE, role)
+                Vm(f"vm{n}", address, "zone-c", VmState.LIVE, role)
                 for n, (address, role) in enumerate(
                     zip(addresses, roles, strict=True)
                 )
--- a/banyantiller/tests/evidence/samples.py
+++ b/banyantiller/tests/evidence/samples.py
@@ -18,7 +18,7 @@
     return defaults.Settings(
         deployment=FLEET,
         daemon=daemon,
-        zone="yoff",
+        zone="zone-c",
         callers=defaults.CallerSettings(here),
         admin=here,
         peers=defaults.PeerSettings(here),
--- a/banyantiller/tests/fuzz/test_messages.py
+++ b/banyantiller/tests/fuzz/test_messages.py
@@ -17,7 +17,6 @@
     messages.BundleRequest(3),
     messages.PartRequest((b"x" * 32,)),
     messages.PartData(b"{}"),
-    messages.LoadShare("desk", 5, ((0, 1), (3, 2)), 9),
     messages.ServersLeaving("desk", ("s1", "s2"), 3),
 )
 # Heads of CBOR items: long lengths, open-ended items, tags, special floats.
--- a/banyantiller/tests/kernel/test_core.py
+++ b/banyantiller/tests/kernel/test_core.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 
-from banyantiller.kernel import core, events, mailbox
+from banyantiller.kernel import core, events
 from banyantiller.tests import base
 
 
@@ -77,15 +77,3 @@
         kernel.subscribe(events.DaemonDraining, seen.append)
         kernel.emit(events.DaemonDraining(1.0))
         self.assertEqual([events.DaemonDraining(1.0)], seen)
-
-
-class MailboxTest(base.TestCase):
-    def test_full_mailbox_refuses_and_counts(self) -> None:
-        async def scenario() -> None:
-            box: mailbox.Mailbox[int] = mailbox.Mailbox(1)
-            self.assertTrue(box.post(1))
-            self.assertFalse(box.post(2))
-            self.assertEqual(1, box.dropped)
-            self.assertEqual(1, await box.get())
-
-        self.run_paused(scenario())
--- a/banyantiller/tests/membership/support.py
+++ b/banyantiller/tests/membership/support.py
@@ -10,7 +10,7 @@
 
 FIRST_PORT = 7000
 EPOCH = 1_800_000_000.0
-ZONES = ("plateau", "medina", "yoff", "pikine")
+ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
 SECRET = "one secret of the fleet"
 
 
--- a/banyantiller/tests/membership/test_handshake.py
+++ b/banyantiller/tests/membership/test_handshake.py
@@ -12,7 +12,7 @@
         "oldest": 1,
         "deployment": "registry",
         "daemon": f"d{index}",
-        "zone": "yoff",
+        "zone": "zone-c",
         "incarnation": 5,
         "address": "127.0.0.1",
         "port": 7000 + index,
--- a/banyantiller/tests/membership/test_table.py
+++ b/banyantiller/tests/membership/test_table.py
@@ -10,8 +10,8 @@
 from banyantiller.tests.base import TestCase
 from banyantiller.tests.membership import support
 
-OWN = MemberEntry("own", 100, 0, 0, "127.0.0.1", 1, "yoff")
-OTHER = MemberEntry("other", 100, 0, 0, "127.0.0.1", 2, "yoff")
+OWN = MemberEntry("own", 100, 0, 0, "127.0.0.1", 1, "zone-c")
+OTHER = MemberEntry("other", 100, 0, 0, "127.0.0.1", 2, "zone-c")
 
 ENTRIES = st.builds(
     MemberEntry,
@@ -21,7 +21,7 @@
     heard=st.integers(0, 2),
     address=st.just("127.0.0.1"),
     port=st.integers(1, 2),
-    zone=st.sampled_from(["yoff", "medina"]),
+    zone=st.sampled_from(["zone-c", "zone-b"]),
     bundle=st.integers(0, 3),
 )
 
--- /dev/null
+++ b/banyantiller/tests/proxy/test_stages.py
@@ -0,0 +1,22 @@
+"""Tests of traffic shares that follow each other in time."""
+
+from banyantiller.bundle import options
+from banyantiller.proxy import stages
+from banyantiller.tests.base import TestCase
+
+
+class StagesTest(TestCase):
+    def test_stages_follow_the_time_since_acceptance(self):
+        first, last = (options.Share("a", 100),), (options.Share("b", 100),)
+        service = options.Service(
+            "lookups",
+            (),
+            shares=first,
+            stages=(options.Stage(60.0, last),),
+        )
+        before = stages.at(service, 59.5)
+        self.assertEqual(first, before.service.shares)
+        self.assertEqual(0.5, before.next_s)
+        after = stages.at(service, 60.0)
+        self.assertEqual(last, after.service.shares)
+        self.assertIsNone(after.next_s)
--- a/banyantiller/tests/replay/test_recording.py
+++ b/banyantiller/tests/replay/test_recording.py
@@ -56,7 +56,13 @@
     create = recording.record(adaptive.create, lines.append, most_bytes)
     rng = random.Random(seed)
     dispatcher = create(
-        SERVICE, states(4), "d1", "yoff", 7, 100.0, lambda _: rng.random() < 0.5
+        SERVICE,
+        states(4),
+        "d1",
+        "zone-c",
+        7,
+        100.0,
+        lambda _: rng.random() < 0.5,
     )
     drive(dispatcher, seed)
     return "".join(lines)
@@ -89,7 +95,7 @@
         self.addCleanup(folder.cleanup)
         create = recording.record_to_files(adaptive.create, f"{folder.name}/t")
         dispatcher = create(
-            SERVICE, states(2), "d1", "yoff", 7, 100.0, lambda _: False
+            SERVICE, states(2), "d1", "zone-c", 7, 100.0, lambda _: False
         )
         dispatcher.submit(types.Call(1, True, 105.0), 100.0)
         dispatcher.recording.close()
--- a/banyantiller/tests/routing/driver.py
+++ b/banyantiller/tests/routing/driver.py
@@ -5,7 +5,7 @@
 from banyantiller.routing import adaptive, types
 from banyantiller.routing.types import Start
 
-ZONES = ("plateau", "medina", "yoff", "pikine")
+ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
 
 
 def states(count, slots=2, **kwargs):
@@ -36,7 +36,7 @@
     """
 
     def __init__(
-        self, servers, service=None, zone="plateau", charge=lambda _: False
+        self, servers, service=None, zone="zone-a", charge=lambda _: False
     ):
         self.now = 100.0
         self.actions = []
--- a/banyantiller/tests/routing/test_choice.py
+++ b/banyantiller/tests/routing/test_choice.py
@@ -14,9 +14,9 @@
 FAST_503 = types.AttemptResult(True, Ran.UNKNOWN, status=503)
 
 
-def pair(zone="plateau"):
+def pair(zone="zone-a"):
     return (
-        types.ServerState("near", "plateau", 2),
+        types.ServerState("near", "zone-a", 2),
         types.ServerState("far", zone, 2),
     )
 
@@ -45,18 +45,18 @@
         self.assertEqual("far", driver.submit()[0].server)
 
     def test_report_fades_with_its_age(self):
-        driver = Driver(pair("medina"))
+        driver = Driver(pair("zone-b"))
         driver.warm()
         tell(driver, "near", 6, age_s=1.0)
         self.assertEqual("near", driver.submit()[0].server)
-        driver = Driver(pair("medina"))
+        driver = Driver(pair("zone-b"))
         driver.warm()
         tell(driver, "near", 6)
         driver.now += 1.0
         self.assertEqual("near", driver.submit()[0].server)
 
     def test_older_report_does_not_replace_a_newer(self):
-        driver = Driver(pair("medina"))
+        driver = Driver(pair("zone-b"))
         driver.warm()
         tell(driver, "near", 6)
         tell(driver, "near", 0, age_s=0.01)
@@ -78,14 +78,14 @@
         self.assertIn("near", [driver.submit()[0].server for _ in range(2)])
 
     def test_own_zone_is_preferred_until_it_costs_latency(self):
-        driver = Driver(pair("medina"))
+        driver = Driver(pair("zone-b"))
         driver.warm()
         self.assertEqual({"near"}, set(chosen(driver, 20)))
         tell(driver, "near", 4)
         self.assertEqual("far", driver.submit()[0].server)
 
     def test_peers_figures_change_nothing(self):
-        driver = Driver(pair("medina"))
+        driver = Driver(pair("zone-b"))
         driver.warm()
         report = types.LoadReport(9, source="peer")
         driver.dispatcher.report("near", report, driver.now)
@@ -109,7 +109,7 @@
         self.assertLess(sent.get("b00", 0), 15)
 
     def test_tries_given_up_make_a_server_suspect_before_it_answers(self):
-        driver = Driver(pair("medina"))
+        driver = Driver(pair("zone-b"))
         driver.warm(200)
         for _ in range(2):
             (stuck,) = driver.submit()
@@ -119,7 +119,7 @@
         self.assertEqual({"far"}, set(chosen(driver, 5)))
 
     def test_slow_server_is_tried_again_after_a_while(self):
-        driver = Driver(pair("medina"))
+        driver = Driver(pair("zone-b"))
         driver.warm()
         for _ in range(10):
             start = driver.submit(idempotent=False)[0]
@@ -130,7 +130,7 @@
         self.assertIn("near", chosen(driver, 5))
 
     def test_failure_is_remembered_before_an_ejection(self):
-        driver = Driver(pair("medina"))
+        driver = Driver(pair("zone-b"))
         driver.warm()
         (start,) = driver.submit(idempotent=False)
         driver.head(start.attempt_id, failed(ErrorKind.BACKEND_MALFORMED))
--- a/banyantiller/tests/routing/test_shares.py
+++ b/banyantiller/tests/routing/test_shares.py
@@ -17,7 +17,7 @@
 
 def servers():
     return states(4) + tuple(
-        types.ServerState(f"n{i}", "plateau", 2, "next") for i in range(2)
+        types.ServerState(f"n{i}", "zone-a", 2, "next") for i in range(2)
     )
 
 
@@ -67,14 +67,3 @@
             self.assertEqual(first.server[0], second.server[0])
             driver.answer(second.attempt_id)
             driver.now += 10.0
-
-    def test_stages_follow_the_time_since_acceptance(self):
-        first, last = (options.Share("a", 100),), (options.Share("b", 100),)
-        staged = options.Service(
-            "lookups",
-            (),
-            shares=first,
-            stages=(options.Stage(60.0, last),),
-        )
-        self.assertEqual(first, shares.shares_at(staged, 59.9))
-        self.assertEqual(last, shares.shares_at(staged, 60.0))
--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -22,8 +22,8 @@
 from bench.decisions_scenarios import SCENARIOS
 from bench.decisions_world import Daemon, User, World
 
-GARDIENS = ("plateau", "medina", "yoff", "pikine")
-KOWHAI = ("north", "middle", "south")
+FOUR_ZONES = ("north", "east", "south", "west")
+THREE_ZONES = ("north", "middle", "south")
 SIGMA = 0.6
 NON_IDEMPOTENT = 0.1
 WARM_UP = 0.1
@@ -45,10 +45,10 @@
 
 
 SIZES = {
-    "registry": Size(10, 2, GARDIENS, 13, 0.02, 2.0, "latency", 2.0, 16.0),
-    "survey": Size(15, 2, GARDIENS, 14, 0.02, 2.0, "latency", 2.0, 12.0),
-    "orders": Size(10, 4, KOWHAI, 13, 0.02, 2.0, "cost", 0.2, 10.0),
-    "archive": Size(13, 4, KOWHAI, 14, 0.2, 10.0, "cost", 0.1, 70.0),
+    "registry": Size(10, 2, FOUR_ZONES, 13, 0.02, 2.0, "latency", 2.0, 16.0),
+    "survey": Size(15, 2, FOUR_ZONES, 14, 0.02, 2.0, "latency", 2.0, 12.0),
+    "orders": Size(10, 4, THREE_ZONES, 13, 0.02, 2.0, "cost", 0.2, 10.0),
+    "archive": Size(13, 4, THREE_ZONES, 14, 0.2, 10.0, "cost", 0.1, 70.0),
 }
 
 
