Show calls in flight by backend server

Cause: what a daemon has in flight at each server was worked out for peers, which no longer ask for it, and operators could not see it. Conclusion: the function has a user again.

--- a/banyantiller/daemon/assembly.py
+++ b/banyantiller/daemon/assembly.py
@@ -119,6 +119,7 @@
 
     async def _start(self) -> None:
         metrics.add_calls(self.instruments, self.counts)
+        metrics.add_in_flight(self.instruments, self.proxy.own_load)
         self.kernel.subscribe(events.CallFinished, self.counts.record)
         self.registry.connect(self.kernel)
         bundles.connect(self)
@@ -179,6 +180,7 @@
             "deployment": self.settings.deployment,
             "daemon": self.settings.daemon,
             "zone": self.settings.zone,
+            "region": self.settings.region,
             "bundle": held.accepted.manifest.version if held else 0,
             "digest": held.digest if held else "",
             "in_flight": self.proxy.in_flight,
--- a/banyantiller/proxy/proxy.py
+++ b/banyantiller/proxy/proxy.py
@@ -150,11 +150,11 @@
         """Takes the number of daemons believed alive, this one included."""
         self.services.members(alive)
 
-    def shared_load(self) -> dict[str, dict[str, float]]:
+    def own_load(self) -> dict[str, dict[str, float]]:
         """Returns this daemon's calls in flight by service and server."""
         now = self.loop.time()
         return {
-            name: item.dispatcher.shared_load(now)
+            name: item.dispatcher.own_load(now)
             for name, item in self.drivers.items()
         }
 
--- a/banyantiller/replay/recording.py
+++ b/banyantiller/replay/recording.py
@@ -146,9 +146,9 @@
         self.recording.note(now, inputs.Members(alive))
         self.dispatcher.members(alive, now)
 
-    def shared_load(self, now: float) -> dict[str, float]:
+    def own_load(self, now: float) -> dict[str, float]:
         """Returns this daemon's own in-flight calls by server, for peers."""
-        return self.dispatcher.shared_load(now)
+        return self.dispatcher.own_load(now)
 
     def tick(self, now: float) -> list[types.Action]:
         """Records that the timer came due."""
--- a/banyantiller/routing/adaptive.py
+++ b/banyantiller/routing/adaptive.py
@@ -127,8 +127,8 @@
         del now
         self.known.window.alive = alive
 
-    def shared_load(self, now: float) -> dict[str, float]:
-        """Returns this daemon's own in-flight calls by server, for peers."""
+    def own_load(self, now: float) -> dict[str, float]:
+        """Returns this daemon's own calls in flight by server."""
         del now
         views = self.known.views.items()
         return {name: float(len(view.own)) for name, view in views if view.own}
--- a/banyantiller/routing/types.py
+++ b/banyantiller/routing/types.py
@@ -41,7 +41,7 @@
             that is being answered.
         age_s: Age of the figure on arrival, 0 when told on an answer.
         draining: Whether the server says that it is leaving.
-        source: "answer", "probe" or "peer".
+        source: "answer" or "probe".
     """
 
     in_flight: float
@@ -170,7 +170,7 @@
     def report(
         self, server: str, report: LoadReport, now: float
     ) -> list[Action]:
-        """Takes a report from a probe or a peer."""
+        """Takes a report from a probe."""
 
     def probe_failed(self, server: str, now: float) -> list[Action]:
         """A probe got no answer."""
@@ -178,8 +178,8 @@
     def members(self, alive: int, now: float) -> None:
         """Takes the number of daemons believed alive, this one included."""
 
-    def shared_load(self, now: float) -> dict[str, float]:
-        """Returns this daemon's own in-flight calls by server, for peers."""
+    def own_load(self, now: float) -> dict[str, float]:
+        """Returns this daemon's own calls in flight by server."""
 
     def tick(self, now: float) -> list[Action]:
         """Does what is due: deadlines, hedges, probes, recovery."""
--- a/banyantiller/telemetry/metrics.py
+++ b/banyantiller/telemetry/metrics.py
@@ -66,6 +66,27 @@
         self.provider.shutdown()
 
 
+def add_in_flight(
+    metrics: Metrics, read: Callable[[], dict[str, dict[str, float]]]
+) -> None:
+    """Adds the calls in flight by service and server.
+
+    Args:
+        metrics: Where the instrument is added.
+        read: Returns calls in flight by service and server.
+    """
+    metrics.gauge(
+        "banyantiller_in_flight",
+        "",
+        "Calls in flight from this daemon by backend server.",
+        lambda: [
+            Reading(count, {"service": service, "server": server})
+            for service, servers in read().items()
+            for server, count in servers.items()
+        ],
+    )
+
+
 def add_calls(metrics: Metrics, counts: tallies.CallTallies) -> None:
     """Adds the instruments of the data path."""
 
--- a/banyantiller/tests/daemon/test_whole_path.py
+++ b/banyantiller/tests/daemon/test_whole_path.py
@@ -141,6 +141,8 @@
             await asyncio.sleep(0.5)
             ending = asyncio.create_task(fleet.daemons[0].stop())
             await asyncio.sleep(0.5)
+            text = fleet.daemons[0].instruments.exposition().decode()
+            self.assertRegex(text, 'in_flight{server="desk-.",.*} 1.0')
             late = asyncio.create_task(send(8001, "GET", "/orders/2"))
             self.assertFalse(fleet.daemons[0].readiness().ready)
             self.assertEqual(0, await ending)
--- a/banyantiller/tests/proxy/fakes.py
+++ b/banyantiller/tests/proxy/fakes.py
@@ -182,7 +182,7 @@
     def members(self, alive, now):
         self.alive = alive
 
-    def shared_load(self, now):
+    def own_load(self, now):
         return {s.name: 0.0 for s in self.servers}
 
     def tick(self, now):
--- a/banyantiller/tests/proxy/test_changes.py
+++ b/banyantiller/tests/proxy/test_changes.py
@@ -228,7 +228,7 @@
             await bench.ask(CLOSE)
             pool = bench.proxy.drivers["orders"].pools["server-9001"]
             self.assertEqual((1, 1), (pool.limit, len(pool.open)))
-            shared = bench.proxy.shared_load()
+            shared = bench.proxy.own_load()
             self.assertEqual({"orders": {"server-9001": 0.0}}, shared)
             await bench.proxy.close()
 
--- a/banyantiller/tests/proxy/test_faults.py
+++ b/banyantiller/tests/proxy/test_faults.py
@@ -107,7 +107,7 @@
             self.assertEqual(0, bench.proxy.in_flight)
             driver = bench.proxy.drivers["orders"]
             self.assertEqual(({}, {}), (driver.calls, driver.attempts))
-            load = driver.dispatcher.shared_load(0.0)
+            load = driver.dispatcher.own_load(0.0)
             self.assertEqual(0, sum(load.values()))
             for pool in driver.pools.values():
                 self.assertEqual(len(pool.idle), len(pool.open))
--- a/banyantiller/tests/proxy/test_own_faults.py
+++ b/banyantiller/tests/proxy/test_own_faults.py
@@ -110,7 +110,7 @@
         running = bench.proxy.drivers["orders"]
         self.assertEqual(0, bench.proxy.in_flight)
         self.assertEqual(({}, {}), (running.calls, running.attempts))
-        load = running.dispatcher.shared_load(0.0)
+        load = running.dispatcher.own_load(0.0)
         self.assertEqual(0, sum(load.values()))
         script.healthy = True
         answers = await asyncio.gather(*(bench.ask(GET) for _ in range(SLOTS)))
--- a/banyantiller/tests/routing/test_basics.py
+++ b/banyantiller/tests/routing/test_basics.py
@@ -70,4 +70,4 @@
         self.assertIs(adaptive.create, registry.get("routing", "adaptive"))
 
     def load(self, driver):
-        return driver.dispatcher.shared_load(driver.now)
+        return driver.dispatcher.own_load(driver.now)
