--- a/bench/load.py
+++ b/bench/load.py
@@ -176,7 +176,8 @@
 def run_case(case: Case, compare: bool, keep: str) -> dict[str, Any]:
     """Runs one scenario in a folder of its own."""
     with tempfile.TemporaryDirectory(prefix="banyantiller-load-") as made:
-        folder = pathlib.Path(keep or made)
+        parent = pathlib.Path(keep or made)
+        folder = parent / f"{case.name}-{case.plan.policy}"
         folder.mkdir(parents=True, exist_ok=True)
         # Selecting, unlike polling, waits for less than a millisecond.
         with asyncio.Runner(loop_factory=new_loop) as runner:
--- a/bench/load_processes.py
+++ b/bench/load_processes.py
@@ -59,6 +59,7 @@
         self.started += 1
         title = f"{self.name}.{self.started}"
         self.journal = self.children.folder / f"{title}.runs"
+        self.journal.unlink(missing_ok=True)
         self.child = await self.children.start(
             title,
             *(sys.executable, "-m", "standins.backend"),
