Keep a server out while the VM list shows it leaving

Cause, found in review: a server said that it drains, then the VM list showed it leaving. The data path kept the first reason and asked by probe whether it was back; an answer without "draining" gave it new requests although the VM list still showed it leaving. Change: the tracker passes a later reason on, and the data path keeps the last one, so that only the VM list ends what the VM list said. A new test does the same through the data path. Conclusion: a probe can end a drain answer only.

--- a/banyantiller/leaving/tracker.py
+++ b/banyantiller/leaving/tracker.py
@@ -290,7 +290,9 @@
         """Returns what follows from the present state of a server."""
         actions: list[Action] = []
         reason = entry.present_reason(now)
-        if reason is not None and entry.reason is None:
+        if reason is not None and reason is not entry.reason:
+            # A later reason is passed on too: the data path ends a drain
+            # answer by itself, which it must not while the VM list holds.
             actions.append(Leave(server, reason))
         elif reason is None and entry.reason is not None:
             actions.append(Back(server))
--- a/banyantiller/proxy/driver.py
+++ b/banyantiller/proxy/driver.py
@@ -82,11 +82,14 @@
                 pool.turn_away()
 
     def server_leaving(self, server: str, reason: str) -> None:
-        """Gives a server nothing new."""
-        if server in self.pools and server not in self.leaving:
-            self.leaving[server] = reason
-            if reason == "drain_answer":
-                self.return_watch.set(self.loop.time() + RETURN_PROBE_S)
+        """Gives a server nothing new; the last reason given counts."""
+        if server not in self.pools:
+            return
+        is_new = server not in self.leaving
+        self.leaving[server] = reason
+        if reason == "drain_answer":
+            self.return_watch.set(self.loop.time() + RETURN_PROBE_S)
+        if is_new:
             self._reconfigure()
             self.pools[server].turn_away()
 
--- a/banyantiller/tests/proxy/test_changes.py
+++ b/banyantiller/tests/proxy/test_changes.py
@@ -6,6 +6,7 @@
 from banyantiller.bundle import options
 from banyantiller.errors import ErrorKind
 from banyantiller.kernel import events
+from banyantiller.routing import types
 from banyantiller.tests import base
 from banyantiller.tests.proxy import fakes
 
@@ -129,6 +130,22 @@
         self.run_paused(body(by_word))
         self.run_paused(body(by_bundle))
 
+    def test_probe_brings_back_no_server_that_the_vm_list_shows_leaving(
+        self,
+    ) -> None:
+        async def body() -> None:
+            bench = await fakes.Bench.start(fakes.answering())
+            driver = bench.proxy.drivers["orders"]
+            for reason in ("drain_answer", "vm_list"):
+                bench.proxy.server_leaving("orders", "server-9001", reason)
+            driver.probed("server-9001", types.LoadReport(0, source="probe"))
+            self.assertIn(b" 503 ", await bench.ask(CLOSE))
+            bench.proxy.server_back("orders", "server-9001")
+            self.assertIn(b" 200 ", await bench.ask(CLOSE))
+            await bench.proxy.close()
+
+        self.run_paused(body())
+
     def test_end_of_a_call_names_the_server_that_did_not_answer(self) -> None:
         async def body() -> None:
             bench = await fakes.Bench.start(fakes.answering(wait_s=60.0))
