Choose the reader of told loads by plug-in and provoke early refusal by socket

Cause: the kind load_reader was declared and could not be used, and one error kind, deadline_unreachable, had no test through a caller's socket. Change: the setting load_reader names the plug-in, "orca" by default, and the data path takes header and reader from it. A whole daemon with busy servers refuses a call that can't be answered within its 0.5 s, at once, as not run and with Retry-After; the table of kinds no longer excludes it.

--- a/banyantiller/config/defaults.py
+++ b/banyantiller/config/defaults.py
@@ -314,6 +314,9 @@
         EvidenceSettings()
     )
     routing: Annotated[str, Option("Name of the routing plug-in.")] = "adaptive"
+    load_reader: Annotated[
+        str, Option("Name of the plug-in that reads the load servers tell.")
+    ] = "orca"
     trace_file: Annotated[
         str, Option("File that records a trace for replay, or empty.")
     ] = ""
--- a/banyantiller/daemon/assembly.py
+++ b/banyantiller/daemon/assembly.py
@@ -77,6 +77,7 @@
             self.budget.charger,
             wall,
             seed,
+            registry.get("load_reader", settings.load_reader)(),
         )
         self.recorder = recording.Recorder.from_settings(
             settings, self.kernel, wall
--- a/banyantiller/proxy/attempt.py
+++ b/banyantiller/proxy/attempt.py
@@ -7,7 +7,7 @@
 
 from banyantiller.bundle.options import NOT_RUN_STATUS
 from banyantiller.errors import ErrorKind, Ran
-from banyantiller.proxy import backend, guard, headers, load
+from banyantiller.proxy import backend, guard, headers
 from banyantiller.proxy import pool as pools
 from banyantiller.routing.types import AttemptResult, Start
 
@@ -97,8 +97,9 @@
         """Reports the answer head; the dispatcher decides about it."""
         self.response = event
         self.fields = headers.received(event.headers)
-        metrics = headers.get(self.fields, load.HEADER)
-        report = None if metrics is None else load.read_header(metrics)
+        loads = self.driver.loads
+        told = headers.get(self.fields, loads.header)
+        report = None if told is None else loads.read(told, "answer")
         not_run = self._is_not_run(event)
         result = AttemptResult(
             ok=not not_run,
--- a/banyantiller/proxy/driver.py
+++ b/banyantiller/proxy/driver.py
@@ -13,7 +13,7 @@
 from banyantiller.errors import ErrorKind, Ran
 from banyantiller.proxy import attempt as attempts
 from banyantiller.proxy import call as calls
-from banyantiller.proxy import guard, probe, watchdog
+from banyantiller.proxy import guard, load, probe, watchdog
 from banyantiller.proxy import pool as pools
 from banyantiller.routing import types
 
@@ -36,6 +36,7 @@
         attempts: Tries that the dispatcher knows, by number.
         pools: Pools by server name.
         leaving: Servers that get nothing new, and why.
+        loads: Reads the load that servers tell.
     """
 
     def __init__(
@@ -47,6 +48,7 @@
         tls: ssl.SSLContext | None,
         announce: LeavingHook,
         returned: LeavingHook | None = None,
+        loads: load.LoadReader = load.ORCA,
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self.service = service
@@ -55,6 +57,7 @@
         self.tls = tls
         self.announce = announce
         self.returned = returned
+        self.loads = loads
         self.alive = 1
         self.calls: dict[int, calls.Call] = {}
         self.attempts: dict[int, attempts.Attempt] = {}
--- a/banyantiller/proxy/load.py
+++ b/banyantiller/proxy/load.py
@@ -7,6 +7,8 @@
 
 import functools
 import math
+from collections.abc import Callable
+from typing import NamedTuple
 
 import msgspec
 
@@ -70,3 +72,24 @@
     if not math.isfinite(in_flight) or in_flight < 0:
         return None
     return LoadReport(in_flight=in_flight, draining=draining, source=source)
+
+
+class LoadReader(NamedTuple):
+    """How the load that servers tell is read; made by a plug-in.
+
+    Attributes:
+        header: Name of the header in lower case.
+        read: Returns the report of a value, given also the report's source,
+            or None when there is none.
+    """
+
+    header: bytes
+    read: Callable[[bytes, str], LoadReport | None]
+
+
+ORCA = LoadReader(HEADER, read_header)
+
+
+def orca() -> LoadReader:
+    """Returns the reader of ORCA load reports."""
+    return ORCA
--- a/banyantiller/proxy/probe.py
+++ b/banyantiller/proxy/probe.py
@@ -5,7 +5,7 @@
 import h11
 
 from banyantiller.errors import ErrorKind
-from banyantiller.proxy import backend, headers, load, watchdog
+from banyantiller.proxy import backend, headers, watchdog
 from banyantiller.proxy import pool as pools
 from banyantiller.routing.types import LoadReport
 
@@ -63,9 +63,10 @@
 
     def head(self, event: h11.Response) -> None:
         """Reads the load."""
-        value = headers.get(headers.received(event.headers), load.HEADER)
-        if value is not None:
-            self.report = load.read_header(value, "probe")
+        loads = self.driver.loads
+        told = headers.get(headers.received(event.headers), loads.header)
+        if told is not None:
+            self.report = loads.read(told, "probe")
 
     def data(self, data: bytes) -> None:
         """The body of a probe's answer is dropped."""
--- a/banyantiller/proxy/proxy.py
+++ b/banyantiller/proxy/proxy.py
@@ -25,6 +25,7 @@
     driver,
     headers,
     intake,
+    load,
     services,
 )
 from banyantiller.proxy import call as calls
@@ -61,6 +62,7 @@
         charge: Callable[[str], Charge],
         wall: Callable[[], float],
         seed: int,
+        loads: load.LoadReader = load.ORCA,
     ) -> None:
         self.settings = settings
         self.kernel = kernel
@@ -68,6 +70,7 @@
         self.claims = claims
         self.charge = charge
         self.wall = wall
+        self.loads = loads
         self.random = random.Random(seed)
         self.loop = asyncio.get_running_loop()
         self.fenced = False
@@ -96,6 +99,7 @@
         charge: Callable[[str], Charge],
         wall: Callable[[], float],
         seed: int,
+        loads: load.LoadReader = load.ORCA,
     ) -> "Proxy":
         """Makes a proxy that does not listen yet; needs a running loop.
 
@@ -108,9 +112,17 @@
                 out of the measuring budget.
             wall: Returns wall-clock seconds, for events and stages.
             seed: Seed of identifiers and of the dispatchers.
+            loads: Reads the load that servers tell.
         """
         return cls(
-            settings, kernel, routing_factory, claims, charge, wall, seed
+            settings,
+            kernel,
+            routing_factory,
+            claims,
+            charge,
+            wall,
+            seed,
+            loads,
         )
 
     @property
@@ -336,6 +348,7 @@
             self.backend_tls,
             self._announce_leaving,
             self._announce_returned,
+            self.loads,
         )
 
     def _announce_leaving(self, service: str, server: str) -> None:
--- a/banyantiller/tests/daemon/test_whole_path.py
+++ b/banyantiller/tests/daemon/test_whole_path.py
@@ -8,6 +8,7 @@
 from banyantiller.daemon import assembly
 from banyantiller.http import client, messages, outcomes, server
 from banyantiller.kernel import events
+from banyantiller.proxy import load
 from banyantiller.routing import adaptive
 from banyantiller.store import memory
 from banyantiller.store import table as tables
@@ -72,6 +73,7 @@
         store = memory.MemoryStore(self.table)
         registry.add("object_api", "kubernetes", lambda *_: store)
         registry.add("routing", "adaptive", adaptive.create)
+        registry.add("load_reader", "orca", load.orca)
         loop = asyncio.get_running_loop()
         daemon = assembly.Daemon(
             chosen, registry, lambda: WALL + loop.time(), len(self.daemons)
@@ -101,9 +103,11 @@
     target: str,
     body: bytes = b"",
     key: str = "",
+    headers: messages.Headers = (),
 ) -> messages.Response:
     """Sends one request on a connection of its own."""
-    headers = (("idempotency-key", key),) if key else ()
+    if key:
+        headers = (*headers, ("idempotency-key", key))
     http = client.HttpClient("127.0.0.1", port)
     try:
         outcome = await http.request(method, target, 30.0, headers, body)
@@ -114,6 +118,34 @@
 
 
 class WholePathTest(base.TestCase):
+    def test_call_that_cannot_be_answered_in_time_is_refused_at_once(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            fleet = Fleet()
+            await fleet.start(1)
+            fleet.service_s = 1.0
+            await send(8001, "GET", "/orders/1")
+            busy = [
+                asyncio.create_task(send(8001, "GET", "/orders/2"))
+                for _ in range(8)
+            ]
+            await asyncio.sleep(0.1)
+            loop = asyncio.get_running_loop()
+            asked_at = loop.time()
+            hurried = (("x-request-deadline-ms", "500"),)
+            answer = await send(8001, "GET", "/orders/3", headers=hurried)
+            self.assertEqual(503, answer.status)
+            self.assertIn("deadline_unreachable", answer.header("proxy-status"))
+            self.assertEqual("no", answer.header("request-ran"))
+            self.assertNotEqual("", answer.header("retry-after"))
+            self.assertTrue(loop.time() - asked_at < 0.1)
+            for ended in await asyncio.gather(*busy):
+                self.assertEqual(200, ended.status)
+            await fleet.stop()
+
+        self.run_paused(scenario())
+
     def test_lookup_and_keyed_request_over_two_daemons(self) -> None:
         async def scenario() -> None:
             fleet = Fleet()
--- a/banyantiller/tests/proxy/test_kinds.py
+++ b/banyantiller/tests/proxy/test_kinds.py
@@ -155,8 +155,6 @@
     ),
 )
 NOT_FROM_THE_DATA_PATH = {
-    # Raised by routing, tested there; relayed like any other refusal.
-    K.DEADLINE_UNREACHABLE,
     # Denials of a claim, below.
     K.KEY_REUSED,
     K.KEY_IN_PROGRESS,
@@ -173,7 +171,12 @@
     K.CLAIM_UNAVAILABLE,
     K.INTERNAL,
 }
-TESTED_ELSEWHERE = {K.TLS_FAILED, K.KEY_ALREADY_RUN}
+# In test_tls, test_at_most_once and daemon/test_whole_path.
+TESTED_ELSEWHERE = {
+    K.TLS_FAILED,
+    K.KEY_ALREADY_RUN,
+    K.DEADLINE_UNREACHABLE,
+}
 
 
 class KindsTest(base.TestCase):
--- a/banyantiller/tests/test_plugins.py
+++ b/banyantiller/tests/test_plugins.py
@@ -9,6 +9,7 @@
 INSTALLED = {
     ("object_api", "kubernetes"),
     ("vm_list", "http"),
+    ("load_reader", "orca"),
     ("routing", "adaptive"),
 }
 
