Record what a daemon's replica is given

Cause: with trace_file set a daemon recorded its dispatchers only, so a fault in how bundles come into force could not be replayed.

Change: a daemon also writes PATH.replica.jsonl in the form of the replica core, with new inputs: offers as bytes with source and wall clock, kept parts, and tries to put a bundle in force with what came of them. A daemon that starts again notes its restart and goes on with the file; a line broken by a kill is dropped. Its own expectation, same_in_force, compares versions and digests in order. holds_only_accepted is refused for recordings, which can't tell it. Old traces replay as before. An existing test of the files in the folder names the new one too.

Claims and rolls are still not recorded.

--- a/banyantiller/daemon/assembly.py
+++ b/banyantiller/daemon/assembly.py
@@ -1,5 +1,6 @@
 """Builds a daemon out of its parts and connects them."""
 
+import asyncio
 import random
 from collections.abc import Callable
 
@@ -21,6 +22,7 @@
 from banyantiller.membership import peers as peering
 from banyantiller.proxy import proxy as proxying
 from banyantiller.replica import spread as spreading
+from banyantiller.replica import state
 from banyantiller.store import interface as store_interface
 from banyantiller.telemetry import admin, metrics, tallies
 from banyantiller.vmlist import interface as vm_interface
@@ -61,7 +63,13 @@
             settings, self.kernel, wall, seed
         )
         self.spread = spreading.BundleSpread.from_settings(
-            settings, self.store, self.peers, self.kernel, wall, seed
+            settings,
+            self.store,
+            self.peers,
+            self.kernel,
+            wall,
+            seed,
+            _replica(settings),
         )
         self.claims = arbiter.StoreClaims.from_settings(
             self.store, settings.deployment, settings.daemon, wall
@@ -213,3 +221,13 @@
     from banyantiller.replay import recording
 
     return recording.record_to_files(factory, settings.trace_file)
+
+
+def _replica(settings: defaults.Settings) -> state.Replica | None:
+    if not settings.trace_file:
+        return None
+    from banyantiller.replay import replica_recording
+
+    return replica_recording.create(
+        settings, lambda: asyncio.get_running_loop().time()
+    )
--- a/banyantiller/replay/recording.py
+++ b/banyantiller/replay/recording.py
@@ -7,7 +7,7 @@
 
 import atexit
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import structlog
@@ -29,6 +29,7 @@
     """Writes the lines of one trace, up to a bound.
 
     Attributes:
+        names: Names of the inputs by type.
         written: Bytes so far.
         is_full: Whether nothing more is written.
     """
@@ -38,8 +39,10 @@
         write: Callable[[str], Any],
         most_bytes: int = MOST_BYTES,
         close: Callable[[], None] = lambda: None,
+        names: Mapping[type, str] = inputs.NAMES,
     ) -> None:
         self.write = write
+        self.names = names
         self.end = close
         self.most_bytes = most_bytes
         self.written = 0
@@ -50,7 +53,7 @@
         self.is_full = True
         self.end()
 
-    def begin(self, header: inputs.Header) -> None:
+    def begin(self, header: Any) -> None:
         """Writes the header."""
         self.write(json.dumps(plain.to_plain(header)) + "\n")
 
@@ -58,7 +61,7 @@
         """Writes one typed input."""
         if self.is_full:
             return
-        line = traces.write(at, inputs.NAMES[type(item)], item)
+        line = traces.write(at, self.names[type(item)], item)
         self.written += len(line)
         if self.written > self.most_bytes:
             self.is_full = True
--- a/banyantiller/replay/replica_player.py
+++ b/banyantiller/replay/replica_player.py
@@ -5,65 +5,42 @@
 
 from banyantiller.bundle import canonical, manifest, options, signing
 from banyantiller.config import defaults
-from banyantiller.replay import traces
+from banyantiller.replay import dispatcher_inputs, traces
+from banyantiller.replay.replica_inputs import (
+    FLEET,
+    INPUTS,
+    KINDS,
+    Advance,
+    Given,
+    Header,
+    Offer,
+    Part,
+    Parts,
+    Restart,
+    to_bytes,
+)
 from banyantiller.replica import state as replicas
 
-FLEET = "fleet"
 WALL = 1_000_000_000.0
 PROPOSER = "proposer"
 SIGNER = "signer"
 STRANGER = "stranger"
-KINDS = ("accepted", "unsigned", "self_signed", "stranger", "altered", "fork")
 
 
-class Header(NamedTuple):
-    """Fields of the header.
-
-    Attributes:
-        trace: Version of the format.
-        core: "replica".
-        daemons: Names of the daemons.
-        about: What the trace shows.
-    """
-
-    trace: int
-    core: str
-    daemons: tuple[str, ...]
-    about: str = ""
-
-
-class Offer(NamedTuple):
-    """A daemon gets a bundle from the store or a peer.
+class InForce(NamedTuple):
+    """A bundle that was put in force.
 
     Attributes:
         daemon: The daemon.
-        version: Version that the bundle claims.
-        kind: "accepted", or what is wrong with it: "unsigned",
-            "self_signed", "stranger" (signed by an unknown key), "altered"
-            after signing, or "fork" (signed, but another content).
-        parts: Whether its parts arrive with it.
+        life: Number of the daemon's run, from 1.
+        version: Version of the bundle.
+        digest: Hex SHA-256 of its manifest.
     """
 
     daemon: str
+    life: int
     version: int
-    kind: str = "accepted"
-    parts: bool = True
-
-
-class Parts(NamedTuple):
-    """The parts of a bundle arrive at a daemon."""
-
-    daemon: str
-    version: int
-
-
-class Restart(NamedTuple):
-    """A daemon is replaced by one that knows nothing."""
-
-    daemon: str
-
-
-INPUTS: dict[str, type] = {"offer": Offer, "parts": Parts, "restart": Restart}
+    digest: str
 
 
 class ReplicaLog:
@@ -73,9 +50,17 @@
         lives: Versions put in force by each daemon, one list a run of it.
         refused: Daemon and version of each refused offer.
         wrong: Bundles in force that were never accepted.
+        is_recording: Whether the bundles are those of a real fleet.
+        in_force: What was put in force, in order.
+        recorded: What a recording says was put in force.
     """
 
-    def __init__(self, daemons: tuple[str, ...]) -> None:
+    def __init__(
+        self, daemons: tuple[str, ...], is_recording: bool = False
+    ) -> None:
+        self.is_recording = is_recording
+        self.in_force: list[InForce] = []
+        self.recorded: list[InForce] = []
         self.lives: dict[str, list[list[int]]] = {d: [[]] for d in daemons}
         self.refused: set[tuple[str, int]] = set()
         self.wrong: list[tuple[str, int]] = []
@@ -111,6 +96,8 @@
 
     def problem(self, log: ReplicaLog) -> str:
         """Returns what is otherwise."""
+        if log.is_recording:
+            return "a recording does not tell what was accepted"
         return f"held: {log.wrong}" if log.wrong else ""
 
 
@@ -126,11 +113,22 @@
         return "" if refused else "it was not refused"
 
 
+class SameInForce(NamedTuple):
+    """The bundles of the recording are put in force, in its order."""
+
+    def problem(self, log: ReplicaLog) -> str:
+        """Returns what is otherwise."""
+        if log.in_force == log.recorded:
+            return ""
+        return f"in force: {log.in_force}, recorded: {log.recorded}"
+
+
 EXPECTATIONS: dict[str, type] = {
     "holds": Holds,
     "never_goes_down": NeverGoesDown,
     "holds_only_accepted": HoldsOnlyAccepted,
     "refused": Refused,
+    "same_in_force": SameInForce,
 }
 
 
@@ -150,9 +148,10 @@
     """
 
     def __init__(self, header: Header) -> None:
-        self.log = ReplicaLog(header.daemons)
+        self.log = ReplicaLog(header.daemons, bool(header.trusted))
+        self.deployment = header.deployment
         keys = {name: _key(name).public for name in (PROPOSER, SIGNER)}
-        self.trusted = tuple(
+        self.trusted = header.trusted or tuple(
             defaults.TrustedKey(name, public) for name, public in keys.items()
         )
         self.replicas = {name: self._fresh() for name in header.daemons}
@@ -169,27 +168,48 @@
             case Restart(daemon):
                 self.replicas[daemon] = self._fresh()
                 self.log.lives[daemon].append([])
+            case Given(daemon, text, _, wall):
+                accepted = canonical.decode_accepted(to_bytes(text))
+                self._judge(daemon, accepted, wall)
+            case Part(daemon, text, spare):
+                self.replicas[daemon].add_part(to_bytes(text), spare)
+            case Advance(daemon, floor, version, digest):
+                self._advance(daemon, floor)
+                if version:
+                    life = len(self.log.lives[daemon])
+                    held = InForce(daemon, life, version, digest)
+                    self.log.recorded.append(held)
 
     def _fresh(self) -> replicas.Replica:
-        return replicas.Replica(self.trusted, FLEET)
+        return replicas.Replica(self.trusted, self.deployment)
 
     def _offer(self, daemon: str, version: int, kind: str) -> None:
-        accepted = make(version, kind).accepted
-        verdict = self.replicas[daemon].offer(accepted, WALL)
-        if isinstance(verdict, replicas.Refuse):
-            self.log.refused.add((daemon, version))
+        self._judge(daemon, make(version, kind).accepted, WALL)
         self._advance(daemon)
 
+    def _judge(
+        self, daemon: str, accepted: manifest.Accepted, wall: float
+    ) -> None:
+        verdict = self.replicas[daemon].offer(accepted, wall)
+        if isinstance(verdict, replicas.Refuse):
+            self.log.refused.add((daemon, accepted.manifest.version))
+
     def _add_parts(self, daemon: str, made: Made) -> None:
         for data in made.parts:
             self.replicas[daemon].add_part(data)
         self._advance(daemon)
 
-    def _advance(self, daemon: str) -> None:
-        held = self.replicas[daemon].advance()
+    def _advance(self, daemon: str, floor: int = 0) -> None:
+        held = self.replicas[daemon].advance(floor)
         if not isinstance(held, replicas.Held):
             return
-        self.log.lives[daemon][-1].append(held.version)
+        lives = self.log.lives[daemon]
+        lives[-1].append(held.version)
+        self.log.in_force.append(
+            InForce(daemon, len(lives), held.version, held.digest)
+        )
+        if self.log.is_recording:
+            return
         accepted = make(held.version, "accepted").accepted
         if held.accepted.manifest != accepted.manifest:
             self.log.wrong.append((daemon, held.version))
@@ -229,6 +249,8 @@
     header = traces.from_fields(trace.header, Header, "Line 1")
     inputs = traces.typed_lines(trace.inputs, INPUTS)
     for line, item in inputs:
+        if isinstance(item, dispatcher_inputs.Truncated):
+            continue
         if item.daemon not in header.daemons:
             raise traces.TraceError(
                 f"Line {line.number}: '{item.daemon}' is not a daemon."
@@ -238,8 +260,11 @@
                 f"Line {line.number}: 'kind' is not one of {', '.join(KINDS)}."
             )
     player = ReplicaPlayer(header)
-    for _, item in inputs:
-        player.take(item)
+    for line, item in inputs:
+        try:
+            player.take(item)
+        except (canonical.CanonicalError, UnicodeEncodeError) as error:
+            raise traces.TraceError(f"Line {line.number}: {error}.") from error
     try:
         return traces.check(trace, EXPECTATIONS, player.log)
     except KeyError as error:
--- a/banyantiller/replica/spread.py
+++ b/banyantiller/replica/spread.py
@@ -52,13 +52,16 @@
         kernel: core.Kernel,
         wall: Callable[[], float],
         seed: int,
+        replica: state.Replica | None = None,
     ) -> None:
         rng = random.Random(f"{seed} {settings.daemon} replica")
         self.settings = settings
         self.peers = peers
         self.kernel = kernel
         self.wall = wall
-        self.replica = state.Replica(settings.trusted_keys, settings.deployment)
+        self.replica = replica or state.Replica(
+            settings.trusted_keys, settings.deployment
+        )
         handlers = reading.ReadHandlers(
             self._found, self._part_written, self._answered
         )
@@ -93,6 +96,7 @@
         kernel: core.Kernel,
         wall: Callable[[], float],
         seed: int,
+        replica: state.Replica | None = None,
     ) -> "BundleSpread":
         """Builds the spread of bundles of one daemon.
 
@@ -103,8 +107,9 @@
             kernel: Gets `BundleInForce`, `BundleRefused` and `StoreState`.
             wall: Returns wall-clock seconds.
             seed: Seed of all random choices.
+            replica: A replica that records, or None for a plain one.
         """
-        return cls(settings, store, peers, kernel, wall, seed)
+        return cls(settings, store, peers, kernel, wall, seed, replica)
 
     @property
     def held(self) -> Held | None:
@@ -155,7 +160,7 @@
 
     def _offer(self, accepted: Accepted, source: str) -> None:
         version = accepted.manifest.version
-        verdict = self.replica.offer(accepted, self.wall())
+        verdict = self.replica.offer(accepted, self.wall(), source)
         if isinstance(verdict, state.Refuse):
             self._refused(version, verdict.reason, source)
         elif isinstance(verdict, state.Adopt):
--- a/banyantiller/replica/state.py
+++ b/banyantiller/replica/state.py
@@ -110,12 +110,18 @@
         """Highest verified version, in force or not."""
         return max(self.candidates, default=self.version)
 
-    def offer(self, accepted: Accepted, wall_now: float) -> Verdict:
+    def offer(
+        self,
+        accepted: Accepted,
+        wall_now: float,
+        source: str = "",  # noqa: ARG002
+    ) -> Verdict:
         """Judges an accepted bundle and keeps it if it is newer.
 
         Args:
             accepted: The bundle as the object API or a peer gave it.
             wall_now: Wall-clock seconds.
+            source: Where it came from, which only recordings keep.
         """
         version = accepted.manifest.version
         if version < self.version:
--- a/banyantiller/tests/replay/test_daemon_recording.py
+++ b/banyantiller/tests/replay/test_daemon_recording.py
@@ -34,6 +34,7 @@
         for driver in daemon.proxy.drivers.values():
             driver.dispatcher.recording.close()
         await fleet.stop()
+        daemon.spread.replica.recording.close()
 
     def test_replay_decides_as_the_daemon(self):
         folder = tempfile.TemporaryDirectory()
@@ -41,7 +42,11 @@
         self.run_paused(self.use(f"{folder.name}/trace"))
         files = sorted(pathlib.Path(folder.name).iterdir())
         self.assertEqual(
-            ["trace.archive.jsonl", "trace.desk.jsonl"],
+            [
+                "trace.archive.jsonl",
+                "trace.desk.jsonl",
+                "trace.replica.jsonl",
+            ],
             [file.name for file in files],
         )
         text = files[1].read_text()
