Record traces of the bench of decisions on request

Cause: only daemons recorded traces, so a case that the bench finds could not be kept and replayed. Conclusion: what the bench finds can become a shipped trace.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -6,9 +6,11 @@
 by refusing.
 """
 
+import functools
 import json as json_lib
 import math
 import multiprocessing
+import os
 import random
 import statistics
 import zlib
@@ -17,6 +19,7 @@
 import defopt
 
 from banyantiller.bundle import options
+from banyantiller.replay import recording
 from banyantiller.routing import adaptive, tuning, types
 from bench import decisions_rivals as rivals
 from bench.decisions_scenarios import SCENARIOS
@@ -61,6 +64,7 @@
     seconds: float
     seed: int
     ablate: str
+    record: str = ""
 
 
 def build(task, size):
@@ -93,13 +97,25 @@
         elif task.policy != "adaptive":
             daemon.dispatcher = rivals.usual(rivals.PICKS[task.policy], *given)
         else:
-            daemon.dispatcher = adaptive.create(
-                *given[:2], "", *given[2:], 0.0, daemon.charge, constants
+            create = functools.partial(adaptive.create, constants=constants)
+            if task.record:
+                create = recorded(create, task, number, world)
+            daemon.dispatcher = create(
+                *given[:2], "", *given[2:], 0.0, daemon.charge
             )
             daemon.dispatcher.members(size.daemons, 0.0)
     return world
 
 
+def recorded(create, task, number, world):
+    """Returns a factory whose dispatcher writes a trace for replay."""
+    name = f"{task.service}-{task.scenario}-{number}.jsonl"
+    path = os.path.join(task.record, name)
+    file = open(path, "w", encoding="utf-8")  # noqa: SIM115
+    world.traces.append(file)
+    return recording.record(create, file.write)
+
+
 def run(task):
     """Runs one task; returns it with its figures."""
     size, scenario = SIZES[task.service], SCENARIOS[task.scenario]
@@ -118,6 +134,8 @@
         world.after(at, world.arrive, user)
     scenario.disturb(world, rng, seconds)
     world.run(seconds + 2 * PATIENCE * size.deadline_s)
+    for file in world.traces:
+        file.close()
     return task, figures(world, size, WARM_UP * seconds)
 
 
@@ -185,6 +203,7 @@
     seed: int = 1,
     ablate: str = "",
     plots: str = "",
+    record: str = "",
     processes: int = 4,
 ) -> None:
     """Runs the bench.
@@ -198,10 +217,12 @@
         seed: Seed of arrivals, work and disturbances.
         ablate: Mechanisms to switch off, by comma.
         plots: Folder for PNG plots.
+        record: Folder for traces of the product's runs, one a daemon, which
+            `banyantiller replay` plays.
         processes: Most processes at once.
     """
     tasks = [
-        Task(one, case, name, seconds, seed, ablate)
+        Task(one, case, name, seconds, seed, ablate, record)
         for one in (service.split(",") if service else SIZES)
         for case in (scenario.split(",") if scenario else SCENARIOS)
         for name in (
@@ -210,6 +231,8 @@
             else (*rivals.PICKS, "bound", "adaptive")
         )
     ]
+    if record:
+        os.makedirs(record, exist_ok=True)
     with multiprocessing.Pool(processes) as pool:
         results = {t[:3]: row for t, row in pool.map(run, tasks, chunksize=1)}
     columns = ("p50_ms", "p99_ms", "p999_ms", "goodput", "refused", "extra")
--- a/bench/decisions_world.py
+++ b/bench/decisions_world.py
@@ -243,7 +243,7 @@
         self.service, self.zones = service, zones
         self.probe_rate = service.measuring.probes_per_second
         self.servers = {s.name: Server(self, s) for s in states}
-        self.daemons, self.users = [], []
+        self.daemons, self.users, self.traces = [], [], []
         self.freed = lambda _: None
         self.report_age, self.resend = 0.0, False
         self.probes = self.tries = self.refusals = 0
