Measure messages between daemons for the capacity page

Cause: the page gave bytes and processor time of control, but no messages. Change: the meter of the fleet bench reads messages on links, the step "daemons" of bench.slopes fits them over 2 to 56 daemons, and the page has a row for them.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -43,6 +43,7 @@
         peer_kb_per_s: Frames on links, in and out.
         store_kb_per_s: Bytes to and from the object API.
         calls_per_s: Calls of the object API by the whole fleet.
+        messages_per_s: Messages on links, in and out.
     """
 
     core_percent: float
@@ -50,6 +51,7 @@
     peer_kb_per_s: float
     store_kb_per_s: float
     calls_per_s: float
+    messages_per_s: float = 0.0
 
     @property
     def kb_per_s(self) -> float:
@@ -74,6 +76,7 @@
         pairs = list(zip(usages0, usages, strict=True))
         cores = [100 * (b.cpu_s - a.cpu_s) / length for a, b in pairs]
         frames = [b.peer_bytes - a.peer_bytes for a, b in pairs]
+        messages = [b.peer_messages - a.peer_messages for a, b in pairs]
         count = len(usages)
         self.spent = Spent(
             core_percent=statistics.mean(cores),
@@ -81,6 +84,7 @@
             peer_kb_per_s=statistics.mean(frames) / length / 1000,
             store_kb_per_s=(moved - moved0) / length / 1000 / count,
             calls_per_s=(calls - calls0) / length,
+            messages_per_s=statistics.mean(messages) / length,
         )
 
     async def _read(self) -> tuple[float, list[Usage], int, int]:
--- a/bench/fleet_processes.py
+++ b/bench/fleet_processes.py
@@ -24,11 +24,13 @@
         cpu_s: Processor time in seconds.
         rss_mb: Resident memory in megabytes.
         peer_bytes: Bytes of frames on links, in and out.
+        peer_messages: Messages on links, in and out.
     """
 
     cpu_s: float
     rss_mb: float
     peer_bytes: int
+    peer_messages: int
 
 
 class InForce(NamedTuple):
@@ -181,6 +183,7 @@
             cpu_seconds(process),
             resident_mb(process),
             traffic["bytes_in"] + traffic["bytes_out"],
+            traffic["messages_in"] + traffic["messages_out"],
         )
 
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -141,6 +141,7 @@
     names = {
         "idle_core_percent": "control, no rolls (% of a core a daemon)",
         "idle_kb_per_s": "control, no rolls (KB/s a daemon)",
+        "idle_messages_per_s": "messages on links, no rolls (1/s a daemon)",
         "idle_calls_per_s": "object API, no rolls (calls/s, fleet)",
         "idle_writes_per_s": "object API, no rolls (writes/s, fleet)",
         "roll_core_ms": "one roll (ms of processor time a daemon)",
--- a/bench/slopes_control.py
+++ b/bench/slopes_control.py
@@ -51,6 +51,18 @@
             "membership/overlay.py, replica/fetching.py",
         )
     )
+    messages = slopes.line("daemons", "messages on links")
+    rows.append(
+        Row(
+            "peer",
+            "messages on links, no rolls (1/s)",
+            f"{messages.intercept:g} + {messages.slope:g} x {count}",
+            messages.at(count),
+            None,
+            EXTRAPOLATED,
+            "membership/link.py, membership/overlay.py",
+        )
+    )
     memory, memory_text = both("resident memory (MB")
     plain = slopes.line("memory", "memory", "open connections").intercept / 1024
     data_path = (
--- a/bench/slopes_world.py
+++ b/bench/slopes_world.py
@@ -27,6 +27,7 @@
         services: Services of the bundle, of ten servers each.
         idle_core_percent: Processor time without rolls.
         idle_kb_per_s: Bytes without rolls, links and object API.
+        idle_messages_per_s: Messages on links without rolls.
         idle_calls_per_s: Calls of the object API by the whole fleet.
         idle_writes_per_s: Of these, writes.
         roll_core_ms: Processor time for one roll, above idle.
@@ -41,6 +42,7 @@
     services: int
     idle_core_percent: float
     idle_kb_per_s: float
+    idle_messages_per_s: float
     idle_calls_per_s: float
     idle_writes_per_s: float
     roll_core_ms: float
@@ -100,6 +102,7 @@
             services,
             quiet.core_percent,
             quiet.kb_per_s,
+            quiet.messages_per_s,
             quiet.calls_per_s,
             written / idle.length_s,
             (busy.core_percent - quiet.core_percent) * 10 * each_s,
