--- /dev/null
+++ b/banyantiller/gateway/asking.py
@@ -0,0 +1,274 @@
+"""Asks some servers for their load just before a request is sent."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+from typing import NamedTuple
+
+import structlog
+
+from banyantiller.gateway import pool, scoring, servers, types
+from banyantiller.http import connection, messages
+
+log = structlog.get_logger("banyantiller.gateway")
+
+# A server answers within 8 ms, over a new connection within 11; one that
+# takes ten times as long counts as silent.
+ANSWER_TIMEOUT_S = 0.1
+# How long the others are waited for once one server has answered.
+OTHERS_WAIT_S = 0.02
+HEALTH_BYTES = 65536
+# Score of a server that is idle, as fast as usual, in the own zone: no other
+# can be better, so the rest is not waited for.
+IDEAL_SCORE = 1.1
+# A server that calls itself unfit may be lying; it is taken if all others
+# are about three times as slow.
+UNFIT_COST = 3.0
+
+
+@dataclasses.dataclass(slots=True)
+class Candidate:
+    """A server that may get a request now.
+
+    Attributes:
+        entry: The server.
+        link: Connection on which it answered, or None.
+        load: Its load, or None if it tells none.
+        asked_at: Loop time of its answer.
+        fit: Whether it says that it is well.
+        score: Its cost; less is better.
+    """
+
+    entry: servers.Entry
+    link: pool.Link | None
+    load: types.Load | None
+    asked_at: float
+    fit: bool
+    score: float
+
+    def ready(self, slowest: float) -> bool:
+        """Tells whether a request would start at once and at speed.
+
+        Args:
+            slowest: Greatest slowness that is taken.
+        """
+        if self.load is None:
+            return self.fit
+        return (
+            self.fit
+            and scoring.has_free_slot(self.load)
+            and self.load.slowness <= slowest
+        )
+
+
+class Answer(NamedTuple):
+    """What a server told of itself.
+
+    Attributes:
+        fit: Whether it says that it is well.
+        load: Its load, or None.
+        instance: Its identity, or empty.
+    """
+
+    fit: bool
+    load: types.Load | None
+    instance: str
+
+
+Pools = Callable[[types.Server], pool.Pool]
+Moved = Callable[[types.Server], None]
+
+
+class Asker:
+    """Asks servers over kept connections.
+
+    Attributes:
+        wire: Names of header fields.
+        read_load: Decodes the load header.
+        pools: Returns the pool of a server.
+        moved: Called when another instance has a server's address.
+        zone: Availability zone of this daemon.
+        asked: Questions so far.
+        tasks: Questions whose answers are not in.
+    """
+
+    def __init__(
+        self,
+        adapter: types.Adapter,
+        pools: Pools,
+        moved: Moved,
+        zone: str,
+    ) -> None:
+        self.wire = adapter.wire
+        self.read_load = adapter.read_load
+        self.pools = pools
+        self.moved = moved
+        self.zone = zone
+        self.asked = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.loop = asyncio.get_running_loop()
+
+    async def ask(
+        self, entries: list[servers.Entry], health_path: str
+    ) -> list[Candidate]:
+        """Returns the servers that answered in time, best first.
+
+        Connections of the candidates belong to the caller, which hands them
+        back with `give_back`.
+        """
+        asked = Round()
+        tasks = [
+            self.loop.create_task(self._ask_one(entry, health_path, asked))
+            for entry in entries
+        ]
+        self.tasks.update(tasks)
+        for task in tasks:
+            task.add_done_callback(self.tasks.discard)
+        try:
+            await self._gather(tasks, asked)
+        except BaseException:
+            self.give_back(asked.close())
+            raise
+        found = asked.close()
+        found.sort(key=lambda candidate: candidate.score)
+        return found
+
+    def give_back(self, candidates: list[Candidate]) -> None:
+        """Hands the connections of candidates back to their pools."""
+        for candidate in candidates:
+            if candidate.link is not None:
+                server = candidate.entry.server
+                self.pools(server).keep(candidate.link)
+                candidate.link = None
+
+    async def _gather(
+        self, tasks: list[asyncio.Task[None]], asked: "Round"
+    ) -> None:
+        pending = set(tasks)
+        until = self.loop.time() + 2 * ANSWER_TIMEOUT_S
+        while pending:
+            left = until - self.loop.time()
+            if left <= 0:
+                return
+            _, pending = await asyncio.wait(
+                pending, timeout=left, return_when=asyncio.FIRST_COMPLETED
+            )
+            if any(one.score <= IDEAL_SCORE for one in asked.found):
+                return
+            if asked.found:
+                until = min(until, self.loop.time() + OTHERS_WAIT_S)
+
+    async def _ask_one(
+        self, entry: servers.Entry, health_path: str, asked: "Round"
+    ) -> None:
+        """Asks one server; adds it to the round if that is still open."""
+        home = self.pools(entry.server)
+        link: pool.Link | None = None
+        self.asked += 1
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                link, answer = await self._exchange(home, entry, health_path)
+        except pool.PoolFullError:
+            return
+        except (OSError, connection.ConnectionLostError) as error:
+            self._silent(entry, error)
+            return
+        entry.belief.answered()
+        if answer.instance and answer.instance != entry.server.instance:
+            home.discard(link)
+            self.moved(entry.server)
+            return
+        if not link.connection.ready_again():
+            home.discard(link)
+            link = None
+        if asked.open:
+            asked.found.append(self._candidate(entry, link, answer))
+        elif link is not None:
+            home.keep(link)
+
+    async def _exchange(
+        self, home: pool.Pool, entry: servers.Entry, health_path: str
+    ) -> tuple[pool.Link, Answer]:
+        link = await home.acquire()
+        if link.reused:
+            # A kept connection may have been dropped by the server, which
+            # says nothing of the server itself.
+            try:
+                return link, await self._read(home, link, entry, health_path)
+            except (OSError, connection.ConnectionLostError) as error:
+                log.debug("gateway: kept connection lost.", error=str(error))
+            link = await home.acquire(fresh=True)
+        return link, await self._read(home, link, entry, health_path)
+
+    async def _read(
+        self,
+        home: pool.Pool,
+        link: pool.Link,
+        entry: servers.Entry,
+        health_path: str,
+    ) -> Answer:
+        server = entry.server
+        request = messages.Request(
+            "GET", health_path, (("host", f"{server.host}:{server.port}"),)
+        )
+        try:
+            link.connection.write(request)
+            while True:
+                response = await link.connection.read_head()
+                await link.connection.read_body(HEALTH_BYTES)
+                if not response.header(self.wire.request_id.decode()):
+                    break
+                # A server's second answer to an earlier request.
+                link.connection.expect_again(request)
+        except BaseException:
+            home.discard(link)
+            raise
+        told = response.header(self.wire.load.decode())
+        load = self.read_load(told.encode("latin-1")) if told else None
+        return Answer(
+            response.status == 200,
+            load,
+            response.header(self.wire.instance.decode()),
+        )
+
+    def _candidate(
+        self, entry: servers.Entry, link: pool.Link | None, answer: Answer
+    ) -> Candidate:
+        now = self.loop.time()
+        load = answer.load
+        seen = load or types.Load(0, 0, entry.server.slots, 1.0)
+        score = scoring.score(
+            seen,
+            entry.belief.failures(now),
+            entry.server.zone == self.zone,
+            now < entry.warm_at,
+        )
+        if not answer.fit:
+            score *= UNFIT_COST
+        return Candidate(entry, link, load, now, answer.fit, score)
+
+    def _silent(self, entry: servers.Entry, error: Exception) -> None:
+        if entry.belief.no_answer(self.loop.time()):
+            log.info(
+                "gateway: server gives no answer.",
+                instance=entry.server.instance,
+                error=str(error) or type(error).__name__,
+            )
+
+
+class Round:
+    """Servers that answered one question, while it is of interest.
+
+    Attributes:
+        open: Whether further answers are taken.
+        found: Servers that answered.
+    """
+
+    def __init__(self) -> None:
+        self.open = True
+        self.found: list[Candidate] = []
+
+    def close(self) -> list[Candidate]:
+        """Takes no further answers and returns those that are in."""
+        self.open = False
+        return self.found
--- /dev/null
+++ b/banyantiller/gateway/attempts.py
@@ -0,0 +1,119 @@
+"""One try of a call at one server."""
+
+import asyncio
+import math
+from typing import TYPE_CHECKING
+
+import structlog
+
+from banyantiller.errors import ErrorKind
+from banyantiller.gateway import asking, exchange, pool
+
+if TYPE_CHECKING:
+    from banyantiller.gateway import call as calls
+
+log = structlog.get_logger("banyantiller.gateway")
+
+
+class Attempt:
+    """Sends a call to a server and waits for the answer.
+
+    Attributes:
+        entry: The server.
+        candidate: What it told of its load.
+        began: Loop time at which the try began.
+        sent: Whether the server may be executing the call.
+        task: Runs the try; its result is the outcome.
+    """
+
+    def __init__(self, call: "calls.Call", candidate: asking.Candidate) -> None:
+        self.call = call
+        self.gateway = call.gateway
+        self.loop = call.loop
+        self.candidate = candidate
+        self.entry = candidate.entry
+        self.began = self.loop.time()
+        self.sent = False
+        self.task = self.loop.create_task(self._run())
+
+    async def cancel(self) -> None:
+        """Gives up; closing the connection ends the server's work."""
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+    def finish(self) -> exchange.Outcome:
+        """Returns the outcome after noting what it says of the server."""
+        outcome = self.task.result()
+        entry = self.entry
+        now = self.loop.time()
+        if isinstance(outcome, exchange.NotRun):
+            self.call.progress.reason = outcome.kind.value
+            if outcome.moved:
+                self.gateway.moved(entry.server)
+            # A server with a free slot that turns work away is at fault.
+            entry.belief.result(not self.candidate.ready(math.inf), now)
+            self._log(outcome.kind, "")
+        elif isinstance(outcome, exchange.Broken):
+            self.call.progress.reason = outcome.reason
+            entry.belief.result(False, now)
+            self._log(outcome.kind, outcome.reason)
+        else:
+            entry.belief.result(outcome.status < 500, now)
+        return outcome
+
+    async def _run(self) -> exchange.Outcome:
+        server = self.entry.server
+        home = self.gateway.pool_of(server)
+        candidate = self.candidate
+        if candidate.link is None:
+            try:
+                candidate.link = await home.acquire(fresh=True)
+            except (OSError, pool.PoolFullError) as error:
+                log.info(
+                    "gateway: no connection.",
+                    id=self.call.request.request_id,
+                    instance=server.instance,
+                    reason=str(error) or type(error).__name__,
+                )
+                return exchange.NotRun(ErrorKind.CONNECT_FAILED)
+        link = candidate.link
+        self._note_sending()
+        whole = False
+        try:
+            outcome = await exchange.run(
+                link,
+                self.call.outgoing,
+                server.instance,
+                self.call.deadline - self.loop.time(),
+                self.gateway.adapter.wire,
+                self.gateway.answer_bytes,
+            )
+            whole = not isinstance(outcome, exchange.Broken)
+        finally:
+            if whole:
+                home.release(link)
+            else:
+                home.discard(link)
+        return outcome
+
+    def _note_sending(self) -> None:
+        now = self.loop.time()
+        progress = self.call.progress
+        progress.sends += 1
+        progress.instance = self.entry.server.instance
+        progress.load = self.candidate.load
+        progress.load_age_s = now - self.candidate.asked_at
+        progress.sent_after_s = now - self.call.request.received
+        self.sent = True
+
+    def _log(self, kind: ErrorKind, reason: str) -> None:
+        load = self.candidate.load
+        log.info(
+            "gateway: a try failed.",
+            id=self.call.request.request_id,
+            instance=self.entry.server.instance,
+            kind=kind,
+            reason=reason,
+            load=load and list(load),
+            failures=round(self.entry.belief.failure_rate, 2),
+        )
--- /dev/null
+++ b/banyantiller/gateway/call.py
@@ -0,0 +1,288 @@
+"""One request: its route, its tries at servers, and its answer."""
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING
+
+import structlog
+
+from banyantiller.errors import ErrorKind, Failure, Ran
+from banyantiller.gateway import (
+    asking,
+    attempts,
+    choosing,
+    exchange,
+    replies,
+    routes,
+    types,
+)
+from banyantiller.gateway import requests as reading
+
+if TYPE_CHECKING:
+    from banyantiller.gateway import gateway as gateways
+
+log = structlog.get_logger("banyantiller.gateway")
+
+# When a caller may come back after a refusal: slots free within some tens of
+# milliseconds, and callers have 0.5 s at least. Spread, so that the refused
+# don't come back together.
+RETRY_AFTER_S = 0.15
+RETRY_SPREAD = 0.3
+# When a daemon that knows no routes yet may be asked again.
+START_RETRY_AFTER_S = 0.5
+# A server that has not answered after this share of the objective is asked
+# whether it lives; and again after each such time.
+DOUBT_SHARE = 0.6
+# A request that may be executed again goes to a second server as well once the
+# first has taken this share of the objective: by then it works some four times
+# slower than usual, or will never answer.
+SECOND_SHARE = 0.9
+# Less time than this is too little to run anything.
+LEAST_TIME_S = 0.01
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """How far a call has come; its log line is made from this.
+
+    Attributes:
+        sends: Servers that it was sent to.
+        maybe_ran: Whether an earlier server may have executed it.
+        instance: Server that it was sent to last.
+        load: Load of that server when it was chosen.
+        load_age_s: Age of that load at sending, in seconds.
+        sent_after_s: Time from its arrival to its last sending, in seconds.
+        error: Kind of the failure that the caller is told, or None.
+        reason: Why the last try failed, or empty.
+    """
+
+    sends: int = 0
+    maybe_ran: bool = False
+    instance: str = ""
+    load: types.Load | None = None
+    load_age_s: float = 0.0
+    sent_after_s: float = 0.0
+    error: ErrorKind | None = None
+    reason: str = ""
+
+
+class Call:
+    """A request that was read whole.
+
+    Attributes:
+        request: The request.
+        route: Its route, or None.
+        service: Name of the service that takes it.
+        deadline: Loop time at which it ends unanswered.
+        progress: How far it has come.
+        tried: Servers that it was sent to or that turned it away.
+        attempts: Tries that are running.
+        sole: Whether no further server is to be had beside the running one.
+        failed_answer: A server's own failure, in case no other does better.
+    """
+
+    def __init__(
+        self, gateway: "gateways.Gateway", request: reading.Request
+    ) -> None:
+        self.gateway = gateway
+        self.loop = gateway.loop
+        self.request = request
+        self.progress = Progress()
+        self.service = ""
+        self.deadline = request.received + gateway.default_timeout_s
+        self.tried: set[str] = set()
+        self.attempts: list[attempts.Attempt] = []
+        self.sole = False
+        self.failed_answer: exchange.Answered | None = None
+        self.outgoing = request.outgoing(gateway.adapter.wire)
+        self.version = 0
+        self.route: types.Route | None = None
+        table = gateway.routes
+        if table is not None:
+            self.version = table.document.version
+            self.route = table.find(request.host, request.target)
+        if self.route is not None:
+            timeout_s = self.route.timeout_s
+            if request.remaining_s is not None:
+                timeout_s = min(timeout_s, request.remaining_s)
+            self.deadline = request.received + timeout_s
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether it may be executed more than once."""
+        return self.route is not None and self.route.idempotent
+
+    async def run(self) -> replies.Reply:
+        """Returns the answer for the caller; the call is then over."""
+        try:
+            reply = await self._answer()
+        except asyncio.CancelledError:
+            self._finish(0, ErrorKind.CALLER_GONE)
+            raise
+        except Exception:
+            log.exception("gateway: a call failed.", id=self.request.request_id)
+            reply = self._fail(ErrorKind.INTERNAL)
+        self._finish(reply.status, self.progress.error)
+        return reply
+
+    async def _answer(self) -> replies.Reply:
+        table = self.gateway.routes
+        if table is None:
+            return self._fail(ErrorKind.NO_BUNDLE, START_RETRY_AFTER_S)
+        if self.route is None:
+            return self._fail(ErrorKind.UNKNOWN_SERVICE)
+        self.service = table.choose_service(self.route)
+        self.gateway.budget_of(self.service).request(self.loop.time())
+        try:
+            async with asyncio.timeout_at(self.deadline):
+                return await self._try_servers(table)
+        except TimeoutError:
+            if self.progress.maybe_ran:
+                return self._fail(ErrorKind.DEADLINE_AFTER_START)
+            return self._refuse(ErrorKind.DEADLINE_UNREACHABLE)
+
+    async def _try_servers(self, table: routes.RouteTable) -> replies.Reply:
+        """Tries servers until one answers; a second one may run beside."""
+        service = table.document.services[self.service]
+        try:
+            while True:
+                if not self.attempts or self._second_is_due():
+                    reply = await self._start_another(service)
+                    if reply is not None:
+                        return reply
+                reply = self._take(await self._next_ended())
+                if reply is not None:
+                    return reply
+        finally:
+            for attempt in self.attempts:
+                self.progress.maybe_ran |= attempt.sent
+                await attempt.cancel()
+
+    async def _start_another(
+        self, service: types.Service
+    ) -> replies.Reply | None:
+        """Sends to one more server; returns an answer if that can't be."""
+        candidate = await self._choose(service)
+        if candidate is not None and not self._may_send():
+            self.gateway.asker.give_back([candidate])
+            candidate = None
+        if candidate is None:
+            self.sole = True
+            return None if self.attempts else self._give_up()
+        self.tried.add(candidate.entry.server.instance)
+        self.attempts.append(attempts.Attempt(self, candidate))
+        return None
+
+    async def _choose(self, service: types.Service) -> asking.Candidate | None:
+        now = self.loop.time()
+        patience_s = self.route.objective_s * choosing.PATIENCE
+        wanted = choosing.Wanted(
+            self.route,
+            service,
+            min(now + patience_s, self.deadline - LEAST_TIME_S),
+            frozenset(self.tried),
+        )
+        return await self.gateway.chooser.choose(wanted)
+
+    def _may_send(self) -> bool:
+        if self.progress.sends == 0:
+            return True
+        if self.progress.sends >= self.route.max_attempts:
+            return False
+        budget = self.gateway.budget_of(self.service)
+        return budget.take(self.loop.time())
+
+    def _second_is_due(self) -> bool:
+        """Tells whether the running try has taken so long that another runs.
+
+        Only where the request may be executed again: of any other request the
+        answer may still come, and nothing better can be done.
+        """
+        if self.sole or not self.idempotent or len(self.attempts) > 1:
+            return False
+        if self.progress.sends >= self.route.max_attempts:
+            return False
+        waited_s = self.loop.time() - self.attempts[0].began
+        return waited_s >= self.route.objective_s * SECOND_SHARE
+
+    async def _next_ended(self) -> list[attempts.Attempt]:
+        """Waits until a try ends or it is time to look again."""
+        tasks = {attempt.task for attempt in self.attempts}
+        if not tasks:
+            return []
+        await asyncio.wait(
+            tasks,
+            timeout=self.route.objective_s * DOUBT_SHARE,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        ended = [attempt for attempt in self.attempts if attempt.task.done()]
+        if not ended and self.idempotent:
+            await self._doubt()
+        return ended
+
+    async def _doubt(self) -> None:
+        """Gives up the tries at servers that have fallen silent."""
+        for attempt in list(self.attempts):
+            if attempt.task.done():
+                continue
+            if not await self.gateway.is_alive(attempt.entry, self.service):
+                self.progress.reason = "the server fell silent"
+                self.progress.maybe_ran = True
+                self.attempts.remove(attempt)
+                await attempt.cancel()
+
+    def _take(self, ended: list[attempts.Attempt]) -> replies.Reply | None:
+        """Takes the outcomes of tries; returns the answer, if there is one."""
+        for attempt in ended:
+            self.attempts.remove(attempt)
+            outcome = attempt.finish()
+            if isinstance(outcome, exchange.Answered):
+                if not self._worth_another(outcome):
+                    return self._relay(outcome)
+                self.failed_answer = outcome
+                self.progress.maybe_ran = True
+            elif isinstance(outcome, exchange.Broken):
+                self.progress.maybe_ran = True
+                if not self.idempotent:
+                    return self._fail(outcome.kind)
+        return None
+
+    def _worth_another(self, answer: exchange.Answered) -> bool:
+        """Tells whether another server may do better than this failure."""
+        return (
+            answer.status >= 500
+            and self.idempotent
+            and self.progress.sends < self.route.max_attempts
+            and self.deadline - self.loop.time() > LEAST_TIME_S
+        )
+
+    def _relay(self, answer: exchange.Answered) -> replies.Reply:
+        return replies.Reply(
+            answer.status, answer.headers, answer.body, answer.length
+        )
+
+    def _give_up(self) -> replies.Reply:
+        """Ends a call for which no further server is to be had."""
+        if self.failed_answer is not None:
+            return self._relay(self.failed_answer)
+        if self.progress.maybe_ran:
+            return self._fail(ErrorKind.CONNECTION_LOST)
+        shed = self.progress.sends > 0
+        return self._refuse(
+            ErrorKind.BACKEND_SHED if shed else ErrorKind.NO_SERVER
+        )
+
+    def _refuse(self, kind: ErrorKind) -> replies.Reply:
+        spread = self.gateway.random.uniform(-RETRY_SPREAD, RETRY_SPREAD)
+        return self._fail(kind, RETRY_AFTER_S * (1 + spread))
+
+    def _fail(
+        self, kind: ErrorKind, retry_after_s: float | None = None
+    ) -> replies.Reply:
+        self.progress.error = kind
+        failure = Failure(kind, retry_after=retry_after_s)
+        ran = Ran.UNKNOWN if self.progress.maybe_ran else failure.answer.ran
+        return replies.from_failure(failure, ran, self.gateway.settings.daemon)
+
+    def _finish(self, status: int, error: ErrorKind | None) -> None:
+        self.gateway.finished(self, status, error)
--- /dev/null
+++ b/banyantiller/gateway/following.py
@@ -0,0 +1,166 @@
+"""Follows the objects of a kind in the store, through outages of it."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+import structlog
+
+from banyantiller.store import interface
+
+log = structlog.get_logger("banyantiller.gateway")
+
+# Pauses between tries while the store gives no answer. The longest leaves
+# half of the two seconds in which a change must be in force.
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 1.0
+# Registrations lapse after three heartbeats; a shorter outage loses none.
+LAPSE_OUTAGE_S = 1.0
+# How long after its return the store may still be short of registrations.
+RETURN_S = 2.5
+
+
+class Handlers(NamedTuple):
+    """What is called with the objects of a kind.
+
+    Attributes:
+        listed: Takes all objects that exist.
+        changed: Takes an object that was created or changed.
+        deleted: Takes the name of an object that was removed.
+    """
+
+    listed: Callable[[tuple[interface.StoredObject, ...]], None]
+    changed: Callable[[interface.StoredObject], None]
+    deleted: Callable[[str], None]
+
+
+class StoreHealth:
+    """Whether the store answers this daemon, over all that it follows.
+
+    Attributes:
+        lost_at: Loop time since which it gives no answer, or None.
+        lapsed_until: Loop time until which missing objects may come back.
+        watchers: Followers that are told when the store is lost.
+    """
+
+    def __init__(self) -> None:
+        self.lost_at: float | None = None
+        self.lapsed_until = 0.0
+        self.watchers: list[Follower] = []
+
+    def answered(self, now: float) -> None:
+        """Notes an answer of the store."""
+        if self.lost_at is None:
+            return
+        away_s = now - self.lost_at
+        if away_s >= LAPSE_OUTAGE_S:
+            self.lapsed_until = now + RETURN_S
+        log.info("gateway: store is back.", away_s=round(away_s, 3))
+        self.lost_at = None
+
+    def failed(self, kind: str, reason: str, now: float) -> None:
+        """Notes a call without an answer; other waiting calls begin anew.
+
+        A call that waits on a connection gone silent would notice much later.
+        """
+        if self.lost_at is not None:
+            return
+        self.lost_at = now
+        log.warning("gateway: store is lost.", kind=kind, reason=reason)
+        for watcher in self.watchers:
+            if watcher.kind != kind:
+                watcher.begin_anew.set()
+
+    def may_have_lapsed(self, now: float) -> bool:
+        """Tells whether an object may be missing because of an outage."""
+        return self.lost_at is not None or now < self.lapsed_until
+
+
+class Follower:
+    """Lists a kind once and then watches it.
+
+    Attributes:
+        kind: Kind of the objects.
+        version: Version up to which all changes were seen, or empty.
+        begin_anew: Set to end a call that waits.
+        pause_s: Pause after the next failure, in seconds.
+    """
+
+    def __init__(
+        self,
+        store: interface.ObjectReader,
+        kind: str,
+        handlers: Handlers,
+        health: StoreHealth,
+        rng: random.Random,
+    ) -> None:
+        self.store = store
+        self.kind = kind
+        self.handlers = handlers
+        self.health = health
+        self.random = rng
+        self.loop = asyncio.get_running_loop()
+        self.version = ""
+        self.begin_anew = asyncio.Event()
+        self.pause_s = FIRST_PAUSE_S
+        health.watchers.append(self)
+
+    async def run(self) -> None:
+        """Follows until cancelled."""
+        while True:
+            self.begin_anew.clear()
+            step = asyncio.ensure_future(self._step())
+            ended = asyncio.ensure_future(self.begin_anew.wait())
+            both = {step, ended}
+            try:
+                await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                for task in both:
+                    task.cancel()
+                await asyncio.gather(*both, return_exceptions=True)
+            if not step.cancelled() and step.exception() is not None:
+                raise step.exception()
+
+    async def _step(self) -> None:
+        """Lists if need be, then watches until the watch ends."""
+        if not self.version and not await self._list():
+            return
+        async for event in self.store.watch(self.kind, self.version):
+            if isinstance(event, interface.Unavailable):
+                await self._failed(event.reason)
+                return
+            self._answered()
+            if isinstance(event, interface.Gone):
+                log.info("gateway: history is gone.", kind=self.kind)
+                self.version = ""
+                return
+            self._take(event)
+
+    async def _list(self) -> bool:
+        found = await self.store.list(self.kind)
+        if isinstance(found, interface.Unavailable):
+            await self._failed(found.reason)
+            return False
+        self._answered()
+        self.handlers.listed(found.items)
+        self.version = found.version
+        return True
+
+    def _take(self, event: interface.WatchEvent) -> None:
+        if isinstance(event, interface.Changed):
+            self.handlers.changed(event.item)
+        elif isinstance(event, interface.Deleted):
+            self.handlers.deleted(event.item.name)
+        elif isinstance(event, interface.Bookmark):
+            self.version = event.version
+
+    def _answered(self) -> None:
+        self.pause_s = FIRST_PAUSE_S
+        self.health.answered(self.loop.time())
+
+    async def _failed(self, reason: str) -> None:
+        self.health.failed(self.kind, reason, self.loop.time())
+        pause_s = self.pause_s * self.random.uniform(0.5, 1.0)
+        self.pause_s = min(self.pause_s * 2, LONGEST_PAUSE_S)
+        await asyncio.sleep(pause_s)
--- /dev/null
+++ b/banyantiller/gateway/gateway.py
@@ -0,0 +1,338 @@
+"""The gateway of one daemon: what is in force, and who is being served."""
+
+import asyncio
+import random
+
+import structlog
+
+from banyantiller.config.defaults import Endpoint
+from banyantiller.errors import ErrorKind
+from banyantiller.gateway import (
+    asking,
+    budget,
+    caller,
+    choosing,
+    following,
+    pool,
+    routes,
+    servers,
+    tallies,
+    types,
+)
+from banyantiller.gateway import call as calls
+from banyantiller.gateway import settings as options
+from banyantiller.store import interface
+
+log = structlog.get_logger("banyantiller.gateway")
+
+BACKLOG = 1024
+# Part of the fleet's retry budget that is used: the users count a request
+# where it was sent, this daemon where it arrived.
+BUDGET_USE = 0.8
+# A daemon's part of what the budget allows besides, and of a server's
+# connections: the fleets served have 13 daemons or more.
+FLEET_SHARE = 1 / 24
+LEAST_CONNECTIONS = 4
+# Longest wait for a request without a route.
+DEFAULT_TIMEOUT_S = 5.0
+ANSWER_BYTES = 16 << 20
+HOUSEKEEPING_S = 0.25
+# After an order to end: how long new connections and requests are taken, so
+# that the platform, which asks once a second and acts on two misses, sees it.
+LISTEN_ON_S = 3.0
+# Part of the time to end that is kept for answers that must be out by then.
+RESERVE_S = 0.4
+
+
+class Gateway:
+    """Takes calls from callers and relays the answers of servers.
+
+    Attributes:
+        settings: Settings in force.
+        adapter: What is known of the surroundings.
+        routes: Routes of the document in force, or None before the first.
+        table: Servers that registered.
+        health: Whether the store answers.
+        listed: Whether the registered servers were read once.
+        draining: Whether an order to end was given.
+        connections: Open connections of callers.
+        in_flight: Calls that were read and not answered.
+    """
+
+    def __init__(
+        self,
+        settings: options.Settings,
+        adapter: types.Adapter,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.adapter = adapter
+        self.random = rng
+        self.loop = asyncio.get_running_loop()
+        self.routes: routes.RouteTable | None = None
+        self.table = servers.ServerTable()
+        self.health = following.StoreHealth()
+        self.listed = False
+        self.draining = False
+        self.limits = types.CallerLimits()
+        self.default_timeout_s = DEFAULT_TIMEOUT_S
+        self.answer_bytes = ANSWER_BYTES
+        self.connections: set[caller.CallerConnection] = set()
+        self.pools: dict[str, pool.Pool] = {}
+        self.budgets: dict[str, budget.RetryBudget] = {}
+        self.tallies = tallies.Tallies()
+        self.asker = asking.Asker(
+            adapter, self.pool_of, self.moved, settings.zone
+        )
+        self.chooser = choosing.Chooser(self.table, self.asker, rng)
+        self.emptied = asyncio.Event()
+        self.listener: asyncio.Server | None = None
+
+    # Called by the daemon.
+
+    def followers(self) -> list[following.Follower]:
+        """Returns the tasks that follow the store."""
+        document = following.Handlers(
+            self._documents_listed, self._document_changed, self._ignore
+        )
+        registrations = following.Handlers(
+            self._servers_listed, self._server_changed, self._server_deleted
+        )
+        wanted = (
+            (self.adapter.document_kind, document),
+            (self.adapter.server_kind, registrations),
+        )
+        return [
+            following.Follower(
+                self.adapter.store, kind, handlers, self.health, self.random
+            )
+            for kind, handlers in wanted
+        ]
+
+    async def start(self, endpoint: Endpoint) -> Endpoint:
+        """Listens for callers and returns where.
+
+        Raises:
+            OSError: The address can't be bound.
+        """
+        self.listener = await self.loop.create_server(
+            lambda: caller.CallerConnection(self),
+            endpoint.address,
+            endpoint.port,
+            backlog=BACKLOG,
+        )
+        bound = self.listener.sockets[0].getsockname()
+        return Endpoint(bound[0], bound[1])
+
+    def not_ready(self) -> str:
+        """Returns why callers should not be sent here, or an empty text."""
+        if self.draining:
+            return "the daemon is ending"
+        if self.routes is None:
+            return "no document is in force"
+        if not self.listed:
+            return "the servers are not known"
+        return ""
+
+    async def drain(self, limit_s: float) -> int:
+        """Ends without cutting a call.
+
+        Args:
+            limit_s: Time until the process is killed, in seconds.
+
+        Returns:
+            Number of calls that were still in flight at the end.
+        """
+        self.draining = True
+        ends = self.loop.time() + limit_s - RESERVE_S
+        await asyncio.sleep(min(LISTEN_ON_S, limit_s / 2))
+        if self.listener is not None:
+            self.listener.close()
+        for connection in list(self.connections):
+            connection.drain()
+        self._note_emptied()
+        try:
+            async with asyncio.timeout_at(ends):
+                await self.emptied.wait()
+        except TimeoutError:
+            log.warning("gateway: calls are cut.", in_flight=self._in_flight())
+        return self._in_flight()
+
+    async def keep_house(self) -> None:
+        """Forgets what is out of date, now and then, until cancelled."""
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            now = self.loop.time()
+            for server in self.table.expire(now):
+                self._close_pool(server)
+            for kept in self.pools.values():
+                kept.expire(now)
+
+    async def close(self) -> None:
+        """Closes every connection at once."""
+        for kept in self.pools.values():
+            kept.close()
+        await self.adapter.store.close()
+
+    # Called by connections and calls.
+
+    def pool_of(self, server: types.Server) -> pool.Pool:
+        """Returns the connections to a server."""
+        found = self.pools.get(server.instance)
+        if found is None:
+            found = pool.Pool(server, self._connections_of(server.service))
+            self.pools[server.instance] = found
+            if server.instance not in self.table.entries:
+                # It was taken out while it was being used.
+                found.closed = True
+                self.loop.call_later(
+                    DEFAULT_TIMEOUT_S, self.pools.pop, server.instance, None
+                )
+        return found
+
+    def budget_of(self, service: str) -> budget.RetryBudget:
+        """Returns the retry budget of a service."""
+        found = self.budgets.get(service)
+        if found is None:
+            found = budget.RetryBudget(
+                self.settings.retry_window_s,
+                self.settings.retry_ratio * BUDGET_USE,
+                self.settings.retry_extra * FLEET_SHARE,
+            )
+            self.budgets[service] = found
+        return found
+
+    async def is_alive(self, entry: servers.Entry, service: str) -> bool:
+        """Asks a server whether it lives."""
+        table = self.routes
+        if table is None or service not in table.document.services:
+            return True
+        path = table.document.services[service].health_path
+        found = await self.asker.ask([entry], path)
+        self.asker.give_back(found)
+        return bool(found)
+
+    def moved(self, server: types.Server) -> None:
+        """Takes out a server whose address another instance has."""
+        if self.table.remove(server.instance, "address_reused") is not None:
+            self._close_pool(server)
+
+    def left(self, connection: caller.CallerConnection) -> None:
+        """Forgets a caller's connection."""
+        self.connections.discard(connection)
+        if self.draining:
+            self._note_emptied()
+
+    def finished(
+        self, call: calls.Call, status: int, error: ErrorKind | None
+    ) -> None:
+        """Counts and logs the end of a call."""
+        progress = call.progress
+        duration_s = self.loop.time() - call.request.received
+        route = call.route.name if call.route is not None else ""
+        self.tallies.finished(
+            call.service, route, status, error, progress.sends, duration_s
+        )
+        load = progress.load
+        log.info(
+            "gateway: call ended.",
+            id=call.request.request_id,
+            route=route,
+            service=call.service,
+            version=call.version,
+            status=status,
+            error=error,
+            reason=progress.reason,
+            sends=progress.sends,
+            instance=progress.instance,
+            load=load and list(load),
+            load_age_ms=round(progress.load_age_s * 1000, 1),
+            sent_ms=round(progress.sent_after_s * 1000, 1),
+            took_ms=round(duration_s * 1000, 1),
+            left_ms=round((call.deadline - self.loop.time()) * 1000, 1),
+        )
+
+    # Called by the followers.
+
+    def _documents_listed(
+        self, items: tuple[interface.StoredObject, ...]
+    ) -> None:
+        for item in items:
+            self._document_changed(item)
+
+    def _document_changed(self, item: interface.StoredObject) -> None:
+        if item.name != self.adapter.document_name:
+            return
+        try:
+            document = self.adapter.read_document(item.value)
+        except ValueError as error:
+            self.tallies.documents["unreadable"] += 1
+            log.error("gateway: document is unreadable.", error=str(error))
+            return
+        held = self.routes.document.version if self.routes else 0
+        if document.version <= held:
+            return
+        self.routes = routes.RouteTable(document, self.random)
+        self.limits = document.limits
+        self.tallies.documents["in_force"] += 1
+        log.info(
+            "gateway: document in force.",
+            version=document.version,
+            before=held,
+            routes=len(document.routes),
+        )
+
+    def _servers_listed(
+        self, items: tuple[interface.StoredObject, ...]
+    ) -> None:
+        for item in items:
+            self._server_changed(item)
+        for instance in self.table.absent(item.name for item in items):
+            self._server_deleted(instance)
+        self.listed = True
+
+    def _server_changed(self, item: interface.StoredObject) -> None:
+        try:
+            server = self.adapter.read_server(item.name, item.value)
+        except ValueError as error:
+            log.error(
+                "gateway: registration is unreadable.",
+                instance=item.name,
+                error=str(error),
+            )
+            return
+        self.table.put(server, self.loop.time())
+
+    def _server_deleted(self, instance: str) -> None:
+        now = self.loop.time()
+        if self.health.may_have_lapsed(now):
+            self.table.lapse(instance, now)
+            return
+        server = self.table.remove(instance, "registration_removed")
+        if server is not None:
+            self._close_pool(server)
+
+    def _ignore(self, name: str) -> None:
+        log.warning("gateway: document was removed.", name=name)
+
+    # Within.
+
+    def _connections_of(self, service: str) -> int:
+        if self.routes is None:
+            return LEAST_CONNECTIONS
+        found = self.routes.document.services.get(service)
+        if found is None:
+            return LEAST_CONNECTIONS
+        return max(LEAST_CONNECTIONS, int(found.max_connections * FLEET_SHARE))
+
+    def _close_pool(self, server: types.Server) -> None:
+        found = self.pools.pop(server.instance, None)
+        if found is not None:
+            found.close()
+
+    def _in_flight(self) -> int:
+        return sum(len(connection.slots) for connection in self.connections)
+
+    def _note_emptied(self) -> None:
+        if not self.connections:
+            self.emptied.set()
--- /dev/null
+++ b/banyantiller/gateway/servers.py
@@ -0,0 +1,135 @@
+"""Servers that registered themselves, and which of them get new requests."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import structlog
+
+from banyantiller.gateway import beliefs, types
+
+log = structlog.get_logger("banyantiller.gateway")
+
+# Registrations that lapsed while the store was away come back within about
+# 2 s of its return; a little less keeps within the time that a leaving
+# server may still get requests.
+LAPSED_GRACE_S = 1.8
+
+
+class Entry:
+    """One registered server and what is believed of it.
+
+    Attributes:
+        server: The registration.
+        belief: What this daemon saw of it.
+        warm_at: Loop time at which it is as fast as usual.
+        lapses_at: Loop time at which a registration that vanished with the
+            store's outage counts as gone, or None.
+    """
+
+    def __init__(self, server: types.Server, now: float) -> None:
+        self.server = server
+        self.belief = beliefs.Belief()
+        self.warm_at = now + server.warmup_s
+        self.lapses_at: float | None = None
+
+    def usable(self, now: float) -> bool:
+        """Tells whether it may get new requests."""
+        if self.server.leaving:
+            return False
+        return self.lapses_at is None or now < self.lapses_at
+
+
+class Change(NamedTuple):
+    """A server that was taken out."""
+
+    server: types.Server
+    reason: str
+
+
+class ServerTable:
+    """Entries by instance and by service.
+
+    An instance that left stays out for the life of the process: identities
+    are never used again, so a late or stale read can't bring it back.
+
+    Attributes:
+        entries: Entries by instance.
+        by_service: Entries by service and instance.
+        left: Instances that reported that they leave.
+    """
+
+    def __init__(self) -> None:
+        self.entries: dict[str, Entry] = {}
+        self.by_service: dict[str, dict[str, Entry]] = {}
+        self.left: set[str] = set()
+
+    def put(self, server: types.Server, now: float) -> None:
+        """Adds or changes a registration."""
+        if server.leaving:
+            self.left.add(server.instance)
+        elif server.instance in self.left:
+            server = server._replace(leaving=True)
+        entry = self.entries.get(server.instance)
+        if entry is None:
+            entry = Entry(server, now)
+            self.entries[server.instance] = entry
+            self._of(server.service)[server.instance] = entry
+            log.info("gateway: server joined.", **_described(server))
+        elif entry.server.leaving != server.leaving:
+            log.info("gateway: server leaves.", **_described(server))
+        if entry.lapses_at is not None:
+            log.info("gateway: server is back.", instance=server.instance)
+        if entry.server.service != server.service:
+            self._of(entry.server.service).pop(server.instance, None)
+            self._of(server.service)[server.instance] = entry
+        entry.server = server
+        entry.lapses_at = None
+        entry.warm_at = now + server.warmup_s
+
+    def remove(self, instance: str, reason: str) -> types.Server | None:
+        """Takes a server out for good; None if it is not known."""
+        entry = self.entries.pop(instance, None)
+        if entry is None:
+            return None
+        self._of(entry.server.service).pop(instance, None)
+        log.info("gateway: server gone.", instance=instance, reason=reason)
+        return entry.server
+
+    def lapse(self, instance: str, now: float) -> None:
+        """Keeps a server whose registration may come back for a moment."""
+        entry = self.entries.get(instance)
+        if entry is not None and entry.lapses_at is None:
+            entry.lapses_at = now + LAPSED_GRACE_S
+            log.info("gateway: registration lapsed.", instance=instance)
+
+    def expire(self, now: float) -> list[types.Server]:
+        """Takes out the servers whose registration did not come back."""
+        late = [
+            name
+            for name, entry in self.entries.items()
+            if entry.lapses_at is not None and entry.lapses_at <= now
+        ]
+        gone = [self.remove(name, "registration_lapsed") for name in late]
+        return [server for server in gone if server is not None]
+
+    def absent(self, present: Iterable[str]) -> list[str]:
+        """Returns the known instances that a list does not have."""
+        return sorted(set(self.entries) - set(present))
+
+    def usable(self, service: str, now: float) -> list[Entry]:
+        """Returns the servers of a service that may get new requests."""
+        found = self.by_service.get(service, {})
+        return [entry for entry in found.values() if entry.usable(now)]
+
+    def _of(self, service: str) -> dict[str, Entry]:
+        return self.by_service.setdefault(service, {})
+
+
+def _described(server: types.Server) -> dict[str, object]:
+    return {
+        "instance": server.instance,
+        "service": server.service,
+        "address": f"{server.host}:{server.port}",
+        "zone": server.zone,
+        "leaving": server.leaving,
+    }
--- /dev/null
+++ b/banyantiller/gateway/settings.py
@@ -0,0 +1,77 @@
+"""Every setting of the gateway, declared once with its default."""
+
+from typing import Annotated, NamedTuple
+
+from banyantiller.config import documents, loading
+from banyantiller.config.defaults import Endpoint, LogSettings
+from banyantiller.config.options import Option
+
+
+class Settings(NamedTuple):
+    """Settings of one gateway daemon."""
+
+    daemon: Annotated[str, Option("Name of this daemon.")]
+    zone: Annotated[str, Option("Availability zone of this daemon.")]
+    callers: Annotated[str, Option("IP number and port for callers.")]
+    ready: Annotated[str, Option("IP number and port for readiness.")]
+    store: Annotated[str, Option("IP number and port of the store.")]
+    drain_s: Annotated[
+        float,
+        Option(
+            "Time from the order to end until the process is killed.",
+            unit="s",
+            low=0.5,
+        ),
+    ] = 6.0
+    retry_ratio: Annotated[
+        float,
+        Option(
+            "Repeated sends for each request, over the fleet.", low=0, high=1
+        ),
+    ] = 0.2
+    retry_extra: Annotated[
+        float,
+        Option("Repeated sends in a window besides, over the fleet.", low=0),
+    ] = 0.0
+    retry_window_s: Annotated[
+        float, Option("Window of the retry budget.", unit="s", low=0.1)
+    ] = 10.0
+    plugins: Annotated[
+        tuple[str, ...], Option("Plug-ins to load, as MODULE:FUNCTION.")
+    ] = ("banyantiller.platform.plugin:register",)
+    adapter: Annotated[str, Option("Plug-in that speaks to the store.")] = (
+        "objects"
+    )
+    metrics_port: Annotated[
+        int, Option("Port of the metrics page; 0 for none.", low=0, high=65535)
+    ] = 9464
+    log: Annotated[LogSettings, Option("Logs.")] = LogSettings()
+
+
+def load(path: str) -> Settings:
+    """Loads and checks the settings of a gateway daemon.
+
+    Raises:
+        ConfigError: With every error that was found.
+    """
+    settings, problems = loading.load(documents.read_file(path), path, Settings)
+    if settings is not None:
+        for name in ("callers", "ready", "store"):
+            try:
+                endpoint(getattr(settings, name))
+            except ValueError as error:
+                problems.error(name, f"{error}.")
+    problems.raise_errors()
+    return settings
+
+
+def endpoint(text: str) -> Endpoint:
+    """Reads HOST:PORT.
+
+    Raises:
+        ValueError: It is something else.
+    """
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError(f"'{text}' is not HOST:PORT")
+    return Endpoint(host, int(port))
--- /dev/null
+++ b/banyantiller/gateway/tallies.py
@@ -0,0 +1,54 @@
+"""Plain counters of the gateway, read when metrics are asked for."""
+
+import collections
+import math
+
+from banyantiller.errors import ErrorKind
+
+# Upper ends of the latency buckets, in seconds: from a good lookup to the
+# longest wait of a caller.
+BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 1.5, 2.5, 5.0, math.inf)
+
+
+class Tallies:
+    """Counts of calls, tries and questions.
+
+    Attributes:
+        calls: Finished calls by service, route and status.
+        errors: Calls ended by a failure of this program's, by service and
+            kind.
+        repeats: Repeated sends by service.
+        latency: Calls by service and upper end of the latency bucket.
+        documents: Documents by outcome: "in_force" or "unreadable".
+    """
+
+    def __init__(self) -> None:
+        self.calls: collections.Counter[tuple[str, str, int]] = (
+            collections.Counter()
+        )
+        self.errors: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self.repeats: collections.Counter[str] = collections.Counter()
+        self.latency: collections.Counter[tuple[str, float]] = (
+            collections.Counter()
+        )
+        self.documents: collections.Counter[str] = collections.Counter()
+
+    def finished(
+        self,
+        service: str,
+        route: str,
+        status: int,
+        error: ErrorKind | None,
+        sends: int,
+        duration_s: float,
+    ) -> None:
+        """Counts one finished call; its duration is in seconds."""
+        self.calls[service, route, status] += 1
+        if error is not None:
+            self.errors[service, error.value] += 1
+        if sends > 1:
+            self.repeats[service] += sends - 1
+        bucket = next(end for end in BUCKETS_S if duration_s <= end)
+        self.latency[service, bucket] += 1
--- a/banyantiller/http/connection.py
+++ b/banyantiller/http/connection.py
@@ -22,6 +22,7 @@
     Attributes:
         proven_at: Loop time of the end of the last whole answer, or None.
         unasked: Waits, between exchanges, for bytes that nobody asked for.
+        stray: Whether an answer to another request was read.
     """
 
     def __init__(
@@ -32,9 +33,11 @@
     ) -> None:
         self.reader = reader
         self.writer = writer
+        self.head_bytes = head_bytes
         self.codec = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=head_bytes
         )
+        self.stray = False
         self.proven_at: float | None = None
         self.unasked: asyncio.Task[bytes] | None = None
 
@@ -72,23 +75,38 @@
         return silent and not self.writer.is_closing()
 
     async def send(self, request: messages.Request) -> None:
-        """Writes a whole request.
+        """Writes a whole request and waits until most of it is sent.
 
         Raises:
             OSError: The connection failed.
         """
-        head = h11.Request(
-            method=request.method,
-            target=request.target,
-            headers=messages.encode_headers(request.headers),
-        )
-        data = self.codec.send(head)
-        if request.body:
-            data += self.codec.send(h11.Data(data=request.body))
-        data += self.codec.send(h11.EndOfMessage())
-        self.writer.write(data)
+        self.write(request)
         await self.writer.drain()
 
+    def write(self, request: messages.Request) -> None:
+        """Writes a whole request; the other side may answer before its end."""
+        self.writer.write(self._encode(request))
+
+    def expect_again(self, request: messages.Request) -> None:
+        """Prepares to read one more answer to a request that was written.
+
+        Called after a whole answer that belongs to another request. The
+        connection ends with the exchange: what else it carries is not known.
+
+        Raises:
+            ConnectionLostError: The other side has closed the connection.
+        """
+        rest, ended = self.codec.trailing_data
+        if ended and not rest:
+            raise ConnectionLostError("the connection was closed")
+        self.codec = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=self.head_bytes
+        )
+        self._encode(request)
+        self.stray = True
+        if rest:
+            self.codec.receive_data(rest)
+
     async def read_head(self) -> messages.Response:
         """Reads the head of the final answer.
 
@@ -132,15 +150,28 @@
         return b"".join(parts)
 
     def finish(self) -> bool:
+        """Ends an exchange and rests; False if there can be no other."""
+        if not self.ready_again():
+            return False
+        self.rest()
+        return True
+
+    def rest(self) -> None:
+        """Waits for bytes that nobody asked for; `resume` ends it."""
+        self.unasked = asyncio.ensure_future(self.reader.read(1))
+
+    def ready_again(self) -> bool:
         """Ends an exchange; False if there can be no other."""
-        if self.codec.trailing_data[0]:
+        if self.stray or self.codec.trailing_data[0]:
+            return False
+        if self.writer.transport.get_write_buffer_size():
+            # The answer came before the request was read.
             return False
         try:
             self.codec.start_next_cycle()
         except h11.LocalProtocolError:
             return False
         self.proven_at = asyncio.get_running_loop().time()
-        self.unasked = asyncio.ensure_future(self.reader.read(1))
         return True
 
     def close(self) -> None:
@@ -149,6 +180,17 @@
             self.unasked.cancel()
         self.writer.transport.abort()
 
+    def _encode(self, request: messages.Request) -> bytes:
+        head = h11.Request(
+            method=request.method,
+            target=request.target,
+            headers=messages.encode_headers(request.headers),
+        )
+        data = self.codec.send(head)
+        if request.body:
+            data += self.codec.send(h11.Data(data=request.body))
+        return data + self.codec.send(h11.EndOfMessage())
+
     async def _next_event(self) -> h11.Event:
         while True:
             try:
--- /dev/null
+++ b/banyantiller/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: its names, formats and calls."""
--- /dev/null
+++ b/banyantiller/platform/headers.py
@@ -0,0 +1,30 @@
+"""Header fields between callers, this program and the platform's servers."""
+
+from banyantiller.gateway import types
+
+WIRE = types.WireNames(
+    # One sending by a caller; a caller's retry has another.
+    request_id=b"attempt-id",
+    # Time left from now on, not a point in time.
+    deadline_ms=b"deadline-ms",
+    # Shows that the answer is a server's; it signs nothing.
+    signature=b"upstream-signature",
+    expected_instance=b"target-instance",
+    instance=b"instance-id",
+    load=b"upstream-load",
+    not_run=b"not-executed",
+)
+
+USUAL_SLOWNESS = 100.0
+
+
+def read_load(value: bytes) -> types.Load | None:
+    """Decodes "running,waiting,slots[,slowness]", slowness in percent."""
+    try:
+        numbers = [int(part) for part in value.split(b",")]
+    except ValueError:
+        return None
+    if len(numbers) < 3 or min(numbers) < 0:
+        return None
+    slowness = numbers[3] / USUAL_SLOWNESS if len(numbers) > 3 else 1.0
+    return types.Load(numbers[0], numbers[1], numbers[2], slowness)
--- /dev/null
+++ b/banyantiller/platform/store.py
@@ -0,0 +1,154 @@
+"""Reads the platform's store: lists with pages, and watches that wait."""
+
+import collections
+from collections.abc import AsyncIterator
+from typing import Any, TypedDict
+from urllib import parse
+
+import msgspec
+
+from banyantiller.http import client, messages, outcomes
+from banyantiller.store import interface
+
+# The store answers in milliseconds, and in 0.4 s at its slowest seen; a call
+# that waits longer is lost.
+TIMEOUT_S = 2.0
+# How much longer than the store's own wait an empty watch may take.
+WATCH_MARGIN_S = 1.0
+LIMITS = messages.Limits(connections=8)
+
+
+# Fields of an object besides its content; `revision` is of its last change.
+class ObjectFields(TypedDict):
+    """What the store says of an object."""
+
+    name: str
+    revision: int
+
+
+class Item(TypedDict):
+    """One object; `revision` is of its last change."""
+
+    metadata: ObjectFields
+    spec: Any
+
+
+class Page(TypedDict):
+    """A page of a list; `currentRev` is the store's, not an object's."""
+
+    items: list[Item]
+    more: bool
+    currentRev: int
+
+
+class Event(TypedDict):
+    """One change; a removed object is as it was."""
+
+    removed: bool
+    object: Item
+
+
+class Events(TypedDict):
+    """Changes, and the revision to go on from."""
+
+    events: list[Event]
+    currentRev: int
+
+
+class PlatformStore:
+    """Lists and watches objects; see `store.interface.ObjectReader`.
+
+    Attributes:
+        user: Client of the store.
+        wait_s: Longest wait of one watch call, in seconds.
+        calls: Calls so far by verb; each is paid for.
+    """
+
+    def __init__(self, user: client.HttpClient, wait_s: float) -> None:
+        self.user = user
+        self.wait_s = wait_s
+        self.calls: collections.Counter[str] = collections.Counter()
+
+    @classmethod
+    def from_address(
+        cls, address: str, port: int, wait_s: float
+    ) -> "PlatformStore":
+        """Makes a client that is not connected yet."""
+        return cls(client.HttpClient(address, port, LIMITS), wait_s)
+
+    async def list(
+        self, kind: str, labels: dict[str, str] | None = None
+    ) -> interface.ListOutcome:
+        """Reads all objects of a kind; the store knows no labels."""
+        del labels
+        items: list[interface.StoredObject] = []
+        first_revision = ""
+        after = ""
+        while True:
+            query = {"after": after} if after else {}
+            self.calls["list"] += 1
+            page = await self._read(_target(kind, **query), TIMEOUT_S, Page)
+            if isinstance(page, interface.Gone):
+                return interface.Unavailable("status 410")
+            if isinstance(page, interface.Unavailable):
+                return page
+            # Changes between two pages are seen again by a watch from here.
+            first_revision = first_revision or str(page["currentRev"])
+            items.extend(_stored(kind, item) for item in page["items"])
+            if not page["more"] or not page["items"]:
+                return interface.Listed(tuple(items), first_revision)
+            after = page["items"][-1]["metadata"]["name"]
+
+    async def watch(
+        self, kind: str, version: str
+    ) -> AsyncIterator[interface.WatchEvent]:
+        """Yields changes after `version`; see `ObjectReader.watch`."""
+        while True:
+            wait_ms = str(int(self.wait_s * 1000))
+            target = _target(kind, watch=version, waitMs=wait_ms)
+            self.calls["watch"] += 1
+            timeout_s = self.wait_s + WATCH_MARGIN_S
+            found = await self._read(target, timeout_s, Events)
+            if isinstance(found, interface.Gone | interface.Unavailable):
+                yield found
+                return
+            for event in found["events"]:
+                item = _stored(kind, event["object"])
+                yield (
+                    interface.Deleted(item)
+                    if event["removed"]
+                    else interface.Changed(item)
+                )
+            version = str(found["currentRev"])
+            yield interface.Bookmark(version)
+
+    async def close(self) -> None:
+        """Closes all idle connections."""
+        await self.user.close()
+
+    async def _read(
+        self, target: str, timeout_s: float, kind: Any
+    ) -> Any | interface.Gone | interface.Unavailable:
+        outcome = await self.user.request("GET", target, timeout_s)
+        if not isinstance(outcome, outcomes.Answered):
+            return interface.Unavailable(outcome.reason)
+        if outcome.response.status == 410:
+            return interface.Gone()
+        if outcome.response.status != 200:
+            return interface.Unavailable(f"status {outcome.response.status}")
+        try:
+            return msgspec.json.decode(outcome.body, type=kind)
+        except msgspec.DecodeError as error:
+            return interface.Unavailable(f"an answer can't be read: {error}")
+
+
+def _target(kind: str, **query: str) -> str:
+    text = parse.urlencode(query)
+    return f"/api/objects/{kind}" + (f"?{text}" if text else "")
+
+
+def _stored(kind: str, item: Item) -> interface.StoredObject:
+    meta = item["metadata"]
+    return interface.StoredObject(
+        kind, meta["name"], str(meta["revision"]), item["spec"]
+    )
--- a/banyantiller/plugins.py
+++ b/banyantiller/plugins.py
@@ -8,18 +8,18 @@
         registry.add("object_api", "kubernetes", KubernetesStore.from_settings)
         registry.on(BundleInForce, print)
 
-The kinds are `object_api`, `vm_list`, `routing` and `load_reader`.
+The kinds are `object_api`, `vm_list`, `routing`, `load_reader` and `gateway`.
 """
 
-import importlib.metadata
-from collections.abc import Callable
+import importlib
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from banyantiller import exceptions
 from banyantiller.kernel import core
 
 GROUP = "banyantiller.plugins"
-KINDS = ("object_api", "vm_list", "routing", "load_reader")
+KINDS = ("object_api", "vm_list", "routing", "load_reader", "gateway")
 
 Factory = Callable[..., Any]
 
@@ -38,20 +38,38 @@
         Raises:
             PluginError: A plug-in could not be loaded or clashes.
         """
+        # Loaded late: it takes 30 ms that a named plug-in does not need.
+        import importlib.metadata
+
         registry = cls()
         found = importlib.metadata.entry_points(group=GROUP)
         for entry in sorted(found, key=lambda item: item.name):
             registry.load(entry)
         return registry
 
-    def load(self, entry: importlib.metadata.EntryPoint) -> None:
+    @classmethod
+    def from_names(cls, names: Iterable[str]) -> "Registry":
+        """Loads plug-ins by name, such as `package.module:register`.
+
+        Raises:
+            PluginError: A plug-in could not be loaded or clashes.
+        """
+        registry = cls()
+        for name in names:
+            module, _, function = name.partition(":")
+            try:
+                register = getattr(importlib.import_module(module), function)
+            except (ImportError, AttributeError, ValueError) as error:
+                raise _not_loaded(name, error) from error
+            register(registry)
+        return registry
+
+    def load(self, entry: "importlib.metadata.EntryPoint") -> None:
         """Imports one plug-in and lets it register itself."""
         try:
             register = entry.load()
         except (ImportError, AttributeError) as error:
-            raise exceptions.PluginError(
-                f"Plug-in '{entry.name}' could not be loaded: {error}."
-            ) from error
+            raise _not_loaded(entry.name, error) from error
         register(self)
 
     def add(self, kind: str, name: str, factory: Factory) -> None:
@@ -93,3 +111,9 @@
         """Subscribes every plug-in's handlers to the kernel's events."""
         for event_type, handler in self.handlers:
             kernel.subscribe(event_type, handler)
+
+
+def _not_loaded(name: str, error: Exception) -> exceptions.PluginError:
+    return exceptions.PluginError(
+        f"Plug-in '{name}' could not be loaded: {error}."
+    )
--- a/banyantiller/store/interface.py
+++ b/banyantiller/store/interface.py
@@ -105,8 +105,8 @@
 WatchEvent = Changed | Deleted | Bookmark | Gone | Unavailable
 
 
-class ObjectStore(Protocol):
-    """What an adapter of an object API provides.
+class ObjectReader(Protocol):
+    """What is needed to follow the objects of a kind.
 
     Attributes:
         calls: Calls made so far by verb; a waiting watch counts as one.
@@ -114,14 +114,29 @@
 
     calls: dict[str, int]
 
-    async def get(self, kind: str, name: str) -> GetOutcome:
-        """Reads one object."""
-
     async def list(
         self, kind: str, labels: dict[str, str] | None = None
     ) -> ListOutcome:
         """Reads all objects of a kind that carry the given labels."""
 
+    def watch(self, kind: str, version: str) -> AsyncIterator[WatchEvent]:
+        """Yields changes after `version`.
+
+        Ends after `Gone` or `Unavailable`. A watch that delivers nothing,
+        not even a bookmark, within the adapter's silence limit ends with
+        `Unavailable`.
+        """
+
+    async def close(self) -> None:
+        """Closes all connections."""
+
+
+class ObjectStore(ObjectReader, Protocol):
+    """What an adapter of an object API provides."""
+
+    async def get(self, kind: str, name: str) -> GetOutcome:
+        """Reads one object."""
+
     async def create(
         self,
         kind: str,
@@ -138,14 +153,3 @@
 
     async def delete(self, item: StoredObject) -> DeleteOutcome:
         """Deletes the object if it still has `item.version`."""
-
-    def watch(self, kind: str, version: str) -> AsyncIterator[WatchEvent]:
-        """Yields changes after `version`.
-
-        Ends after `Gone` or `Unavailable`. A watch that delivers nothing,
-        not even a bookmark, within the adapter's silence limit ends with
-        `Unavailable`.
-        """
-
-    async def close(self) -> None:
-        """Closes all connections."""
--- /dev/null
+++ b/banyantiller/tests/gateway/test_routes.py
@@ -0,0 +1,49 @@
+"""Tests of routes and of the shares of a split route."""
+
+import collections
+import random
+
+from banyantiller.gateway import routes, types
+from banyantiller.tests import base
+
+
+def route(name="r", prefix="/a/", parts=(("one", 1.0),), host="x.example"):
+    split = tuple(types.Part(service, weight) for service, weight in parts)
+    return types.Route(name, host, prefix, True, 1.0, 0.5, 1, 2, split)
+
+
+def table(*items, seed=1):
+    document = types.Document(1, items, {})
+    return routes.RouteTable(document, random.Random(seed))
+
+
+class RoutesTest(base.TestCase):
+    def test_longest_prefix_of_the_host_wins(self):
+        found = table(route("short"), route("long", "/a/b/"))
+        self.assertEqual("long", found.find("X.example:80", "/a/b/c?d").name)
+        self.assertEqual("short", found.find("x.example", "/a/bc").name)
+
+    def test_other_host_or_path_has_no_route(self):
+        found = table(route())
+        self.assertIsNone(found.find("y.example", "/a/b"))
+        self.assertIsNone(found.find("x.example", "/ab"))
+        self.assertIsNone(found.find("x.example", "/b?/a/"))
+
+    def test_few_requests_at_each_of_many_daemons_keep_the_weights(self):
+        # Weights are large numbers: a first count in proportion to them once
+        # gave one part 0.71 of 291 requests in place of 0.50.
+        for shares in ((50.0, 50.0), (90.0, 10.0), (1.0, 3.0)):
+            counts = collections.Counter()
+            parts = (("one", shares[0]), ("two", shares[1]))
+            for seed in range(14):
+                split = route(parts=parts)
+                daemon = table(split, seed=seed)
+                counts.update(daemon.choose_service(split) for _ in range(20))
+            wanted = shares[0] / sum(shares)
+            self.assertLess(abs(counts["one"] / 280 - wanted), 0.05, shares)
+
+    def test_part_without_weight_gets_nothing(self):
+        split = route(parts=(("one", 0.0), ("two", 5.0)))
+        daemon = table(split)
+        chosen = {daemon.choose_service(split) for _ in range(9)}
+        self.assertEqual({"two"}, chosen)
--- /dev/null
+++ b/banyantiller/tests/gateway/world.py
@@ -0,0 +1,239 @@
+"""A gateway, a store and servers in one process, on the paused clock."""
+
+import asyncio
+import random
+from typing import NamedTuple
+
+import h11
+
+from banyantiller.config.defaults import Endpoint
+from banyantiller.gateway import gateway as gateways
+from banyantiller.gateway import settings as options
+from banyantiller.http import server
+from banyantiller.platform import plugin
+from standins import platform_store, registered_server
+
+ADDRESS = "127.0.0.1"
+HOST = "desk.example"
+SERVICE = "orders"
+WATCH_S = 3.0
+
+
+class Answer(NamedTuple):
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    took_s: float
+
+
+class Caller:
+    """A caller's connection."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+        self.codec = None
+
+    @classmethod
+    async def connect(cls, world):
+        """Connects to the gateway."""
+        return cls(*await asyncio.open_connection(ADDRESS, world.port))
+
+    def send(self, request_id, path="/read/x", method="GET", body=b"", **more):
+        """Sends a request; several may be sent ahead."""
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            f"host: {HOST}",
+            f"attempt-id: {request_id}",
+            f"deadline-ms: {more.pop('deadline_ms', 1000)}",
+        ]
+        lines += [f"{k.replace('_', '-')}: {v}" for k, v in more.items()]
+        if body or method == "POST":
+            lines.append(f"content-length: {len(body)}")
+        head = "\r\n".join(lines) + "\r\n\r\n"
+        self.writer.write(head.encode() + body)
+
+    async def read(self):
+        """Reads the next answer; None if the connection ends before it."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        codec = h11.Connection(h11.CLIENT)
+        codec.send(
+            h11.Request(method="GET", target="/", headers=[("host", HOST)])
+        )
+        codec.send(h11.EndOfMessage())
+        if self.codec is not None and self.codec.trailing_data[0]:
+            codec.receive_data(self.codec.trailing_data[0])
+        head = None
+        body = b""
+        while True:
+            event = codec.next_event()
+            if event is h11.NEED_DATA:
+                try:
+                    data = await self.reader.read(65536)
+                except ConnectionError:
+                    return None
+                if not data:
+                    return None
+                codec.receive_data(data)
+            elif isinstance(event, h11.Response):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self.codec = codec
+                headers = {n.decode(): v.decode() for n, v in head.headers}
+                took_s = loop.time() - began
+                return Answer(head.status_code, headers, body, took_s)
+
+    def close(self):
+        """Leaves."""
+        self.writer.transport.abort()
+
+
+class World:
+    """A gateway between callers and servers.
+
+    Attributes:
+        store: Stand-in of the store.
+        servers: Stand-ins of servers by instance.
+        gateway: The gateway.
+        port: Where it listens for callers.
+    """
+
+    def __init__(self, seed=1):
+        self.store = platform_store.PlatformStore()
+        self.servers = {}
+        self.seed = seed
+        self.version = 0
+        self.tasks = []
+
+    async def __aenter__(self):
+        """Starts everything, with a first document and three servers."""
+        self.http = server.HttpServer(self.store.handle)
+        self.bound = await self.http.start(ADDRESS, 0)
+        self.put_document()
+        for index in range(3):
+            await self.add_server(f"s{index}")
+        await self.start_gateway()
+        await asyncio.sleep(0.1)
+        return self
+
+    async def __aexit__(self, *exc):
+        """Ends everything."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for connection in list(self.gateway.connections):
+            connection.transport.abort()
+        await self.gateway.close()
+        self.gateway.listener.close()
+        for stand_in in self.servers.values():
+            stand_in.stop()
+        await self.http.close()
+
+    async def start_gateway(self):
+        """Starts the gateway and what follows the store."""
+        settings = options.Settings(
+            daemon="d1",
+            zone="zone-a",
+            callers=f"{ADDRESS}:0",
+            ready=f"{ADDRESS}:0",
+            store=f"{ADDRESS}:{self.bound.port}",
+            retry_extra=480.0,
+        )
+        adapter = plugin.create(Endpoint(ADDRESS, self.bound.port), WATCH_S)
+        rng = random.Random(self.seed)
+        self.gateway = gateways.Gateway(settings, adapter, rng)
+        bodies = [one.run() for one in self.gateway.followers()]
+        bodies.append(self.gateway.keep_house())
+        self.tasks += [asyncio.ensure_future(body) for body in bodies]
+        bound = await self.gateway.start(Endpoint(ADDRESS, 0))
+        self.port = bound.port
+
+    def put_document(self, routes=None, **limits):
+        """Puts a new version in force."""
+        self.version += 2
+        routes = routes or [
+            route("read", "safe", "/read/"),
+            route("file", "unsafe", "/file/"),
+        ]
+        allowed = {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 100000,
+            "headerTimeoutS": 3,
+            "idleTimeoutS": 15,
+        }
+        self.store.put(
+            "config",
+            "main",
+            {
+                "version": self.version,
+                "routes": routes,
+                "services": [
+                    {"name": name, "healthPath": "/health", "maxConns": 220}
+                    for name in (SERVICE, "other")
+                ],
+                "limits": allowed | limits,
+            },
+        )
+
+    async def add_server(self, instance, service=SERVICE, **more):
+        """Starts a server and registers it."""
+        found = registered_server.RegisteredServer(instance, **more)
+        self.servers[instance] = found
+        await found.start(ADDRESS)
+        self.register(instance, service)
+        return found
+
+    def register(self, instance, service=SERVICE, state="ready", port=None):
+        """Writes a server's registration."""
+        self.store.put(
+            "servers",
+            instance,
+            {
+                "service": service,
+                "address": f"{ADDRESS}:{port or self.servers[instance].port}",
+                "zone": "zone-a",
+                "version": "v1",
+                "maxConcurrency": self.servers[instance].slots,
+                "state": state,
+                "warmupLeftS": 0,
+                "sequence": 1,
+            },
+        )
+
+    async def ask(self, request_id, *arguments, **more):
+        """Sends one request on a connection of its own."""
+        caller = await Caller.connect(self)
+        caller.send(request_id, *arguments, **more)
+        answer = await caller.read()
+        caller.close()
+        return answer
+
+    def ran(self, request_id):
+        """Returns how often a request was executed."""
+        return sum(one.ran[request_id] for one in self.servers.values())
+
+    def fault(self, **faults):
+        """Sets faults of every server."""
+        for one in self.servers.values():
+            for name, value in faults.items():
+                setattr(one.faults, name, value)
+
+
+def route(name, kind, prefix, service=SERVICE, **more):
+    """Returns a route as the store holds it."""
+    return {
+        "name": name,
+        "hostname": HOST,
+        "pathPrefix": prefix,
+        "routeType": kind,
+        "timeoutS": 0.8,
+        "targetLatencyS": 0.2,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2,
+    } | more
--- /dev/null
+++ b/banyantiller/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the platform."""
--- /dev/null
+++ b/standins/registered_server.py
@@ -0,0 +1,233 @@
+"""Stand-in of a server of the users' platform, on raw streams.
+
+It executes requests in slots, tells its load, and can be told to fail in the
+ways that servers do. Raw streams, since it also sends what is no answer.
+"""
+
+import asyncio
+import collections
+import dataclasses
+
+import h11
+
+STANDARD_MS = 60.0
+
+
+@dataclasses.dataclass
+class Faults:
+    """What the server does wrong.
+
+    Attributes:
+        silent: Reads requests and answers nothing, not even of its health.
+        mute: Answers its health and no request.
+        reset: Executes a request and resets the connection.
+        cut: Breaks an answer off in the middle.
+        twice: Sends an answer a second time, `twice_after` seconds later.
+        shed: Turns requests away although it has free slots.
+        fail: Answers 500.
+        unsigned: Leaves its mark off.
+        ill: Calls itself unfit.
+        early: Answers 500 before a body is read.
+        unframed: Answers without a length and closes.
+        other_id: Echoes another identity.
+    """
+
+    silent: bool = False
+    mute: bool = False
+    reset: bool = False
+    cut: bool = False
+    twice: bool = False
+    twice_after: float = 0.0
+    shed: bool = False
+    fail: bool = False
+    unsigned: bool = False
+    ill: bool = False
+    unframed: bool = False
+    other_id: bool = False
+
+
+class RegisteredServer:
+    """One start of a server.
+
+    Attributes:
+        instance: Identity of this start.
+        slots: Requests executed at once.
+        slowness: Percent of the usual time that work takes.
+        work_s: Usual time of one request, in seconds.
+        faults: What it does wrong.
+        ran: Identities of the requests that it executed.
+        seen: Heads of the requests that reached it, health left out.
+        asked: Questions for its health.
+        dropped: Requests whose connection was closed while they ran.
+    """
+
+    def __init__(
+        self, instance: str, slots: int = 2, work_s: float = STANDARD_MS / 1000
+    ) -> None:
+        self.instance = instance
+        self.slots = slots
+        self.slowness = 100
+        self.work_s = work_s
+        self.faults = Faults()
+        self.ran: collections.Counter[str] = collections.Counter()
+        self.seen: list[dict[str, str]] = []
+        self.bodies: list[bytes] = []
+        self.asked = 0
+        self.dropped = 0
+        self.running = 0
+        self.server: asyncio.Server | None = None
+        self.port = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self, address: str) -> int:
+        """Listens and returns the port."""
+        self.server = await asyncio.start_server(self._serve, address, 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self.port
+
+    def stop(self) -> None:
+        """Stops at once; open connections break."""
+        if self.server is not None:
+            self.server.close()
+        for task in list(self.tasks):
+            task.cancel()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        self.tasks.add(task)
+        try:
+            while await self._exchange(reader, writer):
+                pass
+        except (OSError, asyncio.CancelledError, h11.RemoteProtocolError):
+            pass
+        finally:
+            self.tasks.discard(task)
+            writer.transport.abort()
+
+    async def _exchange(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        codec = h11.Connection(h11.SERVER)
+        head, body = await self._read(codec, reader)
+        if head is None:
+            return False
+        fields = {n.decode(): v.decode() for n, v in head.headers}
+        if self.faults.silent:
+            await asyncio.sleep(3600)
+        if head.target == b"/health":
+            self.asked += 1
+            status = 503 if self.faults.ill else 200
+            writer.write(self._answer(codec, status, {}, b""))
+            return True
+        self.seen.append(fields)
+        self.bodies.append(body)
+        own = {"attempt-id": fields.get("attempt-id", "")}
+        refusal = self._refusal(fields)
+        if refusal:
+            writer.write(self._answer(codec, refusal[0], own | refusal[1], b""))
+            return True
+        return await self._run(codec, reader, writer, own)
+
+    def _refusal(self, fields: dict[str, str]) -> tuple[int, dict] | None:
+        wanted = fields.get("target-instance", self.instance)
+        if wanted != self.instance:
+            return 421, {}
+        if self.faults.shed or self.running >= self.slots:
+            return 503, {"not-executed": "1"}
+        return None
+
+    async def _run(
+        self,
+        codec: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        own: dict[str, str],
+    ) -> bool:
+        self.ran[own["attempt-id"]] += 1
+        self.running += 1
+        left = asyncio.ensure_future(reader.read(1))
+        try:
+            work_s = self.work_s * self.slowness / 100
+            if self.faults.mute:
+                work_s = 3600.0
+            done, _ = await asyncio.wait({left}, timeout=work_s)
+        finally:
+            self.running -= 1
+            left.cancel()
+            await asyncio.wait({left})
+        if done:
+            self.dropped += 1
+            return False
+        return await self._finish(codec, writer, own)
+
+    async def _finish(
+        self,
+        codec: h11.Connection,
+        writer: asyncio.StreamWriter,
+        own: dict[str, str],
+    ) -> bool:
+        faults = self.faults
+        if faults.reset:
+            return False
+        status = 500 if faults.fail else 200
+        if not faults.unsigned:
+            own["upstream-signature"] = f"by.{self.instance}"
+        if faults.other_id:
+            own["attempt-id"] = "another"
+        body = f"{own['attempt-id']} at {self.instance}".encode()
+        if faults.unframed:
+            lines = "".join(f"{n}: {v}\r\n" for n, v in own.items())
+            writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode() + body)
+            await writer.drain()
+            writer.write_eof()
+            await asyncio.sleep(1)
+            return False
+        data = self._answer(codec, status, own, body)
+        if faults.cut:
+            writer.write(data[:-3])
+            return False
+        writer.write(data)
+        if faults.twice:
+            await asyncio.sleep(faults.twice_after)
+            writer.write(data)
+        return True
+
+    def _answer(
+        self,
+        codec: h11.Connection,
+        status: int,
+        fields: dict[str, str],
+        body: bytes,
+    ) -> bytes:
+        load = f"{self.running},0,{self.slots},{self.slowness}"
+        headers = {
+            "content-length": str(len(body)),
+            "instance-id": self.instance,
+            "upstream-load": load,
+            **fields,
+        }
+        head = h11.Response(status_code=status, headers=list(headers.items()))
+        data = codec.send(head)
+        if body:
+            data += codec.send(h11.Data(data=body))
+        return data + codec.send(h11.EndOfMessage())
+
+    async def _read(
+        self, codec: h11.Connection, reader: asyncio.StreamReader
+    ) -> tuple[h11.Request | None, bytes]:
+        head = None
+        body = b""
+        while True:
+            event = codec.next_event()
+            if event is h11.NEED_DATA:
+                codec.receive_data(await reader.read(65536))
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return head, body
+            else:
+                return None, body
