--- a/banyantiller/commands/cli.py
+++ b/banyantiller/commands/cli.py
@@ -32,6 +32,7 @@
     "audit",
     "gone",
     "report",
+    "explain",
     "replay",
 )
 
--- /dev/null
+++ b/banyantiller/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Tells from the logs of many daemons what became of a request."""
--- /dev/null
+++ b/banyantiller/explain/story.py
@@ -0,0 +1,180 @@
+"""Tells what became of a request, and which lines show it."""
+
+from typing import Any, NamedTuple
+
+from banyantiller.explain import reading
+
+# Beliefs of the same daemon that are this old may have decided; a leaving or
+# silent server is forgotten within this time.
+BEFORE_S = 5.0
+ENDED = "gateway: call ended."
+FAILED = "gateway: a try failed."
+BELIEFS = (
+    "gateway: server gives no answer.",
+    "gateway: server answers again.",
+    "gateway: server is suspected.",
+    "gateway: server leaves.",
+    "gateway: server gone.",
+    "gateway: registration lapsed.",
+    "gateway: document in force.",
+    "gateway: document is unreadable.",
+    "gateway: store is lost.",
+    "gateway: store is back.",
+    "gateway: ending.",
+    "gateway: calls are cut.",
+    "gateway: calls not logged.",
+)
+# What a kind of failure means, in one clause.
+MEANINGS = {
+    "no_server": "no server got free in the time that leaves enough for work",
+    "backend_shed": "servers turned it away, and no further try was allowed",
+    "deadline_unreachable": "its time passed before it was sent",
+    "deadline_after_start": "its server had not answered when its time passed",
+    "connection_lost": "the connection to the server ended before the answer",
+    "backend_malformed": "what the server sent was not this request's answer",
+    "no_bundle": "the daemon had just started and knew no routes yet",
+    "unknown_service": "no route of the version in force has its host and path",
+    "caller_gone": "the caller left before the answer",
+    "internal": "a fault of the daemon's own",
+}
+RAN = {True: "It may have run.", False: "It did not run."}
+
+
+class Story(NamedTuple):
+    """What is known of one request.
+
+    Attributes:
+        sentences: What happened, in order.
+        ran: "yes", "no" or "unknown".
+        lines: Lines that show it.
+        unknown: What the logs don't tell.
+    """
+
+    sentences: list[str]
+    ran: str
+    lines: list[reading.Line]
+    unknown: list[str]
+
+
+def tell(request_id: str, logs: reading.Logs) -> Story:
+    """Explains one request from the lines of all daemons."""
+    own = [one for one in logs.lines if one.fields.get("id") == request_id]
+    unknown = _gaps(logs)
+    if not own:
+        unknown.insert(
+            0,
+            "No line has this id: no daemon whose log was given read the whole"
+            " request, or it was answered well and not sampled.",
+        )
+        return Story([], "unknown", [], unknown)
+    beliefs = _beliefs(own, logs)
+    sentences = [_sentence(line) for line in [*beliefs, *own]]
+    ended = [line for line in own if line.event == ENDED]
+    if not ended:
+        unknown.insert(
+            0, "No line tells how it ended: the daemon may have been killed."
+        )
+    ran = _ran(ended)
+    return Story(sentences, ran, [*beliefs, *own], unknown)
+
+
+def _gaps(logs: reading.Logs) -> list[str]:
+    found = []
+    if logs.lost:
+        found.append(f"Daemons could not write {logs.lost} lines.")
+    if logs.unreadable:
+        found.append(f"{logs.unreadable} lines can't be read.")
+    return found
+
+
+def _beliefs(own: list[reading.Line], logs: reading.Logs) -> list[reading.Line]:
+    """Returns what the same daemons believed then, by their own clocks."""
+    found = []
+    for daemon in dict.fromkeys(line.daemon for line in own):
+        times = [line.at_s for line in own if line.daemon == daemon]
+        touched = {
+            line.fields.get("instance")
+            for line in own
+            if line.daemon == daemon and line.fields.get("instance")
+        }
+        for line in logs.lines:
+            if line.daemon != daemon or line.event not in BELIEFS:
+                continue
+            if not min(times) - BEFORE_S <= line.at_s <= max(times):
+                continue
+            instance = line.fields.get("instance")
+            if "id" not in line.fields and instance in (None, *touched):
+                found.append(line)
+    return found
+
+
+def _ran(ended: list[reading.Line]) -> str:
+    if not ended:
+        return "unknown"
+    if any(line.fields.get("error") is None for line in ended):
+        return "yes"
+    maybe = any(line.fields.get("maybe_ran") for line in ended)
+    return "unknown" if maybe else "no"
+
+
+def _sentence(line: reading.Line) -> str:
+    fields = line.fields
+    if line.event == ENDED:
+        return f"{line.daemon}: {_end(fields)}"
+    if line.event == FAILED:
+        reason = fields.get("reason") or "no reason given"
+        return (
+            f"{line.daemon}: server {fields.get('instance')} failed it"
+            f" ({fields.get('kind')}: {reason}); {_load(fields)}."
+        )
+    rest = ", ".join(
+        f"{name} {fields[name]}"
+        for name in ("instance", "reason", "error", "version", "away_s")
+        if fields.get(name)
+    )
+    event = line.event.partition(": ")[2].rstrip(".")
+    return f"{line.daemon}: {event}{f' ({rest})' if rest else ''}."
+
+
+def _end(fields: dict[str, Any]) -> str:
+    took = f"after {fields.get('took_ms')} ms"
+    error = fields.get("error")
+    where = f"route {fields.get('route') or 'none'}"
+    where += f", document {fields.get('version')}"
+    if error:
+        meaning = MEANINGS.get(error, error)
+        ran = RAN[bool(fields.get("maybe_ran"))]
+        return (
+            f"ended with {fields.get('status')} {took} ({where}): {meaning}."
+            f" {fields.get('sends')} sends. {ran}"
+        )
+    late = _late(fields)
+    return (
+        f"server {fields.get('instance')} answered {fields.get('status')}"
+        f" {took}, sent after {fields.get('sent_ms')} ms and"
+        f" {fields.get('sends')} sends ({where}); {_load(fields)}.{late}"
+    )
+
+
+def _late(fields: dict[str, Any]) -> str:
+    objective = fields.get("objective_ms")
+    took = fields.get("took_ms")
+    if objective is None or took is None or took <= objective:
+        return ""
+    waited = fields.get("sent_ms") or 0
+    where = "at the server" if took - waited > waited else "before it was sent"
+    return (
+        f" It was late: the objective is {objective} ms, and most of the time"
+        f" passed {where}."
+    )
+
+
+def _load(fields: dict[str, Any]) -> str:
+    load = fields.get("load")
+    if not load:
+        return "its load was not known"
+    running, waiting, slots, slowness = load
+    return (
+        f"it had said {running} of {slots} slots taken, {waiting} waiting,"
+        f" {slowness:g} times the usual duration"
+    )
--- a/banyantiller/gateway/asking.py
+++ b/banyantiller/gateway/asking.py
@@ -37,6 +37,7 @@
         asked_at: Loop time of its answer.
         fit: Whether it says that it is well.
         score: Its cost; less is better.
+        among: Servers that answered the same question.
     """
 
     entry: servers.Entry
@@ -45,6 +46,7 @@
     asked_at: float
     fit: bool
     score: float
+    among: int = 0
 
     def ready(self, slowest: float) -> bool:
         """Tells whether a request would start at once and at speed.
@@ -130,6 +132,8 @@
             self.give_back(asked.close())
             raise
         found = asked.close()
+        for candidate in found:
+            candidate.among = len(found)
         found.sort(key=lambda candidate: candidate.score)
         return found
 
@@ -173,7 +177,11 @@
         except (OSError, connection.ConnectionLostError) as error:
             self._silent(entry, error)
             return
-        entry.belief.answered()
+        if entry.belief.answered():
+            log.info(
+                "gateway: server answers again.",
+                instance=entry.server.instance,
+            )
         if answer.instance and answer.instance != entry.server.instance:
             home.discard(link)
             self.moved(entry.server)
--- a/banyantiller/gateway/attempts.py
+++ b/banyantiller/gateway/attempts.py
@@ -102,12 +102,14 @@
         progress.sends += 1
         progress.instance = self.entry.server.instance
         progress.load = self.candidate.load
+        progress.among = self.candidate.among
         progress.load_age_s = now - self.candidate.asked_at
         progress.sent_after_s = now - self.call.request.received
         self.sent = True
 
     def _log(self, kind: ErrorKind, reason: str) -> None:
         load = self.candidate.load
+        self.gateway.tallies.tries[self.call.service, kind.value] += 1
         log.info(
             "gateway: a try failed.",
             id=self.call.request.request_id,
--- a/banyantiller/gateway/beliefs.py
+++ b/banyantiller/gateway/beliefs.py
@@ -40,10 +40,12 @@
         age = max(0.0, now - self.changed)
         return self.failure_rate * 0.5 ** (age / FAILURE_HALF_LIFE_S)
 
-    def answered(self) -> None:
-        """Notes that the server is alive."""
+    def answered(self) -> bool:
+        """Notes that the server is alive; True if it was believed dead."""
+        was_silent = self.silences > 0
         self.silences = 0
         self.silent_until = -math.inf
+        return was_silent
 
     def no_answer(self, now: float) -> bool:
         """Notes that it did not answer; True if it was believed alive."""
--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -56,6 +56,7 @@
         maybe_ran: Whether an earlier server may have executed it.
         instance: Server that it was sent to last.
         load: Load of that server when it was chosen.
+        among: Servers that it was chosen from.
         load_age_s: Age of that load at sending, in seconds.
         sent_after_s: Time from its arrival to its last sending, in seconds.
         error: Kind of the failure that the caller is told, or None.
@@ -66,6 +67,7 @@
     maybe_ran: bool = False
     instance: str = ""
     load: types.Load | None = None
+    among: int = 0
     load_age_s: float = 0.0
     sent_after_s: float = 0.0
     error: ErrorKind | None = None
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -15,6 +15,7 @@
     following,
     pool,
     routes,
+    sampling,
     servers,
     tallies,
     types,
@@ -82,6 +83,7 @@
         self.pools: dict[str, pool.Pool] = {}
         self.budgets: dict[str, budget.RetryBudget] = {}
         self.tallies = tallies.Tallies()
+        self.sampler = sampling.CallSampler()
         self.asker = asking.Asker(
             adapter, self.pool_of, self.moved, settings.zone
         )
@@ -126,6 +128,11 @@
         bound = self.listener.sockets[0].getsockname()
         return Endpoint(bound[0], bound[1])
 
+    @property
+    def version(self) -> int:
+        """Version of the document in force, or 0."""
+        return self.routes.document.version if self.routes else 0
+
     def not_ready(self) -> str:
         """Returns why callers should not be sent here, or an empty text."""
         if self.draining:
@@ -225,7 +232,22 @@
         self.tallies.finished(
             call.service, route, status, error, progress.sends, duration_s
         )
-        load = progress.load
+        good = error is None and status < 500 and progress.sends <= 1
+        skipped = self.sampler.turn(self.loop.time())
+        if skipped is not None:
+            log.info("gateway: calls not logged.", **skipped._asdict())
+        if self.sampler.take(good):
+            self._log_call(call, status, error, route, duration_s)
+
+    def _log_call(
+        self,
+        call: calls.Call,
+        status: int,
+        error: ErrorKind | None,
+        route: str,
+        duration_s: float,
+    ) -> None:
+        progress = call.progress
         log.info(
             "gateway: call ended.",
             id=call.request.request_id,
@@ -235,12 +257,15 @@
             status=status,
             error=error,
             reason=progress.reason,
+            maybe_ran=progress.maybe_ran,
             sends=progress.sends,
             instance=progress.instance,
-            load=load and list(load),
+            among=progress.among,
+            load=progress.load and list(progress.load),
             load_age_ms=round(progress.load_age_s * 1000, 1),
             sent_ms=round(progress.sent_after_s * 1000, 1),
             took_ms=round(duration_s * 1000, 1),
+            objective_ms=call.route and round(call.route.objective_s * 1000, 1),
             left_ms=round((call.deadline - self.loop.time()) * 1000, 1),
         )
 
@@ -261,7 +286,7 @@
             self.tallies.documents["unreadable"] += 1
             log.error("gateway: document is unreadable.", error=str(error))
             return
-        held = self.routes.document.version if self.routes else 0
+        held = self.version
         if document.version <= held:
             return
         self.routes = routes.RouteTable(document, self.random)
--- /dev/null
+++ b/banyantiller/gateway/metrics.py
@@ -0,0 +1,131 @@
+"""The metrics page of the gateway; loaded when it is first asked for."""
+
+import collections
+import itertools
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+import prometheus_client
+from prometheus_client import core, registry
+
+from banyantiller.gateway import tallies
+from banyantiller.telemetry import metrics
+
+if TYPE_CHECKING:
+    from banyantiller.gateway import gateway as gateways
+
+Tally = collections.Counter
+
+
+class Page:
+    """All metrics of one gateway as text.
+
+    Attributes:
+        gateway: What is measured.
+        instruments: Counters and gauges.
+    """
+
+    def __init__(self, gateway: "gateways.Gateway") -> None:
+        self.gateway = gateway
+        self.instruments = metrics.Metrics()
+        self.instruments.registry.register(Latency(gateway.tallies))
+        self._add_counters()
+        self._add_gauges()
+
+    def text(self) -> bytes:
+        """Returns the text exposition."""
+        return prometheus_client.generate_latest(self.instruments.registry)
+
+    def _add_counters(self) -> None:
+        counts = self.gateway.tallies
+        store = self.gateway.adapter.store
+        rows = (
+            ("calls", "Finished calls.", counts.calls,
+             ("service", "route", "status")),
+            ("failures", "Calls ended by this daemon, by kind.", counts.errors,
+             ("service", "kind")),
+            ("repeats", "Repeated sends to servers.", counts.repeats,
+             ("service",)),
+            ("tries_failed", "Tries that failed, by kind.", counts.tries,
+             ("service", "kind")),
+            ("documents", "Documents by outcome.", counts.documents,
+             ("outcome",)),
+            ("store_calls", "Calls to the store.", store.calls, ("verb",)),
+        )  # fmt: skip
+        for name, doc, tally, labels in rows:
+            self.instruments.counter(
+                f"banyantiller_gateway_{name}",
+                "",
+                doc,
+                lambda tally=tally, labels=labels: metrics.readings(
+                    tally, labels
+                ),
+            )
+        asker = self.gateway.asker
+        self.instruments.counter(
+            "banyantiller_gateway_questions",
+            "",
+            "Questions to servers for their load.",
+            lambda: [metrics.Reading(asker.asked)],
+        )
+
+    def _add_gauges(self) -> None:
+        gateway = self.gateway
+        rows = (
+            ("document_version", "Version in force.",
+             lambda: gateway.version),
+            ("ready", "Whether callers should be sent here.",
+             lambda: not gateway.not_ready()),
+            ("store_lost", "Whether the store gives no answer.",
+             lambda: gateway.health.lost_at is not None),
+            ("connections", "Open connections of callers.",
+             lambda: len(gateway.connections)),
+        )  # fmt: skip
+        for name, doc, read in rows:
+            self.instruments.gauge(
+                f"banyantiller_gateway_{name}",
+                "",
+                doc,
+                lambda read=read: [metrics.Reading(float(read()))],
+            )
+        self.instruments.gauge(
+            "banyantiller_gateway_servers",
+            "",
+            "Servers that may get requests.",
+            lambda: [
+                metrics.Reading(
+                    len(gateway.table.usable(name, gateway.loop.time())),
+                    {"service": name},
+                )
+                for name in gateway.table.by_service
+            ],
+        )
+
+
+class Latency(registry.Collector):
+    """Histograms of the time from a request to its answer, by service."""
+
+    def __init__(self, counts: tallies.Tallies) -> None:
+        self.counts = counts
+
+    def collect(self) -> Iterator[core.HistogramMetricFamily]:
+        """Yields one histogram with a label for the service."""
+        found = core.HistogramMetricFamily(
+            "banyantiller_gateway_latency_seconds",
+            "Time from a whole request to its answer.",
+            labels=["service"],
+        )
+        for service, total_s in self.counts.seconds.items():
+            each = [
+                self.counts.latency[service, end] for end in tallies.BUCKETS_S
+            ]
+            ends = [_label(end) for end in tallies.BUCKETS_S]
+            sums = list(itertools.accumulate(each))
+            found.add_metric(
+                [service], list(zip(ends, sums, strict=True)), total_s
+            )
+        yield found
+
+
+def _label(end_s: float) -> str:
+    return "+Inf" if end_s == float("inf") else f"{end_s:g}"
--- a/banyantiller/gateway/run.py
+++ b/banyantiller/gateway/run.py
@@ -1,10 +1,12 @@
 """The gateway as a program: start, reload and graceful end."""
 
 import asyncio
+import importlib
 import os
 import random
 import signal
 import sys
+from typing import Any
 
 import structlog
 
@@ -13,13 +15,17 @@
 from banyantiller.gateway import settings as options
 from banyantiller.http import messages, server
 from banyantiller.kernel import core
-from banyantiller.telemetry import logs
+from banyantiller.telemetry import logs, sink
 
 log = structlog.get_logger("banyantiller.gateway")
 
 SETTINGS_VARIABLE = "BANYANTILLER_NODE_FILE"
 EXIT_CUT = 1
-READY_LIMITS = messages.Limits(head_s=2.0, idle_s=10.0, connections=64)
+METRICS_PATH = "/metrics"
+TEXT = "text/plain; version=0.0.4; charset=utf-8"
+# How often the settings file is looked at: it may change without a signal.
+SETTINGS_PERIOD_S = 1.0
+SIDE_LIMITS = messages.Limits(head_s=2.0, idle_s=10.0, connections=64)
 
 
 class Daemon:
@@ -41,7 +47,11 @@
         rng = random.Random(random.SystemRandom().getrandbits(64))
         self.gateway = gateways.Gateway(settings, adapter, rng)
         self.kernel = core.Kernel()
-        self.ready = server.HttpServer(self._answer_ready, READY_LIMITS)
+        self.ready = server.HttpServer(self._answer_ready, SIDE_LIMITS)
+        self.metrics = server.HttpServer(self._answer_metrics, SIDE_LIMITS)
+        self.page: Any = None
+        self.last_reason = "starting"
+        self.changed_at = _changed_at(path)
         self.ending = asyncio.Event()
 
     async def run(self) -> int:
@@ -57,9 +67,13 @@
         for follower in self.gateway.followers():
             self.kernel.start(follower.kind, follower.run)
         self.kernel.start("housekeeping", self.gateway.keep_house)
-        ready = options.endpoint(self.settings.ready)
-        await self.ready.start(ready.address, ready.port)
-        await self.gateway.start(options.endpoint(self.settings.callers))
+        self.kernel.start("settings", self._watch_settings)
+        try:
+            await self._listen()
+        except OSError as error:
+            raise exceptions.ConfigError(
+                f"An address can't be listened on: {error}."
+            ) from error
         log.info("gateway: started.", callers=self.settings.callers)
         await self.ending.wait()
         log.info("gateway: ending.", connections=len(self.gateway.connections))
@@ -67,11 +81,23 @@
         await self.kernel.stop()
         await self.gateway.close()
         await self.ready.close()
+        await self.metrics.close()
         log.info("gateway: ended.", cut=cut)
         return cut
 
+    async def _listen(self) -> None:
+        callers = options.endpoint(self.settings.callers)
+        ready = options.endpoint(self.settings.ready)
+        await self.ready.start(ready.address, ready.port)
+        if self.settings.metrics_port:
+            await self.metrics.start(
+                callers.address, self.settings.metrics_port
+            )
+        await self.gateway.start(callers)
+
     def reload(self) -> None:
         """Reads the settings again; a bad file changes nothing."""
+        self.changed_at = _changed_at(self.path)
         try:
             fresh = options.load(self.path)
         except exceptions.BanyantillerError as error:
@@ -87,8 +113,43 @@
     ) -> messages.Response:
         del request
         reason = self.gateway.not_ready()
+        if reason != self.last_reason:
+            self.last_reason = reason
+            log.info(
+                "gateway: readiness changed.", ready=not reason, reason=reason
+            )
         return messages.Response(503 if reason else 200, (), reason.encode())
 
+    async def _answer_metrics(
+        self, request: messages.Request
+    ) -> messages.Response:
+        if request.path != METRICS_PATH:
+            return messages.Response(404)
+        if self.page is None:
+            # Loading takes half a second: not on the thread of the calls.
+            module = await asyncio.to_thread(
+                importlib.import_module, "banyantiller.gateway.metrics"
+            )
+            self.page = module.Page(self.gateway)
+        return messages.Response(
+            200, (("content-type", TEXT),), self.page.text()
+        )
+
+    async def _watch_settings(self) -> None:
+        while True:
+            await asyncio.sleep(SETTINGS_PERIOD_S)
+            changed_at = _changed_at(self.path)
+            if changed_at != self.changed_at:
+                self.reload()
+
+
+def _changed_at(path: str) -> int:
+    """Returns when a file was changed, in nanoseconds; 0 if it is missing."""
+    try:
+        return os.stat(path).st_mtime_ns
+    except OSError:
+        return 0
+
 
 def run(argv: list[str]) -> int:
     """Runs a gateway daemon.
@@ -114,5 +175,6 @@
 
 async def _main(path: str) -> int:
     settings = options.load(path)
-    logs.configure(settings.log, sys.stdout, daemon=settings.daemon)
+    output = sink.Sink(sys.stdout.fileno())
+    logs.configure(settings.log, output, daemon=settings.daemon)
     return await Daemon(path, settings).run()
--- a/banyantiller/gateway/tallies.py
+++ b/banyantiller/gateway/tallies.py
@@ -19,6 +19,8 @@
             kind.
         repeats: Repeated sends by service.
         latency: Calls by service and upper end of the latency bucket.
+        seconds: Total time of calls by service, in seconds.
+        tries: Tries that failed, by service and kind.
         documents: Documents by outcome: "in_force" or "unreadable".
     """
 
@@ -33,6 +35,8 @@
         self.latency: collections.Counter[tuple[str, float]] = (
             collections.Counter()
         )
+        self.seconds: collections.Counter[str] = collections.Counter()
+        self.tries: collections.Counter[tuple[str, str]] = collections.Counter()
         self.documents: collections.Counter[str] = collections.Counter()
 
     def finished(
@@ -52,3 +56,4 @@
             self.repeats[service] += sends - 1
         bucket = next(end for end in BUCKETS_S if duration_s <= end)
         self.latency[service, bucket] += 1
+        self.seconds[service] += duration_s
--- a/banyantiller/telemetry/metrics.py
+++ b/banyantiller/telemetry/metrics.py
@@ -91,7 +91,7 @@
     """Adds the instruments of the data path."""
 
     def add(name: str, doc: str, tally: Tally, *labels: str) -> None:
-        read = functools.partial(_readings, tally, labels)
+        read = functools.partial(readings, tally, labels)
         metrics.counter(name, "", doc, read)
 
     add(
@@ -128,7 +128,7 @@
     )
 
 
-def _readings(tally: Tally, labels: tuple[str, ...]) -> list[Reading]:
+def readings(tally: Tally, labels: tuple[str, ...]) -> list[Reading]:
     """Returns a reading for each key, which holds a value for each label."""
     found = []
     for key, count in tally.items():
--- /dev/null
+++ b/banyantiller/tests/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of explanations from logs."""
--- /dev/null
+++ b/banyantiller/tests/explain/test_story.py
@@ -0,0 +1,121 @@
+"""Tests of the way from a request's identity to its cause."""
+
+import contextlib
+import io
+import json
+import pathlib
+import tempfile
+
+from banyantiller.commands import cli
+from banyantiller.explain import reading, story
+from banyantiller.tests import base
+
+
+def line(event, at="00:00:10.000000", daemon="d1", **fields):
+    return json.dumps(
+        {
+            "daemon": daemon,
+            "event": f"gateway: {event}",
+            "timestamp": f"2026-01-01T{at}Z",
+            **fields,
+        }
+    )
+
+
+def ended(**fields):
+    return line(
+        "call ended.",
+        **{
+            "id": "a",
+            "route": "r",
+            "version": 4,
+            "status": 200,
+            "error": None,
+            "sends": 1,
+            "instance": "s1",
+            "load": [1, 0, 2, 1.5],
+            "sent_ms": 3.0,
+            "took_ms": 90.0,
+            "objective_ms": 200.0,
+            "maybe_ran": False,
+        }
+        | fields,
+    )
+
+
+class StoryTest(base.TestCase):
+    def tell(self, *texts):
+        return story.tell("a", reading.read(texts))
+
+    def test_refused_request_did_not_run(self):
+        found = self.tell(
+            ended(status=503, error="no_server", sends=0, instance="")
+        )
+        self.assertEqual("no", found.ran)
+        self.assertIn("no server got free", found.sentences[0])
+
+    def test_request_that_broke_may_have_run(self):
+        found = self.tell(
+            line("a try failed.", id="a", instance="s1", kind="x", load=None),
+            ended(status=502, error="connection_lost", maybe_ran=True),
+        )
+        self.assertEqual("unknown", found.ran)
+        self.assertEqual(2, len(found.sentences))
+
+    def test_late_answer_names_where_the_time_passed(self):
+        at_server = self.tell(ended(took_ms=300.0)).sentences[0]
+        before = self.tell(ended(took_ms=300.0, sent_ms=200.0)).sentences[0]
+        self.assertIn("passed at the server", at_server)
+        self.assertIn("passed before it was sent", before)
+
+    def test_beliefs_of_the_same_daemon_at_that_time_are_shown(self):
+        found = self.tell(
+            line("server gives no answer.", "00:00:07.000000", instance="s1"),
+            line("server gives no answer.", "00:00:01.000000", instance="s1"),
+            line("server gives no answer.", "00:00:09.000000", instance="s2"),
+            line("store is lost.", "00:00:09.000000", daemon="d2"),
+            line("store is lost.", "00:00:08.000000", reason="status 503"),
+            ended(),
+        )
+        events = [one.event for one in found.lines]
+        self.assertEqual(
+            [
+                "gateway: server gives no answer.",
+                "gateway: store is lost.",
+                "gateway: call ended.",
+            ],
+            events,
+        )
+
+    def test_lines_behind_a_prefix_are_read_and_cut_ones_counted(self):
+        logs = reading.read(
+            ["12.5 edge-1 " + ended(), ended()[:-9], "nothing", "\n"]
+        )
+        self.assertEqual((1, 2), (len(logs.lines), logs.unreadable))
+
+    def test_lost_lines_are_told(self):
+        lost = json.dumps({"event": reading.LOST, "lines": 7})
+        found = self.tell(lost, ended())
+        self.assertEqual(["Daemons could not write 7 lines."], found.unknown)
+
+    def test_unknown_id_is_said_to_be_unknown(self):
+        found = story.tell("b", reading.read([ended()]))
+        self.assertEqual(("unknown", []), (found.ran, found.sentences))
+        self.assertEqual(1, len(found.unknown))
+
+    def test_command_reads_files_and_prints_json(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "d1.log"
+            path.write_text(ended() + "\n")
+            printed = io.StringIO()
+            with contextlib.redirect_stdout(printed):
+                status = cli.run(["explain", "a", str(path), "--json"])
+        self.assertEqual(0, status)
+        self.assertEqual("yes", json.loads(printed.getvalue())["ran"])
+
+    def test_missing_file_is_one_clear_error(self):
+        printed = io.StringIO()
+        with contextlib.redirect_stderr(printed):
+            status = cli.run(["explain", "a", "/nowhere/x.log"])
+        self.assertEqual(2, status)
+        self.assertEqual(1, len(printed.getvalue().splitlines()))
