--- a/banyantiller/gateway/asking.py
+++ b/banyantiller/gateway/asking.py
@@ -55,7 +55,8 @@
             slowest: Greatest slowness that is taken.
         """
         if self.load is None:
-            return self.fit
+            slots = self.entry.server.slots
+            return self.fit and self.entry.in_flight < slots
         return (
             self.fit
             and scoring.has_free_slot(self.load)
@@ -90,6 +91,7 @@
         pools: Returns the pool of a server.
         moved: Called when another instance has a server's address.
         zone: Availability zone of this daemon.
+        mute: Services whose servers don't tell their load.
         asked: Questions so far.
         tasks: Questions whose answers are not in.
     """
@@ -106,6 +108,7 @@
         self.pools = pools
         self.moved = moved
         self.zone = zone
+        self.mute: set[str] = set()
         self.asked = 0
         self.tasks: set[asyncio.Task[None]] = set()
         self.loop = asyncio.get_running_loop()
@@ -115,9 +118,14 @@
     ) -> list[Candidate]:
         """Returns the servers that answered in time, best first.
 
+        Where servers don't tell their load they are not asked: their answer
+        would wait for a slot as any request does.
+
         Connections of the candidates belong to the caller, which hands them
         back with `give_back`.
         """
+        if entries and entries[0].server.service in self.mute:
+            return self._unasked(entries)
         asked = Round()
         tasks = [
             self.loop.create_task(self._ask_one(entry, health_path, asked))
@@ -145,6 +153,13 @@
                 self.pools(server).keep(candidate.link)
                 candidate.link = None
 
+    def _unasked(self, entries: list[servers.Entry]) -> list[Candidate]:
+        """Ranks servers by what this daemon has under way there."""
+        nothing = Answer(True, None, "")
+        found = [self._candidate(entry, None, nothing) for entry in entries]
+        found.sort(key=lambda candidate: candidate.score)
+        return found
+
     async def _gather(
         self, tasks: list[asyncio.Task[None]], asked: "Round"
     ) -> None:
@@ -186,6 +201,10 @@
             home.discard(link)
             self.moved(entry.server)
             return
+        service = entry.server.service
+        if answer.fit and answer.load is None and service not in self.mute:
+            self.mute.add(service)
+            log.info("gateway: servers tell no load.", service=service)
         if not link.connection.ready_again():
             home.discard(link)
             link = None
@@ -244,7 +263,7 @@
     ) -> Candidate:
         now = self.loop.time()
         load = answer.load
-        seen = load or types.Load(0, 0, entry.server.slots, 1.0)
+        seen = load or types.Load(entry.in_flight, 0, entry.server.slots, 1.0)
         score = scoring.score(
             seen,
             entry.belief.failures(now),
--- a/banyantiller/gateway/attempts.py
+++ b/banyantiller/gateway/attempts.py
@@ -67,7 +67,10 @@
         candidate = self.candidate
         if candidate.link is None:
             try:
-                candidate.link = await home.acquire(fresh=True)
+                # A kept connection that nobody proved alive just now may lose
+                # a request without a trace.
+                fresh = not self.call.idempotent
+                candidate.link = await home.acquire(fresh)
             except (OSError, pool.PoolFullError) as error:
                 log.info(
                     "gateway: no connection.",
@@ -78,6 +81,7 @@
                 return exchange.NotRun(ErrorKind.CONNECT_FAILED)
         link = candidate.link
         self._note_sending()
+        self.entry.in_flight += 1
         whole = False
         try:
             outcome = await exchange.run(
@@ -90,6 +94,7 @@
             )
             whole = not isinstance(outcome, exchange.Broken)
         finally:
+            self.entry.in_flight -= 1
             if whole:
                 home.release(link)
             else:
--- a/banyantiller/gateway/following.py
+++ b/banyantiller/gateway/following.py
@@ -64,12 +64,14 @@
         lost_at: Loop time since which it gives no answer, or None.
         lapsed_until: Loop time until which missing objects may come back.
         watchers: Followers that are told when the store is lost.
+        on_lost: Called when the store is lost.
     """
 
     def __init__(self) -> None:
         self.lost_at: float | None = None
         self.lapsed_until = 0.0
         self.watchers: list[Follower] = []
+        self.on_lost: Callable[[], None] = lambda: None
 
     def answered(self, now: float) -> None:
         """Notes an answer of the store."""
@@ -90,6 +92,7 @@
             return
         self.lost_at = now
         log.warning("gateway: store is lost.", kind=kind, reason=reason)
+        self.on_lost()
         for watcher in self.watchers:
             if watcher.kind != kind:
                 watcher.begin_anew.set()
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -13,6 +13,7 @@
     caller,
     choosing,
     following,
+    mirror,
     pool,
     routes,
     sampling,
@@ -55,6 +56,8 @@
         routes: Routes of the document in force, or None before the first.
         table: Servers that registered.
         health: Whether the store answers.
+        mirror: What other daemons are told of the store.
+        reader: Reads the store, also through other daemons.
         listed: Whether the registered servers were read once.
         draining: Whether an order to end was given.
         connections: Open connections of callers.
@@ -74,6 +77,16 @@
         self.routes: routes.RouteTable | None = None
         self.table = servers.ServerTable()
         self.health = following.StoreHealth()
+        self.mirror = mirror.Mirror(self._is_fit_to_tell)
+        self.health.on_lost = self.mirror.wake
+        self.mirror.on_demand = self._begin_anew
+        self.reader = mirror.SharedReader(
+            adapter.store,
+            self.mirror,
+            adapter.document_kind,
+            _peers(settings),
+            rng,
+        )
         self.listed = False
         self.draining = False
         self.limits = types.CallerLimits()
@@ -108,7 +121,7 @@
         )
         return [
             following.Follower(
-                adapter.store, kind, handlers, pace, self.health, self.random
+                self.reader, kind, handlers, pace, self.health, self.random
             )
             for kind, handlers, pace in wanted
         ]
@@ -153,6 +166,7 @@
             Number of calls that were still in flight at the end.
         """
         self.draining = True
+        self.mirror.wake()
         ends = self.loop.time() + limit_s - RESERVE_S
         await asyncio.sleep(min(LISTEN_ON_S, limit_s / 2))
         if self.listener is not None:
@@ -181,7 +195,7 @@
         """Closes every connection at once."""
         for kept in self.pools.values():
             kept.close()
-        await self.adapter.store.close()
+        await self.reader.close()
 
     # Called by connections and calls.
 
@@ -334,6 +348,14 @@
 
     # Within.
 
+    def _is_fit_to_tell(self) -> bool:
+        return self.health.lost_at is None and not self.draining
+
+    def _begin_anew(self) -> None:
+        # What waits for seconds would notice the store's loss too late.
+        for follower in self.health.watchers:
+            follower.begin_anew.set()
+
     def _connections_of(self, service: str) -> int:
         if self.routes is None:
             return LEAST_CONNECTIONS
@@ -353,3 +375,10 @@
     def _note_emptied(self) -> None:
         if not self.connections:
             self.emptied.set()
+
+
+def _peers(settings: options.Settings) -> list[mirror.Peer]:
+    """Returns the daemons to ask; none if this daemon is one of them."""
+    if settings.control in settings.seeds:
+        return []
+    return [mirror.Peer(options.endpoint(text)) for text in settings.seeds]
--- a/banyantiller/gateway/run.py
+++ b/banyantiller/gateway/run.py
@@ -28,6 +28,10 @@
 SIDE_LIMITS = messages.Limits(head_s=2.0, idle_s=10.0, connections=64)
 
 
+# A fleet of hundreds may ask one daemon while others are down.
+CONTROL_LIMITS = messages.Limits(head_s=2.0, idle_s=10.0, connections=1024)
+
+
 class Daemon:
     """The parts of a gateway daemon and their life.
 
@@ -49,6 +53,9 @@
         self.kernel = core.Kernel()
         self.ready = server.HttpServer(self._answer_ready, SIDE_LIMITS)
         self.metrics = server.HttpServer(self._answer_metrics, SIDE_LIMITS)
+        self.control = server.HttpServer(
+            self.gateway.mirror.handle, CONTROL_LIMITS
+        )
         self.page: Any = None
         self.last_reason = "starting"
         self.changed_at = _changed_at(path)
@@ -82,6 +89,7 @@
         await self.gateway.close()
         await self.ready.close()
         await self.metrics.close()
+        await self.control.close()
         log.info("gateway: ended.", cut=cut)
         return cut
 
@@ -93,6 +101,9 @@
             await self.metrics.start(
                 callers.address, self.settings.metrics_port
             )
+        if self.settings.control:
+            control = options.endpoint(self.settings.control)
+            await self.control.start(control.address, control.port)
         await self.gateway.start(callers)
 
     def reload(self) -> None:
--- a/banyantiller/gateway/servers.py
+++ b/banyantiller/gateway/servers.py
@@ -22,6 +22,7 @@
         server: The registration.
         belief: What this daemon saw of it.
         warm_at: Loop time at which it is as fast as usual.
+        in_flight: Requests of this daemon at the server.
         lapses_at: Loop time at which a registration that vanished with the
             store's outage counts as gone, or None.
     """
@@ -30,6 +31,7 @@
         self.server = server
         self.belief = beliefs.Belief()
         self.warm_at = now + server.warmup_s
+        self.in_flight = 0
         self.lapses_at: float | None = None
 
     def usable(self, now: float) -> bool:
--- a/banyantiller/gateway/settings.py
+++ b/banyantiller/gateway/settings.py
@@ -1,5 +1,6 @@
 """Every setting of the gateway, declared once with its default."""
 
+from collections.abc import Iterator
 from typing import Annotated, NamedTuple
 
 from banyantiller.config import documents, loading
@@ -15,6 +16,13 @@
     callers: Annotated[str, Option("IP number and port for callers.")]
     ready: Annotated[str, Option("IP number and port for readiness.")]
     store: Annotated[str, Option("IP number and port of the store.")]
+    control: Annotated[
+        str, Option("IP number and port for other daemons; empty for none.")
+    ] = ""
+    seeds: Annotated[
+        tuple[str, ...],
+        Option("IP numbers and ports of daemons to ask.", most=16),
+    ] = ()
     drain_s: Annotated[
         float,
         Option(
@@ -56,15 +64,24 @@
     """
     settings, problems = loading.load(documents.read_file(path), path, Settings)
     if settings is not None:
-        for name in ("callers", "ready", "store"):
+        for name, text in _endpoints(settings):
             try:
-                endpoint(getattr(settings, name))
+                endpoint(text)
             except ValueError as error:
                 problems.error(name, f"{error}.")
     problems.raise_errors()
     return settings
 
 
+def _endpoints(settings: Settings) -> Iterator[tuple[str, str]]:
+    for name in ("callers", "ready", "store"):
+        yield name, getattr(settings, name)
+    if settings.control:
+        yield "control", settings.control
+    for index, text in enumerate(settings.seeds):
+        yield f"seeds[{index}]", text
+
+
 def endpoint(text: str) -> Endpoint:
     """Reads HOST:PORT.
 
--- a/banyantiller/platform/store.py
+++ b/banyantiller/platform/store.py
@@ -12,7 +12,7 @@
 # The store answers in milliseconds, and in 0.4 s at its slowest seen; a call
 # that takes this much longer than the store was asked to wait is lost. With
 # the pause between calls it bounds how long the store's return goes unseen.
-TIMEOUT_S = 1.0
+TIMEOUT_S = 0.8
 # A connection that lost its other side is noticed after 3 s, the time for
 # which a daemon counts as disturbed after that.
 LIMITS = messages.Limits(connections=8, silence_s=3)
--- a/banyantiller/store/interface.py
+++ b/banyantiller/store/interface.py
@@ -124,6 +124,8 @@
 class ObjectReader(Protocol):
     """What is needed to follow the objects of a kind by calls that wait.
 
+    Its versions are texts of whole numbers that rise with each change.
+
     Attributes:
         calls: Calls made so far by verb; one that waits counts as one.
     """
--- /dev/null
+++ b/banyantiller/tests/gateway/test_mirror.py
@@ -0,0 +1,118 @@
+"""Tests of daemons that learn of the store from others."""
+
+import asyncio
+
+from banyantiller.tests import base
+from banyantiller.tests.gateway import world
+
+NEW = [world.route("new", "safe", "/new/")]
+
+
+class MirrorTest(base.TestCase):
+    def play(self, body):
+        """Runs `body(world, first)`: a daemon that learns from `first`."""
+
+        async def whole():
+            async with world.World() as place:
+                first = place.gateway
+                seed = f"{world.ADDRESS}:{place.control.port}"
+                await place.start_gateway(seeds=(seed,))
+                await asyncio.sleep(0.2)
+                try:
+                    return await body(place, first)
+                finally:
+                    first.listener.close()
+                    await first.close()
+
+        return self.run_paused(whole())
+
+    def test_changes_come_from_the_other_daemon(self):
+        async def body(place, first):
+            await asyncio.sleep(5)
+            before = dict(place.gateway.reader.calls)
+            place.put_document(NEW)
+            place.store.remove("servers", "s0")
+            await asyncio.sleep(1)
+            status = (await place.ask("a", "/new/x")).status
+            same = dict(place.gateway.reader.calls) == before
+            return status, same, sorted(place.gateway.table.entries)
+
+        self.assertEqual((200, True, ["s1", "s2"]), self.play(body))
+
+    def test_calls_to_the_store_hardly_grow_with_daemons(self):
+        async def body(place, first):
+            await asyncio.sleep(10)
+            before = dict(place.gateway.reader.calls)
+            await asyncio.sleep(30)
+            return place.gateway.reader.calls["watch"] - before.get("watch", 0)
+
+        self.assertEqual(0, self.play(body))
+
+    def test_change_is_in_force_although_the_other_daemon_is(self):
+        async def frozen(request):
+            await asyncio.sleep(3600)
+
+        async def refusing(request):
+            raise OSError
+
+        for name, handler in (("frozen", frozen), ("refusing", refusing)):
+
+            async def body(place, first, handler=handler):
+                await asyncio.sleep(5)
+                place.controls[0].handler = handler
+                place.put_document(NEW)
+                await asyncio.sleep(1.6)
+                return (await place.ask("a", "/new/x")).status
+
+            self.assertEqual(200, self.play(body), name)
+
+    def test_change_is_in_force_although_the_other_daemon_lost_the_store(self):
+        async def body(place, first):
+            await asyncio.sleep(5)
+            user = first.adapter.store.user
+            user.port = 1
+            for link in user.idle:
+                link.close()
+
+            async def silent(*arguments, **more):
+                await asyncio.sleep(more.get("timeout_s", arguments[2]))
+                return await original(*arguments, **more)
+
+            original = user.request
+            user.request = silent
+            place.put_document(NEW)
+            await asyncio.sleep(1.9)
+            return (await place.ask("a", "/new/x")).status
+
+        self.assertEqual(200, self.play(body))
+
+    def test_draining_daemon_is_not_relied_on(self):
+        async def body(place, first):
+            await asyncio.sleep(5)
+            first.draining = True
+            first.mirror.wake()
+            place.put_document(NEW)
+            await asyncio.sleep(0.1)
+            return (await place.ask("a", "/new/x")).status
+
+        self.assertEqual(200, self.play(body))
+
+    def test_daemon_that_is_asked_reads_the_store_itself(self):
+        async def body(place, first):
+            await asyncio.sleep(5)
+            return first.mirror.demanded(), place.gateway.mirror.demanded()
+
+        self.assertEqual((True, False), self.play(body))
+
+    def test_question_that_makes_no_sense_is_refused(self):
+        async def body(place, first):
+            from banyantiller.http import messages
+
+            found = []
+            for target in ("/mirror/config", "/mirror/config?since=x&wait_ms=1",
+                           "/mirror/none?since=1&wait_ms=1"):  # fmt: skip
+                request = messages.Request("GET", target)
+                found.append((await first.mirror.handle(request)).status)
+            return found
+
+        self.assertEqual([400, 400, 503], self.play(body))
--- a/banyantiller/tests/gateway/test_serving.py
+++ b/banyantiller/tests/gateway/test_serving.py
@@ -201,6 +201,22 @@
 
         self.assertEqual(200, self.play(body))
 
+    def test_servers_that_tell_no_load_are_not_asked_again(self):
+        async def body(place):
+            for one in place.servers.values():
+                one.tells_load = False
+            await place.ask("first")
+            asked = sum(one.asked for one in place.servers.values())
+            calls = [place.ask(f"a{number}") for number in range(6)]
+            found = await asyncio.gather(*calls)
+            after = sum(one.asked for one in place.servers.values())
+            each = sorted(len(one.seen) for one in place.servers.values())
+            return [answer.status for answer in found], after - asked, each
+
+        statuses, asked, each = self.play(body)
+        self.assertEqual(([200] * 6, 0), (statuses, asked))
+        self.assertIn(each, ([2, 2, 3], [1, 3, 3]))
+
     def test_path_without_a_route_is_told_so(self):
         async def body(place):
             return (await place.ask("a", "/none/")).status
--- a/banyantiller/tests/gateway/world.py
+++ b/banyantiller/tests/gateway/world.py
@@ -108,6 +108,7 @@
         self.seed = seed
         self.version = 0
         self.tasks = []
+        self.controls = []
 
     async def __aenter__(self):
         """Starts everything, with a first document and three servers."""
@@ -131,9 +132,11 @@
         self.gateway.listener.close()
         for stand_in in self.servers.values():
             stand_in.stop()
+        for control in self.controls:
+            await control.close()
         await self.http.close()
 
-    async def start_gateway(self):
+    async def start_gateway(self, seeds=()):
         """Starts the gateway and what follows the store."""
         settings = options.Settings(
             daemon="d1",
@@ -141,6 +144,7 @@
             callers=f"{ADDRESS}:0",
             ready=f"{ADDRESS}:0",
             store=f"{ADDRESS}:{self.bound.port}",
+            seeds=seeds,
             retry_extra=480.0,
         )
         adapter = plugin.create(Endpoint(ADDRESS, self.bound.port))
@@ -151,6 +155,9 @@
         self.tasks += [asyncio.ensure_future(body) for body in bodies]
         bound = await self.gateway.start(Endpoint(ADDRESS, 0))
         self.port = bound.port
+        control = server.HttpServer(self.gateway.mirror.handle)
+        self.control = await control.start(ADDRESS, 0)
+        self.controls.append(control)
 
     def put_document(self, routes=None, **limits):
         """Puts a new version in force."""
--- a/standins/registered_server.py
+++ b/standins/registered_server.py
@@ -54,10 +54,13 @@
         slots: Requests executed at once.
         slowness: Percent of the usual time that work takes.
         work_s: Usual time of one request, in seconds.
+        tells_load: Whether it tells its load; if not, questions for its
+            health take a slot.
         faults: What it does wrong.
         ran: Identities of the requests that it executed.
         seen: Heads of the requests that reached it, health left out.
         asked: Questions for its health.
+        freed: Set when a slot gets free.
         dropped: Requests whose connection was closed while they ran.
     """
 
@@ -68,6 +71,7 @@
         self.slots = slots
         self.slowness = 100
         self.work_s = work_s
+        self.tells_load = True
         self.faults = Faults()
         self.ran: collections.Counter[str] = collections.Counter()
         self.seen: list[dict[str, str]] = []
@@ -75,6 +79,7 @@
         self.asked = 0
         self.dropped = 0
         self.running = 0
+        self.freed = asyncio.Event()
         self.server: asyncio.Server | None = None
         self.port = 0
         self.tasks: set[asyncio.Task[None]] = set()
@@ -118,6 +123,9 @@
             await asyncio.sleep(3600)
         if head.target == b"/health":
             self.asked += 1
+            if not self.tells_load and self.running >= self.slots:
+                self.freed.clear()
+                await self.freed.wait()
             status = 503 if self.faults.ill else 200
             writer.write(self._answer(codec, status, {}, b""))
             return True
@@ -155,6 +163,7 @@
             done, _ = await asyncio.wait({left}, timeout=work_s)
         finally:
             self.running -= 1
+            self.freed.set()
             left.cancel()
             await asyncio.wait({left})
         if done:
@@ -208,6 +217,8 @@
             "upstream-load": load,
             **fields,
         }
+        if not self.tells_load:
+            del headers["upstream-load"]
         head = h11.Response(status_code=status, headers=list(headers.items()))
         data = codec.send(head)
         if body:
