--- /dev/null
+++ b/banyantiller/tests/gateway/test_beliefs.py
@@ -0,0 +1,121 @@
+"""Tests of what is believed of servers, of scores and of the retry budget."""
+
+from banyantiller.gateway import beliefs, budget, scoring, servers, types
+from banyantiller.tests import base
+
+IDLE = types.Load(0, 0, 2, 1.0)
+
+
+def server(instance="i", leaving=False, service="one"):
+    return types.Server(instance, service, "h", 1, "z", 2, leaving, 0.0)
+
+
+class BeliefTest(base.TestCase):
+    def test_silence_grows_and_one_answer_ends_it(self):
+        belief = beliefs.Belief()
+        lengths = []
+        for _ in range(6):
+            belief.no_answer(10.0)
+            lengths.append(belief.silent_until - 10.0)
+        self.assertEqual([0.5, 1.0, 2.0, 4.0, 4.0, 4.0], lengths)
+        self.assertTrue(belief.silent(13.9))
+        self.assertTrue(belief.answered())
+        self.assertFalse(belief.silent(10.1))
+
+    def test_failures_fade_by_half_in_their_half_life(self):
+        belief = beliefs.Belief()
+        for _ in range(20):
+            belief.result(False, 5.0)
+        full = belief.failures(5.0)
+        later = belief.failures(5.0 + beliefs.FAILURE_HALF_LIFE_S)
+        self.assertGreater(full, 0.99)
+        self.assertAlmostEqual(full / 2, later)
+
+    def test_clock_that_does_not_move_is_no_error(self):
+        belief = beliefs.Belief()
+        belief.result(False, 5.0)
+        self.assertEqual(belief.failure_rate, belief.failures(4.0))
+
+
+class ScoreTest(base.TestCase):
+    def score(self, load, failures=0.0, near=True, warming=False):
+        return scoring.score(load, failures, near, warming)
+
+    def test_order_of_servers(self):
+        best_first = [
+            self.score(IDLE),
+            self.score(IDLE, near=False),
+            self.score(types.Load(1, 0, 2, 1.0)),
+            self.score(IDLE, warming=True),
+            self.score(types.Load(2, 0, 2, 1.0)),
+            self.score(types.Load(0, 0, 2, 5.0)),
+            self.score(types.Load(2, 4, 2, 5.0)),
+        ]
+        self.assertEqual(sorted(best_first), best_first)
+
+    def test_server_that_fails_half_is_worse_than_a_slow_one(self):
+        self.assertGreater(
+            self.score(IDLE, failures=0.5),
+            self.score(types.Load(0, 0, 2, 4.0)),
+        )
+
+    def test_slot_is_free_only_without_a_queue(self):
+        self.assertTrue(scoring.has_free_slot(types.Load(1, 0, 2, 1.0)))
+        self.assertFalse(scoring.has_free_slot(types.Load(1, 1, 2, 1.0)))
+        self.assertFalse(scoring.has_free_slot(types.Load(2, 0, 2, 1.0)))
+
+
+class BudgetTest(base.TestCase):
+    def test_no_window_exceeds_the_ratio(self):
+        kept = budget.RetryBudget(10.0, 0.2, 2.0)
+        taken = []
+        for tick in range(600):
+            now = tick / 10
+            kept.request(now)
+            if kept.take(now):
+                taken.append(now)
+        for begin in range(50):
+            inside = [t for t in taken if begin < t <= begin + 10]
+            self.assertLessEqual(len(inside), 0.2 * 100 + 2)
+        self.assertGreater(len(taken), 100)
+
+    def test_part_of_the_budget_is_kept(self):
+        kept = budget.RetryBudget(10.0, 0.0, 10.0)
+        first = sum(kept.take(1.0, 0.6) for _ in range(20))
+        rest = sum(kept.take(1.0) for _ in range(20))
+        self.assertEqual((6, 4), (first, rest))
+
+
+class ServerTableTest(base.TestCase):
+    def test_instance_that_left_stays_out(self):
+        table = servers.ServerTable()
+        table.put(server(leaving=True), 0.0)
+        table.put(server(leaving=False), 1.0)
+        self.assertEqual([], table.usable("one", 1.0))
+        table.remove("i", "gone")
+        table.put(server(leaving=False), 2.0)
+        self.assertEqual([], table.usable("one", 2.0))
+
+    def test_lapsed_server_serves_for_a_moment_and_then_is_gone(self):
+        table = servers.ServerTable()
+        table.put(server(), 0.0)
+        table.lapse("i", 1.0)
+        self.assertEqual(1, len(table.usable("one", 2.7)))
+        self.assertEqual(0, len(table.usable("one", 2.9)))
+        self.assertEqual(1, len(table.expire(2.9)))
+        self.assertEqual({}, table.entries)
+
+    def test_lapsed_server_that_comes_back_stays(self):
+        table = servers.ServerTable()
+        table.put(server(), 0.0)
+        table.lapse("i", 1.0)
+        table.put(server(), 2.0)
+        self.assertEqual(1, len(table.usable("one", 9.0)))
+        self.assertEqual([], table.expire(9.0))
+
+    def test_server_may_change_its_service(self):
+        table = servers.ServerTable()
+        table.put(server(), 0.0)
+        table.put(server(service="two"), 1.0)
+        self.assertEqual([], table.usable("one", 1.0))
+        self.assertEqual(1, len(table.usable("two", 1.0)))
--- /dev/null
+++ b/banyantiller/tests/platform/test_decoding.py
@@ -0,0 +1,141 @@
+"""Tests of documents, registrations and loads as the platform writes them."""
+
+import hypothesis
+from hypothesis import strategies
+
+from banyantiller.gateway import types
+from banyantiller.platform import documents, headers, registrations
+from banyantiller.tests import base
+
+ROUTE = {
+    "name": "r",
+    "hostname": "Desk.Example",
+    "pathPrefix": "/a/",
+    "routeType": "safe",
+    "timeoutS": 0.5,
+    "targetLatencyS": 0.2,
+    "priority": 2,
+    "service": "one",
+    "maxAttempts": 2,
+}
+DOCUMENT = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [
+        {"name": "one", "healthPath": "/health", "maxConns": 220, "tls": False}
+    ],
+    "limits": {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 67108864,
+        "headerTimeoutS": 3,
+        "idleTimeoutS": 15,
+    },
+    "baseVersion": 5,
+}
+SERVER = {
+    "service": "one",
+    "address": "10.0.0.9:8080",
+    "zone": "z",
+    "version": "v1",
+    "maxConcurrency": 2,
+    "state": "ready",
+    "warmupLeftS": 0,
+    "sequence": 4,
+}
+
+
+class DocumentsTest(base.TestCase):
+    def read(self, **route):
+        return documents.read_document(DOCUMENT | {"routes": [ROUTE | route]})
+
+    def test_document_is_read_whole(self):
+        found = self.read()
+        self.assertEqual(7, found.version)
+        self.assertEqual(
+            types.Route(
+                "r", "desk.example", "/a/", True, 0.5, 0.2, 2, 2,
+                (types.Part("one", 1.0),),
+            ),
+            found.routes[0],
+        )  # fmt: skip
+        self.assertEqual(
+            types.CallerLimits(16384, 67108864, 3, 15), found.limits
+        )
+
+    def test_every_kind_but_safe_must_not_be_repeated(self):
+        for kind in ("unsafe", "keyed", "stream", ""):
+            self.assertFalse(self.read(routeType=kind).routes[0].idempotent)
+
+    def test_split_goes_before_the_service(self):
+        split = [{"service": "one", "weight": 90}]
+        parts = self.read(trafficSplit=split).routes[0].parts
+        self.assertEqual((types.Part("one", 90),), parts)
+
+    def test_error_names_the_place(self):
+        for wrong, place in (
+            ({"service": "none"}, "routes[0]"),
+            ({"timeoutS": "soon"}, "$.routes[0].timeoutS"),
+            ({"maxAttempts": None}, "$.routes[0].maxAttempts"),
+        ):
+            error = self.assertRaises(ValueError, self.read, **wrong)
+            self.assertIn(place, str(error))
+        missing = {k: v for k, v in ROUTE.items() if k != "pathPrefix"}
+        error = self.assertRaises(
+            ValueError,
+            documents.read_document,
+            DOCUMENT | {"routes": [missing]},
+        )
+        self.assertIn("routes[0]: 'pathPrefix'", str(error))
+
+    @hypothesis.given(
+        strategies.recursive(
+            strategies.none() | strategies.integers() | strategies.text(),
+            lambda inner: (
+                strategies.lists(inner)
+                | strategies.dictionaries(
+                    strategies.sampled_from([*DOCUMENT, *ROUTE]), inner
+                )
+            ),
+        )
+    )
+    def test_nothing_but_an_error_comes_of_garbage(self, value):
+        try:
+            documents.read_document(value)
+        except ValueError:
+            return
+        self.fail("garbage was taken")
+
+
+class RegistrationsTest(base.TestCase):
+    def test_registration_is_read(self):
+        found = registrations.read_server("i-1", SERVER)
+        self.assertEqual(
+            types.Server("i-1", "one", "10.0.0.9", 8080, "z", 2, False, 0),
+            found,
+        )
+
+    def test_leaving_server_is_told(self):
+        found = registrations.read_server("i", SERVER | {"state": "draining"})
+        self.assertTrue(found.leaving)
+
+    def test_error_names_the_place(self):
+        for wrong, place in (
+            ({"address": "nowhere"}, "address"),
+            ({"maxConcurrency": "two"}, "$.maxConcurrency"),
+        ):
+            error = self.assertRaises(
+                ValueError, registrations.read_server, "i", SERVER | wrong
+            )
+            self.assertIn(place, str(error))
+
+
+class LoadTest(base.TestCase):
+    def test_load_with_and_without_slowness(self):
+        self.assertEqual(types.Load(3, 0, 8, 1.0), headers.read_load(b"3,0,8"))
+        self.assertEqual(
+            types.Load(1, 2, 2, 5.0), headers.read_load(b"1,2,2,500")
+        )
+
+    def test_what_is_no_load_is_none(self):
+        for value in (b"", b"1,2", b"a,b,c", b"-1,0,2", b"1;0;2"):
+            self.assertIsNone(headers.read_load(value))
--- /dev/null
+++ b/banyantiller/tests/platform/test_words.py
@@ -0,0 +1,39 @@
+"""Tests that the platform's names stay in the adapter."""
+
+import pathlib
+import re
+
+from banyantiller.platform import headers
+from banyantiller.tests import base
+
+PACKAGE = pathlib.Path(__file__).parents[2]
+FIELDS = (
+    "hostname", "pathPrefix", "routeType", "timeoutS", "targetLatencyS",
+    "maxAttempts", "trafficSplit", "healthPath", "maxConns", "maxHeaderBytes",
+    "maxBodyBytes", "headerTimeoutS", "idleTimeoutS", "maxConcurrency",
+    "warmupLeftS", "currentRev", "waitMs", "staleOk", "addrReuseS",
+    "configApplyS", "graceS", "retryBudgetRatio", "api/objects",
+)  # fmt: skip
+WORDS = FIELDS + tuple(name.decode() for name in headers.WIRE)
+
+
+class WordsTest(base.TestCase):
+    def test_names_of_the_platform_are_in_the_adapter_only(self):
+        names = "|".join(map(re.escape, WORDS))
+        pattern = re.compile(rf"(?<![\w-])(?:{names})(?![\w-])", re.IGNORECASE)
+        found = []
+        for path in PACKAGE.rglob("*.py"):
+            part = path.relative_to(PACKAGE).parts[0]
+            if part in ("platform", "tests"):
+                continue
+            for number, line in enumerate(path.read_text().splitlines(), 1):
+                if pattern.search(line):
+                    found.append(f"{path.name}:{number}: {line.strip()}")
+        self.assertEqual([], found)
+
+    def test_the_adapter_has_them(self):
+        text = "".join(
+            path.read_text() for path in (PACKAGE / "platform").glob("*.py")
+        )
+        self.assertIn("pathPrefix", text)
+        self.assertIn("target-instance", text)
