--- a/banyantiller/gateway/choosing.py
+++ b/banyantiller/gateway/choosing.py
@@ -14,10 +14,10 @@
 # do, and nothing crosses zones: two thirds of the bytes between zones are
 # questions.
 ASKED_NEAR = 3
-# Servers of the own zone that a daemon prefers, the same ones each time, so that
-# connections are kept: in a fleet of 120 daemons and 168 servers new ones cost
-# a tenth of what machines do. Once in EXPLORED requests any other is asked, so
-# that a server that few daemons prefer gets work too.
+# Servers of the own zone that a daemon prefers, the same ones each time, so
+# that connections are kept: in a fleet of 120 daemons and 168 servers new ones
+# cost a tenth of what machines do. Once in EXPLORED requests any other is
+# asked, so that a server that few daemons prefer gets work too.
 KEPT_NEAR = 8
 EXPLORED = 10
 # A server of the own zone with this score or less is taken without asking
