--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -33,8 +33,11 @@
 # where it was sent, this daemon where it arrived.
 BUDGET_USE = 0.9
 # A daemon's part of what the budget allows besides, and of a server's
-# connections: the fleets served have 13 daemons or more.
+# connections, where daemons can't be counted: fleets of up to 24 have none.
 FLEET_SHARE = 1 / 24
+# Part of what is shared that is used: a daemon that changes its group counts
+# in two for 3 s.
+SHARE_USE = 0.8
 LEAST_CONNECTIONS = 4
 # Longest wait for a request without a route.
 DEFAULT_TIMEOUT_S = 5.0
@@ -224,11 +227,22 @@
             found = budget.RetryBudget(
                 self.settings.retry_window_s,
                 self.settings.retry_ratio * BUDGET_USE,
-                self.settings.retry_extra * FLEET_SHARE,
+                0.0,
             )
             self.budgets[service] = found
+        found.extra = self.settings.retry_extra * self.share()
         return found
 
+    def share(self) -> float:
+        """Returns this daemon's part of what the fleet may use.
+
+        Until the daemons that share it were counted it is nothing, if they can
+        be counted at all.
+        """
+        if not self.settings.seeds:
+            return FLEET_SHARE
+        return (self.reader.share or 0.0) * SHARE_USE
+
     def moved(self, server: types.Server) -> None:
         """Takes out a server whose address another instance has."""
         if self.table.remove(server.instance, "address_reused") is not None:
@@ -366,7 +380,7 @@
         found = self.routes.document.services.get(service)
         if found is None:
             return LEAST_CONNECTIONS
-        return max(LEAST_CONNECTIONS, int(found.max_connections * FLEET_SHARE))
+        return max(LEAST_CONNECTIONS, int(found.max_connections * self.share()))
 
     def _close_pool(self, server: types.Server) -> None:
         found = self.pools.pop(server.instance, None)
@@ -384,7 +398,7 @@
 def _others(settings: options.Settings) -> list[sharing.Peer]:
     """Returns the daemons that can be asked, without this one."""
     return [
-        sharing.Peer(options.endpoint(text))
+        sharing.Peer(options.endpoint(text), settings.daemon)
         for text in settings.seeds
         if text != settings.control
     ]
--- a/banyantiller/gateway/mirror.py
+++ b/banyantiller/gateway/mirror.py
@@ -43,10 +43,14 @@
 
 
 class ReplyFields(TypedDict):
-    """Changes on their way between daemons."""
+    """Changes on their way between daemons.
+
+    `sharers` counts the daemons that ask the one that answers, and that one.
+    """
 
     events: list[EventFields]
     version: str
+    sharers: int
 
 
 class ListFields(TypedDict):
@@ -124,20 +128,27 @@
     Attributes:
         histories: Changes by kind.
         fit: Tells whether what was read is up to date.
-        demanded_until: Loop time until which this daemon reads for others.
+        askers: Loop time of the last question of each daemon that asks.
         on_demand: Called when the first other daemon asks.
     """
 
     def __init__(self, fit: Callable[[], bool]) -> None:
         self.fit = fit
         self.histories: dict[str, History] = {}
-        self.demanded_until = 0.0
+        self.askers: dict[str, float] = {}
         self.on_demand: Callable[[], None] = lambda: None
         self.loop = asyncio.get_running_loop()
 
     def demanded(self) -> bool:
         """Tells whether other daemons rely on this one."""
-        return self.loop.time() < self.demanded_until
+        return self.sharers() > 1
+
+    def sharers(self) -> int:
+        """Counts the daemons that asked lately, and this one."""
+        oldest = self.loop.time() - DEMAND_S
+        for name in [n for n, at in self.askers.items() if at <= oldest]:
+            del self.askers[name]
+        return len(self.askers) + 1
 
     def listed(self, kind: str, found: interface.Listed) -> None:
         """Notes that a kind was read whole."""
@@ -161,10 +172,11 @@
         try:
             since = int(request.query["since"])
             wait_s = int(request.query["wait_ms"]) / 1000
+            name = request.query["name"]
         except (KeyError, ValueError):
             return messages.Response(400)
         first = not self.demanded()
-        self.demanded_until = self.loop.time() + DEMAND_S
+        self.askers[name] = self.loop.time()
         if first:
             log.info("gateway: reads the store for others.")
             self.on_demand()
@@ -192,7 +204,8 @@
             events = history.after(since)
             left = until - self.loop.time()
             if events or left <= 0:
-                return _reply(events, max(since, history.version))
+                version = max(since, history.version)
+                return _reply(events, version, self.sharers())
             try:
                 async with asyncio.timeout(left):
                     await history.changed.wait()
@@ -201,13 +214,17 @@
 
 
 def _reply(
-    events: list[interface.Changed | interface.Deleted], version: int
+    events: list[interface.Changed | interface.Deleted],
+    version: int,
+    sharers: int,
 ) -> messages.Response:
     fields = [
         _fields(event.item, isinstance(event, interface.Deleted))
         for event in events
     ]
-    return _packed(ReplyFields(events=fields, version=str(version)))
+    return _packed(
+        ReplyFields(events=fields, version=str(version), sharers=sharers)
+    )
 
 
 def _fields(item: interface.StoredObject, removed: bool) -> EventFields:
--- a/banyantiller/gateway/sharing.py
+++ b/banyantiller/gateway/sharing.py
@@ -4,6 +4,7 @@
 import random
 import zlib
 from typing import Any
+from urllib import parse
 
 import msgspec
 import structlog
@@ -33,10 +34,14 @@
 
     Attributes:
         user: Client of it.
+        name: Name of this daemon, by which the other counts it.
+        sharers: Daemons that the other one told for, itself included.
         unfit_until: Loop time until which it is not asked.
     """
 
-    def __init__(self, endpoint: Endpoint) -> None:
+    def __init__(self, endpoint: Endpoint, name: str) -> None:
+        self.name = parse.quote(name)
+        self.sharers = 0
         self.user = client.HttpClient(endpoint.address, endpoint.port, LIMITS)
         self.unfit_until = 0.0
 
@@ -45,13 +50,15 @@
     ) -> interface.Changes | None:
         """Asks for changes; None if the daemon can't tell."""
         target = (
-            f"{mirror.PATH}{kind}?since={version}&wait_ms={wait_s * 1000:.0f}"
+            f"{mirror.PATH}{kind}?since={version}"
+            f"&wait_ms={wait_s * 1000:.0f}&name={self.name}"
         )
         fields = await self._ask(
             target, wait_s + ASK_MARGIN_S, mirror.ReplyFields
         )
         if fields is None:
             return None
+        self.sharers = fields["sharers"]
         events = tuple(_event(kind, item) for item in fields["events"])
         return interface.Changes(events, fields["version"])
 
@@ -108,6 +115,9 @@
         sentinel: Kind whose calls show whether the store answers.
         peers: Daemons to ask for changes; empty if this one is asked itself.
         others: Daemons to ask for what was in force, without this one.
+        groups: Daemons that others may ask; each tells a part of the fleet.
+        share: Part of the fleet's budgets that this daemon may use, or None
+            while the others can't be counted.
         calls: Calls to the store by verb.
     """
 
@@ -126,6 +136,8 @@
         self.others = list(others)
         rng.shuffle(self.others)
         self.peers = [] if asked_itself else self.others
+        self.groups = max(1, len(self.others) + asked_itself)
+        self.share: float | None = None
         self.calls = store.calls
         self.loop = asyncio.get_running_loop()
 
@@ -176,6 +188,7 @@
         if wait_s <= 0:
             return await self.store.changes(kind, version, wait_s)
         if self.mirror.demanded():
+            self._divide(self.mirror.sharers())
             if kind == self.sentinel:
                 wait_s = min(wait_s, READER_WAIT_S)
             return await self.store.changes(kind, version, wait_s)
@@ -185,6 +198,15 @@
             return await self.store.changes(kind, version, wait_s)
         found = await peer.changes(kind, version, min(wait_s, ASK_WAIT_S))
         if found is not None:
+            self._divide(peer.sharers)
             return found
         peer.unfit_until = self.loop.time() + UNFIT_S
         return await self.store.changes(kind, version, 0.0)
+
+    def _divide(self, sharers: int) -> None:
+        """Takes this daemon's part of what a group of daemons may use.
+
+        Each group gets the same, and shares it among those that it counts, so
+        the parts add up to one whatever a daemon believes of other groups.
+        """
+        self.share = 1 / (self.groups * max(1, sharers))
--- a/banyantiller/tests/gateway/test_mirror.py
+++ b/banyantiller/tests/gateway/test_mirror.py
@@ -108,7 +108,7 @@
             since = first.mirror.histories["config"].version
             place.put_document(many)
             await asyncio.sleep(0.2)
-            target = f"/mirror/config?since={since}&wait_ms=0"
+            target = f"/mirror/config?since={since}&wait_ms=0&name=x"
             request = messages.Request("GET", target)
             answer = await first.mirror.handle(request)
             return len(answer.body), (await place.ask("a", "/p479/x")).status
@@ -146,11 +146,44 @@
 
         self.assertEqual(("", 200, True, 200), self.play(body))
 
+    def test_parts_of_the_budget_add_up_over_daemons(self):
+        async def body(place, first):
+            seeds = (place.first_seed,)
+            others = [place.gateway]
+            for number in range(4):
+                await place.start_gateway(seeds, f"more-{number}")
+                others.append(place.gateway)
+            await asyncio.sleep(6)
+            shares = [one.reader.share for one in [first, *others]]
+            for one in others[:-1]:
+                one.listener.close()
+                await one.close()
+            return shares
+
+        shares = self.play(body)
+        self.assertEqual(6, len(shares))
+        self.assertAlmostEqual(1.0, sum(shares))
+
+    def test_daemon_that_could_not_count_yet_takes_no_part(self):
+        async def body(place, first):
+            await place.start_gateway(("127.0.0.1:1",), "alone")
+            place.gateway, alone = first, place.gateway
+            extra = alone.budget_of("orders").extra
+            alone.listener.close()
+            await alone.close()
+            return extra
+
+        self.assertEqual(0.0, self.play(body))
+
     def test_question_that_makes_no_sense_is_refused(self):
         async def body(place, first):
             found = []
-            for target in ("/mirror/none", "/mirror/config?since=x&wait_ms=1",
-                           "/mirror/none?since=1&wait_ms=1"):  # fmt: skip
+            targets = (
+                "/mirror/none",
+                "/mirror/config?since=x&wait_ms=1",
+                "/mirror/none?since=1&wait_ms=1&name=x",
+            )
+            for target in targets:
                 request = messages.Request("GET", target)
                 found.append((await first.mirror.handle(request)).status)
             return found
--- a/banyantiller/tests/gateway/world.py
+++ b/banyantiller/tests/gateway/world.py
@@ -136,10 +136,10 @@
             await control.close()
         await self.http.close()
 
-    async def start_gateway(self, seeds=()):
+    async def start_gateway(self, seeds=(), name="d1"):
         """Starts the gateway and what follows the store."""
         settings = options.Settings(
-            daemon="d1",
+            daemon=name,
             zone="zone-a",
             callers=f"{ADDRESS}:0",
             ready=f"{ADDRESS}:0",
