--- a/banyantiller/gateway/caller.py
+++ b/banyantiller/gateway/caller.py
@@ -21,6 +21,15 @@
 MOST_AHEAD = 16
 # Longest time for a request body after its head, as for any answer.
 BODY_TIMEOUT_S = 30.0
+# Request bodies in memory over all connections: a body of the largest size
+# allowed, 64 MB, and its copy in the socket's buffer fit into the 200 MB of the
+# smallest VM.
+MOST_BODY_BYTES = 80 << 20
+# When a caller may come back with a body for which there was no room.
+FULL_S = 0.5
+# How long a caller may go on sending after its request was rejected: closing
+# with bytes unread would reset the connection before it reads the answer.
+LINGER_S = 1.0
 HEAD_TOO_LARGE_HINT = 431
 NOT_IMPLEMENTED_HINT = 501
 
@@ -60,6 +69,7 @@
         codec: Reads the next request.
         since: Loop time since which the present head or idleness lasts.
         ended: Whether no further request is read.
+        rejected: Whether a request was answered before it was read whole.
     """
 
     def __init__(self, gateway: "gateways.Gateway") -> None:
@@ -73,6 +83,7 @@
         self.since = self.loop.time()
         self.ended = False
         self.gone = False
+        self.rejected = False
         self.timer: asyncio.TimerHandle | None = None
         self.parsing = False
 
@@ -107,6 +118,7 @@
         self.ended = True
         self._stop_timer()
         for slot in self.slots:
+            self.gateway.body_bytes -= slot.size
             if slot.task is not None:
                 slot.task.cancel()
         self.slots.clear()
@@ -184,10 +196,13 @@
     def _data(self, data: bytes) -> None:
         slot = self.reading
         slot.size += len(data)
+        self.gateway.body_bytes += len(data)
         if slot.size > self.gateway.limits.body_bytes:
             self._reject(Failure(ErrorKind.BODY_TOO_LARGE))
-            return
-        slot.body.append(bytes(data))
+        elif self.gateway.body_bytes > MOST_BODY_BYTES:
+            self._reject(Failure(ErrorKind.QUEUE_FULL, retry_after=FULL_S))
+        else:
+            slot.body.append(bytes(data))
 
     def _whole(self) -> None:
         """Starts the call of a request that was read whole."""
@@ -196,6 +211,7 @@
         slot.request = slot.request._replace(
             body=b"".join(slot.body), received=self.loop.time()
         )
+        slot.body.clear()
         slot.call = calls.Call(self.gateway, slot.request)
         rest = self.codec.trailing_data[0]
         if self.codec.their_state is h11.DONE:
@@ -234,6 +250,8 @@
             self.slots.append(slot)
         self.reading = None
         self.ended = True
+        self.rejected = True
+        slot.body.clear()
         slot.reply = replies.from_failure(
             failure, failure.answer.ran, self.gateway.settings.daemon
         )
@@ -245,6 +263,7 @@
             if self.gone:
                 return
             slot = self.slots.popleft()
+            self.gateway.body_bytes -= slot.size
             if not self._write(slot):
                 return
         if self.slots:
@@ -298,7 +317,12 @@
     def _close(self) -> None:
         self.ended = True
         self._stop_timer()
-        if not self.gone:
+        if self.gone:
+            return
+        if self.rejected and self.transport.can_write_eof():
+            self.transport.write_eof()
+            self.timer = self.loop.call_later(LINGER_S, self.transport.abort)
+        else:
             self.transport.close()
 
     def _set_timer(self) -> None:
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -65,7 +65,7 @@
         listed: Whether the registered servers were read once.
         draining: Whether an order to end was given.
         connections: Open connections of callers.
-        in_flight: Calls that were read and not answered.
+        body_bytes: Bytes of request bodies in memory.
     """
 
     def __init__(
@@ -98,6 +98,7 @@
         self.default_timeout_s = DEFAULT_TIMEOUT_S
         self.answer_bytes = ANSWER_BYTES
         self.connections: set[caller.CallerConnection] = set()
+        self.body_bytes = 0
         self.pools: dict[str, pool.Pool] = {}
         self.budgets: dict[str, budget.RetryBudget] = {}
         self.tallies = tallies.Tallies()
--- a/banyantiller/http/connection.py
+++ b/banyantiller/http/connection.py
@@ -103,7 +103,7 @@
 
     def write(self, request: messages.Request) -> None:
         """Writes a whole request; the other side may answer before its end."""
-        self.writer.write(self._encode(request))
+        self.writer.writelines(self._encode(request))
 
     def expect_again(self, request: messages.Request) -> None:
         """Prepares to read one more answer to a request that was written.
@@ -198,16 +198,18 @@
             self.unasked.cancel()
         self.writer.transport.abort()
 
-    def _encode(self, request: messages.Request) -> bytes:
+    def _encode(self, request: messages.Request) -> list[bytes]:
+        """Returns the parts of a request; its body is not copied."""
         head = h11.Request(
             method=request.method,
             target=request.target,
             headers=messages.encode_headers(request.headers),
         )
-        data = self.codec.send(head)
+        parts = [self.codec.send(head)]
         if request.body:
-            data += self.codec.send(h11.Data(data=request.body))
-        return data + self.codec.send(h11.EndOfMessage())
+            parts.append(self.codec.send(h11.Data(data=request.body)))
+        parts.append(self.codec.send(h11.EndOfMessage()))
+        return [part for part in parts if part]
 
     async def _next_event(self) -> h11.Event:
         while True:
--- a/banyantiller/tests/gateway/test_serving.py
+++ b/banyantiller/tests/gateway/test_serving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from banyantiller.gateway import caller as caller_module
 from banyantiller.tests import base
 from banyantiller.tests.gateway import world
 
@@ -237,6 +238,31 @@
 
         self.assertEqual(200, self.play(body))
 
+    def test_too_large_body_is_answered_while_it_is_still_sent(self):
+        async def body(place):
+            caller = await world.Caller.connect(place)
+            caller.writer.write(
+                b"POST /file/x HTTP/1.1\r\nhost: desk.example\r\n"
+                b"content-length: 200000\r\n\r\n"
+            )
+            for _ in range(20):
+                caller.writer.write(b"x" * 10000)
+                await asyncio.sleep(0.01)
+            answer = await caller.read()
+            await asyncio.sleep(1.5)
+            left = len(place.gateway.connections), place.gateway.body_bytes
+            return answer.status, left
+
+        self.assertEqual((413, (0, 0)), self.play(body))
+
+    def test_bodies_without_room_are_refused_as_not_run(self):
+        async def body(place):
+            place.gateway.body_bytes = caller_module.MOST_BODY_BYTES
+            answer = await place.ask("a", "/file/x", "POST", b"deposit")
+            return answer.status, answer.headers["request-ran"]
+
+        self.assertEqual((503, "no"), self.play(body))
+
     def test_path_without_a_route_is_told_so(self):
         async def body(place):
             return (await place.ask("a", "/none/")).status
