--- a/banyantiller/explain/story.py
+++ b/banyantiller/explain/story.py
@@ -93,9 +93,10 @@
     for daemon in dict.fromkeys(line.daemon for line in own):
         times = [line.at_s for line in own if line.daemon == daemon]
         touched = {
-            line.fields.get("instance")
+            instance
             for line in own
-            if line.daemon == daemon and line.fields.get("instance")
+            if line.daemon == daemon
+            for instance in _instances(line.fields)
         }
         for line in logs.lines:
             if line.daemon != daemon or line.event not in BELIEFS:
@@ -108,6 +109,12 @@
     return found
 
 
+def _instances(fields: dict[str, Any]) -> list[str]:
+    """Returns the servers that a line names."""
+    one = fields.get("instance")
+    return [*fields.get("instances", ()), *([one] if one else ())]
+
+
 def _ran(ended: list[reading.Line]) -> str:
     if not ended:
         return "unknown"
@@ -146,16 +153,20 @@
         ran = RAN[bool(fields.get("maybe_ran"))]
         return (
             f"ended with {fields.get('status')} {took} ({where}): {meaning}."
-            f" {fields.get('sends')} sends. {ran}"
+            f" Sent to {_sent_to(fields)}. {ran}"
         )
     late = _late(fields)
     return (
-        f"server {fields.get('instance')} answered {fields.get('status')}"
-        f" {took}, sent after {fields.get('sent_ms')} ms and"
-        f" {fields.get('sends')} sends ({where}); {_load(fields)}.{late}"
+        f"answered {fields.get('status')} {took} ({where}), sent to"
+        f" {_sent_to(fields)}, last after {fields.get('sent_ms')} ms;"
+        f" {_load(fields)}.{late}"
     )
 
 
+def _sent_to(fields: dict[str, Any]) -> str:
+    return ", then ".join(_instances(fields)) or "no server"
+
+
 def _late(fields: dict[str, Any]) -> str:
     objective = fields.get("objective_ms")
     took = fields.get("took_ms")
--- a/banyantiller/gateway/attempts.py
+++ b/banyantiller/gateway/attempts.py
@@ -52,13 +52,15 @@
                 self.gateway.moved(entry.server)
             # A server with a free slot that turns work away is at fault.
             entry.belief.result(not self.candidate.ready(math.inf), now)
-            self._log(outcome.kind, "")
+            self._log(outcome.kind.value, "")
         elif isinstance(outcome, exchange.Broken):
             self.call.progress.reason = outcome.reason
             entry.belief.result(False, now)
-            self._log(outcome.kind, outcome.reason)
+            self._log(outcome.kind.value, outcome.reason)
         else:
             entry.belief.result(outcome.status < 500, now)
+            if outcome.status >= 500:
+                self._log("server_error", f"status {outcome.status}")
         return outcome
 
     async def _run(self) -> exchange.Outcome:
@@ -105,16 +107,16 @@
         now = self.loop.time()
         progress = self.call.progress
         progress.sends += 1
-        progress.instance = self.entry.server.instance
+        progress.instances.append(self.entry.server.instance)
         progress.load = self.candidate.load
         progress.among = self.candidate.among
         progress.load_age_s = now - self.candidate.asked_at
         progress.sent_after_s = now - self.call.request.received
         self.sent = True
 
-    def _log(self, kind: ErrorKind, reason: str) -> None:
+    def _log(self, kind: str, reason: str) -> None:
         load = self.candidate.load
-        self.gateway.tallies.tries[self.call.service, kind.value] += 1
+        self.gateway.tallies.tries[self.call.service, kind] += 1
         log.info(
             "gateway: a try failed.",
             id=self.call.request.request_id,
--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -56,8 +56,8 @@
     Attributes:
         sends: Servers that it was sent to.
         maybe_ran: Whether an earlier server may have executed it.
-        instance: Server that it was sent to last.
-        load: Load of that server when it was chosen.
+        instances: Servers that it was sent to, in order.
+        load: Load of the last one when it was chosen.
         among: Servers that it was chosen from.
         load_age_s: Age of that load at sending, in seconds.
         sent_after_s: Time from its arrival to its last sending, in seconds.
@@ -67,7 +67,7 @@
 
     sends: int = 0
     maybe_ran: bool = False
-    instance: str = ""
+    instances: list[str] = dataclasses.field(default_factory=list)
     load: types.Load | None = None
     among: int = 0
     load_age_s: float = 0.0
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -292,7 +292,7 @@
             reason=progress.reason,
             maybe_ran=progress.maybe_ran,
             sends=progress.sends,
-            instance=progress.instance,
+            instances=progress.instances,
             among=progress.among,
             load=progress.load and list(progress.load),
             load_age_ms=round(progress.load_age_s * 1000, 1),
--- a/banyantiller/tests/explain/test_story.py
+++ b/banyantiller/tests/explain/test_story.py
@@ -32,7 +32,7 @@
             "status": 200,
             "error": None,
             "sends": 1,
-            "instance": "s1",
+            "instances": ["s1"],
             "load": [1, 0, 2, 1.5],
             "sent_ms": 3.0,
             "took_ms": 90.0,
@@ -49,7 +49,7 @@
 
     def test_refused_request_did_not_run(self):
         found = self.tell(
-            ended(status=503, error="no_server", sends=0, instance="")
+            ended(status=503, error="no_server", sends=0, instances=[])
         )
         self.assertEqual("no", found.ran)
         self.assertIn("no server got free", found.sentences[0])
