--- a/banyantiller/gateway/following.py
+++ b/banyantiller/gateway/following.py
@@ -65,6 +65,7 @@
         lapsed_until: Loop time until which missing objects may come back.
         watchers: Followers that are told when the store is lost.
         on_lost: Called when the store is lost.
+        back: Set while the store answers.
     """
 
     def __init__(self) -> None:
@@ -72,6 +73,8 @@
         self.lapsed_until = 0.0
         self.watchers: list[Follower] = []
         self.on_lost: Callable[[], None] = lambda: None
+        self.back = asyncio.Event()
+        self.back.set()
 
     def answered(self, now: float) -> None:
         """Notes an answer of the store."""
@@ -82,6 +85,7 @@
             self.lapsed_until = now + RETURN_S
         log.info("gateway: store is back.", away_s=round(away_s, 3))
         self.lost_at = None
+        self.back.set()
 
     def failed(self, kind: str, reason: str, now: float) -> None:
         """Notes a call without an answer; other waiting calls begin anew.
@@ -92,6 +96,7 @@
             return
         self.lost_at = now
         log.warning("gateway: store is lost.", kind=kind, reason=reason)
+        self.back.clear()
         self.on_lost()
         for watcher in self.watchers:
             if watcher.kind != kind:
@@ -107,6 +112,8 @@
 
     Attributes:
         kind: Kind of the objects.
+        pace: How often it is read. The first follower tries a lost store; the
+            others wait for its return, since each call is paid for.
         version: Version up to which all changes were seen, or empty.
         begin_anew: Set to end a call that waits.
         pause_s: Pause after the next failure, in seconds.
@@ -131,6 +138,7 @@
         self.version = ""
         self.begin_anew = asyncio.Event()
         self.pause_s = FIRST_PAUSE_S
+        self.leads = not health.watchers
         health.watchers.append(self)
 
     async def run(self) -> None:
@@ -200,3 +208,5 @@
         pause_s = self.pause_s * self.random.uniform(0.5, 1.0)
         self.pause_s = min(self.pause_s * 2, LONGEST_PAUSE_S)
         await asyncio.sleep(pause_s)
+        if not self.leads:
+            await self.health.back.wait()
--- a/banyantiller/gateway/sharing.py
+++ b/banyantiller/gateway/sharing.py
@@ -24,6 +24,9 @@
 # answer may take: a daemon that froze is noticed within 0.9 s.
 ASK_WAIT_S = 0.5
 ASK_MARGIN_S = 0.4
+# How often a daemon that others don't ask tries a lost store itself: it also
+# learns of the return from those that are asked, and calls are paid for.
+STORE_AGAIN_S = 1.5
 # How long a daemon that gave no answer is not asked again.
 UNFIT_S = 2.0
 LIMITS = messages.Limits(connections=4, silence_s=3)
@@ -115,6 +118,7 @@
         sentinel: Kind whose calls show whether the store answers.
         peers: Daemons to ask for changes; empty if this one is asked itself.
         others: Daemons to ask for what was in force, without this one.
+        next_store: Loop time from which a lost store is tried again.
         groups: Daemons that others may ask; each tells a part of the fleet.
         share: Part of the fleet's budgets that this daemon may use, or None
             while the others can't be counted.
@@ -138,6 +142,8 @@
         self.peers = [] if asked_itself else self.others
         self.groups = max(1, len(self.others) + asked_itself)
         self.share: float | None = None
+        self.next_store = 0.0
+        self.random = rng
         self.calls = store.calls
         self.loop = asyncio.get_running_loop()
 
@@ -186,7 +192,7 @@
         self, kind: str, version: str, wait_s: float
     ) -> interface.ChangesOutcome:
         if wait_s <= 0:
-            return await self.store.changes(kind, version, wait_s)
+            return await self._try_lost_store(kind, version)
         if self.mirror.demanded():
             self._divide(self.mirror.sharers())
             if kind == self.sentinel:
@@ -203,6 +209,17 @@
         peer.unfit_until = self.loop.time() + UNFIT_S
         return await self.store.changes(kind, version, 0.0)
 
+    async def _try_lost_store(
+        self, kind: str, version: str
+    ) -> interface.ChangesOutcome:
+        """Asks the store now and then, and one of the others in between."""
+        now = self.loop.time()
+        if not self.peers or self.mirror.demanded() or now >= self.next_store:
+            self.next_store = now + STORE_AGAIN_S
+            return await self.store.changes(kind, version, 0.0)
+        found = await self.random.choice(self.peers).changes(kind, version, 0.0)
+        return found or interface.Unavailable("no daemon reaches the store")
+
     def _divide(self, sharers: int) -> None:
         """Takes this daemon's part of what a group of daemons may use.
 
--- a/banyantiller/tests/gateway/test_mirror.py
+++ b/banyantiller/tests/gateway/test_mirror.py
@@ -175,6 +175,25 @@
 
         self.assertEqual(0.0, self.play(body))
 
+    def test_lost_store_gets_few_calls_and_its_return_is_seen(self):
+        for fault in ("down", "reset", "silent"):
+            for tenths in (80, 83, 87, 92, 96):
+
+                async def body(place, first, fault=fault, away_s=tenths / 10):
+                    await asyncio.sleep(5)
+                    before = place.gateway.reader.calls.total()
+                    setattr(place.store.faults, fault, True)
+                    await asyncio.sleep(away_s)
+                    calls = place.gateway.reader.calls.total() - before
+                    setattr(place.store.faults, fault, False)
+                    place.put_document(NEW)
+                    await asyncio.sleep(2.6)
+                    return calls, (await place.ask("a", "/new/x")).status
+
+                calls, status = self.play(body)
+                self.assertEqual(200, status, (fault, tenths))
+                self.assertLess(calls, 9, (fault, tenths))
+
     def test_question_that_makes_no_sense_is_refused(self):
         async def body(place, first):
             found = []
