--- a/banyantiller/tests/gateway/test_serving.py
+++ b/banyantiller/tests/gateway/test_serving.py
@@ -263,6 +263,30 @@
 
         self.assertEqual((503, "no"), self.play(body))
 
+    def test_lost_answer_of_a_read_is_made_up_by_another_server(self):
+        async def body(place):
+            place.fault(lose=True)
+            caller = await world.Caller.connect(place)
+            caller.send("a")
+            await asyncio.sleep(0.05)
+            place.fault(lose=False)
+            for one in place.servers.values():
+                one.faults.lose = one.ran["a"] > 0
+            answer = await caller.read()
+            caller.close()
+            return answer.status
+
+        self.assertEqual(200, self.play(body))
+
+    def test_server_at_work_for_long_is_left_to_it(self):
+        async def body(place):
+            for one in place.servers.values():
+                one.work_s = 0.17
+            await place.ask("a")
+            return place.ran("a")
+
+        self.assertEqual(1, self.play(body))
+
     def test_path_without_a_route_is_told_so(self):
         async def body(place):
             return (await place.ask("a", "/none/")).status
--- a/standins/registered_server.py
+++ b/standins/registered_server.py
@@ -20,6 +20,7 @@
     Attributes:
         silent: Reads requests and answers nothing, not even of its health.
         mute: Answers its health and no request.
+        lose: Executes a request and never answers it.
         reset: Executes a request and resets the connection.
         cut: Breaks an answer off in the middle.
         twice: Sends an answer a second time, `twice_after` seconds later.
@@ -27,13 +28,13 @@
         fail: Answers 500.
         unsigned: Leaves its mark off.
         ill: Calls itself unfit.
-        early: Answers 500 before a body is read.
         unframed: Answers without a length and closes.
         other_id: Echoes another identity.
     """
 
     silent: bool = False
     mute: bool = False
+    lose: bool = False
     reset: bool = False
     cut: bool = False
     twice: bool = False
@@ -178,6 +179,8 @@
         own: dict[str, str],
     ) -> bool:
         faults = self.faults
+        if faults.lose:
+            await asyncio.sleep(3600)
         if faults.reset:
             return False
         status = 500 if faults.fail else 200
