--- a/banyantiller/gateway/attempts.py
+++ b/banyantiller/gateway/attempts.py
@@ -49,7 +49,7 @@
         if isinstance(outcome, exchange.NotRun):
             self.call.progress.reason = outcome.kind.value
             if outcome.moved:
-                self.gateway.moved(entry.server)
+                self.gateway.known.moved(entry.server)
             # A server with a free slot that turns work away is at fault.
             entry.belief.result(not self.candidate.ready(math.inf), now)
             self._log(outcome.kind.value, "")
--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -111,7 +111,7 @@
         self.outgoing = request.outgoing(gateway.adapter.wire)
         self.version = 0
         self.route: types.Route | None = None
-        table = gateway.routes
+        table = gateway.known.routes
         if table is not None:
             self.version = table.document.version
             self.route = table.find(request.host, request.target)
@@ -140,7 +140,7 @@
         return reply
 
     async def _answer(self) -> replies.Reply:
-        table = self.gateway.routes
+        table = self.gateway.known.routes
         if table is None:
             return self._fail(ErrorKind.NO_BUNDLE, START_RETRY_AFTER_S)
         if self.route is None:
--- a/banyantiller/gateway/caller.py
+++ b/banyantiller/gateway/caller.py
@@ -145,7 +145,7 @@
     def _new_codec(self) -> h11.Connection:
         return h11.Connection(
             h11.SERVER,
-            max_incomplete_event_size=self.gateway.limits.head_bytes,
+            max_incomplete_event_size=self.gateway.known.limits.head_bytes,
         )
 
     def _read(self) -> None:
@@ -197,7 +197,7 @@
         slot = self.reading
         slot.size += len(data)
         self.gateway.body_bytes += len(data)
-        if slot.size > self.gateway.limits.body_bytes:
+        if slot.size > self.gateway.known.limits.body_bytes:
             self._reject(Failure(ErrorKind.BODY_TOO_LARGE))
         elif self.gateway.body_bytes > MOST_BODY_BYTES:
             self._reject(Failure(ErrorKind.QUEUE_FULL, retry_after=FULL_S))
@@ -335,8 +335,8 @@
         if self.reading is not None:
             return BODY_TIMEOUT_S
         if self.begun:
-            return self.gateway.limits.head_timeout_s
-        return self.gateway.limits.idle_timeout_s
+            return self.gateway.known.limits.head_timeout_s
+        return self.gateway.known.limits.idle_timeout_s
 
     def _expired(self) -> None:
         self.timer = None
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -12,19 +12,14 @@
     budget,
     caller,
     choosing,
-    following,
-    mirror,
+    knowledge,
     pool,
-    routes,
     sampling,
-    servers,
-    sharing,
     tallies,
     types,
 )
 from banyantiller.gateway import call as calls
 from banyantiller.gateway import settings as options
-from banyantiller.store import interface
 
 log = structlog.get_logger("banyantiller.gateway")
 
@@ -57,12 +52,7 @@
     Attributes:
         settings: Settings in force.
         adapter: What is known of the surroundings.
-        routes: Routes of the document in force, or None before the first.
-        table: Servers that registered.
-        health: Whether the store answers.
-        mirror: What other daemons are told of the store.
-        reader: Reads the store, also through other daemons.
-        listed: Whether the registered servers were read once.
+        known: What is known of the store: routes, limits and servers.
         draining: Whether an order to end was given.
         connections: Open connections of callers.
         body_bytes: Bytes of request bodies in memory.
@@ -78,62 +68,29 @@
         self.adapter = adapter
         self.random = rng
         self.loop = asyncio.get_running_loop()
-        self.routes: routes.RouteTable | None = None
-        self.table = servers.ServerTable()
-        self.health = following.StoreHealth()
-        self.mirror = mirror.Mirror(self._is_fit_to_tell)
-        self.health.on_lost = self.mirror.wake
-        self.mirror.on_demand = self._begin_anew
-        self.reader = sharing.SharedReader(
-            adapter.store,
-            self.mirror,
-            adapter.document_kind,
-            _others(settings),
-            settings.control in settings.seeds,
-            rng,
+        self.tallies = tallies.Tallies()
+        self.known = knowledge.Knowledge(
+            settings, adapter, self.tallies, rng, self._close_pool
         )
-        self.listed = False
         self.draining = False
-        self.limits = types.CallerLimits()
         self.default_timeout_s = DEFAULT_TIMEOUT_S
         self.answer_bytes = ANSWER_BYTES
         self.connections: set[caller.CallerConnection] = set()
         self.body_bytes = 0
         self.pools: dict[str, pool.Pool] = {}
         self.budgets: dict[str, budget.RetryBudget] = {}
-        self.tallies = tallies.Tallies()
         self.sampler = sampling.CallSampler()
         self.asker = asking.Asker(
-            adapter, self.pool_of, self.moved, settings.zone
+            adapter, self.pool_of, self.known.moved, settings.zone
         )
         self.chooser = choosing.Chooser(
-            self.table, self.asker, rng, settings.daemon
+            self.known.table, self.asker, rng, settings.daemon
         )
         self.emptied = asyncio.Event()
         self.listener: asyncio.Server | None = None
 
     # Called by the daemon.
 
-    def followers(self) -> list[following.Follower]:
-        """Returns the tasks that follow the store."""
-        document = following.Handlers(
-            self._documents_listed, self._document_changed, self._ignore
-        )
-        registrations = following.Handlers(
-            self._servers_listed, self._server_changed, self._server_deleted
-        )
-        adapter = self.adapter
-        wanted = (
-            (adapter.document_kind, document, following.DOCUMENT_PACE),
-            (adapter.server_kind, registrations, following.SERVER_PACE),
-        )
-        return [
-            following.Follower(
-                self.reader, kind, handlers, pace, self.health, self.random
-            )
-            for kind, handlers, pace in wanted
-        ]
-
     async def start(self, endpoint: Endpoint) -> Endpoint:
         """Listens for callers and returns where.
 
@@ -149,18 +106,13 @@
         bound = self.listener.sockets[0].getsockname()
         return Endpoint(bound[0], bound[1])
 
-    @property
-    def version(self) -> int:
-        """Version of the document in force, or 0."""
-        return self.routes.document.version if self.routes else 0
-
     def not_ready(self) -> str:
         """Returns why callers should not be sent here, or an empty text."""
         if self.draining:
             return "the daemon is ending"
-        if self.routes is None:
+        if self.known.routes is None:
             return "no document is in force"
-        if not self.listed:
+        if not self.known.listed:
             return "the servers are not known"
         return ""
 
@@ -174,7 +126,7 @@
             Number of calls that were still in flight at the end.
         """
         self.draining = True
-        self.mirror.wake()
+        self.known.end()
         ends = self.loop.time() + limit_s - RESERVE_S
         await asyncio.sleep(min(LISTEN_ON_S, limit_s / 2))
         if self.listener is not None:
@@ -194,8 +146,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             now = self.loop.time()
-            for server in self.table.expire(now):
-                self._close_pool(server)
+            self.known.expire(now)
             for kept in self.pools.values():
                 kept.expire(now)
 
@@ -203,7 +154,7 @@
         """Closes every connection at once."""
         for kept in self.pools.values():
             kept.close()
-        await self.reader.close()
+        await self.known.reader.close()
 
     # Called by connections and calls.
 
@@ -211,14 +162,15 @@
         """Returns the connections to a server."""
         found = self.pools.get(server.instance)
         if found is None:
-            found = pool.Pool(server, self._connections_of(server.service))
+            found = pool.Pool(server, LEAST_CONNECTIONS)
             self.pools[server.instance] = found
-            if server.instance not in self.table.entries:
+            if server.instance not in self.known.table.entries:
                 # It was taken out while it was being used.
                 found.closed = True
                 self.loop.call_later(
                     DEFAULT_TIMEOUT_S, self.pools.pop, server.instance, None
                 )
+        found.most = self._connections_of(server.service)
         return found
 
     def budget_of(self, service: str) -> budget.RetryBudget:
@@ -242,12 +194,7 @@
         """
         if not self.settings.seeds:
             return FLEET_SHARE
-        return (self.reader.share or 0.0) * SHARE_USE
-
-    def moved(self, server: types.Server) -> None:
-        """Takes out a server whose address another instance has."""
-        if self.table.remove(server.instance, "address_reused") is not None:
-            self._close_pool(server)
+        return (self.known.reader.share or 0.0) * SHARE_USE
 
     def left(self, connection: caller.CallerConnection) -> None:
         """Forgets a caller's connection."""
@@ -302,83 +249,10 @@
             left_ms=round((call.deadline - self.loop.time()) * 1000, 1),
         )
 
-    # Called by the followers.
-
-    def _documents_listed(
-        self, items: tuple[interface.StoredObject, ...]
-    ) -> None:
-        for item in items:
-            self._document_changed(item)
-
-    def _document_changed(self, item: interface.StoredObject) -> None:
-        if item.name != self.adapter.document_name:
-            return
-        try:
-            document = self.adapter.read_document(item.value)
-        except ValueError as error:
-            self.tallies.documents["unreadable"] += 1
-            log.error("gateway: document is unreadable.", error=str(error))
-            return
-        held = self.version
-        if document.version <= held:
-            return
-        self.routes = routes.RouteTable(document, self.random)
-        self.limits = document.limits
-        self.tallies.documents["in_force"] += 1
-        log.info(
-            "gateway: document in force.",
-            version=document.version,
-            before=held,
-            routes=len(document.routes),
-        )
-
-    def _servers_listed(
-        self, items: tuple[interface.StoredObject, ...]
-    ) -> None:
-        for item in items:
-            self._server_changed(item)
-        for instance in self.table.absent(item.name for item in items):
-            self._server_deleted(instance)
-        self.listed = True
-
-    def _server_changed(self, item: interface.StoredObject) -> None:
-        try:
-            server = self.adapter.read_server(item.name, item.value)
-        except ValueError as error:
-            log.error(
-                "gateway: registration is unreadable.",
-                instance=item.name,
-                error=str(error),
-            )
-            return
-        self.table.put(server, self.loop.time())
-
-    def _server_deleted(self, instance: str) -> None:
-        now = self.loop.time()
-        if self.health.may_have_lapsed(now):
-            self.table.lapse(instance, now)
-            return
-        server = self.table.remove(instance, "registration_removed")
-        if server is not None:
-            self._close_pool(server)
-
-    def _ignore(self, name: str) -> None:
-        log.warning("gateway: document was removed.", name=name)
-
     # Within.
 
-    def _is_fit_to_tell(self) -> bool:
-        return self.health.lost_at is None and not self.draining
-
-    def _begin_anew(self) -> None:
-        # What waits for seconds would notice the store's loss too late.
-        for follower in self.health.watchers:
-            follower.begin_anew.set()
-
     def _connections_of(self, service: str) -> int:
-        if self.routes is None:
-            return LEAST_CONNECTIONS
-        found = self.routes.document.services.get(service)
+        found = self.known.service(service)
         if found is None:
             return LEAST_CONNECTIONS
         return max(LEAST_CONNECTIONS, int(found.max_connections * self.share()))
@@ -394,12 +268,3 @@
     def _note_emptied(self) -> None:
         if not self.connections:
             self.emptied.set()
-
-
-def _others(settings: options.Settings) -> list[sharing.Peer]:
-    """Returns the daemons that can be asked, without this one."""
-    return [
-        sharing.Peer(options.endpoint(text), settings.daemon)
-        for text in settings.seeds
-        if text != settings.control
-    ]
--- /dev/null
+++ b/banyantiller/gateway/knowledge.py
@@ -0,0 +1,197 @@
+"""What a daemon knows of its store: the document in force and the servers."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import structlog
+
+from banyantiller.gateway import (
+    following,
+    mirror,
+    routes,
+    servers,
+    sharing,
+    tallies,
+    types,
+)
+from banyantiller.gateway import settings as options
+from banyantiller.store import interface
+
+log = structlog.get_logger("banyantiller.gateway")
+
+
+class Knowledge:
+    """Takes what the followers of the store read.
+
+    Attributes:
+        adapter: What is known of the surroundings.
+        routes: Routes of the document in force, or None before the first.
+        table: Servers that registered.
+        listed: Whether the registered servers were read once.
+        limits: Limits for callers in force.
+        health: Whether the store answers.
+        mirror: What other daemons are told of the store.
+        reader: Reads the store, also through other daemons.
+        gone: Called with each server that was taken out.
+        ending: Whether this daemon was told to end.
+    """
+
+    def __init__(
+        self,
+        settings: options.Settings,
+        adapter: types.Adapter,
+        counts: tallies.Tallies,
+        rng: random.Random,
+        gone: Callable[[types.Server], None],
+    ) -> None:
+        self.adapter = adapter
+        self.counts = counts
+        self.random = rng
+        self.gone = gone
+        self.ending = False
+        self.loop = asyncio.get_running_loop()
+        self.routes: routes.RouteTable | None = None
+        self.table = servers.ServerTable()
+        self.listed = False
+        self.limits = types.CallerLimits()
+        self.health = following.StoreHealth()
+        self.mirror = mirror.Mirror(self._is_fit_to_tell)
+        self.health.on_lost = self.mirror.wake
+        self.mirror.on_demand = self._begin_anew
+        self.reader = sharing.SharedReader(
+            adapter.store,
+            self.mirror,
+            adapter.document_kind,
+            _others(settings),
+            settings.control in settings.seeds,
+            rng,
+        )
+
+    @property
+    def version(self) -> int:
+        """Version of the document in force, or 0."""
+        return self.routes.document.version if self.routes else 0
+
+    def service(self, name: str) -> types.Service | None:
+        """Returns a service of the document in force, or None."""
+        if self.routes is None:
+            return None
+        return self.routes.document.services.get(name)
+
+    def followers(self) -> list[following.Follower]:
+        """Returns the tasks that follow the store."""
+        document = following.Handlers(
+            self._documents_listed, self._document_changed, self._ignore
+        )
+        registrations = following.Handlers(
+            self._servers_listed, self._server_changed, self._server_deleted
+        )
+        adapter = self.adapter
+        wanted = (
+            (adapter.document_kind, document, following.DOCUMENT_PACE),
+            (adapter.server_kind, registrations, following.SERVER_PACE),
+        )
+        return [
+            following.Follower(
+                self.reader, kind, handlers, pace, self.health, self.random
+            )
+            for kind, handlers, pace in wanted
+        ]
+
+    def end(self) -> None:
+        """Lets other daemons ask somebody else."""
+        self.ending = True
+        self.mirror.wake()
+
+    def moved(self, server: types.Server) -> None:
+        """Takes out a server whose address another instance has."""
+        if self.table.remove(server.instance, "address_reused") is not None:
+            self.gone(server)
+
+    def expire(self, now: float) -> None:
+        """Takes out servers whose registration did not come back."""
+        for server in self.table.expire(now):
+            self.gone(server)
+
+    # Called by the followers.
+
+    def _documents_listed(
+        self, items: tuple[interface.StoredObject, ...]
+    ) -> None:
+        for item in items:
+            self._document_changed(item)
+
+    def _document_changed(self, item: interface.StoredObject) -> None:
+        if item.name != self.adapter.document_name:
+            return
+        try:
+            document = self.adapter.read_document(item.value)
+        except ValueError as error:
+            self.counts.documents["unreadable"] += 1
+            log.error("gateway: document is unreadable.", error=str(error))
+            return
+        held = self.version
+        if document.version <= held:
+            return
+        self.routes = routes.RouteTable(document, self.random)
+        self.limits = document.limits
+        self.counts.documents["in_force"] += 1
+        log.info(
+            "gateway: document in force.",
+            version=document.version,
+            before=held,
+            routes=len(document.routes),
+        )
+
+    def _servers_listed(
+        self, items: tuple[interface.StoredObject, ...]
+    ) -> None:
+        for item in items:
+            self._server_changed(item)
+        for instance in self.table.absent(item.name for item in items):
+            self._server_deleted(instance)
+        self.listed = True
+
+    def _server_changed(self, item: interface.StoredObject) -> None:
+        try:
+            server = self.adapter.read_server(item.name, item.value)
+        except ValueError as error:
+            log.error(
+                "gateway: registration is unreadable.",
+                instance=item.name,
+                error=str(error),
+            )
+            return
+        self.table.put(server, self.loop.time())
+
+    def _server_deleted(self, instance: str) -> None:
+        now = self.loop.time()
+        if self.health.may_have_lapsed(now):
+            self.table.lapse(instance, now)
+            return
+        server = self.table.remove(instance, "registration_removed")
+        if server is not None:
+            self.gone(server)
+
+    def _ignore(self, name: str) -> None:
+        log.warning("gateway: document was removed.", name=name)
+
+    # Within.
+
+    def _is_fit_to_tell(self) -> bool:
+        return self.health.lost_at is None and not self.ending
+
+    def _begin_anew(self) -> None:
+        # What waits for seconds would notice the store's loss too late.
+        for follower in self.health.watchers:
+            follower.begin_anew.set()
+
+
+def _others(settings: options.Settings) -> list[sharing.Peer]:
+    """Returns the daemons that can be asked, without this one."""
+    return [
+        sharing.Peer(options.endpoint(text), settings.daemon)
+        for text in settings.seeds
+        if text != settings.control
+    ]
--- a/banyantiller/gateway/metrics.py
+++ b/banyantiller/gateway/metrics.py
@@ -73,11 +73,11 @@
         gateway = self.gateway
         rows = (
             ("document_version", "Version in force.",
-             lambda: gateway.version),
+             lambda: gateway.known.version),
             ("ready", "Whether callers should be sent here.",
              lambda: not gateway.not_ready()),
             ("store_lost", "Whether the store gives no answer.",
-             lambda: gateway.health.lost_at is not None),
+             lambda: gateway.known.health.lost_at is not None),
             ("connections", "Open connections of callers.",
              lambda: len(gateway.connections)),
         )  # fmt: skip
@@ -94,10 +94,10 @@
             "Servers that may get requests.",
             lambda: [
                 metrics.Reading(
-                    len(gateway.table.usable(name, gateway.loop.time())),
+                    len(gateway.known.table.usable(name, gateway.loop.time())),
                     {"service": name},
                 )
-                for name in gateway.table.by_service
+                for name in gateway.known.table.by_service
             ],
         )
 
--- a/banyantiller/gateway/run.py
+++ b/banyantiller/gateway/run.py
@@ -54,7 +54,7 @@
         self.ready = server.HttpServer(self._answer_ready, SIDE_LIMITS)
         self.metrics = server.HttpServer(self._answer_metrics, SIDE_LIMITS)
         self.control = server.HttpServer(
-            self.gateway.mirror.handle, CONTROL_LIMITS
+            self.gateway.known.mirror.handle, CONTROL_LIMITS
         )
         self.page: Any = None
         self.last_reason = "starting"
@@ -71,7 +71,7 @@
         loop.add_signal_handler(signal.SIGTERM, self.ending.set)
         loop.add_signal_handler(signal.SIGINT, self.ending.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
-        for follower in self.gateway.followers():
+        for follower in self.gateway.known.followers():
             self.kernel.start(follower.kind, follower.run)
         self.kernel.start("housekeeping", self.gateway.keep_house)
         self.kernel.start("settings", self._watch_settings)
--- a/banyantiller/tests/gateway/test_following.py
+++ b/banyantiller/tests/gateway/test_following.py
@@ -84,7 +84,7 @@
             place.store.faults.down = False
             await asyncio.sleep(6)
             return (await place.ask("a", "/new/x")).status, sorted(
-                place.gateway.table.entries
+                place.gateway.known.table.entries
             )
 
         self.assertEqual((200, ["s1", "s2"]), self.play(body))
@@ -95,7 +95,7 @@
             await place.add_server("s3")
             place.store.forget()
             await asyncio.sleep(4)
-            return sorted(place.gateway.table.entries)
+            return sorted(place.gateway.known.table.entries)
 
         self.assertEqual(["s0", "s1", "s2", "s3"], self.play(body))
 
@@ -135,7 +135,7 @@
             first = (await place.ask("a")).status
             place.register("s0")
             await asyncio.sleep(3)
-            return first, sorted(place.gateway.table.entries)
+            return first, sorted(place.gateway.known.table.entries)
 
         self.assertEqual((200, ["s0"]), self.play(body))
 
@@ -143,14 +143,14 @@
         async def body(place):
             stranger = await place.add_server("x9", "other")
             place.servers["s0"].stop()
-            place.gateway.table.entries[
+            place.gateway.known.table.entries[
                 "s0"
-            ].server = place.gateway.table.entries["s0"].server._replace(
+            ].server = place.gateway.known.table.entries["s0"].server._replace(
                 port=stranger.port
             )
             found = [await place.ask(f"a{n}") for n in range(8)]
             ran = [stranger.ran[f"a{n}"] for n in range(8)]
-            known = "s0" in place.gateway.table.entries
+            known = "s0" in place.gateway.known.table.entries
             return [answer.status for answer in found], sum(ran), known
 
         self.assertEqual(([200] * 8, 0, False), self.play(body))
--- a/banyantiller/tests/gateway/test_mirror.py
+++ b/banyantiller/tests/gateway/test_mirror.py
@@ -31,22 +31,24 @@
     def test_changes_come_from_the_other_daemon(self):
         async def body(place, first):
             await asyncio.sleep(5)
-            before = dict(place.gateway.reader.calls)
+            before = dict(place.gateway.known.reader.calls)
             place.put_document(NEW)
             place.store.remove("servers", "s0")
             await asyncio.sleep(1)
             status = (await place.ask("a", "/new/x")).status
-            same = dict(place.gateway.reader.calls) == before
-            return status, same, sorted(place.gateway.table.entries)
+            same = dict(place.gateway.known.reader.calls) == before
+            return status, same, sorted(place.gateway.known.table.entries)
 
         self.assertEqual((200, True, ["s1", "s2"]), self.play(body))
 
     def test_calls_to_the_store_hardly_grow_with_daemons(self):
         async def body(place, first):
             await asyncio.sleep(10)
-            before = dict(place.gateway.reader.calls)
+            before = dict(place.gateway.known.reader.calls)
             await asyncio.sleep(30)
-            return place.gateway.reader.calls["watch"] - before.get("watch", 0)
+            return place.gateway.known.reader.calls["watch"] - before.get(
+                "watch", 0
+            )
 
         self.assertEqual(0, self.play(body))
 
@@ -92,7 +94,7 @@
         async def body(place, first):
             await asyncio.sleep(5)
             first.draining = True
-            first.mirror.wake()
+            first.known.end()
             place.put_document(NEW)
             await asyncio.sleep(0.1)
             return (await place.ask("a", "/new/x")).status
@@ -105,12 +107,12 @@
 
         async def body(place, first):
             await asyncio.sleep(5)
-            since = first.mirror.histories["config"].version
+            since = first.known.mirror.histories["config"].version
             place.put_document(many)
             await asyncio.sleep(0.2)
             target = f"/mirror/config?since={since}&wait_ms=0&name=x"
             request = messages.Request("GET", target)
-            answer = await first.mirror.handle(request)
+            answer = await first.known.mirror.handle(request)
             return len(answer.body), (await place.ask("a", "/p479/x")).status
 
         size, status = self.play(body)
@@ -120,7 +122,10 @@
     def test_daemon_that_is_asked_reads_the_store_itself(self):
         async def body(place, first):
             await asyncio.sleep(5)
-            return first.mirror.demanded(), place.gateway.mirror.demanded()
+            return (
+                first.known.mirror.demanded(),
+                place.gateway.known.mirror.demanded(),
+            )
 
         self.assertEqual((True, False), self.play(body))
 
@@ -135,7 +140,7 @@
             await asyncio.sleep(1)
             ready = place.gateway.not_ready()
             status = (await place.ask("a")).status
-            lost = place.gateway.health.lost_at is not None
+            lost = place.gateway.known.health.lost_at is not None
             place.store.faults.down = False
             place.put_document(NEW)
             await asyncio.sleep(2.5)
@@ -154,7 +159,7 @@
                 await place.start_gateway(seeds, f"more-{number}")
                 others.append(place.gateway)
             await asyncio.sleep(6)
-            shares = [one.reader.share for one in [first, *others]]
+            shares = [one.known.reader.share for one in [first, *others]]
             for one in others[:-1]:
                 one.listener.close()
                 await one.close()
@@ -181,10 +186,10 @@
 
                 async def body(place, first, fault=fault, away_s=tenths / 10):
                     await asyncio.sleep(5)
-                    before = place.gateway.reader.calls.total()
+                    before = place.gateway.known.reader.calls.total()
                     setattr(place.store.faults, fault, True)
                     await asyncio.sleep(away_s)
-                    calls = place.gateway.reader.calls.total() - before
+                    calls = place.gateway.known.reader.calls.total() - before
                     setattr(place.store.faults, fault, False)
                     place.put_document(NEW)
                     await asyncio.sleep(2.6)
@@ -204,7 +209,7 @@
             )
             for target in targets:
                 request = messages.Request("GET", target)
-                found.append((await first.mirror.handle(request)).status)
+                found.append((await first.known.mirror.handle(request)).status)
             return found
 
         self.assertEqual([503, 400, 503], self.play(body))
--- a/banyantiller/tests/gateway/world.py
+++ b/banyantiller/tests/gateway/world.py
@@ -150,12 +150,12 @@
         adapter = plugin.create(Endpoint(ADDRESS, self.bound.port))
         rng = random.Random(self.seed)
         self.gateway = gateways.Gateway(settings, adapter, rng)
-        bodies = [one.run() for one in self.gateway.followers()]
+        bodies = [one.run() for one in self.gateway.known.followers()]
         bodies.append(self.gateway.keep_house())
         self.tasks += [asyncio.ensure_future(body) for body in bodies]
         bound = await self.gateway.start(Endpoint(ADDRESS, 0))
         self.port = bound.port
-        control = server.HttpServer(self.gateway.mirror.handle)
+        control = server.HttpServer(self.gateway.known.mirror.handle)
         self.control = await control.start(ADDRESS, 0)
         self.controls.append(control)
 
--- a/standins/demo/__main__.py
+++ b/standins/demo/__main__.py
@@ -3,13 +3,11 @@
 import asyncio
 import json
 import pathlib
-import signal
 import sys
-import tempfile
 
 import defopt
 
-from standins.demo import callers, findings, fleet, processes, traffic
+from standins.demo import callers, findings, fleet, running, traffic
 
 STEP_SHARES = {"roll": 0.25, "server": 0.5, "daemon": 0.7}
 FIRST_READY_S = 10.0
@@ -18,11 +16,10 @@
 async def play(folder: pathlib.Path, seed: int) -> findings.Findings:
     """Runs all steps and returns what held."""
     system = fleet.Fleet(folder)
-    _end_on_sigterm()
     try:
-        say("starting the platform, 3 backend servers and 2 daemons")
+        running.say("starting the platform, 3 backend servers and 2 daemons")
         await system.start()
-        say("rolling the first bundle")
+        running.say("rolling the first bundle")
         first_s = await system.roll(1, "The first bundle.")
         users = callers.Callers(system.gateways, seed)
         followers = [
@@ -60,7 +57,7 @@
     """Sends all calls while bundles, servers and daemons change."""
     arrivals = traffic.plan(seed, fleet.DAEMONS)
     length = arrivals[-1].at
-    say(f"sending {len(arrivals)} calls over {length:.0f} s")
+    running.say(f"sending {len(arrivals)} calls over {length:.0f} s")
     loop = asyncio.get_running_loop()
     start = loop.time()
     exits: dict[str, int] = {}
@@ -70,17 +67,17 @@
 
     async def roll() -> float:
         await at("roll")
-        say("rolling the second bundle")
+        running.say("rolling the second bundle")
         return await system.roll(2, "The second bundle.")
 
     async def stop_server() -> None:
         await at("server")
-        say("stopping server-3")
+        running.say("stopping server-3")
         exits["server-3"] = await system.stop_server("server-3")
 
     async def stop_daemon() -> None:
         await at("daemon")
-        say("stopping daemon-2")
+        running.say("stopping daemon-2")
         exits["daemon-2"] = await system.stop_daemon(1)
 
     async with asyncio.TaskGroup() as group:
@@ -91,22 +88,9 @@
     return findings.Events((first_s, second.result()), exits)
 
 
-def _end_on_sigterm() -> None:
-    """Ends every process before this one when it is told to end."""
-    task = asyncio.current_task()
-    assert task is not None
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, task.cancel)
-
-
 def _show_logs(system: fleet.Fleet) -> None:
     for child in system.daemons:
-        say(f"log of {child.name}:\n{child.tail()}")
-
-
-def say(text: str) -> None:
-    """Prints a line of progress."""
-    print(text, file=sys.stderr, flush=True)
+        running.say(f"log of {child.name}:\n{child.tail()}")
 
 
 def main(*, seed: int = 1) -> int:
@@ -118,15 +102,7 @@
     Args:
         seed: Seed of arrivals and of choices.
     """
-    found = None
-    with tempfile.TemporaryDirectory(prefix="banyantiller-demo-") as folder:
-        try:
-            found = asyncio.run(play(pathlib.Path(folder), seed))
-        except* (processes.DemoError, TimeoutError) as group:
-            for error in group.exceptions:
-                say(f"failed: {error or type(error).__name__}")
-        except* asyncio.CancelledError:
-            say("failed: told to end")
+    found = running.run(play, seed)
     if found is None:
         return 1
     print(json.dumps(found.last_line))
--- a/standins/demo/gateways.py
+++ b/standins/demo/gateways.py
@@ -11,14 +11,13 @@
 import pathlib
 import random
 import sys
-import tempfile
 
 import defopt
 import h11
 
 from banyantiller.http import server
 from standins import platform_store, registered_server, runner
-from standins.demo import processes
+from standins.demo import processes, running
 
 HOST = "desk.example"
 CALLS = 600
@@ -201,7 +200,7 @@
     try:
         await scene.start()
         await _until_served(scene)
-        say(f"sending {CALLS} calls while things change")
+        running.say(f"sending {CALLS} calls while things change")
         steps = asyncio.ensure_future(_change(scene))
         pending = []
         for number in range(CALLS):
@@ -245,25 +244,20 @@
 async def _change(scene: Scene) -> int:
     """Changes things one after the other; returns a daemon's exit status."""
     await asyncio.sleep(0.5)
-    say("the store goes away for 2 s; a document changes after it")
+    running.say("the store goes away for 2 s; a document changes after it")
     scene.store.faults.down = True
     await asyncio.sleep(STORE_AWAY_S)
     scene.store.faults.down = False
     scene.put_document(3)
-    say("server s0 leaves")
+    running.say("server s0 leaves")
     scene.register("s0", "draining")
     await asyncio.sleep(SETTLE_S)
-    say("gateway-1 is told to end")
+    running.say("gateway-1 is told to end")
     # As the platform does, callers are sent elsewhere from then on.
     scene.ports = scene.ports[:1]
     return await scene.children.running[1].end()
 
 
-def say(text: str) -> None:
-    """Prints a line of progress."""
-    print(text, file=sys.stderr, flush=True)
-
-
 def main(*, seed: int = 1) -> int:
     """Runs two gateway daemons under load and checks what they did.
 
@@ -273,8 +267,9 @@
     Args:
         seed: Seed of arrivals and of choices.
     """
-    with tempfile.TemporaryDirectory() as folder:
-        found = asyncio.run(play(pathlib.Path(folder), seed))
+    found = running.run(play, seed)
+    if found is None:
+        return 1
     print(json.dumps(found))
     return 0 if found["held"] else 1
 
