--- /dev/null
+++ b/banyantiller/tests/gateway/test_history.py
@@ -0,0 +1,101 @@
+"""Tests that no change is missed by those that ask another daemon."""
+
+import random
+
+from banyantiller.gateway import mirror
+from banyantiller.store import interface
+from banyantiller.tests import base
+
+NAMES = ("a", "b", "c")
+SEEDS = 200
+CHANGES = 60
+
+
+def stored(name, revision):
+    return interface.StoredObject("kind", name, str(revision), {"r": revision})
+
+
+class Store:
+    """All changes, and what existed after each."""
+
+    def __init__(self, rng):
+        self.random = rng
+        self.events = []
+        self.contents = [{}]
+
+    def change(self):
+        """Puts or removes an object."""
+        name = self.random.choice(NAMES)
+        revision = len(self.events) + 1
+        after = dict(self.contents[-1])
+        if name in after and self.random.random() < 0.3:
+            self.events.append(interface.Deleted(stored(name, after.pop(name))))
+        else:
+            after[name] = revision
+            self.events.append(interface.Changed(stored(name, revision)))
+        self.contents.append(after)
+
+    def since(self, version):
+        """Returns the changes after a version, as the store's answer."""
+        return interface.Changes(
+            tuple(self.events[version:]), str(len(self.events))
+        )
+
+    def listed(self):
+        """Returns all objects."""
+        items = tuple(stored(n, r) for n, r in self.contents[-1].items())
+        return interface.Listed(items, str(len(self.events)))
+
+
+def apply(view, events):
+    """Applies changes to what a daemon believes to exist."""
+    view = dict(view)
+    for event in events:
+        if isinstance(event, interface.Deleted):
+            view.pop(event.item.name, None)
+        else:
+            view[event.item.name] = int(event.item.version)
+    return view
+
+
+class HistoryTest(base.TestCase):
+    def test_kept_batches_bring_everybody_to_what_the_store_holds(self):
+        async def body():
+            return [self.follow(random.Random(seed)) for seed in range(SEEDS)]
+
+        answers = self.run_paused(body())
+        self.assertGreater(sum(answers), SEEDS * 5)
+
+    def follow(self, rng):
+        """Reads at random moments; returns how often another was asked."""
+        store = Store(rng)
+        history = mirror.History(store.listed())
+        version, view, answers = 0, {}, 0
+        for _ in range(CHANGES):
+            store.change()
+            if rng.random() < 0.3:
+                history.add(store.since(history.version))
+                self.assertEqual(
+                    store.contents[history.version],
+                    {n: int(i.version) for n, i in history.items.items()},
+                )
+            if rng.random() < 0.1:
+                version = len(store.events)
+                view = dict(store.contents[version])
+            if rng.random() < 0.3 and version >= history.oldest:
+                view = apply(view, history.after(version))
+                version = max(version, history.version)
+                answers += 1
+                self.assertEqual(store.contents[version], view)
+        return answers
+
+    def test_dropped_batches_are_not_told_as_known(self):
+        async def body():
+            store = Store(random.Random(1))
+            history = mirror.History(store.listed())
+            for _ in range(mirror.MOST_BATCHES + 5):
+                store.change()
+                history.add(store.since(history.version))
+            return history.oldest, len(history.batches)
+
+        self.assertEqual((5, mirror.MOST_BATCHES), self.run_paused(body()))
--- a/spec/check.py
+++ b/spec/check.py
@@ -16,6 +16,7 @@
 from spec.claims import CLAIMS
 from spec.daemon_drain import DAEMON_DRAIN
 from spec.measuring import MEASURING
+from spec.mirror import MIRROR
 from spec.server_drain import SERVER_DRAIN
 from spec.specification import Broken, Specification, protocol
 from spec.spread import SPREAD
@@ -27,6 +28,7 @@
     SERVER_DRAIN,
     DAEMON_DRAIN,
     MEASURING,
+    MIRROR,
 )
 MOST_STATES = 400_000
 
