--- /dev/null
+++ b/banyantiller/tests/soak/test_checks.py
@@ -0,0 +1,175 @@
+"""Tests that each check of the soak finds what it is there for."""
+
+from banyantiller.tests import base
+from soak import checks
+from soak import record as records
+from soak.record import Acceptance, Arrival, Attempt, Disturbance, Exit, Leaving
+
+
+def attempt(request_id="a", kind=records.READ, at=10.0, **more):
+    """Returns an attempt that was answered well, with changes."""
+    fields = {
+        "version": 0,
+        "daemon": 0,
+        "life": 1,
+        "sent_at": at,
+        "limit_s": 2.0,
+        "status": 200,
+        "body": f"{request_id} at s0".encode(),
+        "signature": "by.s0",
+        "ended_at": at + 0.1,
+        "end": records.ANSWERED,
+    }
+    return Attempt(request_id, kind, **(fields | more))
+
+
+def arrival(
+    request_id="a", instance="s0", at=10.05, executed=True, other=False
+):
+    """Returns an arrival at a server."""
+    return Arrival(at, request_id, instance, executed, other)
+
+
+def record(attempts=(), arrivals=(), **more):
+    """Returns a record of these."""
+    return records.Record(
+        attempts=list(attempts), arrivals=list(arrivals), **more
+    )
+
+
+def broken(seen, promise):
+    """Returns the findings of one promise."""
+    (found,) = [p for p in checks.PROMISES if p.name == promise]
+    return list(found.check(seen))
+
+
+class ChecksTest(base.TestCase):
+    def assert_broken(self, promise, seen):
+        self.assertNotEqual([], broken(seen, promise))
+
+    def assert_kept(self, promise, seen):
+        self.assertEqual([], broken(seen, promise))
+
+    def test_good_answer_breaks_nothing(self):
+        seen = record([attempt()], [arrival()], calm_from=99.0)
+        found = [f for f in checks.judge(seen, True)
+                 if f.promise != "served again"]  # fmt: skip
+        self.assertEqual([], found)
+
+    def test_untimed_checks_leave_out_what_depends_on_speed(self):
+        seen = record([attempt(ended_at=19.0)], [arrival()])
+        self.assertEqual([], checks.judge(seen, False))
+        self.assertNotEqual([], checks.judge(seen, True))
+
+    def test_answer_of_another_request_or_server(self):
+        for changes in (
+            {"body": b"b at s0"},
+            {"body": b"a at s"},
+            {"signature": ""},
+            {"signature": "by.s1"},
+        ):
+            seen = record([attempt(**changes)], [arrival()])
+            self.assert_broken("whole answer", seen)
+
+    def test_success_of_a_request_that_no_server_executed(self):
+        seen = record([attempt()], [arrival(executed=False)])
+        self.assert_broken("whole answer", seen)
+
+    def test_executed_though_told_not(self):
+        for status in (408, 421, 429, 503):
+            seen = record([attempt(status=status)], [arrival()])
+            self.assert_broken("not run", seen)
+            seen = record([attempt(status=status)], [arrival(executed=False)])
+            self.assert_kept("not run", seen)
+
+    def test_executed_too_often(self):
+        twice = [arrival(), arrival(instance="s1")]
+        seen = record([attempt(kind=records.FILE)], twice)
+        self.assert_broken("at most once", seen)
+        self.assert_kept("at most once", record([attempt()], twice))
+        thrice = [*twice, arrival(instance="s2")]
+        self.assert_broken("at most once", record([attempt()], thrice))
+
+    def test_request_that_nobody_sent(self):
+        self.assert_broken("nothing invented", record([], [arrival()]))
+
+    def test_connection_lost_while_a_server_worked(self):
+        lost = attempt(end=records.CLOSED, status=0)
+        self.assert_broken("answered", record([lost], [arrival()]))
+        self.assert_kept("answered", record([lost], []))
+        excuse = Disturbance(8.0, 9.0, records.PROCESS, 0)
+        seen = record([lost], [arrival()], disturbances=[excuse])
+        self.assert_kept("answered", seen)
+        for other in (
+            Disturbance(8.0, 9.0, records.PROCESS, 1),
+            Disturbance(8.0, 9.0, records.STORE, None),
+            Disturbance(2.0, 6.9, records.PROCESS, 0),
+            Disturbance(10.2, 11.0, records.PROCESS, 0),
+        ):
+            seen = record([lost], [arrival()], disturbances=[other])
+            self.assert_broken("answered", seen)
+
+    def test_request_held_too_long(self):
+        held = attempt(ended_at=12.6, status=504)
+        self.assert_broken("in time", record([held]))
+        self.assert_kept("in time", record([attempt(ended_at=12.4)]))
+
+    def test_leaving_server_gets_new_requests(self):
+        leavings = [Leaving(5.0, "s0")]
+        late = [arrival(at=7.5)]
+        seen = record([attempt(at=7.45)], late, leavings=leavings)
+        self.assert_broken("leaving servers", seen)
+        turned_away = [arrival(at=7.5, executed=False, other=True)]
+        seen = record([attempt(at=7.45)], turned_away, leavings=leavings)
+        self.assert_kept("leaving servers", seen)
+        seen = record([attempt(at=7.2)], [arrival(at=7.25)], leavings=leavings)
+        self.assert_kept("leaving servers", seen)
+
+    def test_old_version_in_force(self):
+        acceptances = [Acceptance(0.0, 1), Acceptance(5.0, 2)]
+        old = attempt(version=1, at=7.5)
+        seen = record([old], [arrival()], acceptances=acceptances)
+        self.assert_broken("in force", seen)
+        missing = attempt(version=2, at=7.5, status=404, signature="")
+        seen = record([missing], acceptances=acceptances)
+        self.assert_broken("in force", seen)
+        early = attempt(version=1, at=6.5)
+        seen = record([early], [arrival()], acceptances=acceptances)
+        self.assert_kept("in force", seen)
+
+    def test_version_goes_back_within_a_life(self):
+        steps = [
+            attempt("a", version=2, at=5.0),
+            attempt("b", version=1, at=6.0),
+        ]
+        self.assert_broken("never back", record(steps))
+        steps[1].life = 2
+        self.assert_kept("never back", record(steps))
+
+    def test_too_many_repeats(self):
+        bounds = records.Bounds(retry_extra=2.0, retry_ratio=0.0)
+        sends = [arrival(at=10.0 + n, instance=f"s{n}") for n in range(4)]
+        seen = record([attempt()], sends, bounds=bounds)
+        self.assert_broken("retry budget", seen)
+        self.assert_kept("retry budget", record([attempt()], sends[:3],
+                                                bounds=bounds))  # fmt: skip
+
+    def test_ends_of_processes(self):
+        for one in (
+            Exit(0, 1, None, 5.0, 0),
+            Exit(0, 1, 5.0, 6.0, 1),
+            Exit(0, 1, 5.0, 11.5, 0),
+        ):
+            self.assert_broken("ends", record(exits=[one]))
+        good = Exit(0, 1, 5.0, 9.0, 0)
+        self.assert_kept("ends", record(exits=[good]))
+
+    def test_errors_in_logs(self):
+        self.assert_broken("logs", record(log_errors=["Traceback"]))
+
+    def test_not_served_after_the_last_fault(self):
+        good = [attempt(f"g{n}", at=30.0) for n in range(30)]
+        self.assert_kept("served again", record(good, calm_from=20.0))
+        bad = [attempt(f"b{n}", at=30.0, status=503) for n in range(4)]
+        self.assert_broken("served again", record(good + bad, calm_from=20.0))
+        self.assert_broken("served again", record(good, calm_from=31.0))
--- /dev/null
+++ b/banyantiller/tests/soak/test_links.py
@@ -0,0 +1,93 @@
+"""Tests of the links that disturb connections."""
+
+import asyncio
+
+from banyantiller.tests import base
+from soak.links import Link, Trouble
+
+ADDRESS = "127.0.0.1"
+
+
+class LinkTest(base.TestCase):
+    def play(self, body):
+        """Runs `body(link, seen)` with an echoing server behind the link."""
+
+        async def whole():
+            seen = []
+
+            async def echo(reader, writer):
+                while data := await reader.read(100):
+                    seen.append(data)
+                    writer.write(data)
+                writer.close()
+
+            target = await asyncio.start_server(echo, ADDRESS, 0)
+            port = target.sockets[0].getsockname()[1]
+            link = await Link.to(ADDRESS, port)
+            try:
+                return await body(link, seen)
+            finally:
+                await link.close()
+                target.close()
+
+        return self.run_paused(whole())
+
+    def test_bytes_pass_both_ways(self):
+        async def body(link, seen):
+            reader, writer = await asyncio.open_connection(ADDRESS, link.port)
+            writer.write(b"abc")
+            found = await reader.read(10)
+            writer.close()
+            return found
+
+        self.assertEqual(b"abc", self.play(body))
+
+    def test_delay(self):
+        async def body(link, seen):
+            link.set(Trouble(delay_s=0.2))
+            reader, writer = await asyncio.open_connection(ADDRESS, link.port)
+            began = asyncio.get_running_loop().time()
+            writer.write(b"abc")
+            await reader.read(10)
+            writer.close()
+            return asyncio.get_running_loop().time() - began
+
+        self.assertAlmostEqual(0.4, self.play(body), places=3)
+
+    def test_one_way_is_held_until_it_ends(self):
+        async def body(link, seen):
+            reader, writer = await asyncio.open_connection(ADDRESS, link.port)
+            link.set(Trouble(held_out=True))
+            writer.write(b"abc")
+            await asyncio.sleep(1)
+            arrived = list(seen)
+            waiting = asyncio.ensure_future(reader.read(10))
+            await asyncio.sleep(1)
+            early = waiting.done()
+            link.set(Trouble())
+            found = await waiting
+            writer.close()
+            return arrived, early, found
+
+        self.assertEqual(([b"abc"], False, b"abc"), self.play(body))
+
+    def test_reset_ends_open_connections_and_refused_new_ones(self):
+        async def body(link, seen):
+            reader, writer = await asyncio.open_connection(ADDRESS, link.port)
+            writer.write(b"abc")
+            await reader.read(10)
+            link.reset()
+            first = await _end_of(reader)
+            link.set(Trouble(refused=True))
+            reader, writer = await asyncio.open_connection(ADDRESS, link.port)
+            return first, await _end_of(reader)
+
+        self.assertEqual((b"", b""), self.play(body))
+
+
+async def _end_of(reader):
+    """Reads to the end, which may be a reset."""
+    try:
+        return await reader.read(10)
+    except ConnectionError:
+        return b""
--- /dev/null
+++ b/banyantiller/tests/soak/test_plan.py
@@ -0,0 +1,35 @@
+"""Tests of the plans of the soak."""
+
+from banyantiller.tests import base
+from soak import faults, plan, regressions
+
+SIZES = plan.Sizes()
+
+
+class PlanTest(base.TestCase):
+    def test_a_seed_always_gives_the_same_plan(self):
+        self.assertEqual(plan.draw(5, SIZES), plan.draw(5, SIZES))
+        self.assertNotEqual(
+            plan.draw(5, SIZES).steps, plan.draw(6, SIZES).steps
+        )
+
+    def test_every_kind_can_be_carried_out(self):
+        self.assertEqual(set(plan.KINDS), set(faults.ACTIONS))
+
+    def test_hundred_seeds_have_every_kind_and_choice(self):
+        wanted = {(name, choice) for name, kind in plan.KINDS.items()
+                  for choice in kind.choices}  # fmt: skip
+        drawn = {(step.kind, step.choice) for seed in range(100)
+                 for step in plan.draw(seed, SIZES).steps}  # fmt: skip
+        self.assertEqual(wanted, drawn)
+
+    def test_faults_end_before_the_quiet_end(self):
+        last_s = SIZES.seconds - plan.QUIET_S
+        for seed in range(50):
+            for step in plan.draw(seed, SIZES).steps:
+                self.assertGreaterEqual(step.at_s, plan.FIRST_S)
+                self.assertLessEqual(step.at_s + step.for_s, last_s + 0.001)
+
+    def test_regressions_state_their_cause(self):
+        for one in regressions.REGRESSIONS:
+            self.assertGreater(len(one.cause), 20)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -23,7 +23,7 @@
 
 from bench import fleet_world
 from bench.fleet_processes import Usage
-from standins.demo import processes
+from standins import processes
 
 PAUSE_S = 1.0
 SETTLE_S = 3.0
--- a/bench/fleet_processes.py
+++ b/bench/fleet_processes.py
@@ -8,7 +8,8 @@
 from typing import Any, NamedTuple
 
 from banyantiller.http import client, outcomes
-from standins.demo import files, processes
+from standins import processes
+from standins.demo import files
 
 IN_FORCE_LINE = b"replica: bundle in force."
 ERROR_FIELD = b'"level": "error"'
--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -33,7 +33,8 @@
     Usage,
     resident_mb,
 )
-from standins.demo import files, processes
+from standins import processes
+from standins.demo import files
 
 OPERATORS = ("ana", "ben")
 SERVERS = 10
--- a/bench/load.py
+++ b/bench/load.py
@@ -26,7 +26,7 @@
 from bench.load_callers import Arrival, Kind
 from bench.load_fleet import Fleet, Plan, cores
 from bench.load_scenarios import SCENARIOS, Case
-from standins.demo import processes
+from standins import processes
 
 
 class Defaults(NamedTuple):
--- a/bench/load_fleet.py
+++ b/bench/load_fleet.py
@@ -28,7 +28,8 @@
 from bench.fleet_processes import cpu_seconds
 from bench.load_callers import Gateway
 from bench.load_processes import CALL_S, Daemon, Server
-from standins.demo import files, processes
+from standins import processes
+from standins.demo import files
 
 OPERATORS = ("ana", "ben")
 DRAIN_S = 3.0
--- a/bench/load_processes.py
+++ b/bench/load_processes.py
@@ -10,7 +10,8 @@
 
 from banyantiller.http import client, outcomes
 from bench.load_callers import Gateway
-from standins.demo import files, processes
+from standins import processes
+from standins.demo import files
 
 CALL_S = 5.0
 ALIVE_S = 30.0
--- a/bench/overhead_whole.py
+++ b/bench/overhead_whole.py
@@ -28,7 +28,8 @@
 from banyantiller.store import kubernetes
 from bench import overhead_roles
 from bench.fleet_processes import cpu_seconds
-from standins.demo import files, processes
+from standins import processes
+from standins.demo import files
 
 OPERATORS = ("ana", "ben")
 READY_S = 30.0
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -28,7 +28,7 @@
     slopes_world,
 )
 from bench.slopes_fit import Line, fit, line_data, rounded
-from standins.demo import processes
+from standins import processes
 
 DAEMONS = (2, 8, 14, 28, 56)
 SERVICES = (1, 30, 120)
--- a/bench/slopes_call.py
+++ b/bench/slopes_call.py
@@ -7,7 +7,8 @@
 from bench import slopes_world
 from bench.fleet_processes import Usage
 from bench.slopes_fit import Line, fit
-from standins.demo import files, processes
+from standins import processes
+from standins.demo import files
 
 RATE = 300
 CONNECTIONS = 6
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Random faults around real gateway processes, with checks of the promises."""
--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,285 @@
+"""Whether the promises were kept, from what callers and servers saw."""
+
+import bisect
+import collections
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+from soak import record as records
+from soak.record import Finding, Record
+
+OK = 200
+NOT_FOUND = 404
+# The statuses that say that a request was not executed and won't be.
+NOT_RUN = frozenset({408, 421, 429, 503})
+# How long after a fault's end its effects may last on a kept connection.
+SLACK_S = 0.3
+# Least part of the requests that is served once all faults are over.
+SERVED_AGAIN = 0.9
+LEAST_REQUESTS = 20
+SHOWN_IDS = 5
+
+
+class Promise(NamedTuple):
+    """One check.
+
+    Attributes:
+        name: Name in findings.
+        timed: Whether it depends on how fast this machine is.
+        check: Yields what broke it.
+    """
+
+    name: str
+    timed: bool
+    check: Callable[[Record], Iterator[Finding]]
+
+
+def judge(seen: Record, timed: bool) -> list[Finding]:
+    """Returns what was broken.
+
+    Args:
+        seen: What was seen in a run.
+        timed: Whether promises with a time limit are checked as well.
+    """
+    return [
+        finding
+        for promise in PROMISES
+        if timed or not promise.timed
+        for finding in promise.check(seen)
+    ]
+
+
+def whole_answer(seen: Record) -> Iterator[Finding]:
+    """Yields successes that are not the whole answer to their own request."""
+    executed = {(a.instance, a.request_id) for a in seen.arrivals if a.executed}
+    for attempt in seen.attempts:
+        if attempt.end != records.ANSWERED or attempt.status // 100 != 2:
+            continue
+        instance = attempt.signature.removeprefix("by.")
+        wanted = f"{attempt.request_id} at {instance}".encode()
+        own = (instance, attempt.request_id) in executed
+        if not instance or not own or attempt.body != wanted:
+            text = f"got {attempt.body[:80]!r} signed {attempt.signature!r}"
+            yield Finding("whole answer", text, (attempt.request_id,))
+
+
+def not_run(seen: Record) -> Iterator[Finding]:
+    """Yields requests that were executed though the caller was told not."""
+    executed = {a.request_id for a in seen.arrivals if a.executed}
+    for attempt in seen.attempts:
+        if attempt.status in NOT_RUN and attempt.request_id in executed:
+            text = f"told {attempt.status}, executed all the same"
+            yield Finding("not run", text, (attempt.request_id,))
+
+
+def at_most_once(seen: Record) -> Iterator[Finding]:
+    """Yields requests that were executed more often than they may be."""
+    kinds = {a.request_id: a.kind for a in seen.attempts}
+    counts = collections.Counter(
+        a.request_id for a in seen.arrivals if a.executed
+    )
+    for request_id, count in counts.items():
+        kind = kinds.get(request_id)
+        most = 1 if kind == records.FILE else seen.bounds.most_servers
+        if count > most:
+            text = f"'{kind}' executed {count} times"
+            yield Finding("at most once", text, (request_id,))
+
+
+def nothing_invented(seen: Record) -> Iterator[Finding]:
+    """Yields requests at servers that no caller sent."""
+    sent = {a.request_id for a in seen.attempts}
+    for arrival in seen.arrivals:
+        if arrival.request_id not in sent:
+            text = f"{arrival.instance} got a request that nobody sent"
+            yield Finding("nothing invented", text, (arrival.request_id,))
+
+
+def answered(seen: Record) -> Iterator[Finding]:
+    """Yields requests that reached a server and lost their connection.
+
+    A planned end of the daemon and faults of servers or of the store are no
+    excuse.
+    """
+    arrived = {a.request_id for a in seen.arrivals}
+    excuses = (records.PROCESS, records.CALLER_LINK, records.LAG)
+    for attempt in seen.attempts:
+        lost = attempt.end in (records.CLOSED, records.CUT_SHORT)
+        if not lost or attempt.request_id not in arrived:
+            continue
+        if _calm(seen, attempt.daemon, attempt.sent_at, attempt.ended_at,
+                 excuses):  # fmt: skip
+            text = f"daemon {attempt.daemon} {attempt.end} at work"
+            yield Finding("answered", text, (attempt.request_id,))
+
+
+def in_time(seen: Record) -> Iterator[Finding]:
+    """Yields requests that were held past their limit."""
+    excuses = (records.PROCESS, records.CALLER_LINK, records.LAG)
+    for attempt in seen.attempts:
+        if attempt.end == records.LEFT:
+            continue
+        took_s = attempt.ended_at - attempt.sent_at
+        if took_s <= attempt.limit_s + seen.bounds.late_s:
+            continue
+        if _calm(seen, attempt.daemon, attempt.sent_at, attempt.ended_at,
+                 excuses):  # fmt: skip
+            text = f"daemon {attempt.daemon} held it {took_s:.2f} s"
+            yield Finding("in time", text, (attempt.request_id,))
+
+
+def leaving_servers(seen: Record) -> Iterator[Finding]:
+    """Yields new requests at servers that left long ago."""
+    attempts = {a.request_id: a for a in seen.attempts}
+    left = {leaving.instance: leaving.at for leaving in seen.leavings}
+    excuses = (records.PROCESS, records.STORE, records.STORE_LINK,
+               records.CONTROL_LINK, records.LAG)  # fmt: skip
+    for arrival in seen.arrivals:
+        if arrival.instance not in left or arrival.misdirected:
+            continue
+        since = left[arrival.instance]
+        attempt = attempts.get(arrival.request_id)
+        after_s = arrival.at - since
+        if attempt is None or after_s <= seen.bounds.drain_s + SLACK_S:
+            continue
+        if _calm(seen, attempt.daemon, since, arrival.at, excuses):
+            text = (
+                f"{arrival.instance} got one {after_s:.2f} s after its leaving"
+                f" from daemon {attempt.daemon}"
+            )
+            yield Finding("leaving servers", text, (arrival.request_id,))
+
+
+def in_force(seen: Record) -> Iterator[Finding]:
+    """Yields answers by a version that should no longer be in force."""
+    times = [a.at for a in seen.acceptances]
+    excuses = (records.PROCESS, records.STORE, records.STORE_LINK,
+               records.CONTROL_LINK, records.LAG)  # fmt: skip
+    for attempt in seen.attempts:
+        if not attempt.version or attempt.status not in (OK, NOT_FOUND):
+            continue
+        settled = bisect.bisect(times, attempt.sent_at - seen.bounds.apply_s)
+        latest = bisect.bisect(times, attempt.ended_at)
+        due = seen.acceptances[settled - 1].version if settled else 0
+        possible = {a.version for a in seen.acceptances[settled:latest]} | {due}
+        served = attempt.status == OK
+        wrong = served and attempt.version not in possible
+        wrong |= not served and possible == {attempt.version}
+        if wrong and _calm(seen, attempt.daemon, times[settled - 1],
+                           attempt.ended_at, excuses):  # fmt: skip
+            text = (
+                f"daemon {attempt.daemon} answered {attempt.status} for"
+                f" version {attempt.version} while {sorted(possible)} held"
+            )
+            yield Finding("in force", text, (attempt.request_id,))
+
+
+def never_back(seen: Record) -> Iterator[Finding]:
+    """Yields versions that a process served after a newer one."""
+    newest: dict[tuple[int, int], tuple[int, float]] = {}
+    served = [a for a in seen.attempts if a.version and a.status == OK]
+    for attempt in sorted(served, key=lambda a: a.ended_at):
+        life = (attempt.daemon, attempt.life)
+        version, since = newest.get(life, (0, 0.0))
+        if attempt.version < version and attempt.sent_at > since:
+            text = f"daemon {attempt.daemon}: {attempt.version} after {version}"
+            yield Finding("never back", text, (attempt.request_id,))
+        if attempt.version > version:
+            newest[life] = (attempt.version, attempt.ended_at)
+
+
+def retry_budget(seen: Record) -> Iterator[Finding]:
+    """Yields windows with more repeated sends than the fleet may make."""
+    bounds = seen.bounds
+    first: set[str] = set()
+    repeated = []
+    for arrival in sorted(seen.arrivals):
+        if arrival.request_id in first:
+            repeated.append(arrival.at)
+        first.add(arrival.request_id)
+    sent = sorted(a.sent_at for a in seen.attempts)
+    for index, ends in enumerate(repeated):
+        begins = ends - bounds.window_s
+        count = index + 1 - bisect.bisect_right(repeated, begins)
+        asked = bisect.bisect_right(sent, ends) - bisect.bisect(sent, begins)
+        most = bounds.retry_ratio * asked + bounds.retry_extra
+        if count > most:
+            text = f"{count} repeats in {bounds.window_s:g} s, most {most:.1f}"
+            yield Finding("retry budget", text)
+            return
+
+
+def ends(seen: Record) -> Iterator[Finding]:
+    """Yields processes that ended by themselves or not in good order."""
+    for one in seen.exits:
+        if one.asked_at is None:
+            text = f"daemon {one.daemon} ended by itself with {one.status}"
+            yield Finding("ends", text)
+            continue
+        excuses = (records.PROCESS, records.LAG)
+        if not _calm(seen, one.daemon, one.asked_at, one.at, excuses):
+            continue
+        took_s = one.at - one.asked_at
+        if one.status != 0:
+            text = f"daemon {one.daemon} ended with status {one.status}"
+            yield Finding("ends", text)
+        elif took_s > seen.bounds.grace_s:
+            text = f"daemon {one.daemon} took {took_s:.2f} s to end"
+            yield Finding("ends", text)
+
+
+def logs(seen: Record) -> Iterator[Finding]:
+    """Yields lines that only a fault of the program's own can write."""
+    for line in seen.log_errors:
+        yield Finding("logs", line)
+
+
+def served_again(seen: Record) -> Iterator[Finding]:
+    """Yields a run that is not served once all faults are over."""
+    late = [
+        a
+        for a in seen.attempts
+        if a.sent_at >= seen.calm_from
+        and not a.version
+        and a.end != records.LEFT
+    ]
+    good = sum(a.status == OK for a in late)
+    if len(late) < LEAST_REQUESTS or good < SERVED_AGAIN * len(late):
+        bad = tuple(a.request_id for a in late if a.status != OK)
+        text = f"{good} of {len(late)} served after the last fault"
+        yield Finding("served again", text, bad[:SHOWN_IDS])
+
+
+def _calm(
+    seen: Record,
+    daemon: int,
+    began: float,
+    ended: float,
+    excuses: tuple[str, ...],
+) -> bool:
+    """Tells whether nothing that excuses a daemon came near a time span."""
+    earliest = began - seen.bounds.contact_s
+    return not any(
+        one.what in excuses
+        and one.daemon in (None, daemon)
+        and one.began <= ended
+        and one.ended >= earliest
+        for one in seen.disturbances
+    )
+
+
+PROMISES = (
+    Promise("whole answer", False, whole_answer),
+    Promise("not run", False, not_run),
+    Promise("at most once", False, at_most_once),
+    Promise("nothing invented", False, nothing_invented),
+    Promise("answered", False, answered),
+    Promise("never back", False, never_back),
+    Promise("retry budget", False, retry_budget),
+    Promise("logs", False, logs),
+    Promise("ends", True, ends),
+    Promise("in time", True, in_time),
+    Promise("leaving servers", True, leaving_servers),
+    Promise("in force", True, in_force),
+    Promise("served again", True, served_again),
+)
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,316 @@
+"""Carries out the steps of a plan on the world."""
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+
+from soak import plan as plans
+from soak import record as records
+from soak.links import Link, Trouble
+from soak.world import (
+    HEARTBEATS_MISSED_S,
+    SERVICES,
+    STAYS_S,
+    STORE_CALL_S,
+    Daemon,
+    World,
+)
+from standins import platform_store
+
+# Strongest of what varies with `Step.x`.
+MOST_DELAY_S = 0.3
+MOST_STORE_DELAY_S = 0.8
+MOST_SLOWNESS = 900
+STORM = 5
+STORM_PAUSE_S = 0.15
+# An address is given to another service after this time at the earliest.
+REUSE_S = 2.0
+# How often the soak looks whether it was itself held up, and what it takes
+# for a fault of everything.
+LAG_PERIOD_S = 0.05
+LAG_S = 0.15
+
+Action = Callable[[World, plans.Step], Awaitable[None]]
+
+
+async def play(world: World, steps: tuple[plans.Step, ...]) -> None:
+    """Begins each step at its time and waits for the last one's end."""
+    began = world.loop.time()
+    running = []
+    for step in steps:
+        await asyncio.sleep(began + step.at_s - world.loop.time())
+        running.append(asyncio.ensure_future(ACTIONS[step.kind](world, step)))
+    await asyncio.gather(*running)
+
+
+async def watch_lag(world: World) -> None:
+    """Notes when this process could not keep up, as a fault of everything."""
+    while True:
+        began = world.loop.time()
+        await asyncio.sleep(LAG_PERIOD_S)
+        now = world.loop.time()
+        if now - began > LAG_PERIOD_S + LAG_S:
+            _note(world, began, records.LAG, None)
+
+
+def _note(world: World, began: float, what: str, daemon: int | None) -> None:
+    now = world.loop.time()
+    world.seen.disturbances.append(
+        records.Disturbance(began, now, what, daemon)
+    )
+
+
+def _daemon(world: World, step: plans.Step) -> Daemon:
+    return world.daemons[step.target % len(world.daemons)]
+
+
+# Processes.
+
+
+async def pause_daemon(world: World, step: plans.Step) -> None:
+    """Stops a process for a while; callers and peers see silence."""
+    daemon = _daemon(world, step)
+    began = world.loop.time()
+    if not world.signal(daemon, signal.SIGSTOP):
+        return
+    await asyncio.sleep(step.for_s)
+    world.signal(daemon, signal.SIGCONT)
+    _note(world, began, records.PROCESS, daemon.number)
+
+
+async def kill_daemon(world: World, step: plans.Step) -> None:
+    """Kills a process and starts it again."""
+    await _kill(world, _daemon(world, step), step.for_s)
+
+
+async def kill_all_daemons(world: World, step: plans.Step) -> None:
+    """Kills every process at once."""
+    await asyncio.gather(
+        *(_kill(world, daemon, step.for_s) for daemon in world.daemons)
+    )
+
+
+async def _kill(world: World, daemon: Daemon, for_s: float) -> None:
+    began = world.loop.time()
+    child = daemon.child
+    if child is None or not world.signal(daemon, signal.SIGKILL):
+        return
+    await child.process.wait()
+    await asyncio.sleep(for_s)
+    await world.start_daemon(daemon)
+    _note(world, began, records.PROCESS, daemon.number)
+
+
+async def restart_daemon(world: World, step: plans.Step) -> None:
+    """Tells a process to end, as for a new release, and starts it again.
+
+    It is no disturbance: nothing may be lost by it.
+    """
+    daemon = _daemon(world, step)
+    child = daemon.child
+    if child is None or daemon.asked_at is not None:
+        return
+    daemon.asked_at = world.loop.time()
+    if not world.signal(daemon, signal.SIGTERM):
+        return
+    try:
+        async with asyncio.timeout(world.seen.bounds.grace_s):
+            await child.process.wait()
+    except TimeoutError:
+        _kill_late(world, daemon)
+        await child.process.wait()
+    await asyncio.sleep(step.for_s)
+    await world.start_daemon(daemon)
+
+
+def _kill_late(world: World, daemon: Daemon) -> None:
+    """Kills a process that has not ended in time, and notes that."""
+    assert daemon.asked_at is not None
+    world.seen.exits.append(
+        records.Exit(daemon.number, daemon.life, daemon.asked_at,
+                     world.loop.time(), -signal.SIGKILL)
+    )  # fmt: skip
+    world.signal(daemon, signal.SIGKILL)
+
+
+async def reload_daemon(world: World, step: plans.Step) -> None:
+    """Writes the settings anew and tells the process to read them."""
+    daemon = _daemon(world, step)
+    world.write_settings(daemon)
+    world.signal(daemon, signal.SIGHUP)
+
+
+# Links.
+
+
+async def trouble_callers(world: World, step: plans.Step) -> None:
+    """Disturbs the link on which callers reach a daemon."""
+    daemon = _daemon(world, step)
+    await _trouble(world, step, daemon.callers, records.CALLER_LINK, daemon)
+
+
+async def trouble_store(world: World, step: plans.Step) -> None:
+    """Disturbs the link on which a daemon reaches the store."""
+    daemon = _daemon(world, step)
+    await _trouble(world, step, daemon.store, records.STORE_LINK, daemon)
+
+
+async def trouble_control(world: World, step: plans.Step) -> None:
+    """Disturbs the link on which others reach a daemon; excuses none."""
+    daemon = _daemon(world, step)
+    await _trouble(world, step, daemon.control, records.CONTROL_LINK, daemon)
+
+
+async def trouble_server(world: World, step: plans.Step) -> None:
+    """Disturbs the link on which daemons reach a server; excuses nothing."""
+    link = world.places[step.target % len(world.places)].link
+    await _apply_trouble(link, step)
+
+
+async def _trouble(
+    world: World, step: plans.Step, link: Link, what: str, daemon: Daemon
+) -> None:
+    began = world.loop.time()
+    await _apply_trouble(link, step)
+    _note(world, began, what, daemon.number)
+
+
+async def _apply_trouble(link: Link, step: plans.Step) -> None:
+    if step.choice == "reset":
+        link.reset()
+        return
+    link.set(
+        Trouble(
+            delay_s=MOST_DELAY_S * step.x if step.choice == "delay" else 0.0,
+            held_in=step.choice in ("held_in", "silent"),
+            held_out=step.choice in ("held_out", "silent"),
+            refused=step.choice == "refused",
+        )
+    )
+    await asyncio.sleep(step.for_s)
+    link.set(Trouble())
+
+
+# Servers.
+
+
+async def fail_server(world: World, step: plans.Step) -> None:
+    """Lets a server do something wrong for a while."""
+    server = world.places[step.target % len(world.places)].server
+    if server is None:
+        return
+    if step.choice == "slow":
+        server.slowness = 100 + int(MOST_SLOWNESS * step.x)
+    else:
+        setattr(server.faults, step.choice, True)
+    await asyncio.sleep(step.for_s)
+    server.slowness = 100
+    if step.choice != "slow":
+        setattr(server.faults, step.choice, False)
+
+
+async def crash_server(world: World, step: plans.Step) -> None:
+    """Ends a server without notice; another start takes its place."""
+    number = step.target % len(world.places)
+    place = world.places[number]
+    server, place.server = place.server, None
+    if server is None:
+        return
+    server.stop()
+    world.begin(_remove_later(world, server.instance))
+    await asyncio.sleep(step.for_s)
+    await world.start_server(number)
+
+
+async def _remove_later(world: World, instance: str) -> None:
+    await asyncio.sleep(HEARTBEATS_MISSED_S)
+    world.store.remove("servers", instance)
+
+
+async def server_leaves(world: World, step: plans.Step) -> None:
+    """Takes a server away in good order, or without telling beforehand."""
+    number = step.target % len(world.places)
+    place = world.places[number]
+    server = place.server
+    if server is None:
+        return
+    if step.choice == "told":
+        world.register(place, "draining")
+    else:
+        world.store.remove("servers", server.instance)
+    world.seen.leavings.append(
+        records.Leaving(world.loop.time(), server.instance)
+    )
+    place.server = None
+    await asyncio.sleep(STAYS_S)
+    server.stop()
+    world.store.remove("servers", server.instance)
+    await world.start_server(number)
+
+
+async def reuse_address(world: World, step: plans.Step) -> None:
+    """Ends a server and gives its address to one of another service."""
+    number = step.target % len(world.places)
+    place = world.places[number]
+    server, place.server = place.server, None
+    if server is None:
+        return
+    server.stop()
+    world.begin(_remove_later(world, server.instance))
+    await asyncio.sleep(REUSE_S)
+    others = [name for name in SERVICES if name != place.service]
+    place.service = others[0]
+    await world.start_server(number)
+
+
+# The store.
+
+
+async def fail_store(world: World, step: plans.Step) -> None:
+    """Lets the store fail for all daemons."""
+    began = world.loop.time()
+    faults = world.store.faults
+    if step.choice == "slow":
+        faults.slow = STORE_CALL_S + MOST_STORE_DELAY_S * step.x
+    else:
+        setattr(faults, step.choice, True)
+    await asyncio.sleep(step.for_s)
+    fresh = platform_store.Faults()
+    setattr(faults, step.choice, getattr(fresh, step.choice))
+    _note(world, began, records.STORE, None)
+
+
+async def forget_history(world: World, step: plans.Step) -> None:
+    """Lets the store drop its history."""
+    del step
+    began = world.loop.time()
+    world.store.forget()
+    _note(world, began, records.STORE, None)
+
+
+async def change_document(world: World, step: plans.Step) -> None:
+    """Puts one new version in force, or several in quick succession."""
+    count = STORM if step.choice == "storm" else 1
+    for _ in range(count):
+        world.accept_document()
+        await asyncio.sleep(STORM_PAUSE_S)
+
+
+ACTIONS: dict[str, Action] = {
+    "pause daemon": pause_daemon,
+    "kill daemon": kill_daemon,
+    "kill all daemons": kill_all_daemons,
+    "restart daemon": restart_daemon,
+    "reload daemon": reload_daemon,
+    "caller link": trouble_callers,
+    "store link": trouble_store,
+    "control link": trouble_control,
+    "server link": trouble_server,
+    "server fault": fail_server,
+    "server crash": crash_server,
+    "server leaves": server_leaves,
+    "server address reused": reuse_address,
+    "store": fail_store,
+    "store forgets": forget_history,
+    "document": change_document,
+}
--- /dev/null
+++ b/soak/links.py
@@ -0,0 +1,150 @@
+"""A relay on the loopback address that treats connections badly on demand."""
+
+import asyncio
+import dataclasses
+import socket
+import struct
+
+BLOCK_BYTES = 65536
+# With this option a closed connection is reset at the other side.
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+
+
+@dataclasses.dataclass
+class Trouble:
+    """What a link does to the connections that pass through it.
+
+    Attributes:
+        delay_s: How much later bytes arrive, in seconds.
+        held_in: Whether bytes towards the target wait until this ends.
+        held_out: Whether bytes from the target wait until this ends.
+        refused: Whether new connections are reset.
+    """
+
+    delay_s: float = 0.0
+    held_in: bool = False
+    held_out: bool = False
+    refused: bool = False
+
+
+class Link:
+    """Takes connections on a port of its own and passes them on.
+
+    Attributes:
+        port: Port on which it listens.
+        target: Port to which connections go, or 0 for none.
+        trouble: What it does to them.
+        changed: Set when the trouble changes; replaced after it.
+        tasks: Connections that pass through it.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.port = 0
+        self.target = 0
+        self.trouble = Trouble()
+        self.changed = asyncio.Event()
+        self.server: asyncio.Server | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    @classmethod
+    async def to(cls, address: str, target: int) -> "Link":
+        """Returns a link to a port, listening."""
+        link = cls(address)
+        link.target = target
+        link.server = await asyncio.start_server(link._serve, address, 0)
+        link.port = link.server.sockets[0].getsockname()[1]
+        return link
+
+    def set(self, trouble: Trouble) -> None:
+        """Begins or ends trouble."""
+        self.trouble = trouble
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def reset(self) -> None:
+        """Resets all connections."""
+        for task in list(self.tasks):
+            task.cancel()
+
+    async def close(self) -> None:
+        """Stops listening and resets all connections."""
+        if self.server is not None:
+            self.server.close()
+        self.reset()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        self.tasks.add(task)
+        far = None
+        try:
+            if self.trouble.refused or not self.target:
+                _reset(writer)
+                return
+            far_reader, far = await asyncio.open_connection(
+                self.address, self.target
+            )
+            await self._relay(reader, writer, far_reader, far)
+        except (OSError, asyncio.CancelledError):
+            _reset(writer)
+            if far is not None:
+                _reset(far)
+        finally:
+            self.tasks.discard(task)
+            writer.transport.abort()
+            if far is not None:
+                far.transport.abort()
+
+    async def _relay(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        far_reader: asyncio.StreamReader,
+        far: asyncio.StreamWriter,
+    ) -> None:
+        """Passes bytes both ways until one side is gone."""
+        inward = asyncio.ensure_future(self._pump(reader, far, True))
+        outward = asyncio.ensure_future(self._pump(far_reader, writer, False))
+        both = {inward, outward}
+        try:
+            await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
+            # What was sent before the end still arrives, as the bytes of a
+            # closed connection do.
+            if outward.done() and not outward.exception():
+                await _flush(writer)
+        finally:
+            for task in both:
+                task.cancel()
+            await asyncio.gather(*both, return_exceptions=True)
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        inward: bool,
+    ) -> None:
+        while data := await reader.read(BLOCK_BYTES):
+            await asyncio.sleep(self.trouble.delay_s)
+            while self._is_held(inward):
+                await self.changed.wait()
+            writer.write(data)
+            await writer.drain()
+
+    def _is_held(self, inward: bool) -> bool:
+        return self.trouble.held_in if inward else self.trouble.held_out
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Lets the closing of a connection reset it."""
+    found = writer.get_extra_info("socket")
+    if found is not None and not writer.transport.is_closing():
+        found.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+
+
+async def _flush(writer: asyncio.StreamWriter) -> None:
+    """Lets a connection's last bytes out and closes it in order."""
+    writer.close()
+    await writer.wait_closed()
--- /dev/null
+++ b/soak/plan.py
@@ -0,0 +1,130 @@
+"""The faults of a run, drawn from its seed before it starts."""
+
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+# Nothing happens before callers are served.
+FIRST_S = 1.0
+# Quiet end of a run, in which the system must serve again.
+QUIET_S = 6.0
+# Mean time between two steps, in seconds.
+STEP_S = 0.7
+# Share of the steps that begin together with the one before.
+TOGETHER = 0.2
+
+
+class Sizes(NamedTuple):
+    """How large a run is.
+
+    Attributes:
+        daemons: Gateway processes.
+        servers: Servers of each service.
+        callers: Callers that keep connections open.
+        seconds: Length, in seconds.
+    """
+
+    daemons: int = 4
+    servers: int = 4
+    callers: int = 12
+    seconds: float = 24.0
+
+
+class Step(NamedTuple):
+    """One fault or planned change.
+
+    Attributes:
+        at_s: When it begins, in seconds from the start.
+        for_s: How long it lasts; 0 for an event.
+        kind: Name in `KINDS`.
+        target: Number of the daemon or server, for kinds that have one.
+        x: How strong it is, from 0 to 1.
+        choice: Which variant, for kinds that have several.
+    """
+
+    at_s: float
+    for_s: float
+    kind: str
+    target: int
+    x: float
+    choice: str
+
+
+class Kind(NamedTuple):
+    """How steps of a kind are drawn.
+
+    Attributes:
+        weight: How often, relative to the others.
+        longest_s: Longest duration; 0 for an event.
+        choices: Variants.
+    """
+
+    weight: float
+    longest_s: float = 0.0
+    choices: tuple[str, ...] = ("",)
+
+
+class Plan(NamedTuple):
+    """All steps of a run in order."""
+
+    seed: int
+    sizes: Sizes
+    steps: tuple[Step, ...]
+
+
+LINK_TROUBLES = ("delay", "reset", "held_in", "held_out", "silent", "refused")
+SERVER_FAULTS = (
+    "silent", "mute", "lose", "reset", "cut", "twice", "shed", "fail",
+    "unsigned", "ill", "unframed", "other_id", "slow",
+)  # fmt: skip
+STORE_FAULTS = ("down", "busy", "silent", "reset", "slow", "lost")
+
+KINDS = {
+    "pause daemon": Kind(2, 3.0),
+    "kill daemon": Kind(2, 2.0),
+    "kill all daemons": Kind(0.3, 1.0),
+    "restart daemon": Kind(3, 1.0),
+    "reload daemon": Kind(1),
+    "caller link": Kind(2, 3.0, LINK_TROUBLES),
+    "store link": Kind(2, 4.0, LINK_TROUBLES),
+    "control link": Kind(2, 4.0, LINK_TROUBLES),
+    "server link": Kind(3, 3.0, LINK_TROUBLES),
+    "server fault": Kind(5, 4.0, SERVER_FAULTS),
+    "server crash": Kind(2, 2.0),
+    "server leaves": Kind(3, 0.0, ("told", "untold")),
+    "server address reused": Kind(1),
+    "store": Kind(2, 4.0, STORE_FAULTS),
+    "store forgets": Kind(1),
+    "document": Kind(3, 0.0, ("one", "storm")),
+}
+
+
+def draw(seed: int, sizes: Sizes) -> Plan:
+    """Returns the steps that belong to a seed."""
+    rng = random.Random(seed)
+    last_s = sizes.seconds - QUIET_S
+    steps = []
+    at_s = FIRST_S
+    while True:
+        if not steps or rng.random() >= TOGETHER:
+            at_s += rng.expovariate(1 / STEP_S)
+        if at_s >= last_s:
+            return Plan(seed, sizes, tuple(steps))
+        steps.append(_step(rng, at_s, last_s, sizes))
+
+
+def _step(rng: random.Random, at_s: float, last_s: float, sizes: Sizes) -> Step:
+    names = sorted(KINDS)
+    weights = [KINDS[name].weight for name in names]
+    name = rng.choices(names, weights)[0]
+    kind = KINDS[name]
+    pick: Callable[[int], int] = rng.randrange
+    most = 2 * sizes.servers if name.startswith("server") else sizes.daemons
+    return Step(
+        at_s=round(at_s, 3),
+        for_s=round(min(rng.random() * kind.longest_s, last_s - at_s), 3),
+        kind=name,
+        target=pick(most),
+        x=round(rng.random(), 3),
+        choice=rng.choice(kind.choices),
+    )
--- /dev/null
+++ b/soak/record.py
@@ -0,0 +1,174 @@
+"""What callers, servers and the run itself saw, as the checks read it."""
+
+import dataclasses
+from typing import NamedTuple
+
+READ = "read"
+FILE = "file"
+# How an attempt ended at its caller.
+ANSWERED = "answered"
+CLOSED = "closed"
+CUT_SHORT = "cut short"
+LEFT = "left"
+UNANSWERED = "unanswered"
+# What was disturbed.
+PROCESS = "process"
+CALLER_LINK = "caller link"
+STORE_LINK = "store link"
+CONTROL_LINK = "control link"
+STORE = "store"
+LAG = "lag of the soak itself"
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One request as its caller saw it; times are loop times in seconds.
+
+    Attributes:
+        request_id: Its identity.
+        kind: `READ` may be executed again, `FILE` must not.
+        version: Version of the document that has its route; 0 for all.
+        daemon: Number of the daemon that it was sent to.
+        life: How often that daemon had been started.
+        sent_at: When it was sent.
+        limit_s: Time after which it must have been answered.
+        status: Status of the answer, or 0.
+        body: Body of the answer.
+        signature: Mark of the server on the answer, or empty.
+        ended_at: When it ended.
+        end: How it ended.
+    """
+
+    request_id: str
+    kind: str
+    version: int
+    daemon: int
+    life: int
+    sent_at: float
+    limit_s: float
+    status: int = 0
+    body: bytes = b""
+    signature: str = ""
+    ended_at: float = 0.0
+    end: str = UNANSWERED
+
+
+class Arrival(NamedTuple):
+    """A request that reached a server.
+
+    Attributes:
+        at: Loop time.
+        request_id: Identity of the request.
+        instance: Identity of the server's start.
+        executed: Whether the server began to work on it.
+        misdirected: Whether it was meant for another instance.
+    """
+
+    at: float
+    request_id: str
+    instance: str
+    executed: bool
+    misdirected: bool
+
+
+class Disturbance(NamedTuple):
+    """A fault as far as it excuses a late action.
+
+    Attributes:
+        began: Loop time of its begin.
+        ended: Loop time of its end.
+        what: What was disturbed.
+        daemon: Number of the daemon, or None for all.
+    """
+
+    began: float
+    ended: float
+    what: str
+    daemon: int | None
+
+
+class Leaving(NamedTuple):
+    """A server whose leaving the store acknowledged."""
+
+    at: float
+    instance: str
+
+
+class Acceptance(NamedTuple):
+    """A version of the document that the store acknowledged."""
+
+    at: float
+    version: int
+
+
+class Exit(NamedTuple):
+    """The end of a daemon's process.
+
+    Attributes:
+        daemon: Number of the daemon.
+        life: How often it had been started.
+        asked_at: Loop time of the SIGTERM, or None if it was not told to end.
+        at: Loop time of its end.
+        status: Exit status.
+    """
+
+    daemon: int
+    life: int
+    asked_at: float | None
+    at: float
+    status: int
+
+
+class Bounds(NamedTuple):
+    """What was promised; times in seconds.
+
+    Attributes:
+        contact_s: Time without a fault after which time limits hold again.
+        drain_s: Longest time that a leaving server gets new requests.
+        grace_s: Longest time from SIGTERM to the process's end.
+        apply_s: Longest time from acceptance until a version is in force.
+        late_s: Longest time past its limit that a request may be held.
+        retry_ratio: Repeated sends for each request.
+        retry_extra: Repeated sends in a window besides.
+        window_s: Window of repeated sends.
+        most_servers: Most servers that may execute one request.
+    """
+
+    contact_s: float = 3.0
+    drain_s: float = 2.0
+    grace_s: float = 6.0
+    apply_s: float = 2.0
+    late_s: float = 0.5
+    retry_ratio: float = 0.2
+    retry_extra: float = 24.0
+    window_s: float = 10.0
+    most_servers: int = 2
+
+
+@dataclasses.dataclass
+class Record:
+    """Everything that was seen in one run."""
+
+    bounds: Bounds = dataclasses.field(default_factory=Bounds)
+    attempts: list[Attempt] = dataclasses.field(default_factory=list)
+    arrivals: list[Arrival] = dataclasses.field(default_factory=list)
+    disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
+    leavings: list[Leaving] = dataclasses.field(default_factory=list)
+    acceptances: list[Acceptance] = dataclasses.field(default_factory=list)
+    exits: list[Exit] = dataclasses.field(default_factory=list)
+    log_errors: list[str] = dataclasses.field(default_factory=list)
+    calm_from: float = 0.0
+
+
+class Finding(NamedTuple):
+    """A promise that was not kept.
+
+    Attributes:
+        promise: Its name.
+        text: What was seen.
+        ids: Requests that show it.
+    """
+
+    promise: str
+    text: str
+    ids: tuple[str, ...] = ()
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,364 @@
+"""Everything that runs: daemons as processes, servers, store, links."""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import signal
+import sys
+
+from banyantiller.http import client, outcomes, server
+from soak import plan as plans
+from soak import record as records
+from soak.links import Link
+from standins import platform_store, processes, registered_server, runner
+
+HOST = "desk.example"
+SERVICES = ("desk", "archive")
+ZONES = ("zone-a", "zone-b")
+SLOTS = 4
+WORK_S = 0.02
+TIMEOUT_S = 2.0
+OBJECTIVE_S = 0.4
+# Registrations of a dead server are removed after three missed heartbeats.
+HEARTBEATS_MISSED_S = 4.5
+# How long a server goes on serving after it has told that it leaves.
+STAYS_S = 3.0
+SEEDS = 3
+# The platform asks once a second and acts on two misses.
+READY_PERIOD_S = 1.0
+READY_MISSES = 2
+STORE_CALL_S = 0.004
+# An error in the log that is no fault of the program.
+EXPECTED_ERRORS = ("document is unreadable", "registration is unreadable")
+
+
+class Daemon:
+    """One gateway and the links around it.
+
+    Attributes:
+        number: Its number.
+        callers: Link on which callers reach it.
+        store: Link on which it reaches the store.
+        control: Link on which other daemons reach it.
+        child: Its process, or None while it is down.
+        life: How often it was started.
+        asked_at: Loop time of the order to end, or None.
+        misses: Questions for readiness without a good answer, in a row.
+        watcher: Waits for the end of the process.
+    """
+
+    def __init__(self, number: int, ports: list[int]) -> None:
+        self.number = number
+        self.callers_port, self.ready_port, self.control_port = ports
+        self.callers: Link
+        self.store: Link
+        self.control: Link
+        self.child: processes.Child | None = None
+        self.life = 0
+        self.asked_at: float | None = None
+        self.misses = READY_MISSES
+        self.watcher: asyncio.Task[None] | None = None
+
+    @property
+    def in_rotation(self) -> bool:
+        """Whether callers are sent to it."""
+        return self.misses < READY_MISSES
+
+
+class Place:
+    """A registered server and the link on which daemons reach it.
+
+    Attributes:
+        service: Its service.
+        server: The running server, or None.
+    """
+
+    def __init__(self, service: str, link: Link) -> None:
+        self.service = service
+        self.link = link
+        self.server: registered_server.RegisteredServer | None = None
+
+
+class World:
+    """The system of one run.
+
+    Attributes:
+        seen: What the checks read.
+        store: Stand-in of the platform's store.
+        daemons: Gateways.
+        places: Servers that callers' requests reach.
+        all_servers: Every start of a server.
+        version: Newest version of the document.
+        tasks: Work that goes on by itself.
+        all_ready: Set once every daemon was ready at the same time.
+    """
+
+    def __init__(self, folder: pathlib.Path, sizes: plans.Sizes) -> None:
+        self.folder = folder
+        self.sizes = sizes
+        self.loop = asyncio.get_running_loop()
+        self.seen = records.Record()
+        self.store = platform_store.PlatformStore()
+        self.http = server.HttpServer(self.store.handle, runner.LIMITS)
+        self.children = processes.Children(folder)
+        self.daemons: list[Daemon] = []
+        self.places: list[Place] = []
+        self.all_servers: list[registered_server.RegisteredServer] = []
+        self.version = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.all_ready = asyncio.Event()
+
+    async def start(self) -> None:
+        """Starts everything and returns once every daemon is ready."""
+        bound = await self.http.start(runner.ADDRESS, 0)
+        self.accept_document()
+        for number in range(2 * self.sizes.servers):
+            link = await Link.to(runner.ADDRESS, 0)
+            service = SERVICES[number % len(SERVICES)]
+            self.places.append(Place(service, link))
+            await self.start_server(number)
+        ports = processes.free_ports(3 * self.sizes.daemons)
+        for number in range(self.sizes.daemons):
+            daemon = Daemon(number, ports[3 * number : 3 * number + 3])
+            daemon.callers = await Link.to(runner.ADDRESS, daemon.callers_port)
+            daemon.control = await Link.to(runner.ADDRESS, daemon.control_port)
+            daemon.store = await Link.to(runner.ADDRESS, bound.port)
+            self.daemons.append(daemon)
+        await asyncio.gather(*(self.start_daemon(d) for d in self.daemons))
+        self.begin(self._follow_readiness())
+        async with asyncio.timeout(processes.START_S):
+            await self.all_ready.wait()
+
+    async def close(self) -> None:
+        """Ends everything that was started."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for daemon in self.daemons:
+            if daemon.watcher is not None:
+                daemon.watcher.cancel()
+            self.signal(daemon, signal.SIGCONT)
+        await self.children.end_all()
+        for one in self.all_servers:
+            one.stop()
+        for place in self.places:
+            await place.link.close()
+        for daemon in self.daemons:
+            for link in (daemon.callers, daemon.store, daemon.control):
+                await link.close()
+        await self.http.close()
+
+    def begin(self, work) -> None:
+        """Lets work go on by itself; an error of it ends the run."""
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.loop.call_exception_handler(
+                {
+                    "message": "soak: a task failed",
+                    "exception": task.exception(),
+                }
+            )
+
+    # The document and the registrations.
+
+    def accept_document(self) -> None:
+        """Puts the next version in force; it has a route of its own."""
+        self.version += 1
+        routes = [
+            _route("read", "safe", "/read/", "desk"),
+            _route("file", "unsafe", "/file/", "desk"),
+            _route("look", "safe", "/look/", "archive"),
+            _route("new", "safe", f"/version-{self.version}/", "desk"),
+        ]
+        services = [
+            {"name": name, "healthPath": "/health", "maxConns": 220}
+            for name in SERVICES
+        ]
+        limits = {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 100000,
+            "headerTimeoutS": 3,
+            "idleTimeoutS": 15,
+        }
+        content = {"version": self.version, "routes": routes,
+                   "services": services, "limits": limits}  # fmt: skip
+        self.store.put("config", "main", content)
+        self.seen.acceptances.append(
+            records.Acceptance(self.loop.time(), self.version)
+        )
+
+    async def start_server(self, number: int) -> None:
+        """Starts a server at a place and registers it."""
+        place = self.places[number]
+        instance = f"{place.service}-{number}-{len(self.all_servers)}"
+        one = registered_server.RegisteredServer(instance, SLOTS, WORK_S)
+        await one.start(runner.ADDRESS)
+        place.server = one
+        place.link.target = one.port
+        self.all_servers.append(one)
+        self.register(place, "ready")
+
+    def register(self, place: Place, state: str) -> None:
+        """Writes the registration of a place's server."""
+        assert place.server is not None
+        self.store.put(
+            "servers",
+            place.server.instance,
+            {
+                "service": place.service,
+                "address": f"{runner.ADDRESS}:{place.link.port}",
+                "zone": ZONES[0],
+                "maxConcurrency": SLOTS,
+                "state": state,
+                "warmupLeftS": 0,
+            },
+        )
+
+    # The daemons.
+
+    async def start_daemon(self, daemon: Daemon) -> None:
+        """Starts a daemon's process; nothing if it is up."""
+        if daemon.child is not None:
+            return
+        daemon.life += 1
+        daemon.asked_at = None
+        name = f"gateway-{daemon.number}"
+        path = self.write_settings(daemon)
+        daemon.child = await self.children.start(
+            f"{name}-{daemon.life}",
+            sys.executable,
+            "-m",
+            "banyantiller.gateway",
+            str(path),
+            read=False,
+        )
+        daemon.watcher = asyncio.ensure_future(self._watch(daemon))
+
+    def write_settings(self, daemon: Daemon) -> pathlib.Path:
+        """Writes a daemon's settings file and returns its path."""
+        address = runner.ADDRESS
+        # A daemon knows itself among the seeds by its own address.
+        seeds = [
+            one.control_port if one is daemon else one.control.port
+            for one in self.daemons[:SEEDS]
+        ]
+        content = {
+            "daemon": f"gateway-{daemon.number}",
+            "zone": ZONES[daemon.number % len(ZONES)],
+            "callers": f"{address}:{daemon.callers_port}",
+            "ready": f"{address}:{daemon.ready_port}",
+            "store": f"{address}:{daemon.store.port}",
+            "control": f"{address}:{daemon.control_port}",
+            "seeds": [f"{address}:{port}" for port in seeds],
+            "drain_s": self.seen.bounds.grace_s,
+            "retry_ratio": self.seen.bounds.retry_ratio,
+            "retry_extra": self.seen.bounds.retry_extra,
+            "retry_window_s": self.seen.bounds.window_s,
+            "metrics_port": 0,
+        }
+        path = self.folder / f"gateway-{daemon.number}.yaml"
+        path.write_text(json.dumps(content))
+        return path
+
+    def signal(self, daemon: Daemon, number: signal.Signals) -> bool:
+        """Sends a signal to a daemon's process; False if it is down."""
+        child = daemon.child
+        if child is None or child.process.returncode is not None:
+            return False
+        child.process.send_signal(number)
+        return True
+
+    async def _watch(self, daemon: Daemon) -> None:
+        """Notes the end of a daemon's process."""
+        child = daemon.child
+        assert child is not None
+        life = daemon.life
+        status = await child.process.wait()
+        now = self.loop.time()
+        daemon.child = None
+        if status != -signal.SIGKILL:
+            self.seen.exits.append(
+                records.Exit(daemon.number, life, daemon.asked_at, now, status)
+            )
+
+    async def _follow_readiness(self) -> None:
+        """Does what the platform's balancer does."""
+        users = [
+            client.HttpClient(runner.ADDRESS, daemon.ready_port)
+            for daemon in self.daemons
+        ]
+        try:
+            while True:
+                ready = await asyncio.gather(*(_is_ready(u) for u in users))
+                for daemon, good in zip(self.daemons, ready, strict=True):
+                    daemon.misses = 0 if good else daemon.misses + 1
+                if all(ready):
+                    self.all_ready.set()
+                await asyncio.sleep(READY_PERIOD_S)
+        finally:
+            for user in users:
+                with contextlib.suppress(OSError):
+                    await user.close()
+
+    # After the run.
+
+    def collect(self) -> records.Record:
+        """Returns what was seen, with what servers and logs tell."""
+        for attempt in self.seen.attempts:
+            if not attempt.ended_at:
+                # Its caller was stopped with the run.
+                attempt.end = records.LEFT
+                attempt.ended_at = self.loop.time()
+        for one in self.all_servers:
+            self.seen.arrivals.extend(
+                records.Arrival(
+                    arrival.at,
+                    arrival.request_id,
+                    one.instance,
+                    arrival.refusal == 0,
+                    arrival.refusal == 421,
+                )
+                for arrival in one.arrivals
+            )
+        for child in self.children.running:
+            self.seen.log_errors.extend(_errors_of(child))
+        return self.seen
+
+
+async def _is_ready(user: client.HttpClient) -> bool:
+    found = await user.request("GET", "/api/readiness", READY_PERIOD_S)
+    return isinstance(found, outcomes.Answered) and found.response.status == 200
+
+
+def _errors_of(child: processes.Child) -> list[str]:
+    """Returns the lines of a log that tell of a fault of the program."""
+    lines = child.log.read_text(errors="replace").splitlines()
+    return [
+        f"{child.name}: {line[:400]}"
+        for line in lines
+        if ('"level": "error"' in line or '"level":"error"' in line
+            or line.startswith("Traceback"))
+        and not any(text in line for text in EXPECTED_ERRORS)
+    ]  # fmt: skip
+
+
+def _route(
+    name: str, kind: str, prefix: str, service: str
+) -> dict[str, object]:
+    return {
+        "name": name,
+        "hostname": HOST,
+        "pathPrefix": prefix,
+        "routeType": kind,
+        "timeoutS": TIMEOUT_S,
+        "targetLatencyS": OBJECTIVE_S,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2,
+    }
--- a/standins/demo/fleet.py
+++ b/standins/demo/fleet.py
@@ -8,7 +8,8 @@
 from typing import Any
 
 from banyantiller.http import client, outcomes
-from standins.demo import files, gateway, processes
+from standins import processes
+from standins.demo import files, gateway
 
 SERVERS = 3
 DAEMONS = 2
--- a/standins/demo/gateways.py
+++ b/standins/demo/gateways.py
@@ -16,8 +16,8 @@
 import h11
 
 from banyantiller.http import server
-from standins import platform_store, registered_server, runner
-from standins.demo import processes, running
+from standins import platform_store, processes, registered_server, runner
+from standins.demo import running
 
 HOST = "desk.example"
 CALLS = 600
--- a/standins/demo/running.py
+++ b/standins/demo/running.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
-from standins.demo import processes
+from standins import processes
 
 T = TypeVar("T")
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -32,6 +32,8 @@
         busy: Calls get 429.
         silent: Calls get no answer.
         reset: Connections are cut.
+        lost: Calls are carried out and their answers lost; the connection
+            stays open and returns nothing further.
         slow: Seconds that a call takes.
         page: Most items of a page.
     """
@@ -40,6 +42,7 @@
     busy: bool = False
     silent: bool = False
     reset: bool = False
+    lost: bool = False
     slow: float = 0.004
     page: int = PAGE_ITEMS
 
@@ -113,8 +116,12 @@
         if request.method != "GET" or "/" in kind:
             return answers.to_json(404, {"error": "not in the stand-in"})
         if "watch" in request.query:
-            return await self._watch(kind, request.query)
-        return self._list(kind, request.query.get("after", ""))
+            answer = await self._watch(kind, request.query)
+        else:
+            answer = self._list(kind, request.query.get("after", ""))
+        if self.faults.lost:
+            await asyncio.sleep(FOREVER_S)
+        return answer
 
     def _list(self, kind: str, after: str) -> messages.Response:
         names = sorted(n for n in self.objects.get(kind, {}) if n > after)
--- a/standins/demo/processes.py
+++ b/standins/processes.py
@@ -1,4 +1,4 @@
-"""Child processes of the demonstration, each ended at its end."""
+"""Child processes of a demonstration or a soak, each ended at its end."""
 
 import asyncio
 import json
--- a/standins/registered_server.py
+++ b/standins/registered_server.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import dataclasses
+from typing import NamedTuple
 
 import h11
 
@@ -47,6 +48,20 @@
     other_id: bool = False
 
 
+class Arrival(NamedTuple):
+    """A request that reached the server.
+
+    Attributes:
+        at: Loop time.
+        request_id: Its identity.
+        refusal: Status with which it was turned away, or 0.
+    """
+
+    at: float
+    request_id: str
+    refusal: int
+
+
 class RegisteredServer:
     """One start of a server.
 
@@ -60,6 +75,7 @@
         faults: What it does wrong.
         ran: Identities of the requests that it executed.
         seen: Heads of the requests that reached it, health left out.
+        arrivals: The same requests with time and outcome.
         asked: Questions for its health.
         freed: Set when a slot gets free.
         dropped: Requests whose connection was closed while they ran.
@@ -76,6 +92,7 @@
         self.faults = Faults()
         self.ran: collections.Counter[str] = collections.Counter()
         self.seen: list[dict[str, str]] = []
+        self.arrivals: list[Arrival] = []
         self.bodies: list[bytes] = []
         self.asked = 0
         self.dropped = 0
@@ -134,6 +151,9 @@
         self.bodies.append(body)
         own = {"attempt-id": fields.get("attempt-id", "")}
         refusal = self._refusal(fields)
+        now = asyncio.get_running_loop().time()
+        status = refusal[0] if refusal else 0
+        self.arrivals.append(Arrival(now, own["attempt-id"], status))
         if refusal:
             writer.write(self._answer(codec, refusal[0], own | refusal[1], b""))
             return True
