Let a draining daemon wait for calls that came after it was empty

'Empty' was remembered from the first moment without connections during the time in which new ones are still taken.

Ruled out: the 0.8 s reserve (5.2 s were left), the kill by the platform (the log has 'ended, cut 1' 3.0 s after the order), faults of the server (none ran).

Change: whether the daemon is empty is decided anew once it stopped listening, and 20 ms are left for connections that were accepted just before.

--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -41,6 +41,8 @@
 # After an order to end: how long new connections and requests are taken, so
 # that the platform, which asks once a second and acts on two misses, sees it.
 LISTEN_ON_S = 3.0
+# Connections that were accepted before listening ended are seen by then.
+ACCEPTED_S = 0.02
 # Part of the time to end that is kept for closing and for the interpreter's
 # end, which takes 0.1 s of processor time.
 RESERVE_S = 0.8
@@ -131,8 +133,11 @@
         await asyncio.sleep(min(LISTEN_ON_S, limit_s / 2))
         if self.listener is not None:
             self.listener.close()
+        await asyncio.sleep(ACCEPTED_S)
         for connection in list(self.connections):
             connection.drain()
+        # It may have been empty for a moment before.
+        self.emptied.clear()
         self._note_emptied()
         try:
             async with asyncio.timeout_at(ends):
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -19,4 +19,13 @@
     cause: str
 
 
-REGRESSIONS: tuple[Regression, ...] = ()
+SIZES = plans.Sizes()
+
+REGRESSIONS: tuple[Regression, ...] = (
+    Regression(
+        7,
+        SIZES,
+        "A draining daemon whose connections had all closed once ended while a"
+        " call on a later connection was at work. Mended.",
+    ),
+)
