--- a/banyantiller/commands/explain.py
+++ b/banyantiller/commands/explain.py
@@ -4,13 +4,18 @@
 from collections.abc import Iterator
 
 from banyantiller import exceptions
-from banyantiller.commands import output
+from banyantiller.commands import explain_page, output
 from banyantiller.explain import reading, story
 
 NOT_KNOWN_STATUS = 10
 
 
-def explain(id: str, *files: str, json: bool = False) -> int:  # noqa: A002
+def explain(
+    id: str,  # noqa: A002
+    *files: str,
+    html_file: str = "",
+    json: bool = False,
+) -> int:
     """Tells what became of a request.
 
     Give the logs of all daemons; a request that was refused comes back under
@@ -22,6 +27,8 @@
     Args:
         id: Identity of the request, as the caller sent it.
         files: Log files; standard input if none are given.
+        html_file: Also write a page with a timeline to this path; needs the
+            optional extra `report`.
         json: Print JSON for programs.
     """
     logs = reading.read(_lines(files))
@@ -33,6 +40,8 @@
         "unknown": found.unknown,
         "lines": [line.fields for line in found.lines],
     }
+    if html_file:
+        output.write_file(html_file, explain_page.build(id, found))
     output.emit(json, data, _text(found))
     ended = any(line.event == story.ENDED for line in found.lines)
     return 0 if ended else NOT_KNOWN_STATUS
--- a/banyantiller/commands/output.py
+++ b/banyantiller/commands/output.py
@@ -30,6 +30,21 @@
         print(line, file=sys.stderr, flush=True)
 
 
+def write_file(path: str, text: str) -> None:
+    """Writes a file.
+
+    Raises:
+        BanyantillerError: It can't be written.
+    """
+    try:
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(text)
+    except OSError as error:
+        raise exceptions.BanyantillerError(
+            f"'{path}' can't be written: {error.strerror}."
+        ) from error
+
+
 def problem_data(problem: Problem) -> dict[str, Any]:
     """Returns a problem as a JSON object."""
     return {
--- a/banyantiller/commands/reference.py
+++ b/banyantiller/commands/reference.py
@@ -6,6 +6,9 @@
 from banyantiller.commands import output
 from banyantiller.config import reference as pages
 from banyantiller.config.defaults import OperatorSettings, Settings
+from banyantiller.gateway import events as gateway_events
+from banyantiller.gateway import settings as gateway_settings
+from banyantiller.telemetry import events
 
 MADE = (
     "This page is made by `banyantiller reference {name}` from the declared\n"
@@ -42,6 +45,18 @@
 """
 
 
+GATEWAY = """\
+The settings of one gateway daemon, a YAML file given as
+`python -m banyantiller.gateway FILE` or named by the environment variable
+`BANYANTILLER_NODE_FILE`.
+"""
+
+EVENTS = """\
+The lines of a gateway's log. Each is one JSON object with the text of its
+event under `event`, the fields below, `daemon`, `level` and `timestamp` (UTC).
+"""
+
+
 class Page(NamedTuple):
     """One reference page.
 
@@ -60,16 +75,22 @@
     "settings": Page(Settings, "Settings of a daemon", SETTINGS),
     "operator": Page(OperatorSettings, "Settings of an operator", OPERATOR),
     "bundle": Page(Bundle, "Bundle", BUNDLE),
+    "gateway": Page(
+        gateway_settings.Settings, "Settings of a gateway", GATEWAY
+    ),
 }
+LOG = "log"
 
 
 def reference(
-    page: Literal["settings", "operator", "bundle"], *, json: bool = False
+    page: Literal["settings", "operator", "bundle", "gateway", "log"],
+    *,
+    json: bool = False,
 ) -> int:
-    """Prints the reference of a file's options in Markdown.
+    """Prints the reference of a file's options, or of the log, in Markdown.
 
     Args:
-        page: Which file.
+        page: Which file, or `log` for the events of a gateway's log.
         json: Print JSON for programs.
     """
     text = render(page)
@@ -79,6 +100,11 @@
 
 def render(name: str) -> str:
     """Renders a page by its name."""
-    page = PAGES[name]
     made = MADE.format(name=name)
+    if name == LOG:
+        made = made.replace("options", "events")
+        return events.render(
+            "Log of a gateway", f"{EVENTS}\n{made}", gateway_events.__name__
+        )
+    page = PAGES[name]
     return pages.render(page.kind, page.title, f"{page.text}\n{FORM}\n{made}")
--- a/banyantiller/commands/report.py
+++ b/banyantiller/commands/report.py
@@ -1,8 +1,8 @@
 """`banyantiller report`: writes what held in a period as one HTML file."""
 
-from banyantiller import exceptions
 from banyantiller.commands import context, held, output, report_page, times
-from banyantiller.evidence import assessment, charts
+from banyantiller.evidence import assessment
+from banyantiller.utils import plots
 
 
 def report(
@@ -30,25 +30,15 @@
         settings: Settings file of the operator.
         json: Print JSON for programs.
     """
-    charts.load_library()
+    plots.load_library()
 
     async def body(session: context.Session) -> int:
         question = await held.ask(session, since, until, every, clock_tolerance)
         found = await assessment.assess(session.store, question)
         page = report_page.build(found, times.to_ms(session.wall()))
-        _write(output_file, page)
+        output.write_file(output_file, page)
         data = {"file": output_file, "bytes": len(page.encode())}
         output.emit(json, data, [f"Wrote {output_file}."])
         return held.status_of(found)
 
     return context.run(settings, body)
-
-
-def _write(path: str, text: str) -> None:
-    try:
-        with open(path, "w", encoding="utf-8") as file:
-            file.write(text)
-    except OSError as error:
-        raise exceptions.BanyantillerError(
-            f"'{path}' can't be written: {error.strerror}."
-        ) from error
--- a/banyantiller/commands/report_page.py
+++ b/banyantiller/commands/report_page.py
@@ -1,24 +1,14 @@
 """Builds the report of a period: one HTML file that needs nothing else."""
 
 import html
-from collections.abc import Iterable, Sequence
 
-from banyantiller.commands import evidence_output, times
+from banyantiller.commands import evidence_output, html_page, times
 from banyantiller.evidence import charts
 from banyantiller.evidence.assessment import Assessment
 from banyantiller.evidence.judging import Judgement, connected, joined
 from banyantiller.evidence.promises import STATEMENTS, Promise
 from banyantiller.evidence.verdicts import Broken, Held, NotKnown
 
-STYLE = """\
-body { font: 15px/1.5 sans-serif; max-width: 62rem; margin: 2rem auto;
-       padding: 0 1rem; color: #1c1c1c; }
-table { border-collapse: collapse; width: 100%; margin: 1rem 0; }
-th, td { text-align: left; vertical-align: top; padding: .35rem .6rem;
-         border-bottom: 1px solid #ddd; }
-.held { color: #2a7f4f; } .broken { color: #b3261e; font-weight: bold; }
-.not { color: #5c6070; } img { width: 100%; } code { font-size: 90%; }
-"""
 CLASSES: dict[type, str] = {Held: "held", Broken: "broken", NotKnown: "not"}
 
 
@@ -42,42 +32,24 @@
         f"<h1>{html.escape(title)}</h1>",
         f"<p>{span}. Made {times.text_of(made_ms)}. Times are UTC.</p>",
         "<h2>Answers</h2>",
-        _image(charts.answers(found), "answers over time"),
+        html_page.image(charts.answers(found), "answers over time"),
         _answers(found),
         "<h2>What was seen</h2>",
-        _image(charts.coverage(found), "evidence by daemon"),
-        _image(charts.calls(found), "calls a second"),
-        _image(charts.latencies(found), "latency"),
-        _image(charts.bundles(found), "delay of bundles"),
+        html_page.image(charts.coverage(found), "evidence by daemon"),
+        html_page.image(charts.calls(found), "calls a second"),
+        html_page.image(charts.latencies(found), "latency"),
+        html_page.image(charts.bundles(found), "delay of bundles"),
         "<h2>Changes</h2>",
         _audit(found),
         "<h2>How each promise is judged</h2>",
         _statements(),
     ]
-    return (
-        '<!DOCTYPE html>\n<html lang="en"><head><meta charset="utf-8">'
-        f"<title>{html.escape(title)}</title><style>{STYLE}</style></head>"
-        f"<body>{''.join(body)}</body></html>\n"
-    )
-
-
-def _image(uri: str, label: str) -> str:
-    return f'<img src="{uri}" alt="{html.escape(label)}">'
-
-
-def _table(head: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
-    """Builds a table; cells are HTML."""
-    top = "".join(f"<th>{cell}</th>" for cell in head)
-    lines = (
-        "<tr>" + "".join(f"<td>{cell}</td>" for cell in row) + "</tr>"
-        for row in rows
-    )
-    return f"<table><tr>{top}</tr>{''.join(lines)}</table>"
+    return html_page.document(title, body)
 
 
 def _answers(found: Assessment) -> str:
     rows = [_answer_row(item) for item in joined(found.judgements)]
-    return _table(("Promise", "Period", "Answer", "Detail"), rows)
+    return html_page.table(("Promise", "Period", "Answer", "Detail"), rows)
 
 
 def _answer_row(item: Judgement) -> tuple[str, str, str, str]:
@@ -134,7 +106,7 @@
     ]
     head = ("Entry", "Time", "Operator", "Action", "Detail")
     text = "<br>".join(html.escape(line) for line in lines)
-    return f"<p>{text}</p>{_table(head, rows)}"
+    return f"<p>{text}</p>{html_page.table(head, rows)}"
 
 
 def _statements() -> str:
@@ -148,4 +120,4 @@
         for promise in Promise
     ]
     head = ("Name", "Promise", "Judged by", "What the evidence can't show")
-    return _table(head, rows)
+    return html_page.table(head, rows)
--- a/banyantiller/evidence/charts.py
+++ b/banyantiller/evidence/charts.py
@@ -1,20 +1,17 @@
 """Plots for the report, as SVG; needs the optional extra `report`."""
 
-import base64
 import datetime
-import io
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from banyantiller import exceptions
 from banyantiller.evidence import latency
 from banyantiller.evidence.assessment import Assessment
 from banyantiller.evidence.history import RunHistory
 from banyantiller.evidence.promises import Promise
 from banyantiller.evidence.summary import Summary
 from banyantiller.evidence.verdicts import Broken, Held, NotKnown
+from banyantiller.utils import plots
 
-SIZE_IN = (9.0, 2.8)
 HELD_COLOUR = "#2a7f4f"
 BROKEN_COLOUR = "#b3261e"
 NOT_KNOWN_COLOUR = "#b9bcc4"
@@ -25,27 +22,6 @@
 }
 MILLISECONDS = 1000
 
-Draw = Callable[[Any], None]
-
-
-def load_library() -> Any:
-    """Imports matplotlib without a display.
-
-    Raises:
-        PluginError: It is not installed.
-    """
-    try:
-        import matplotlib
-    except ImportError:
-        raise exceptions.PluginError(
-            "The report needs matplotlib; install it with"
-            " pip install 'banyantiller[report]'."
-        ) from None
-    matplotlib.use("svg")
-    from matplotlib import pyplot
-
-    return pyplot
-
 
 def answers(found: Assessment) -> str:
     """Draws when each promise held, was broken or is not known."""
@@ -142,24 +118,16 @@
     axes.barh(row, end - start, left=start, color=colour)
 
 
-def _draw(found: Assessment, draw: Draw, title: str) -> str:
-    """Draws one plot and returns it as a data URI."""
-    pyplot = load_library()
-    figure, axes = pyplot.subplots(figsize=SIZE_IN)
-    try:
+def _draw(found: Assessment, draw: plots.Draw, title: str) -> str:
+    """Draws one plot over the whole period."""
+
+    def over_period(axes: Any) -> None:
         draw(axes)
         period = found.question.period
         axes.set_xlim(_time(period.from_ms), _time(period.to_ms))
-        axes.set_title(title, loc="left", fontsize=10)
-        for side in ("top", "right"):
-            axes.spines[side].set_visible(False)
-        figure.autofmt_xdate()
-        buffer = io.BytesIO()
-        figure.savefig(buffer, format="svg", bbox_inches="tight")
-    finally:
-        pyplot.close(figure)
-    encoded = base64.b64encode(buffer.getvalue()).decode("ascii")
-    return f"data:image/svg+xml;base64,{encoded}"
+        axes.figure.autofmt_xdate()
+
+    return plots.to_data_uri(over_period, title)
 
 
 def _time(at_ms: int) -> datetime.datetime:
--- a/banyantiller/explain/story.py
+++ b/banyantiller/explain/story.py
@@ -3,26 +3,33 @@
 from typing import Any, NamedTuple
 
 from banyantiller.explain import reading
+from banyantiller.gateway import events
+from banyantiller.telemetry import events as log_events
 
 # Beliefs of the same daemon that are this old may have decided; a leaving or
 # silent server is forgotten within this time.
 BEFORE_S = 5.0
-ENDED = "gateway: call ended."
-FAILED = "gateway: a try failed."
-BELIEFS = (
-    "gateway: server gives no answer.",
-    "gateway: server answers again.",
-    "gateway: server is suspected.",
-    "gateway: server leaves.",
-    "gateway: server gone.",
-    "gateway: registration lapsed.",
-    "gateway: document in force.",
-    "gateway: document is unreadable.",
-    "gateway: store is lost.",
-    "gateway: store is back.",
-    "gateway: ending.",
-    "gateway: calls are cut.",
-    "gateway: calls not logged.",
+ENDED = log_events.text_of(events.CallEnded)
+FAILED = log_events.text_of(events.TryFailed)
+BELIEFS = frozenset(
+    log_events.text_of(kind)
+    for kind in (
+        events.ServerSilent,
+        events.ServerAnswers,
+        events.ServerSuspected,
+        events.ServerLeaves,
+        events.ServerGone,
+        events.RegistrationLapsed,
+        events.DocumentInForce,
+        events.DocumentUnreadable,
+        events.StoreLost,
+        events.StoreBack,
+        events.PeerLost,
+        events.BudgetSpent,
+        events.Ending,
+        events.CallsCut,
+        events.CallsNotLogged,
+    )
 )
 # What a kind of failure means, in one clause.
 MEANINGS = {
@@ -91,24 +98,45 @@
     """Returns what the same daemons believed then, by their own clocks."""
     found = []
     for daemon in dict.fromkeys(line.daemon for line in own):
-        times = [line.at_s for line in own if line.daemon == daemon]
-        touched = {
-            instance
-            for line in own
+        mine = [line for line in own if line.daemon == daemon]
+        times = [line.at_s for line in mine]
+        touched = _Touched.by(mine)
+        found += [
+            line
+            for line in logs.lines
             if line.daemon == daemon
-            for instance in _instances(line.fields)
-        }
-        for line in logs.lines:
-            if line.daemon != daemon or line.event not in BELIEFS:
-                continue
-            if not min(times) - BEFORE_S <= line.at_s <= max(times):
-                continue
-            instance = line.fields.get("instance")
-            if "id" not in line.fields and instance in (None, *touched):
-                found.append(line)
+            and line not in mine
+            and min(times) - BEFORE_S <= line.at_s <= max(times)
+            and touched.concerns(line)
+        ]
     return found
 
 
+class _Touched(NamedTuple):
+    """What a request had to do with."""
+
+    instances: frozenset[str]
+    services: frozenset[str]
+
+    @classmethod
+    def by(cls, lines: list[reading.Line]) -> "_Touched":
+        """Collects it from the lines of the request."""
+        return cls(
+            frozenset(i for line in lines for i in _instances(line.fields)),
+            frozenset(line.fields.get("service", "") for line in lines),
+        )
+
+    def concerns(self, line: reading.Line) -> bool:
+        """Tells whether a line says what could decide the request."""
+        if line.event not in BELIEFS:
+            return False
+        instance = line.fields.get("instance")
+        if instance is not None:
+            return instance in self.instances
+        service = line.fields.get("service")
+        return service is None or service in self.services
+
+
 def _instances(fields: dict[str, Any]) -> list[str]:
     """Returns the servers that a line names."""
     one = fields.get("instance")
--- a/banyantiller/gateway/asking.py
+++ b/banyantiller/gateway/asking.py
@@ -5,13 +5,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-import structlog
-
-from banyantiller.gateway import pool, scoring, servers, types
+from banyantiller.gateway import events, pool, scoring, servers, types
 from banyantiller.http import connection, messages
 
-log = structlog.get_logger("banyantiller.gateway")
-
 # A server answers within 8 ms, over a new connection within 11; one that
 # takes ten times as long counts as silent.
 ANSWER_TIMEOUT_S = 0.1
@@ -187,10 +183,7 @@
             self._silent(entry, error)
             return
         if entry.belief.answered():
-            log.info(
-                "gateway: server answers again.",
-                instance=entry.server.instance,
-            )
+            events.emit(events.ServerAnswers(entry.server.instance))
         if answer.instance and answer.instance != entry.server.instance:
             home.discard(link)
             self.moved(entry.server)
@@ -198,7 +191,7 @@
         service = entry.server.service
         if answer.fit and answer.load is None and service not in self.mute:
             self.mute.add(service)
-            log.info("gateway: servers tell no load.", service=service)
+            events.emit(events.ServiceMute(service))
         if not link.connection.ready_again():
             home.discard(link)
             link = None
@@ -217,7 +210,9 @@
             try:
                 return link, await self._read(home, link, entry, health_path)
             except (OSError, connection.ConnectionLostError) as error:
-                log.debug("gateway: kept connection lost.", error=str(error))
+                events.emit(
+                    events.KeptConnectionLost(entry.server.instance, str(error))
+                )
             link = await home.acquire(fresh=True)
         return link, await self._read(home, link, entry, health_path)
 
@@ -268,10 +263,10 @@
 
     def _silent(self, entry: servers.Entry, error: Exception) -> None:
         if entry.belief.no_answer(self.loop.time()):
-            log.info(
-                "gateway: server gives no answer.",
-                instance=entry.server.instance,
-                error=str(error) or type(error).__name__,
+            events.emit(
+                events.ServerSilent(
+                    entry.server.instance, str(error) or type(error).__name__
+                )
             )
 
 
--- a/banyantiller/gateway/attempts.py
+++ b/banyantiller/gateway/attempts.py
@@ -4,16 +4,12 @@
 import math
 from typing import TYPE_CHECKING
 
-import structlog
-
 from banyantiller.errors import ErrorKind
-from banyantiller.gateway import asking, exchange, pool
+from banyantiller.gateway import asking, events, exchange, pool
 
 if TYPE_CHECKING:
     from banyantiller.gateway import call as calls
 
-log = structlog.get_logger("banyantiller.gateway")
-
 
 class Attempt:
     """Sends a call to a server and waits for the answer.
@@ -74,11 +70,12 @@
                 fresh = not self.call.idempotent
                 candidate.link = await home.acquire(fresh)
             except (OSError, pool.PoolFullError) as error:
-                log.info(
-                    "gateway: no connection.",
-                    id=self.call.request.request_id,
-                    instance=server.instance,
-                    reason=str(error) or type(error).__name__,
+                events.emit(
+                    events.NoConnection(
+                        self.call.request.request_id,
+                        server.instance,
+                        str(error) or type(error).__name__,
+                    )
                 )
                 return exchange.NotRun(ErrorKind.CONNECT_FAILED)
         link = candidate.link
@@ -108,6 +105,7 @@
         progress = self.call.progress
         progress.sends += 1
         progress.instances.append(self.entry.server.instance)
+        self.entry.sends += 1
         progress.load = self.candidate.load
         progress.among = self.candidate.among
         progress.load_age_s = now - self.candidate.asked_at
@@ -117,12 +115,14 @@
     def _log(self, kind: str, reason: str) -> None:
         load = self.candidate.load
         self.gateway.tallies.tries[self.call.service, kind] += 1
-        log.info(
-            "gateway: a try failed.",
-            id=self.call.request.request_id,
-            instance=self.entry.server.instance,
-            kind=kind,
-            reason=reason,
-            load=load and list(load),
-            failures=round(self.entry.belief.failure_rate, 2),
+        self.entry.failed += 1
+        events.emit(
+            events.TryFailed(
+                id=self.call.request.request_id,
+                instance=self.entry.server.instance,
+                kind=kind,
+                reason=reason,
+                load=load and list(load),
+                failures=round(self.entry.belief.failure_rate, 2),
+            )
         )
--- a/banyantiller/gateway/budget.py
+++ b/banyantiller/gateway/budget.py
@@ -16,6 +16,7 @@
         extra: Repeated sends in a window besides.
         requests: Times of requests in the window.
         repeats: Times of repeated sends in the window.
+        told_at: Loop time at which it was last said that it is spent.
     """
 
     def __init__(self, window_s: float, ratio: float, extra: float) -> None:
@@ -24,6 +25,7 @@
         self.extra = extra
         self.requests: collections.deque[float] = collections.deque()
         self.repeats: collections.deque[float] = collections.deque()
+        self.told_at = -window_s
 
     def request(self, now: float) -> None:
         """Counts a request that a caller sent, at a loop time."""
@@ -39,12 +41,23 @@
                 kept for sends that matter more.
         """
         self._forget(now)
-        allowed = self.ratio * len(self.requests) + self.extra
-        if len(self.repeats) + 1 > allowed * share:
+        if len(self.repeats) + 1 > self.most * share:
             return False
         self.repeats.append(now)
         return True
 
+    @property
+    def most(self) -> float:
+        """How many repeated sends the window allows."""
+        return self.ratio * len(self.requests) + self.extra
+
+    def tell(self, now: float) -> bool:
+        """Tells whether it is time to say that the budget is spent."""
+        if now < self.told_at + self.window_s:
+            return False
+        self.told_at = now
+        return True
+
     def _forget(self, now: float) -> None:
         oldest = now - self.window_s
         for times in (self.requests, self.repeats):
--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -5,13 +5,12 @@
 import math
 from typing import TYPE_CHECKING
 
-import structlog
-
 from banyantiller.errors import ErrorKind, Failure, Ran
 from banyantiller.gateway import (
     asking,
     attempts,
     choosing,
+    events,
     exchange,
     replies,
     routes,
@@ -22,8 +21,6 @@
 if TYPE_CHECKING:
     from banyantiller.gateway import gateway as gateways
 
-log = structlog.get_logger("banyantiller.gateway")
-
 # When a caller may come back after a refusal: slots free within some tens of
 # milliseconds, and callers have 0.5 s at least. Spread, so that the refused
 # don't come back together.
@@ -139,7 +136,8 @@
             self._finish(0, ErrorKind.CALLER_GONE)
             raise
         except Exception:
-            log.exception("gateway: a call failed.", id=self.request.request_id)
+            fault = events.CallFault(self.request.request_id)
+            events.emit(fault, exc_info=True)
             reply = self._fail(ErrorKind.INTERNAL)
         self._finish(reply.status, self.progress.error)
         return reply
@@ -217,7 +215,19 @@
             return False
         budget = self.gateway.budget_of(self.service)
         share = SECOND_BUDGET if beside else 1.0
-        return budget.take(self.loop.time(), share)
+        if budget.take(self.loop.time(), share):
+            return True
+        if not beside and budget.tell(self.loop.time()):
+            events.emit(
+                events.BudgetSpent(
+                    id=self.request.request_id,
+                    service=self.service,
+                    used=len(budget.repeats),
+                    most=round(budget.most, 1),
+                    share=round(self.gateway.share(), 4),
+                )
+            )
+        return False
 
     def _second_is_due(self) -> bool:
         """Tells whether the running try has taken so long that another runs.
@@ -268,10 +278,10 @@
         self.gateway.asker.give_back(found)
         if not found:
             self.suspected = True
-            log.info(
-                "gateway: server is suspected.",
-                id=self.request.request_id,
-                instance=entry.server.instance,
+            events.emit(
+                events.ServerSuspected(
+                    self.request.request_id, entry.server.instance
+                )
             )
 
     def _take(self, ended: list[attempts.Attempt]) -> replies.Reply | None:
--- a/banyantiller/gateway/caller.py
+++ b/banyantiller/gateway/caller.py
@@ -5,18 +5,15 @@
 from typing import TYPE_CHECKING, Any
 
 import h11
-import structlog
 
 from banyantiller.errors import ErrorKind, Failure
 from banyantiller.gateway import call as calls
-from banyantiller.gateway import replies
+from banyantiller.gateway import events, replies
 from banyantiller.gateway import requests as reading
 
 if TYPE_CHECKING:
     from banyantiller.gateway import gateway as gateways
 
-log = structlog.get_logger("banyantiller.gateway")
-
 # Requests that are read ahead of their answers on one connection.
 MOST_AHEAD = 16
 # Longest time for a request body after its head, as for any answer.
@@ -255,7 +252,8 @@
         slot.reply = replies.from_failure(
             failure, failure.answer.ran, self.gateway.settings.daemon
         )
-        log.info("gateway: request rejected.", kind=failure.kind)
+        request_id = slot.request.request_id if slot.request else ""
+        events.emit(events.RequestRejected(request_id, failure.kind))
 
     def _flush(self) -> None:
         """Writes the answers whose turn has come."""
--- /dev/null
+++ b/banyantiller/gateway/events.py
@@ -0,0 +1,348 @@
+"""What the gateway logs: one line for each event."""
+
+from typing import Annotated, Any, NamedTuple
+
+import structlog
+
+from banyantiller.telemetry import events
+from banyantiller.telemetry.events import event
+
+log = structlog.get_logger("banyantiller.gateway")
+
+Id = Annotated[str, "Identity of the request, as the caller sent it."]
+Instance = Annotated[str, "Identity of the server's start."]
+Load = Annotated[
+    list[float] | None,
+    "What the server said when it was chosen: requests running, waiting,"
+    " slots, and duration of work as a multiple of the usual; null if unknown.",
+]
+
+
+def emit(occurred: Any, **more: Any) -> None:
+    """Writes the line of an event; see `telemetry.events.emit`."""
+    events.emit(log, occurred, **more)
+
+
+# Life of the daemon.
+
+
+@event("gateway: started.")
+class Started(NamedTuple):
+    """The daemon listens."""
+
+    callers: Annotated[str, "IP number and port for callers."]
+
+
+@event("gateway: ending.")
+class Ending(NamedTuple):
+    """The daemon was told to end and finishes what is in flight."""
+
+    connections: Annotated[int, "Open connections of callers."]
+
+
+@event("gateway: calls are cut.", "warning")
+class CallsCut(NamedTuple):
+    """The time to end is over and calls are still in flight."""
+
+    in_flight: Annotated[int, "Calls that are cut."]
+
+
+@event("gateway: ended.")
+class Ended(NamedTuple):
+    """The daemon is about to end."""
+
+    cut: Annotated[int, "Calls that were cut."]
+
+
+@event("gateway: settings reloaded.")
+class SettingsReloaded(NamedTuple):
+    """The settings file was read again and is in force."""
+
+
+@event("gateway: settings were not reloaded.", "error")
+class SettingsRefused(NamedTuple):
+    """The settings file can't be used; what was in force stays."""
+
+    error: Annotated[str, "What is wrong, with its place in the file."]
+
+
+@event("gateway: readiness changed.")
+class ReadinessChanged(NamedTuple):
+    """The answer to the question for readiness is another one."""
+
+    ready: Annotated[bool, "Whether callers should be sent here."]
+    reason: Annotated[str, "Why not, or empty."]
+
+
+# What is in force, and the store.
+
+
+@event("gateway: document in force.")
+class DocumentInForce(NamedTuple):
+    """A newer version of the document applies to new requests."""
+
+    version: Annotated[int, "Its version."]
+    before: Annotated[int, "Version that it replaces; 0 for none."]
+    routes: Annotated[int, "Number of its routes."]
+
+
+@event("gateway: document is unreadable.", "error")
+class DocumentUnreadable(NamedTuple):
+    """A document can't be read in whole; what was in force stays."""
+
+    error: Annotated[str, "What is wrong, and where."]
+
+
+@event("gateway: document was removed.", "warning")
+class DocumentRemoved(NamedTuple):
+    """The store has no document any more; what was in force stays."""
+
+    name: Annotated[str, "Its name in the store."]
+
+
+@event("gateway: store is lost.", "warning")
+class StoreLost(NamedTuple):
+    """A call to the store, or to the daemon asked in its place, failed."""
+
+    kind: Annotated[str, "Kind of objects that was read."]
+    reason: Annotated[str, "Why the call failed."]
+
+
+@event("gateway: store is back.")
+class StoreBack(NamedTuple):
+    """The store answers again."""
+
+    away_s: Annotated[float, "How long it gave no answer, in seconds."]
+
+
+@event("gateway: history is gone.")
+class HistoryGone(NamedTuple):
+    """The store can't tell what changed; everything is listed anew."""
+
+    kind: Annotated[str, "Kind of objects."]
+
+
+# Other daemons.
+
+
+@event("gateway: reads the store for others.")
+class ReadsForOthers(NamedTuple):
+    """Another daemon relies on this one for the first time, or again."""
+
+    asker: Annotated[str, "Name of the other daemon."]
+
+
+@event("gateway: reads through another daemon.")
+class ReadsThrough(NamedTuple):
+    """This daemon learns of changes from another one from now on."""
+
+    peer: Annotated[str, "IP number and port of the other daemon."]
+    sharers: Annotated[int, "Daemons that rely on it, itself included."]
+
+
+@event("gateway: another daemon gives no answer.")
+class PeerLost(NamedTuple):
+    """The store is read in place of another daemon for a while."""
+
+    peer: Annotated[str, "IP number and port of the other daemon."]
+
+
+@event("gateway: another daemon told a list.")
+class ListTold(NamedTuple):
+    """The store gave no answer, and another daemon said what it knew."""
+
+    kind: Annotated[str, "Kind of objects."]
+    peer: Annotated[str, "IP number and port of the other daemon."]
+
+
+@event("gateway: a daemon's answer is bad.", "warning")
+class PeerUnreadable(NamedTuple):
+    """What another daemon sent can't be read."""
+
+    peer: Annotated[str, "IP number and port of the other daemon."]
+    error: Annotated[str, "What is wrong."]
+
+
+# Servers.
+
+
+@event("gateway: server joined.")
+class ServerJoined(NamedTuple):
+    """A server registered itself."""
+
+    instance: Instance
+    service: Annotated[str, "Its service."]
+    address: Annotated[str, "Its IP number and port."]
+    zone: Annotated[str, "Its availability zone."]
+    leaving: Annotated[bool, "Whether it leaves already."]
+
+
+@event("gateway: server leaves.")
+class ServerLeaves(NamedTuple):
+    """A server told that it leaves; it gets no new requests."""
+
+    instance: Instance
+    service: Annotated[str, "Its service."]
+    address: Annotated[str, "Its IP number and port."]
+    zone: Annotated[str, "Its availability zone."]
+    leaving: Annotated[bool, "Always true."]
+
+
+@event("gateway: server gone.")
+class ServerGone(NamedTuple):
+    """A server was taken out."""
+
+    instance: Instance
+    reason: Annotated[
+        str,
+        "`registration_removed`, `registration_lapsed` (it vanished with an"
+        " outage of the store and did not come back) or `address_reused`.",
+    ]
+
+
+@event("gateway: registration lapsed.")
+class RegistrationLapsed(NamedTuple):
+    """A registration vanished with an outage of the store.
+
+    The server is kept for a moment, in which it may come back.
+    """
+
+    instance: Instance
+
+
+@event("gateway: server is back.")
+class ServerBack(NamedTuple):
+    """A lapsed registration came back."""
+
+    instance: Instance
+
+
+@event("gateway: registration is unreadable.", "error")
+class RegistrationUnreadable(NamedTuple):
+    """A registration can't be read in whole; what was known stays."""
+
+    instance: Instance
+    error: Annotated[str, "What is wrong, and where."]
+
+
+@event("gateway: server gives no answer.")
+class ServerSilent(NamedTuple):
+    """A question for a server's load failed; it is avoided for a while."""
+
+    instance: Instance
+    error: Annotated[str, "How it failed."]
+
+
+@event("gateway: server answers again.")
+class ServerAnswers(NamedTuple):
+    """A server that gave no answer does so again."""
+
+    instance: Instance
+
+
+@event("gateway: kept connection lost.", "debug")
+class KeptConnectionLost(NamedTuple):
+    """A kept connection had ended; a new one is tried."""
+
+    instance: Instance
+    error: Annotated[str, "How it ended."]
+
+
+@event("gateway: servers tell no load.")
+class ServiceMute(NamedTuple):
+    """The servers of a service are chosen by the requests sent to them."""
+
+    service: Annotated[str, "The service."]
+
+
+# Requests.
+
+
+@event("gateway: no connection.")
+class NoConnection(NamedTuple):
+    """A server could not be connected to; the request was not sent."""
+
+    id: Id
+    instance: Instance
+    reason: Annotated[str, "How connecting failed."]
+
+
+@event("gateway: a try failed.")
+class TryFailed(NamedTuple):
+    """A request was sent to a server and got no answer that can be used."""
+
+    id: Id
+    instance: Instance
+    kind: Annotated[str, "Kind of the failure."]
+    reason: Annotated[str, "What happened on the connection."]
+    load: Load
+    failures: Annotated[float, "Share of failures at this server lately."]
+
+
+@event("gateway: server is suspected.")
+class ServerSuspected(NamedTuple):
+    """A server at work on a request did not answer whether it lives."""
+
+    id: Id
+    instance: Instance
+
+
+@event("gateway: retry budget is spent.")
+class BudgetSpent(NamedTuple):
+    """A request may not be sent to another server; told once a window."""
+
+    id: Id
+    service: Annotated[str, "The service whose budget it is."]
+    used: Annotated[int, "Repeated sends of this daemon in the window."]
+    most: Annotated[float, "How many it may make in the window."]
+    share: Annotated[float, "This daemon's part of the fleet's budget."]
+
+
+@event("gateway: request rejected.")
+class RequestRejected(NamedTuple):
+    """A request can't be read, or is larger than allowed."""
+
+    id: Annotated[str, "Identity of the request; empty if unread."]
+    kind: Annotated[str, "What is wrong with it."]
+
+
+@event("gateway: a call failed.", "error")
+class CallFault(NamedTuple):
+    """A fault of the daemon's own, with its traceback."""
+
+    id: Id
+
+
+@event("gateway: calls not logged.")
+class CallsNotLogged(NamedTuple):
+    """Calls of one second that got no line, so that logs stay bounded."""
+
+    good: Annotated[int, "Calls that went well."]
+    bad: Annotated[int, "Calls that failed or needed a second server."]
+
+
+@event("gateway: call ended.")
+class CallEnded(NamedTuple):
+    """A request is over; everything that decided it stands in this line.
+
+    Each failed one has its line, and of the others as many as the bound on
+    lines a second allows.
+    """
+
+    id: Id
+    route: Annotated[str, "Its route; empty if there is none."]
+    service: Annotated[str, "The service that took it."]
+    version: Annotated[int, "Version of the document that it was served by."]
+    status: Annotated[int, "Status that the caller got; 0 if it had left."]
+    error: Annotated[str | None, "Kind of the failure, or null."]
+    reason: Annotated[str, "Why the last try failed, or empty."]
+    maybe_ran: Annotated[bool, "Whether a server may have executed it."]
+    sends: Annotated[int, "Servers that it was sent to."]
+    instances: Annotated[list[str], "These servers, in order."]
+    among: Annotated[int, "Servers that the last one was chosen from."]
+    load: Load
+    load_age_ms: Annotated[float, "Age of that load at sending, in ms."]
+    sent_ms: Annotated[float, "Time until the last sending, in ms."]
+    took_ms: Annotated[float, "Time until the end, in ms."]
+    objective_ms: Annotated[float | None, "Latency objective, in ms."]
+    left_ms: Annotated[float, "Time that was left at the end, in ms."]
--- a/banyantiller/gateway/following.py
+++ b/banyantiller/gateway/following.py
@@ -5,12 +5,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-import structlog
-
+from banyantiller.gateway import events
 from banyantiller.store import interface
 
-log = structlog.get_logger("banyantiller.gateway")
-
 # Pauses between tries while the store gives no answer: with the timeout of a
 # call, 1 s, its return is seen within 1.8 s.
 FIRST_PAUSE_S = 0.1
@@ -83,7 +80,7 @@
         away_s = now - self.lost_at
         if away_s >= LAPSE_OUTAGE_S:
             self.lapsed_until = now + RETURN_S
-        log.info("gateway: store is back.", away_s=round(away_s, 3))
+        events.emit(events.StoreBack(round(away_s, 3)))
         self.lost_at = None
         self.back.set()
 
@@ -95,7 +92,7 @@
         if self.lost_at is not None:
             return
         self.lost_at = now
-        log.warning("gateway: store is lost.", kind=kind, reason=reason)
+        events.emit(events.StoreLost(kind, reason))
         self.back.clear()
         self.on_lost()
         for watcher in self.watchers:
@@ -171,7 +168,7 @@
                 return
             self._answered()
             if isinstance(found, interface.Gone):
-                log.info("gateway: history is gone.", kind=self.kind)
+                events.emit(events.HistoryGone(self.kind))
                 self.version = ""
                 return
             self.version = found.version
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -3,8 +3,6 @@
 import asyncio
 import random
 
-import structlog
-
 from banyantiller.config.defaults import Endpoint
 from banyantiller.errors import ErrorKind
 from banyantiller.gateway import (
@@ -12,6 +10,7 @@
     budget,
     caller,
     choosing,
+    events,
     knowledge,
     pool,
     sampling,
@@ -21,8 +20,6 @@
 from banyantiller.gateway import call as calls
 from banyantiller.gateway import settings as options
 
-log = structlog.get_logger("banyantiller.gateway")
-
 BACKLOG = 1024
 # Part of the fleet's retry budget that is used: the users count a request
 # where it was sent, this daemon where it arrived.
@@ -143,7 +140,7 @@
             async with asyncio.timeout_at(ends):
                 await self.emptied.wait()
         except TimeoutError:
-            log.warning("gateway: calls are cut.", in_flight=self._in_flight())
+            events.emit(events.CallsCut(self._in_flight()))
         return self._in_flight()
 
     async def keep_house(self) -> None:
@@ -220,7 +217,7 @@
         good = error is None and status < 500 and progress.sends <= 1
         skipped = self.sampler.turn(self.loop.time())
         if skipped is not None:
-            log.info("gateway: calls not logged.", **skipped._asdict())
+            events.emit(events.CallsNotLogged(*skipped))
         if self.sampler.take(good):
             self._log_call(call, status, error, route, duration_s)
 
@@ -233,8 +230,7 @@
         duration_s: float,
     ) -> None:
         progress = call.progress
-        log.info(
-            "gateway: call ended.",
+        ended = events.CallEnded(
             id=call.request.request_id,
             route=route,
             service=call.service,
@@ -253,6 +249,7 @@
             objective_ms=call.route and round(call.route.objective_s * 1000, 1),
             left_ms=round((call.deadline - self.loop.time()) * 1000, 1),
         )
+        events.emit(ended)
 
     # Within.
 
--- a/banyantiller/gateway/knowledge.py
+++ b/banyantiller/gateway/knowledge.py
@@ -4,9 +4,8 @@
 import random
 from collections.abc import Callable
 
-import structlog
-
 from banyantiller.gateway import (
+    events,
     following,
     mirror,
     routes,
@@ -18,8 +17,6 @@
 from banyantiller.gateway import settings as options
 from banyantiller.store import interface
 
-log = structlog.get_logger("banyantiller.gateway")
-
 
 class Knowledge:
     """Takes what the followers of the store read.
@@ -129,7 +126,7 @@
             document = self.adapter.read_document(item.value)
         except ValueError as error:
             self.counts.documents["unreadable"] += 1
-            log.error("gateway: document is unreadable.", error=str(error))
+            events.emit(events.DocumentUnreadable(str(error)))
             return
         held = self.version
         if document.version <= held:
@@ -137,11 +134,8 @@
         self.routes = routes.RouteTable(document, self.random)
         self.limits = document.limits
         self.counts.documents["in_force"] += 1
-        log.info(
-            "gateway: document in force.",
-            version=document.version,
-            before=held,
-            routes=len(document.routes),
+        events.emit(
+            events.DocumentInForce(document.version, held, len(document.routes))
         )
 
     def _servers_listed(
@@ -157,11 +151,7 @@
         try:
             server = self.adapter.read_server(item.name, item.value)
         except ValueError as error:
-            log.error(
-                "gateway: registration is unreadable.",
-                instance=item.name,
-                error=str(error),
-            )
+            events.emit(events.RegistrationUnreadable(item.name, str(error)))
             return
         self.table.put(server, self.loop.time())
 
@@ -175,7 +165,7 @@
             self.gone(server)
 
     def _ignore(self, name: str) -> None:
-        log.warning("gateway: document was removed.", name=name)
+        events.emit(events.DocumentRemoved(name))
 
     # Within.
 
--- a/banyantiller/gateway/metrics.py
+++ b/banyantiller/gateway/metrics.py
@@ -51,6 +51,8 @@
             ("documents", "Documents by outcome.", counts.documents,
              ("outcome",)),
             ("store_calls", "Calls to the store.", store.calls, ("verb",)),
+            ("peer_questions", "Questions to other daemons for changes.",
+             self.gateway.known.reader.questions, ("outcome",)),
         )  # fmt: skip
         for name, doc, tally, labels in rows:
             self.instruments.counter(
@@ -61,6 +63,7 @@
                     tally, labels
                 ),
             )
+        self._add_server_counters()
         asker = self.gateway.asker
         self.instruments.counter(
             "banyantiller_gateway_questions",
@@ -69,6 +72,29 @@
             lambda: [metrics.Reading(asker.asked)],
         )
 
+    def _add_server_counters(self) -> None:
+        """Adds what is counted by server, for those that are registered."""
+        entries = self.gateway.known.table.entries
+        rows = (
+            ("server_sends", "Requests sent to a server.",
+             lambda entry: entry.sends),
+            ("server_failures", "Of these, those without a usable answer.",
+             lambda entry: entry.failed),
+        )  # fmt: skip
+        for name, doc, read in rows:
+            self.instruments.counter(
+                f"banyantiller_gateway_{name}",
+                "",
+                doc,
+                lambda read=read: [
+                    metrics.Reading(
+                        read(entry),
+                        {"service": entry.server.service, "server": instance},
+                    )
+                    for instance, entry in entries.items()
+                ],
+            )
+
     def _add_gauges(self) -> None:
         gateway = self.gateway
         rows = (
--- a/banyantiller/gateway/mirror.py
+++ b/banyantiller/gateway/mirror.py
@@ -11,13 +11,11 @@
 from typing import Any, NamedTuple, TypedDict
 
 import msgspec
-import structlog
 
+from banyantiller.gateway import events
 from banyantiller.http import messages
 from banyantiller.store import interface
 
-log = structlog.get_logger("banyantiller.gateway")
-
 PATH = "/mirror/"
 # Batches of changes that are kept for daemons that ask late; the store itself
 # has some 20 s, in which no more than 40 come.
@@ -178,7 +176,7 @@
         first = not self.demanded()
         self.askers[name] = self.loop.time()
         if first:
-            log.info("gateway: reads the store for others.")
+            events.emit(events.ReadsForOthers(name))
             self.on_demand()
         return await self._answer(kind, since, min(wait_s, LONGEST_WAIT_S))
 
--- a/banyantiller/gateway/run.py
+++ b/banyantiller/gateway/run.py
@@ -8,17 +8,14 @@
 import sys
 from typing import Any
 
-import structlog
-
 from banyantiller import exceptions, plugins
+from banyantiller.gateway import events
 from banyantiller.gateway import gateway as gateways
 from banyantiller.gateway import settings as options
 from banyantiller.http import messages, server
 from banyantiller.kernel import core
 from banyantiller.telemetry import logs, sink
 
-log = structlog.get_logger("banyantiller.gateway")
-
 SETTINGS_VARIABLE = "BANYANTILLER_NODE_FILE"
 EXIT_CUT = 1
 METRICS_PATH = "/metrics"
@@ -62,15 +59,11 @@
         self.ending = asyncio.Event()
 
     async def run(self) -> int:
-        """Runs until SIGTERM or SIGINT, then drains.
+        """Runs until it is told to end, then drains.
 
         Returns:
             Number of calls that were cut.
         """
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self.ending.set)
-        loop.add_signal_handler(signal.SIGINT, self.ending.set)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
         for follower in self.gateway.known.followers():
             self.kernel.start(follower.kind, follower.run)
         self.kernel.start("housekeeping", self.gateway.keep_house)
@@ -81,18 +74,25 @@
             raise exceptions.ConfigError(
                 f"An address can't be listened on: {error}."
             ) from error
-        log.info("gateway: started.", callers=self.settings.callers)
+        events.emit(events.Started(self.settings.callers))
         await self.ending.wait()
-        log.info("gateway: ending.", connections=len(self.gateway.connections))
+        events.emit(events.Ending(len(self.gateway.connections)))
         cut = await self.gateway.drain(self.settings.drain_s)
         await self.kernel.stop()
         await self.gateway.close()
         await self.ready.close()
         await self.metrics.close()
         await self.control.close()
-        log.info("gateway: ended.", cut=cut)
+        events.emit(events.Ended(cut))
         return cut
 
+    def follow_signals(self) -> None:
+        """Ends on SIGTERM and SIGINT, and reads the settings on SIGHUP."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.ending.set)
+        loop.add_signal_handler(signal.SIGINT, self.ending.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+
     async def _listen(self) -> None:
         callers = options.endpoint(self.settings.callers)
         ready = options.endpoint(self.settings.ready)
@@ -112,12 +112,12 @@
         try:
             fresh = options.load(self.path)
         except exceptions.BanyantillerError as error:
-            log.error("gateway: settings were not reloaded.", error=str(error))
+            events.emit(events.SettingsRefused(str(error)))
             return
         self.settings = fresh
         self.gateway.settings = fresh
         self.gateway.budgets.clear()
-        log.info("gateway: settings reloaded.")
+        events.emit(events.SettingsReloaded())
 
     async def _answer_ready(
         self, request: messages.Request
@@ -126,9 +126,7 @@
         reason = self.gateway.not_ready()
         if reason != self.last_reason:
             self.last_reason = reason
-            log.info(
-                "gateway: readiness changed.", ready=not reason, reason=reason
-            )
+            events.emit(events.ReadinessChanged(not reason, reason))
         return messages.Response(503 if reason else 200, (), reason.encode())
 
     async def _answer_metrics(
@@ -188,4 +186,6 @@
     settings = options.load(path)
     output = sink.Sink(sys.stdout.fileno())
     logs.configure(settings.log, output, daemon=settings.daemon)
-    return await Daemon(path, settings).run()
+    daemon = Daemon(path, settings)
+    daemon.follow_signals()
+    return await daemon.run()
--- a/banyantiller/gateway/servers.py
+++ b/banyantiller/gateway/servers.py
@@ -3,11 +3,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-import structlog
-
-from banyantiller.gateway import beliefs, types
-
-log = structlog.get_logger("banyantiller.gateway")
+from banyantiller.gateway import beliefs, events, types
 
 # Registrations that lapsed while the store was away come back within about
 # 2 s of its return; a little less keeps within the time that a leaving
@@ -23,6 +19,8 @@
         belief: What this daemon saw of it.
         warm_at: Loop time at which it is as fast as usual.
         in_flight: Requests of this daemon at the server.
+        sends: Requests of this daemon so far.
+        failed: Of these, those without an answer that can be used.
         lapses_at: Loop time at which a registration that vanished with the
             store's outage counts as gone, or None.
     """
@@ -32,6 +30,8 @@
         self.belief = beliefs.Belief()
         self.warm_at = now + server.warmup_s
         self.in_flight = 0
+        self.sends = 0
+        self.failed = 0
         self.lapses_at: float | None = None
 
     def usable(self, now: float) -> bool:
@@ -76,11 +76,11 @@
             entry = Entry(server, now)
             self.entries[server.instance] = entry
             self._of(server.service)[server.instance] = entry
-            log.info("gateway: server joined.", **_described(server))
+            events.emit(events.ServerJoined(*_described(server)))
         elif entry.server.leaving != server.leaving:
-            log.info("gateway: server leaves.", **_described(server))
+            events.emit(events.ServerLeaves(*_described(server)))
         if entry.lapses_at is not None:
-            log.info("gateway: server is back.", instance=server.instance)
+            events.emit(events.ServerBack(server.instance))
         if entry.server.service != server.service:
             self._of(entry.server.service).pop(server.instance, None)
             self._of(server.service)[server.instance] = entry
@@ -94,7 +94,7 @@
         if entry is None:
             return None
         self._of(entry.server.service).pop(instance, None)
-        log.info("gateway: server gone.", instance=instance, reason=reason)
+        events.emit(events.ServerGone(instance, reason))
         return entry.server
 
     def lapse(self, instance: str, now: float) -> None:
@@ -102,7 +102,7 @@
         entry = self.entries.get(instance)
         if entry is not None and entry.lapses_at is None:
             entry.lapses_at = now + LAPSED_GRACE_S
-            log.info("gateway: registration lapsed.", instance=instance)
+            events.emit(events.RegistrationLapsed(instance))
 
     def expire(self, now: float) -> list[types.Server]:
         """Takes out the servers whose registration did not come back."""
@@ -127,11 +127,12 @@
         return self.by_service.setdefault(service, {})
 
 
-def _described(server: types.Server) -> dict[str, object]:
-    return {
-        "instance": server.instance,
-        "service": server.service,
-        "address": f"{server.host}:{server.port}",
-        "zone": server.zone,
-        "leaving": server.leaving,
-    }
+def _described(server: types.Server) -> tuple[str, str, str, str, bool]:
+    """Returns the fields that events on a registration have."""
+    return (
+        server.instance,
+        server.service,
+        f"{server.host}:{server.port}",
+        server.zone,
+        server.leaving,
+    )
--- a/banyantiller/gateway/sharing.py
+++ b/banyantiller/gateway/sharing.py
@@ -1,21 +1,19 @@
 """Reads the store through other daemons where that is as fresh."""
 
 import asyncio
+import collections
 import random
 import zlib
 from typing import Any
 from urllib import parse
 
 import msgspec
-import structlog
 
 from banyantiller.config.defaults import Endpoint
-from banyantiller.gateway import mirror
+from banyantiller.gateway import events, mirror
 from banyantiller.http import client, messages, outcomes
 from banyantiller.store import interface
 
-log = structlog.get_logger("banyantiller.gateway")
-
 # Longest wait of a call for the kind that shows whether the store answers,
 # while others are told: with the timeout of a call, 0.8 s, a lost store is
 # noticed within 1.5 s.
@@ -38,12 +36,14 @@
     Attributes:
         user: Client of it.
         name: Name of this daemon, by which the other counts it.
+        address: IP number and port of the other daemon.
         sharers: Daemons that the other one told for, itself included.
         unfit_until: Loop time until which it is not asked.
     """
 
     def __init__(self, endpoint: Endpoint, name: str) -> None:
         self.name = parse.quote(name)
+        self.address = f"{endpoint.address}:{endpoint.port}"
         self.sharers = 0
         self.user = client.HttpClient(endpoint.address, endpoint.port, LIMITS)
         self.unfit_until = 0.0
@@ -87,7 +87,7 @@
                 body = zlib.decompress(body)
             return msgspec.json.decode(body, type=kind)
         except (msgspec.DecodeError, zlib.error) as error:
-            log.warning("gateway: a daemon's answer is bad.", error=str(error))
+            events.emit(events.PeerUnreadable(self.address, str(error)))
             return None
 
 
@@ -118,11 +118,13 @@
         sentinel: Kind whose calls show whether the store answers.
         peers: Daemons to ask for changes; empty if this one is asked itself.
         others: Daemons to ask for what was in force, without this one.
+        relied_on: Daemon that told changes last, or None.
         next_store: Loop time from which a lost store is tried again.
         groups: Daemons that others may ask; each tells a part of the fleet.
         share: Part of the fleet's budgets that this daemon may use, or None
             while the others can't be counted.
         calls: Calls to the store by verb.
+        questions: Questions to other daemons by outcome.
     """
 
     def __init__(
@@ -142,9 +144,11 @@
         self.peers = [] if asked_itself else self.others
         self.groups = max(1, len(self.others) + asked_itself)
         self.share: float | None = None
+        self.relied_on: Peer | None = None
         self.next_store = 0.0
         self.random = rng
         self.calls = store.calls
+        self.questions: collections.Counter[str] = collections.Counter()
         self.loop = asyncio.get_running_loop()
 
     async def list(
@@ -169,7 +173,7 @@
         for peer in self.others:
             found = await peer.list(kind)
             if found is not None:
-                log.info("gateway: another daemon told a list.", kind=kind)
+                events.emit(events.ListTold(kind, peer.address))
                 return found
         return interface.Unavailable("no other daemon has a list")
 
@@ -203,9 +207,12 @@
         if peer is None:
             return await self.store.changes(kind, version, wait_s)
         found = await peer.changes(kind, version, min(wait_s, ASK_WAIT_S))
+        self.questions["unanswered" if found is None else "answered"] += 1
         if found is not None:
-            self._divide(peer.sharers)
+            self._rely_on(peer)
             return found
+        events.emit(events.PeerLost(peer.address))
+        self.relied_on = None
         peer.unfit_until = self.loop.time() + UNFIT_S
         return await self.store.changes(kind, version, 0.0)
 
@@ -220,6 +227,13 @@
         found = await self.random.choice(self.peers).changes(kind, version, 0.0)
         return found or interface.Unavailable("no daemon reaches the store")
 
+    def _rely_on(self, peer: Peer) -> None:
+        """Notes that another daemon told changes."""
+        if peer is not self.relied_on:
+            self.relied_on = peer
+            events.emit(events.ReadsThrough(peer.address, peer.sharers))
+        self._divide(peer.sharers)
+
     def _divide(self, sharers: int) -> None:
         """Takes this daemon's part of what a group of daemons may use.
 
--- a/banyantiller/tests/commands/test_reference.py
+++ b/banyantiller/tests/commands/test_reference.py
@@ -10,12 +10,14 @@
     "settings": "settings.md",
     "operator": "operator-settings.md",
     "bundle": "bundle.md",
+    "gateway": "gateway-settings.md",
+    "log": "gateway-log.md",
 }
 
 
 class ReferenceTest(TestCase):
     def test_committed_pages_are_the_rendered_ones(self):
-        self.assertEqual(set(reference.PAGES), set(FILES))
+        self.assertEqual({*reference.PAGES, reference.LOG}, set(FILES))
         for name, file in FILES.items():
             committed = (USER_GUIDE / file).read_text(encoding="utf-8")
             self.assertEqual(
--- a/banyantiller/tests/explain/test_story.py
+++ b/banyantiller/tests/explain/test_story.py
@@ -87,6 +87,35 @@
             events,
         )
 
+    def test_clocks_that_differ_are_never_compared(self):
+        """The second daemon's clock is an hour behind; it saw the same id."""
+        found = self.tell(
+            line("store is lost.", "00:00:09.000000", reason="x"),
+            line("store is lost.", "23:00:01.000000", daemon="d2", reason="y"),
+            ended(),
+            line("call ended.", "23:00:02.000000", daemon="d2", id="a",
+                 status=503, error="no_server", maybe_ran=False),
+        )  # fmt: skip
+        shown = [(one.daemon, one.event) for one in found.lines]
+        self.assertEqual(
+            [
+                ("d1", "gateway: store is lost."),
+                ("d2", "gateway: store is lost."),
+                ("d1", story.ENDED),
+                ("d2", story.ENDED),
+            ],
+            shown,
+        )
+
+    def test_budget_of_the_same_service_is_shown_and_of_others_not(self):
+        found = self.tell(
+            line("retry budget is spent.", id="b", service="s"),
+            line("retry budget is spent.", id="c", service="other"),
+            ended(service="s"),
+        )
+        ids = [one.fields["id"] for one in found.lines]
+        self.assertEqual(["b", "a"], ids)
+
     def test_lines_behind_a_prefix_are_read_and_cut_ones_counted(self):
         logs = reading.read(
             ["12.5 edge-1 " + ended(), ended()[:-9], "nothing", "\n"]
@@ -113,6 +142,33 @@
         self.assertEqual(0, status)
         self.assertEqual("yes", json.loads(printed.getvalue())["ran"])
 
+    def test_command_writes_a_page_with_a_timeline(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "d1.log"
+            page = pathlib.Path(folder) / "a.html"
+            path.write_text(ended(error="<no>") + "\n")
+            with contextlib.redirect_stdout(io.StringIO()):
+                status = cli.run(
+                    ["explain", "a", str(path), "--html-file", str(page)]
+                )
+            text = page.read_text()
+        self.assertEqual(0, status)
+        self.assertIn("data:image/svg+xml;base64,", text)
+        self.assertIn("&lt;no&gt;", text)
+        self.assertNotIn("<no>", text)
+
+    def test_page_that_can_not_be_written_is_one_clear_error(self):
+        printed = io.StringIO()
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "d1.log"
+            path.write_text(ended() + "\n")
+            with contextlib.redirect_stderr(printed):
+                status = cli.run(
+                    ["explain", "a", str(path), "--html-file", "/nowhere/x"]
+                )
+        self.assertNotEqual(0, status)
+        self.assertEqual(1, len(printed.getvalue().splitlines()))
+
     def test_missing_file_is_one_clear_error(self):
         printed = io.StringIO()
         with contextlib.redirect_stderr(printed):
--- /dev/null
+++ b/banyantiller/tests/explain/test_timeline.py
@@ -0,0 +1,41 @@
+"""Tests of the timeline of one request."""
+
+from banyantiller.explain import reading, story, timeline
+from banyantiller.tests import base
+from banyantiller.tests.explain.test_story import ended, line
+
+
+class TimelineTest(base.TestCase):
+    def build(self, *texts):
+        (found,) = timeline.build(story.tell("a", reading.read(texts)))
+        return found
+
+    def test_times_count_from_the_arrival(self):
+        found = self.build(
+            line("a try failed.", "00:00:09.950000", id="a", instance="s1",
+                 kind="x", reason="reset", load=None),
+            ended(instances=["s1", "s2"], sends=2, sent_ms=45.0),
+        )  # fmt: skip
+        self.assertEqual(
+            [
+                ("daemon", 0.0, 45.0, "tries 1 before the last server"),
+                ("s2", 45.0, 90.0, "ended with 200"),
+            ],
+            [tuple(span) for span in found.spans],
+        )
+        self.assertEqual(
+            [("s1", 40.0, "a try failed (reset)")],
+            [tuple(mark) for mark in found.marks],
+        )
+        self.assertEqual(["daemon", "s2", "s1"], found.rows())
+
+    def test_refused_request_only_waits(self):
+        found = self.build(
+            ended(status=503, error="no_server", instances=[], sends=0)
+        )
+        (span,) = found.spans
+        self.assertEqual(("daemon", 0.0, 90.0), span[:3])
+
+    def test_request_without_an_end_has_no_timeline(self):
+        told = story.tell("a", reading.read([line("no connection.", id="a")]))
+        self.assertEqual([], timeline.build(told))
--- a/banyantiller/tests/gateway/test_telling.py
+++ b/banyantiller/tests/gateway/test_telling.py
@@ -1,6 +1,7 @@
 """Tests of what the gateway logs and counts."""
 
 import asyncio
+import re
 
 import structlog
 
@@ -83,5 +84,20 @@
             'banyantiller_gateway_latency_seconds_count{service="orders"} 1.0',
             'banyantiller_gateway_servers{service="orders"} 3.0',
             "banyantiller_gateway_ready 1.0",
+            'banyantiller_gateway_server_failures_total{server="s0",'
+            'service="orders"} 0.0',
         ):
             self.assertIn(wanted, text)
+
+    def test_metrics_count_requests_by_server(self):
+        async def body(place):
+            for number in range(5):
+                await place.ask(f"a{number}")
+            page = metrics.Page(place.gateway)
+            text = page.text().decode()
+            page.instruments.close()
+            return text
+
+        text, _ = self.play(body)
+        found = re.findall(r"server_sends_total\{.*\} (\d+)", text)
+        self.assertEqual((3, 5), (len(found), sum(map(int, found))))
--- a/soak/world.py
+++ b/soak/world.py
@@ -84,6 +84,7 @@
     """The system of one run.
 
     Attributes:
+        settings: Settings of every daemon besides.
         seen: What the checks read.
         store: Stand-in of the platform's store.
         daemons: Gateways.
@@ -94,8 +95,14 @@
         all_ready: Set once every daemon was ready at the same time.
     """
 
-    def __init__(self, folder: pathlib.Path, sizes: plans.Sizes) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        sizes: plans.Sizes,
+        settings: dict[str, object] | None = None,
+    ) -> None:
         self.folder = folder
+        self.settings = settings or {}
         self.sizes = sizes
         self.loop = asyncio.get_running_loop()
         self.seen = records.Record()
@@ -263,7 +270,7 @@
             "metrics_port": 0,
         }
         path = self.folder / f"gateway-{daemon.number}.yaml"
-        path.write_text(json.dumps(content))
+        path.write_text(json.dumps(content | self.settings))
         return path
 
     def signal(self, daemon: Daemon, number: signal.Signals) -> bool:
