--- a/banyantiller/http/client.py
+++ b/banyantiller/http/client.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import dataclasses
-import ssl
+from typing import TYPE_CHECKING
 
 from banyantiller.http import connection, messages, outcomes
 
+if TYPE_CHECKING:
+    import ssl
+
 IO_ERRORS = (OSError, connection.ConnectionLostError)
 
 
@@ -47,7 +50,7 @@
         address: str,
         port: int,
         limits: messages.Limits = messages.Limits(),  # noqa: B008
-        tls: ssl.SSLContext | None = None,
+        tls: "ssl.SSLContext | None" = None,
         server_name: str = "",
     ) -> None:
         self.address = address
--- a/banyantiller/http/connection.py
+++ b/banyantiller/http/connection.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import socket
-import ssl
+from typing import TYPE_CHECKING
 
 import h11
 
 from banyantiller.http import messages
 
+if TYPE_CHECKING:
+    import ssl
+
 
 class ConnectionLostError(Exception):
     """The other side closed early or broke the protocol."""
@@ -48,7 +51,7 @@
         address: str,
         port: int,
         head_bytes: int,
-        tls: ssl.SSLContext | None,
+        tls: "ssl.SSLContext | None",
         server_name: str,
     ) -> "ClientConnection":
         """Connects.
--- a/banyantiller/http/server.py
+++ b/banyantiller/http/server.py
@@ -1,15 +1,17 @@
 """A small HTTP server: one handler coroutine a request."""
 
 import asyncio
-import ssl
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 import structlog
 
 from banyantiller.http import messages
 from banyantiller.http import server_connection as connections
 
+if TYPE_CHECKING:
+    import ssl
+
 log = structlog.get_logger("banyantiller.http")
 
 Handler = Callable[[messages.Request], Awaitable[messages.Response]]
@@ -48,7 +50,7 @@
         self.listener: asyncio.Server | None = None
 
     async def start(
-        self, address: str, port: int, tls: ssl.SSLContext | None = None
+        self, address: str, port: int, tls: "ssl.SSLContext | None" = None
     ) -> Bound:
         """Listens; port 0 lets the system choose.
 
