Let one daemon read the store for the others that are asked as well

Change: a daemon that is asked asks those before it in the order of their addresses, so that only the first reads the store and no two wait for each other. A daemon that is asked shares in its own part of the budgets only (its questions say so). After a refusal within 0.1 s the next daemon is asked, and the store only then. Changes that another daemon told are followed by the next question at once: the period of 0.8 s is kept by the one that reads, so a chain adds no periods. The log tells of a lost daemon once, not once a kind.

Ruled out: longer waits of the document's call (a lost store would be noticed later than its bound allows).

Specification mirror: the daemon that is asked may now be at any revision up to the store's; all properties hold.

--- a/banyantiller/gateway/following.py
+++ b/banyantiller/gateway/following.py
@@ -23,7 +23,8 @@
 
     Attributes:
         wait_s: Longest wait of one call, in seconds.
-        period_s: Least time between two calls while changes come, in seconds.
+        period_s: Least time between two calls to the store while changes
+            come, in seconds.
     """
 
     wait_s: float
@@ -174,7 +175,7 @@
             self.version = found.version
             for event in found.events:
                 self._take(event)
-            if found.events:
+            if found.events and not found.second_hand:
                 await asyncio.sleep(
                     began + self.pace.period_s - self.loop.time()
                 )
--- a/banyantiller/gateway/knowledge.py
+++ b/banyantiller/gateway/knowledge.py
@@ -61,7 +61,7 @@
             self.mirror,
             adapter.document_kind,
             _others(settings),
-            settings.control in settings.seeds,
+            settings.control if settings.control in settings.seeds else "",
             rng,
         )
 
@@ -180,8 +180,9 @@
 
 def _others(settings: options.Settings) -> list[sharing.Peer]:
     """Returns the daemons that can be asked, without this one."""
+    shares = settings.control not in settings.seeds
     return [
-        sharing.Peer(options.endpoint(text), settings.daemon)
+        sharing.Peer(options.endpoint(text), settings.daemon, shares)
         for text in settings.seeds
         if text != settings.control
     ]
--- a/banyantiller/gateway/mirror.py
+++ b/banyantiller/gateway/mirror.py
@@ -1,7 +1,8 @@
-"""Passes on what a few daemons read of the store to all others.
+"""Passes on what one daemon reads of the store to all others.
 
-Any daemon that is asked reads the store itself for as long as it is asked, so
-who reads follows from who is asked, and nothing has to be agreed.
+Who reads follows from who is asked, and nothing has to be agreed: a daemon
+that is asked asks only those before it in the order of their addresses, so the
+first of them reads the store, and whoever gets no answer does.
 """
 
 import asyncio
@@ -17,6 +18,8 @@
 from banyantiller.store import interface
 
 PATH = "/mirror/"
+# Value of the query parameter `shares` of a daemon that does.
+SHARES = "1"
 # Batches of changes that are kept for daemons that ask late; the store itself
 # has some 20 s, in which no more than 40 come.
 MOST_BATCHES = 100
@@ -58,6 +61,19 @@
     version: str
 
 
+class Asker(NamedTuple):
+    """A daemon that relies on this one.
+
+    Attributes:
+        at: Loop time of its last question.
+        shares: Whether it takes its part of the fleet's budgets from what
+            this one divides; a daemon that is asked itself divides its own.
+    """
+
+    at: float
+    shares: bool
+
+
 class Batch(NamedTuple):
     """Changes that were read at once.
 
@@ -126,27 +142,30 @@
     Attributes:
         histories: Changes by kind.
         fit: Tells whether what was read is up to date.
-        askers: Loop time of the last question of each daemon that asks.
+        askers: Last question of each daemon that asks, by its name.
         on_demand: Called when the first other daemon asks.
     """
 
     def __init__(self, fit: Callable[[], bool]) -> None:
         self.fit = fit
         self.histories: dict[str, History] = {}
-        self.askers: dict[str, float] = {}
+        self.askers: dict[str, Asker] = {}
         self.on_demand: Callable[[], None] = lambda: None
         self.loop = asyncio.get_running_loop()
 
     def demanded(self) -> bool:
         """Tells whether other daemons rely on this one."""
-        return self.sharers() > 1
+        return bool(self._asked_lately())
 
     def sharers(self) -> int:
-        """Counts the daemons that asked lately, and this one."""
+        """Counts the daemons that share with this one, and itself."""
+        return sum(asker.shares for asker in self._asked_lately()) + 1
+
+    def _asked_lately(self) -> list[Asker]:
         oldest = self.loop.time() - DEMAND_S
-        for name in [n for n, at in self.askers.items() if at <= oldest]:
+        for name in [n for n, a in self.askers.items() if a.at <= oldest]:
             del self.askers[name]
-        return len(self.askers) + 1
+        return list(self.askers.values())
 
     def listed(self, kind: str, found: interface.Listed) -> None:
         """Notes that a kind was read whole."""
@@ -171,10 +190,11 @@
             since = int(request.query["since"])
             wait_s = int(request.query["wait_ms"]) / 1000
             name = request.query["name"]
+            shares = request.query.get("shares", SHARES) == SHARES
         except (KeyError, ValueError):
             return messages.Response(400)
         first = not self.demanded()
-        self.askers[name] = self.loop.time()
+        self.askers[name] = Asker(self.loop.time(), shares)
         if first:
             events.emit(events.ReadsForOthers(name))
             self.on_demand()
--- a/banyantiller/gateway/sharing.py
+++ b/banyantiller/gateway/sharing.py
@@ -25,6 +25,10 @@
 # How often a daemon that others don't ask tries a lost store itself: it also
 # learns of the return from those that are asked, and calls are paid for.
 STORE_AGAIN_S = 1.5
+# A daemon that refuses this soon leaves time to ask the next one; the store is
+# asked only then. At the start of a fleet, when the daemons that are asked
+# don't listen yet, that makes 2 calls of each other daemon in place of 6.
+QUICK_S = 0.1
 # How long a daemon that gave no answer is not asked again.
 UNFIT_S = 2.0
 LIMITS = messages.Limits(connections=4, silence_s=3)
@@ -36,13 +40,15 @@
     Attributes:
         user: Client of it.
         name: Name of this daemon, by which the other counts it.
+        shares: Whether this daemon shares what the other one divides.
         address: IP number and port of the other daemon.
         sharers: Daemons that the other one told for, itself included.
         unfit_until: Loop time until which it is not asked.
     """
 
-    def __init__(self, endpoint: Endpoint, name: str) -> None:
+    def __init__(self, endpoint: Endpoint, name: str, shares: bool) -> None:
         self.name = parse.quote(name)
+        self.shares = mirror.SHARES if shares else "0"
         self.address = f"{endpoint.address}:{endpoint.port}"
         self.sharers = 0
         self.user = client.HttpClient(endpoint.address, endpoint.port, LIMITS)
@@ -55,6 +61,7 @@
         target = (
             f"{mirror.PATH}{kind}?since={version}"
             f"&wait_ms={wait_s * 1000:.0f}&name={self.name}"
+            f"&shares={self.shares}"
         )
         fields = await self._ask(
             target, wait_s + ASK_MARGIN_S, mirror.ReplyFields
@@ -63,7 +70,7 @@
             return None
         self.sharers = fields["sharers"]
         events = tuple(_event(kind, item) for item in fields["events"])
-        return interface.Changes(events, fields["version"])
+        return interface.Changes(events, fields["version"], second_hand=True)
 
     async def list(self, kind: str) -> interface.Listed | None:
         """Asks for all objects; None if the daemon can't tell."""
@@ -116,8 +123,12 @@
         store: The store.
         mirror: What this daemon tells others.
         sentinel: Kind whose calls show whether the store answers.
-        peers: Daemons to ask for changes; empty if this one is asked itself.
+        peers: Daemons to ask for changes; of a daemon that is asked itself,
+            those before it in the order of their addresses.
         others: Daemons to ask for what was in force, without this one.
+        asked_itself: Whether others ask this daemon.
+        counts_from: Loop time from which a daemon that is asked knows who
+            shares with it.
         relied_on: Daemon that told changes last, or None.
         next_store: Loop time from which a lost store is tried again.
         groups: Daemons that others may ask; each tells a part of the fleet.
@@ -133,7 +144,7 @@
         own: mirror.Mirror,
         sentinel: str,
         others: list[Peer],
-        asked_itself: bool,
+        own_address: str,
         rng: random.Random,
     ) -> None:
         self.store = store
@@ -141,8 +152,13 @@
         self.sentinel = sentinel
         self.others = list(others)
         rng.shuffle(self.others)
-        self.peers = [] if asked_itself else self.others
-        self.groups = max(1, len(self.others) + asked_itself)
+        self.asked_itself = bool(own_address)
+        self.peers = self.others
+        if self.asked_itself:
+            # In one order for all, so that no two wait for each other.
+            before = [p for p in others if p.address < own_address]
+            self.peers = sorted(before, key=lambda peer: peer.address)
+        self.groups = max(1, len(self.others) + self.asked_itself)
         self.share: float | None = None
         self.relied_on: Peer | None = None
         self.next_store = 0.0
@@ -150,6 +166,7 @@
         self.calls = store.calls
         self.questions: collections.Counter[str] = collections.Counter()
         self.loop = asyncio.get_running_loop()
+        self.counts_from = self.loop.time() + mirror.DEMAND_S
 
     async def list(
         self, kind: str, labels: dict[str, str] | None = None
@@ -197,24 +214,21 @@
     ) -> interface.ChangesOutcome:
         if wait_s <= 0:
             return await self._try_lost_store(kind, version)
-        if self.mirror.demanded():
-            self._divide(self.mirror.sharers())
-            if kind == self.sentinel:
-                wait_s = min(wait_s, READER_WAIT_S)
-            return await self.store.changes(kind, version, wait_s)
         now = self.loop.time()
-        peer = next((p for p in self.peers if p.unfit_until <= now), None)
-        if peer is None:
-            return await self.store.changes(kind, version, wait_s)
-        found = await peer.changes(kind, version, min(wait_s, ASK_WAIT_S))
-        self.questions["unanswered" if found is None else "answered"] += 1
-        if found is not None:
-            self._rely_on(peer)
-            return found
-        events.emit(events.PeerLost(peer.address))
-        self.relied_on = None
-        peer.unfit_until = self.loop.time() + UNFIT_S
-        return await self.store.changes(kind, version, 0.0)
+        demanded = self.mirror.demanded()
+        if demanded or (self.asked_itself and now >= self.counts_from):
+            self._divide(self.mirror.sharers())
+        for peer in self.peers:
+            if peer.unfit_until > self.loop.time():
+                continue
+            found = await self._ask(peer, kind, version, wait_s)
+            if found is not None:
+                return found
+            if self.loop.time() - now > QUICK_S:
+                return await self.store.changes(kind, version, 0.0)
+        if demanded and kind == self.sentinel:
+            wait_s = min(wait_s, READER_WAIT_S)
+        return await self.store.changes(kind, version, wait_s)
 
     async def _try_lost_store(
         self, kind: str, version: str
@@ -227,12 +241,30 @@
         found = await self.random.choice(self.peers).changes(kind, version, 0.0)
         return found or interface.Unavailable("no daemon reaches the store")
 
+    async def _ask(
+        self, peer: Peer, kind: str, version: str, wait_s: float
+    ) -> interface.Changes | None:
+        """Asks a daemon, and notes whether it can be relied on."""
+        found = await peer.changes(kind, version, min(wait_s, ASK_WAIT_S))
+        if found is not None:
+            self.questions["answered"] += 1
+            self._rely_on(peer)
+            return found
+        self.questions["unanswered"] += 1
+        now = self.loop.time()
+        if peer.unfit_until <= now:
+            events.emit(events.PeerLost(peer.address))
+        peer.unfit_until = now + UNFIT_S
+        self.relied_on = None
+        return None
+
     def _rely_on(self, peer: Peer) -> None:
         """Notes that another daemon told changes."""
         if peer is not self.relied_on:
             self.relied_on = peer
             events.emit(events.ReadsThrough(peer.address, peer.sharers))
-        self._divide(peer.sharers)
+        if not self.asked_itself:
+            self._divide(peer.sharers)
 
     def _divide(self, sharers: int) -> None:
         """Takes this daemon's part of what a group of daemons may use.
--- a/banyantiller/store/interface.py
+++ b/banyantiller/store/interface.py
@@ -119,10 +119,12 @@
     Attributes:
         events: Changes in their order.
         version: Version from which to go on.
+        second_hand: Whether another daemon told it, and not the store.
     """
 
     events: tuple[Changed | Deleted, ...]
     version: str
+    second_hand: bool = False
 
 
 ChangesOutcome = Changes | Gone | Unavailable
--- /dev/null
+++ b/banyantiller/tests/gateway/test_order_of_reading.py
@@ -0,0 +1,119 @@
+"""Tests of daemons that are asked and ask each other in one order."""
+
+import asyncio
+
+from banyantiller.tests import base
+from banyantiller.tests.gateway import world
+
+PORTS = (7001, 7002, 7003)
+SEEDS = tuple(f"{world.ADDRESS}:{port}" for port in PORTS)
+NEW = [world.route("new", "safe", "/new/")]
+
+
+class OrderOfReadingTest(base.TestCase):
+    def play(self, body):
+        """Runs `body(world, daemons)`: three that are asked, and four more."""
+
+        async def whole():
+            async with world.World() as place:
+                daemons = [place.gateway]
+                for number, port in enumerate(PORTS):
+                    # Settings may list them in any order.
+                    turned = SEEDS[number:] + SEEDS[:number]
+                    await place.start_gateway(turned, f"seed{number}", port)
+                    daemons.append(place.gateway)
+                for number in range(4):
+                    await place.start_gateway(SEEDS, f"more{number}")
+                    daemons.append(place.gateway)
+                await asyncio.sleep(7)
+                try:
+                    return await body(place, daemons[1:])
+                finally:
+                    for one in daemons[:-1]:
+                        one.listener.close()
+                        await one.close()
+
+        return self.run_paused(whole())
+
+    def test_only_the_first_reads_the_store(self):
+        async def body(place, daemons):
+            before = [one.known.reader.calls.total() for one in daemons]
+            place.put_document(NEW)
+            await asyncio.sleep(10)
+            return [
+                one.known.reader.calls.total() - count
+                for one, count in zip(daemons, before, strict=True)
+            ]
+
+        calls = self.play(body)
+        self.assertGreater(calls[0], 5)
+        self.assertEqual([0] * 6, calls[1:])
+
+    def test_change_passes_through_all_within_a_period(self):
+        """The bound is 2 s; a series of changes is read every 0.8 s."""
+
+        async def body(place, daemons):
+            for number in range(40):
+                place.register("s1", state=("ready", "draining")[number == 39])
+                place.register("s2", port=5000 + number)
+                await asyncio.sleep(0.13)
+            await asyncio.sleep(0.9 - 0.13)
+            tables = [one.known.table for one in daemons]
+            return [table.entries["s1"].server.leaving for table in tables]
+
+        self.assertEqual([True] * 7, self.play(body))
+
+    def test_change_is_in_force_although_the_first_is_frozen(self):
+        async def body(place, daemons):
+            async def frozen(request):
+                await asyncio.sleep(3600)
+
+            place.controls[1].handler = frozen
+            place.put_document(NEW)
+            await asyncio.sleep(1.6)
+            return [one.known.version for one in daemons[1:]]
+
+        self.assertEqual([4] * 6, self.play(body))
+
+    def test_change_is_in_force_although_the_first_lost_the_store(self):
+        async def body(place, daemons):
+            user = daemons[0].adapter.store.user
+            original = user.request
+
+            async def silent(*arguments):
+                await asyncio.sleep(arguments[2])
+                return await original(*arguments)
+
+            user.port = 1
+            for link in list(user.idle):
+                link.close()
+            user.request = silent
+            place.put_document(NEW)
+            await asyncio.sleep(1.9)
+            return [one.known.version for one in daemons[1:]]
+
+        self.assertEqual([4] * 6, self.play(body))
+
+    def test_parts_of_the_budget_add_up(self):
+        async def body(place, daemons):
+            return [one.known.reader.share for one in daemons]
+
+        shares = self.play(body)
+        self.assertAlmostEqual(1.0, sum(shares))
+        self.assertGreater(min(shares), 0.0)
+
+    def test_start_before_all_others_takes_two_calls_of_each_kind(self):
+        """One call lists, and one waits for changes."""
+
+        async def body(place, daemons):
+            nobody = tuple(f"{world.ADDRESS}:{port}" for port in (7101, 7102))
+            await place.start_gateway(nobody, "early")
+            await asyncio.sleep(1)
+            early = place.gateway
+            place.gateway = daemons[-1]
+            calls = dict(early.known.reader.calls)
+            early.listener.close()
+            await early.close()
+            return calls
+
+        self.assertEqual({"list": 2, "watch": 2}, self.play(body))
--- a/banyantiller/tests/gateway/world.py
+++ b/banyantiller/tests/gateway/world.py
@@ -136,7 +136,7 @@
             await control.close()
         await self.http.close()
 
-    async def start_gateway(self, seeds=(), name="d1"):
+    async def start_gateway(self, seeds=(), name="d1", control_port=0):
         """Starts the gateway and what follows the store."""
         settings = options.Settings(
             daemon=name,
@@ -144,6 +144,7 @@
             callers=f"{ADDRESS}:0",
             ready=f"{ADDRESS}:0",
             store=f"{ADDRESS}:{self.bound.port}",
+            control=f"{ADDRESS}:{control_port}" if control_port else "",
             seeds=seeds,
             retry_extra=480.0,
         )
@@ -156,7 +157,7 @@
         bound = await self.gateway.start(Endpoint(ADDRESS, 0))
         self.port = bound.port
         control = server.HttpServer(self.gateway.known.mirror.handle)
-        self.control = await control.start(ADDRESS, 0)
+        self.control = await control.start(ADDRESS, control_port)
         self.controls.append(control)
 
     def put_document(self, routes=None, **limits):
--- a/spec/mirror.py
+++ b/spec/mirror.py
@@ -2,7 +2,8 @@
 
 The store holds objects that are put and removed; each change has a revision.
 The daemon that is asked has listed all objects once and then reads changes in
-batches, of which it keeps the latest; it may restart. The daemon that asks
+batches, of which it keeps the latest; it may restart. It may itself learn from
+a third one, and so be at any revision up to the store's. The daemon that asks
 names the revision up to which it has seen everything. It gets all batches that
 end later, also one that begins before its revision, or is told that too little
 is kept, and then reads the store. It may read the store at any time, and
@@ -120,15 +121,17 @@
     asked = state.asked
     now = len(state.history)
     if not asked.known:
-        listed = Asked(True, now, now, now)
-        return [("list", state._replace(asked=listed))]
+        return [
+            (f"list({at})", state._replace(asked=Asked(True, at, at, at)))
+            for at in range(now + 1)
+        ]
     steps = [("restart_asked", state._replace(asked=Asked()))]
-    if asked.version < now:
-        oldest = asked.oldest
-        if asked.kept == KEPT and variant != "dropped_batch_is_forgotten":
-            oldest = asked.version
-        read = Asked(True, oldest, asked.version, now, KEPT)
-        steps.append(("read", state._replace(asked=read)))
+    oldest = asked.oldest
+    if asked.kept == KEPT and variant != "dropped_batch_is_forgotten":
+        oldest = asked.version
+    for at in range(asked.version + 1, now + 1):
+        read = Asked(True, oldest, asked.version, at, KEPT)
+        steps.append((f"read({at})", state._replace(asked=read)))
     return steps
 
 
