Record and measure asking before sending in bench.decisions

The choice by load asked for just before sending was tested through sockets only, without a scenario, a rival or a trace.

--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -14,6 +14,7 @@
     knowledge,
     pool,
     sampling,
+    selection,
     tallies,
     types,
 )
@@ -83,7 +84,9 @@
             adapter, self.pool_of, self.known.moved, settings.zone
         )
         self.chooser = choosing.Chooser(
-            self.known.table, self.asker, rng, settings.daemon
+            self.known.table,
+            self.asker,
+            selection.Selector(settings.daemon, settings.zone, rng),
         )
         self.emptied = asyncio.Event()
         self.listener: asyncio.Server | None = None
--- /dev/null
+++ b/banyantiller/gateway/selection.py
@@ -0,0 +1,152 @@
+"""Which servers are asked for a request, and which of them gets it.
+
+Pure decisions: who asks and waits is `choosing`. They are recorded and played
+again by `replay.selector_player`.
+"""
+
+import random
+import zlib
+from typing import NamedTuple
+
+from banyantiller.gateway import asking, servers
+
+# Servers asked for each request: five reach nearly all that eight do.
+ASKED = 5
+# Servers of the own zone that are asked first. Mostly one of them will do, and
+# nothing crosses zones: two thirds of the bytes between zones are questions.
+ASKED_NEAR = 3
+# Servers of the own zone that a daemon prefers, the same ones each time, so
+# that connections are kept: in a fleet of 120 daemons and 168 servers new ones
+# cost a tenth of what machines do. Once in EXPLORED requests any other is
+# asked, so that a server that few daemons prefer gets work too.
+KEPT_NEAR = 8
+EXPLORED = 10
+# A server of the own zone with this score or less is taken without asking
+# others: it has free slots and works at most a fifth slower than usual.
+GOOD_SCORE = 1.25
+# The own zone is asked alone while it was enough this often lately; else its
+# answer would only be waited for.
+NEAR_ENOUGH = 0.5
+# Weight of one request in that rate: it follows a burst within a second.
+NEAR_WEIGHT = 0.1
+# A server that works more than this much slower than usual is left alone
+# while others may get free.
+SLOWEST = 2.0
+
+
+class Round(NamedTuple):
+    """Servers that are asked at once.
+
+    Attributes:
+        asked: The servers.
+        near: Whether other zones are asked only if these are not enough.
+        mixed: Whether there are servers in the own zone and in others.
+    """
+
+    asked: list[servers.Entry]
+    near: bool
+    mixed: bool
+
+
+class Selector:
+    """Selects servers for the requests of one daemon.
+
+    Attributes:
+        daemon: Its name.
+        zone: Its availability zone.
+        near_enough: By service, how often the own zone was enough lately.
+    """
+
+    def __init__(self, daemon: str, zone: str, rng: random.Random) -> None:
+        self.daemon = daemon
+        self.zone = zone
+        self.random = rng
+        self.near_enough: dict[str, float] = {}
+
+    def first(self, service: str, usable: list[servers.Entry]) -> Round:
+        """Returns the servers to ask first.
+
+        Args:
+            service: The service.
+            usable: Its servers that may be asked.
+        """
+        near = [entry for entry in usable if self._is_near(entry)]
+        if not near or len(near) == len(usable):
+            return Round(self._some(usable, ASKED), False, False)
+        if self.near_enough.get(service, 1.0) < NEAR_ENOUGH:
+            return Round(self._some(usable, ASKED), False, True)
+        return Round(self._some(self._preferred(near), ASKED_NEAR), True, True)
+
+    def more(
+        self,
+        service: str,
+        usable: list[servers.Entry],
+        before: Round,
+        found: list[asking.Candidate],
+    ) -> list[servers.Entry]:
+        """Returns the servers to ask besides; none if these are enough.
+
+        Args:
+            service: The service.
+            usable: Its servers that may be asked.
+            before: What was asked.
+            found: Those that answered.
+        """
+        enough = any(map(self._is_near_and_good, found))
+        if before.mixed:
+            self._note_near(service, enough)
+        if enough or not before.near:
+            return []
+        others = [entry for entry in usable if entry not in before.asked]
+        return self._some(others, ASKED - 1)
+
+    def pick(
+        self, found: list[asking.Candidate], most_score: float, now: float
+    ) -> asking.Candidate | None:
+        """Returns the best candidate that is ready, or None.
+
+        A server that calls itself unfit is taken only if all that answered do:
+        then they may be lying, and refusing would serve nobody.
+
+        Args:
+            found: Servers that answered, best first.
+            most_score: Greatest score that is taken.
+            now: Loop time.
+        """
+        any_fit = any(one.fit for one in found)
+        return next(
+            (
+                one
+                for one in found
+                if one.fit == any_fit
+                and one.ready(SLOWEST)
+                and one.score <= most_score
+                and one.entry.usable(now)
+            ),
+            None,
+        )
+
+    def _is_near(self, entry: servers.Entry) -> bool:
+        return entry.server.zone == self.zone
+
+    def _is_near_and_good(self, candidate: asking.Candidate) -> bool:
+        near = self._is_near(candidate.entry)
+        return near and candidate.fit and candidate.score <= GOOD_SCORE
+
+    def _note_near(self, service: str, enough: bool) -> None:
+        rate = self.near_enough.get(service, 1.0)
+        self.near_enough[service] = rate + NEAR_WEIGHT * (enough - rate)
+
+    def _preferred(self, near: list[servers.Entry]) -> list[servers.Entry]:
+        """Returns the servers that this daemon keeps connections to."""
+        if len(near) <= KEPT_NEAR or self.random.randrange(EXPLORED) == 0:
+            return near
+        return sorted(near, key=self._rank)[:KEPT_NEAR]
+
+    def _rank(self, entry: servers.Entry) -> int:
+        return zlib.crc32(f"{self.daemon} {entry.server.instance}".encode())
+
+    def _some(
+        self, entries: list[servers.Entry], most: int
+    ) -> list[servers.Entry]:
+        return self.random.sample(entries, min(most, len(entries)))
--- a/banyantiller/replay/player.py
+++ b/banyantiller/replay/player.py
@@ -10,6 +10,7 @@
     "replica": "banyantiller.replay.replica_player",
     "claims": "banyantiller.replay.claims_player",
     "rolls": "banyantiller.replay.rolls_player",
+    "selector": "banyantiller.replay.selector_player",
 }
 
 
--- /dev/null
+++ b/banyantiller/replay/selector_inputs.py
@@ -0,0 +1,219 @@
+"""Inputs of a trace of the selector, and how a selector is recorded."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from banyantiller.gateway import asking, selection, servers, types
+from banyantiller.replay import recording, traces
+
+
+class ServerFields(NamedTuple):
+    """A registered server.
+
+    Attributes:
+        instance: Its identity.
+        zone: Its availability zone.
+        slots: Requests that it executes at once.
+    """
+
+    instance: str
+    zone: str
+    slots: int
+
+
+class Header(NamedTuple):
+    """Fields of the header.
+
+    Attributes:
+        trace: Version of the format.
+        core: "selector".
+        daemon: Name of the daemon.
+        zone: Its availability zone.
+        seed: Seed of its random choices.
+        servers: All servers that occur.
+        about: What the trace shows.
+    """
+
+    trace: int
+    core: str
+    daemon: str
+    zone: str
+    seed: int
+    servers: tuple[ServerFields, ...]
+    about: str = ""
+
+
+class First(NamedTuple):
+    """A request begins: which servers are asked first.
+
+    Attributes:
+        round: Number of the request's round.
+        service: Its service.
+        usable: Servers that may be asked.
+        asked: Those that were asked when this was recorded.
+    """
+
+    round: int
+    service: str
+    usable: tuple[str, ...]
+    asked: tuple[str, ...] = ()
+
+
+class Told(NamedTuple):
+    """A server's answer.
+
+    Attributes:
+        server: Its identity.
+        score: Its cost at that time.
+        fit: Whether it says that it is well.
+        load: Running, waiting, slots and slowness; empty if it tells none.
+        in_flight: Requests of this daemon at it.
+        usable: Whether it may still get requests.
+    """
+
+    server: str
+    score: float
+    fit: bool = True
+    load: tuple[float, ...] = ()
+    in_flight: int = 0
+    usable: bool = True
+
+
+class More(NamedTuple):
+    """The first answers are in: which servers are asked besides.
+
+    Attributes:
+        round: Number of the round.
+        found: The answers, best first.
+        asked: Servers that were asked besides when this was recorded.
+    """
+
+    round: int
+    found: tuple[Told, ...]
+    asked: tuple[str, ...] = ()
+
+
+class Pick(NamedTuple):
+    """All answers are in: who gets the request.
+
+    Attributes:
+        found: The answers, best first.
+        most_score: Greatest score that is taken; 0 for any.
+        chosen: Who was chosen when this was recorded; empty for nobody.
+    """
+
+    found: tuple[Told, ...]
+    most_score: float = 0.0
+    chosen: str = ""
+
+
+INPUTS: dict[str, type] = {"first": First, "more": More, "pick": Pick}
+NAMES = {kind: name for name, kind in INPUTS.items()}
+ANY_SCORE = float("inf")
+
+
+class RecordingSelector:
+    """Passes questions on to a selector and records them with its answers.
+
+    Attributes:
+        selector: The real selector.
+        recording: Where lines are written.
+        clock: Returns the time in seconds.
+        rounds: Rounds whose answers are not in, with their numbers.
+    """
+
+    def __init__(
+        self,
+        selector: selection.Selector,
+        lines: recording.Recording,
+        clock: Callable[[], float],
+    ) -> None:
+        self.selector = selector
+        self.recording = lines
+        self.clock = clock
+        self.count = 0
+        self.rounds: list[tuple[selection.Round, int]] = []
+
+    def first(
+        self, service: str, usable: list[servers.Entry]
+    ) -> selection.Round:
+        """See `Selector.first`."""
+        found = self.selector.first(service, usable)
+        self.count += 1
+        self.rounds.append((found, self.count))
+        self._note(First(self.count, service, _names(usable),
+                         _names(found.asked)))  # fmt: skip
+        return found
+
+    def more(
+        self,
+        service: str,
+        usable: list[servers.Entry],
+        before: selection.Round,
+        found: list[asking.Candidate],
+    ) -> list[servers.Entry]:
+        """See `Selector.more`."""
+        (place,) = [n for n, (r, _) in enumerate(self.rounds) if r is before]
+        _, number = self.rounds.pop(place)
+        asked = self.selector.more(service, usable, before, found)
+        self._note(More(number, _told(found, self.clock()), _names(asked)))
+        return asked
+
+    def pick(
+        self, found: list[asking.Candidate], most_score: float, now: float
+    ) -> asking.Candidate | None:
+        """See `Selector.pick`."""
+        best = self.selector.pick(found, most_score, now)
+        chosen = best.entry.server.instance if best else ""
+        limit = 0.0 if most_score == ANY_SCORE else most_score
+        self._note(Pick(_told(found, now), limit, chosen))
+        return best
+
+    def _note(self, item: First | More | Pick) -> None:
+        self.recording.note(self.clock(), item)
+
+
+def begin(
+    lines: recording.Recording,
+    daemon: str,
+    zone: str,
+    seed: int,
+    registered: list[ServerFields],
+) -> None:
+    """Writes the header of a recording."""
+    lines.begin(
+        Header(traces.FORMAT, "selector", daemon, zone, seed, tuple(registered))
+    )
+
+
+def entry_of(fields: ServerFields) -> servers.Entry:
+    """Returns a server as a daemon believes it at first."""
+    server = types.Server(
+        instance=fields.instance,
+        service="",
+        host="",
+        port=0,
+        zone=fields.zone,
+        slots=fields.slots,
+        leaving=False,
+        warmup_s=0.0,
+    )
+    return servers.Entry(server, 0.0)
+
+
+def _names(entries: list[servers.Entry]) -> tuple[str, ...]:
+    return tuple(entry.server.instance for entry in entries)
+
+
+def _told(found: list[asking.Candidate], now: float) -> tuple[Told, ...]:
+    return tuple(
+        Told(
+            one.entry.server.instance,
+            one.score,
+            one.fit,
+            tuple(map(float, one.load)) if one.load else (),
+            one.entry.in_flight,
+            one.entry.usable(now),
+        )
+        for one in found
+    )
--- a/banyantiller/replay/traces.py
+++ b/banyantiller/replay/traces.py
@@ -15,7 +15,7 @@
 from banyantiller.bundle import plain
 
 FORMAT = 1
-CORES = ("dispatcher", "replica", "claims", "rolls")
+CORES = ("dispatcher", "replica", "claims", "rolls", "selector")
 TIME = "t"
 EXPECT = "expect"
 
--- a/banyantiller/tests/gateway/test_beliefs.py
+++ b/banyantiller/tests/gateway/test_beliefs.py
@@ -5,8 +5,8 @@
 from banyantiller.gateway import (
     beliefs,
     budget,
-    choosing,
     scoring,
+    selection,
     servers,
     types,
 )
@@ -101,13 +101,10 @@
             entries = [servers.Entry(server(f"i{n}"), 0.0) for n in range(40)]
             reached = set()
             for number in range(30):
-                chooser = choosing.Chooser(
-                    servers.ServerTable(),
-                    None,
-                    random.Random(number),
-                    f"d{number}",
+                selector = selection.Selector(
+                    f"d{number}", "zone-a", random.Random(number)
                 )
-                rounds = [chooser._preferred(entries) for _ in range(50)]
+                rounds = [selector._preferred(entries) for _ in range(50)]
                 few = [one for one in rounds if len(one) < len(entries)]
                 self.assertEqual(1, len({tuple(map(id, one)) for one in few}))
                 self.assertGreater(len(few), 35)
--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -20,7 +20,9 @@
 
 from banyantiller.bundle import options
 from banyantiller.replay import recording
+from banyantiller.replay import selector_inputs as inputs
 from banyantiller.routing import adaptive, tuning, types
+from bench import decisions_asking
 from bench import decisions_rivals as rivals
 from bench.decisions_scenarios import SCENARIOS
 from bench.decisions_world import Daemon, User, World
@@ -92,7 +94,16 @@
         daemon = Daemon(world, size.zones[number % len(size.zones)])
         world.daemons.append(daemon)
         given = (service, states, daemon.zone, 1000 * task.seed + number)
-        if chooser is not None:
+        if task.policy == "asking":
+            lines = None
+            if task.record:
+                lines = recording.Recording(
+                    opened(task, number, world).write, names=inputs.NAMES
+                )
+            daemon.dispatcher = decisions_asking.create(
+                world, daemon, given[3], lines
+            )
+        elif chooser is not None:
             daemon.dispatcher = rivals.AllKnowingDispatcher(chooser, daemon)
         elif task.policy != "adaptive":
             daemon.dispatcher = rivals.usual(rivals.PICKS[task.policy], *given)
@@ -109,11 +120,16 @@
 
 def recorded(create, task, number, world):
     """Returns a factory whose dispatcher writes a trace for replay."""
-    name = f"{task.service}-{task.scenario}-{number}.jsonl"
+    return recording.record(create, opened(task, number, world).write)
+
+
+def opened(task, number, world):
+    """Opens the file of a daemon's trace."""
+    name = f"{task.service}-{task.scenario}-{task.policy}-{number}.jsonl"
     path = os.path.join(task.record, name)
     file = open(path, "w", encoding="utf-8")  # noqa: SIM115
     world.traces.append(file)
-    return recording.record(create, file.write)
+    return file
 
 
 def run(task):
@@ -154,6 +170,9 @@
         "refused": world.refusals,
         "extra": max(0.0, world.tries / sends - 1),
         "probes_per_s": world.probes / world.now,
+        "questions_per_server_s": world.questions
+        / world.now
+        / len(world.servers),
         "measuring_over_budget": world.probes > allowed,
         "run_twice": sum(u.runs > 1 and not u.idempotent for u in world.users),
         "lost": sum(user.latency is None for user in world.users),
@@ -175,10 +194,23 @@
             "p99_over_best_baseline": round(p99["adaptive"] / p99[best], 3),
             "p99_over_bound": round(p99["adaptive"] / p99["bound"], 3),
             "best_baseline": best,
+            **asking_over(results, service, scenario),
         }
     return ratios
 
 
+def asking_over(results, service, scenario):
+    """Returns the ratio of asking first to reports on answers, if it ran."""
+    asking = results.get((service, scenario, "asking"))
+    if asking is None:
+        return {}
+    ours = results[service, scenario, "adaptive"]
+    return {
+        f"asking_{name}_over_adaptive": round(asking[name] / ours[name], 3)
+        for name in ("p50_ms", "p99_ms")
+    }
+
+
 def totals(results, ratios):
     """Returns the figures of the whole run of the product."""
     ours = [row for key, row in results.items() if key[2] == "adaptive"]
@@ -228,7 +260,7 @@
         for name in (
             policy.split(",")
             if policy
-            else (*rivals.PICKS, "bound", "adaptive")
+            else (*rivals.PICKS, "bound", "adaptive", "asking")
         )
     ]
     if record:
--- a/bench/decisions_scenarios.py
+++ b/bench/decisions_scenarios.py
@@ -5,6 +5,8 @@
 
 from banyantiller.routing import types
 
+# Speeds of a server that shares its machine with others; 0.74 in the mean.
+SHIFTS = (1.2, 1.0, 1.0, 0.7, 0.4, 0.15)
 NOISE = (1.0,) * 7 + (0.5, 0.5, 0.2)
 
 
@@ -47,6 +49,18 @@
         world.after(0.0, shift, server)
 
 
+def shifting(world, rng, seconds):
+    """Changes each server's speed five times a second on average."""
+
+    def shift(server):
+        server.set_speed(rng.choice(SHIFTS))
+        if world.now < seconds:
+            world.after(rng.expovariate(5.0), shift, server)
+
+    for server in world.servers.values():
+        world.after(0.0, shift, server)
+
+
 def warm_up(world, server, length):
     """Starts a server cold: a fifth of its speed, rising to all of it."""
     for step in range(5):
@@ -112,6 +126,7 @@
     "steady90": Scenario(steady(0.9)),
     "slow": Scenario(steady(0.7), slow_server),
     "noisy": Scenario(steady(0.6), noisy),
+    "shifting": Scenario(steady(0.5), shifting),
     "restart": Scenario(steady(0.7), rolling_restart),
     "failfast": Scenario(steady(0.7), fail_fast),
     "cold": Scenario(steady(0.7), cold_start),
--- a/bench/decisions_world.py
+++ b/bench/decisions_world.py
@@ -247,7 +247,7 @@
         self.daemons, self.users, self.traces = [], [], []
         self.freed = lambda _: None
         self.report_age, self.resend = 0.0, False
-        self.probes = self.tries = self.refusals = 0
+        self.probes = self.tries = self.refusals = self.questions = 0
 
     def after(self, delay, function, *arguments):
         """Calls a function when the delay is over."""
