Use the least part of the retry budget that was held in the last window

Cause: found by specifying how daemons share the fixed part of the budget. A daemon that is killed forgets what it sent and takes its part again at once, and the living take a dead one's part after 3 s, within the same window of 10 s: with all daemons killed together, up to twice the fixed part. Reloading the settings forgot what was sent as well.

Ruled out: waiting only after a start (parts also grow when others die); the 0.8 that is kept back covers counts that differ for half a second, not this.

Change: a daemon may use the least part that it held at any time of the last window, and held none before its start. The share of requests stays. Settings change a budget in place.

The new tests of starts and of reloads fail without the change.

--- a/banyantiller/gateway/budget.py
+++ b/banyantiller/gateway/budget.py
@@ -1,6 +1,44 @@
 """Repeated sends within a budget that holds for the whole fleet."""
 
 import collections
+import math
+
+
+class LeastPart:
+    """The least part of a shared budget that was held in the last window.
+
+    Who counts on the greatest part at once uses again what another daemon used
+    and died with, or what it used itself before it was started anew. With the
+    least part of a window, two parts used in one window were both held at its
+    begin, when all of them added up to the whole at most.
+
+    Attributes:
+        window_s: Length of the window, in seconds.
+        held: Times and parts, each less than those after it.
+    """
+
+    def __init__(self, window_s: float, now: float) -> None:
+        self.window_s = window_s
+        # Nothing was held before the start.
+        self.held: collections.deque[tuple[float, float]] = collections.deque(
+            [(now, 0.0)]
+        )
+
+    def note(self, part: float, now: float) -> None:
+        """Notes the part that is held from a loop time on."""
+        if part == self.held[-1][1]:
+            return
+        while self.held and self.held[-1][1] > part:
+            self.held.pop()
+        if not self.held or self.held[-1][1] != part:
+            self.held.append((now, part))
+
+    def least(self, now: float) -> float:
+        """Returns the least part held in the window before a loop time."""
+        oldest = now - self.window_s
+        while len(self.held) > 1 and self.held[1][0] <= oldest:
+            self.held.popleft()
+        return self.held[0][1]
 
 
 class RetryBudget:
@@ -25,7 +63,7 @@
         self.extra = extra
         self.requests: collections.deque[float] = collections.deque()
         self.repeats: collections.deque[float] = collections.deque()
-        self.told_at = -window_s
+        self.told_at = -math.inf
 
     def request(self, now: float) -> None:
         """Counts a request that a caller sent, at a loop time."""
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -79,6 +79,7 @@
         self.body_bytes = 0
         self.pools: dict[str, pool.Pool] = {}
         self.budgets: dict[str, budget.RetryBudget] = {}
+        self.part = budget.LeastPart(settings.retry_window_s, self.loop.time())
         self.sampler = sampling.CallSampler()
         self.asker = asking.Asker(
             adapter, self.pool_of, self.known.moved, settings.zone
@@ -152,6 +153,7 @@
             await asyncio.sleep(HOUSEKEEPING_S)
             now = self.loop.time()
             self.known.expire(now)
+            self.least_share()
             for kept in self.pools.values():
                 kept.expire(now)
 
@@ -182,15 +184,23 @@
         """Returns the retry budget of a service."""
         found = self.budgets.get(service)
         if found is None:
-            found = budget.RetryBudget(
-                self.settings.retry_window_s,
-                self.settings.retry_ratio * BUDGET_USE,
-                0.0,
-            )
+            found = budget.RetryBudget(0.0, 0.0, 0.0)
             self.budgets[service] = found
-        found.extra = self.settings.retry_extra * self.share()
+        # Settings may have changed; what was used counts on.
+        found.window_s = self.settings.retry_window_s
+        found.ratio = self.settings.retry_ratio * BUDGET_USE
+        found.extra = self.settings.retry_extra * self.least_share()
         return found
 
+    def least_share(self) -> float:
+        """Returns the least share that was held in the last retry window."""
+        if not self.settings.seeds:
+            return FLEET_SHARE
+        now = self.loop.time()
+        self.part.window_s = self.settings.retry_window_s
+        self.part.note(self.share(), now)
+        return self.part.least(now)
+
     def share(self) -> float:
         """Returns this daemon's part of what the fleet may use.
 
--- a/banyantiller/gateway/run.py
+++ b/banyantiller/gateway/run.py
@@ -116,7 +116,6 @@
             return
         self.settings = fresh
         self.gateway.settings = fresh
-        self.gateway.budgets.clear()
         events.emit(events.SettingsReloaded())
 
     async def _answer_ready(
--- a/banyantiller/tests/gateway/test_beliefs.py
+++ b/banyantiller/tests/gateway/test_beliefs.py
@@ -95,6 +95,38 @@
         self.assertEqual((6, 4), (first, rest))
 
 
+class LeastPartTest(base.TestCase):
+    def test_nothing_is_held_until_a_window_after_the_start(self):
+        part = budget.LeastPart(10.0, 100.0)
+        part.note(0.5, 101.0)
+        part.note(0.5, 108.0)
+        self.assertEqual(0.0, part.least(110.9))
+        self.assertEqual(0.5, part.least(111.0))
+
+    def test_a_greater_part_counts_after_a_window_and_a_smaller_at_once(self):
+        part = budget.LeastPart(10.0, 0.0)
+        part.note(0.25, 1.0)
+        self.assertEqual(0.25, part.least(20.0))
+        part.note(0.5, 20.0)
+        part.note(0.4, 22.0)
+        self.assertEqual(0.25, part.least(30.0))
+        self.assertEqual(0.4, part.least(32.0))
+        part.note(0.1, 33.0)
+        self.assertEqual(0.1, part.least(33.0))
+
+    def test_it_is_the_least_of_all_in_the_window(self):
+        rng = random.Random(4)
+        for _ in range(200):
+            part = budget.LeastPart(10.0, 0.0)
+            held = [(0.0, 0.0)]
+            for at in sorted(rng.uniform(0, 60) for _ in range(25)):
+                held.append((at, rng.choice((0.1, 0.2, 0.3, 0.5))))
+                part.note(held[-1][1], at)
+                begin = [p for t, p in held if t <= at - 10.0][-1:]
+                inside = [p for t, p in held if at - 10.0 < t <= at]
+                self.assertLessEqual(part.least(at), min(begin + inside))
+
+
 class PreferenceTest(base.TestCase):
     def test_daemon_prefers_the_same_few_servers_and_fleets_reach_all(self):
         async def body():
--- a/banyantiller/tests/gateway/test_mirror.py
+++ b/banyantiller/tests/gateway/test_mirror.py
@@ -169,6 +169,32 @@
         self.assertEqual(6, len(shares))
         self.assertAlmostEqual(1.0, sum(shares))
 
+    def test_daemon_that_starts_anew_has_no_part_for_a_window(self):
+        """Else it would use again what it used before it was killed."""
+
+        async def body(place, first):
+            extras = []
+            for _ in range(16):
+                extras.append(place.gateway.budget_of("orders").extra)
+                await asyncio.sleep(1)
+            return extras
+
+        extras = self.play(body)
+        self.assertEqual([0.0] * 9, extras[:9])
+        self.assertGreater(extras[-1], 100.0)
+
+    def test_reloaded_settings_keep_what_was_used(self):
+        async def body(place, first):
+            await asyncio.sleep(15)
+            used = place.gateway.budget_of("orders")
+            while used.take(0.0):
+                pass
+            fresh = place.gateway.settings._replace(retry_ratio=0.1)
+            place.gateway.settings = fresh
+            return place.gateway.budget_of("orders").take(0.0)
+
+        self.assertFalse(self.play(body))
+
     def test_daemon_that_could_not_count_yet_takes_no_part(self):
         async def body(place, first):
             await place.start_gateway(("127.0.0.1:1",), "alone")
--- a/spec/check.py
+++ b/spec/check.py
@@ -18,6 +18,7 @@
 from spec.measuring import MEASURING
 from spec.mirror import MIRROR
 from spec.server_drain import SERVER_DRAIN
+from spec.sharing import SHARING
 from spec.specification import Broken, Specification, protocol
 from spec.spread import SPREAD
 
@@ -29,6 +30,7 @@
     DAEMON_DRAIN,
     MEASURING,
     MIRROR,
+    SHARING,
 )
 MOST_STATES = 400_000
 
