--- a/banyantiller/gateway/caller.py
+++ b/banyantiller/gateway/caller.py
@@ -257,6 +257,7 @@
 
     def _flush(self) -> None:
         """Writes the answers whose turn has come."""
+        before = len(self.slots)
         while self.slots and self.slots[0].reply is not None:
             if self.gone:
                 return
@@ -269,7 +270,8 @@
         elif not self.gone:
             self.since = self.loop.time()
             self._set_timer()
-        if not self.ended and not self.parsing and not self.gone:
+        idle = not self.ended and not self.parsing and not self.gone
+        if idle and len(self.slots) < before:
             self.loop.call_soon(self._read_on)
 
     def _read_on(self) -> None:
--- a/banyantiller/gateway/exchange.py
+++ b/banyantiller/gateway/exchange.py
@@ -20,6 +20,9 @@
 )
 NOT_FORWARDED = HOP_BY_HOP | {"content-length", "expect"}
 NOT_RUN_STATUSES = (421,)
+# To a caller these say that the request was not run. A server that sends one
+# without its mark for that may have run it, so they are not passed on.
+PROMISES = frozenset({408, 429, 503})
 # Answers of other requests that are read before the connection is given up.
 MOST_STRAY_ANSWERS = 3
 SUCCESS = range(200, 300)
@@ -145,6 +148,9 @@
         return NotRun(ErrorKind.NO_SERVER, moved=True)
     if response.header(wire.not_run.decode()):
         return NotRun(ErrorKind.BACKEND_SHED)
+    if status in PROMISES:
+        reason = f"status {status} without a word on whether it ran"
+        return Broken(ErrorKind.BACKEND_MALFORMED, reason)
     echoed = response.header(wire.request_id.decode())
     if echoed != request_id and (echoed or status in SUCCESS):
         return Broken(ErrorKind.BACKEND_MALFORMED, "not this request's answer")
--- a/banyantiller/tests/gateway/test_serving.py
+++ b/banyantiller/tests/gateway/test_serving.py
@@ -49,6 +49,49 @@
         self.assertEqual([b"a", b"b", b"c"], texts)
         self.assertLess(sum(answer.took_s for answer in answers), 0.12)
 
+    def test_refusal_that_does_not_say_not_run_is_no_promise(self):
+        """A 503 of a server may come after it ran; told on, it promises."""
+
+        async def body(place):
+            place.fault(silent_503=True)
+            filed = await place.ask("a", "/file/x", "POST", b"deposit")
+            read = await place.ask("b")
+            return filed, place.ran("a"), read
+
+        filed, ran, read = self.play(body)
+        self.assertEqual((502, 1), (filed.status, ran))
+        self.assertEqual("unknown", filed.headers["request-ran"])
+        self.assertNotIn("upstream-signature", filed.headers)
+        self.assertEqual(502, read.status)
+
+    def test_half_a_head_is_waited_for_and_not_polled(self):
+        """Looking at it again and again would take the whole processor."""
+        looks = []
+        read_on = caller_module.CallerConnection._read_on
+
+        def counted(connection):
+            looks.append(connection)
+            if len(looks) < 50:
+                read_on(connection)
+
+        async def body(place):
+            caller = await world.Caller.connect(place)
+            caller.writer.write(b"GET /read/x HTTP/1.1\r\nHost: desk")
+            await asyncio.sleep(0.5)
+            caller.writer.write(b".example\r\nAttempt-Id: a\r\n\r\nGET /re")
+            answer = await caller.read()
+            await asyncio.sleep(0.5)
+            caller.writer.write(b"ad/x HTTP/1.1\r\nHost: desk.example\r\n")
+            caller.writer.write(b"Attempt-Id: b\r\n\r\n")
+            return answer.status, (await caller.read()).status
+
+        caller_module.CallerConnection._read_on = counted
+        try:
+            self.assertEqual((200, 200), self.play(body))
+        finally:
+            caller_module.CallerConnection._read_on = read_on
+        self.assertLess(len(looks), 10)
+
     def test_unrepeatable_request_behind_another_waits_for_its_turn(self):
         async def body(place):
             caller = await world.Caller.connect(place)
--- a/banyantiller/tests/gateway/world.py
+++ b/banyantiller/tests/gateway/world.py
@@ -83,7 +83,9 @@
                 body += bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self.codec = codec
-                headers = {n.decode(): v.decode() for n, v in head.headers}
+                headers = {
+                    n.decode(): v.decode("latin-1") for n, v in head.headers
+                }
                 took_s = loop.time() - began
                 return Answer(head.status_code, headers, body, took_s)
 
--- a/standins/registered_server.py
+++ b/standins/registered_server.py
@@ -27,6 +27,8 @@
         twice: Sends an answer a second time, `twice_after` seconds later.
         shed: Turns requests away although it has free slots.
         fail: Answers 500.
+        silent_503: Executes a request and answers 503 without its mark for
+            what was not executed.
         unsigned: Leaves its mark off.
         ill: Calls itself unfit.
         unframed: Answers without a length and closes.
@@ -42,6 +44,7 @@
     twice_after: float = 0.0
     shed: bool = False
     fail: bool = False
+    silent_503: bool = False
     unsigned: bool = False
     ill: bool = False
     unframed: bool = False
@@ -157,7 +160,8 @@
         if refusal:
             writer.write(self._answer(codec, refusal[0], own | refusal[1], b""))
             return True
-        return await self._run(codec, reader, writer, own)
+        has_body = head.method != b"HEAD"
+        return await self._run(codec, reader, writer, own, has_body)
 
     def _refusal(self, fields: dict[str, str]) -> tuple[int, dict] | None:
         wanted = fields.get("target-instance", self.instance)
@@ -173,6 +177,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         own: dict[str, str],
+        has_body: bool,
     ) -> bool:
         self.ran[own["attempt-id"]] += 1
         self.running += 1
@@ -190,13 +195,14 @@
         if done:
             self.dropped += 1
             return False
-        return await self._finish(codec, writer, own)
+        return await self._finish(codec, writer, own, has_body)
 
     async def _finish(
         self,
         codec: h11.Connection,
         writer: asyncio.StreamWriter,
         own: dict[str, str],
+        has_body: bool,
     ) -> bool:
         faults = self.faults
         if faults.lose:
@@ -204,11 +210,13 @@
         if faults.reset:
             return False
         status = 500 if faults.fail else 200
+        if faults.silent_503:
+            status = 503
         if not faults.unsigned:
             own["upstream-signature"] = f"by.{self.instance}"
         if faults.other_id:
             own["attempt-id"] = "another"
-        body = f"{own['attempt-id']} at {self.instance}".encode()
+        body = f"{own['attempt-id']} at {self.instance}".encode() * has_body
         if faults.unframed:
             lines = "".join(f"{n}: {v}\r\n" for n, v in own.items())
             writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode() + body)
