--- a/banyantiller/platform/store.py
+++ b/banyantiller/platform/store.py
@@ -93,7 +93,9 @@
             items.extend(_stored(kind, item) for item in page["items"])
             if not page["more"] or not page["items"]:
                 return interface.Listed(tuple(items), first_revision)
-            after = page["items"][-1]["metadata"]["name"]
+            before, after = after, page["items"][-1]["metadata"]["name"]
+            if after <= before:
+                return interface.Unavailable("the pages of a list don't end")
 
     async def changes(
         self, kind: str, version: str, wait_s: float
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -28,4 +28,19 @@
         "A draining daemon whose connections had all closed once ended while a"
         " call on a later connection was at work. Mended.",
     ),
+    Regression(
+        201,
+        SIZES,
+        "Daemons that knew each other under different addresses asked in a"
+        " circle, and nobody read the store. SIGHUP during a start ended the"
+        " process. Both mended.",
+    ),
+    *(
+        Regression(
+            seed,
+            SIZES,
+            "Changes were seen late, as for seed 201. Mended.",
+        )
+        for seed in (221, 232, 241)
+    ),
 )
