--- a/banyantiller/gateway/run.py
+++ b/banyantiller/gateway/run.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from banyantiller import exceptions, plugins
-from banyantiller.gateway import events
+from banyantiller.gateway import events, lean
 from banyantiller.gateway import gateway as gateways
 from banyantiller.gateway import settings as options
 from banyantiller.http import messages, server
@@ -138,7 +138,9 @@
         if request.path != METRICS_PATH:
             return messages.Response(404)
         if self.page is None:
-            # Loading takes half a second: not on the thread of the calls.
+            # Their libraries insist on the one for TLS. Loading takes half a
+            # second: not on the thread of the calls.
+            lean.allow_tls()
             module = await asyncio.to_thread(
                 importlib.import_module, "banyantiller.gateway.metrics"
             )
