Share what the fuzz tests, scenarios and soak faults had twice

Change: tests/fuzz/raw.py serves fixed bytes for both tests, change_speeds serves both scenarios, and _crash both faults.

--- a/banyantiller/tests/fuzz/test_object_api.py
+++ b/banyantiller/tests/fuzz/test_object_api.py
@@ -1,7 +1,6 @@
 """Answers of the object API, and requests to the stand-in."""
 
 import asyncio
-import itertools
 import json
 
 from hypothesis import strategies as st
@@ -10,7 +9,7 @@
 from banyantiller.store import interface, kubernetes
 from banyantiller.tests.base import TestCase
 from banyantiller.tests.faults import seeds
-from banyantiller.tests.fuzz import mutations
+from banyantiller.tests.fuzz import mutations, raw
 
 HOST = "127.0.0.1"
 PORT = 7000
@@ -88,25 +87,7 @@
 
     async def use(self, data, cuts, closes):
         """Makes each call against a server that answers with the bytes."""
-        ends = sorted(cut % (len(data) + 1) for cut in cuts)
-        places = itertools.pairwise([0, *ends, len(data)])
-        parts = [data[a:b] for a, b in places]
-
-        async def serve(reader, writer):
-            try:
-                while await reader.readuntil(b"\r\n\r\n"):
-                    for part in parts:
-                        writer.write(part)
-                        await writer.drain()
-                        await asyncio.sleep(0.01)
-                    if closes:
-                        break
-            except (asyncio.IncompleteReadError, ConnectionError):
-                pass
-            finally:
-                writer.close()
-
-        listener = await asyncio.start_server(serve, HOST, PORT)
+        listener = await raw.start(HOST, PORT, data, cuts, closes)
         store = kubernetes.KubernetesStore.from_settings(
             defaults.ObjectApiSettings(
                 defaults.Endpoint(HOST, PORT),
--- a/banyantiller/tests/fuzz/test_platform_store.py
+++ b/banyantiller/tests/fuzz/test_platform_store.py
@@ -1,7 +1,6 @@
 """Answers of the platform's store and of other daemons, damaged."""
 
 import asyncio
-import itertools
 
 from hypothesis import strategies as st
 
@@ -11,7 +10,7 @@
 from banyantiller.store import interface
 from banyantiller.tests.base import TestCase
 from banyantiller.tests.faults import seeds
-from banyantiller.tests.fuzz import mutations
+from banyantiller.tests.fuzz import mutations, raw
 from banyantiller.tests.fuzz.test_object_api import CUTS, TOKENS, answer
 
 HOST = "127.0.0.1"
@@ -46,24 +45,7 @@
 
     async def use(self, data, cuts, closes):
         """Makes each call against a server that answers with the bytes."""
-        ends = sorted(cut % (len(data) + 1) for cut in cuts)
-        places = itertools.pairwise([0, *ends, len(data)])
-        parts = [data[a:b] for a, b in places]
-
-        async def serve(reader, writer):
-            try:
-                while await reader.readuntil(b"\r\n\r\n"):
-                    for part in parts:
-                        writer.write(part)
-                        await asyncio.sleep(0.001)
-                    if closes:
-                        return
-            except (asyncio.IncompleteReadError, OSError):
-                pass
-            finally:
-                writer.close()
-
-        listener = await asyncio.start_server(serve, HOST, PORT)
+        listener = await raw.start(HOST, PORT, data, cuts, closes)
         store = stores.PlatformStore.from_address(HOST, PORT)
         peer = sharing.Peer(Endpoint(HOST, PORT), "d1", True)
         try:
--- a/bench/decisions_scenarios.py
+++ b/bench/decisions_scenarios.py
@@ -39,23 +39,21 @@
 
 def noisy(world, rng, seconds):
     """Shifts each server's speed every 5 ms on average; 0.82 in the mean."""
-
-    def shift(server):
-        server.set_speed(rng.choice(NOISE))
-        if world.now < seconds:
-            world.after(rng.expovariate(200.0), shift, server)
-
-    for server in world.servers.values():
-        world.after(0.0, shift, server)
+    change_speeds(world, rng, seconds, NOISE, 200.0)
 
 
 def shifting(world, rng, seconds):
     """Changes each server's speed five times a second on average."""
+    change_speeds(world, rng, seconds, SHIFTS, 5.0)
+
+
+def change_speeds(world, rng, seconds, speeds, rate):
+    """Gives each server another speed so many times a second on average."""
 
     def shift(server):
-        server.set_speed(rng.choice(SHIFTS))
+        server.set_speed(rng.choice(speeds))
         if world.now < seconds:
-            world.after(rng.expovariate(5.0), shift, server)
+            world.after(rng.expovariate(rate), shift, server)
 
     for server in world.servers.values():
         world.after(0.0, shift, server)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,7 @@
     STAYS_S,
     STORE_CALL_S,
     Daemon,
+    Place,
     World,
 )
 from standins import platform_store
@@ -212,14 +213,19 @@
 async def crash_server(world: World, step: plans.Step) -> None:
     """Ends a server without notice; another start takes its place."""
     number = step.target % len(world.places)
-    place = world.places[number]
+    if _crash(world, world.places[number]):
+        await asyncio.sleep(step.for_s)
+        await world.start_server(number)
+
+
+def _crash(world: World, place: Place) -> bool:
+    """Ends a place's server at once; False if there is none."""
     server, place.server = place.server, None
     if server is None:
-        return
+        return False
     server.stop()
     world.begin(_remove_later(world, server.instance))
-    await asyncio.sleep(step.for_s)
-    await world.start_server(number)
+    return True
 
 
 async def _remove_later(world: World, instance: str) -> None:
@@ -252,15 +258,11 @@
     """Ends a server and gives its address to one of another service."""
     number = step.target % len(world.places)
     place = world.places[number]
-    server, place.server = place.server, None
-    if server is None:
-        return
-    server.stop()
-    world.begin(_remove_later(world, server.instance))
-    await asyncio.sleep(REUSE_S)
-    others = [name for name in SERVICES if name != place.service]
-    place.service = others[0]
-    await world.start_server(number)
+    if _crash(world, place):
+        await asyncio.sleep(REUSE_S)
+        others = [name for name in SERVICES if name != place.service]
+        place.service = others[0]
+        await world.start_server(number)
 
 
 # The store.
