--- a/bench/kinds.py
+++ b/bench/kinds.py
@@ -1,10 +1,12 @@
 """Plays one kind of trouble a day on a site of the users' bench.
 
-    python -m bench.kinds BENCH SITE --why TEXT [--only KIND] [--jobs N]
+    python -m bench.kinds BENCH SITE --why TEXT [--only KIND] [--beside]
 
 Writes a day for each kind and variant, with the trouble twice and the traffic
 of the site's first day, plays it and prints a table: rules broken, worth, and
-the difference from a day without trouble. Days go to `out/kinds`.
+the difference from a day without trouble. With `--beside` a release, a rolling
+restart and a change of the configuration go on at the same time. Days go to
+`out/kinds`.
 """
 
 import concurrent.futures
@@ -80,6 +82,13 @@
 )  # fmt: skip
 PLANNED = {"release", "scale_out", "scale_in", "roll_term", "config_change",
            "config_storm", "hup"}  # fmt: skip
+# Planned work that goes on beside the trouble, so that both times of it fall
+# into some.
+BESIDE = (
+    "{ at = 3.0, kind = 'release', share = 0.5, gap_s = 0.8 }",
+    "{ at = 12.0, kind = 'roll_term', share = 0.4, gap_s = 1.0 }",
+    "{ at = 16.0, kind = 'config_change', how = 'route' }",
+)
 WORTH = re.compile(r"^kind-\S+ +\S+ +(?:\S+ +)?(-?\d\.\d+) +(\d\.\d+)", re.M)
 BROKEN = re.compile(r"^rules broken: (.*)$", re.MULTILINE)
 
@@ -99,7 +108,13 @@
 
 
 def main(
-    bench: str, site: str, *, why: str, only: str = "", jobs: int = 2
+    bench: str,
+    site: str,
+    *,
+    why: str,
+    only: str = "",
+    beside: bool = False,
+    jobs: int = 2,
 ) -> None:
     """Plays the days and prints the table.
 
@@ -108,9 +123,10 @@
         site: Path of the site file.
         why: Reason, for the bench's journal.
         only: Kind to play; all if empty.
+        beside: Let planned work go on beside the trouble.
         jobs: Days played at a time.
     """
-    days = [("calm", ""), *_days(only)]
+    days = days_of(only, beside)
     with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
         rows = list(pool.map(lambda day: _play(bench, site, why, *day), days))
     calm = rows[0].worth or 0.0
@@ -121,23 +137,38 @@
         print(f"| {row.name} | {worth} | {less} | {row.broken} |")
 
 
-def _days(only: str) -> list[tuple[str, str]]:
-    found = []
+def days_of(only: str, beside: bool) -> list[tuple[str, str]]:
+    """Returns names and troubles, in TOML; the first day has no trouble."""
+    work = BESIDE if beside else ()
+    found = [("calm", _tables(work, ()))]
     for kind, variants, rest in KINDS:
         if only and kind != only:
             continue
         for how in variants:
-            table = "plan" if kind in PLANNED else "faults"
-            entries = "".join(
-                f"  {{ at = {at}, kind = {kind!r}, how = {how!r}"
-                f"{', ' if rest else ''}{rest} }},\n"
+            entries = tuple(
+                f"{{ at = {at}, kind = {kind!r}, how = {how!r}"
+                f"{', ' if rest else ''}{rest} }}"
                 for at in AT_S
             )
-            name = f"{kind} {how}".strip()
-            found.append((name, f"{table} = [\n{entries}]\n"))
+            planned = kind in PLANNED
+            text = _tables(
+                (*work, *entries) if planned else work,
+                () if planned else entries,
+            )
+            found.append((f"{kind} {how}".strip(), text))
     return found
 
 
+def _tables(plan: tuple[str, ...], faults: tuple[str, ...]) -> str:
+    """Returns the two lists of a day that are not empty."""
+    lists = (("plan", plan), ("faults", faults))
+    return "".join(
+        f"{name} = [\n" + "".join(f"  {entry},\n" for entry in entries) + "]\n"
+        for name, entries in lists
+        if entries
+    )
+
+
 def _play(bench: str, site: str, why: str, name: str, text: str) -> Played:
     slug = "kind-" + name.replace(" ", "-").replace("_", "-")
     path = FOLDER / pathlib.Path(site).stem / f"{slug}.toml"
