--- a/banyantiller/commands/explain_page.py
+++ b/banyantiller/commands/explain_page.py
@@ -67,7 +67,7 @@
         if way.objective_ms is not None:
             axes.axvline(way.objective_ms, color=OBJECTIVE_COLOUR, ls=":")
         axes.set_yticks(range(len(rows)), rows)
-        axes.invert_yaxis()
+        axes.set_ylim(len(rows) - 0.5, -0.5)
         axes.set_xlabel("ms; dotted: latency objective")
 
     return plots.to_data_uri(draw, title)
