Tell a soak that could not keep up as failed

Change: a run in which the soak lagged for over a tenth of the time is a finding of its own.

Not mended: servers, store and links still run in one process, which 40 daemons with faults and probes saturate.

--- a/banyantiller/tests/soak/test_checks.py
+++ b/banyantiller/tests/soak/test_checks.py
@@ -172,6 +172,13 @@
     def test_errors_in_logs(self):
         self.assert_broken("logs", record(log_errors=["Traceback"]))
 
+    def test_soak_that_could_not_keep_up_is_no_clean_run(self):
+        calls = [attempt(f"g{n}", at=10.0 + n) for n in range(20)]
+        slow = [Disturbance(12.0, 15.0, records.LAG, None)]
+        self.assert_broken("kept up", record(calls, disturbances=slow))
+        short = [Disturbance(12.0, 12.5, records.LAG, None)]
+        self.assert_kept("kept up", record(calls, disturbances=short))
+
     def test_not_served_after_the_last_fault(self):
         good = [attempt(f"g{n}", at=30.0) for n in range(30)]
         self.assert_kept("served again", record(good, calm_from=20.0))
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -17,6 +17,8 @@
 # Least part of the requests that is served once all faults are over.
 SERVED_AGAIN = 0.9
 LEAST_REQUESTS = 20
+# Greatest part of a run in which the soak itself may lag: lag excuses much.
+MOST_LAG = 0.1
 SHOWN_IDS = 5
 
 
@@ -237,6 +239,18 @@
         yield Finding("logs", line)
 
 
+def kept_up(seen: Record) -> Iterator[Finding]:
+    """Yields a run in which the soak itself was too slow to judge service."""
+    sent = [a.sent_at for a in seen.attempts]
+    lag_s = sum(
+        one.ended - one.began
+        for one in seen.disturbances
+        if one.what == records.LAG
+    )
+    if sent and lag_s > MOST_LAG * (max(sent) - min(sent)):
+        yield Finding("kept up", f"the soak itself lagged for {lag_s:.1f} s")
+
+
 def served_again(seen: Record) -> Iterator[Finding]:
     """Yields a run that is not served once all faults are over."""
     late = [
@@ -289,4 +303,5 @@
     Promise("leaving servers", True, leaving_servers),
     Promise("in force", True, in_force),
     Promise("served again", True, served_again),
+    Promise("kept up", True, kept_up),
 )
