Split the soak's world and the tests of serving; make nonces in one place

SIGHUP during a start had been mended without a test.

Change: what the store holds is in soak/contents.py, one gateway's process, ports and log in soak/gateways.py; tests of callers moved to test_callers.py, with the set-up that three test classes repeated in tests/gateway/world.py. Nonces come from store/nonces.py, of the same lengths as before. A test hangs up while the program loads: it ended with -1 without the handler, now 0.

--- a/banyantiller/claims/arbiter.py
+++ b/banyantiller/claims/arbiter.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import random
-import secrets
 from collections.abc import Callable
 
 import structlog
@@ -21,19 +20,12 @@
     types,
 )
 from banyantiller.errors import ErrorKind
-from banyantiller.store import interface
+from banyantiller.store import interface, nonces
 
 log = structlog.get_logger("banyantiller.claims")
 
 FINISH_S = 2.0
 
-NonceSource = Callable[[], str]
-
-
-def make_nonce() -> str:
-    """Returns 128 random bits, unique over all daemons and restarts."""
-    return secrets.token_hex(16)
-
 
 class StoreClaims:
     """Claims over the object API; implements `claims.types.Claims`.
@@ -56,7 +48,7 @@
         deployment: str,
         daemon: str,
         wall: Callable[[], float],
-        nonce: NonceSource = make_nonce,
+        nonce: nonces.NonceSource = nonces.of_128_bits,
     ) -> None:
         self.store = store
         self.deployment = deployment
@@ -80,7 +72,7 @@
         deployment: str,
         daemon: str,
         wall: Callable[[], float],
-        nonce: NonceSource = make_nonce,
+        nonce: nonces.NonceSource = nonces.of_128_bits,
     ) -> "StoreClaims":
         """Constructs the claims of one daemon.
 
--- a/banyantiller/measuring/budget.py
+++ b/banyantiller/measuring/budget.py
@@ -7,14 +7,13 @@
 
 import asyncio
 import random
-import secrets
 from collections.abc import Callable, Iterable
 
 import structlog
 
 from banyantiller.bundle import options
 from banyantiller.measuring import objects, permits
-from banyantiller.store import interface
+from banyantiller.store import interface, nonces
 
 log = structlog.get_logger("banyantiller.measuring")
 
@@ -22,12 +21,6 @@
 PACE_S = 0.25
 
 Charger = Callable[[float], bool]
-NonceSource = Callable[[], str]
-
-
-def make_nonce() -> str:
-    """Returns 64 random bits, unique over all daemons and restarts."""
-    return secrets.token_hex(8)
 
 
 class Budget:
@@ -44,7 +37,7 @@
         deployment: str,
         wall: Callable[[], float],
         rng: random.Random,
-        nonce: NonceSource = make_nonce,
+        nonce: nonces.NonceSource = nonces.of_64_bits,
     ) -> None:
         self.store = store
         self.deployment = deployment
@@ -61,7 +54,7 @@
         deployment: str,
         daemon: str,
         wall: Callable[[], float],
-        nonce: NonceSource = make_nonce,
+        nonce: nonces.NonceSource = nonces.of_64_bits,
     ) -> "Budget":
         """Constructs the budgets of one daemon.
 
--- /dev/null
+++ b/banyantiller/store/nonces.py
@@ -0,0 +1,16 @@
+"""Texts that tell one write of the object API from all others."""
+
+import secrets
+from collections.abc import Callable
+
+NonceSource = Callable[[], str]
+
+
+def of_64_bits() -> str:
+    """Returns 64 random bits, unique over all daemons and restarts."""
+    return secrets.token_hex(8)
+
+
+def of_128_bits() -> str:
+    """Returns 128 random bits, unique over all daemons and restarts."""
+    return secrets.token_hex(16)
--- a/banyantiller/tests/gateway/test_draining.py
+++ b/banyantiller/tests/gateway/test_draining.py
@@ -3,22 +3,12 @@
 import asyncio
 
 from banyantiller.gateway import gateway as gateways
-from banyantiller.tests import base
 from banyantiller.tests.gateway import world
 
 GRACE_S = 6.0
 
 
-class DrainingTest(base.TestCase):
-    def play(self, body):
-        """Runs `body(world)` in a world on the paused clock."""
-
-        async def whole():
-            async with world.World() as place:
-                return await body(place)
-
-        return self.run_paused(whole())
-
+class DrainingTest(world.TestCase):
     def test_call_that_began_after_all_others_left_is_not_cut(self):
         async def body(place):
             for one in place.servers.values():
--- a/banyantiller/tests/gateway/test_program.py
+++ b/banyantiller/tests/gateway/test_program.py
@@ -8,7 +8,7 @@
 
 from banyantiller.http import client, outcomes
 from banyantiller.tests import base
-from soak import plan
+from soak import gateways, plan
 from soak import world as worlds
 
 SIZES = plan.Sizes(daemons=1, servers=1, callers=0)
@@ -24,13 +24,21 @@
 import banyantiller.gateway.metrics
 assert "_ssl" in sys.modules
 """
+HUNG_UP_WHILE_LOADING = """
+import os, runpy, signal, sys, types
+import banyantiller.gateway
+run = types.ModuleType("banyantiller.gateway.run")
+run.run = lambda arguments: os.kill(os.getpid(), signal.SIGHUP) or 0
+sys.modules[run.__name__] = banyantiller.gateway.run = run
+runpy.run_module("banyantiller.gateway", run_name="__main__")
+"""
 
 
 class ProgramTest(base.TestCase):
     def test_metrics_are_served(self):
         async def body():
             with tempfile.TemporaryDirectory() as folder:
-                (port,) = worlds.daemon_ports(4)[-1:]
+                (port,) = gateways.daemon_ports(4)[-1:]
                 settings = {"metrics_port": port}
                 world = worlds.World(pathlib.Path(folder), SIZES, settings)
                 try:
@@ -50,3 +58,8 @@
     def test_no_tls_library_is_loaded_until_metrics_are(self):
         done = subprocess.run([sys.executable, "-c", LOADS_NO_TLS], check=False)
         self.assertEqual(0, done.returncode)
+
+    def test_hangup_before_its_handler_is_set_up_does_not_end_it(self):
+        code = HUNG_UP_WHILE_LOADING
+        done = subprocess.run([sys.executable, "-c", code], check=False)
+        self.assertEqual(0, done.returncode)
--- a/banyantiller/tests/gateway/world.py
+++ b/banyantiller/tests/gateway/world.py
@@ -11,6 +11,7 @@
 from banyantiller.gateway import settings as options
 from banyantiller.http import server
 from banyantiller.platform import plugin
+from banyantiller.tests import base
 from standins import platform_store, registered_server
 
 ADDRESS = "127.0.0.1"
@@ -233,6 +234,19 @@
                 setattr(one.faults, name, value)
 
 
+class TestCase(base.TestCase):
+    """Plays calls on the paused clock."""
+
+    def play(self, body, **more):
+        """Runs `body(world)` in a world of its own."""
+
+        async def whole():
+            async with World(**more) as place:
+                return await body(place)
+
+        return self.run_paused(whole())
+
+
 def route(name, kind, prefix, service=SERVICE, **more):
     """Returns a route as the store holds it."""
     return {
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -7,8 +7,10 @@
 import h11
 
 from soak import record as records
+from soak.contents import HOST, TIMEOUT_S
+from soak.gateways import Daemon
 from soak.record import Attempt
-from soak.world import HOST, TIMEOUT_S, Daemon, World
+from soak.world import World
 from standins import runner
 
 CONNECT_S = 1.0
--- /dev/null
+++ b/soak/contents.py
@@ -0,0 +1,59 @@
+"""What the store holds in a soak: documents and registrations."""
+
+HOST = "desk.example"
+SERVICES = ("desk", "archive")
+TIMEOUT_S = 2.0
+OBJECTIVE_S = 0.4
+
+
+def document(version: int) -> dict[str, object]:
+    """Returns a document; each version has a route of its own."""
+    return {
+        "version": version,
+        "routes": [
+            _route("read", "safe", "/read/", "desk"),
+            _route("file", "unsafe", "/file/", "desk"),
+            _route("look", "safe", "/look/", "archive"),
+            _route("new", "safe", f"/version-{version}/", "desk"),
+        ],
+        "services": [
+            {"name": name, "healthPath": "/health", "maxConns": 220}
+            for name in SERVICES
+        ],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 100000,
+            "headerTimeoutS": 3,
+            "idleTimeoutS": 15,
+        },
+    }
+
+
+def registration(
+    service: str, address: str, zone: str, slots: int, state: str
+) -> dict[str, object]:
+    """Returns what a server registers."""
+    return {
+        "service": service,
+        "address": address,
+        "zone": zone,
+        "maxConcurrency": slots,
+        "state": state,
+        "warmupLeftS": 0,
+    }
+
+
+def _route(
+    name: str, kind: str, prefix: str, service: str
+) -> dict[str, object]:
+    return {
+        "name": name,
+        "hostname": HOST,
+        "pathPrefix": prefix,
+        "routeType": kind,
+        "timeoutS": TIMEOUT_S,
+        "targetLatencyS": OBJECTIVE_S,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2,
+    }
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,13 +6,13 @@
 
 from soak import plan as plans
 from soak import record as records
+from soak.contents import SERVICES
+from soak.gateways import Daemon
 from soak.links import Link, Trouble
 from soak.world import (
     HEARTBEATS_MISSED_S,
-    SERVICES,
     STAYS_S,
     STORE_CALL_S,
-    Daemon,
     Place,
     World,
 )
--- a/soak/world.py
+++ b/soak/world.py
@@ -3,76 +3,28 @@
 import asyncio
 import contextlib
 import json
-import os
 import pathlib
 import signal
-import socket
 import sys
 
 from banyantiller.http import client, outcomes, server
+from soak import contents, gateways
 from soak import plan as plans
 from soak import record as records
 from soak.links import Link
 from standins import platform_store, processes, registered_server, runner
 
-HOST = "desk.example"
-SERVICES = ("desk", "archive")
 ZONES = ("zone-a", "zone-b")
 SLOTS = 4
 WORK_S = 0.02
-TIMEOUT_S = 2.0
-OBJECTIVE_S = 0.4
 # Registrations of a dead server are removed after three missed heartbeats.
 HEARTBEATS_MISSED_S = 4.5
 # How long a server goes on serving after it has told that it leaves.
 STAYS_S = 3.0
 SEEDS = 3
-# Below the range from which the system takes ports by itself.
-LEAST_PORT = 12000
-PORTS = 16000
-# Ports of one run: three a daemon, and a few hundred daemons at most.
-PORTS_EACH = 1000
-# The platform asks once a second and acts on two misses.
+# The platform asks once a second.
 READY_PERIOD_S = 1.0
-READY_MISSES = 2
 STORE_CALL_S = 0.004
-# Line of a daemon that listens.
-STARTED = "gateway: started."
-# An error in the log that is no fault of the program.
-EXPECTED_ERRORS = ("document is unreadable", "registration is unreadable")
-
-
-class Daemon:
-    """One gateway and the links around it.
-
-    Attributes:
-        number: Its number.
-        callers: Link on which callers reach it.
-        store: Link on which it reaches the store.
-        control: Link on which other daemons reach it.
-        child: Its process, or None while it is down.
-        life: How often it was started.
-        asked_at: Loop time of the order to end, or None.
-        misses: Questions for readiness without a good answer, in a row.
-        watcher: Waits for the end of the process.
-    """
-
-    def __init__(self, number: int, ports: list[int]) -> None:
-        self.number = number
-        self.callers_port, self.ready_port, self.control_port = ports
-        self.callers: Link
-        self.store: Link
-        self.control: Link
-        self.child: processes.Child | None = None
-        self.life = 0
-        self.asked_at: float | None = None
-        self.misses = READY_MISSES
-        self.watcher: asyncio.Task[None] | None = None
-
-    @property
-    def in_rotation(self) -> bool:
-        """Whether callers are sent to it."""
-        return self.misses < READY_MISSES
 
 
 class Place:
@@ -118,7 +70,7 @@
         self.store = platform_store.PlatformStore()
         self.http = server.HttpServer(self.store.handle, runner.LIMITS)
         self.children = processes.Children(folder)
-        self.daemons: list[Daemon] = []
+        self.daemons: list[gateways.Daemon] = []
         self.places: list[Place] = []
         self.all_servers: list[registered_server.RegisteredServer] = []
         self.version = 0
@@ -131,12 +83,12 @@
         self.accept_document()
         for number in range(2 * self.sizes.servers):
             link = await Link.to(runner.ADDRESS, 0)
-            service = SERVICES[number % len(SERVICES)]
+            service = contents.SERVICES[number % len(contents.SERVICES)]
             self.places.append(Place(service, link))
             await self.start_server(number)
-        ports = daemon_ports(3 * self.sizes.daemons)
+        ports = gateways.daemon_ports(3 * self.sizes.daemons)
         for number in range(self.sizes.daemons):
-            daemon = Daemon(number, ports[3 * number : 3 * number + 3])
+            daemon = gateways.Daemon(number, ports[3 * number : 3 * number + 3])
             daemon.callers = await Link.to(runner.ADDRESS, daemon.callers_port)
             daemon.control = await Link.to(runner.ADDRESS, daemon.control_port)
             daemon.store = await Link.to(runner.ADDRESS, bound.port)
@@ -186,24 +138,7 @@
     def accept_document(self) -> None:
         """Puts the next version in force; it has a route of its own."""
         self.version += 1
-        routes = [
-            _route("read", "safe", "/read/", "desk"),
-            _route("file", "unsafe", "/file/", "desk"),
-            _route("look", "safe", "/look/", "archive"),
-            _route("new", "safe", f"/version-{self.version}/", "desk"),
-        ]
-        services = [
-            {"name": name, "healthPath": "/health", "maxConns": 220}
-            for name in SERVICES
-        ]
-        limits = {
-            "maxHeaderBytes": 16384,
-            "maxBodyBytes": 100000,
-            "headerTimeoutS": 3,
-            "idleTimeoutS": 15,
-        }
-        content = {"version": self.version, "routes": routes,
-                   "services": services, "limits": limits}  # fmt: skip
+        content = contents.document(self.version)
         self.store.put("config", "main", content)
         self.seen.acceptances.append(
             records.Acceptance(self.loop.time(), self.version)
@@ -223,22 +158,15 @@
     def register(self, place: Place, state: str) -> None:
         """Writes the registration of a place's server."""
         assert place.server is not None
-        self.store.put(
-            "servers",
-            place.server.instance,
-            {
-                "service": place.service,
-                "address": f"{runner.ADDRESS}:{place.link.port}",
-                "zone": ZONES[0],
-                "maxConcurrency": SLOTS,
-                "state": state,
-                "warmupLeftS": 0,
-            },
+        address = f"{runner.ADDRESS}:{place.link.port}"
+        content = contents.registration(
+            place.service, address, ZONES[0], SLOTS, state
         )
+        self.store.put("servers", place.server.instance, content)
 
     # The daemons.
 
-    async def start_daemon(self, daemon: Daemon) -> None:
+    async def start_daemon(self, daemon: gateways.Daemon) -> None:
         """Starts a daemon's process; nothing if it is up."""
         if daemon.child is not None:
             return
@@ -256,7 +184,7 @@
         )
         daemon.watcher = asyncio.ensure_future(self._watch(daemon))
 
-    def write_settings(self, daemon: Daemon) -> pathlib.Path:
+    def write_settings(self, daemon: gateways.Daemon) -> pathlib.Path:
         """Writes a daemon's settings file and returns its path."""
         address = runner.ADDRESS
         # A daemon knows itself among the seeds by its own address.
@@ -284,7 +212,7 @@
         fresh.write_text(json.dumps(content | self.settings))
         return fresh.replace(path)
 
-    def signal(self, daemon: Daemon, number: signal.Signals) -> bool:
+    def signal(self, daemon: gateways.Daemon, number: signal.Signals) -> bool:
         """Sends a signal to a daemon's process; False if it is down."""
         child = daemon.child
         if child is None or child.process.returncode is not None:
@@ -292,7 +220,7 @@
         child.process.send_signal(number)
         return True
 
-    async def _watch(self, daemon: Daemon) -> None:
+    async def _watch(self, daemon: gateways.Daemon) -> None:
         """Notes the end of a daemon's process."""
         child = daemon.child
         assert child is not None
@@ -308,7 +236,7 @@
                     daemon.asked_at,
                     now,
                     status,
-                    STARTED in child.log.read_text(errors="replace"),
+                    gateways.STARTED in child.log.read_text(errors="replace"),
                 )
             )
 
@@ -352,57 +280,10 @@
                 for arrival in one.arrivals
             )
         for child in self.children.running:
-            self.seen.log_errors.extend(_errors_of(child))
+            self.seen.log_errors.extend(gateways.errors_of(child))
         return self.seen
 
 
-def daemon_ports(count: int) -> list[int]:
-    """Returns free ports that the system gives to nobody else meanwhile.
-
-    Those of a daemon that is down must not go to a server that starts.
-    """
-    found = []
-    first = LEAST_PORT + os.getpid() * PORTS_EACH % PORTS
-    for port in range(first, first + PORTS_EACH):
-        with socket.socket() as one:
-            try:
-                one.bind((runner.ADDRESS, port))
-            except OSError:
-                continue
-        found.append(port)
-        if len(found) == count:
-            return found
-    raise processes.DemoError("No free ports are left.")
-
-
 async def _is_ready(user: client.HttpClient) -> bool:
     found = await user.request("GET", "/api/readiness", READY_PERIOD_S)
     return isinstance(found, outcomes.Answered) and found.response.status == 200
-
-
-def _errors_of(child: processes.Child) -> list[str]:
-    """Returns the lines of a log that tell of a fault of the program."""
-    lines = child.log.read_text(errors="replace").splitlines()
-    return [
-        f"{child.name}: {line[:400]}"
-        for line in lines
-        if ('"level": "error"' in line or '"level":"error"' in line
-            or line.startswith("Traceback"))
-        and not any(text in line for text in EXPECTED_ERRORS)
-    ]  # fmt: skip
-
-
-def _route(
-    name: str, kind: str, prefix: str, service: str
-) -> dict[str, object]:
-    return {
-        "name": name,
-        "hostname": HOST,
-        "pathPrefix": prefix,
-        "routeType": kind,
-        "timeoutS": TIMEOUT_S,
-        "targetLatencyS": OBJECTIVE_S,
-        "priority": 1,
-        "service": service,
-        "maxAttempts": 2,
-    }
