Tell a server's starts apart; an entry of another writer names no server

Cause: a server may start again under its identity, and the store may hold entries that no server wrote. The table kept an identity that had left out for the life of the process, so a server that started again under it got nothing; connections and failures of the former start counted for the later one; an entry that became unreadable kept its server in use; one string with half of a surrogate pair made the whole list unreadable, and the store counted as lost.

Ruled out: telling starts apart by warm-up or sequence, which may be the same.

Change: `started_ms` tells starts apart, an earlier one never replaces a later one, `left` holds the start that left. Registrations are decoded one by one; what can't be read takes its server out, is counted and logged once.

--- a/banyantiller/gateway/events.py
+++ b/banyantiller/gateway/events.py
@@ -196,7 +196,8 @@
     reason: Annotated[
         str,
         "`registration_removed`, `registration_lapsed` (it vanished with an"
-        " outage of the store and did not come back) or `address_reused`.",
+        " outage of the store and did not come back), `address_reused`,"
+        " `started_again` or `registration_unreadable`.",
     ]
 
 
@@ -219,7 +220,7 @@
 
 @event("gateway: registration is unreadable.", "error")
 class RegistrationUnreadable(NamedTuple):
-    """A registration can't be read in whole; what was known stays."""
+    """A registration can't be read in whole; its server gets no requests."""
 
     instance: Instance
     error: Annotated[str, "What is wrong, and where."]
--- a/banyantiller/gateway/knowledge.py
+++ b/banyantiller/gateway/knowledge.py
@@ -32,6 +32,8 @@
         reader: Reads the store, also through other daemons.
         gone: Called with each server that was taken out.
         ending: Whether this daemon was told to end.
+        unreadable: What is wrong with registrations that can't be read, by
+            instance.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         self.random = rng
         self.gone = gone
         self.ending = False
+        self.unreadable: dict[str, str] = {}
         self.loop = asyncio.get_running_loop()
         self.routes: routes.RouteTable | None = None
         self.table = servers.ServerTable()
@@ -151,12 +154,30 @@
         try:
             server = self.adapter.read_server(item.name, item.value)
         except ValueError as error:
-            events.emit(events.RegistrationUnreadable(item.name, str(error)))
+            self._registration_unreadable(item.name, str(error))
             return
-        self.table.put(server, self.loop.time())
+        self.unreadable.pop(item.name, None)
+        self.counts.registrations["read"] += 1
+        before = self.table.put(server, self.loop.time())
+        if before is not None:
+            self.gone(before)
+
+    def _registration_unreadable(self, instance: str, error: str) -> None:
+        """Takes out a server whose registration another writer spoilt.
+
+        One line is logged as long as the same is wrong with it.
+        """
+        self.counts.registrations["unreadable"] += 1
+        if self.unreadable.get(instance) != error:
+            self.unreadable[instance] = error
+            events.emit(events.RegistrationUnreadable(instance, error))
+        server = self.table.remove(instance, "registration_unreadable")
+        if server is not None:
+            self.gone(server)
 
     def _server_deleted(self, instance: str) -> None:
         now = self.loop.time()
+        self.unreadable.pop(instance, None)
         if self.health.may_have_lapsed(now):
             self.table.lapse(instance, now)
             return
--- a/banyantiller/gateway/metrics.py
+++ b/banyantiller/gateway/metrics.py
@@ -50,6 +50,8 @@
              ("service", "kind")),
             ("documents", "Documents by outcome.", counts.documents,
              ("outcome",)),
+            ("registrations", "Registrations by outcome.",
+             counts.registrations, ("outcome",)),
             ("store_calls", "Calls to the store.", store.calls, ("verb",)),
             ("peer_questions", "Questions to other daemons for changes.",
              self.gateway.known.reader.questions, ("outcome",)),
--- a/banyantiller/gateway/servers.py
+++ b/banyantiller/gateway/servers.py
@@ -1,7 +1,6 @@
 """Servers that registered themselves, and which of them get new requests."""
 
 from collections.abc import Iterable
-from typing import NamedTuple
 
 from banyantiller.gateway import beliefs, events, types
 
@@ -41,36 +40,49 @@
         return self.lapses_at is None or now < self.lapses_at
 
 
-class Change(NamedTuple):
-    """A server that was taken out."""
-
-    server: types.Server
-    reason: str
-
-
 class ServerTable:
     """Entries by instance and by service.
 
-    An instance that left stays out for the life of the process: identities
-    are never used again, so a late or stale read can't bring it back.
+    A server may start again under its identity. Nothing that was seen of an
+    earlier start counts for a later one, and a late or stale read of an earlier
+    start changes nothing.
 
     Attributes:
         entries: Entries by instance.
         by_service: Entries by service and instance.
-        left: Instances that reported that they leave.
+        started: Latest start that was seen of each instance, in Unix
+            milliseconds; kept for instances that are gone.
+        left: The start with which an instance said that it leaves. That one
+            stays out for the life of this process.
     """
 
     def __init__(self) -> None:
         self.entries: dict[str, Entry] = {}
         self.by_service: dict[str, dict[str, Entry]] = {}
-        self.left: set[str] = set()
+        self.started: dict[str, int] = {}
+        self.left: dict[str, int] = {}
 
-    def put(self, server: types.Server, now: float) -> None:
-        """Adds or changes a registration."""
+    def put(self, server: types.Server, now: float) -> types.Server | None:
+        """Adds or changes a registration.
+
+        Returns:
+            The earlier start of the same server that this one replaces.
+        """
+        latest = self.started.get(server.instance, server.started_ms)
+        if server.started_ms < latest:
+            return None
+        self.started[server.instance] = server.started_ms
+        before = None
+        if server.started_ms > latest:
+            before = self.remove(server.instance, "started_again")
         if server.leaving:
-            self.left.add(server.instance)
-        elif server.instance in self.left:
+            self.left[server.instance] = server.started_ms
+        elif self.left.get(server.instance) == server.started_ms:
             server = server._replace(leaving=True)
+        self._put(server, now)
+        return before
+
+    def _put(self, server: types.Server, now: float) -> None:
         entry = self.entries.get(server.instance)
         if entry is None:
             entry = Entry(server, now)
--- a/banyantiller/gateway/tallies.py
+++ b/banyantiller/gateway/tallies.py
@@ -22,6 +22,7 @@
         seconds: Total time of calls by service, in seconds.
         tries: Tries that failed, by service and kind.
         documents: Documents by outcome: "in_force" or "unreadable".
+        registrations: Registrations by outcome: "read" or "unreadable".
     """
 
     def __init__(self) -> None:
@@ -38,6 +39,7 @@
         self.seconds: collections.Counter[str] = collections.Counter()
         self.tries: collections.Counter[tuple[str, str]] = collections.Counter()
         self.documents: collections.Counter[str] = collections.Counter()
+        self.registrations: collections.Counter[str] = collections.Counter()
 
     def finished(
         self,
--- a/banyantiller/gateway/types.py
+++ b/banyantiller/gateway/types.py
@@ -94,7 +94,7 @@
     """One start of a backend server, as it registered itself.
 
     Attributes:
-        instance: Identity of this start; a restarted server has another.
+        instance: Identity, which a server may keep when it starts again.
         service: Service that it belongs to.
         host: IP number.
         port: TCP port.
@@ -102,6 +102,8 @@
         slots: Requests that it executes at once.
         leaving: Whether it asked for no new requests.
         warmup_s: How much longer it is slow after its start, in seconds.
+        started_ms: When it started, in Unix milliseconds; tells the starts of
+            one identity apart. 0 if it does not say.
     """
 
     instance: str
@@ -112,6 +114,7 @@
     slots: int
     leaving: bool
     warmup_s: float
+    started_ms: int = 0
 
 
 class Load(NamedTuple):
--- a/banyantiller/platform/store.py
+++ b/banyantiller/platform/store.py
@@ -1,7 +1,8 @@
 """Reads the platform's store: lists in pages, and changes as they come."""
 
 import collections
-from typing import Any, TypedDict
+import re
+from typing import Any, NotRequired, TypedDict
 from urllib import parse
 
 import msgspec
@@ -16,6 +17,10 @@
 # A connection that lost its other side is noticed after 3 s, the time for
 # which a daemon counts as disturbed after that.
 LIMITS = messages.Limits(connections=8, silence_s=3)
+# Halves of surrogate pairs, as JSON escapes: one without its other half makes
+# a decoder refuse the whole page.
+SURROGATE = re.compile(rb"\\u[dD][89a-fA-F][0-9a-fA-F]{2}")
+REPLACEMENT = rb"\\ufffd"
 
 
 # Fields of an object besides its content; `revision` is of its last change.
@@ -30,7 +35,8 @@
     """One object; `revision` is of its last change."""
 
     metadata: ObjectFields
-    spec: Any
+    # Decoded one by one: what nobody can read spoils no other object.
+    spec: NotRequired[msgspec.Raw]
 
 
 class Page(TypedDict):
@@ -125,11 +131,24 @@
         if outcome.response.status != 200:
             return interface.Unavailable(f"status {outcome.response.status}")
         try:
-            return msgspec.json.decode(outcome.body, type=kind)
+            return _decode(outcome.body, kind)
         except msgspec.DecodeError as error:
             return interface.Unavailable(f"an answer can't be read: {error}")
 
 
+def _decode(body: bytes, kind: Any) -> Any:
+    """Decodes an answer in which single objects may be spoilt.
+
+    Raises:
+        DecodeError: The answer itself can't be read.
+    """
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.DecodeError:
+        clean = SURROGATE.sub(REPLACEMENT, body)
+        return msgspec.json.decode(clean, type=kind)
+
+
 def _target(kind: str, **query: str) -> str:
     text = parse.urlencode(query)
     return f"/api/objects/{kind}" + (f"?{text}" if text else "")
@@ -145,5 +164,16 @@
 def _stored(kind: str, item: Item) -> interface.StoredObject:
     meta = item["metadata"]
     return interface.StoredObject(
-        kind, meta["name"], str(meta["revision"]), item["spec"]
+        kind, meta["name"], str(meta["revision"]), _content(item)
     )
+
+
+def _content(item: Item) -> Any:
+    """Returns what an object holds; None if it can't be read.
+
+    Who decodes it further reports that with the object's name.
+    """
+    try:
+        return msgspec.json.decode(item["spec"])
+    except (KeyError, msgspec.DecodeError, UnicodeDecodeError):
+        return None
--- a/banyantiller/tests/gateway/world.py
+++ b/banyantiller/tests/gateway/world.py
@@ -198,12 +198,15 @@
         self.register(instance, service)
         return found
 
-    def register(self, instance, service=SERVICE, state="ready", port=None):
+    def register(
+        self, instance, service=SERVICE, state="ready", port=None, **more
+    ):
         """Writes a server's registration."""
         self.store.put(
             "servers",
             instance,
-            {
+            more
+            | {
                 "service": service,
                 "address": f"{ADDRESS}:{port or self.servers[instance].port}",
                 "zone": "zone-a",
--- a/banyantiller/tests/platform/test_decoding.py
+++ b/banyantiller/tests/platform/test_decoding.py
@@ -114,6 +114,14 @@
             found,
         )
 
+    def test_start_is_read(self):
+        found = registrations.read_server("i", SERVER | {"born": 17000})
+        self.assertEqual(17000, found.started_ms)
+
+    def test_what_is_no_object_is_an_error(self):
+        for value in (None, [], "draining", 7):
+            self.assertRaises(ValueError, registrations.read_server, "i", value)
+
     def test_leaving_server_is_told(self):
         found = registrations.read_server("i", SERVER | {"state": "draining"})
         self.assertTrue(found.leaving)
@@ -121,7 +129,13 @@
     def test_error_names_the_place(self):
         for wrong, place in (
             ({"address": "nowhere"}, "address"),
+            ({"address": "desk.example:80"}, "address"),
+            ({"address": "10.0.0.9:99999"}, "address"),
             ({"maxConcurrency": "two"}, "$.maxConcurrency"),
+            ({"maxConcurrency": 0}, "maxConcurrency"),
+            ({"state": "parked"}, "state"),
+            ({"born": "1700000000000"}, "$.born"),
+            ({"born": 1.5}, "$.born"),
         ):
             error = self.assertRaises(
                 ValueError, registrations.read_server, "i", SERVER | wrong
