Let the soak start servers again under their identity and spoil entries

Seeds from 1000 on draw two more kinds of trouble: a server that starts again as the one it was, and registrations that nobody can read. Earlier seeds keep the plans that they were played with, so kept seeds stay what they were.

--- a/banyantiller/tests/soak/test_plan.py
+++ b/banyantiller/tests/soak/test_plan.py
@@ -14,14 +14,19 @@
         )
 
     def test_every_kind_can_be_carried_out(self):
-        self.assertEqual(set(plan.KINDS), set(faults.ACTIONS))
+        self.assertEqual(set(plan.LATER_KINDS), set(faults.ACTIONS))
 
     def test_hundred_seeds_have_every_kind_and_choice(self):
-        wanted = {(name, choice) for name, kind in plan.KINDS.items()
-                  for choice in kind.choices}  # fmt: skip
-        drawn = {(step.kind, step.choice) for seed in range(100)
-                 for step in plan.draw(seed, SIZES).steps}  # fmt: skip
-        self.assertEqual(wanted, drawn)
+        for kinds, first in (
+            (plan.KINDS, 0),
+            (plan.LATER_KINDS, plan.FIRST_LATER_SEED),
+        ):
+            wanted = {(name, choice) for name, kind in kinds.items()
+                      for choice in kind.choices}  # fmt: skip
+            drawn = {(step.kind, step.choice)
+                     for seed in range(first, first + 100)
+                     for step in plan.draw(seed, SIZES).steps}  # fmt: skip
+            self.assertEqual(wanted, drawn)
 
     def test_faults_end_before_the_quiet_end(self):
         last_s = SIZES.seconds - plan.QUIET_S
--- a/soak/contents.py
+++ b/soak/contents.py
@@ -30,7 +30,12 @@
 
 
 def registration(
-    service: str, address: str, zone: str, slots: int, state: str
+    service: str,
+    address: str,
+    zone: str,
+    slots: int,
+    state: str,
+    started_ms: int,
 ) -> dict[str, object]:
     """Returns what a server registers."""
     return {
@@ -40,9 +45,20 @@
         "maxConcurrency": slots,
         "state": state,
         "warmupLeftS": 0,
+        "born": started_ms,
     }
 
 
+def spoilt(choice: str) -> object:
+    """Returns an entry that another writer left among the registrations."""
+    return {
+        "nothing": None,
+        "text": "\udcff",
+        "half": {"service": SERVICES[0], "state": "ready"},
+        "types": registration(SERVICES[0], "nowhere", "", 0, "parked", 1),
+    }[choice]
+
+
 def _route(
     name: str, kind: str, prefix: str, service: str
 ) -> dict[str, object]:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,6 +4,7 @@
 import signal
 from collections.abc import Awaitable, Callable
 
+from soak import contents
 from soak import plan as plans
 from soak import record as records
 from soak.contents import SERVICES
@@ -233,6 +234,31 @@
     world.store.remove("servers", instance)
 
 
+async def start_again(world: World, step: plans.Step) -> None:
+    """Ends a server without notice; it starts again as the same one."""
+    number = step.target % len(world.places)
+    place = world.places[number]
+    server, place.server = place.server, None
+    if server is not None:
+        server.stop()
+        await asyncio.sleep(step.for_s)
+        await world.start_server(number, server.instance)
+
+
+async def spoil_entries(world: World, step: plans.Step) -> None:
+    """Spoils a server's registration for a while, and adds a spoilt one."""
+    place = world.places[step.target % len(world.places)]
+    content = contents.spoilt(step.choice)
+    world.store.put("servers", f"foreign-{step.target}", content)
+    server = place.server
+    if server is None:
+        return
+    world.store.put("servers", server.instance, content)
+    await asyncio.sleep(step.for_s)
+    if place.server is server:
+        world.register(place, "ready")
+
+
 async def server_leaves(world: World, step: plans.Step) -> None:
     """Takes a server away in good order, or without telling beforehand."""
     number = step.target % len(world.places)
@@ -311,6 +337,8 @@
     "server fault": fail_server,
     "server crash": crash_server,
     "server leaves": server_leaves,
+    "server starts again": start_again,
+    "server entry spoilt": spoil_entries,
     "server address reused": reuse_address,
     "store": fail_store,
     "store forgets": forget_history,
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -98,9 +98,18 @@
     "document": Kind(3, 0.0, ("one", "storm")),
 }
 
+# Kinds of trouble that were added later. Earlier seeds keep the plans that they
+# were played with.
+FIRST_LATER_SEED = 1000
+LATER_KINDS = KINDS | {
+    "server starts again": Kind(2, 2.0),
+    "server entry spoilt": Kind(1, 2.0, ("nothing", "text", "half", "types")),
+}
+
 
 def draw(seed: int, sizes: Sizes) -> Plan:
     """Returns the steps that belong to a seed."""
+    kinds = KINDS if seed < FIRST_LATER_SEED else LATER_KINDS
     rng = random.Random(seed)
     last_s = sizes.seconds - QUIET_S
     steps = []
@@ -110,14 +119,20 @@
             at_s += rng.expovariate(1 / STEP_S)
         if at_s >= last_s:
             return Plan(seed, sizes, tuple(steps))
-        steps.append(_step(rng, at_s, last_s, sizes))
-
-
-def _step(rng: random.Random, at_s: float, last_s: float, sizes: Sizes) -> Step:
-    names = sorted(KINDS)
-    weights = [KINDS[name].weight for name in names]
+        steps.append(_step(rng, at_s, last_s, sizes, kinds))
+
+
+def _step(
+    rng: random.Random,
+    at_s: float,
+    last_s: float,
+    sizes: Sizes,
+    kinds: dict[str, Kind],
+) -> Step:
+    names = sorted(kinds)
+    weights = [kinds[name].weight for name in names]
     name = rng.choices(names, weights)[0]
-    kind = KINDS[name]
+    kind = kinds[name]
     pick: Callable[[int], int] = rng.randrange
     most = 2 * sizes.servers if name.startswith("server") else sizes.daemons
     return Step(
--- a/soak/world.py
+++ b/soak/world.py
@@ -6,6 +6,7 @@
 import pathlib
 import signal
 import sys
+import time
 
 from banyantiller.http import client, outcomes, server
 from soak import contents, gateways
@@ -33,12 +34,14 @@
     Attributes:
         service: Its service.
         server: The running server, or None.
+        started_ms: When the latest server was started, in Unix milliseconds.
     """
 
     def __init__(self, service: str, link: Link) -> None:
         self.service = service
         self.link = link
         self.server: registered_server.RegisteredServer | None = None
+        self.started_ms = 0
 
 
 class World:
@@ -144,13 +147,20 @@
             records.Acceptance(self.loop.time(), self.version)
         )
 
-    async def start_server(self, number: int) -> None:
-        """Starts a server at a place and registers it."""
+    async def start_server(self, number: int, instance: str = "") -> None:
+        """Starts a server at a place and registers it.
+
+        Args:
+            number: The place.
+            instance: Identity that it had before; another one if empty.
+        """
         place = self.places[number]
-        instance = f"{place.service}-{number}-{len(self.all_servers)}"
+        if not instance:
+            instance = f"{place.service}-{number}-{len(self.all_servers)}"
         one = registered_server.RegisteredServer(instance, SLOTS, WORK_S)
         await one.start(runner.ADDRESS)
         place.server = one
+        place.started_ms = int(time.time() * 1000)
         place.link.target = one.port
         self.all_servers.append(one)
         self.register(place, "ready")
@@ -160,7 +170,7 @@
         assert place.server is not None
         address = f"{runner.ADDRESS}:{place.link.port}"
         content = contents.registration(
-            place.service, address, ZONES[0], SLOTS, state
+            place.service, address, ZONES[0], SLOTS, state, place.started_ms
         )
         self.store.put("servers", place.server.instance, content)
 
