Let those that read the store tell lists, lost histories and a lost store

Cause: each daemon listed both kinds from the store at its start, after each lost history and after each outage, and called the store as soon as the daemons that are asked could not tell. In a fleet of 22 the store that forgot its history and was silent for 0.8 s was called by all 22: 44 times the history was gone, 24 times the store counted as lost, 75 questions to other daemons went unanswered.

Ruled out: that the watches of the readers make most of the calls.

Change: a daemon asks others for lists first, takes one if it is fresh and not older than what it knows, and waits for those that are asked at the start of a fleet until a caller waits. A daemon that lost the store says so (504), and others leave the store to those that are asked until what they know is as old as a change may stay unseen (settings `apply_s`, `leave_s`). After a lost history the reader tells the difference of two lists in place of "gone". The decision when to read stands in `decisions/reading.py`, without I/O.

--- /dev/null
+++ b/banyantiller/gateway/decisions/reading.py
@@ -0,0 +1,85 @@
+"""When a daemon reads the store itself, and when it relies on others.
+
+The load pattern: hundreds of daemons start in the same second, or learn in the
+same second that the store has lost its history or gives no answer. Each call to
+the store is paid for. If each daemon then reads it, a lost history costs
+several calls a daemon (2,460 in a fleet of 312), and calls grow with the fleet
+and not with what changes.
+
+A few daemons are asked by all others, and read the store. One of them that
+lives and says that it hears nothing of the store saves the others the same
+experience, for as long as a change that they can't see yet may go unseen. Then
+each of them reads the store itself, since only those that are asked may be cut
+off from it.
+"""
+
+# A read of the store takes up to 0.4 s when it is slow, and another daemon may
+# be asked in vain for 0.2 s before.
+OWN_READ_S = 0.6
+# First pause between own tries of a lost store. A store that is back is seen by
+# the daemons that are asked within a second, so own tries matter only where all
+# of those are cut off.
+FIRST_AGAIN_S = 1.5
+# Longest pause between them: after an outage a change is to be known within the
+# time that it may take and 3 s more, in which nobody is in touch again.
+MOST_AGAIN_S = 4.0
+# How long after its start a daemon waits for others to listen or to list: where
+# a fleet starts at once, those that are asked need up to 1 s on a busy machine.
+SETTLE_S = 1.2
+# The same once a caller waits for it: two tries more.
+HURRIED_S = 0.1
+
+
+class Reliance:
+    """How long a daemon relies on others.
+
+    Attributes:
+        bound_s: Time in which a change has to be known, in seconds.
+        fresh_at: Loop time at which the store said what is known here.
+        settled_at: Loop time until which others may be about to listen.
+        next_try: Loop time from which a lost store is tried again.
+        again_s: Pause before the next own try of a lost store, in seconds.
+    """
+
+    def __init__(self, bound_s: float, now: float) -> None:
+        self.bound_s = bound_s
+        self.fresh_at = now
+        self.settled_at = now + SETTLE_S
+        self.next_try = 0.0
+        self.again_s = FIRST_AGAIN_S
+
+    @property
+    def patience_s(self) -> float:
+        """Age up to which what others tell is relied on, in seconds."""
+        return self.bound_s - OWN_READ_S
+
+    def heard(self, fresh_at: float) -> None:
+        """Notes that the store said at `fresh_at` what is known now."""
+        if fresh_at > self.fresh_at:
+            self.fresh_at = fresh_at
+            self.next_try = 0.0
+            self.again_s = FIRST_AGAIN_S
+
+    def hurry(self, now: float) -> None:
+        """Notes that a caller waits for what is to be read at the start."""
+        self.settled_at = min(self.settled_at, now + HURRIED_S)
+
+    def settled(self) -> None:
+        """Notes that others are not about to listen any more."""
+        self.settled_at = 0.0
+
+    def may_settle(self, now: float) -> bool:
+        """Tells whether others may still be about to listen."""
+        return now < self.settled_at
+
+    def may_wait(self, now: float) -> bool:
+        """Tells whether others that hear nothing of the store will do."""
+        return now < self.fresh_at + self.patience_s
+
+    def may_try(self, now: float) -> bool:
+        """Tells whether to try a lost store now; each try moves the next."""
+        if self.may_wait(now) or now < self.next_try:
+            return False
+        self.next_try = now + self.again_s
+        self.again_s = min(2 * self.again_s, MOST_AGAIN_S)
+        return True
--- a/banyantiller/gateway/events.py
+++ b/banyantiller/gateway/events.py
@@ -142,14 +142,15 @@
 
 @event("gateway: another daemon gives no answer.")
 class PeerLost(NamedTuple):
-    """The store is read in place of another daemon for a while."""
+    """Others, or the store, are asked in its place for a while."""
 
     peer: Annotated[str, "IP number and port of the other daemon."]
+    reason: Annotated[str, "One of `silent` and `not_ready`."]
 
 
 @event("gateway: another daemon told a list.")
 class ListTold(NamedTuple):
-    """The store gave no answer, and another daemon said what it knew."""
+    """Another daemon said what it knew, in place of the store."""
 
     kind: Annotated[str, "Kind of objects."]
     peer: Annotated[str, "IP number and port of the other daemon."]
--- a/banyantiller/gateway/knowledge.py
+++ b/banyantiller/gateway/knowledge.py
@@ -8,6 +8,7 @@
     events,
     following,
     mirror,
+    peers,
     routes,
     servers,
     sharing,
@@ -15,6 +16,7 @@
     types,
 )
 from banyantiller.gateway import settings as options
+from banyantiller.gateway.decisions import reading
 from banyantiller.store import interface
 
 # How long callers of a daemon that starts wait for the first document and list
@@ -65,16 +67,20 @@
         self.begun = self.loop.time()
         self.limits = types.CallerLimits()
         self.health = following.StoreHealth()
-        self.mirror = mirror.Mirror(self._is_fit_to_tell)
+        self.mirror = mirror.Mirror(self._status)
         self.health.on_lost = self.mirror.wake
         self.mirror.on_demand = self._begin_anew
+        reliance = reading.Reliance(
+            min(settings.apply_s, settings.leave_s), self.loop.time()
+        )
         self.reader = sharing.SharedReader(
             adapter.store,
             self.mirror,
             adapter.document_kind,
-            _others(settings),
+            _others(settings, reliance.patience_s),
             settings.control if settings.control in settings.seeds else "",
             rng,
+            reliance,
         )
 
     @property
@@ -111,7 +117,10 @@
     async def first_read(self) -> None:
         """Waits for what a daemon that just started is about to know."""
         left_s = self.begun + FIRST_READ_S - self.loop.time()
-        if self.complete.is_set() or left_s <= 0:
+        if self.complete.is_set():
+            return
+        self.reader.hurry()
+        if left_s <= 0:
             return
         try:
             async with asyncio.timeout(left_s):
@@ -216,8 +225,13 @@
 
     # Within.
 
-    def _is_fit_to_tell(self) -> bool:
-        return self.health.lost_at is None and not self.ending
+    def _status(self) -> int:
+        """Returns the status with which other daemons are answered."""
+        if self.ending:
+            return mirror.NOT_READY_STATUS
+        if self.health.lost_at is not None:
+            return mirror.STORE_LOST_STATUS
+        return 200
 
     def _begin_anew(self) -> None:
         # What waits for seconds would notice the store's loss too late.
@@ -225,11 +239,11 @@
             follower.begin_anew.set()
 
 
-def _others(settings: options.Settings) -> list[sharing.Peer]:
+def _others(settings: options.Settings, patience_s: float) -> list[peers.Peer]:
     """Returns the daemons that can be asked, without this one."""
     shares = settings.control not in settings.seeds
     return [
-        sharing.Peer(options.endpoint(text), settings.daemon, shares)
+        peers.Peer(options.endpoint(text), settings.daemon, shares, patience_s)
         for text in settings.seeds
         if text != settings.control
     ]
--- a/banyantiller/gateway/mirror.py
+++ b/banyantiller/gateway/mirror.py
@@ -32,6 +32,14 @@
 DEFLATE_LEVEL = 1
 LEAST_DEFLATED_BYTES = 1024
 DEFLATED = (("content-encoding", "deflate"),)
+# Header field of a list: how long ago the store said so, in milliseconds. The
+# body is packed once for all that ask.
+AGE_FIELD = "age-ms"
+# What is answered in place of objects. A daemon that lost the store tells so,
+# which spares those that ask the same experience.
+NOT_READY_STATUS = 503
+STORE_LOST_STATUS = 504
+GONE_STATUS = 410
 
 
 class EventFields(TypedDict):
@@ -82,10 +90,13 @@
     Attributes:
         version: Version of the store after them.
         events: The changes.
+        bridges: Version before them, if they were found by comparing lists;
+            what came and went in between is missing then.
     """
 
     version: int
     events: tuple[interface.Changed | interface.Deleted, ...]
+    bridges: int | None = None
 
 
 class History:
@@ -97,10 +108,12 @@
         version: Version up to which they are known.
         batches: The changes.
         changed: Set at each change; replaced after it.
+        packed: Answer with all objects, or None after a change.
     """
 
     def __init__(self, listed: interface.Listed) -> None:
         self.items = {item.name: item for item in listed.items}
+        self.packed: messages.Response | None = None
         self.oldest = int(listed.version)
         self.version = self.oldest
         self.batches: collections.deque[Batch] = collections.deque()
@@ -108,19 +121,61 @@
 
     def add(self, found: interface.Changes) -> None:
         """Adds what was read."""
-        self.version = max(self.version, int(found.version))
-        if not found.events:
+        self._add(Batch(int(found.version), found.events))
+
+    def relist(self, found: interface.Listed) -> None:
+        """Takes a newer list as the changes that lead to it.
+
+        Those who ask go on from what they know: after a lost history one list
+        is read for the whole fleet.
+        """
+        listed = {item.name: item for item in found.items}
+        gone = [
+            interface.Deleted(item)
+            for name, item in self.items.items()
+            if name not in listed
+        ]
+        changed = [
+            interface.Changed(item)
+            for name, item in listed.items()
+            if self.items.get(name) != item
+        ]
+        version = int(found.version)
+        self._add(Batch(version, (*gone, *changed), self.version))
+
+    def knows_since(self, version: int) -> bool:
+        """Tells whether all changes after a version are known."""
+        if version < self.oldest:
+            return False
+        return not any(
+            batch.bridges is not None
+            and batch.bridges < version < batch.version
+            for batch in self.batches
+        )
+
+    def _add(self, batch: Batch) -> None:
+        self.version = max(self.version, batch.version)
+        self.packed = None
+        if not batch.events and batch.bridges is None:
             return
-        for event in found.events:
+        for event in batch.events:
             if isinstance(event, interface.Deleted):
                 self.items.pop(event.item.name, None)
             else:
                 self.items[event.item.name] = event.item
-        self.batches.append(Batch(self.version, found.events))
+        self.batches.append(batch._replace(version=self.version))
         if len(self.batches) > MOST_BATCHES:
             self.oldest = self.batches.popleft().version
         self.wake()
 
+    def pack(self) -> messages.Response:
+        """Returns an answer with all objects."""
+        if self.packed is None:
+            items = [_fields(item, False) for item in self.items.values()]
+            fields = ListFields(items=items, version=str(self.version))
+            self.packed = _packed(fields)
+        return self.packed
+
     def after(
         self, version: int
     ) -> list[interface.Changed | interface.Deleted]:
@@ -143,14 +198,15 @@
 
     Attributes:
         histories: Changes by kind.
-        fit: Tells whether what was read is up to date.
+        status: Returns the HTTP status of answers: 200 while what was read
+            is up to date.
         askers: Last question of each daemon that asks, by its name.
         fresh_at: Loop time at which the store said what is known here.
         on_demand: Called when the first other daemon asks.
     """
 
-    def __init__(self, fit: Callable[[], bool]) -> None:
-        self.fit = fit
+    def __init__(self, status: Callable[[], int]) -> None:
+        self.status = status
         self.histories: dict[str, History] = {}
         self.askers: dict[str, Asker] = {}
         self.fresh_at = 0.0
@@ -173,8 +229,11 @@
 
     def listed(self, kind: str, found: interface.Listed) -> None:
         """Notes that a kind was read whole."""
-        self.wake()
-        self.histories[kind] = History(found)
+        history = self.histories.get(kind)
+        if history is None:
+            self.histories[kind] = History(found)
+        elif int(found.version) >= history.version:
+            history.relist(found)
 
     def changed(self, kind: str, found: interface.Changes) -> None:
         """Notes changes that were read."""
@@ -208,10 +267,10 @@
         """Tells all objects of a kind, also while the store is away."""
         history = self.histories.get(kind)
         if history is None:
-            return messages.Response(503)
-        items = [_fields(item, False) for item in history.items.values()]
-        version = str(history.version)
-        return _packed(ListFields(items=items, version=version))
+            return messages.Response(NOT_READY_STATUS)
+        packed = history.pack()
+        age = (AGE_FIELD, str(_age_ms(self._age_s())))
+        return packed._replace(headers=(*packed.headers, age))
 
     async def _answer(
         self, kind: str, since: int, wait_s: float
@@ -219,22 +278,31 @@
         until = self.loop.time() + wait_s
         while True:
             history = self.histories.get(kind)
-            if history is None or not self.fit():
-                return messages.Response(503)
-            if since < history.oldest:
-                return messages.Response(410)
+            if history is None:
+                return messages.Response(NOT_READY_STATUS)
+            if self.status() != 200:
+                return messages.Response(self.status())
+            if not history.knows_since(since):
+                return messages.Response(GONE_STATUS)
             events = history.after(since)
             left = until - self.loop.time()
             if events or left <= 0:
                 version = max(since, history.version)
-                age_s = self.loop.time() - self.fresh_at
-                return _reply(events, version, self.sharers(), age_s)
+                return _reply(events, version, self.sharers(), self._age_s())
             try:
                 async with asyncio.timeout(left):
                     await history.changed.wait()
             except TimeoutError:
                 continue
 
+    def _age_s(self) -> float:
+        """Returns how long ago the store said what is known, in seconds."""
+        return self.loop.time() - self.fresh_at
+
+
+def _age_ms(age_s: float) -> int:
+    return int(age_s * 1000)
+
 
 def _reply(
     events: list[interface.Changed | interface.Deleted],
@@ -251,7 +319,7 @@
             events=fields,
             version=str(version),
             sharers=sharers,
-            age_ms=int(age_s * 1000),
+            age_ms=_age_ms(age_s),
         )
     )
 
--- /dev/null
+++ b/banyantiller/gateway/peers.py
@@ -0,0 +1,175 @@
+"""Asks another daemon what it knows of the store."""
+
+import asyncio
+import dataclasses
+import enum
+import zlib
+from typing import Any, NamedTuple
+from urllib import parse
+
+import msgspec
+
+from banyantiller.config.defaults import Endpoint
+from banyantiller.gateway import events, mirror
+from banyantiller.http import client, messages, outcomes
+from banyantiller.store import interface
+
+# How much longer than it was asked to wait another daemon may take.
+ASK_MARGIN_S = 0.4
+# A daemon that refuses for a reason that lasts is not asked again so long.
+UNFIT_S = 2.0
+LIMITS = messages.Limits(connections=4, silence_s=3)
+
+
+class RefusalKind(enum.Enum):
+    """Why another daemon told nothing.
+
+    Attributes:
+        SILENT: It gave no answer, or none that can be read.
+        NOT_READY: It starts or ends, or what it knows is too old.
+        STORE_LOST: It lives, and hears nothing of the store.
+    """
+
+    SILENT = "silent"
+    NOT_READY = "not_ready"
+    STORE_LOST = "store_lost"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """Another daemon told nothing."""
+
+    kind: RefusalKind
+
+
+class Told(NamedTuple):
+    """A whole answer of another daemon.
+
+    Attributes:
+        response: Head of the answer.
+        fields: What it tells.
+    """
+
+    response: messages.Response
+    fields: Any
+
+
+class ToldList(NamedTuple):
+    """All objects of a kind, as another daemon knows them.
+
+    Attributes:
+        listed: The objects.
+        fresh_at: Loop time at which the store said so.
+    """
+
+    listed: interface.Listed
+    fresh_at: float
+
+
+REFUSALS = {
+    mirror.NOT_READY_STATUS: RefusalKind.NOT_READY,
+    mirror.STORE_LOST_STATUS: RefusalKind.STORE_LOST,
+}
+
+
+class Peer:
+    """Another daemon that can be asked.
+
+    Attributes:
+        user: Client of it.
+        name: Name of this daemon, by which the other counts it.
+        shares: Whether this daemon shares what the other one divides.
+        address: IP number and port of the other daemon.
+        patience_s: Age up to which what it tells is relied on, in seconds.
+        sharers: Daemons that the other one told for, itself included.
+        fresh_at: Loop time at which the store said what the other one told.
+        unfit_until: Loop time until which it is not asked.
+    """
+
+    def __init__(
+        self, endpoint: Endpoint, name: str, shares: bool, patience_s: float
+    ) -> None:
+        self.name = parse.quote(name)
+        self.shares = mirror.SHARES if shares else "0"
+        self.address = f"{endpoint.address}:{endpoint.port}"
+        self.patience_s = patience_s
+        self.sharers = 0
+        self.fresh_at = 0.0
+        self.user = client.HttpClient(endpoint.address, endpoint.port, LIMITS)
+        self.unfit_until = 0.0
+
+    async def changes(
+        self, kind: str, version: str, wait_s: float
+    ) -> interface.Changes | interface.Gone | Refused:
+        """Asks for the changes after a version."""
+        target = (
+            f"{mirror.PATH}{kind}?since={version}"
+            f"&wait_ms={wait_s * 1000:.0f}&name={self.name}"
+            f"&shares={self.shares}"
+        )
+        told = await self._ask(target, wait_s, mirror.ReplyFields)
+        if isinstance(told, interface.Gone | Refused):
+            return told
+        fields = told.fields
+        if fields["age_ms"] > self.patience_s * 1000:
+            return Refused(RefusalKind.NOT_READY)
+        self.sharers = fields["sharers"]
+        self.fresh_at = _now() - fields["age_ms"] / 1000
+        changes = tuple(_event(kind, item) for item in fields["events"])
+        return interface.Changes(changes, fields["version"], second_hand=True)
+
+    async def list(self, kind: str) -> ToldList | Refused:
+        """Asks for all objects, however old what is known there may be."""
+        told = await self._ask(f"{mirror.PATH}{kind}", 0, mirror.ListFields)
+        if isinstance(told, interface.Gone):
+            return Refused(RefusalKind.NOT_READY)
+        if isinstance(told, Refused):
+            return told
+        age = told.response.header(mirror.AGE_FIELD)
+        if not age.isdigit():
+            return Refused(RefusalKind.SILENT)
+        items = tuple(_stored(kind, item) for item in told.fields["items"])
+        version = told.fields["version"]
+        listed = interface.Listed(items, version, second_hand=True)
+        return ToldList(listed, _now() - int(age) / 1000)
+
+    async def _ask(
+        self, target: str, wait_s: float, kind: Any
+    ) -> Told | interface.Gone | Refused:
+        outcome = await self.user.request("GET", target, wait_s + ASK_MARGIN_S)
+        if not isinstance(outcome, outcomes.Answered):
+            return Refused(RefusalKind.SILENT)
+        status = outcome.response.status
+        if status == mirror.GONE_STATUS:
+            return interface.Gone()
+        if status != 200:
+            return Refused(REFUSALS.get(status, RefusalKind.SILENT))
+        try:
+            body = outcome.body
+            if outcome.response.header("content-encoding"):
+                body = zlib.decompress(body)
+            fields = msgspec.json.decode(body, type=kind)
+            int(fields["version"])
+        except (ValueError, msgspec.DecodeError, zlib.error) as error:
+            events.emit(events.PeerUnreadable(self.address, str(error)))
+            return Refused(RefusalKind.SILENT)
+        return Told(outcome.response, fields)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _event(
+    kind: str, fields: mirror.EventFields
+) -> interface.Changed | interface.Deleted:
+    item = _stored(kind, fields)
+    if fields["removed"]:
+        return interface.Deleted(item)
+    return interface.Changed(item)
+
+
+def _stored(kind: str, fields: mirror.EventFields) -> interface.StoredObject:
+    return interface.StoredObject(
+        kind, fields["name"], fields["version"], fields["value"]
+    )
--- a/banyantiller/gateway/settings.py
+++ b/banyantiller/gateway/settings.py
@@ -23,6 +23,22 @@
         tuple[str, ...],
         Option("IP numbers and ports of daemons to ask.", most=16),
     ] = ()
+    apply_s: Annotated[
+        float,
+        Option(
+            "Time from the store's answer until a document is in force.",
+            unit="s",
+            low=1,
+        ),
+    ] = 2.0
+    leave_s: Annotated[
+        float,
+        Option(
+            "Time for which a leaving server may still get requests.",
+            unit="s",
+            low=1,
+        ),
+    ] = 2.0
     drain_s: Annotated[
         float,
         Option(
--- a/banyantiller/gateway/sharing.py
+++ b/banyantiller/gateway/sharing.py
@@ -3,138 +3,34 @@
 import asyncio
 import collections
 import random
-import zlib
-from typing import Any
-from urllib import parse
 
-import msgspec
-
-from banyantiller.config.defaults import Endpoint
-from banyantiller.gateway import events, mirror
-from banyantiller.http import client, messages, outcomes
+from banyantiller.gateway import events, mirror, peers
+from banyantiller.gateway.decisions import reading
 from banyantiller.store import interface
 
 # Longest wait of a call for the kind that shows whether the store answers,
 # while others are told: with the timeout of a call, 0.8 s, a lost store is
 # noticed within 1.4 s.
 READER_WAIT_S = 0.6
-# Longest wait of one question to another daemon, and how much longer its
-# answer may take: a daemon that froze is noticed within 0.9 s.
+# Longest wait of one question to another daemon; with its margin a daemon that
+# froze is noticed within 0.9 s.
 ASK_WAIT_S = 0.5
-ASK_MARGIN_S = 0.4
-# How often a daemon that others don't ask tries a lost store itself: it also
-# learns of the return from those that are asked, and calls are paid for.
-STORE_AGAIN_S = 1.5
-# A daemon that refuses this soon leaves time to ask the next one; the store is
-# asked only then. At the start of a fleet, when the daemons that are asked
-# don't listen yet, that makes 2 calls of each other daemon in place of 6.
-QUICK_S = 0.1
-# How long after its start a daemon goes on asking others that refuse: where a
-# fleet starts at once they listen a moment later, and the store was just read.
-# Half of the calls of a start are saved; a change is seen within 1.5 s.
-SETTLE_S = 1.2
-START_PAUSE_S = 0.3
-# What another daemon knows is not relied on if the store said it longer ago,
-# whatever the reason: the store is silent for its reader, or daemons that know
-# each other under different addresses ask in a circle and nobody reads. Through
-# one daemon in between it is 1.1 s old; with the longest question, a change is
-# seen within 1.9 s.
-STALE_S = 1.4
-# How long a daemon that gave no answer is not asked again.
-UNFIT_S = 2.0
-LIMITS = messages.Limits(connections=4, silence_s=3)
-
-
-class Peer:
-    """Another daemon that can be asked.
-
-    Attributes:
-        user: Client of it.
-        name: Name of this daemon, by which the other counts it.
-        shares: Whether this daemon shares what the other one divides.
-        address: IP number and port of the other daemon.
-        sharers: Daemons that the other one told for, itself included.
-        fresh_at: Loop time at which the store said what the other one told.
-        unfit_until: Loop time until which it is not asked.
-    """
+# Others that gave no answer before the store is read: a second one that is
+# asked without a wait takes 0.4 s, and a change is known within 1.4 s.
+MOST_SILENT = 2
+# Pause before those that are not ready are asked again at a start.
+START_PAUSE_S = 0.1
 
-    def __init__(self, endpoint: Endpoint, name: str, shares: bool) -> None:
-        self.name = parse.quote(name)
-        self.shares = mirror.SHARES if shares else "0"
-        self.address = f"{endpoint.address}:{endpoint.port}"
-        self.sharers = 0
-        self.fresh_at = 0.0
-        self.user = client.HttpClient(endpoint.address, endpoint.port, LIMITS)
-        self.unfit_until = 0.0
-
-    async def changes(
-        self, kind: str, version: str, wait_s: float
-    ) -> interface.Changes | None:
-        """Asks for changes; None if the daemon can't tell."""
-        target = (
-            f"{mirror.PATH}{kind}?since={version}"
-            f"&wait_ms={wait_s * 1000:.0f}&name={self.name}"
-            f"&shares={self.shares}"
-        )
-        fields = await self._ask(
-            target, wait_s + ASK_MARGIN_S, mirror.ReplyFields
-        )
-        if fields is None:
-            return None
-        if fields["age_ms"] > STALE_S * 1000:
-            return None
-        self.sharers = fields["sharers"]
-        now = asyncio.get_running_loop().time()
-        self.fresh_at = now - fields["age_ms"] / 1000
-        events = tuple(_event(kind, item) for item in fields["events"])
-        return interface.Changes(events, fields["version"], second_hand=True)
-
-    async def list(self, kind: str) -> interface.Listed | None:
-        """Asks for all objects; None if the daemon can't tell."""
-        fields = await self._ask(
-            f"{mirror.PATH}{kind}", ASK_MARGIN_S, mirror.ListFields
-        )
-        if fields is None:
-            return None
-        items = tuple(_stored(kind, item) for item in fields["items"])
-        return interface.Listed(items, fields["version"], second_hand=True)
-
-    async def _ask(self, target: str, timeout_s: float, kind: Any) -> Any:
-        outcome = await self.user.request("GET", target, timeout_s)
-        if not isinstance(outcome, outcomes.Answered):
-            return None
-        if outcome.response.status != 200:
-            return None
-        try:
-            body = outcome.body
-            if outcome.response.header("content-encoding"):
-                body = zlib.decompress(body)
-            return msgspec.json.decode(body, type=kind)
-        except (msgspec.DecodeError, zlib.error) as error:
-            events.emit(events.PeerUnreadable(self.address, str(error)))
-            return None
-
-
-def _event(
-    kind: str, fields: mirror.EventFields
-) -> interface.Changed | interface.Deleted:
-    item = _stored(kind, fields)
-    if fields["removed"]:
-        return interface.Deleted(item)
-    return interface.Changed(item)
-
-
-def _stored(kind: str, fields: mirror.EventFields) -> interface.StoredObject:
-    return interface.StoredObject(
-        kind, fields["name"], fields["version"], fields["value"]
-    )
+LOST_WITH_OTHERS = "the daemons that are asked hear nothing of the store"
+NOBODY_REACHES = "no daemon reaches the store"
 
 
 class SharedReader:
     """Reads the store through other daemons where that is as fresh.
 
-    Whatever goes wrong with another daemon, the store is read at once in its
-    place. See `store.interface.ObjectReader`.
+    If no other daemon can tell, the store is read at once in its place. If one
+    can tell that the store is lost, it is read when what is known gets too old.
+    See `store.interface.ObjectReader`.
 
     Attributes:
         store: The store.
@@ -144,11 +40,11 @@
             those before it in the order of their addresses.
         others: Daemons to ask for what was in force, without this one.
         asked_itself: Whether others ask this daemon.
-        settled_at: Loop time until which others that refuse are asked again.
+        reliance: How long others are relied on.
+        least: Least version that a list told by others must have, by kind.
         counts_from: Loop time from which a daemon that is asked knows who
             shares with it.
         relied_on: Daemon that told changes last, or None.
-        next_store: Loop time from which a lost store is tried again.
         groups: Daemons that others may ask; each tells a part of the fleet.
         share: Part of the fleet's budgets that this daemon may use, or None
             while the others can't be counted.
@@ -161,9 +57,10 @@
         store: interface.ObjectReader,
         own: mirror.Mirror,
         sentinel: str,
-        others: list[Peer],
+        others: list[peers.Peer],
         own_address: str,
         rng: random.Random,
+        reliance: reading.Reliance,
     ) -> None:
         self.store = store
         self.mirror = own
@@ -178,53 +75,46 @@
             self.peers = sorted(before, key=lambda peer: peer.address)
         self.groups = max(1, len(self.others) + self.asked_itself)
         self.share: float | None = None
-        self.relied_on: Peer | None = None
-        self.next_store = 0.0
+        self.relied_on: peers.Peer | None = None
+        self.reliance = reliance
+        self.least: dict[str, int] = {}
         self.random = rng
         self.calls = store.calls
         self.questions: collections.Counter[str] = collections.Counter()
         self.loop = asyncio.get_running_loop()
-        self.settled_at = self.loop.time() + SETTLE_S
         self.counts_from = self.loop.time() + mirror.DEMAND_S
 
     async def list(
         self, kind: str, labels: dict[str, str] | None = None
     ) -> interface.ListOutcome:
-        """Reads all objects of a kind, from the store if it answers.
+        """Reads all objects of a kind, told by others if that is fresh.
 
         A daemon that starts while the store is away is told by another one
         what was in force, and serves within a second.
         """
+        told = await self._told_list(kind)
+        if told is not None and self._is_fresh(told):
+            self._heard(told.fresh_at)
+            return self._listed(kind, told.listed)
         found = await self.store.list(kind, labels)
-        if isinstance(found, interface.Unavailable):
-            self.settled_at = 0.0
-            told = await self._ask_for_list(kind)
-            found = told if isinstance(told, interface.Listed) else found
         if isinstance(found, interface.Listed):
-            if not found.second_hand:
-                self.mirror.fresh_at = self.loop.time()
-            self.mirror.listed(kind, found)
-        return found
-
-    async def _ask_for_list(
-        self, kind: str
-    ) -> interface.Listed | interface.Unavailable:
-        for peer in self.others:
-            found = await peer.list(kind)
-            if found is not None:
-                events.emit(events.ListTold(kind, peer.address))
-                return found
-        return interface.Unavailable("no other daemon has a list")
+            self._heard(self.loop.time())
+            return self._listed(kind, found)
+        self.reliance.settled()
+        told = told or await self._told_list(kind)
+        return self._listed(kind, told.listed) if told else found
 
     async def changes(
         self, kind: str, version: str, wait_s: float
     ) -> interface.ChangesOutcome:
         """Reads changes from another daemon, or from the store."""
-        found = await self._changes(kind, version, wait_s)
+        if wait_s <= 0:
+            found = await self._try_lost_store(kind, version)
+        else:
+            found = await self._changes(kind, version, wait_s)
         if isinstance(found, interface.Changes):
-            if not found.second_hand:
-                self.mirror.fresh_at = self.loop.time()
             self.mirror.changed(kind, found)
+            self.least[kind] = self.mirror.histories[kind].version
         return found
 
     async def close(self) -> None:
@@ -233,14 +123,63 @@
         for peer in self.others:
             await peer.user.close()
 
+    def hurry(self) -> None:
+        """Notes that a caller waits for what is to be read at the start."""
+        self.reliance.hurry(self.loop.time())
+
+    # Lists.
+
+    async def _told_list(self, kind: str) -> peers.ToldList | None:
+        """Asks for a list, again while others may be about to have one.
+
+        Daemons that others ask don't wait: the others wait for them.
+        """
+        while True:
+            found = await self._ask_for_list(kind)
+            now = self.loop.time()
+            waits = not self.asked_itself and self.reliance.may_settle(now)
+            if found is not None or not self.others or not waits:
+                return found
+            await asyncio.sleep(START_PAUSE_S)
+
+    async def _ask_for_list(self, kind: str) -> peers.ToldList | None:
+        """Returns the first fresh list, else the freshest.
+
+        None that is older than what is known.
+        """
+        best = None
+        for peer in self.others:
+            found = await peer.list(kind)
+            if isinstance(found, peers.Refused):
+                continue
+            if int(found.listed.version) < self.least.get(kind, 0):
+                continue
+            events.emit(events.ListTold(kind, peer.address))
+            if self._is_fresh(found):
+                return found
+            if best is None or found.fresh_at > best.fresh_at:
+                best = found
+        return best
+
+    def _is_fresh(self, told: peers.ToldList) -> bool:
+        age_s = self.loop.time() - told.fresh_at
+        return age_s <= self.reliance.patience_s
+
+    def _listed(
+        self, kind: str, found: interface.Listed
+    ) -> interface.ListOutcome:
+        self.mirror.listed(kind, found)
+        self.least[kind] = int(found.version)
+        return found
+
+    # Changes.
+
     async def _changes(
         self, kind: str, version: str, wait_s: float
     ) -> interface.ChangesOutcome:
-        if wait_s <= 0:
-            return await self._try_lost_store(kind, version)
-        now = self.loop.time()
         demanded = self.mirror.demanded()
-        if demanded or (self.asked_itself and now >= self.counts_from):
+        counts = self.asked_itself and self.loop.time() >= self.counts_from
+        if demanded or counts:
             self._divide(self.mirror.sharers())
         found = await self._ask_others(kind, version, wait_s)
         while found is None and self._may_settle():
@@ -252,61 +191,95 @@
             return found
         if demanded and kind == self.sentinel:
             wait_s = min(wait_s, READER_WAIT_S)
-        return await self.store.changes(kind, version, wait_s)
+        return await self._read_store(kind, version, wait_s)
+
+    def _may_settle(self) -> bool:
+        """Tells whether others may still be about to listen."""
+        return bool(self.peers) and self.reliance.may_settle(self.loop.time())
 
     async def _try_lost_store(
         self, kind: str, version: str
     ) -> interface.ChangesOutcome:
         """Asks the store now and then, and one of the others in between."""
-        now = self.loop.time()
-        if not self.peers or self.mirror.demanded() or now >= self.next_store:
-            self.next_store = now + STORE_AGAIN_S
-            return await self.store.changes(kind, version, 0.0)
-        found = await self.random.choice(self.peers).changes(kind, version, 0.0)
-        return found or interface.Unavailable("no daemon reaches the store")
+        alone = not self.peers or self.mirror.demanded()
+        if alone or self.reliance.may_try(self.loop.time()):
+            return await self._read_store(kind, version, 0.0)
+        peer = self.random.choice(self.peers)
+        found = await self._ask(peer, kind, version, 0.0)
+        if isinstance(found, peers.Refused):
+            return interface.Unavailable(NOBODY_REACHES)
+        return found
 
-    def _may_settle(self) -> bool:
-        """Tells whether others may still be about to listen."""
-        return bool(self.peers) and self.loop.time() < self.settled_at
+    async def _read_store(
+        self, kind: str, version: str, wait_s: float
+    ) -> interface.ChangesOutcome:
+        found = await self.store.changes(kind, version, wait_s)
+        if isinstance(found, interface.Changes):
+            self._heard(self.loop.time())
+        if isinstance(found, interface.Gone):
+            # A list from before would lead here again.
+            self.least[kind] = int(version) + 1
+        return found
 
     async def _ask_others(
         self, kind: str, version: str, wait_s: float
     ) -> interface.ChangesOutcome | None:
-        """Asks one daemon after the other; None if all refuse at once.
+        """Asks one daemon after the other.
 
-        One that was waited for in vain leaves no time for others, so that the
-        store is read then.
+        Returns:
+            What one told; `Unavailable` if the store needn't be read yet
+            either; None if it has to be read.
         """
-        began = self.loop.time()
+        store_lost = False
+        silent = 0
         for peer in self.peers:
             if peer.unfit_until > self.loop.time():
                 continue
-            found = await self._ask(peer, kind, version, wait_s)
-            if found is not None:
+            # One that was waited for in vain leaves no time to wait again.
+            found = await self._ask(peer, kind, version, wait_s * (not silent))
+            if not isinstance(found, peers.Refused):
                 return found
-            if self.loop.time() - began > QUICK_S:
-                return await self.store.changes(kind, version, 0.0)
+            store_lost |= found.kind is peers.RefusalKind.STORE_LOST
+            silent += found.kind is peers.RefusalKind.SILENT
+            if silent == MOST_SILENT:
+                break
+        if store_lost and self._may_wait():
+            return interface.Unavailable(LOST_WITH_OTHERS)
         return None
 
+    def _may_wait(self) -> bool:
+        """Tells whether a lost store may be left to those that are asked."""
+        if self.asked_itself:
+            return False
+        return self.reliance.may_wait(self.loop.time())
+
     async def _ask(
-        self, peer: Peer, kind: str, version: str, wait_s: float
-    ) -> interface.Changes | None:
+        self, peer: peers.Peer, kind: str, version: str, wait_s: float
+    ) -> interface.Changes | interface.Gone | peers.Refused:
         """Asks a daemon, and notes whether it can be relied on."""
         found = await peer.changes(kind, version, min(wait_s, ASK_WAIT_S))
-        if found is not None:
+        if not isinstance(found, peers.Refused):
             self.questions["answered"] += 1
-            self.mirror.fresh_at = max(self.mirror.fresh_at, peer.fresh_at)
-            self._rely_on(peer)
+            peer.unfit_until = 0.0
+            if isinstance(found, interface.Changes):
+                self._heard(peer.fresh_at)
+                self._rely_on(peer)
             return found
         self.questions["unanswered"] += 1
         now = self.loop.time()
-        if peer.unfit_until <= now:
-            events.emit(events.PeerLost(peer.address))
-        peer.unfit_until = now + UNFIT_S
+        if found.kind is not peers.RefusalKind.STORE_LOST:
+            if peer.unfit_until <= now:
+                events.emit(events.PeerLost(peer.address, found.kind.value))
+            peer.unfit_until = now + peers.UNFIT_S
         self.relied_on = None
-        return None
+        return found
+
+    def _heard(self, fresh_at: float) -> None:
+        """Notes when the store said what is known now."""
+        self.reliance.heard(fresh_at)
+        self.mirror.fresh_at = max(self.mirror.fresh_at, fresh_at)
 
-    def _rely_on(self, peer: Peer) -> None:
+    def _rely_on(self, peer: peers.Peer) -> None:
         """Notes that another daemon told changes."""
         if peer is not self.relied_on:
             self.relied_on = peer
