Divide the first requests of many daemons by weight as well

Each daemon begins anew with each document, and its first request of a split route went to any part with the same chance, whatever the weights. With 312 daemons the first one or two requests are most of all.

Ruled out: that one part was short of servers (nothing is moved to another part), or that daemons had different documents (the share is that of one or two requests a daemon).

Change: the service follows from points at steps of the golden section, from a random point on. The first point falls into a part by its share, later ones keep the shares as closely as counting did.

--- a/banyantiller/gateway/routes.py
+++ b/banyantiller/gateway/routes.py
@@ -1,9 +1,13 @@
 """Finds the route of a request and the service that takes it."""
 
+import math
 import random
 
 from banyantiller.gateway import types
 
+# Steps of this part of a circle never come close to where one was before.
+GOLDEN_SECTION = (math.sqrt(5) - 1) / 2
+
 
 class RouteTable:
     """The routes of one document, by host and path prefix.
@@ -11,7 +15,7 @@
     Attributes:
         document: The document in force.
         by_host: Routes of a host, longest prefix first.
-        given: Requests that each part of a split route got.
+        points: Where the next request of a split route falls, from 0 to 1.
         urgent: Names of the routes before which no other of the same service
             ranks, in services whose routes differ in rank.
         names: Names of all routes.
@@ -23,7 +27,7 @@
         self.document = document
         self.random = rng or random.Random()
         self.by_host: dict[str, list[types.Route]] = {}
-        self.given: dict[str, list[float]] = {}
+        self.points: dict[str, float] = {}
         for route in document.routes:
             self.by_host.setdefault(route.host, []).append(route)
         for routes in self.by_host.values():
@@ -48,29 +52,23 @@
     def choose_service(self, route: types.Route) -> str:
         """Returns the service for the next request of a route.
 
-        The part that is furthest behind its share is taken, so that even a
-        few requests are divided by weight. The first counts are random, so
-        that daemons which start together don't all begin with one part.
+        Points at equal steps of the golden section around a circle of shares
+        fall into each part by its share, even if they are few. Each daemon
+        begins at a point of its own, so that the first requests of many daemons
+        are divided by weight as well.
         """
-        if len(route.parts) == 1:
-            return route.parts[0].service
         total = sum(part.weight for part in route.parts)
-        if total <= 0:
+        if len(route.parts) == 1 or total <= 0:
             return route.parts[0].service
-        given = self.given.get(route.name)
-        if given is None:
-            given = [
-                self.random.random() * part.weight / total
-                for part in route.parts
-            ]
-            self.given[route.name] = given
-        # Requests of each part so far, relative to its own weight.
-        behind = min(
-            (index for index, part in enumerate(route.parts) if part.weight),
-            key=lambda index: given[index] / route.parts[index].weight,
-        )
-        given[behind] += 1.0
-        return route.parts[behind].service
+        point = self.points.get(route.name, self.random.random())
+        self.points[route.name] = (point + GOLDEN_SECTION) % 1.0
+        weighted = [part for part in route.parts if part.weight > 0]
+        left = point * total
+        for part in weighted:
+            left -= part.weight
+            if left < 0:
+                return part.service
+        return weighted[-1].service
 
 
 def _urgent(routes: tuple[types.Route, ...]) -> frozenset[str]:
--- a/banyantiller/tests/gateway/test_routes.py
+++ b/banyantiller/tests/gateway/test_routes.py
@@ -42,6 +42,18 @@
             wanted = shares[0] / sum(shares)
             self.assertLess(abs(counts["one"] / 280 - wanted), 0.05, shares)
 
+    def test_first_requests_of_hundreds_of_daemons_keep_the_weights(self):
+        # With 475 requests at 312 daemons 0.59 went to a part of weight 0.95:
+        # the first request of each daemon was divided evenly.
+        split = route(parts=(("one", 95.0), ("two", 5.0)))
+        for each in (1, 2, 3):
+            counts = collections.Counter()
+            for seed in range(312):
+                daemon = table(split, seed=seed)
+                counts.update(daemon.choose_service(split) for _ in range(each))
+            share = counts["one"] / counts.total()
+            self.assertLess(abs(share - 0.95), 0.04, each)
+
     def test_part_without_weight_gets_nothing(self):
         split = route(parts=(("one", 0.0), ("two", 5.0)))
         daemon = table(split)
