Let callers that servers with free slots turned away come back sooner

Callers that are refused then were told 0.15 s, the time in which a slot frees, though slots were free: their second try came late.

Change: after a refusal by servers that had free slots the time to come back is 0.03 s, spread as before.

--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -314,7 +314,8 @@
         )
 
     def _refuse(self, kind: ErrorKind) -> replies.Reply:
-        retry_after_s = refusing.retry_after_s(self.gateway.random)
+        by_servers = kind is ErrorKind.BACKEND_SHED
+        retry_after_s = refusing.retry_after_s(self.gateway.random, by_servers)
         return self._fail(kind, retry_after_s)
 
     def _fail(
--- a/banyantiller/gateway/decisions/refusing.py
+++ b/banyantiller/gateway/decisions/refusing.py
@@ -1,8 +1,12 @@
 """When a caller that is turned away may come back.
 
-The load pattern: a burst is over within seconds, and a slot frees within tens
+Two load patterns. A burst is over within seconds, and a slot frees within tens
 of milliseconds, so a caller that comes back soon finds one, unless all that
 were refused come back together.
+
+Or servers turn requests away although they have free slots, more often than the
+retry budget bears. Nothing gets free then that a caller would have to wait for:
+its next try is as good at once as later, and an answer is timely more often.
 """
 
 import random
@@ -10,12 +14,23 @@
 # When a caller may come back: it has 0.5 s at least, and takes no time that is
 # longer than a third of what it has left.
 RETRY_AFTER_S = 0.15
+# The same for one that servers with free slots turned away: time for a new
+# connection. With half of all requests turned away and no budget left, 0.80 of
+# the callers that had two tries were served in time, and 0.62 with the longer
+# time (means of three seeds).
+TURNED_AWAY_RETRY_AFTER_S = 0.03
 # Each is told another time, by up to this share earlier or later.
 RETRY_SPREAD = 0.3
 # When a daemon that knows no routes yet may be asked again.
 START_RETRY_AFTER_S = 0.5
 
 
-def retry_after_s(rng: random.Random) -> float:
-    """Returns when a caller that was turned away may come back, in seconds."""
-    return RETRY_AFTER_S * (1 + rng.uniform(-RETRY_SPREAD, RETRY_SPREAD))
+def retry_after_s(rng: random.Random, by_servers: bool = False) -> float:
+    """Returns when a caller that was turned away may come back, in seconds.
+
+    Args:
+        rng: Source of the spread.
+        by_servers: Whether servers that had free slots turned it away.
+    """
+    usual_s = TURNED_AWAY_RETRY_AFTER_S if by_servers else RETRY_AFTER_S
+    return usual_s * (1 + rng.uniform(-RETRY_SPREAD, RETRY_SPREAD))
--- a/banyantiller/tests/gateway/test_worst_load.py
+++ b/banyantiller/tests/gateway/test_worst_load.py
@@ -105,3 +105,41 @@
     def test_bursts_beyond_full_speed_are_served_in_time(self):
         """0.58 are in time if last slots go at once and all wait longer."""
         self.assertGreater(self.in_time(1.3), 0.6)
+
+
+class TurnedAwayTest(world.TestCase):
+    """Servers that turn requests away although they have free slots."""
+
+    def callers(self, seed):
+        """Plays calls to a fleet without a retry budget; returns callers."""
+
+        async def body(place):
+            place.gateway.settings = place.gateway.settings._replace(
+                retry_ratio=0.0, retry_extra=0.0
+            )
+            place.fault(shed_share=0.5)
+            place.put_document(
+                [
+                    world.route(
+                        "read", "safe", "/read/",
+                        targetLatencyS=0.2, timeoutS=1.5,
+                    )
+                ]
+            )  # fmt: skip
+            await asyncio.sleep(1)
+            rng = random.Random(seed)
+            callers, tasks = [], []
+            for number in range(150):
+                callers.append(Caller(place, number))
+                tasks.append(asyncio.ensure_future(callers[-1].run()))
+                await asyncio.sleep(rng.expovariate(10.0))
+            await asyncio.gather(*tasks)
+            return callers
+
+        return self.play(body, seed=seed)
+
+    def test_callers_that_servers_turned_away_come_back_in_time(self):
+        """0.62 are in time if they are told to wait for a free slot."""
+        found = [one for seed in (1, 2, 3) for one in self.callers(seed)]
+        good = [one for one in found if one.took_s and one.took_s <= 0.2]
+        self.assertGreater(len(good) / len(found), 0.72)
--- a/standins/registered_server.py
+++ b/standins/registered_server.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import dataclasses
+import random
 from typing import NamedTuple
 
 import h11
@@ -28,6 +29,7 @@
         cut: Breaks an answer off in the middle.
         twice: Sends an answer a second time, `twice_after` seconds later.
         shed: Turns requests away although it has free slots.
+        shed_share: Part of the requests that it turns away so, 0 to 1.
         fail: Answers 500.
         silent_503: Executes a request and answers 503 without its mark for
             what was not executed.
@@ -45,6 +47,7 @@
     twice: bool = False
     twice_after: float = 0.0
     shed: bool = False
+    shed_share: float = 0.0
     fail: bool = False
     silent_503: bool = False
     unsigned: bool = False
@@ -98,6 +101,7 @@
         self.changed = asyncio.Event()
         self.tells_load = True
         self.faults = Faults()
+        self.random = random.Random(instance)
         self.ran: collections.Counter[str] = collections.Counter()
         self.seen: list[dict[str, str]] = []
         self.arrivals: list[Arrival] = []
@@ -172,7 +176,8 @@
         wanted = fields.get("target-instance", self.instance)
         if wanted != self.instance:
             return 421, {}
-        if self.faults.shed or self.running >= self.slots:
+        shed = self.random.random() < self.faults.shed_share
+        if shed or self.faults.shed or self.running >= self.slots:
             return 503, {"not-executed": "1"}
         return None
 
