--- /dev/null
+++ b/banyantiller/tests/gateway/decisions/test_reading.py
@@ -0,0 +1,39 @@
+"""Tests of when a daemon reads the store itself."""
+
+from banyantiller.gateway.decisions import reading
+from banyantiller.tests import base
+
+
+class RelianceTest(base.TestCase):
+    def test_patience_leaves_time_for_an_own_read(self):
+        for bound_s in (1.0, 2.0, 3.0):
+            reliance = reading.Reliance(bound_s, 10.0)
+            last = 10.0 + bound_s - reading.OWN_READ_S
+            self.assertTrue(reliance.may_wait(last - 0.01))
+            self.assertFalse(reliance.may_wait(last))
+
+    def test_lost_store_is_tried_more_and_more_seldom(self):
+        reliance = reading.Reliance(2.0, 0.0)
+        tries = [
+            tenth / 10 for tenth in range(200) if reliance.may_try(tenth / 10)
+        ]
+        self.assertEqual([1.4, 2.9, 5.9, 9.9, 13.9, 17.9], tries)
+
+    def test_what_is_heard_begins_anew(self):
+        reliance = reading.Reliance(2.0, 0.0)
+        self.assertTrue(reliance.may_try(1.5))
+        reliance.heard(1.6)
+        self.assertFalse(reliance.may_try(2.9))
+        self.assertTrue(reliance.may_try(3.0))
+
+    def test_older_news_change_nothing(self):
+        reliance = reading.Reliance(2.0, 5.0)
+        reliance.heard(4.0)
+        self.assertEqual(5.0, reliance.fresh_at)
+
+    def test_waiting_for_others_ends(self):
+        reliance = reading.Reliance(2.0, 5.0)
+        self.assertTrue(reliance.may_settle(6.1))
+        self.assertFalse(reliance.may_settle(6.2))
+        reliance.settled()
+        self.assertFalse(reliance.may_settle(5.0))
