Say in the line of a call how old the document is that it was served by

Cause: callers got 404 for routes that every document had. The line of a call names the version, but not how long ago the store said that it is the newest, so a document that was out of date can't be told from a call that had none.

Change: field `known_ms` of `call ended.`; the reader of the store notes by kind when the store said what is known. No decision uses it yet.

--- a/banyantiller/gateway/events.py
+++ b/banyantiller/gateway/events.py
@@ -335,6 +335,11 @@
     route: Annotated[str, "Its route; empty if there is none."]
     service: Annotated[str, "The service that took it."]
     version: Annotated[int, "Version of the document that it was served by."]
+    known_ms: Annotated[
+        float | None,
+        "Time since the store said which version is the newest, in ms; null"
+        " before the first document.",
+    ]
     status: Annotated[int, "Status that the caller got; 0 if it had left."]
     error: Annotated[str | None, "Kind of the failure, or null."]
     reason: Annotated[str, "Why the last try failed, or empty."]
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -1,6 +1,7 @@
 """The gateway of one daemon: what is in force, and who is being served."""
 
 import asyncio
+import math
 import random
 import socket
 
@@ -259,11 +260,13 @@
         duration_s: float,
     ) -> None:
         progress = call.progress
+        known_s = self.known.document_age_s()
         ended = events.CallEnded(
             id=call.request.request_id,
             route=route,
             service=call.service,
             version=call.version,
+            known_ms=_rounded_ms(known_s),
             status=status,
             error=error,
             reason=progress.reason,
@@ -311,3 +314,8 @@
     def _note_emptied(self) -> None:
         if not self.connections:
             self.emptied.set()
+
+
+def _rounded_ms(age_s: float) -> float | None:
+    """Returns a time in ms for the log; None if it is infinite."""
+    return round(age_s * 1000, 1) if math.isfinite(age_s) else None
--- a/banyantiller/gateway/knowledge.py
+++ b/banyantiller/gateway/knowledge.py
@@ -1,6 +1,7 @@
 """What a daemon knows of its store: the document in force and the servers."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
@@ -88,6 +89,16 @@
         """Version of the document in force, or 0."""
         return self.routes.document.version if self.routes else 0
 
+    def document_age_s(self) -> float:
+        """Returns how long ago the store said which document is the newest.
+
+        Infinite, in seconds, before the first document.
+        """
+        confirmed = self.reader.confirmed.get(self.adapter.document_kind)
+        if self.routes is None or confirmed is None:
+            return math.inf
+        return self.loop.time() - confirmed
+
     def service(self, name: str) -> types.Service | None:
         """Returns a service of the document in force, or None."""
         if self.routes is None:
--- a/banyantiller/gateway/sharing.py
+++ b/banyantiller/gateway/sharing.py
@@ -51,6 +51,7 @@
         reliance: How long others are relied on.
         hurried: Set once a caller waits for what is to be read at the start.
         least: Least version that a list told by others must have, by kind.
+        confirmed: Loop time at which the store said what is known, by kind.
         counts_from: Loop time from which a daemon that is asked knows who
             shares with it.
         relied_on: Daemon that told changes last, or None.
@@ -88,6 +89,7 @@
         self.reliance = reliance
         self.hurried = asyncio.Event()
         self.least: dict[str, int] = {}
+        self.confirmed: dict[str, float] = {}
         self.random = rng
         self.calls = store.calls
         self.questions: collections.Counter[str] = collections.Counter()
@@ -104,15 +106,18 @@
         """
         told = await self._told_list(kind)
         if told is not None and self._is_fresh(told):
-            self._heard(told.fresh_at)
+            self._heard(kind, told.fresh_at)
             return self._listed(kind, told.listed)
         found = await self.store.list(kind, labels)
         if isinstance(found, interface.Listed):
-            self._heard(self.loop.time())
+            self._heard(kind, self.loop.time())
             return self._listed(kind, found)
         self.reliance.settled()
         told = told or await self._told_list(kind)
-        return self._listed(kind, told.listed) if told else found
+        if told is None:
+            return found
+        self._confirm(kind, told.fresh_at)
+        return self._listed(kind, told.listed)
 
     async def changes(
         self, kind: str, version: str, wait_s: float
@@ -249,7 +254,7 @@
     ) -> interface.ChangesOutcome:
         found = await self.store.changes(kind, version, wait_s)
         if isinstance(found, interface.Changes):
-            self._heard(self.loop.time())
+            self._heard(kind, self.loop.time())
         if isinstance(found, interface.Gone):
             # A list from before would lead here again.
             self.least[kind] = int(version) + 1
@@ -296,7 +301,7 @@
             self.questions["answered"] += 1
             peer.unfit_until = 0.0
             if isinstance(found, interface.Changes):
-                self._heard(peer.fresh_at)
+                self._heard(kind, peer.fresh_at)
                 self._rely_on(peer)
             return found
         self.questions["unanswered"] += 1
@@ -308,11 +313,16 @@
         self.relied_on = None
         return found
 
-    def _heard(self, fresh_at: float) -> None:
+    def _heard(self, kind: str, fresh_at: float) -> None:
         """Notes when the store said what is known now."""
+        self._confirm(kind, fresh_at)
         self.reliance.heard(fresh_at)
         self.mirror.fresh_at = max(self.mirror.fresh_at, fresh_at)
 
+    def _confirm(self, kind: str, fresh_at: float) -> None:
+        """Notes when the store said what is known of a kind."""
+        self.confirmed[kind] = max(self.confirmed.get(kind, fresh_at), fresh_at)
+
     def _rely_on(self, peer: peers.Peer) -> None:
         """Notes that another daemon told changes."""
         if peer is not self.relied_on:
--- a/banyantiller/tests/gateway/test_events.py
+++ b/banyantiller/tests/gateway/test_events.py
@@ -307,5 +307,30 @@
                 if line["event"].startswith("gateway:"):
                     self.assertIn(line["event"], texts)
 
+    def test_line_of_a_call_tells_how_old_its_document_is(self):
+        async def before_the_first(place):
+            place.store.faults.silent = True
+            await place.start_gateway(name="d2")
+            await place.ask("a")
+
+        async def in_time(place):
+            await asyncio.sleep(20)
+            await place.ask("a")
+
+        async def silent(place):
+            place.store.faults.silent = True
+            await asyncio.sleep(20)
+            await place.ask("a")
+
+        ages = [
+            line["known_ms"]
+            for scenario in (before_the_first, in_time, silent)
+            for line in self.lines_of(scenario)
+            if line["event"] == DECLARED[events.CallEnded].text
+        ]
+        self.assertIsNone(ages[0])
+        self.assertLess(ages[1], 3100)
+        self.assertGreater(ages[2], 20000)
+
     def test_two_events_can_not_have_one_text(self):
         self.assertRaises(ValueError, log_events.event, "gateway: started.")
--- a/banyantiller/tests/gateway/world.py
+++ b/banyantiller/tests/gateway/world.py
@@ -164,7 +164,7 @@
         self.control = await control.start(ADDRESS, control_port)
         self.controls.append(control)
 
-    def put_document(self, routes=None, **limits):
+    def put_document(self, routes=None, services=(SERVICE, "other"), **limits):
         """Puts a new version in force."""
         self.version += 2
         routes = routes or [
@@ -185,7 +185,7 @@
                 "routes": routes,
                 "services": [
                     {"name": name, "healthPath": "/health", "maxConns": 220}
-                    for name in (SERVICE, "other")
+                    for name in services
                 ],
                 "limits": allowed | limits,
             },
