--- /dev/null
+++ b/banyantiller/tests/test_known_red.py
@@ -0,0 +1,30 @@
+"""Tests of the list of tests that fail for a known fault."""
+
+import pathlib
+import tempfile
+
+from banyantiller.tests import base, known_red
+
+GOOD = "a/test_b.py::C::test_d | pytest a/test_b.py | 404 | issue 7"
+
+
+class KnownRedTest(base.TestCase):
+    def read(self, text):
+        """Reads a list with this text."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "list.txt"
+            path.write_text(text, encoding="utf-8")
+            return known_red.read(path)
+
+    def test_entry_names_test_command_finding_and_issue(self):
+        (entry,) = self.read(f"# A comment.\n\n{GOOD}\n")
+        self.assertEqual("a/test_b.py::C::test_d", entry.test)
+        self.assertEqual("issue 7", entry.issue)
+        self.assertEqual(GOOD, known_red.line(entry))
+
+    def test_entry_without_all_fields_is_an_error(self):
+        for text in ("a/test_b.py::C::test_d", GOOD.replace("404", "")):
+            self.assertRaises(ValueError, self.read, text)
+
+    def test_missing_list_has_no_entries(self):
+        self.assertEqual([], known_red.read(pathlib.Path("no-such-file")))
