Show that proper requests are told that there is no such route

The first request of a connection waits for it and looks again; one sent behind it waits for its turn, finds that the document is known by then, and keeps what was found without one.

The same cause in two more places: a newer document between reading and running (404, or 500 for a service that is gone), and 404 while the store has been silent for 20 s.

--- /dev/null
+++ b/banyantiller/tests/gateway/test_unknown_routes.py
@@ -0,0 +1,150 @@
+"""Tests of when callers are told that there is no route for a request."""
+
+import asyncio
+
+from banyantiller.tests.gateway import world
+
+READ = world.route("read", "safe", "/read/")
+FILE = world.route("file", "unsafe", "/file/")
+
+
+class SentAheadOfFirstDocumentTest(world.TestCase):
+    """Requests sent ahead of their answers to a daemon that just started.
+
+    All daemons had lost power and came back while callers were waiting. A
+    caller that sends several requests on one connection got 200 for the first
+    and 404 for the others, a second later, although each document had their
+    route: 16 of them in one restart of 144 daemons. A call looked up its route
+    when its request was read, before the first document was known. Only the
+    first request of a connection then waits for the document and looks again.
+    Those behind it wait for their turn, and by then the document is known, so
+    they kept what had been found without one. The line of such a call has the
+    version of no document:
+
+        gateway: call ended. status=404 error=unknown_service route= version=0
+    """
+
+    def statuses(self, *sent):
+        """Returns the answers to requests sent ahead at a start."""
+
+        async def body(place):
+            await place.start_gateway(name="d2")
+            caller = await world.Caller.connect(place)
+            for number, (path, method) in enumerate(sent):
+                caller.send(
+                    f"a{number}", path, method, b"x" * (method != "GET")
+                )
+            return [(await caller.read()).status for _ in sent]
+
+        return self.play(body)
+
+    def test_reads_behind_another_are_served(self):
+        reads = [("/read/x", "GET")] * 4
+        self.assertEqual([200] * 4, self.statuses(*reads))
+
+    def test_request_that_must_not_be_repeated_is_served_behind_a_read(self):
+        sent = [("/read/x", "GET"), ("/file/x", "POST"), ("/read/x", "GET")]
+        self.assertEqual([200] * 3, self.statuses(*sent))
+
+    def test_route_that_no_document_has_is_unknown_behind_a_read(self):
+        sent = [("/read/x", "GET"), ("/never/x", "GET")]
+        self.assertEqual([200, 404], self.statuses(*sent))
+
+
+class DocumentBetweenReadingAndRunningTest(world.TestCase):
+    """A request waits behind another while a newer document comes.
+
+    What a call needs of a document was looked up twice: the route when its
+    request was read, the services when it ran, up to the objective of another
+    request later. With a document in between that has a route that the earlier
+    one had not, the caller got 404 for a route in force; with one that has no
+    longer the service of the earlier route, it got 500:
+
+        gateway: a call failed. KeyError: 'other'
+    """
+
+    def statuses(self, earlier, later, services=("orders", "other")):
+        """Returns the answers to a read and a request sent behind it.
+
+        Args:
+            earlier: Route of the second one when it is read.
+            later: Its route from 0.03 s later on, before it runs.
+            services: Services of the later document.
+        """
+
+        async def body(place):
+            await place.add_server("o1", "other")
+            place.put_document([READ, *earlier])
+            await asyncio.sleep(0.1)
+            caller = await world.Caller.connect(place)
+            caller.send("a")
+            caller.send("b", "/file/x", "POST", b"deposit")
+            await asyncio.sleep(0.03)
+            place.put_document([READ, *later], services)
+            return [(await caller.read()).status for _ in range(2)]
+
+        return self.play(body)
+
+    def test_route_that_came_meanwhile_is_served(self):
+        self.assertEqual([200, 200], self.statuses([], [FILE]))
+
+    def test_route_that_went_meanwhile_is_unknown(self):
+        self.assertEqual([200, 404], self.statuses([FILE], []))
+
+    def test_route_that_moved_meanwhile_is_served_by_its_new_service(self):
+        moved = FILE | {"service": "other"}
+        found = self.statuses([moved], [FILE], services=("orders",))
+        self.assertEqual([200, 200], found)
+
+
+class OldDocumentTest(world.TestCase):
+    """A route that is missing from a document that may be out of date.
+
+    While the store gives no answer, operators may add routes that a daemon
+    can't know. It went on telling 404, which callers take as final, 20 s after
+    it had last heard of the store:
+
+        gateway: store is lost. kind=config reason=no whole answer within 3.8 s
+        gateway: call ended. status=404 error=unknown_service version=2
+    """
+
+    def after_silence(self, silence_s, path):
+        """Returns an answer after the store was silent for some time."""
+
+        async def body(place):
+            place.store.faults.silent = True
+            await asyncio.sleep(silence_s)
+            return await place.ask("a", path)
+
+        return self.play(body)
+
+    def test_missing_route_is_no_final_answer(self):
+        answer = self.after_silence(20, "/new/x")
+        self.assertEqual(503, answer.status)
+        self.assertEqual("no", answer.headers["request-ran"])
+        self.assertGreater(float(answer.headers["retry-after"]), 0)
+
+    def test_known_route_is_served(self):
+        self.assertEqual(200, self.after_silence(20, "/read/x").status)
+
+    def test_missing_route_is_unknown_while_the_store_answers(self):
+        async def body(place):
+            # The longest time between two answers of a store where nothing
+            # changes lies within these.
+            found = set()
+            for _ in range(50):
+                await asyncio.sleep(0.13)
+                found.add((await place.ask("a", "/new/x")).status)
+            return found
+
+        self.assertEqual({404}, self.play(body))
+
+    def test_missing_route_is_unknown_again_once_the_store_answers(self):
+        async def body(place):
+            place.store.faults.silent = True
+            await asyncio.sleep(20)
+            place.store.faults.silent = False
+            await asyncio.sleep(2)
+            return (await place.ask("a", "/new/x")).status
+
+        self.assertEqual(404, self.play(body))
