Apply the limits in force to open connections, and none for good before a document

Cause: refusals by size rested on defaults before the first document was known, and on what was in force when a connection's codec was made after it.

Ruled out: a new codec for each change of the limits; it would lose the state of a head that is being read.

Change: the codec has no bound of its own; what came of a head is compared with the limit in force whenever it is incomplete. Before the first document the refusal is 503 with a time to come back, not run. Before: 431 and 413 in place of 503; 431 under a limit raised from 16,384 to 65,536 bytes, for a head of 24,000. After: 503, 503 and 200; 431 once the limit is lowered.

--- a/banyantiller/gateway/caller.py
+++ b/banyantiller/gateway/caller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import sys
 from typing import TYPE_CHECKING, Any
 
 import h11
@@ -10,6 +11,7 @@
 from banyantiller.gateway import call as calls
 from banyantiller.gateway import events, replies
 from banyantiller.gateway import requests as reading
+from banyantiller.gateway.decisions import refusing
 
 if TYPE_CHECKING:
     from banyantiller.gateway import gateway as gateways
@@ -27,7 +29,9 @@
 # How long a caller may go on sending after its request was rejected: closing
 # with bytes unread would reset the connection before it reads the answer.
 LINGER_S = 1.0
-HEAD_TOO_LARGE_HINT = 431
+# h11 fixes its bound when a codec is made, and limits change meanwhile: each
+# part that comes is checked here in its place.
+NO_CODEC_BOUND_BYTES = sys.maxsize
 NOT_IMPLEMENTED_HINT = 501
 
 
@@ -141,8 +145,7 @@
 
     def _new_codec(self) -> h11.Connection:
         return h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=self.gateway.known.limits.head_bytes,
+            h11.SERVER, max_incomplete_event_size=NO_CODEC_BOUND_BYTES
         )
 
     def _read(self) -> None:
@@ -175,9 +178,31 @@
             self.ended = True
             return False
         else:
+            if event is h11.NEED_DATA:
+                self._bound_head()
             return False
         return True
 
+    def _bound_head(self) -> None:
+        """Rejects a head that is too large before its end came.
+
+        The same holds for the line before a chunk of a body.
+        """
+        incomplete = self.codec.trailing_data[0]
+        if len(incomplete) > self.gateway.known.limits.head_bytes:
+            self._reject(self._too_large(ErrorKind.HEAD_TOO_LARGE))
+
+    def _too_large(self, kind: ErrorKind) -> Failure:
+        """Returns the failure of a request that is over a limit.
+
+        Before the first document the limits are defaults, which operators may
+        have raised: the refusal is not final then.
+        """
+        if self.gateway.known.routes is None:
+            retry_after_s = refusing.START_RETRY_AFTER_S
+            return Failure(ErrorKind.NO_BUNDLE, retry_after=retry_after_s)
+        return Failure(kind)
+
     def _head(self, event: h11.Request) -> None:
         slot = Slot(self.codec)
         self.reading = slot
@@ -195,7 +220,7 @@
         slot.size += len(data)
         self.gateway.body_bytes += len(data)
         if slot.size > self.gateway.known.limits.body_bytes:
-            self._reject(Failure(ErrorKind.BODY_TOO_LARGE))
+            self._reject(self._too_large(ErrorKind.BODY_TOO_LARGE))
         elif self.gateway.body_bytes > MOST_BODY_BYTES:
             self._reject(Failure(ErrorKind.QUEUE_FULL, retry_after=FULL_S))
         else:
@@ -359,8 +384,6 @@
 
 
 def _failure(error: h11.RemoteProtocolError) -> Failure:
-    if error.error_status_hint == HEAD_TOO_LARGE_HINT:
-        return Failure(ErrorKind.HEAD_TOO_LARGE, str(error))
     if error.error_status_hint == NOT_IMPLEMENTED_HINT:
         return Failure(ErrorKind.METHOD_UNSUPPORTED, str(error))
     return Failure(ErrorKind.MALFORMED_REQUEST, str(error))
