Take servers for ones that tell no load only until one tells it

Cause: one answer without a load put its service into the mode without loads for the life of the process. Servers that are not asked have no other way to show that they tell it.

Ruled out: asking again after a while; a question to a server that tells no load waits for a slot, and one that is not answered in time counts as silence.

Change: answers to requests carry the load as well; one that does ends the mode. Where one server told its load, another that tells none is left unasked alone. The scenario of a failed connection sets its servers up as ones that tell no load, since the mode can no longer be forced on servers that told it.

--- a/banyantiller/gateway/asking.py
+++ b/banyantiller/gateway/asking.py
@@ -86,7 +86,9 @@
         pools: Returns the pool of a server.
         moved: Called when another instance has a server's address.
         zone: Availability zone of this daemon.
-        mute: Services whose servers don't tell their load.
+        mute: Services of which no server told its load so far, and one told
+            none.
+        telling: Services of which a server told its load.
         asked: Questions so far.
         tasks: Questions whose answers are not in.
     """
@@ -104,6 +106,7 @@
         self.moved = moved
         self.zone = zone
         self.mute: set[str] = set()
+        self.telling: set[str] = set()
         self.asked = 0
         self.tasks: set[asyncio.Task[None]] = set()
         self.loop = asyncio.get_running_loop()
@@ -119,12 +122,14 @@
         Connections of the candidates belong to the caller, which hands them
         back with `give_back`.
         """
-        if entries and entries[0].server.service in self.mute:
-            return self._unasked(entries)
+        mute = [entry for entry in entries if self._is_mute(entry)]
+        if entries and len(mute) == len(entries):
+            return self._unasked(mute)
         asked = Round()
         tasks = [
             self.loop.create_task(self._ask_one(entry, health_path, asked))
             for entry in entries
+            if entry not in mute
         ]
         self.tasks.update(tasks)
         for task in tasks:
@@ -134,7 +139,7 @@
         except BaseException:
             self.give_back(asked.close())
             raise
-        found = asked.close()
+        found = asked.close() + self._unasked(mute)
         for candidate in found:
             candidate.among = len(found)
         found.sort(key=lambda candidate: candidate.score)
@@ -148,6 +153,41 @@
                 self.pools(server).keep(candidate.link)
                 candidate.link = None
 
+    def heard(self, entry: servers.Entry, headers: messages.Headers) -> None:
+        """Notes a load that came with the answer to a request.
+
+        Servers that tell none are not asked, so that nothing else would show
+        that they do since: one answer without it is no proof, and a service may
+        be upgraded.
+        """
+        if not self._is_mute(entry):
+            return
+        told = messages.find_header(headers, self.wire.load.decode())
+        if told and self.read_load(told.encode("latin-1")) is not None:
+            self._note_load(entry)
+
+    def _is_mute(self, entry: servers.Entry) -> bool:
+        return entry.quiet or entry.server.service in self.mute
+
+    def _note_load(self, entry: servers.Entry) -> None:
+        """Notes that a server told its load."""
+        entry.quiet = False
+        self.telling.add(entry.server.service)
+        self.mute.discard(entry.server.service)
+
+    def _note_no_load(self, entry: servers.Entry) -> None:
+        """Notes that a server told no load.
+
+        Until one of its service does, that is taken to hold for all of them: a
+        question to a server that tells none waits for a slot.
+        """
+        service = entry.server.service
+        if service in self.telling:
+            entry.quiet = True
+        elif service not in self.mute:
+            self.mute.add(service)
+            events.emit(events.ServiceMute(service))
+
     def _unasked(self, entries: list[servers.Entry]) -> list[Candidate]:
         """Ranks servers by what this daemon has under way there."""
         nothing = Answer(True, None, "")
@@ -193,10 +233,10 @@
             home.discard(link)
             self.moved(entry.server)
             return
-        service = entry.server.service
-        if answer.fit and answer.load is None and service not in self.mute:
-            self.mute.add(service)
-            events.emit(events.ServiceMute(service))
+        if answer.load is not None:
+            self._note_load(entry)
+        elif answer.fit:
+            self._note_no_load(entry)
         if not link.connection.ready_again():
             home.discard(link, pool.Reason.CLOSED)
             link = None
--- a/banyantiller/gateway/servers.py
+++ b/banyantiller/gateway/servers.py
@@ -21,6 +21,7 @@
         in_flight: Requests of this daemon at the server.
         sends: Requests of this daemon so far.
         failed: Of these, those without an answer that can be used.
+        quiet: Whether it told no load where others of its service do.
         lapses_at: Loop time at which a registration that vanished with the
             store's outage counts as gone, or None.
     """
@@ -32,6 +33,7 @@
         self.in_flight = 0
         self.sends = 0
         self.failed = 0
+        self.quiet = False
         self.lapses_at: float | None = None
 
     def usable(self, now: float) -> bool:
--- a/banyantiller/tests/gateway/test_events.py
+++ b/banyantiller/tests/gateway/test_events.py
@@ -46,6 +46,8 @@
 
 @shows(events.NoConnection)
 async def connecting_fails(place):
+    for one in place.servers.values():
+        one.tells_load = False
     await place.ask("warm")
 
     async def refuse(fresh):
@@ -53,7 +55,6 @@
 
     for kept in place.gateway.pools.values():
         kept.acquire = refuse
-    place.gateway.asker.mute.add(world.SERVICE)
     await place.ask("a")
 
 
