Tell the starts of a server apart by its address as well

Cause: answers and connections were tied to a server by its name alone, so that what an earlier address answered took out the live server, for as long as its registration did not change.

Ruled out: putting a server back after a while; its address may belong to another service by then.

Change: another address is another start. Only an answer from the start that is registered takes it out, and only its connections are kept, which also replaces a pool that was kept for 5 s for a server that was gone.

--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -182,17 +182,19 @@
     # Called by connections and calls.
 
     def pool_of(self, server: types.Server) -> pool.Pool:
-        """Returns the connections to a server."""
+        """Returns the connections to a server.
+
+        Of one that was taken out or registered anew while it was being used
+        none is kept: they are found by its name, which the later start shares.
+        """
+        if not self.known.table.holds(server):
+            passing = pool.Pool(server, LEAST_CONNECTIONS, self.tallies.opened)
+            passing.close()
+            return passing
         found = self.pools.get(server.instance)
         if found is None:
             found = pool.Pool(server, LEAST_CONNECTIONS, self.tallies.opened)
             self.pools[server.instance] = found
-            if server.instance not in self.known.table.entries:
-                # It was taken out while it was being used.
-                found.closed = True
-                self.loop.call_later(
-                    DEFAULT_TIMEOUT_S, self.pools.pop, server.instance, None
-                )
         found.most = self._connections_of(server.service)
         return found
 
--- a/banyantiller/gateway/knowledge.py
+++ b/banyantiller/gateway/knowledge.py
@@ -134,8 +134,13 @@
         self.mirror.wake()
 
     def moved(self, server: types.Server) -> None:
-        """Takes out a server whose address another instance has."""
-        if self.table.remove(server.instance, "address_reused") is not None:
+        """Takes out a server whose address another instance has.
+
+        One that registered anew since it was asked stays: its registration
+        would not be told again before it changes.
+        """
+        if self.table.holds(server):
+            self.table.remove(server.instance, "address_reused")
             self.gone(server)
 
     def expire(self, now: float) -> None:
--- a/banyantiller/gateway/servers.py
+++ b/banyantiller/gateway/servers.py
@@ -46,7 +46,8 @@
 class ServerTable:
     """Entries by instance and by service.
 
-    A server may start again under its identity. Nothing that was seen of an
+    A server may start again under its identity; one that has another address
+    did, even if it does not say when. Nothing that was seen of an
     earlier start counts for a later one, and a late or stale read of an earlier
     start changes nothing.
 
@@ -76,7 +77,9 @@
             return None
         self.started[server.instance] = server.started_ms
         before = None
-        if server.started_ms > latest:
+        held = self.entries.get(server.instance)
+        moved = held is not None and _address(held.server) != _address(server)
+        if moved or server.started_ms > latest:
             before = self.remove(server.instance, "started_again")
         if server.leaving:
             self.left[server.instance] = server.started_ms
@@ -103,6 +106,13 @@
         entry.lapses_at = None
         entry.warm_at = now + server.warmup_s
 
+    def holds(self, server: types.Server) -> bool:
+        """Tells whether a server is still registered as the same start."""
+        entry = self.entries.get(server.instance)
+        if entry is None or entry.server.started_ms != server.started_ms:
+            return False
+        return _address(entry.server) == _address(server)
+
     def remove(self, instance: str, reason: str) -> types.Server | None:
         """Takes a server out for good; None if it is not known."""
         entry = self.entries.pop(instance, None)
@@ -142,6 +152,10 @@
         return self.by_service.setdefault(service, {})
 
 
+def _address(server: types.Server) -> tuple[str, int]:
+    return server.host, server.port
+
+
 def _described(server: types.Server) -> tuple[str, str, str, str, bool]:
     """Returns the fields that events on a registration have."""
     return (
