Play a server that left and starts again at another address

Cause: that a start leaves is kept by the time of the start, which registrations may leave out; then it is held against every later start of the same name.

Ruled out: a later start that says when it started; it serves.

Change: one test, red: the server, which registered as ready, is not usable.

--- a/banyantiller/tests/gateway/test_moved.py
+++ b/banyantiller/tests/gateway/test_moved.py
@@ -94,3 +94,25 @@
             return len(home.idle), home.server.port == again.port
 
         self.assertEqual((0, True), self.play(body))
+
+    def test_server_that_left_and_starts_elsewhere_is_used(self):
+        """A server that starts again after it left is left out for good.
+
+        Its registration does not say when it started. What the earlier start
+        said, that it leaves, was held against the later one, for the life of
+        the process. Seen: `gateway: server joined. instance=s0 leaving=True`
+        for a registration that says it is ready.
+        """
+
+        async def body(place):
+            place.register("s0", state="draining")
+            await asyncio.sleep(1)
+            place.store.remove("servers", "s0")
+            await asyncio.sleep(1)
+            earlier = place.servers["s0"]
+            await place.add_server("s0")
+            await asyncio.sleep(1)
+            earlier.stop()
+            return usable(place)
+
+        self.assertEqual(["s0", "s1", "s2"], self.play(body))
