Hold against a later start nothing that an earlier one said of its leaving

Cause: that a start leaves was kept by the time of the start, which is 0 for every start of a server that does not say it.

Ruled out: forgetting it with the registration; a late read of the same start would bring it back.

Change: a start is known by its time and its address together. Before: a server that left and registered as ready at another address was not usable; after: it is. One that starts again at the same address and does not say when still can't be told from the start that left.

--- a/banyantiller/gateway/servers.py
+++ b/banyantiller/gateway/servers.py
@@ -1,6 +1,7 @@
 """Servers that registered themselves, and which of them get new requests."""
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from banyantiller.gateway import events, types
 from banyantiller.gateway.decisions import beliefs
@@ -11,6 +12,25 @@
 LAPSED_GRACE_S = 1.8
 
 
+class Start(NamedTuple):
+    """What tells the starts of one server apart.
+
+    Attributes:
+        started_ms: When it started, in Unix milliseconds; 0 if it does not say.
+        host: IP number.
+        port: TCP port.
+    """
+
+    started_ms: int
+    host: str
+    port: int
+
+    @classmethod
+    def of(cls, server: types.Server) -> "Start":
+        """Returns the start that a registration is of."""
+        return cls(server.started_ms, server.host, server.port)
+
+
 class Entry:
     """One registered server and what is believed of it.
 
@@ -64,7 +84,7 @@
         self.entries: dict[str, Entry] = {}
         self.by_service: dict[str, dict[str, Entry]] = {}
         self.started: dict[str, int] = {}
-        self.left: dict[str, int] = {}
+        self.left: dict[str, Start] = {}
 
     def put(self, server: types.Server, now: float) -> types.Server | None:
         """Adds or changes a registration.
@@ -77,13 +97,13 @@
             return None
         self.started[server.instance] = server.started_ms
         before = None
+        start = Start.of(server)
         held = self.entries.get(server.instance)
-        moved = held is not None and _address(held.server) != _address(server)
-        if moved or server.started_ms > latest:
+        if held is not None and Start.of(held.server) != start:
             before = self.remove(server.instance, "started_again")
         if server.leaving:
-            self.left[server.instance] = server.started_ms
-        elif self.left.get(server.instance) == server.started_ms:
+            self.left[server.instance] = start
+        elif self.left.get(server.instance) == start:
             server = server._replace(leaving=True)
         self._put(server, now)
         return before
@@ -109,9 +129,7 @@
     def holds(self, server: types.Server) -> bool:
         """Tells whether a server is still registered as the same start."""
         entry = self.entries.get(server.instance)
-        if entry is None or entry.server.started_ms != server.started_ms:
-            return False
-        return _address(entry.server) == _address(server)
+        return entry is not None and Start.of(entry.server) == Start.of(server)
 
     def remove(self, instance: str, reason: str) -> types.Server | None:
         """Takes a server out for good; None if it is not known."""
@@ -152,10 +170,6 @@
         return self.by_service.setdefault(service, {})
 
 
-def _address(server: types.Server) -> tuple[str, int]:
-    return server.host, server.port
-
-
 def _described(server: types.Server) -> tuple[str, str, str, str, bool]:
     """Returns the fields that events on a registration have."""
     return (
