Tell a registered start by its object first

Cause: each question to a server compares its start with the registered one.

Ruled out: keeping the start with the entry; tests and followers replace the registration of an entry in place.

Change: the same object needs no comparison.

--- a/banyantiller/gateway/servers.py
+++ b/banyantiller/gateway/servers.py
@@ -129,7 +129,11 @@
     def holds(self, server: types.Server) -> bool:
         """Tells whether a server is still registered as the same start."""
         entry = self.entries.get(server.instance)
-        return entry is not None and Start.of(entry.server) == Start.of(server)
+        if entry is None:
+            return False
+        # Asked with each question to a server, and usually of the same object.
+        same = entry.server is server
+        return same or Start.of(entry.server) == Start.of(server)
 
     def remove(self, instance: str, reason: str) -> types.Server | None:
         """Takes a server out for good; None if it is not known."""
