--- a/banyantiller/gateway/servers.py
+++ b/banyantiller/gateway/servers.py
@@ -1,6 +1,7 @@
 """Servers that registered themselves, and which of them get new requests."""
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from banyantiller.gateway import events, types
 from banyantiller.gateway.decisions import beliefs
@@ -11,6 +12,25 @@
 LAPSED_GRACE_S = 1.8
 
 
+class Start(NamedTuple):
+    """What tells the starts of one server apart.
+
+    Attributes:
+        started_ms: When it started, in Unix milliseconds; 0 if it does not say.
+        host: IP number.
+        port: TCP port.
+    """
+
+    started_ms: int
+    host: str
+    port: int
+
+    @classmethod
+    def of(cls, server: types.Server) -> "Start":
+        """Returns the start that a registration is of."""
+        return cls(server.started_ms, server.host, server.port)
+
+
 class Entry:
     """One registered server and what is believed of it.
 
@@ -21,6 +41,7 @@
         in_flight: Requests of this daemon at the server.
         sends: Requests of this daemon so far.
         failed: Of these, those without an answer that can be used.
+        quiet: Whether it told no load where others of its service do.
         lapses_at: Loop time at which a registration that vanished with the
             store's outage counts as gone, or None.
     """
@@ -32,6 +53,7 @@
         self.in_flight = 0
         self.sends = 0
         self.failed = 0
+        self.quiet = False
         self.lapses_at: float | None = None
 
     def usable(self, now: float) -> bool:
@@ -44,7 +66,8 @@
 class ServerTable:
     """Entries by instance and by service.
 
-    A server may start again under its identity. Nothing that was seen of an
+    A server may start again under its identity; one that has another address
+    did, even if it does not say when. Nothing that was seen of an
     earlier start counts for a later one, and a late or stale read of an earlier
     start changes nothing.
 
@@ -61,7 +84,7 @@
         self.entries: dict[str, Entry] = {}
         self.by_service: dict[str, dict[str, Entry]] = {}
         self.started: dict[str, int] = {}
-        self.left: dict[str, int] = {}
+        self.left: dict[str, Start] = {}
 
     def put(self, server: types.Server, now: float) -> types.Server | None:
         """Adds or changes a registration.
@@ -74,11 +97,13 @@
             return None
         self.started[server.instance] = server.started_ms
         before = None
-        if server.started_ms > latest:
+        start = Start.of(server)
+        held = self.entries.get(server.instance)
+        if held is not None and Start.of(held.server) != start:
             before = self.remove(server.instance, "started_again")
         if server.leaving:
-            self.left[server.instance] = server.started_ms
-        elif self.left.get(server.instance) == server.started_ms:
+            self.left[server.instance] = start
+        elif self.left.get(server.instance) == start:
             server = server._replace(leaving=True)
         self._put(server, now)
         return before
@@ -101,6 +126,15 @@
         entry.lapses_at = None
         entry.warm_at = now + server.warmup_s
 
+    def holds(self, server: types.Server) -> bool:
+        """Tells whether a server is still registered as the same start."""
+        entry = self.entries.get(server.instance)
+        if entry is None:
+            return False
+        # Asked with each question to a server, and usually of the same object.
+        same = entry.server is server
+        return same or Start.of(entry.server) == Start.of(server)
+
     def remove(self, instance: str, reason: str) -> types.Server | None:
         """Takes a server out for good; None if it is not known."""
         entry = self.entries.pop(instance, None)
