--- a/banyantiller/tests/gateway/test_limits.py
+++ b/banyantiller/tests/gateway/test_limits.py
@@ -105,3 +105,28 @@
             return (await caller.read()).status
 
         self.assertEqual(431, self.play(body))
+
+    def test_size_over_an_old_limit_is_not_refused_for_good(self):
+        """Limits that may be out of date refuse a request for good.
+
+        The store gave no answer for 13 s, in which operators raised the limit
+        from 100,000 to 200,000 bytes. Seen: `gateway: request rejected.
+        kind=body_too_large` and 413 for a body of 150,000 bytes; the same with
+        431 for a head.
+        """
+
+        async def body(place):
+            await place.ask("a")
+            place.store.faults.silent = True
+            place.put_document(maxBodyBytes=200000, maxHeaderBytes=65536)
+            await asyncio.sleep(13)
+            filed = await place.ask("b", "/file/x", "POST", LARGE_BODY)
+            caller = await world.Caller.connect(place)
+            await send_large_head(caller, "c")
+            read = await caller.read()
+            return [
+                (answer.status, answer.headers["request-ran"])
+                for answer in (filed, read)
+            ]
+
+        self.assertEqual([(503, "no")] * 2, self.play(body))
