Refuse for good only by a document that is current, in one place

Cause: 413 and 431 rest on the document as 404 does, and were told by limits that the store had confirmed 13 s ago.

Change: `Knowledge.refuse` decides for all three whether a refusal is final (document at most 4 s old), or the request is told as not run, with a time to come back (503: `fenced`, or `no_bundle` before the first document).

--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -140,10 +140,9 @@
             await self.gateway.known.first_read()
         if self.route is None:
             self.bind()
-        if self.table is None:
-            return self._fail(ErrorKind.NO_BUNDLE, refusing.START_RETRY_AFTER_S)
         if self.route is None:
-            return self._refuse_unknown()
+            failure = self.gateway.known.refuse(ErrorKind.UNKNOWN_SERVICE)
+            return self._fail(failure.kind, failure.retry_after)
         self.service = self.table.choose_service(self.route)
         self.gateway.budget_of(self.service).request(self.loop.time())
         try:
@@ -154,12 +153,6 @@
                 return self._fail(ErrorKind.DEADLINE_AFTER_START)
             return self._refuse(ErrorKind.DEADLINE_UNREACHABLE)
 
-    def _refuse_unknown(self) -> replies.Reply:
-        """Ends a call without a route, for good only where that is sure."""
-        if self.gateway.known.is_current():
-            return self._fail(ErrorKind.UNKNOWN_SERVICE)
-        return self._fail(ErrorKind.FENCED, refusing.START_RETRY_AFTER_S)
-
     async def _try_servers(self, table: routes.RouteTable) -> replies.Reply:
         """Tries servers until one answers; a second one may run beside."""
         service = table.document.services[self.service]
--- a/banyantiller/gateway/caller.py
+++ b/banyantiller/gateway/caller.py
@@ -11,7 +11,6 @@
 from banyantiller.gateway import call as calls
 from banyantiller.gateway import events, replies
 from banyantiller.gateway import requests as reading
-from banyantiller.gateway.decisions import refusing
 
 if TYPE_CHECKING:
     from banyantiller.gateway import gateway as gateways
@@ -193,20 +192,10 @@
 
         The same holds for the line before a chunk of a body.
         """
+        known = self.gateway.known
         incomplete = self.codec.trailing_data[0]
-        if len(incomplete) > self.gateway.known.limits.head_bytes:
-            self._reject(self._too_large(ErrorKind.HEAD_TOO_LARGE))
-
-    def _too_large(self, kind: ErrorKind) -> Failure:
-        """Returns the failure of a request that is over a limit.
-
-        Before the first document the limits are defaults, which operators may
-        have raised: the refusal is not final then.
-        """
-        if self.gateway.known.routes is None:
-            retry_after_s = refusing.START_RETRY_AFTER_S
-            return Failure(ErrorKind.NO_BUNDLE, retry_after=retry_after_s)
-        return Failure(kind)
+        if len(incomplete) > known.limits.head_bytes:
+            self._reject(known.refuse(ErrorKind.HEAD_TOO_LARGE))
 
     def _head(self, event: h11.Request) -> None:
         slot = Slot(self.codec)
@@ -224,8 +213,9 @@
         slot = self.reading
         slot.size += len(data)
         self.gateway.body_bytes += len(data)
-        if slot.size > self.gateway.known.limits.body_bytes:
-            self._reject(self._too_large(ErrorKind.BODY_TOO_LARGE))
+        known = self.gateway.known
+        if slot.size > known.limits.body_bytes:
+            self._reject(known.refuse(ErrorKind.BODY_TOO_LARGE))
         elif self.gateway.body_bytes > MOST_BODY_BYTES:
             self._reject(Failure(ErrorKind.QUEUE_FULL, retry_after=FULL_S))
         else:
--- a/banyantiller/gateway/knowledge.py
+++ b/banyantiller/gateway/knowledge.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable
 
+from banyantiller.errors import ErrorKind, Failure
 from banyantiller.gateway import (
     events,
     following,
@@ -17,7 +18,7 @@
     types,
 )
 from banyantiller.gateway import settings as options
-from banyantiller.gateway.decisions import reading
+from banyantiller.gateway.decisions import reading, refusing
 from banyantiller.store import interface
 
 # How long callers of a daemon that starts wait for the first document and list
@@ -106,12 +107,23 @@
         return self.loop.time() - confirmed
 
     def is_current(self) -> bool:
-        """Tells whether what the document does not have exists nowhere.
+        """Tells whether the document counts as the newest."""
+        return self.document_age_s() <= CURRENT_S
+
+    def refuse(self, kind: ErrorKind) -> Failure:
+        """Returns a refusal that callers take for final, if that is sure.
 
-        If not, a newer document may have it: callers take 404 for final, and
-        got it for 20 s of a silent store.
+        A newer document may allow what the known one does not: 404 was told
+        for routes in force, and 413 after limits were raised, for as long as
+        the store was silent. Without a document nothing is sure.
+
+        Args:
+            kind: Why the document does not allow the request.
         """
-        return self.document_age_s() <= CURRENT_S
+        if self.is_current():
+            return Failure(kind)
+        unsure = ErrorKind.FENCED if self.routes else ErrorKind.NO_BUNDLE
+        return Failure(unsure, retry_after=refusing.START_RETRY_AFTER_S)
 
     def service(self, name: str) -> types.Service | None:
         """Returns a service of the document in force, or None."""
