Show final refusals under a bundle that is known to be outdated

Cause: not mended here. A daemon that knows of a newer accepted bundle, by a peer's heartbeat or because it waits for parts, still answers 404 unknown_service and 400 key_missing, both "retry": false, by the old one.

Ruled out: two looks at different bundles in one call; service, limits and version are taken in one step (test_running_call_ends_on_its_bundle).

--- /dev/null
+++ b/banyantiller/tests/daemon/test_outdated_bundle.py
@@ -0,0 +1,109 @@
+"""Tests of refusals while a daemon knows that its bundle may be outdated."""
+
+import asyncio
+from collections.abc import Callable
+
+from banyantiller.membership import messages
+from banyantiller.store import memory
+from banyantiller.tests import base
+from banyantiller.tests.bundle import samples
+from banyantiller.tests.daemon import test_whole_path as whole
+
+MAPS = """\
+  - name: maps
+    path: /maps
+    servers:
+      - {name: maps-1, address: 127.0.0.1, port: 9003}
+    requests:
+      - {idempotent: true, methods: [GET]}
+"""
+KEY_REQUIRED = samples.BUNDLE.replace(
+    "    path: /orders\n", "    path: /orders\n    key_required: true\n"
+)
+SOON_S = 3.0
+
+
+async def roll(fleet: whole.Fleet, text: str) -> None:
+    """Proposes, signs and rolls a bundle with the operators' own store."""
+    store = memory.MemoryStore(fleet.table)
+    await samples.roll(store, await samples.prepare(store, text))
+
+
+async def start_behind(fleet: whole.Fleet, *texts: str) -> Callable[[], None]:
+    """Starts two daemons; the second only hears of the last bundle's number.
+
+    Its object API is down, and the first does not get to send it the bundle.
+
+    Returns:
+        A function after which the first daemon sends it.
+    """
+    await fleet.start(2)
+    for text in texts[:-1]:
+        await roll(fleet, text)
+        await asyncio.sleep(whole.SETTLED_S)
+    fleet.stores[1].faults.down = True
+    handlers = fleet.daemons[0].peers.handlers
+    send_bundle = handlers.pop(messages.BundleRequest)
+    await roll(fleet, texts[-1])
+    await asyncio.sleep(SOON_S)
+
+    def let_send() -> None:
+        handlers[messages.BundleRequest] = send_bundle
+
+    return let_send
+
+
+class KnownNewerBundleTest(base.TestCase):
+    def test_route_of_a_newer_bundle_is_not_told_as_unknown(self) -> None:
+        """A peer's heartbeat names version 2, which has not arrived yet.
+
+        `/maps` exists in version 2 only. The daemon knows that version 1 is
+        outdated, so it can't tell that a route does not exist. It said
+        `404 unknown_service` with `"retry": false`, and the caller gave up
+        on a route that the daemon served once the bundle had arrived.
+        """
+
+        async def scenario() -> None:
+            fleet = whole.Fleet()
+            let_send = await start_behind(fleet, samples.BUNDLE + MAPS)
+            self.assertEqual(1, fleet.daemons[1].proxy.version)
+            refused = await whole.send(8002, "GET", "/maps/1")
+            self.assertEqual(503, refused.status, refused)
+            self.assertEqual("no", refused.header("request-ran"))
+            self.assertTrue(refused.header("retry-after"))
+            served = await whole.send(8002, "GET", "/orders/1")
+            self.assertEqual(200, served.status, served)
+            let_send()
+            await asyncio.sleep(SOON_S)
+            self.assertEqual(2, fleet.daemons[1].proxy.version)
+            served = await whole.send(8002, "GET", "/maps/1")
+            self.assertEqual(200, served.status, served)
+            unknown = await whole.send(8002, "GET", "/nowhere")
+            self.assertEqual(404, unknown.status, unknown)
+            await fleet.stop()
+
+        self.run_paused(scenario())
+
+    def test_key_that_a_newer_bundle_may_not_ask_for(self) -> None:
+        """Version 2 asks for a key on each deposit, version 3 no more.
+
+        The daemon knows that version 3 is accepted but has not got it. It
+        said `400 key_missing` with `"retry": false` for a request that is
+        valid under the accepted bundle.
+        """
+
+        async def scenario() -> None:
+            fleet = whole.Fleet()
+            let_send = await start_behind(fleet, KEY_REQUIRED, samples.BUNDLE)
+            self.assertEqual(2, fleet.daemons[1].proxy.version)
+            refused = await whole.send(8002, "POST", "/orders", b"deposit")
+            self.assertEqual(503, refused.status, refused)
+            self.assertEqual("no", refused.header("request-ran"))
+            self.assertEqual(0, fleet.runs.count("deposit"))
+            let_send()
+            await asyncio.sleep(SOON_S)
+            served = await whole.send(8002, "POST", "/orders", b"deposit")
+            self.assertEqual(200, served.status, served)
+            await fleet.stop()
+
+        self.run_paused(scenario())
