Refuse nothing for good under a bundle that is known to be outdated

Cause: intake asked the routes and options in force only. The replica knows by candidates and by heartbeats that a newer version is accepted; intake did not ask it.

Ruled out: taking the newer bundle earlier, since its parts are not here; refusing all calls meanwhile, since what the old bundle serves is served.

Change: before unknown_service or key_missing is told, the proxy asks whether a newer version is known than the one in force in the data path. Then it answers no_bundle: 503, not run, Retry-After. Nothing is asked for calls that match.

Before: 404 and 400 with "retry": false.

--- a/banyantiller/daemon/bundles.py
+++ b/banyantiller/daemon/bundles.py
@@ -26,6 +26,10 @@
     def on_member(_: events.MemberChanged) -> None:
         daemon.proxy.members(len(daemon.peers.alive()))
 
+    def is_outdated() -> bool:
+        return daemon.proxy.version < daemon.spread.newest_known
+
+    daemon.proxy.is_outdated = is_outdated
     daemon.spread.subscribe(on_bundle)
     daemon.kernel.subscribe(events.MemberChanged, on_member)
     daemon.kernel.start("isolation", lambda: _follow_isolation(daemon))
--- a/banyantiller/proxy/intake.py
+++ b/banyantiller/proxy/intake.py
@@ -15,6 +15,10 @@
 IGNORED_UPGRADES = (b"", b"h2c")
 EXPECT_CONTINUE = (b"", b"100-continue")
 
+# Refusals that another bundle may not give.
+BY_BUNDLE = (ErrorKind.UNKNOWN_SERVICE, ErrorKind.KEY_MISSING)
+OUTDATED = "A newer bundle may be accepted that is not in force here."
+
 
 def admit(proxy: "proxies.Proxy", call: "calls.Call") -> Failure | None:
     """Checks a request and fills in what the call needs to be forwarded.
@@ -26,8 +30,7 @@
         _check_state(proxy)
         or _check_head(call)
         or _check_length(proxy, call)
-        or _match(proxy, call)
-        or _check_key(call)
+        or _check_bundle(proxy, call)
     )
 
 
@@ -67,6 +70,17 @@
     return None
 
 
+def _check_bundle(proxy: "proxies.Proxy", call: "calls.Call") -> Failure | None:
+    failure = _match(proxy, call) or _check_key(call)
+    if failure is None or failure.kind not in BY_BUNDLE:
+        return failure
+    if proxy.is_outdated():
+        # A refusal for good would end a request that the accepted bundle
+        # serves; after the pause, or at another daemon, it may be in force.
+        return Failure(ErrorKind.NO_BUNDLE, OUTDATED, RETRY_AFTER_S)
+    return failure
+
+
 def _match(proxy: "proxies.Proxy", call: "calls.Call") -> Failure | None:
     target = matching.split_target(call.request.target)
     if target is None:
--- a/banyantiller/proxy/proxy.py
+++ b/banyantiller/proxy/proxy.py
@@ -41,6 +41,10 @@
 Charge = Callable[[float], bool]
 
 
+def _never_outdated() -> bool:
+    return False
+
+
 class Proxy:
     """Takes calls from callers and relays the answers of backend servers.
 
@@ -50,6 +54,8 @@
         draining: Whether answers say `Connection: close`.
         refusing: Whether new calls are refused, at the end of a drain.
         version: Version of the bundle in force, 0 for none.
+        is_outdated: Tells whether a newer bundle may have been accepted;
+            asked before a request is refused for good by the bundle.
         services: The services of the bundle in force.
     """
 
@@ -78,6 +84,7 @@
         self.draining = False
         self.refusing = False
         self.version = 0
+        self.is_outdated: Callable[[], bool] = _never_outdated
         self.services = services.Services(self._new_driver, wall)
         self.callers: set[caller.CallerConnection] = set()
         self.tasks: set[asyncio.Task[None]] = set()
--- a/banyantiller/replica/spread.py
+++ b/banyantiller/replica/spread.py
@@ -116,6 +116,11 @@
         """The bundle in force, or None."""
         return self.replica.held
 
+    @property
+    def newest_known(self) -> int:
+        """Highest version known to be accepted, in force here or not."""
+        return max(self.replica.newest, self._floor())
+
     @property
     def isolated(self) -> bool:
         """Whether neither the object API nor any peer answered for long."""
