Show final refusals after the object API was lost

Cause: not mended here. A daemon that has had no answer of the object API for longer than isolated_after_s, or never since it started, can't have been told of a newer bundle where its peers are cut off too. It answers 404 unknown_service with "retry": false all the same.

Ruled out: fencing covers it; `serve` is the default, and with a peer in reach the daemon is not isolated at all.

--- a/banyantiller/tests/daemon/test_outdated_bundle.py
+++ b/banyantiller/tests/daemon/test_outdated_bundle.py
@@ -107,3 +107,97 @@
             await fleet.stop()
 
         self.run_paused(scenario())
+
+
+class LostStoreTest(base.TestCase):
+    def test_daemons_cut_off_from_the_store_together(self) -> None:
+        """Two daemons hear each other but not the object API, for 30 s.
+
+        Version 2 with `/maps` is accepted meanwhile. Neither daemon can have
+        heard of it, and both know that nobody told them for longer than
+        `isolated_after_s`. Both said `404 unknown_service` with
+        `"retry": false`; a caller that comes back may reach a daemon that
+        has the bundle.
+        """
+
+        async def scenario() -> None:
+            fleet = whole.Fleet()
+            await fleet.start(2)
+            unknown = await whole.send(8002, "GET", "/maps/1")
+            self.assertEqual(404, unknown.status, unknown)
+            for store in fleet.stores:
+                store.faults.down = True
+            await roll(fleet, samples.BUNDLE + MAPS)
+            await asyncio.sleep(30.0)
+            for port in (8001, 8002):
+                refused = await whole.send(port, "GET", "/maps/1")
+                self.assertEqual(503, refused.status, refused)
+                self.assertEqual("no", refused.header("request-ran"))
+                self.assertTrue(refused.header("retry-after"))
+                served = await whole.send(port, "GET", "/orders/1")
+                self.assertEqual(200, served.status, served)
+            for store in fleet.stores:
+                store.faults.down = False
+            await asyncio.sleep(30.0)
+            for port in (8001, 8002):
+                served = await whole.send(port, "GET", "/maps/1")
+                self.assertEqual(200, served.status, served)
+                unknown = await whole.send(port, "GET", "/nowhere")
+                self.assertEqual(404, unknown.status, unknown)
+            await fleet.stop()
+
+        self.run_paused(scenario())
+
+    def test_isolated_daemon_that_goes_on_serving(self) -> None:
+        """A daemon alone tells `"isolated": true` on its status page.
+
+        Told to go on, it serves what it knows. That a route does not exist
+        is nothing that it knows: it said `404 unknown_service` with
+        `"retry": false`.
+        """
+
+        async def scenario() -> None:
+            fleet = whole.Fleet()
+            await fleet.start(1)
+            fleet.stores[0].faults.down = True
+            await roll(fleet, samples.BUNDLE + MAPS)
+            await asyncio.sleep(30.0)
+            self.assertTrue(fleet.daemons[0].spread.isolated)
+            refused = await whole.send(8001, "GET", "/maps/1")
+            self.assertEqual(503, refused.status, refused)
+            served = await whole.send(8001, "GET", "/orders/1")
+            self.assertEqual(200, served.status, served)
+            await fleet.stop()
+
+        self.run_paused(scenario())
+
+    def test_daemon_that_starts_beside_a_peer_that_is_behind(self) -> None:
+        """A daemon starts while the object API does not answer.
+
+        It takes version 1 from the only peer, which is cut off from the
+        object API too; version 2 with `/maps` is accepted. The new daemon
+        never had an answer that says which version is accepted, and yet said
+        `404 unknown_service` with `"retry": false` 5 s after its start.
+        """
+
+        async def scenario() -> None:
+            fleet = whole.Fleet()
+            await fleet.start(1)
+            fleet.stores[0].faults.down = True
+            await roll(fleet, samples.BUNDLE + MAPS)
+            down = memory.Faults(down=True)
+            started = await fleet.add(whole.settings(2), down)
+            await asyncio.sleep(whole.SETTLED_S)
+            self.assertEqual(1, started.proxy.version)
+            refused = await whole.send(8002, "GET", "/maps/1")
+            self.assertEqual(503, refused.status, refused)
+            self.assertEqual("no", refused.header("request-ran"))
+            served = await whole.send(8002, "GET", "/orders/1")
+            self.assertEqual(200, served.status, served)
+            down.down = False
+            await asyncio.sleep(30.0)
+            served = await whole.send(8002, "GET", "/maps/1")
+            self.assertEqual(200, served.status, served)
+            await fleet.stop()
+
+        self.run_paused(scenario())
--- a/banyantiller/tests/daemon/test_whole_path.py
+++ b/banyantiller/tests/daemon/test_whole_path.py
@@ -67,10 +67,12 @@
         await samples.roll(store, digest)
         await asyncio.sleep(SETTLED_S)
 
-    async def add(self, chosen: defaults.Settings) -> assembly.Daemon:
-        """Starts one daemon."""
+    async def add(
+        self, chosen: defaults.Settings, faults: memory.Faults | None = None
+    ) -> assembly.Daemon:
+        """Starts one daemon; its store has the given faults from the start."""
         registry = plugins.Registry()
-        store = memory.MemoryStore(self.table)
+        store = memory.MemoryStore(self.table, faults)
         registry.add("object_api", "kubernetes", lambda *_: store)
         registry.add("routing", "adaptive", adaptive.create)
         registry.add("load_reader", "orca", load.orca)
