Refuse nothing for good after the object API was lost

Cause: a daemon counted its bundle as the accepted one for as long as it ran, whoever told it last and however long ago.

Ruled out: asking only whether it is isolated, since daemons of one zone are cut off together and hear each other; counting from the last answer, since reads of a fleet of 300 are minutes apart and one failed read would count at once.

Change: where no answer of the object API came since the start, or none for isolated_after_s from the first failed call on, the proxy answers no_bundle in place of unknown_service and key_missing. Until the first answer and during an outage of the whole store, paths that no bundle has get 503 instead of 404.

Before: 404 after 30 s of outage, while isolated, and 5 s after a start. After: 503 with "retry": true in these, 200 and 404 again once the store answers.

--- a/banyantiller/daemon/bundles.py
+++ b/banyantiller/daemon/bundles.py
@@ -27,6 +27,8 @@
         daemon.proxy.members(len(daemon.peers.alive()))
 
     def is_outdated() -> bool:
+        if daemon.spread.store_lost:
+            return True
         return daemon.proxy.version < daemon.spread.newest_known
 
     daemon.proxy.is_outdated = is_outdated
--- a/banyantiller/replica/spread.py
+++ b/banyantiller/replica/spread.py
@@ -42,6 +42,7 @@
         reader: Reads and watches the object API.
         store_reachable: Whether the object API answered last, or None.
         last_answer: Loop time of its last answer, or None.
+        lost_at: Loop time from which it no longer answered, or None.
     """
 
     def __init__(
@@ -79,6 +80,7 @@
         self.highest: tuple[int, float] = (0, 0.0)
         self.store_reachable: bool | None = None
         self.last_answer: float | None = None
+        self.lost_at: float | None = None
         self.started: float | None = None
         peers.subscribe(messages.Heartbeat, self._on_heartbeat)
         peers.subscribe(messages.BundleOffer, self._on_offer)
@@ -121,6 +123,20 @@
         """Highest version known to be accepted, in force here or not."""
         return max(self.replica.newest, self._floor())
 
+    @property
+    def store_lost(self) -> bool:
+        """Whether the object API has not answered for long, or never.
+
+        Counted from the first call without an answer, since reads are far
+        apart in a large fleet. Peers don't count: they may be cut off too.
+        """
+        if self.last_answer is None:
+            return True
+        if self.lost_at is None:
+            return False
+        limit = self.settings.outage.isolated_after_s
+        return asyncio.get_running_loop().time() - self.lost_at > limit
+
     @property
     def isolated(self) -> bool:
         """Whether neither the object API nor any peer answered for long."""
@@ -282,11 +298,13 @@
         self.fetcher.add(data, keep_spare=True)
 
     def _answered(self, reachable: bool, reason: str) -> None:
+        now = asyncio.get_running_loop().time()
         if reachable:
-            self.last_answer = asyncio.get_running_loop().time()
+            self.last_answer = now
         if reachable == self.store_reachable:
             return
         self.store_reachable = reachable
+        self.lost_at = None if reachable else now
         if reachable:
             log.info("replica: the object API answers.")
         else:
