Show routes that are missing after a bundle could not be applied

Cause: not mended here. Services.apply replaces drivers and routes one service at a time. Where making one raises, the routes end there, and requests for the services after it get 404 unknown_service with "retry": false.

Ruled out: a bundle that is not valid, which parsing and the replica refuse.

--- a/banyantiller/tests/proxy/test_changes.py
+++ b/banyantiller/tests/proxy/test_changes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 from banyantiller.bundle import options
 from banyantiller.errors import ErrorKind
@@ -55,6 +56,40 @@
 
         self.run_paused(body())
 
+    def test_bundle_that_cannot_be_applied_leaves_the_one_in_force(
+        self,
+    ) -> None:
+        """The routing of one service of version 2 can't be made.
+
+        Version 1 stays in force, so its routes do. The proxy had taken the
+        routes of version 2 up to the service that failed: a request for the
+        next one, which is in both versions, got `404 unknown_service` while
+        the end of the call named version 1.
+        """
+
+        async def body() -> None:
+            def create(
+                service: options.Service, *others: Any
+            ) -> types.Dispatcher:
+                if service.name == "broken":
+                    raise ValueError("a fault of the routing")
+                return fakes.RoundRobin.create(service, *others)
+
+            bench = await fakes.Bench.start(fakes.answering(), create=create)
+            orders = fakes.make_service([9001])
+            broken = orders._replace(name="broken", path="/broken")
+            bundle = options.Bundle((broken, orders))
+            self.assertRaises(ValueError, bench.proxy.apply, bundle, 2, 1000.0)
+            self.assertIn(b" 200 ", await bench.ask(CLOSE))
+            self.assertEqual(1, bench.finished[-1].bundle)
+            self.assertEqual(["orders"], list(bench.proxy.drivers))
+            bench.proxy.apply(options.Bundle((orders,)), 3, 1000.0)
+            self.assertIn(b" 200 ", await bench.ask(CLOSE))
+            self.assertEqual(3, bench.finished[-1].bundle)
+            await bench.proxy.close()
+
+        self.run_paused(body())
+
     def test_shares_follow_their_stages(self) -> None:
         async def body() -> None:
             bench = await fakes.Bench.start(fakes.answering())
