Change the routes all at once when a bundle is applied

Cause: Services.apply emptied its drivers and routes and filled them again one service at a time, so that an error in the middle left half of the routes.

Ruled out: catching the error per service, which would leave a bundle in force in part.

Change: all new drivers and the new routes are made first, then both take the place of the old ones, then drivers that stay are configured.

Before: 404 for a service of both bundles. After: 200 by the bundle before.

--- a/banyantiller/proxy/services.py
+++ b/banyantiller/proxy/services.py
@@ -35,26 +35,29 @@
         self.watch = watchdog.Watchdog(self.loop, self._next_stage)
 
     def apply(self, bundle: options.Bundle, accepted_at: float) -> None:
-        """Takes a bundle; drivers of services that stay are kept."""
+        """Takes a bundle; drivers of services that stay are kept.
+
+        The routes change all at once, after every new driver is made: where
+        one can't be made, the bundle before stays in force whole.
+        """
+        elapsed_s = self.wall() - accepted_at
+        old = self.drivers
+        drivers = self._drivers_of(bundle, elapsed_s)
+        routes: matching.Routes[driver.ServiceDriver] = matching.Routes()
+        for service in bundle.services:
+            routes.add(service, drivers[service.name])
         self.bundle = bundle
         self.accepted_at = accepted_at
-        old = self.drivers
-        self.drivers = {}
-        self.routes = matching.Routes()
-        elapsed_s = self.wall() - accepted_at
+        self.drivers = drivers
+        self.routes = routes
         for service in bundle.services:
-            staged = stages.at(service, elapsed_s)
-            found = old.pop(service.name, None)
-            if found is None:
-                found = self.make(staged.service)
-                found.members(self.alive)
-            else:
-                found.configure(staged.service)
-            self.drivers[service.name] = found
-            self.routes.add(service, found)
-        for removed in old.values():
-            removed.retire()
-            self.retired.append(removed)
+            if service.name in old:
+                staged = stages.at(service, elapsed_s)
+                drivers[service.name].configure(staged.service)
+        for name, removed in old.items():
+            if name not in drivers:
+                removed.retire()
+                self.retired.append(removed)
         self.close_retired()
         self._set_watch(elapsed_s)
 
@@ -76,6 +79,20 @@
         for item in [*self.drivers.values(), *self.retired]:
             item.close()
 
+    def _drivers_of(
+        self, bundle: options.Bundle, elapsed_s: float
+    ) -> dict[str, driver.ServiceDriver]:
+        """Returns the drivers of a bundle, those that stay unchanged."""
+        drivers: dict[str, driver.ServiceDriver] = {}
+        for service in bundle.services:
+            found = self.drivers.get(service.name)
+            if found is None:
+                staged = stages.at(service, elapsed_s)
+                found = self.make(staged.service)
+                found.members(self.alive)
+            drivers[service.name] = found
+        return drivers
+
     def _next_stage(self) -> None:
         elapsed_s = self.wall() - self.accepted_at
         for service in self.bundle.services:
