Show a daemon that is ready while it refuses every call

Cause: not mended here. /readyz asks whether the replica holds a bundle. Where the data path could not take it, each call gets 503 no_bundle and the balancer in front still sends callers here, until the next bundle.

--- a/banyantiller/tests/daemon/test_whole_path.py
+++ b/banyantiller/tests/daemon/test_whole_path.py
@@ -246,3 +246,37 @@
             await fleet.stop()
 
         self.run_paused(scenario())
+
+    def test_daemon_whose_data_path_has_no_bundle_is_not_ready(self) -> None:
+        """The replica holds version 1; the data path could not take it.
+
+        Every call gets 503 with `no_bundle`, yet `/readyz` said
+        `Readiness(ready=True)`, so the platform's balancer went on sending
+        callers here for as long as the process ran.
+        """
+
+        async def scenario() -> None:
+            fleet = Fleet()
+            await fleet.start(0)
+            daemon = await fleet.add(settings(1))
+            apply = daemon.proxy.apply
+
+            def fail(*_: Any) -> None:
+                raise ValueError("a fault of the data path")
+
+            daemon.proxy.apply = fail
+            await asyncio.sleep(SETTLED_S)
+            answer = await send(8001, "GET", "/orders/1")
+            self.assertIn("no_bundle", answer.header("proxy-status"))
+            self.assertFalse(daemon.readiness().ready)
+            daemon.proxy.apply = apply
+            store = fleet.stores[0]
+            text = samples.BUNDLE.replace("First.", "Second.")
+            await samples.roll(store, await samples.prepare(store, text))
+            await asyncio.sleep(SETTLED_S)
+            self.assertTrue(daemon.readiness().ready)
+            answer = await send(8001, "GET", "/orders/1")
+            self.assertEqual(200, answer.status, answer)
+            await fleet.stop()
+
+        self.run_paused(scenario())
