Tell readiness by the bundle in force in the data path

Cause: readiness looked at the replica, calls are refused by the data path.

Change: /readyz asks the version that the data path serves, which is 0 until it took a first bundle.

Before: ready with every call refused. After: not ready, "no bundle is in force", and ready with the next bundle that is taken.

--- a/banyantiller/daemon/assembly.py
+++ b/banyantiller/daemon/assembly.py
@@ -176,7 +176,7 @@
         """Tells whether callers should be sent here."""
         if self.draining:
             return admin.Readiness(False, "the daemon is draining")
-        if self.spread.held is None:
+        if self.proxy.version == 0:
             return admin.Readiness(False, "no bundle is in force")
         if self.proxy.fenced:
             return admin.Readiness(False, "no object API and no peer answers")
