Show a daemon that gives up its peers because of a run that is dead

Cause: not mended here. A daemon that hears of a run of its name that started later by the clock closes its links for good, unless it started within 10 s. Started anew with its clock set back and without peers for longer, it gives way to its own last run, which the peers count as dead.

Ruled out: a second daemon of that name; the only other one was killed 60 s before.

The test fails: displaced is true.

--- a/banyantiller/tests/membership/test_peers.py
+++ b/banyantiller/tests/membership/test_peers.py
@@ -149,6 +149,37 @@
 
         self.on_fleet(4, body)
 
+    def test_a_name_whose_last_run_is_dead_is_taken_late(self):
+        """A daemon starts anew with its clock set back, and without peers.
+
+        The others have counted its last run as dead for long when it reaches
+        them, 30 s after its start. They told it of that run, whose start is
+        later by the clock, and it gave up its links for the life of the
+        process: `membership: another daemon took this one's name.`
+        """
+
+        async def run():
+            nodes = await support.start_fleet(2)
+            await asyncio.sleep(2)
+            await nodes[1].kill()
+            await asyncio.sleep(30)
+            again = support.node(support.settings(5, seeds=()))
+            own = again.peers.table.own
+            again.peers.table.own = own._replace(
+                daemon="d1", incarnation=own.incarnation - 3_600_000
+            )
+            await again.start()
+            await asyncio.sleep(30)
+            self.assertEqual(table.State.DEAD, nodes[0].state("d1"))
+            again.peers.hint((support.endpoint(0),))
+            await asyncio.sleep(10)
+            self.assertFalse(again.peers.displaced)
+            self.assertEqual(["d0"], again.peers.linked())
+            self.assertEqual(table.State.ALIVE, nodes[0].state("d1"))
+            await support.close_fleet([nodes[0], again])
+
+        self.run_paused(run())
+
     def test_of_two_daemons_with_one_name_the_later_stays(self):
         async def body(nodes):
             await asyncio.sleep(10)
