Take a name back from a run that the peers count as dead

Cause: the time since the process's start stood for who is newer; a daemon that reaches its peers later than that believed the entry of a run that had ended.

Ruled out: counting the 10 s from the first link, since a daemon that was cut off from its start would then take the name from a later run that lives.

Change: an entry in state dead never displaces; the daemon raises its start above it, as a newcomer does. Entries of runs alive displace as before (test_of_two_daemons_with_one_name_the_later_stays).

--- a/banyantiller/membership/peers.py
+++ b/banyantiller/membership/peers.py
@@ -321,7 +321,8 @@
         now = asyncio.get_running_loop().time()
         applied = self.table.apply(entry, now)
         if applied.displaced:
-            self._name_taken(entry.incarnation)
+            has_ended = entry.state == table.State.DEAD
+            self._name_taken(entry.incarnation, has_ended)
         elif applied.refuted:
             self._spread(self.table.own)
         elif applied.changed is not None:
@@ -363,12 +364,12 @@
             if entries:
                 link.post(messages.Members(entries))
 
-    def _name_taken(self, incarnation: int) -> None:
+    def _name_taken(self, incarnation: int, has_ended: bool = False) -> None:
         now = asyncio.get_running_loop().time()
         own = self.table.own
-        if now - self.started < NEWCOMER_S:
-            # Another run of this name has a later clock, but this one has
-            # only just started, so it is the newer.
+        if has_ended or now - self.started < NEWCOMER_S:
+            # Another run of this name has a later clock, but it is dead or
+            # this one has only just started, so this one is the newer.
             taken = own._replace(incarnation=incarnation)
             self._spread(self.table.take_name(taken))
             return
