Show a key that runs after its outcome was told as unknown

Cause: not mended here. A daemon that finds a claim whose call is over says key_outcome_unknown by looking alone. Where the claim was never sent, and its daemon could not release it yet, the release comes later and frees the key. The user guide says that the same key will not run again; a caller that looked, found nothing and took a new key may then have two orders.

Ruled out: a second run of one claim. The key had not run before, and only one claim of it is granted; what is broken is what the caller was told.

Not mended: the daemon that says so would have to fence the record first, by a conditional update that a late release can't undo and a late answer can. That changes the protocol and its specification.

The test fails: granted.

--- a/banyantiller/tests/claims/test_arbiter.py
+++ b/banyantiller/tests/claims/test_arbiter.py
@@ -298,6 +298,38 @@
 
         self.run_paused(scenario())
 
+    def test_key_told_as_unknown_does_not_run_later(self) -> None:
+        """The answer of a create is lost, and then the object API.
+
+        The daemon denies the claim and can't release the key yet. Another
+        daemon finds the key claimed by a call that is over, and says
+        `key_outcome_unknown`, for good: the caller is to look whether the
+        request was run, and the same key will not run again. It does run
+        once the release is written: the outcome was `Granted`.
+        """
+
+        async def unavailable(*_: str) -> interface.GetOutcome:
+            return interface.Unavailable("down")
+
+        async def scenario() -> None:
+            fleet = Fleet()
+            store = memory.MemoryStore(fleet.table)
+            first, second = fleet.daemon("d1", store), fleet.daemon("d2")
+            request = make_request()
+            store.faults.lose_answers = 1
+            read, store.get = store.get, unavailable
+            denied = await first.claim(request, soon(1.0))
+            self.assertEqual(ErrorKind.CLAIM_UNAVAILABLE, kind_of(denied))
+            await asyncio.sleep(10)
+            told = await second.claim(request, soon())
+            self.assertEqual(ErrorKind.KEY_OUTCOME_UNKNOWN, kind_of(told))
+            store.get = read
+            self.assertTrue(await first.settler.settle_all())
+            again = await second.claim(request, soon())
+            self.assertEqual(ErrorKind.KEY_OUTCOME_UNKNOWN, kind_of(again))
+
+        self.run_paused(scenario())
+
     def test_late_grant_is_refused(self) -> None:
         async def scenario() -> None:
             fleet = Fleet()
