Show a key that runs twice when its path goes to another service

Cause: not mended here. A claim is named by the service's name and the key. A caller that repeats a request after a bundle renamed its service, or gave its path to another one, claims another object.

Ruled out: two services that share a name; the caller repeats method, path, body and key.

Not mended: leaving the service out of the name makes keys of different callers meet, and changes the names of claims that are stored. Options: claims under a scope that the bundle names and that outlives services, or a refused roll while keys of a path may still be repeated.

The test fails: 2 runs.

--- /dev/null
+++ b/banyantiller/tests/daemon/test_keys_over_bundles.py
@@ -0,0 +1,45 @@
+"""Tests of idempotency keys that are repeated under another bundle."""
+
+import asyncio
+
+from banyantiller.store import memory
+from banyantiller.tests import base
+from banyantiller.tests.bundle import samples
+from banyantiller.tests.daemon import test_whole_path as whole
+
+DEPOSITS = """\
+  - name: deposits
+    path: /orders/deposits
+    servers:
+      - {name: desk-1, address: 127.0.0.1, port: 9001, zone: zone-1}
+    requests:
+      - {idempotent: true, methods: [GET, HEAD]}
+"""
+
+
+class KeysOverBundlesTest(base.TestCase):
+    def test_key_repeated_after_its_path_went_to_another_service(self) -> None:
+        """Version 2 gives the path of deposits a service of its own.
+
+        A caller repeats a deposit with the same key, method, path and body
+        under version 2. Keys are claimed by service name, so the claim of
+        the new service knows nothing of the first run: both sendings were
+        answered 200, and the deposit ran twice.
+        """
+
+        async def scenario() -> None:
+            fleet = whole.Fleet()
+            await fleet.start(1)
+            deposit = ("POST", "/orders/deposits", b"deposit", '"k1"')
+            first = await whole.send(8001, *deposit)
+            self.assertEqual(200, first.status, first)
+            store = memory.MemoryStore(fleet.table)
+            text = samples.BUNDLE + DEPOSITS
+            await samples.roll(store, await samples.prepare(store, text))
+            await asyncio.sleep(whole.SETTLED_S)
+            self.assertEqual(2, fleet.daemons[0].proxy.version)
+            await whole.send(8001, *deposit)
+            self.assertEqual(1, fleet.runs.count("deposit"))
+            await fleet.stop()
+
+        self.run_paused(scenario())
