Show probes that end after a bundle could not be applied

Cause: not mended here. The budget takes a new bundle before the data path does. Where the data path can't take it, services of the bundle that stays in force have no budget, and their ejected servers are not probed until a later bundle.

Ruled out: a budget of zero in the bundle.

The test fails: 'archive' not in the ledgers.

--- a/banyantiller/tests/daemon/test_whole_path.py
+++ b/banyantiller/tests/daemon/test_whole_path.py
@@ -280,3 +280,32 @@
             await fleet.stop()
 
         self.run_paused(scenario())
+
+    def test_probes_go_on_under_the_bundle_that_stays_in_force(self) -> None:
+        """Version 2 drops a service, and the data path can't take it.
+
+        The service is served on under version 1, so its servers are probed
+        on. The budget had forgotten it: `ledgers` held `desk` only, and no
+        probe of an ejected server of `archive` was allowed any more.
+        """
+
+        async def scenario() -> None:
+            fleet = Fleet()
+            await fleet.start(1)
+            daemon = fleet.daemons[0]
+
+            def fail(*_: Any) -> None:
+                raise ValueError("a fault of the data path")
+
+            daemon.proxy.apply = fail
+            store = fleet.stores[0]
+            text = samples.BUNDLE.partition("  - name: archive")[0]
+            await samples.roll(store, await samples.prepare(store, text))
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual(2, daemon.spread.held.version)
+            answer = await send(8001, "GET", "/archive/1")
+            self.assertEqual(200, answer.status, answer)
+            self.assertIn("archive", daemon.budget.ledgers)
+            await fleet.stop()
+
+        self.run_paused(scenario())
