Let the data path take a bundle before the budget and the evidence do

Cause: the order of the parts that take a bundle; the only one that may refuse it came last.

Change: the proxy comes first. Budget and recorder keep the bundle in force where the proxy could not take the new one.

Before: no ledger for a service that is served on. After: its ledger stays.

--- a/banyantiller/daemon/bundles.py
+++ b/banyantiller/daemon/bundles.py
@@ -17,11 +17,12 @@
 
     def on_bundle(held: spreading.Held) -> None:
         manifest = held.accepted.manifest
-        daemon.budget.configure(held.bundle.services)
-        daemon.recorder.configure(held.bundle.services)
+        # First, since the others must not follow a bundle that it refuses.
         daemon.proxy.apply(
             held.bundle, manifest.version, held.accepted.accepted_at
         )
+        daemon.budget.configure(held.bundle.services)
+        daemon.recorder.configure(held.bundle.services)
 
     def on_member(_: events.MemberChanged) -> None:
         daemon.proxy.members(len(daemon.peers.alive()))
