--- a/banyantiller/tests/daemon/test_whole_path.py
+++ b/banyantiller/tests/daemon/test_whole_path.py
@@ -67,10 +67,12 @@
         await samples.roll(store, digest)
         await asyncio.sleep(SETTLED_S)
 
-    async def add(self, chosen: defaults.Settings) -> assembly.Daemon:
-        """Starts one daemon."""
+    async def add(
+        self, chosen: defaults.Settings, faults: memory.Faults | None = None
+    ) -> assembly.Daemon:
+        """Starts one daemon; its store has the given faults from the start."""
         registry = plugins.Registry()
-        store = memory.MemoryStore(self.table)
+        store = memory.MemoryStore(self.table, faults)
         registry.add("object_api", "kubernetes", lambda *_: store)
         registry.add("routing", "adaptive", adaptive.create)
         registry.add("load_reader", "orca", load.orca)
@@ -244,3 +246,66 @@
             await fleet.stop()
 
         self.run_paused(scenario())
+
+    def test_daemon_whose_data_path_has_no_bundle_is_not_ready(self) -> None:
+        """The replica holds version 1; the data path could not take it.
+
+        Every call gets 503 with `no_bundle`, yet `/readyz` said
+        `Readiness(ready=True)`, so the platform's balancer went on sending
+        callers here for as long as the process ran.
+        """
+
+        async def scenario() -> None:
+            fleet = Fleet()
+            await fleet.start(0)
+            daemon = await fleet.add(settings(1))
+            apply = daemon.proxy.apply
+
+            def fail(*_: Any) -> None:
+                raise ValueError("a fault of the data path")
+
+            daemon.proxy.apply = fail
+            await asyncio.sleep(SETTLED_S)
+            answer = await send(8001, "GET", "/orders/1")
+            self.assertIn("no_bundle", answer.header("proxy-status"))
+            self.assertFalse(daemon.readiness().ready)
+            daemon.proxy.apply = apply
+            store = fleet.stores[0]
+            text = samples.BUNDLE.replace("First.", "Second.")
+            await samples.roll(store, await samples.prepare(store, text))
+            await asyncio.sleep(SETTLED_S)
+            self.assertTrue(daemon.readiness().ready)
+            answer = await send(8001, "GET", "/orders/1")
+            self.assertEqual(200, answer.status, answer)
+            await fleet.stop()
+
+        self.run_paused(scenario())
+
+    def test_probes_go_on_under_the_bundle_that_stays_in_force(self) -> None:
+        """Version 2 drops a service, and the data path can't take it.
+
+        The service is served on under version 1, so its servers are probed
+        on. The budget had forgotten it: `ledgers` held `desk` only, and no
+        probe of an ejected server of `archive` was allowed any more.
+        """
+
+        async def scenario() -> None:
+            fleet = Fleet()
+            await fleet.start(1)
+            daemon = fleet.daemons[0]
+
+            def fail(*_: Any) -> None:
+                raise ValueError("a fault of the data path")
+
+            daemon.proxy.apply = fail
+            store = fleet.stores[0]
+            text = samples.BUNDLE.partition("  - name: archive")[0]
+            await samples.roll(store, await samples.prepare(store, text))
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual(2, daemon.spread.held.version)
+            answer = await send(8001, "GET", "/archive/1")
+            self.assertEqual(200, answer.status, answer)
+            self.assertIn("archive", daemon.budget.ledgers)
+            await fleet.stop()
+
+        self.run_paused(scenario())
