Count a document as current only while the store's word on documents is fresh

Cause: whether a refusal is final rested on an age alone. The age was one for all kinds, so answers about servers made documents look fresh, also at daemons that asked; it ran on for seconds after the store was known to be lost; an unreadable newer document counted as its word; and 4 s is less than what a daemon takes where three others are asked in vain first.

Change: the age is kept and told by kind, where answers about documents count for all kinds and others for their own; a daemon that hears no documents is passed over by those that ask, which also bounds how long it hides a change. A document counts as current for 6.5 s, and not while the store is lost or the newest one can't be read.

Open: the loop's clock stands still while a VM is suspended, so that a document counts as current for up to 6.5 s after it wakes.

--- a/banyantiller/gateway/events.py
+++ b/banyantiller/gateway/events.py
@@ -337,8 +337,8 @@
     version: Annotated[int, "Version of the document that it was served by."]
     known_ms: Annotated[
         float | None,
-        "Time since the store said which version is the newest, in ms; null"
-        " before the first document.",
+        "Time from the store's last word on which version is the newest to the"
+        " end of the call, in ms; null before the first document.",
     ]
     status: Annotated[int, "Status that the caller got; 0 if it had left."]
     error: Annotated[str | None, "Kind of the failure, or null."]
--- a/banyantiller/gateway/knowledge.py
+++ b/banyantiller/gateway/knowledge.py
@@ -25,10 +25,11 @@
 # of servers: both are read within 0.02 s if anybody answers, and ten times as
 # long is within the objective of a short request.
 FIRST_READ_S = 0.2
-# Age up to which a document counts as the newest. Where nothing changes, a
-# call to the store waits for up to 3 s and its answer takes up to 0.8 s; if the
-# document is older, a call has been lost.
-CURRENT_S = 4.0
+# Age up to which a document counts as the newest: the longest time between two
+# answers for a daemon that reaches the store. Three others are asked in vain
+# for 0.9 s each, and a call to the store waits for up to 3 s and is answered
+# within 0.8 s.
+CURRENT_S = 6.5
 
 
 class Knowledge:
@@ -48,6 +49,7 @@
         gone: Called with each server that was taken out.
         on_first_document: Called when the first document is in force.
         ending: Whether this daemon was told to end.
+        newest_unreadable: Whether the newest document can't be read.
         unreadable: What is wrong with registrations that can't be read, by
             instance.
     """
@@ -66,6 +68,7 @@
         self.gone = gone
         self.on_first_document: Callable[[], None] = lambda: None
         self.ending = False
+        self.newest_unreadable = False
         self.unreadable: dict[str, str] = {}
         self.loop = asyncio.get_running_loop()
         self.routes: routes.RouteTable | None = None
@@ -75,7 +78,7 @@
         self.begun = self.loop.time()
         self.limits = types.CallerLimits()
         self.health = following.StoreHealth()
-        self.mirror = mirror.Mirror(self._status)
+        self.mirror = mirror.Mirror(self._status, adapter.document_kind)
         self.health.on_lost = self.mirror.wake
         self.mirror.on_demand = self._begin_anew
         reliance = reading.Reliance(
@@ -101,13 +104,15 @@
 
         Infinite, in seconds, before the first document.
         """
-        confirmed = self.reader.confirmed.get(self.adapter.document_kind)
-        if self.routes is None or confirmed is None:
+        if self.routes is None:
             return math.inf
+        confirmed = self.mirror.freshness.of(self.adapter.document_kind)
         return self.loop.time() - confirmed
 
     def is_current(self) -> bool:
         """Tells whether the document counts as the newest."""
+        if self.health.lost_at is not None or self.newest_unreadable:
+            return False
         return self.document_age_s() <= CURRENT_S
 
     def refuse(self, kind: ErrorKind) -> Failure:
@@ -199,9 +204,11 @@
         try:
             document = self.adapter.read_document(item.value)
         except ValueError as error:
+            self.newest_unreadable = True
             self.counts.documents["unreadable"] += 1
             events.emit(events.DocumentUnreadable(str(error)))
             return
+        self.newest_unreadable = False
         held = self.version
         if document.version <= held:
             return
--- a/banyantiller/gateway/mirror.py
+++ b/banyantiller/gateway/mirror.py
@@ -193,6 +193,34 @@
         self.changed = asyncio.Event()
 
 
+class Freshness:
+    """When the store said what is known, by kind.
+
+    An answer about the sentinel counts for each kind, since the calls for
+    others wait much longer. An answer about another kind counts for that kind
+    only: a daemon that heard of servers and not of documents hid a change from
+    all that asked it for as long as that lasted.
+
+    Attributes:
+        sentinel: Kind whose calls show whether the store answers.
+        times: Loop times by kind.
+    """
+
+    def __init__(self, sentinel: str) -> None:
+        self.sentinel = sentinel
+        self.times: dict[str, float] = {}
+
+    def note(self, kind: str, at: float) -> None:
+        """Notes that the store said at a loop time what is known of a kind."""
+        self.times[kind] = max(self.times.get(kind, at), at)
+
+    def of(self, kind: str) -> float:
+        """Returns the loop time of what is known of a kind; 0 if nothing is."""
+        return max(
+            self.times.get(kind, 0.0), self.times.get(self.sentinel, 0.0)
+        )
+
+
 class Mirror:
     """Answers other daemons from what this one has read.
 
@@ -201,15 +229,15 @@
         status: Returns the HTTP status of answers: 200 while what was read
             is up to date.
         askers: Last question of each daemon that asks, by its name.
-        fresh_at: Loop time at which the store said what is known here.
+        freshness: When the store said what is known here.
         on_demand: Called when the first other daemon asks.
     """
 
-    def __init__(self, status: Callable[[], int]) -> None:
+    def __init__(self, status: Callable[[], int], sentinel: str) -> None:
         self.status = status
         self.histories: dict[str, History] = {}
         self.askers: dict[str, Asker] = {}
-        self.fresh_at = 0.0
+        self.freshness = Freshness(sentinel)
         self.on_demand: Callable[[], None] = lambda: None
         self.loop = asyncio.get_running_loop()
 
@@ -269,7 +297,7 @@
         if history is None:
             return messages.Response(NOT_READY_STATUS)
         packed = history.pack()
-        age = (AGE_FIELD, str(_age_ms(self._age_s())))
+        age = (AGE_FIELD, str(_age_ms(self._age_s(kind))))
         return packed._replace(headers=(*packed.headers, age))
 
     async def _answer(
@@ -288,16 +316,17 @@
             left = until - self.loop.time()
             if events or left <= 0:
                 version = max(since, history.version)
-                return _reply(events, version, self.sharers(), self._age_s())
+                age_s = self._age_s(kind)
+                return _reply(events, version, self.sharers(), age_s)
             try:
                 async with asyncio.timeout(left):
                     await history.changed.wait()
             except TimeoutError:
                 continue
 
-    def _age_s(self) -> float:
+    def _age_s(self, kind: str) -> float:
         """Returns how long ago the store said what is known, in seconds."""
-        return self.loop.time() - self.fresh_at
+        return self.loop.time() - self.freshness.of(kind)
 
 
 def _age_ms(age_s: float) -> int:
--- a/banyantiller/gateway/sharing.py
+++ b/banyantiller/gateway/sharing.py
@@ -51,7 +51,6 @@
         reliance: How long others are relied on.
         hurried: Set once a caller waits for what is to be read at the start.
         least: Least version that a list told by others must have, by kind.
-        confirmed: Loop time at which the store said what is known, by kind.
         counts_from: Loop time from which a daemon that is asked knows who
             shares with it.
         relied_on: Daemon that told changes last, or None.
@@ -89,7 +88,6 @@
         self.reliance = reliance
         self.hurried = asyncio.Event()
         self.least: dict[str, int] = {}
-        self.confirmed: dict[str, float] = {}
         self.random = rng
         self.calls = store.calls
         self.questions: collections.Counter[str] = collections.Counter()
@@ -116,7 +114,7 @@
         told = told or await self._told_list(kind)
         if told is None:
             return found
-        self._confirm(kind, told.fresh_at)
+        self.mirror.freshness.note(kind, told.fresh_at)
         return self._listed(kind, told.listed)
 
     async def changes(
@@ -315,13 +313,9 @@
 
     def _heard(self, kind: str, fresh_at: float) -> None:
         """Notes when the store said what is known now."""
-        self._confirm(kind, fresh_at)
-        self.reliance.heard(fresh_at)
-        self.mirror.fresh_at = max(self.mirror.fresh_at, fresh_at)
-
-    def _confirm(self, kind: str, fresh_at: float) -> None:
-        """Notes when the store said what is known of a kind."""
-        self.confirmed[kind] = max(self.confirmed.get(kind, fresh_at), fresh_at)
+        self.mirror.freshness.note(kind, fresh_at)
+        if kind == self.sentinel:
+            self.reliance.heard(fresh_at)
 
     def _rely_on(self, peer: peers.Peer) -> None:
         """Notes that another daemon told changes."""
