Let the soak judge final refusals of proper requests

Cause: no check looked at the 4xx answers of a daemon itself. "In force" judges only the probes of routes that come with a version, and is excused for 3 s after a start; "served again" needs a tenth of the requests after the last fault to fail. A caller that got 404 for a route of every document broke nothing.

Change: "never denied" yields each 3xx, 4xx (but 408, 421, 429), 501 and 505 without a server's mark to a request on a route that all documents have. Nothing excuses it: a daemon that knows no document can answer 503.

Ruled out: excuses for a daemon's process or links, since neither makes a proper request improper; taking servers' own refusals for the daemon's: the servers of the soak refuse with 421 and 503 only.

--- a/banyantiller/tests/soak/test_checks.py
+++ b/banyantiller/tests/soak/test_checks.py
@@ -82,6 +82,38 @@
             seen = record([attempt(status=status)], [arrival(executed=False)])
             self.assert_kept("not run", seen)
 
+    def test_proper_request_that_a_daemon_refused_for_good(self):
+        for status in (302, 400, 401, 403, 404, 413, 431, 501, 505):
+            denied = attempt(status=status, signature="")
+            self.assert_broken("never denied", record([denied]))
+            seen = record([attempt(status=status)])
+            self.assert_kept("never denied", seen)
+        for status in (408, 421, 429, 500, 502, 503, 504):
+            again = attempt(status=status, signature="")
+            self.assert_kept("never denied", record([again]))
+
+    def test_nothing_excuses_a_final_refusal(self):
+        denied = attempt(status=404, signature="")
+        faults = [
+            Disturbance(9.0, 11.0, what, None)
+            for what in (
+                records.PROCESS,
+                records.CALLER_LINK,
+                records.STORE,
+                records.STORE_LINK,
+                records.LAG,
+            )
+        ]
+        seen = record([denied], disturbances=faults)
+        self.assert_broken("never denied", seen)
+        self.assertIn(
+            "never denied", [f.promise for f in checks.judge(seen, False)]
+        )
+
+    def test_route_of_some_documents_only_may_be_unknown(self):
+        gone = attempt(version=3, status=404, signature="")
+        self.assert_kept("never denied", record([gone]))
+
     def test_executed_too_often(self):
         twice = [arrival(), arrival(instance="s1")]
         seen = record([attempt(kind=records.FILE)], twice)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -12,6 +12,9 @@
 NOT_FOUND = 404
 # The statuses that say that a request was not executed and won't be.
 NOT_RUN = frozenset({408, 421, 429, 503})
+# Server errors with which a daemon refuses a request for good: a method or a
+# protocol version that it does not serve.
+UNSUPPORTED = frozenset({501, 505})
 # How long after a fault's end its effects may last on a kept connection.
 SLACK_S = 0.3
 # Least part of the requests that is served once all faults are over.
@@ -74,6 +77,31 @@
             yield Finding("not run", text, (attempt.request_id,))
 
 
+def never_denied(seen: Record) -> Iterator[Finding]:
+    """Yields proper requests that a daemon itself refused for good.
+
+    Callers don't repeat a request after such a status. Nothing excuses it: a
+    daemon that knows no document yet, or whose process or links fail, can
+    answer 503. Requests on routes that not all documents have are left out.
+    """
+    for attempt in seen.attempts:
+        if attempt.version or attempt.end != records.ANSWERED:
+            continue
+        if _is_final(attempt.status) and not attempt.signature:
+            text = (
+                f"daemon {attempt.daemon} answered {attempt.status} to"
+                f" '{attempt.kind}' after"
+                f" {attempt.ended_at - attempt.sent_at:.2f} s"
+            )
+            yield Finding("never denied", text, (attempt.request_id,))
+
+
+def _is_final(status: int) -> bool:
+    """Tells whether a status tells a caller not to try again."""
+    by_class = status // 100 in (3, 4) and status not in NOT_RUN
+    return by_class or status in UNSUPPORTED
+
+
 def at_most_once(seen: Record) -> Iterator[Finding]:
     """Yields requests that were executed more often than they may be."""
     kinds = {a.request_id: a.kind for a in seen.attempts}
@@ -292,6 +320,7 @@
 PROMISES = (
     Promise("whole answer", False, whole_answer),
     Promise("not run", False, not_run),
+    Promise("never denied", False, never_denied),
     Promise("at most once", False, at_most_once),
     Promise("nothing invented", False, nothing_invented),
     Promise("answered", False, answered),
