Let documents of the soak be as long as wanted

Cause: the soak's document has 4 routes, so a daemon that starts reads it at once; real ones have hundreds.

Change: `--routes` adds routes that callers don't use. Without it nothing changes.

Ruled out: a longer document for some seeds by themselves; sizes are given with the command, as those of the fleet are.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,6 +22,7 @@
     daemons: int = DEFAULTS.daemons,
     servers: int = DEFAULTS.servers,
     callers: int = DEFAULTS.callers,
+    routes: int = DEFAULTS.routes,
     timed: bool = True,
     earlier: bool = False,
     keep: str = "",
@@ -38,11 +39,12 @@
         daemons: Gateway processes.
         servers: Servers of each of the two services.
         callers: Callers that keep connections open.
+        routes: Routes of the document besides those that callers use.
         timed: Check promises with a time limit as well.
         earlier: Play the seeds that ever failed, in place of others.
         keep: Folder in which settings and logs of failed seeds are kept.
     """
-    sizes = plans.Sizes(daemons, servers, callers, seconds)
+    sizes = plans.Sizes(daemons, servers, callers, seconds, routes)
     wanted = [(seed, sizes) for seed in range(first, first + seeds)]
     if earlier:
         wanted = [(one.seed, one.sizes) for one in regressions.REGRESSIONS]
--- a/soak/contents.py
+++ b/soak/contents.py
@@ -6,8 +6,13 @@
 OBJECTIVE_S = 0.4
 
 
-def document(version: int) -> dict[str, object]:
-    """Returns a document; each version has a route of its own."""
+def document(version: int, more: int = 0) -> dict[str, object]:
+    """Returns a document; each version has a route of its own.
+
+    Args:
+        version: The version.
+        more: Number of routes besides those that callers use.
+    """
     return {
         "version": version,
         "routes": [
@@ -15,6 +20,10 @@
             _route("file", "unsafe", "/file/", "desk"),
             _route("look", "safe", "/look/", "archive"),
             _route("new", "safe", f"/version-{version}/", "desk"),
+            *(
+                _route(f"more-{number}", "safe", f"/more-{number}/", "archive")
+                for number in range(more)
+            ),
         ],
         "services": [
             {"name": name, "healthPath": "/health", "maxConns": 220}
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -22,12 +22,14 @@
         servers: Servers of each service.
         callers: Callers that keep connections open.
         seconds: Length, in seconds.
+        routes: Routes of the document besides those that callers use.
     """
 
     daemons: int = 4
     servers: int = 4
     callers: int = 12
     seconds: float = 24.0
+    routes: int = 0
 
 
 class Step(NamedTuple):
--- a/soak/world.py
+++ b/soak/world.py
@@ -141,7 +141,7 @@
     def accept_document(self) -> None:
         """Puts the next version in force; it has a route of its own."""
         self.version += 1
-        content = contents.document(self.version)
+        content = contents.document(self.version, self.sizes.routes)
         self.store.put("config", "main", content)
         self.seen.acceptances.append(
             records.Acceptance(self.loop.time(), self.version)
