Let all daemons of a soak lose power and start while callers wait

Change: "power lost", for seeds from 2000 on, kills all daemons and starts them together with the environment of a deployment. Links keep connections and what was sent on them until the daemon listens; 12 new connections a daemon with up to 4 requests each wait besides the usual callers; the store answers up to 0.6 s later. Earlier seeds keep their plans, which a test compares by digest; the links and the environment of earlier kinds are as they were.

Ruled out: a lower bound of requests in the check; longer pauses of the callers; the early listener in every start, since earlier seeds would be played otherwise.

The digest of 400 earlier plans is the same before and after.

--- a/banyantiller/tests/soak/test_links.py
+++ b/banyantiller/tests/soak/test_links.py
@@ -1,6 +1,7 @@
 """Tests of the links that disturb connections."""
 
 import asyncio
+import socket
 
 from banyantiller.tests import base
 from soak.links import Link, Trouble
@@ -84,6 +85,39 @@
 
         self.assertEqual((b"", b""), self.play(body))
 
+    def test_connection_waits_until_its_target_listens(self):
+        async def body(link, seen):
+            link.set(Trouble(waiting=True))
+            target, link.target = link.target, _unused_port()
+            reader, writer = await asyncio.open_connection(ADDRESS, link.port)
+            writer.write(b"abc")
+            await asyncio.sleep(1)
+            arrived = list(seen)
+            link.target = target
+            found = await reader.read(10)
+            writer.close()
+            return arrived, found
+
+        self.assertEqual(([], b"abc"), self.play(body))
+
+    def test_connection_that_waited_is_reset_when_that_ends(self):
+        async def body(link, seen):
+            link.set(Trouble(waiting=True))
+            link.target = _unused_port()
+            reader, _ = await asyncio.open_connection(ADDRESS, link.port)
+            await asyncio.sleep(1)
+            link.set(Trouble())
+            return await _end_of(reader)
+
+        self.assertEqual(b"", self.play(body))
+
+
+def _unused_port():
+    """Returns a port on which nobody listens."""
+    with socket.socket() as one:
+        one.bind((ADDRESS, 0))
+        return one.getsockname()[1]
+
 
 async def _end_of(reader):
     """Reads to the end, which may be a reset."""
--- a/banyantiller/tests/soak/test_plan.py
+++ b/banyantiller/tests/soak/test_plan.py
@@ -1,9 +1,15 @@
 """Tests of the plans of the soak."""
 
+import hashlib
+
 from banyantiller.tests import base
 from soak import faults, plan, regressions
 
 SIZES = plan.Sizes()
+# Of the steps of seeds 0 to 299 and 1000 to 1099, before losses of power.
+EARLIER_PLANS = (
+    "3dce4d6d1bd70bc4401217a813f598dbc6e5b765d81b29393a2165535b34d64d"
+)
 
 
 class PlanTest(base.TestCase):
@@ -14,12 +20,13 @@
         )
 
     def test_every_kind_can_be_carried_out(self):
-        self.assertEqual(set(plan.LATER_KINDS), set(faults.ACTIONS))
+        self.assertEqual(set(plan.POWER_KINDS), set(faults.ACTIONS))
 
     def test_hundred_seeds_have_every_kind_and_choice(self):
         for kinds, first in (
             (plan.KINDS, 0),
             (plan.LATER_KINDS, plan.FIRST_LATER_SEED),
+            (plan.POWER_KINDS, plan.FIRST_POWER_SEED),
         ):
             wanted = {(name, choice) for name, kind in kinds.items()
                       for choice in kind.choices}  # fmt: skip
@@ -28,6 +35,13 @@
                      for step in plan.draw(seed, SIZES).steps}  # fmt: skip
             self.assertEqual(wanted, drawn)
 
+    def test_earlier_seeds_keep_their_plans(self):
+        digest = hashlib.sha256()
+        for seed in (*range(300), *range(1000, 1100)):
+            for step in plan.draw(seed, SIZES).steps:
+                digest.update(repr(tuple(step)).encode())
+        self.assertEqual(EARLIER_PLANS, digest.hexdigest())
+
     def test_faults_end_before_the_quiet_end(self):
         last_s = SIZES.seconds - plan.QUIET_S
         for seed in range(50):
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -27,6 +27,7 @@
 READ_BYTES = 65536
 PATHS = ((records.READ, "/read/x"), (records.FILE, "/file/x"),
          (records.READ, "/look/x"))  # fmt: skip
+SAFE_PATHS = tuple(path for path in PATHS if path[0] == records.READ)
 
 
 class Caller:
@@ -67,7 +68,8 @@
             wanted = [self.random.choice(PATHS)]
             if self.random.random() < PIPELINED:
                 more = self.random.randrange(1, MOST_TOGETHER)
-                wanted = [self._safe() for _ in range(more)] + wanted
+                ahead = [self.random.choice(SAFE_PATHS) for _ in range(more)]
+                wanted = ahead + wanted
             sent = [
                 connection.send(self._name(), kind, path)
                 for kind, path in wanted
@@ -79,9 +81,6 @@
             await connection.read(sent)
             await asyncio.sleep(self.random.expovariate(1 / PAUSE_S))
 
-    def _safe(self) -> tuple[str, str]:
-        return self.random.choice([p for p in PATHS if p[0] == records.READ])
-
     def _name(self) -> str:
         return f"c{self.number}-{next(self.names)}"
 
@@ -198,6 +197,34 @@
         attempt.end = end
 
 
+async def wait_for_start(
+    world: World, daemon: Daemon, rng: random.Random, within_s: float
+) -> None:
+    """Sends requests on a new connection that waits until a daemon listens.
+
+    Args:
+        world: The world.
+        daemon: The daemon.
+        rng: Draws the moment and the requests.
+        within_s: Longest time until it connects, in seconds.
+    """
+    await asyncio.sleep(rng.random() * within_s)
+    try:
+        connection = await Connection.to(world, daemon)
+    except OSError:
+        return
+    try:
+        ahead = [SAFE_PATHS] * rng.randrange(MOST_TOGETHER)
+        sent = [
+            # Each one that was sent makes the next name another.
+            connection.send(f"w{len(world.seen.attempts)}", *rng.choice(paths))
+            for paths in (*ahead, PATHS)
+        ]
+        await connection.read(sent)
+    finally:
+        connection.close()
+
+
 async def probe(world: World, daemon: Daemon) -> None:
     """Asks a daemon again and again which version it has in force."""
     numbers = itertools.count()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,10 +1,11 @@
 """Carries out the steps of a plan on the world."""
 
 import asyncio
+import random
 import signal
 from collections.abc import Awaitable, Callable
 
-from soak import contents
+from soak import callers, contents
 from soak import plan as plans
 from soak import record as records
 from soak.contents import SERVICES
@@ -27,6 +28,11 @@
 STORM_PAUSE_S = 0.15
 # An address is given to another service after this time at the earliest.
 REUSE_S = 2.0
+# Connections that wait at each daemon while all start.
+WAITING = 12
+# How long callers and the store's way are troubled after a loss of power: a
+# daemon loads in 0.3 s, and in a second beside three others that load.
+START_S = 1.5
 # How often the soak looks whether it was itself held up, and what it takes for
 # a fault of everything: a daemon takes a server for silent after 0.1 s.
 LAG_PERIOD_S = 0.02
@@ -92,14 +98,41 @@
     )
 
 
-async def _kill(world: World, daemon: Daemon, for_s: float) -> None:
+async def lose_power(world: World, step: plans.Step) -> None:
+    """Kills every process; all start again at once, with callers waiting.
+
+    The store's answers take their time meanwhile, so that daemons listen before
+    they know a document.
+    """
+    began = world.loop.time()
+    rng = random.Random(f"{step.at_s}-{step.x}")
+    dark_s = step.for_s + START_S
+    for daemon in world.daemons:
+        daemon.callers.set(Trouble(waiting=True))
+        daemon.store.set(Trouble(delay_s=MOST_DELAY_S * step.x))
+    for daemon in world.daemons * WAITING:
+        own = random.Random(rng.random())
+        world.begin(callers.wait_for_start(world, daemon, own, dark_s))
+    await asyncio.gather(
+        *(_kill(world, daemon, step.for_s, True) for daemon in world.daemons)
+    )
+    await asyncio.sleep(began + dark_s - world.loop.time())
+    for daemon in world.daemons:
+        daemon.callers.set(Trouble())
+        daemon.store.set(Trouble())
+    _note(world, began, records.STORE_LINK, None)
+
+
+async def _kill(
+    world: World, daemon: Daemon, for_s: float, lets_wait: bool = False
+) -> None:
     began = world.loop.time()
     child = daemon.child
     if child is None or not world.signal(daemon, signal.SIGKILL):
         return
     await child.process.wait()
     await asyncio.sleep(for_s)
-    await world.start_daemon(daemon)
+    await world.start_daemon(daemon, lets_wait)
     _note(world, began, records.PROCESS, daemon.number)
 
 
@@ -328,6 +361,7 @@
     "pause daemon": pause_daemon,
     "kill daemon": kill_daemon,
     "kill all daemons": kill_all_daemons,
+    "power lost": lose_power,
     "restart daemon": restart_daemon,
     "reload daemon": reload_daemon,
     "caller link": trouble_callers,
--- a/soak/links.py
+++ b/soak/links.py
@@ -6,6 +6,9 @@
 import struct
 
 BLOCK_BYTES = 65536
+# How often a waiting connection tries its target: a daemon that listens before
+# it loads does so for 0.3 s.
+AGAIN_S = 0.05
 # With this option a closed connection is reset at the other side.
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
@@ -19,12 +22,15 @@
         held_in: Whether bytes towards the target wait until this ends.
         held_out: Whether bytes from the target wait until this ends.
         refused: Whether new connections are reset.
+        waiting: Whether new connections, and what was sent on them, wait until
+            the target listens.
     """
 
     delay_s: float = 0.0
     held_in: bool = False
     held_out: bool = False
     refused: bool = False
+    waiting: bool = False
 
 
 class Link:
@@ -84,9 +90,7 @@
             if self.trouble.refused or not self.target:
                 _reset(writer)
                 return
-            far_reader, far = await asyncio.open_connection(
-                self.address, self.target
-            )
+            far_reader, far = await self._connect()
             await self._relay(reader, writer, far_reader, far)
         except (OSError, asyncio.CancelledError):
             _reset(writer)
@@ -98,6 +102,17 @@
             if far is not None:
                 far.transport.abort()
 
+    async def _connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        while True:
+            try:
+                return await asyncio.open_connection(self.address, self.target)
+            except OSError:
+                if not self.trouble.waiting:
+                    raise
+            await asyncio.sleep(AGAIN_S)
+
     async def _relay(
         self,
         reader: asyncio.StreamReader,
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -107,11 +107,20 @@
     "server starts again": Kind(2, 2.0),
     "server entry spoilt": Kind(1, 2.0, ("nothing", "text", "half", "types")),
 }
+FIRST_POWER_SEED = 2000
+POWER_KINDS = LATER_KINDS | {"power lost": Kind(2, 1.0)}
+
+
+def kinds_of(seed: int) -> dict[str, Kind]:
+    """Returns the kinds of trouble that the plan of a seed is drawn from."""
+    if seed < FIRST_LATER_SEED:
+        return KINDS
+    return LATER_KINDS if seed < FIRST_POWER_SEED else POWER_KINDS
 
 
 def draw(seed: int, sizes: Sizes) -> Plan:
     """Returns the steps that belong to a seed."""
-    kinds = KINDS if seed < FIRST_LATER_SEED else LATER_KINDS
+    kinds = kinds_of(seed)
     rng = random.Random(seed)
     last_s = sizes.seconds - QUIET_S
     steps = []
--- a/soak/world.py
+++ b/soak/world.py
@@ -3,11 +3,13 @@
 import asyncio
 import contextlib
 import json
+import os
 import pathlib
 import signal
 import sys
 import time
 
+from banyantiller.gateway import early
 from banyantiller.http import client, outcomes, server
 from soak import contents, gateways
 from soak import plan as plans
@@ -176,8 +178,16 @@
 
     # The daemons.
 
-    async def start_daemon(self, daemon: gateways.Daemon) -> None:
-        """Starts a daemon's process; nothing if it is up."""
+    async def start_daemon(
+        self, daemon: gateways.Daemon, lets_wait: bool = False
+    ) -> None:
+        """Starts a daemon's process; nothing if it is up.
+
+        Args:
+            daemon: The daemon.
+            lets_wait: Whether it is told what it needs to let callers wait
+                while it loads, if no other daemon lives.
+        """
         if daemon.child is not None:
             return
         daemon.life += 1
@@ -191,9 +201,21 @@
             "banyantiller.gateway",
             str(path),
             read=False,
+            env=os.environ | (self._early(daemon) if lets_wait else {}),
         )
         daemon.watcher = asyncio.ensure_future(self._watch(daemon))
 
+    def _early(self, daemon: gateways.Daemon) -> dict[str, str]:
+        """Returns the environment of a daemon that may listen early."""
+        # The daemons' own ports: a link takes connections when its daemon is
+        # down as well.
+        others = [f"{runner.ADDRESS}:{one.control_port}"
+                  for one in self.daemons[:SEEDS]]  # fmt: skip
+        return {
+            early.LISTEN_VARIABLE: f"{runner.ADDRESS}:{daemon.callers_port}",
+            early.OTHERS_VARIABLE: ",".join(others),
+        }
+
     def write_settings(self, daemon: gateways.Daemon) -> pathlib.Path:
         """Writes a daemon's settings file and returns its path."""
         address = runner.ADDRESS
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -76,13 +76,20 @@
         self.folder = folder
         self.running: list[Child] = []
 
-    async def start(self, name: str, *command: str, read: bool) -> Child:
+    async def start(
+        self,
+        name: str,
+        *command: str,
+        read: bool,
+        env: dict[str, str] | None = None,
+    ) -> Child:
         """Starts a process.
 
         Args:
             name: Name in messages.
             *command: Program and arguments.
             read: Whether its standard output is read by lines.
+            env: Its environment; that of this process if None.
         """
         log = self.folder / f"{name}.log"
         with log.open("wb") as file:
@@ -91,6 +98,7 @@
                 stdout=asyncio.subprocess.PIPE if read else file,
                 stderr=file,
                 limit=1 << 24,
+                env=env,
             )
         child = Child(name, process, log)
         self.running.append(child)
