--- a/banyantiller/tests/gateway/test_unknown_routes.py
+++ b/banyantiller/tests/gateway/test_unknown_routes.py
@@ -18,17 +18,16 @@
     All daemons had lost power and came back while callers were waiting. A
     caller that sends several requests on one connection got an answer to the
     first and 404 for the others, up to a second later, although each document
-    had their route: 16 of them in one restart of 144 daemons. A call looked up
-    its route when its request was read, before the first document was known.
-    Only the first request of a connection then waits for the document and looks
-    again. Those behind it wait for their turn, and by then the document is
-    known, so they kept what had been found without one. Lines of a daemon that
-    was started while callers waited show it; all 360 requests that were told
-    404 in such starts have version 0, that of no document:
-
-        gateway: document in force. version=3 before=0 routes=204
-        gateway: call ended. route=read version=3 status=503 took_ms=115.2
-        gateway: call ended. route= version=0 status=404 took_ms=115.6
+    had their route. A call looked up its route when its request was read,
+    before the first document was known. Only the first request of a connection
+    then waits for the document and looks again. Those behind it wait for their
+    turn, and by then the document is known, so they kept what had been found
+    without one. Lines of such a start; all 26 that were told 404 so have the
+    version of no document, and none of the 1,840 that were told it rightly:
+
+        32.4070 gateway: document in force. version=19 before=0
+        32.5955 gateway: call ended. version=19 status=200 took_ms=281.2
+        32.5956 gateway: call ended. version=0 status=404 took_ms=261.2
     """
 
     def answers(self, *sent):
