--- a/banyantiller/tests/gateway/test_unknown_routes.py
+++ b/banyantiller/tests/gateway/test_unknown_routes.py
@@ -23,7 +23,7 @@
     then waits for the document and looks again. Those behind it wait for their
     turn, and by then the document is known, so they kept what had been found
     without one. Lines of such a start; all 26 that were told 404 so have the
-    version of no document, and none of the 1,840 that were told it rightly:
+    version of no document, and none of the 1,831 that were told it rightly:
 
         32.4070 gateway: document in force. version=19 before=0
         32.5955 gateway: call ended. version=19 status=200 took_ms=281.2
