Let an idempotency key stand for one request in the whole fleet

Cause: keys were claimed by service and key. A keyed deposit that was repeated after a bundle had given its path to a service of its own was claimed anew and ran twice; during a roll two daemons of different bundles did the same at once.

Change: the key alone names the record. The record keeps the host, with an empty default, and the request is the same if its digest is, and its service or its host; anything else is `key_reused`. Each claim reads beside its create the record that earlier builds kept by service; if that says anything, it is what the caller is told.

Price: a key used for two requests at two services is refused now (422) where both ran.

Before: the deposit ran twice. After: once, also over two daemons of which one is a bundle behind (409, then the first answer).

Existing tests: the schedule of the orphan race gets one more step for the added read, the fuzz test passes a request where it passed a digest; the docstring of the mended test tells the fault as past.

--- a/banyantiller/claims/arbiter.py
+++ b/banyantiller/claims/arbiter.py
@@ -143,14 +143,14 @@
         attempt = self.active.get(name)
         if attempt is not None:
             return records.judge(
-                attempt.record._replace(answer_by=wall + 1),
-                request.fingerprint,
-                wall,
+                attempt.record._replace(answer_by=wall + 1), request, wall
             )
         entry = self.known.get(name, wall)
         if entry is None:
             return None
-        if entry.fingerprint != request.fingerprint:
+        if not records.is_same(
+            request, entry.fingerprint, entry.service, entry.host
+        ):
             return records.deny(
                 ErrorKind.KEY_REUSED, "The key was used for another request."
             )
@@ -169,8 +169,9 @@
             claimed_at=wall,
             answer_by=wall + patience_s + FINISH_S,
             expires_at=wall + request.retention_s,
+            host=request.host,
         )
-        attempt = attempts.Attempt(name, record)
+        attempt = attempts.Attempt(name, request, record)
         self.active[name] = attempt
         return attempt
 
@@ -179,7 +180,7 @@
     ) -> types.ClaimOutcome:
         try:
             async with asyncio.timeout_at(deadline):
-                outcome = await self.arbitration.run(attempt)
+                outcome = await self._arbitrate(attempt)
         except TimeoutError:
             return attempts.unavailable("The claim was not settled in time.")
         is_late = asyncio.get_running_loop().time() >= deadline
@@ -187,6 +188,13 @@
             return attempts.unavailable("The claim was settled too late.")
         return outcome
 
+    async def _arbitrate(self, attempt: attempts.Attempt) -> types.ClaimOutcome:
+        """Claims the key, and reads meanwhile what earlier versions kept."""
+        async with asyncio.TaskGroup() as group:
+            earlier = group.create_task(self.arbitration.judge_earlier(attempt))
+            outcome = await self.arbitration.run(attempt)
+        return earlier.result() or outcome
+
     def _abandon(self, attempt: attempts.Attempt) -> None:
         """Ends a claim that was not granted, also when cancelled."""
         del self.active[attempt.name]
--- a/banyantiller/claims/attempts.py
+++ b/banyantiller/claims/attempts.py
@@ -26,6 +26,7 @@
 
     Attributes:
         name: Name of the object.
+        request: What is claimed.
         record: What the claim writes; its nonce is used for this claim only.
         item: The object that holds the claim, once that is certain.
         in_doubt: Whether a write may have taken effect, or may still.
@@ -33,6 +34,7 @@
     """
 
     name: str
+    request: types.ClaimRequest
     record: records.Record
     item: interface.StoredObject | None = None
     in_doubt: bool = False
@@ -69,19 +71,58 @@
         answer: Step = interface.Missing()
         for _ in range(MOST_CALLS):
             answer = await self._next_call(attempt, answer)
+            may_go_on = self._note_answer(answer)
             if isinstance(answer, types.ClaimOutcome):
-                self.breaker.answered()
                 return answer
-            if not isinstance(answer, interface.Unavailable):
-                self.breaker.answered()
-                continue
-            now = asyncio.get_running_loop().time()
-            self.breaker.failed(now)
-            if not self.breaker.may_try(now):
+            if not may_go_on:
+                break
+            if isinstance(answer, interface.Unavailable):
+                await asyncio.sleep(pause)
+                pause *= 2
+        return unavailable("The claim could not be settled.")
+
+    async def judge_earlier(
+        self, attempt: Attempt
+    ) -> types.ClaimOutcome | None:
+        """Reads the record that an earlier version kept of the key.
+
+        Without it, a request that ran before an update of the daemons runs
+        once more when it is repeated after it.
+
+        Returns:
+            What the caller gets, or None if the key is free.
+        """
+        name = records.earlier_name(self.deployment, attempt.request)
+        pause = FIRST_PAUSE_S
+        for _ in range(MOST_CALLS):
+            got = await self.store.get(records.KIND, name)
+            may_go_on = self._note_answer(got)
+            if isinstance(got, interface.Missing):
+                return None
+            if isinstance(got, interface.Found):
+                return self._judge_earlier_object(attempt, got.item)
+            if not may_go_on:
                 break
             await asyncio.sleep(pause)
             pause *= 2
-        return unavailable("The claim could not be settled.")
+        return unavailable("The key's earlier record could not be read.")
+
+    def _judge_earlier_object(
+        self, attempt: Attempt, item: interface.StoredObject
+    ) -> types.ClaimOutcome | None:
+        record = records.from_object(item)
+        wall = self.wall()
+        self.known.remember(attempt.name, record, wall)
+        return records.judge(record, attempt.request, wall)
+
+    def _note_answer(self, answer: Step) -> bool:
+        """Notes whether a call was answered; tells whether to call again."""
+        if not isinstance(answer, interface.Unavailable):
+            self.breaker.answered()
+            return True
+        now = asyncio.get_running_loop().time()
+        self.breaker.failed(now)
+        return self.breaker.may_try(now)
 
     async def _next_call(self, attempt: Attempt, last: Step) -> Step:
         if isinstance(last, interface.Missing):
@@ -102,7 +143,7 @@
         elif self._is_unsent(record):
             return await self._take_over(attempt, item, record)
         wall = self.wall()
-        outcome = records.judge(record, attempt.record.fingerprint, wall)
+        outcome = records.judge(record, attempt.request, wall)
         if outcome is None:
             return await self._take_over(attempt, item, record)
         self.known.remember(attempt.name, record, wall)
--- a/banyantiller/claims/known.py
+++ b/banyantiller/claims/known.py
@@ -17,12 +17,16 @@
         outcome: What a repeated caller gets.
         expires_at: Wall-clock seconds until which it holds.
         size: Bytes that the entry is counted with.
+        service: Service of the request.
+        host: Host of the request.
     """
 
     fingerprint: str
     outcome: types.Finished | types.Denied
     expires_at: float
     size: int
+    service: str = ""
+    host: str = ""
 
 
 class KnownKeys:
@@ -52,11 +56,16 @@
         fingerprint: str,
         outcome: types.Finished | types.Denied,
         expires_at: float,
+        service: str = "",
+        host: str = "",
     ) -> None:
         """Remembers the final outcome of a key."""
         self.forget(name)
-        size = len(name) + len(fingerprint) + _body_size(outcome)
-        self.entries[name] = Entry(fingerprint, outcome, expires_at, size)
+        text = len(name) + len(fingerprint) + len(service) + len(host)
+        size = text + _body_size(outcome)
+        self.entries[name] = Entry(
+            fingerprint, outcome, expires_at, size, service, host
+        )
         self.size += size
         while len(self.entries) > self.most_entries:
             self.forget(next(iter(self.entries)))
@@ -70,8 +79,14 @@
         final = (records.State.DONE, records.State.UNKNOWN)
         if record is None or record.state not in final:
             return
-        outcome = records.judge(record, record.fingerprint, wall)
-        self.put(name, record.fingerprint, outcome, record.expires_at)
+        self.put(
+            name,
+            record.fingerprint,
+            records.judge_same(record, wall),
+            record.expires_at,
+            record.service,
+            record.host,
+        )
 
     def get(self, name: str, wall: float) -> Entry | None:
         """Returns the entry of a key if it still holds."""
--- a/banyantiller/claims/records.py
+++ b/banyantiller/claims/records.py
@@ -57,7 +57,7 @@
     """Content of one claim object; times are wall-clock seconds.
 
     Attributes:
-        service: Service name.
+        service: Service under whose options the key was claimed.
         fingerprint: Digest of the request that the key stands for.
         nonce: Names the claim that wrote the record last.
         daemon: Daemon that wrote it last.
@@ -66,6 +66,7 @@
         answer_by: When the caller of the claim stops waiting.
         expires_at: When the key may be forgotten.
         answer: The recorded answer of a finished request.
+        host: Host of the request that the key stands for.
     """
 
     service: str
@@ -77,11 +78,25 @@
     answer_by: float
     expires_at: float
     answer: KeptAnswer | None = None
+    host: str = ""
 
 
 def object_name(deployment: str, request: types.ClaimRequest) -> str:
-    """Returns the name of the object that holds a request's key."""
-    text = f"{request.service}\0{request.key}"
+    """Returns the name of the object that holds a request's key.
+
+    The key alone names it: a name that holds the service lets a request run
+    twice when a bundle gives its path to another service.
+    """
+    return _name_of(deployment, "", request.key)
+
+
+def earlier_name(deployment: str, request: types.ClaimRequest) -> str:
+    """Returns the name under which earlier versions kept a key."""
+    return _name_of(deployment, request.service, request.key)
+
+
+def _name_of(deployment: str, service: str, key: str) -> str:
+    text = f"{service}\0{key}"
     digest = hashlib.sha256(text.encode("utf-8", "surrogateescape"))
     return f"{deployment}-{digest.hexdigest()[:40]}"
 
@@ -114,7 +129,10 @@
         if answer is not None:
             ordered = [answer[name] for name in KeptAnswer._fields]
             fields["answer"] = msgspec.convert(ordered, KeptAnswer)
-        row = [fields.get(name) for name in Record._fields]
+        row = [
+            fields.get(name, Record._field_defaults.get(name))
+            for name in Record._fields
+        ]
         return msgspec.convert(row, Record)
     except (msgspec.ValidationError, KeyError, TypeError):
         return None
@@ -145,8 +163,26 @@
     return types.Denied(Failure(kind, detail, retry_after))
 
 
+def is_same(
+    request: types.ClaimRequest, fingerprint: str, service: str, host: str
+) -> bool:
+    """Tells whether a request is the one that a key stands for.
+
+    A service may have several hosts, and a bundle may give a path to another
+    service; requests that differ in both are different ones.
+
+    Args:
+        request: The present request.
+        fingerprint: Digest of the request that the key stands for.
+        service: Service of that request.
+        host: Host of that request.
+    """
+    is_same_place = request.service == service or request.host == host
+    return request.fingerprint == fingerprint and is_same_place
+
+
 def judge(
-    record: Record | None, fingerprint: str, wall: float
+    record: Record | None, request: types.ClaimRequest, wall: float
 ) -> types.ClaimOutcome | None:
     """Tells what a caller gets whose key has a record already.
 
@@ -155,7 +191,7 @@
 
     Args:
         record: The record, or None when it could not be understood.
-        fingerprint: Digest of the present request.
+        request: The present request.
         wall: Wall-clock seconds now.
 
     Returns:
@@ -167,10 +203,20 @@
         )
     if record.state == State.RELEASED:
         return None
-    if record.fingerprint != fingerprint:
+    if not is_same(request, record.fingerprint, record.service, record.host):
         return deny(
             ErrorKind.KEY_REUSED, "The key was used for another request."
         )
+    return judge_same(record, wall)
+
+
+def judge_same(record: Record, wall: float) -> types.ClaimOutcome:
+    """Tells what a caller gets who repeats the request of a key.
+
+    Args:
+        record: The record; it is not released.
+        wall: Wall-clock seconds now.
+    """
     if record.state == State.DONE:
         return _judge_done(record)
     if record.state == State.CLAIMED and wall < record.answer_by:
--- a/banyantiller/claims/types.py
+++ b/banyantiller/claims/types.py
@@ -10,17 +10,21 @@
     """Asks for the right to run a keyed request.
 
     Attributes:
-        service: Service name.
+        service: Name of the service under the bundle in force. It is no part
+            of what names the claim, as another bundle may give the request
+            to another service.
         key: Idempotency key as the caller sent it.
         fingerprint: Hex digest of method, target and body, so that a key
             used for another request is told apart.
         retention_s: How long the key is remembered, in seconds.
+        host: Host that the request is for, in lower case, without a port.
     """
 
     service: str
     key: str
     fingerprint: str
     retention_s: float
+    host: str = ""
 
 
 class RecordedAnswer(NamedTuple):
--- a/banyantiller/proxy/call.py
+++ b/banyantiller/proxy/call.py
@@ -27,6 +27,7 @@
         service: Options that were in force when the call came, or None.
         path: Path of the request target.
         target: Target as sent to backend servers.
+        host: Host as the caller sent it.
         deadline: Loop time at which the caller stops waiting.
         idempotent: Whether the bundle states it may run twice.
         tries: Ended tries that wrote at least one byte.
@@ -60,6 +61,7 @@
         self.version = proxy.version
         self.path = ""
         self.target = b""
+        self.host = ""
         self.deadline = 0.0
         self.idempotent = False
         self.key = ""
--- a/banyantiller/proxy/intake.py
+++ b/banyantiller/proxy/intake.py
@@ -94,6 +94,7 @@
     call.service = service
     call.path = target.path
     call.target = target.forward
+    call.host = host
     call.idempotent = matching.is_idempotent(
         service, call.request.method.decode("ascii"), target.path
     )
--- a/banyantiller/proxy/keys.py
+++ b/banyantiller/proxy/keys.py
@@ -16,7 +16,7 @@
     Granted,
 )
 from banyantiller.errors import ErrorKind, Failure
-from banyantiller.proxy import answers, guard, headers
+from banyantiller.proxy import answers, guard, headers, matching
 
 if TYPE_CHECKING:
     from banyantiller.proxy import call as calls
@@ -140,6 +140,7 @@
             self.key,
             hashlib.sha256(head + body).hexdigest(),
             call.service.key_retention_s,
+            matching.plain_host(call.host),
         )
 
     async def _claim(self) -> None:
--- a/banyantiller/tests/claims/test_at_most_once.py
+++ b/banyantiller/tests/claims/test_at_most_once.py
@@ -139,9 +139,12 @@
     def test_claim_races_with_the_release_of_its_orphan(self) -> None:
         async def scenario() -> None:
             fleet = faulty.Fleet()
+            # Create, read of the earlier record, and read and update of the
+            # release.
             slow_release = (
                 faulty.Step(after_s=1.0),
                 faulty.Step(),
+                faulty.Step(),
                 faulty.Step(before_s=2.0),
             )
             first = fleet.daemon("d1", steps=slow_release)
--- /dev/null
+++ b/banyantiller/tests/claims/test_scope.py
@@ -0,0 +1,155 @@
+"""Tests of what a key stands for: which requests meet at one record."""
+
+import asyncio
+from typing import Any
+
+from banyantiller.claims import arbiter, records, types
+from banyantiller.errors import ErrorKind
+from banyantiller.store import interface, memory
+from banyantiller.tests import base
+from banyantiller.tests.claims import test_arbiter as arbiters
+
+HOST = "desk.example"
+DESK = types.ClaimRequest("desk", "k1", "f1", 86400.0, HOST)
+DEPOSITS = DESK._replace(service="deposits")
+NOW = 1e9
+
+
+async def run(daemon: arbiter.StoreClaims, request: types.ClaimRequest) -> None:
+    """Claims a key and finishes its request."""
+    granted = await daemon.claim(request, arbiters.soon())
+    assert isinstance(granted, types.Granted), granted
+    await daemon.finish(request, granted.nonce, arbiters.ANSWER)
+
+
+async def keep_earlier(
+    fleet: arbiters.Fleet, kept: records.State, **changes: Any
+) -> None:
+    """Keeps a record as versions did that named keys by service."""
+    answer = None
+    if kept is records.State.DONE:
+        answer = records.keep(arbiters.ANSWER)
+    record = records.Record(
+        DESK.service,
+        DESK.fingerprint,
+        "nonce-of-before",
+        "d0",
+        kept,
+        NOW,
+        NOW + 60,
+        NOW + 86400,
+        answer,
+    )
+    value = {**records.to_value(record), **changes}
+    del value["host"]
+    name = records.earlier_name("fleet", DESK)
+    await memory.MemoryStore(fleet.table).create(records.KIND, name, value)
+
+
+class ScopeTest(base.TestCase):
+    def test_request_is_one_under_whatever_service_it_is(self) -> None:
+        async def scenario() -> None:
+            fleet = arbiters.Fleet()
+            daemons = [fleet.daemon(f"d{n}") for n in range(10)]
+            outcomes = await asyncio.gather(
+                *(d.claim(DESK, arbiters.soon()) for d in daemons[:5]),
+                *(d.claim(DEPOSITS, arbiters.soon()) for d in daemons[5:]),
+            )
+            granted = [o for o in outcomes if isinstance(o, types.Granted)]
+            self.assertEqual(1, len(granted))
+
+        self.run_paused(scenario())
+
+    def test_answer_is_repeated_under_another_service(self) -> None:
+        async def scenario() -> None:
+            fleet = arbiters.Fleet()
+            first, second = fleet.daemon("d1"), fleet.daemon("d2")
+            await run(first, DESK)
+            for daemon in (first, second, second):
+                outcome = await daemon.claim(DEPOSITS, arbiters.soon())
+                self.assertEqual(types.Finished(arbiters.ANSWER), outcome)
+
+        self.run_paused(scenario())
+
+    def test_other_host_of_the_service_is_the_same_request(self) -> None:
+        async def scenario() -> None:
+            fleet = arbiters.Fleet()
+            await run(fleet.daemon("d1"), DESK)
+            other = DESK._replace(host="alias.example")
+            outcome = await fleet.daemon("d2").claim(other, arbiters.soon())
+            self.assertEqual(types.Finished(arbiters.ANSWER), outcome)
+
+        self.run_paused(scenario())
+
+    def test_other_host_of_another_service_is_another_request(self) -> None:
+        async def scenario() -> None:
+            fleet = arbiters.Fleet()
+            first, second = fleet.daemon("d1"), fleet.daemon("d2")
+            other = DEPOSITS._replace(host="other.example")
+            granted = await first.claim(DESK, arbiters.soon())
+            for _ in range(2):
+                for daemon in (first, second):
+                    denied = await daemon.claim(other, arbiters.soon())
+                    kind = arbiters.kind_of(denied)
+                    self.assertEqual(ErrorKind.KEY_REUSED, kind)
+                if first.active:
+                    await first.finish(DESK, granted.nonce, arbiters.ANSWER)
+
+        self.run_paused(scenario())
+
+
+class EarlierRecordsTest(base.TestCase):
+    def test_record_of_an_earlier_version_decides(self) -> None:
+        expected = {
+            records.State.DONE: types.Finished(arbiters.ANSWER),
+            records.State.UNKNOWN: ErrorKind.KEY_OUTCOME_UNKNOWN,
+            records.State.CLAIMED: ErrorKind.KEY_IN_PROGRESS,
+        }
+
+        async def scenario(state: records.State) -> None:
+            fleet = arbiters.Fleet()
+            await keep_earlier(fleet, state)
+            first, second = fleet.daemon("d1"), fleet.daemon("d2")
+            for daemon in (first, second, first):
+                outcome = await daemon.claim(DESK, arbiters.soon())
+                told = arbiters.kind_of(outcome) or outcome
+                self.assertEqual(expected[state], told)
+
+        for state in expected:
+            self.run_paused(scenario(state))
+
+    def test_released_record_of_an_earlier_version_leaves_it_free(self) -> None:
+        async def scenario() -> None:
+            fleet = arbiters.Fleet()
+            await keep_earlier(fleet, records.State.RELEASED)
+            await run(fleet.daemon("d1"), DESK)
+
+        self.run_paused(scenario())
+
+    def test_unreadable_record_of_an_earlier_version_is_not_run(self) -> None:
+        async def scenario() -> None:
+            fleet = arbiters.Fleet()
+            await keep_earlier(fleet, records.State.DONE, state=7)
+            denied = await fleet.daemon("d1").claim(DESK, arbiters.soon())
+            kind = arbiters.kind_of(denied)
+            self.assertEqual(ErrorKind.KEY_OUTCOME_UNKNOWN, kind)
+
+        self.run_paused(scenario())
+
+    def test_nothing_runs_while_the_earlier_record_cannot_be_read(self) -> None:
+        async def unavailable(*_: str) -> interface.GetOutcome:
+            return interface.Unavailable("down")
+
+        async def scenario() -> None:
+            fleet = arbiters.Fleet()
+            store = memory.MemoryStore(fleet.table)
+            daemon = fleet.daemon("d1", store)
+            read, store.get = store.get, unavailable
+            denied = await daemon.claim(DESK, arbiters.soon())
+            kind = arbiters.kind_of(denied)
+            self.assertEqual(ErrorKind.CLAIM_UNAVAILABLE, kind)
+            store.get = read
+            self.assertTrue(await daemon.drain())
+            await run(fleet.daemon("d2"), DESK)
+
+        self.run_paused(scenario())
--- a/banyantiller/tests/daemon/test_keys_over_bundles.py
+++ b/banyantiller/tests/daemon/test_keys_over_bundles.py
@@ -22,8 +22,8 @@
         """Version 2 gives the path of deposits a service of its own.
 
         A caller repeats a deposit with the same key, method, path and body
-        under version 2. Keys are claimed by service name, so the claim of
-        the new service knows nothing of the first run: both sendings were
+        under version 2. While keys were claimed by service name, the claim
+        of the new service knew nothing of the first run: both sendings were
         answered 200, and the deposit ran twice.
         """
 
@@ -43,3 +43,30 @@
             await fleet.stop()
 
         self.run_paused(scenario())
+
+    def test_key_sent_to_daemons_of_two_bundles_at_once(self) -> None:
+        """The second daemon runs version 2 while the first is still on 1."""
+
+        async def scenario() -> None:
+            fleet = whole.Fleet()
+            await fleet.start(2)
+            old, new = fleet.daemons
+            old.proxy.apply = lambda *_: None
+            store = memory.MemoryStore(fleet.table)
+            text = samples.BUNDLE + DEPOSITS
+            await samples.roll(store, await samples.prepare(store, text))
+            await asyncio.sleep(whole.SETTLED_S)
+            self.assertEqual([1, 2], [old.proxy.version, new.proxy.version])
+            fleet.service_s = 0.5
+            deposit = ("POST", "/orders/deposits", b"deposit", '"k1"')
+            first, second = await asyncio.gather(
+                whole.send(8001, *deposit), whole.send(8002, *deposit)
+            )
+            self.assertEqual([200, 409], sorted([first.status, second.status]))
+            for port in (8001, 8002):
+                repeated = await whole.send(port, *deposit)
+                self.assertEqual(200, repeated.status, repeated)
+            self.assertEqual(1, fleet.runs.count("deposit"))
+            await fleet.stop()
+
+        self.run_paused(scenario())
--- a/banyantiller/tests/fuzz/test_documents.py
+++ b/banyantiller/tests/fuzz/test_documents.py
@@ -8,7 +8,7 @@
 from banyantiller.bundle import canonical, parsing, reading
 from banyantiller.bundle.manifest import Accepted, Manifest, Part, Signature
 from banyantiller.bundle.outcomes import Damaged, HeadFound
-from banyantiller.claims import records
+from banyantiller.claims import records, types
 from banyantiller.config import settings
 from banyantiller.measuring import objects
 from banyantiller.store import interface
@@ -17,6 +17,7 @@
 from banyantiller.tests.faults import seeds
 from banyantiller.tests.fuzz import mutations
 
+REQUEST = types.ClaimRequest("orders", "k1", "f", 60.0, "desk.example")
 SETTINGS = """\
 deployment: orders
 daemon: d1
@@ -161,7 +162,7 @@
             record = records.from_object(item)
             self.assertIsInstance(record, records.Record | None)
             if record is not None:
-                records.judge(record, "f", 1e9)
+                records.judge(record, REQUEST, 1e9)
             permits = objects.read_permits(value)
             self.assertIsInstance(permits, list | None)
             self.assertIsInstance(
--- a/banyantiller/tests/proxy/test_at_most_once.py
+++ b/banyantiller/tests/proxy/test_at_most_once.py
@@ -150,6 +150,20 @@
 
         self.run_paused(body())
 
+    def test_claim_names_the_host_as_routes_read_it(self) -> None:
+        async def claimed_host(request: bytes) -> str:
+            bench = await fakes.Bench.start(fakes.answering(OK))
+            with mock.patch.object(
+                bench.claims, "claim", wraps=bench.claims.claim
+            ) as claim:
+                await bench.ask(request)
+            await bench.proxy.close()
+            return claim.call_args.args[0].host
+
+        for line in (b"Host: x", b"Host: X:80", b"Host: x:8080"):
+            request = KEYED.replace(b"Host: x", line)
+            self.assertEqual("x", self.run_paused(claimed_host(request)))
+
     def test_503_without_the_agreed_header_is_an_answer(self) -> None:
         busy = b"HTTP/1.1 503 X\r\nContent-Length: 4\r\n\r\nbusy"
         second: list[bytes] = []
