Fence a claim before its outcome is told as unknown for good

Cause: a daemon that found an overdue claim of another one told `key_outcome_unknown`, which is final, on a record that its holder could still release. If the holder had lost an answer, its release came later, and the key was granted.

Ruled out: to write `unknown` in place of `claimed`. That record is deleted after its retention, while its holder may be paused and may still send. To tell it only when no release can come: that is for ever if the holder died.

Change: whoever finds an overdue claim writes `claimed` -> `fenced`, conditional, and reads back before it tells; if it can't, it tells `claim_unavailable`. A release of a fenced claim becomes `unknown`, an answer `done`; a `fenced` object is not deleted. Overdue records of earlier builds are fenced too.

Existing tests: the conformance test tells `tell_unknown` and `fenced` apart, which were `tell_repeated` and no step; the rest is as it was.

--- a/banyantiller/claims/attempts.py
+++ b/banyantiller/claims/attempts.py
@@ -96,25 +96,23 @@
         pause = FIRST_PAUSE_S
         for _ in range(MOST_CALLS):
             got = await self.store.get(records.KIND, name)
-            may_go_on = self._note_answer(got)
             if isinstance(got, interface.Missing):
+                self.breaker.answered()
                 return None
+            answer: Step | None = got
             if isinstance(got, interface.Found):
-                return self._judge_earlier_object(attempt, got.item)
+                record = records.from_object(got.item)
+                answer = await self._judge_record(attempt, got.item, record)
+            may_go_on = answer is None or self._note_answer(answer)
+            if answer is None or isinstance(answer, types.ClaimOutcome):
+                return answer
             if not may_go_on:
                 break
-            await asyncio.sleep(pause)
-            pause *= 2
+            if isinstance(answer, interface.Unavailable):
+                await asyncio.sleep(pause)
+                pause *= 2
         return unavailable("The key's earlier record could not be read.")
 
-    def _judge_earlier_object(
-        self, attempt: Attempt, item: interface.StoredObject
-    ) -> types.ClaimOutcome | None:
-        record = records.from_object(item)
-        wall = self.wall()
-        self.known.remember(attempt.name, record, wall)
-        return records.judge(record, attempt.request, wall)
-
     def _note_answer(self, answer: Step) -> bool:
         """Notes whether a call was answered; tells whether to call again."""
         if not isinstance(answer, interface.Unavailable):
@@ -138,14 +136,32 @@
         record = records.from_object(item)
         if record is None:
             log.error("claims: a record is not readable.", name=item.name)
-        elif record.nonce == attempt.record.nonce:
+        elif _is_own(attempt, record):
             return _grant(attempt, item)
         elif self._is_unsent(record):
             return await self._take_over(attempt, item, record)
+        answer = await self._judge_record(attempt, item, record)
+        if answer is None:
+            return await self._take_over(attempt, item, record)
+        return answer
+
+    async def _judge_record(
+        self,
+        attempt: Attempt,
+        item: interface.StoredObject,
+        record: records.Record | None,
+    ) -> Step | None:
+        """Judges a record; returns None if the key was released.
+
+        A claim that its daemon did not end is fenced and read back before its
+        outcome is told: else a late release lets the key run after a caller
+        was told for good that it does not.
+        """
         wall = self.wall()
         outcome = records.judge(record, attempt.request, wall)
-        if outcome is None:
-            return await self._take_over(attempt, item, record)
+        if records.needs_fence(record, outcome):
+            fenced = records.to_value(records.fence(record))
+            return await self.store.update(item, fenced)
         self.known.remember(attempt.name, record, wall)
         return outcome
 
@@ -192,6 +208,13 @@
         )
 
 
+def _is_own(attempt: Attempt, record: records.Record) -> bool:
+    return (
+        record.nonce == attempt.record.nonce
+        and record.state == records.State.CLAIMED
+    )
+
+
 def _grant(attempt: Attempt, item: interface.StoredObject) -> types.Granted:
     attempt.item = item
     return types.Granted(attempt.record.nonce)
--- a/banyantiller/claims/known.py
+++ b/banyantiller/claims/known.py
@@ -7,6 +7,7 @@
 
 MOST_ENTRIES = 10_000
 MOST_BYTES = 2_000_000
+FINAL = (records.State.DONE, records.State.UNKNOWN, records.State.FENCED)
 
 
 class Entry(NamedTuple):
@@ -32,8 +33,9 @@
 class KnownKeys:
     """A bounded cache of final outcomes, least recently used first.
 
-    An entry is final: a finished key never becomes claimable within its
-    retention, so no entry has to be checked again.
+    An entry is final: a finished or fenced key never becomes claimable within
+    its retention, so no entry has to be checked again. Only "outcome unknown"
+    can give way to an answer that another daemon learns late.
 
     Attributes:
         entries: Outcomes by object name.
@@ -76,8 +78,7 @@
         self, name: str, record: records.Record | None, wall: float
     ) -> None:
         """Remembers a record if its outcome can't change any more."""
-        final = (records.State.DONE, records.State.UNKNOWN)
-        if record is None or record.state not in final:
+        if record is None or record.state not in FINAL:
             return
         self.put(
             name,
--- a/banyantiller/claims/records.py
+++ b/banyantiller/claims/records.py
@@ -1,8 +1,9 @@
 """How a claim is kept in the object API, and what it tells a repeated caller.
 
 One object holds one key. Its state is one of `State`; only the daemon that
-holds the nonce moves it out of `CLAIMED`, so a claim whose outcome nobody
-knows can never be granted again.
+holds the nonce moves it out of `CLAIMED`, but for the fence of one that tells
+a caller that the outcome is unknown. So a claim whose outcome nobody knows can
+never be granted again.
 """
 
 import base64
@@ -29,16 +30,24 @@
     Attributes:
         CLAIMED: One daemon may send the request, or sent it.
         DONE: The request was run and its answer was seen.
-        UNKNOWN: It was sent, and nobody can tell whether it was run.
+        UNKNOWN: It was sent, and nobody can tell whether it was run; or it
+            was not sent, but callers were told that its outcome is unknown.
+        FENCED: Its daemon did not end it in time, and another one tells
+            callers that the outcome is unknown.
         RELEASED: It was certainly not sent; the key may be claimed again.
     """
 
     CLAIMED = "claimed"
     DONE = "done"
     UNKNOWN = "unknown"
+    FENCED = "fenced"
     RELEASED = "released"
 
 
+# States in which a claim's daemon may still send the request.
+UNENDED = (State.CLAIMED, State.FENCED)
+
+
 class KeptAnswer(NamedTuple):
     """JSON form of a recorded answer.
 
@@ -187,7 +196,8 @@
     """Tells what a caller gets whose key has a record already.
 
     The clock decides only between two answers that are both safe: "in
-    progress" and "outcome unknown". It never makes a key claimable.
+    progress" and "outcome unknown". It never makes a key claimable. Whoever
+    says "outcome unknown" of a claim that `needs_fence` must fence it first.
 
     Args:
         record: The record, or None when it could not be understood.
@@ -231,6 +241,20 @@
     )
 
 
+def needs_fence(record: Record | None, outcome: types.ClaimOutcome) -> bool:
+    """Tells whether an outcome could still be undone by a late release."""
+    is_unknown = (
+        isinstance(outcome, types.Denied)
+        and outcome.failure.kind is ErrorKind.KEY_OUTCOME_UNKNOWN
+    )
+    return is_unknown and record is not None and record.state == State.CLAIMED
+
+
+def fence(record: Record) -> Record:
+    """Returns a claimed record as one that no release can undo."""
+    return record._replace(state=State.FENCED)
+
+
 def _judge_done(record: Record) -> types.ClaimOutcome:
     answer = recall(record.answer) if record.answer else None
     if answer is not None:
--- a/banyantiller/claims/settling.py
+++ b/banyantiller/claims/settling.py
@@ -139,13 +139,28 @@
     async def _write_once(
         self, end: End, item: interface.StoredObject | None
     ) -> Written:
-        value = records.to_value(end.record)
+        value = records.to_value(_last_record(end, item))
         if item is not None:
             return await self.store.update(item, value)
         labels = records.expiry_labels(self.deployment, end.record.expires_at)
         return await self.store.create(records.KIND, end.name, value, labels)
 
 
+def _last_record(
+    end: End, item: interface.StoredObject | None
+) -> records.Record:
+    """Returns what the object is to hold.
+
+    Callers were told of a fenced claim that the key never runs again, so it
+    is not released; as `UNKNOWN` it can be deleted in its time.
+    """
+    seen = records.from_object(item) if item is not None else None
+    is_fenced = seen is not None and seen.state == records.State.FENCED
+    if is_fenced and end.record.state == records.State.RELEASED:
+        return end.record._replace(state=records.State.UNKNOWN)
+    return end.record
+
+
 def _is_certain(end: End, item: interface.StoredObject) -> bool:
     """Tells whether the object needs no write any more.
 
@@ -157,7 +172,7 @@
     if record is None:
         return True
     if record.nonce == end.record.nonce:
-        return record.state != records.State.CLAIMED
+        return record.state not in records.UNENDED
     both_released = (
         record.state == records.State.RELEASED
         and end.record.state == records.State.RELEASED
--- a/banyantiller/claims/sweeping.py
+++ b/banyantiller/claims/sweeping.py
@@ -5,8 +5,8 @@
 only the minutes that became due. The marker also says that a daemon is busy
 with a minute; that only saves calls, as each deletion is conditional.
 
-A claim that is still `CLAIMED` is never deleted: its daemon may be paused and
-may still send the request.
+A claim that is still `CLAIMED` or `FENCED` is never deleted: its daemon may be
+paused and may still send the request.
 """
 
 import asyncio
@@ -119,7 +119,7 @@
 
 def _may_delete(item: interface.StoredObject) -> bool:
     record = records.from_object(item)
-    return record is not None and record.state != records.State.CLAIMED
+    return record is not None and record.state not in records.UNENDED
 
 
 def _swept(marker: interface.StoredObject) -> int:
--- /dev/null
+++ b/banyantiller/tests/claims/test_fencing.py
@@ -0,0 +1,128 @@
+"""Tests of claims whose outcome callers were told is unknown."""
+
+import asyncio
+
+from banyantiller.claims import arbiter, records, sweeping, types
+from banyantiller.errors import ErrorKind
+from banyantiller.store import interface, memory
+from banyantiller.tests import base
+from banyantiller.tests.claims import faulty, test_scope
+from banyantiller.tests.claims import test_arbiter as arbiters
+from banyantiller.tests.claims import test_sweeping as sweepers
+
+REQUEST = arbiters.make_request()
+OVERDUE_S = 10.0
+
+
+async def ask(daemon: arbiter.StoreClaims) -> ErrorKind | types.ClaimOutcome:
+    """Claims the key; returns the kind of a denial, or the outcome."""
+    outcome = await daemon.claim(REQUEST, arbiters.soon())
+    return arbiters.kind_of(outcome) or outcome
+
+
+async def hold_overdue(daemon: arbiter.StoreClaims) -> str:
+    """Gets a key and lets its deadline pass; returns the nonce."""
+    granted = await daemon.claim(REQUEST, arbiters.soon(1.0))
+    assert isinstance(granted, types.Granted), granted
+    await asyncio.sleep(OVERDUE_S)
+    return granted.nonce
+
+
+class FencingTest(base.TestCase):
+    def test_answer_that_comes_late_is_repeated(self) -> None:
+        async def scenario() -> None:
+            fleet = arbiters.Fleet()
+            first, second = fleet.daemon("d1"), fleet.daemon("d2")
+            nonce = await hold_overdue(first)
+            told = await ask(second)
+            self.assertEqual(ErrorKind.KEY_OUTCOME_UNKNOWN, told)
+            await first.finish(REQUEST, nonce, arbiters.ANSWER)
+            self.assertEqual({}, first.settler.ends)
+            for daemon in (first, fleet.daemon("d3")):
+                repeated = await ask(daemon)
+                self.assertEqual(types.Finished(arbiters.ANSWER), repeated)
+
+        self.run_paused(scenario())
+
+    def test_late_release_frees_no_fenced_key(self) -> None:
+        async def scenario() -> None:
+            fleet = arbiters.Fleet()
+            first, second = fleet.daemon("d1"), fleet.daemon("d2")
+            nonce = await hold_overdue(first)
+            await ask(second)
+            await first.release(REQUEST, nonce)
+            self.assertEqual({}, first.settler.ends)
+            for daemon in (first, second, fleet.daemon("d3")):
+                told = await ask(daemon)
+                self.assertEqual(ErrorKind.KEY_OUTCOME_UNKNOWN, told)
+
+        self.run_paused(scenario())
+
+    def test_lost_answer_of_a_fence_is_read_back(self) -> None:
+        async def scenario() -> None:
+            fleet = arbiters.Fleet()
+            first, second = fleet.daemon("d1"), fleet.daemon("d2")
+            await hold_overdue(first)
+            second.store.faults.lose_answers = 2
+            told = await ask(second)
+            self.assertEqual(ErrorKind.KEY_OUTCOME_UNKNOWN, told)
+            self.assertEqual(1, second.store.calls["update"])
+
+        self.run_paused(scenario())
+
+    def test_nothing_final_is_told_while_the_fence_cannot_be_written(
+        self,
+    ) -> None:
+        async def unavailable(*_: object) -> interface.UpdateOutcome:
+            return interface.Unavailable("down")
+
+        async def scenario() -> None:
+            fleet = arbiters.Fleet()
+            first, second = fleet.daemon("d1"), fleet.daemon("d2")
+            nonce = await hold_overdue(first)
+            second.store.update = unavailable
+            told = await ask(second)
+            self.assertEqual(ErrorKind.CLAIM_UNAVAILABLE, told)
+            await first.release(REQUEST, nonce)
+            granted = await ask(fleet.daemon("d3"))
+            self.assertIsInstance(granted, types.Granted)
+
+        self.run_paused(scenario())
+
+    def test_overdue_record_of_an_earlier_version_is_fenced(self) -> None:
+        async def scenario() -> None:
+            fleet = arbiters.Fleet()
+            await test_scope.keep_earlier(fleet, records.State.CLAIMED)
+            await asyncio.sleep(100)
+            daemon = fleet.daemon("d1")
+            denied = await daemon.claim(test_scope.DESK, arbiters.soon())
+            kind = arbiters.kind_of(denied)
+            self.assertEqual(ErrorKind.KEY_OUTCOME_UNKNOWN, kind)
+            name = records.earlier_name("fleet", test_scope.DESK)
+            store = memory.MemoryStore(fleet.table)
+            found = await store.get(records.KIND, name)
+            self.assertEqual("fenced", found.item.value["state"])
+
+        self.run_paused(scenario())
+
+
+class SweepingTest(base.TestCase):
+    def test_fenced_key_is_kept_while_its_daemon_may_send(self) -> None:
+        async def scenario() -> None:
+            fleet = faulty.Fleet()
+            sweeper = sweepers.make_sweeper(fleet)
+            await sweeper.sweep()
+            first = fleet.daemon("d1")
+            request = sweepers.make_request("k1")
+            granted = await first.claim(request, arbiters.soon(1.0))
+            await asyncio.sleep(OVERDUE_S)
+            await fleet.daemon("d2").claim(request, arbiters.soon())
+            fleet.skipped_s += sweepers.RETENTION_S + sweeping.MARGIN_S + 120
+            await sweepers.sweep_often(sweeper)
+            self.assertEqual(0, sweeper.deleted)
+            await first.release(request, granted.nonce)
+            name = records.object_name("fleet", request)
+            kept = await sweeper.store.get(records.KIND, name)
+            self.assertEqual("unknown", kept.item.value["state"])
+
+        self.run_paused(scenario())
--- a/banyantiller/tests/spec/test_claims_conformance.py
+++ b/banyantiller/tests/spec/test_claims_conformance.py
@@ -1,11 +1,13 @@
 """Traces of the real claims under faults, checked against `spec.claims`."""
 
 import asyncio
+import collections
 import contextvars
 import random
+from typing import NamedTuple
 
 from banyantiller.claims import attempts, records, types
-from banyantiller.errors import Ran
+from banyantiller.errors import ErrorKind, Ran
 from banyantiller.store import table
 from banyantiller.tests import base
 from banyantiller.tests.claims import faulty
@@ -22,16 +24,31 @@
     "run",
     "tell_not_run",
     "tell_repeated",
+    "tell_unknown",
+    "fenced",
 }
 LABELS = {
     records.State.CLAIMED: "claim",
     records.State.RELEASED: "released",
     records.State.DONE: "ended",
     records.State.UNKNOWN: "ended",
+    records.State.FENCED: "fenced",
 }
 FAULTS = ("", "", "lost", "late", "unavailable", "stale")
 SEEDS = 40
-WORK_S = 0.7
+
+
+class Pace(NamedTuple):
+    """When callers start, how long they wait, and how long a run takes."""
+
+    starts_s: tuple[float, ...] = (0, 0.2, 1, 8)
+    patience_s: float = 20.0
+    work_s: float = 0.7
+
+
+# Claims outlast what their callers wait for, so that other tries fence them.
+OVERDUE = Pace((0, 6), 3.0, 10.0)
+USUAL = Pace()
 
 NONCES = contextvars.ContextVar("nonces")
 
@@ -79,24 +96,20 @@
         NONCES.get().append(nonce)
         return nonce
 
-    async def serve_observed(self, daemon, refused):
+    async def serve_observed(self, daemon, refused, pace):
         """Does what a proxy does, and notes what the caller is told."""
         nonces = []
         NONCES.set(nonces)
-        deadline = asyncio.get_running_loop().time() + 20
+        deadline = asyncio.get_running_loop().time() + pace.patience_s
         outcome = await daemon.claim(REQUEST, deadline)
         if not nonces:
             return
         (nonce,) = nonces
         if not isinstance(outcome, types.Granted):
-            not_run = (
-                isinstance(outcome, types.Denied)
-                and outcome.failure.answer.ran is Ran.NO
-            )
-            self.note("tell_not_run" if not_run else "tell_repeated", nonce)
+            self.note(told(outcome), nonce)
             return
         self.note("grant", nonce)
-        await asyncio.sleep(WORK_S)
+        await asyncio.sleep(pace.work_s)
         if refused:
             self.note("tell_not_run", nonce)
             await daemon.release(REQUEST, nonce)
@@ -105,6 +118,17 @@
         await daemon.finish(REQUEST, nonce, faulty.ANSWER)
 
 
+def told(outcome):
+    """Returns the step by which a caller without a grant is told."""
+    if not isinstance(outcome, types.Denied):
+        return "tell_repeated"
+    if outcome.failure.answer.ran is Ran.NO:
+        return "tell_not_run"
+    if outcome.failure.kind is ErrorKind.KEY_OUTCOME_UNKNOWN:
+        return "tell_unknown"
+    return "tell_repeated"
+
+
 def random_steps(rng):
     return tuple(
         faulty.Step(
@@ -116,7 +140,7 @@
     )
 
 
-async def record(seed):
+async def record(seed, pace=USUAL):
     """Lets three tries race over two daemons; returns the trace."""
     rng = random.Random(seed)
     fleet = ObservedFleet()
@@ -124,9 +148,9 @@
     settling = [asyncio.create_task(daemon.run()) for daemon in daemons]
 
     async def serve():
-        await asyncio.sleep(rng.choice((0, 0.2, 1, 8)))
+        await asyncio.sleep(rng.choice(pace.starts_s))
         daemon = rng.choice(daemons)
-        await fleet.serve_observed(daemon, rng.random() < 0.5)
+        await fleet.serve_observed(daemon, rng.random() < 0.5, pace)
 
     await asyncio.gather(*(serve() for _ in range(spec_claims.TRIES)))
     await asyncio.sleep(30)
@@ -152,6 +176,23 @@
             self.assertIsNone(found, f"seed {seed}: {trace}: {found}")
         self.assertGreater(max(lengths), 8)
 
+    def test_every_trace_with_overdue_claims_is_a_run_too(self):
+        steps = collections.Counter()
+        follower = conformance.Follower(spec_claims.CLAIMS, visible)
+        for seed in seeds.seeds(SEEDS):
+            trace = self.run_paused(record(seed, OVERDUE))
+            steps.update(map(conformance.kind_of, trace))
+            found = follower.follow(trace)
+            self.assertIsNone(found, f"seed {seed}: {trace}: {found}")
+        self.assertGreater(steps["fenced"], 5)
+        self.assertGreater(steps["tell_unknown"], 5)
+
+    def test_code_that_tells_without_a_fence_is_found(self):
+        self.patch(records, "needs_fence", lambda *_: False)
+        follower = conformance.Follower(spec_claims.CLAIMS, visible)
+        traces = [self.run_paused(record(seed, OVERDUE)) for seed in range(20)]
+        self.assertNotEqual([], [t for t in traces if follower.follow(t)])
+
     def test_code_that_takes_any_claim_over_is_found(self):
         self.patch(
             attempts.Arbitration,
--- a/spec/check.py
+++ b/spec/check.py
@@ -32,7 +32,8 @@
     MIRROR,
     SHARING,
 )
-MOST_STATES = 400_000
+# The largest protocol, claims, has 484,818 states.
+MOST_STATES = 600_000
 
 HOLDS = "holds"
 VIOLATED = "violated"
--- a/spec/claims.py
+++ b/spec/claims.py
@@ -7,10 +7,15 @@
 a lost answer it reads back, and nothing but its own nonce grants. What a
 try leaves behind is settled in the background: a claim that was not sent is
 released, also when nobody knows whether it took effect, and one that was
-sent is ended. Every answer of the store can be lost before or after the
-write took effect, an abandoned write may take effect later, reads may be
-stale, and a daemon may be paused for any time between two steps. A daemon
-that is killed is one that takes no further step.
+sent is ended. A try that finds a claim which nobody ended in time fences it
+by a conditional write before it is told, for good, that the outcome is
+unknown; the release of a fenced claim ends it instead. Time is not modelled,
+so a claim may be fenced at any moment, which also stands for fences that take
+effect late. The key alone names the record, whatever bundle a daemon runs.
+Every answer of the store can be lost before or after the write took effect,
+an abandoned write may take effect later, reads may be stale, and a daemon may
+be paused for any time between two steps. A daemon that is killed is one that
+takes no further step.
 """
 
 from typing import NamedTuple
@@ -23,6 +28,7 @@
 
 CLAIMED = "claimed"
 RELEASED = "released"
+FENCED = "fenced"
 ENDED = "ended"
 
 IDLE = "idle"
@@ -78,10 +84,13 @@
     Attributes:
         record: The record.
         tries: All tries.
+        unknown: Whether a caller was told, for good, that the outcome of the
+            key is unknown.
     """
 
     record: Record = Record()
     tries: tuple[Try, ...] = (Try(),) * TRIES
+    unknown: bool = False
 
 
 def with_try(state: State, index: int, **changes: object) -> State:
@@ -112,7 +121,12 @@
     record = state.record
     told = with_try(state, index, phase=REPEATED, end=RELEASED)
     steps = [(f"tell_repeated({index})", told)]
-    is_own = record.owner == index and record.state == CLAIMED
+    may_tell = variant == "unknown_without_fence" and record.state == CLAIMED
+    if record.state == FENCED or (may_tell and record.owner != index):
+        unknown = told._replace(unknown=True)
+        steps.append((f"tell_unknown({index})", unknown))
+    # A stale read may show the own claim as it was before its fence.
+    is_own = record.owner == index and record.state in (CLAIMED, FENCED)
     if is_own or (record.revision and variant == "read_back_without_nonce"):
         granted = with_try(state, index, phase=GRANTED)
         # Before its own claim there may have been one of another try.
@@ -174,7 +188,7 @@
     if not record.revision:
         return False
     if record.owner == index:
-        return record.state != CLAIMED
+        return record.state not in (CLAIMED, FENCED)
     both = record.state == state.tries[index].end == RELEASED
     return not both
 
@@ -195,16 +209,29 @@
     base = item.end_base
     if variant == "release_without_condition":
         base = state.record.revision
-    landed = write(state, index, base, item.end)
+    is_fenced = state.record.state == FENCED
+    said = (
+        ENDED if is_fenced and variant != "release_undoes_fence" else item.end
+    )
+    landed = write(state, index, base, said)
     steps = [(f"settle_fails({index})", again)]
     if landed is not None:
         done = with_try(landed, index, end="", end_base=UNREAD)
         lost = with_try(landed, index, end_base=UNREAD)
-        steps.append((f"{item.end}({index})", done))
-        steps.append((f"{item.end}({index})", lost))
+        steps.append((f"{said}({index})", done))
+        steps.append((f"{said}({index})", lost))
     return steps
 
 
+def fence_steps(state: State) -> list[Step]:
+    """Lists the fence of the present claim by whoever reads it."""
+    record = state.record
+    if record.state != CLAIMED:
+        return []
+    landed = write(state, record.owner, record.revision, FENCED)
+    return [(f"fenced({record.owner})", landed)] if landed else []
+
+
 def late_steps(state: State, index: int) -> list[Step]:
     """Lists abandoned claims that take effect late, or never."""
     steps: list[Step] = []
@@ -245,7 +272,7 @@
             found += phase_steps(state, index, variant)
             found += settling_steps(state, index, variant)
             found += late_steps(state, index)
-        return found
+        return found + fence_steps(state)
 
     return steps
 
@@ -266,6 +293,11 @@
     return len(holders) <= 1
 
 
+def told_unknown_is_final(state: State) -> bool:
+    """A key whose outcome was told as unknown can't be claimed again."""
+    return not state.unknown or state.record.state in (FENCED, ENDED)
+
+
 CLAIMS = Specification(
     name="claims",
     bounds={
@@ -280,6 +312,7 @@
         "runs_at_most_once": runs_at_most_once,
         "told_not_run_was_not_run": told_not_run_was_not_run,
         "granted_to_one": granted_to_one,
+        "told_unknown_is_final": told_unknown_is_final,
     },
     broken=(
         Broken(
@@ -312,5 +345,15 @@
             "told_not_run_was_not_run",
             "A failure after the first byte is told as not run.",
         ),
+        Broken(
+            "unknown_without_fence",
+            "told_unknown_is_final",
+            "An outcome is told as unknown while its claim may be released.",
+        ),
+        Broken(
+            "release_undoes_fence",
+            "told_unknown_is_final",
+            "A release is written over a fenced claim.",
+        ),
     ),
 )
