--- a/banyantiller/claims/attempts.py
+++ b/banyantiller/claims/attempts.py
@@ -26,6 +26,7 @@
 
     Attributes:
         name: Name of the object.
+        request: What is claimed.
         record: What the claim writes; its nonce is used for this claim only.
         item: The object that holds the claim, once that is certain.
         in_doubt: Whether a write may have taken effect, or may still.
@@ -33,6 +34,7 @@
     """
 
     name: str
+    request: types.ClaimRequest
     record: records.Record
     item: interface.StoredObject | None = None
     in_doubt: bool = False
@@ -69,20 +71,57 @@
         answer: Step = interface.Missing()
         for _ in range(MOST_CALLS):
             answer = await self._next_call(attempt, answer)
+            may_go_on = self._note_answer(answer)
             if isinstance(answer, types.ClaimOutcome):
-                self.breaker.answered()
                 return answer
-            if not isinstance(answer, interface.Unavailable):
-                self.breaker.answered()
-                continue
-            now = asyncio.get_running_loop().time()
-            self.breaker.failed(now)
-            if not self.breaker.may_try(now):
+            if not may_go_on:
                 break
-            await asyncio.sleep(pause)
-            pause *= 2
+            if isinstance(answer, interface.Unavailable):
+                await asyncio.sleep(pause)
+                pause *= 2
         return unavailable("The claim could not be settled.")
 
+    async def judge_earlier(
+        self, attempt: Attempt
+    ) -> types.ClaimOutcome | None:
+        """Reads the record that an earlier version kept of the key.
+
+        Without it, a request that ran before an update of the daemons runs
+        once more when it is repeated after it.
+
+        Returns:
+            What the caller gets, or None if the key is free.
+        """
+        name = records.earlier_name(self.deployment, attempt.request)
+        pause = FIRST_PAUSE_S
+        for _ in range(MOST_CALLS):
+            got = await self.store.get(records.KIND, name)
+            if isinstance(got, interface.Missing):
+                self.breaker.answered()
+                return None
+            answer: Step | None = got
+            if isinstance(got, interface.Found):
+                record = records.from_object(got.item)
+                answer = await self._judge_record(attempt, got.item, record)
+            may_go_on = answer is None or self._note_answer(answer)
+            if answer is None or isinstance(answer, types.ClaimOutcome):
+                return answer
+            if not may_go_on:
+                break
+            if isinstance(answer, interface.Unavailable):
+                await asyncio.sleep(pause)
+                pause *= 2
+        return unavailable("The key's earlier record could not be read.")
+
+    def _note_answer(self, answer: Step) -> bool:
+        """Notes whether a call was answered; tells whether to call again."""
+        if not isinstance(answer, interface.Unavailable):
+            self.breaker.answered()
+            return True
+        now = asyncio.get_running_loop().time()
+        self.breaker.failed(now)
+        return self.breaker.may_try(now)
+
     async def _next_call(self, attempt: Attempt, last: Step) -> Step:
         if isinstance(last, interface.Missing):
             return await self._create(attempt)
@@ -97,14 +136,32 @@
         record = records.from_object(item)
         if record is None:
             log.error("claims: a record is not readable.", name=item.name)
-        elif record.nonce == attempt.record.nonce:
+        elif _is_own(attempt, record):
             return _grant(attempt, item)
         elif self._is_unsent(record):
             return await self._take_over(attempt, item, record)
-        wall = self.wall()
-        outcome = records.judge(record, attempt.record.fingerprint, wall)
-        if outcome is None:
+        answer = await self._judge_record(attempt, item, record)
+        if answer is None:
             return await self._take_over(attempt, item, record)
+        return answer
+
+    async def _judge_record(
+        self,
+        attempt: Attempt,
+        item: interface.StoredObject,
+        record: records.Record | None,
+    ) -> Step | None:
+        """Judges a record; returns None if the key was released.
+
+        A claim that its daemon did not end is fenced and read back before its
+        outcome is told: else a late release lets the key run after a caller
+        was told for good that it does not.
+        """
+        wall = self.wall()
+        outcome = records.judge(record, attempt.request, wall)
+        if records.needs_fence(record, outcome):
+            fenced = records.to_value(records.fence(record))
+            return await self.store.update(item, fenced)
         self.known.remember(attempt.name, record, wall)
         return outcome
 
@@ -151,6 +208,13 @@
         )
 
 
+def _is_own(attempt: Attempt, record: records.Record) -> bool:
+    return (
+        record.nonce == attempt.record.nonce
+        and record.state == records.State.CLAIMED
+    )
+
+
 def _grant(attempt: Attempt, item: interface.StoredObject) -> types.Granted:
     attempt.item = item
     return types.Granted(attempt.record.nonce)
--- a/banyantiller/claims/known.py
+++ b/banyantiller/claims/known.py
@@ -7,6 +7,7 @@
 
 MOST_ENTRIES = 10_000
 MOST_BYTES = 2_000_000
+FINAL = (records.State.DONE, records.State.UNKNOWN, records.State.FENCED)
 
 
 class Entry(NamedTuple):
@@ -17,19 +18,24 @@
         outcome: What a repeated caller gets.
         expires_at: Wall-clock seconds until which it holds.
         size: Bytes that the entry is counted with.
+        service: Service of the request.
+        host: Host of the request.
     """
 
     fingerprint: str
     outcome: types.Finished | types.Denied
     expires_at: float
     size: int
+    service: str = ""
+    host: str = ""
 
 
 class KnownKeys:
     """A bounded cache of final outcomes, least recently used first.
 
-    An entry is final: a finished key never becomes claimable within its
-    retention, so no entry has to be checked again.
+    An entry is final: a finished or fenced key never becomes claimable within
+    its retention, so no entry has to be checked again. Only "outcome unknown"
+    can give way to an answer that another daemon learns late.
 
     Attributes:
         entries: Outcomes by object name.
@@ -52,11 +58,16 @@
         fingerprint: str,
         outcome: types.Finished | types.Denied,
         expires_at: float,
+        service: str = "",
+        host: str = "",
     ) -> None:
         """Remembers the final outcome of a key."""
         self.forget(name)
-        size = len(name) + len(fingerprint) + _body_size(outcome)
-        self.entries[name] = Entry(fingerprint, outcome, expires_at, size)
+        text = len(name) + len(fingerprint) + len(service) + len(host)
+        size = text + _body_size(outcome)
+        self.entries[name] = Entry(
+            fingerprint, outcome, expires_at, size, service, host
+        )
         self.size += size
         while len(self.entries) > self.most_entries:
             self.forget(next(iter(self.entries)))
@@ -67,11 +78,16 @@
         self, name: str, record: records.Record | None, wall: float
     ) -> None:
         """Remembers a record if its outcome can't change any more."""
-        final = (records.State.DONE, records.State.UNKNOWN)
-        if record is None or record.state not in final:
+        if record is None or record.state not in FINAL:
             return
-        outcome = records.judge(record, record.fingerprint, wall)
-        self.put(name, record.fingerprint, outcome, record.expires_at)
+        self.put(
+            name,
+            record.fingerprint,
+            records.judge_same(record, wall),
+            record.expires_at,
+            record.service,
+            record.host,
+        )
 
     def get(self, name: str, wall: float) -> Entry | None:
         """Returns the entry of a key if it still holds."""
