--- a/banyantiller/claims/arbiter.py
+++ b/banyantiller/claims/arbiter.py
@@ -191,7 +191,9 @@
     async def _arbitrate(self, attempt: attempts.Attempt) -> types.ClaimOutcome:
         """Claims the key, and reads meanwhile what earlier versions kept."""
         async with asyncio.TaskGroup() as group:
-            earlier = group.create_task(self.arbitration.judge_earlier(attempt))
+            earlier = group.create_task(
+                self.arbitration.read_earlier_record(attempt)
+            )
             outcome = await self.arbitration.run(attempt)
         return earlier.result() or outcome
 
--- a/banyantiller/claims/attempts.py
+++ b/banyantiller/claims/attempts.py
@@ -81,7 +81,7 @@
                 pause *= 2
         return unavailable("The claim could not be settled.")
 
-    async def judge_earlier(
+    async def read_earlier_record(
         self, attempt: Attempt
     ) -> types.ClaimOutcome | None:
         """Reads the record that an earlier version kept of the key.
@@ -102,7 +102,7 @@
             answer: Step | None = got
             if isinstance(got, interface.Found):
                 record = records.from_object(got.item)
-                answer = await self._judge_record(attempt, got.item, record)
+                answer = await self._fence_or_judge(attempt, got.item, record)
             may_go_on = answer is None or self._note_answer(answer)
             if answer is None or isinstance(answer, types.ClaimOutcome):
                 return answer
@@ -140,12 +140,12 @@
             return _grant(attempt, item)
         elif self._is_unsent(record):
             return await self._take_over(attempt, item, record)
-        answer = await self._judge_record(attempt, item, record)
+        answer = await self._fence_or_judge(attempt, item, record)
         if answer is None:
             return await self._take_over(attempt, item, record)
         return answer
 
-    async def _judge_record(
+    async def _fence_or_judge(
         self,
         attempt: Attempt,
         item: interface.StoredObject,
--- a/banyantiller/claims/known.py
+++ b/banyantiller/claims/known.py
@@ -7,7 +7,11 @@
 
 MOST_ENTRIES = 10_000
 MOST_BYTES = 2_000_000
-FINAL = (records.State.DONE, records.State.UNKNOWN, records.State.FENCED)
+NEVER_CLAIMABLE = (
+    records.State.DONE,
+    records.State.UNKNOWN,
+    records.State.FENCED,
+)
 
 
 class Entry(NamedTuple):
@@ -33,9 +37,9 @@
 class KnownKeys:
     """A bounded cache of final outcomes, least recently used first.
 
-    An entry is final: a finished or fenced key never becomes claimable within
-    its retention, so no entry has to be checked again. Only "outcome unknown"
-    can give way to an answer that another daemon learns late.
+    The key of an entry never becomes claimable within its retention, so no
+    entry has to be checked again. "Outcome unknown" may still become an answer
+    elsewhere, if one comes late; this cache then keeps what it has.
 
     Attributes:
         entries: Outcomes by object name.
@@ -78,7 +82,7 @@
         self, name: str, record: records.Record | None, wall: float
     ) -> None:
         """Remembers a record if its outcome can't change any more."""
-        if record is None or record.state not in FINAL:
+        if record is None or record.state not in NEVER_CLAIMABLE:
             return
         self.put(
             name,
--- a/banyantiller/claims/records.py
+++ b/banyantiller/claims/records.py
@@ -45,7 +45,7 @@
 
 
 # States in which a claim's daemon may still send the request.
-UNENDED = (State.CLAIMED, State.FENCED)
+MAY_STILL_SEND = (State.CLAIMED, State.FENCED)
 
 
 class KeptAnswer(NamedTuple):
@@ -177,8 +177,8 @@
 ) -> bool:
     """Tells whether a request is the one that a key stands for.
 
-    A service may have several hosts, and a bundle may give a path to another
-    service; requests that differ in both are different ones.
+    It has the same digest, and the same service or the same host: a service may
+    have several hosts, and a bundle may give a path to another service.
 
     Args:
         request: The present request.
--- a/banyantiller/claims/settling.py
+++ b/banyantiller/claims/settling.py
@@ -172,7 +172,7 @@
     if record is None:
         return True
     if record.nonce == end.record.nonce:
-        return record.state not in records.UNENDED
+        return record.state not in records.MAY_STILL_SEND
     both_released = (
         record.state == records.State.RELEASED
         and end.record.state == records.State.RELEASED
--- a/banyantiller/claims/sweeping.py
+++ b/banyantiller/claims/sweeping.py
@@ -119,7 +119,7 @@
 
 def _may_delete(item: interface.StoredObject) -> bool:
     record = records.from_object(item)
-    return record is not None and record.state not in records.UNENDED
+    return record is not None and record.state not in records.MAY_STILL_SEND
 
 
 def _swept(marker: interface.StoredObject) -> int:
--- a/banyantiller/explain/story.py
+++ b/banyantiller/explain/story.py
@@ -41,8 +41,9 @@
     "backend_malformed": "what the server sent was not this request's answer",
     "no_bundle": "the daemon had just started and knew no routes yet",
     "unknown_service": "no route of the version in force has its host and path",
-    "fenced": "no route of a version that may be out of date has its host and"
-    " path: the store was not heard for too long",
+    "fenced": "the document in force does not allow it (route or size), and a"
+    " newer one may: the store is lost or silent, or the newest document can't"
+    " be read",
     "caller_gone": "the caller left before the answer",
     "internal": "a fault of the daemon's own",
 }
--- a/banyantiller/gateway/asking.py
+++ b/banyantiller/gateway/asking.py
@@ -86,9 +86,9 @@
         pools: Returns the pool of a server.
         moved: Called when another instance has a server's address.
         zone: Availability zone of this daemon.
-        mute: Services of which no server told its load so far, and one told
-            none.
-        telling: Services of which a server told its load.
+        services_without_load: Services of which a server answered without a
+            load, and none has answered with one yet.
+        services_with_load: Services of which a server told its load.
         asked: Questions so far.
         tasks: Questions whose answers are not in.
     """
@@ -105,8 +105,8 @@
         self.pools = pools
         self.moved = moved
         self.zone = zone
-        self.mute: set[str] = set()
-        self.telling: set[str] = set()
+        self.services_without_load: set[str] = set()
+        self.services_with_load: set[str] = set()
         self.asked = 0
         self.tasks: set[asyncio.Task[None]] = set()
         self.loop = asyncio.get_running_loop()
@@ -122,14 +122,14 @@
         Connections of the candidates belong to the caller, which hands them
         back with `give_back`.
         """
-        mute = [entry for entry in entries if self._is_mute(entry)]
-        if entries and len(mute) == len(entries):
-            return self._unasked(mute)
+        unasked = [one for one in entries if self._is_without_load(one)]
+        if entries and len(unasked) == len(entries):
+            return self._unasked(unasked)
         asked = Round()
         tasks = [
             self.loop.create_task(self._ask_one(entry, health_path, asked))
             for entry in entries
-            if entry not in mute
+            if entry not in unasked
         ]
         self.tasks.update(tasks)
         for task in tasks:
@@ -139,7 +139,7 @@
         except BaseException:
             self.give_back(asked.close())
             raise
-        found = asked.close() + self._unasked(mute)
+        found = asked.close() + self._unasked(unasked)
         for candidate in found:
             candidate.among = len(found)
         found.sort(key=lambda candidate: candidate.score)
@@ -153,27 +153,32 @@
                 self.pools(server).keep(candidate.link)
                 candidate.link = None
 
-    def heard(self, entry: servers.Entry, headers: messages.Headers) -> None:
+    def note_answer_load(
+        self, entry: servers.Entry, headers: messages.Headers
+    ) -> None:
         """Notes a load that came with the answer to a request.
 
-        Servers that tell none are not asked, so that nothing else would show
-        that they do since: one answer without it is no proof, and a service may
+        Servers without a load are not asked for it, so that nothing else would
+        show that they tell it again: one answer may lack it, and a service may
         be upgraded.
         """
-        if not self._is_mute(entry):
+        if not self._is_without_load(entry):
             return
         told = messages.find_header(headers, self.wire.load.decode())
         if told and self.read_load(told.encode("latin-1")) is not None:
             self._note_load(entry)
 
-    def _is_mute(self, entry: servers.Entry) -> bool:
-        return entry.quiet or entry.server.service in self.mute
+    def _is_without_load(self, entry: servers.Entry) -> bool:
+        return (
+            entry.without_load
+            or entry.server.service in self.services_without_load
+        )
 
     def _note_load(self, entry: servers.Entry) -> None:
         """Notes that a server told its load."""
-        entry.quiet = False
-        self.telling.add(entry.server.service)
-        self.mute.discard(entry.server.service)
+        entry.without_load = False
+        self.services_with_load.add(entry.server.service)
+        self.services_without_load.discard(entry.server.service)
 
     def _note_no_load(self, entry: servers.Entry) -> None:
         """Notes that a server told no load.
@@ -182,10 +187,10 @@
         question to a server that tells none waits for a slot.
         """
         service = entry.server.service
-        if service in self.telling:
-            entry.quiet = True
-        elif service not in self.mute:
-            self.mute.add(service)
+        if service in self.services_with_load:
+            entry.without_load = True
+        elif service not in self.services_without_load:
+            self.services_without_load.add(service)
             events.emit(events.ServiceMute(service))
 
     def _unasked(self, entries: list[servers.Entry]) -> list[Candidate]:
--- a/banyantiller/gateway/attempts.py
+++ b/banyantiller/gateway/attempts.py
@@ -55,7 +55,7 @@
             self._log(outcome.kind.value, outcome.reason)
         else:
             entry.belief.result(outcome.status < 500, now)
-            self.gateway.asker.heard(entry, outcome.headers)
+            self.gateway.asker.note_answer_load(entry, outcome.headers)
             if outcome.status < 500:
                 took_s = now - self.began
                 self.gateway.durations.learn(self.call.route.name, took_s)
--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -96,12 +96,13 @@
         self.route: types.Route | None = None
         self.urgent = False
 
-    def bind(self) -> None:
-        """Takes everything that it needs of documents from the one in force.
+    def look_up_route(self) -> None:
+        """Takes routes, its route and its timeout from the document in force.
 
-        A route that was found when the request was read, up to the objective
-        of another request before it runs, was missing or out of date: 16
-        requests of one restart were told 404 for routes in force.
+        Called again until the call runs: one that waits behind another on its
+        connection is served by the document in force when its turn comes. If
+        it is looked up only when the request is read, callers of daemons that
+        start get 404 for routes in force: 26 at a restart of 144 daemons.
         """
         request = self.request
         self.table = self.gateway.known.routes
@@ -139,9 +140,9 @@
         if not self.gateway.known.complete.is_set():
             await self.gateway.known.first_read()
         if self.route is None:
-            self.bind()
+            self.look_up_route()
         if self.route is None:
-            failure = self.gateway.known.refuse(ErrorKind.UNKNOWN_SERVICE)
+            failure = self.gateway.known.refusal_of(ErrorKind.UNKNOWN_SERVICE)
             return self._fail(failure.kind, failure.retry_after)
         self.service = self.table.choose_service(self.route)
         self.gateway.budget_of(self.service).request(self.loop.time())
--- a/banyantiller/gateway/caller.py
+++ b/banyantiller/gateway/caller.py
@@ -28,8 +28,8 @@
 # How long a caller may go on sending after its request was rejected: closing
 # with bytes unread would reset the connection before it reads the answer.
 LINGER_S = 1.0
-# h11 fixes its bound when a codec is made, and limits change meanwhile: each
-# part that comes is checked here in its place.
+# In bytes. h11's own limit is fixed when a codec is made, but the limit in
+# force may change while a connection is open: this module checks instead.
 NO_CODEC_BOUND_BYTES = sys.maxsize
 NOT_IMPLEMENTED_HINT = 501
 
@@ -140,8 +140,8 @@
         if not self.slots and not self.begun:
             self._close()
 
-    def start_waiting(self) -> None:
-        """Runs the calls that need not wait by the document in force now."""
+    def run_waiting_calls(self) -> None:
+        """Runs the calls that need not wait under the document in force."""
         for slot in tuple(self.slots):
             self._start(slot)
 
@@ -183,19 +183,20 @@
             return False
         else:
             if event is h11.NEED_DATA:
-                self._bound_head()
+                self._check_incomplete_size()
             return False
         return True
 
-    def _bound_head(self) -> None:
+    def _check_incomplete_size(self) -> None:
         """Rejects a head that is too large before its end came.
 
-        The same holds for the line before a chunk of a body.
+        Also covers the incomplete head of a chunk, which h11 keeps in the same
+        place.
         """
         known = self.gateway.known
         incomplete = self.codec.trailing_data[0]
         if len(incomplete) > known.limits.head_bytes:
-            self._reject(known.refuse(ErrorKind.HEAD_TOO_LARGE))
+            self._reject(known.refusal_of(ErrorKind.HEAD_TOO_LARGE))
 
     def _head(self, event: h11.Request) -> None:
         slot = Slot(self.codec)
@@ -215,7 +216,7 @@
         self.gateway.body_bytes += len(data)
         known = self.gateway.known
         if slot.size > known.limits.body_bytes:
-            self._reject(known.refuse(ErrorKind.BODY_TOO_LARGE))
+            self._reject(known.refusal_of(ErrorKind.BODY_TOO_LARGE))
         elif self.gateway.body_bytes > MOST_BODY_BYTES:
             self._reject(Failure(ErrorKind.QUEUE_FULL, retry_after=FULL_S))
         else:
@@ -252,7 +253,7 @@
         """
         if slot.task is not None or slot.call is None:
             return
-        slot.call.bind()
+        slot.call.look_up_route()
         if slot is self.slots[0] or slot.call.idempotent:
             slot.task = self.loop.create_task(self._run(slot))
 
--- a/banyantiller/gateway/decisions/refusing.py
+++ b/banyantiller/gateway/decisions/refusing.py
@@ -21,7 +21,8 @@
 TURNED_AWAY_RETRY_AFTER_S = 0.03
 # Each is told another time, by up to this share earlier or later.
 RETRY_SPREAD = 0.3
-# When a daemon that knows no routes yet may be asked again.
+# When a daemon that knows no document yet, or perhaps not the newest, may be
+# asked again.
 START_RETRY_AFTER_S = 0.5
 
 
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -75,7 +75,7 @@
         self.known = knowledge.Knowledge(
             settings, adapter, self.tallies, rng, self._close_pool
         )
-        self.known.on_first_document = self._start_waiting
+        self.known.on_first_document = self._run_waiting_calls
         self.draining = False
         self.default_timeout_s = DEFAULT_TIMEOUT_S
         self.answer_bytes = ANSWER_BYTES
@@ -186,13 +186,13 @@
     def pool_of(self, server: types.Server) -> pool.Pool:
         """Returns the connections to a server.
 
-        Of one that was taken out or registered anew while it was being used
-        none is kept: they are found by its name, which the later start shares.
+        For a server that has left or started again, returns a closed pool that
+        keeps nothing: pools are found by instance, which a later start shares.
         """
         if not self.known.table.holds(server):
-            passing = pool.Pool(server, LEAST_CONNECTIONS, self.tallies.opened)
-            passing.close()
-            return passing
+            closed = pool.Pool(server, LEAST_CONNECTIONS, self.tallies.opened)
+            closed.close()
+            return closed
         found = self.pools.get(server.instance)
         if found is None:
             found = pool.Pool(server, LEAST_CONNECTIONS, self.tallies.opened)
@@ -263,13 +263,13 @@
         duration_s: float,
     ) -> None:
         progress = call.progress
-        known_s = self.known.document_age_s()
+        document_age_s = self.known.document_age_s()
         ended = events.CallEnded(
             id=call.request.request_id,
             route=route,
             service=call.service,
             version=call.version,
-            known_ms=_rounded_ms(known_s),
+            known_ms=_rounded_ms(document_age_s),
             status=status,
             error=error,
             reason=progress.reason,
@@ -289,14 +289,14 @@
 
     # Within.
 
-    def _start_waiting(self) -> None:
+    def _run_waiting_calls(self) -> None:
         """Runs reads that were sent ahead of their answers at a start.
 
         Before the first document no request is known to be idempotent, so that
         each waits for those before it on its connection.
         """
         for connection in tuple(self.connections):
-            connection.start_waiting()
+            connection.run_waiting_calls()
 
     def _connected(self, entries: list[servers.Entry]) -> selection.Connected:
         """Returns to which servers there are connections."""
--- a/banyantiller/gateway/knowledge.py
+++ b/banyantiller/gateway/knowledge.py
@@ -25,10 +25,10 @@
 # of servers: both are read within 0.02 s if anybody answers, and ten times as
 # long is within the objective of a short request.
 FIRST_READ_S = 0.2
-# Age up to which a document counts as the newest: the longest time between two
-# answers for a daemon that reaches the store. Three others are asked in vain
-# for 0.9 s each, and a call to the store waits for up to 3 s and is answered
-# within 0.8 s.
+# Age up to which a document counts as the newest, in seconds: 3 x 0.9 s for
+# other daemons that are asked in vain, 3 s for a call to the store that waits
+# for a change, and 0.8 s for its answer. With less, callers of routes that do
+# not exist are told to come back although the store answers.
 CURRENT_S = 6.5
 
 
@@ -106,7 +106,9 @@
         """
         if self.routes is None:
             return math.inf
-        confirmed = self.mirror.freshness.of(self.adapter.document_kind)
+        confirmed = self.mirror.freshness.confirmed_at(
+            self.adapter.document_kind
+        )
         return self.loop.time() - confirmed
 
     def is_current(self) -> bool:
@@ -115,15 +117,14 @@
             return False
         return self.document_age_s() <= CURRENT_S
 
-    def refuse(self, kind: ErrorKind) -> Failure:
-        """Returns a refusal that callers take for final, if that is sure.
+    def refusal_of(self, kind: ErrorKind) -> Failure:
+        """Returns the refusal of a request that the document does not allow.
 
-        A newer document may allow what the known one does not: 404 was told
-        for routes in force, and 413 after limits were raised, for as long as
-        the store was silent. Without a document nothing is sure.
+        Callers take 404, 413 and 431 for final. If a newer document may allow
+        the request, they are told that it was not run and when to come back.
 
         Args:
-            kind: Why the document does not allow the request.
+            kind: Why the document does not allow it.
         """
         if self.is_current():
             return Failure(kind)
@@ -178,8 +179,8 @@
     def moved(self, server: types.Server) -> None:
         """Takes out a server whose address another instance has.
 
-        One that registered anew since it was asked stays: its registration
-        would not be told again before it changes.
+        One that registered anew since it was asked stays: the store tells a
+        registration only when it changes, so it would stay out.
         """
         if self.table.holds(server):
             self.table.remove(server.instance, "address_reused")
--- a/banyantiller/gateway/mirror.py
+++ b/banyantiller/gateway/mirror.py
@@ -194,16 +194,17 @@
 
 
 class Freshness:
-    """When the store said what is known, by kind.
+    """When the store last answered about each kind.
 
-    An answer about the sentinel counts for each kind, since the calls for
-    others wait much longer. An answer about another kind counts for that kind
-    only: a daemon that heard of servers and not of documents hid a change from
-    all that asked it for as long as that lasted.
+    Calls for documents, the sentinel, end every few seconds, and calls for
+    other kinds much later, so that an answer about documents confirms the
+    others as well. The reverse does not hold: a daemon that hears only of
+    servers may hold an outdated document, and whoever takes its word would see
+    no change of documents for as long as that lasts.
 
     Attributes:
         sentinel: Kind whose calls show whether the store answers.
-        times: Loop times by kind.
+        times: Loop time of the last answer by kind.
     """
 
     def __init__(self, sentinel: str) -> None:
@@ -214,7 +215,7 @@
         """Notes that the store said at a loop time what is known of a kind."""
         self.times[kind] = max(self.times.get(kind, at), at)
 
-    def of(self, kind: str) -> float:
+    def confirmed_at(self, kind: str) -> float:
         """Returns the loop time of what is known of a kind; 0 if nothing is."""
         return max(
             self.times.get(kind, 0.0), self.times.get(self.sentinel, 0.0)
@@ -326,7 +327,7 @@
 
     def _age_s(self, kind: str) -> float:
         """Returns how long ago the store said what is known, in seconds."""
-        return self.loop.time() - self.freshness.of(kind)
+        return self.loop.time() - self.freshness.confirmed_at(kind)
 
 
 def _age_ms(age_s: float) -> int:
--- a/banyantiller/gateway/servers.py
+++ b/banyantiller/gateway/servers.py
@@ -41,7 +41,7 @@
         in_flight: Requests of this daemon at the server.
         sends: Requests of this daemon so far.
         failed: Of these, those without an answer that can be used.
-        quiet: Whether it told no load where others of its service do.
+        without_load: Whether it told no load where others of its service do.
         lapses_at: Loop time at which a registration that vanished with the
             store's outage counts as gone, or None.
     """
@@ -53,7 +53,7 @@
         self.in_flight = 0
         self.sends = 0
         self.failed = 0
-        self.quiet = False
+        self.without_load = False
         self.lapses_at: float | None = None
 
     def usable(self, now: float) -> bool:
@@ -66,10 +66,10 @@
 class ServerTable:
     """Entries by instance and by service.
 
-    A server may start again under its identity; one that has another address
-    did, even if it does not say when. Nothing that was seen of an
-    earlier start counts for a later one, and a late or stale read of an earlier
-    start changes nothing.
+    A server may start again under its identity; one that registers at another
+    address did, also if its registration has no start time. Nothing that was
+    seen of an earlier start counts for a later one, and a late or stale read of
+    an earlier start changes nothing.
 
     Attributes:
         entries: Entries by instance.
--- a/banyantiller/proxy/call.py
+++ b/banyantiller/proxy/call.py
@@ -27,7 +27,8 @@
         service: Options that were in force when the call came, or None.
         path: Path of the request target.
         target: Target as sent to backend servers.
-        host: Host as the caller sent it.
+        host: Host as the caller sent it; claims have it without a port and in
+            lower case.
         deadline: Loop time at which the caller stops waiting.
         idempotent: Whether the bundle states it may run twice.
         tries: Ended tries that wrote at least one byte.
--- a/banyantiller/tests/claims/test_arbiter.py
+++ b/banyantiller/tests/claims/test_arbiter.py
@@ -304,8 +304,8 @@
         The daemon denies the claim and can't release the key yet. Another
         daemon finds the key claimed by a call that is over, and says
         `key_outcome_unknown`, for good: the caller is to look whether the
-        request was run, and the same key will not run again. It does run
-        once the release is written: the outcome was `Granted`.
+        request was run, and the same key will not run again. Without a fence
+        it ran once the release was written: the outcome was `Granted`.
         """
 
         async def unavailable(*_: str) -> interface.GetOutcome:
--- a/banyantiller/tests/gateway/test_unknown_routes.py
+++ b/banyantiller/tests/gateway/test_unknown_routes.py
@@ -22,8 +22,7 @@
     before the first document was known. Only the first request of a connection
     then waits for the document and looks again. Those behind it wait for their
     turn, and by then the document is known, so they kept what had been found
-    without one. Lines of such a start; all 26 that were told 404 so have the
-    version of no document, and none of the 1,831 that were told it rightly:
+    without one. Lines of such a start; the version of no document is 0:
 
         32.4070 gateway: document in force. version=19 before=0
         32.5955 gateway: call ended. version=19 status=200 took_ms=281.2
@@ -57,7 +56,7 @@
         self.assertEqual([200] * 3, self.statuses(*sent))
 
     def test_request_read_in_the_turn_of_the_first_document_is_served(self):
-        """Nothing is before it, and yet it runs after the document came."""
+        """None is ahead of it, but it runs after the document came."""
 
         async def body(place):
             store = place.gateway.adapter.store
@@ -167,7 +166,7 @@
         async def body(place):
             # The longest time between two answers of a store where nothing
             # changes lies within these.
-            return await statuses(place, "/new/x", 7)
+            return await poll_statuses(place, "/new/x", 7)
 
         self.assertEqual({404}, self.play(body))
 
@@ -182,7 +181,7 @@
         self.assertEqual(404, self.play(body))
 
     def test_missing_route_is_no_final_answer_once_the_store_is_lost(self):
-        """The daemon knows that the store is lost, and that for 3.5 s.
+        """The store has been lost for up to 3.5 s, and the daemon knows it.
 
         A document with the route was accepted meanwhile. Seen: 404 at each
         question from the loss on until the document was 4 s old.
@@ -194,7 +193,7 @@
             await asyncio.sleep(3.1)
             self.assertIsNotNone(place.gateway.known.health.lost_at)
             place.put_document([READ, NEW])
-            return await statuses(place, "/new/x", 4)
+            return await poll_statuses(place, "/new/x", 4)
 
         self.assertEqual({503}, self.play(body))
 
@@ -208,7 +207,7 @@
         async def body(place):
             place.store.put("config", "main", {"version": 99, "routes": [NEW]})
             await asyncio.sleep(1)
-            return await statuses(place, "/new/x", 4)
+            return await poll_statuses(place, "/new/x", 4)
 
         self.assertEqual({503}, self.play(body))
 
@@ -255,18 +254,18 @@
             store = tellers[0].known.reader.store
             changes = store.changes
 
-            async def deaf(kind, version, wait_s):
+            async def no_documents(kind, version, wait_s):
                 if kind == "config":
                     await asyncio.sleep(0.004)
                     return interface.Unavailable("status 503")
                 return await changes(kind, version, wait_s)
 
-            store.changes = deaf
+            store.changes = no_documents
             await asyncio.sleep(5)
             place.put_document([READ, NEW])
             # In force within 2 s where the store answers.
             await asyncio.sleep(2)
-            return await statuses(place, "/new/x", 10)
+            return await poll_statuses(place, "/new/x", 10)
 
         self.assertEqual({200}, self.play_with_tellers(1, body))
 
@@ -282,7 +281,7 @@
             for teller in tellers:
                 slow_down(teller.known.reader.store)
             await asyncio.sleep(10)
-            return await statuses(place, "/never/x", 40)
+            return await poll_statuses(place, "/never/x", 40)
 
         self.assertEqual({404}, self.play_with_tellers(3, body))
 
@@ -299,7 +298,7 @@
     store.changes = late
 
 
-async def statuses(place, path, seconds):
+async def poll_statuses(place, path, seconds):
     """Returns the statuses of the answers to a request each 0.1 s."""
     found = set()
     for _ in range(10 * seconds):
--- a/banyantiller/tests/known_red.py
+++ b/banyantiller/tests/known_red.py
@@ -13,7 +13,8 @@
     """A test that fails for a fault that is not mended yet.
 
     Attributes:
-        test: Identity of the test, as pytest prints it.
+        test: Identity of the test, as pytest prints it, or `soak seed N`, which
+            is only printed here.
         command: Command that runs it, with its seed if it has one.
         seen: What was seen.
         issue: Issue in which the fault is open.
--- a/banyantiller/tests/soak/test_plan.py
+++ b/banyantiller/tests/soak/test_plan.py
@@ -6,7 +6,7 @@
 from soak import faults, plan, regressions
 
 SIZES = plan.Sizes()
-# Of the steps of seeds 0 to 299 and 1000 to 1099, before losses of power.
+# SHA-256 of the steps of seeds 0 to 299 and 1000 to 1099.
 EARLIER_PLANS = (
     "3dce4d6d1bd70bc4401217a813f598dbc6e5b765d81b29393a2165535b34d64d"
 )
--- a/conftest.py
+++ b/conftest.py
@@ -1,7 +1,8 @@
 """Lets tests that are listed in KNOWN-RED.txt fail, and prints them.
 
 A listed test runs as it is written and must fail: one that passes fails the
-run, so that its entry is taken off the list with the fault.
+run, so that its entry is taken off the list with the fault. Seeds of the soak
+and other runs by hand are only printed.
 """
 
 import pytest
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -39,7 +39,7 @@
         "Daemons that knew each other under different addresses asked in a"
         " circle, and nobody read the store. SIGHUP during a start ended the"
         " process. Both mended, but for SIGHUP before the interpreter runs the"
-        " program, 0.04 s after its start and later on a busy machine: open.",
+        " program: open.",
     ),
     *(
         Regression(
--- a/spec/check.py
+++ b/spec/check.py
@@ -32,7 +32,8 @@
     MIRROR,
     SHARING,
 )
-# The largest protocol, claims, has 484,818 states.
+# States of one search: a protocol that grows by mistake ends as undetermined
+# in place of running on. The largest one, claims, takes four fifths of them.
 MOST_STATES = 600_000
 
 HOLDS = "holds"
