--- a/banyantiller/tests/gateway/world.py
+++ b/banyantiller/tests/gateway/world.py
@@ -17,6 +17,8 @@
 ADDRESS = "127.0.0.1"
 HOST = "desk.example"
 SERVICE = "orders"
+# Longer than any play.
+NEVER_S = 3600.0
 
 
 class Answer(NamedTuple):
@@ -103,6 +105,8 @@
         servers: Stand-ins of servers by instance.
         gateway: The gateway.
         port: Where it listens for callers.
+        silent: Machines of other daemons that are not there yet and answer
+            nothing, by the port at which the daemon will be asked.
     """
 
     def __init__(self, seed=1):
@@ -112,6 +116,7 @@
         self.version = 0
         self.tasks = []
         self.controls = []
+        self.silent = {}
 
     async def __aenter__(self):
         """Starts everything, with a first document and three servers."""
@@ -160,10 +165,24 @@
         self.tasks += [asyncio.ensure_future(body) for body in bodies]
         bound = await self.gateway.start(Endpoint(ADDRESS, 0))
         self.port = bound.port
-        control = server.HttpServer(self.gateway.known.mirror.handle)
+        handle = self.gateway.known.mirror.handle
+        if control_port in self.silent:
+            self.silent.pop(control_port).handler = handle
+            return
+        control = server.HttpServer(handle)
         self.control = await control.start(ADDRESS, control_port)
         self.controls.append(control)
 
+    async def be_silent(self, control_port):
+        """Lets questions to a daemon go unanswered until it starts.
+
+        As with a machine without power, those from before stay unanswered.
+        """
+        machine = server.HttpServer(_answer_nothing)
+        await machine.start(ADDRESS, control_port)
+        self.silent[control_port] = machine
+        self.controls.append(machine)
+
     def put_document(self, routes=None, services=(SERVICE, "other"), **limits):
         """Puts a new version in force."""
         self.version += 2
@@ -251,6 +270,10 @@
         return self.run_paused(whole())
 
 
+async def _answer_nothing(request):
+    await asyncio.sleep(NEVER_S)
+
+
 def route(name, kind, prefix, service=SERVICE, **more):
     """Returns a route as the store holds it."""
     return {
