Repeat calls to the store in one place of the claims

Cause: reading the record of an earlier build repeated the loop with its pauses, breaker and number of calls that settles a claim.

Ruled out: one call for both reads, since they go on in parallel.

Change: `_call_until_certain` has the loop; both give it their next call. A released record of an earlier build now counts as an answer of the store for the breaker, which it did not.

--- a/banyantiller/claims/attempts.py
+++ b/banyantiller/claims/attempts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable, Container
+from collections.abc import Awaitable, Callable, Container
 
 import structlog
 
@@ -67,19 +67,10 @@
 
     async def run(self, attempt: Attempt) -> types.ClaimOutcome:
         """Writes and reads until the key's owner is certain."""
-        pause = FIRST_PAUSE_S
-        answer: Step = interface.Missing()
-        for _ in range(MOST_CALLS):
-            answer = await self._next_call(attempt, answer)
-            may_go_on = self._note_answer(answer)
-            if isinstance(answer, types.ClaimOutcome):
-                return answer
-            if not may_go_on:
-                break
-            if isinstance(answer, interface.Unavailable):
-                await asyncio.sleep(pause)
-                pause *= 2
-        return unavailable("The claim could not be settled.")
+        return await self._call_until_certain(
+            lambda last: self._next_call(attempt, last),
+            "The claim could not be settled.",
+        )
 
     async def read_earlier_record(
         self, attempt: Attempt
@@ -92,18 +83,28 @@
         Returns:
             What the caller gets, or None if the key is free.
         """
-        name = records.earlier_name(self.deployment, attempt.request)
+        return await self._call_until_certain(
+            lambda _: self._judge_earlier(attempt),
+            "The key's earlier record could not be read.",
+        )
+
+    async def _call_until_certain(
+        self,
+        call: Callable[[Step], Awaitable[Step | None]],
+        failure: str,
+    ) -> types.ClaimOutcome | None:
+        """Calls the store until what the caller gets is certain.
+
+        Args:
+            call: Makes the next call after the last answer; returns None if
+                the key is free.
+            failure: What is told if it does not get certain.
+        """
         pause = FIRST_PAUSE_S
+        answer: Step = interface.Missing()
         for _ in range(MOST_CALLS):
-            got = await self.store.get(records.KIND, name)
-            if isinstance(got, interface.Missing):
-                self.breaker.answered()
-                return None
-            answer: Step | None = got
-            if isinstance(got, interface.Found):
-                record = records.from_object(got.item)
-                answer = await self._fence_or_judge(attempt, got.item, record)
-            may_go_on = answer is None or self._note_answer(answer)
+            answer = await call(answer)
+            may_go_on = self._note_answer(answer)
             if answer is None or isinstance(answer, types.ClaimOutcome):
                 return answer
             if not may_go_on:
@@ -111,9 +112,19 @@
             if isinstance(answer, interface.Unavailable):
                 await asyncio.sleep(pause)
                 pause *= 2
-        return unavailable("The key's earlier record could not be read.")
+        return unavailable(failure)
+
+    async def _judge_earlier(self, attempt: Attempt) -> Step | None:
+        name = records.earlier_name(self.deployment, attempt.request)
+        got = await self.store.get(records.KIND, name)
+        if isinstance(got, interface.Missing):
+            return None
+        if isinstance(got, interface.Found):
+            record = records.from_object(got.item)
+            return await self._fence_or_judge(attempt, got.item, record)
+        return got
 
-    def _note_answer(self, answer: Step) -> bool:
+    def _note_answer(self, answer: Step | None) -> bool:
         """Notes whether a call was answered; tells whether to call again."""
         if not isinstance(answer, interface.Unavailable):
             self.breaker.answered()
