Show drivers that are never closed after a bundle could not be applied

Cause: drivers of new services are made before the routes change; if a later one can't be made, the earlier ones belong to no bundle and nobody closes them.

--- a/banyantiller/tests/proxy/test_changes.py
+++ b/banyantiller/tests/proxy/test_changes.py
@@ -3,10 +3,12 @@
 import asyncio
 from collections.abc import Callable
 from typing import Any
+from unittest import mock
 
 from banyantiller.bundle import options
 from banyantiller.errors import ErrorKind
 from banyantiller.kernel import events
+from banyantiller.proxy import driver
 from banyantiller.routing import types
 from banyantiller.tests import base
 from banyantiller.tests.proxy import fakes
@@ -90,6 +92,44 @@
 
         self.run_paused(body())
 
+    def test_drivers_of_a_bundle_that_cannot_be_applied_are_closed(
+        self,
+    ) -> None:
+        """The routing of the last service of a bundle can't be made.
+
+        The drivers of the services before it were made already and belong to
+        no bundle. They were never closed: one more with its timer for each
+        such bundle, until the process ends.
+        """
+
+        async def body() -> None:
+            closed = []
+
+            def create(
+                service: options.Service, *others: Any
+            ) -> types.Dispatcher:
+                if service.name == "broken":
+                    raise ValueError("a fault of the routing")
+                return fakes.RoundRobin.create(service, *others)
+
+            bench = await fakes.Bench.start(fakes.answering(), create=create)
+            orders = fakes.make_service([9001])
+            fresh = orders._replace(name="fresh", path="/fresh")
+            broken = orders._replace(name="broken", path="/broken")
+            bundle = options.Bundle((orders, fresh, broken))
+            with mock.patch.object(
+                driver.ServiceDriver,
+                "close",
+                lambda found: closed.append(found.service.name),
+            ):
+                self.assertRaises(
+                    ValueError, bench.proxy.apply, bundle, 2, 1000.0
+                )
+            self.assertEqual(["fresh"], closed)
+            await bench.proxy.close()
+
+        self.run_paused(body())
+
     def test_shares_follow_their_stages(self) -> None:
         async def body() -> None:
             bench = await fakes.Bench.start(fakes.answering())
