Close the drivers that were made for a bundle that could not be applied

Cause: see the test before: drivers of new services are made before the routes change, and nobody closed them where a later one failed.

Ruled out: making them after the change, which left half of the routes.

Change: what was made for the bundle is closed before the error goes on.

--- a/banyantiller/proxy/services.py
+++ b/banyantiller/proxy/services.py
@@ -82,16 +82,30 @@
     def _drivers_of(
         self, bundle: options.Bundle, elapsed_s: float
     ) -> dict[str, driver.ServiceDriver]:
-        """Returns the drivers of a bundle, those that stay unchanged."""
-        drivers: dict[str, driver.ServiceDriver] = {}
-        for service in bundle.services:
-            found = self.drivers.get(service.name)
-            if found is None:
-                staged = stages.at(service, elapsed_s)
-                found = self.make(staged.service)
-                found.members(self.alive)
-            drivers[service.name] = found
-        return drivers
+        """Returns a driver for each service of a bundle.
+
+        One that exists is not configured yet; others are new.
+        """
+        drivers = dict(self.drivers)
+        made: list[driver.ServiceDriver] = []
+        try:
+            for service in bundle.services:
+                if service.name not in drivers:
+                    made.append(self._new_driver(service, elapsed_s))
+                    drivers[service.name] = made[-1]
+        except BaseException:
+            # Their timers would run on, one more for each such bundle.
+            for one in made:
+                one.close()
+            raise
+        return {one.name: drivers[one.name] for one in bundle.services}
+
+    def _new_driver(
+        self, service: options.Service, elapsed_s: float
+    ) -> driver.ServiceDriver:
+        made = self.make(stages.at(service, elapsed_s).service)
+        made.members(self.alive)
+        return made
 
     def _next_stage(self) -> None:
         elapsed_s = self.wall() - self.accepted_at
