Show in the log which requests are the same

Cause: a request that a caller sends again has another identity each time, so that the lines of the servers that ended under it could not be joined: nothing tells whether it was one request or many.

Ruled out: Python's own hash, which differs between processes, and a log of paths, which would put what callers ask for into the logs.

Change: a keyed digest of method, host, target, caller and body, taken as the body is read in, stands in the lines of a failed try and of an ended call. No decision reads it. OpenSSL's digests are kept out, which hashlib would load.

--- a/banyantiller/gateway/attempts.py
+++ b/banyantiller/gateway/attempts.py
@@ -128,5 +128,6 @@
                 reason=reason,
                 load=load and list(load),
                 failures=round(self.entry.belief.failure_rate, 2),
+                fingerprint=self.call.request.fingerprint,
             )
         )
--- a/banyantiller/gateway/caller.py
+++ b/banyantiller/gateway/caller.py
@@ -11,6 +11,7 @@
 from banyantiller.gateway import call as calls
 from banyantiller.gateway import events, replies
 from banyantiller.gateway import requests as reading
+from banyantiller.quarantine import fingerprint
 
 if TYPE_CHECKING:
     from banyantiller.gateway import gateway as gateways
@@ -42,6 +43,7 @@
         request: The head, or None where it could not be read.
         body: Parts of the body so far.
         size: Bytes in `body`.
+        fingerprint: Digest of the request as far as it was read, or None.
         call: The call, once the request is whole.
         task: Runs the call.
         reply: The answer, once there is one.
@@ -52,6 +54,7 @@
         self.request: reading.Request | None = None
         self.body: list[bytes] = []
         self.size = 0
+        self.fingerprint: fingerprint.Fingerprint | None = None
         self.call: calls.Call | None = None
         self.task: asyncio.Task[None] | None = None
         self.reply: replies.Reply | None = None
@@ -64,6 +67,7 @@
     before the answer to the one before it was sent.
 
     Attributes:
+        address: IP number of the caller.
         slots: Requests without a written answer, in their order.
         reading: The slot whose request is being read, or None.
         codec: Reads the next request.
@@ -76,6 +80,7 @@
         self.gateway = gateway
         self.loop = gateway.loop
         self.transport: Any = None
+        self.address = b""
         self.slots: collections.deque[Slot] = collections.deque()
         self.reading: Slot | None = None
         self.codec = self._new_codec()
@@ -92,6 +97,7 @@
     def connection_made(self, transport: Any) -> None:
         """Keeps the transport."""
         self.transport = transport
+        self.address = str(transport.get_extra_info("peername")[0]).encode()
         self.gateway.connections.add(self)
         self._set_timer()
 
@@ -204,6 +210,12 @@
         self.slots.append(slot)
         now = self.loop.time()
         slot.request = reading.read(event, self.gateway.adapter.wire, now)
+        slot.fingerprint = fingerprint.Fingerprint(
+            event.method,
+            slot.request.host.encode("latin-1"),
+            event.target,
+            self.address,
+        )
         self.since = now
         self._set_timer()
         if self.codec.they_are_waiting_for_100_continue:
@@ -221,13 +233,16 @@
             self._reject(Failure(ErrorKind.QUEUE_FULL, retry_after=FULL_S))
         else:
             slot.body.append(bytes(data))
+            slot.fingerprint.add(data)
 
     def _whole(self) -> None:
         """Starts the call of a request that was read whole."""
         slot = self.reading
         self.reading = None
         slot.request = slot.request._replace(
-            body=b"".join(slot.body), received=self.loop.time()
+            body=b"".join(slot.body),
+            received=self.loop.time(),
+            fingerprint=slot.fingerprint.text(),
         )
         slot.body.clear()
         slot.call = calls.Call(self.gateway, slot.request)
--- a/banyantiller/gateway/events.py
+++ b/banyantiller/gateway/events.py
@@ -10,6 +10,11 @@
 log = structlog.get_logger("banyantiller.gateway")
 
 Id = Annotated[str, "Identity of the request, as the caller sent it."]
+Fingerprint = Annotated[
+    str,
+    "Digest of method, host, target, caller and body: the same for a request"
+    " that is sent again.",
+]
 Instance = Annotated[str, "Identity of the server's start."]
 Load = Annotated[
     list[float] | None,
@@ -279,6 +284,7 @@
     reason: Annotated[str, "What happened on the connection."]
     load: Load
     failures: Annotated[float, "Share of failures at this server lately."]
+    fingerprint: Fingerprint
 
 
 @event("gateway: server is suspected.")
@@ -358,3 +364,4 @@
     ]
     objective_ms: Annotated[float | None, "Latency objective, in ms."]
     left_ms: Annotated[float, "Time that was left at the end, in ms."]
+    fingerprint: Fingerprint
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -284,6 +284,7 @@
             usual_ms=round(progress.usual_s * 1000, 1),
             objective_ms=call.route and round(call.route.objective_s * 1000, 1),
             left_ms=round((call.deadline - self.loop.time()) * 1000, 1),
+            fingerprint=call.request.fingerprint,
         )
         events.emit(ended)
 
--- a/banyantiller/gateway/lean.py
+++ b/banyantiller/gateway/lean.py
@@ -1,23 +1,26 @@
 """Keeps the TLS library out of the gateway, which speaks no TLS.
 
 Importing asyncio loads it otherwise: 4.5 MB of the 27 MB that are resident once
-everything is loaded.
+everything is loaded. Importing hashlib loads the greater part of it as well,
+though the interpreter has the digests that are used here itself.
 """
 
 import sys
 
-LIBRARY = "ssl"
+LIBRARIES = ("ssl", "_hashlib")
 
 
 def forgo_tls() -> None:
-    """Makes imports of the library fail, which asyncio copes with.
+    """Makes imports of the library fail, which its users here cope with.
 
     Has to be called before asyncio is imported.
     """
-    sys.modules[LIBRARY] = None  # type: ignore[assignment]
+    for name in LIBRARIES:
+        sys.modules[name] = None  # type: ignore[assignment]
 
 
 def allow_tls() -> None:
     """Lets the library be imported, for other libraries that insist on it."""
-    if sys.modules.get(LIBRARY, sys) is None:
-        del sys.modules[LIBRARY]
+    for name in LIBRARIES:
+        if sys.modules.get(name, sys) is None:
+            del sys.modules[name]
--- a/banyantiller/gateway/requests.py
+++ b/banyantiller/gateway/requests.py
@@ -27,6 +27,7 @@
         request_id: Identity of this sending, or empty.
         remaining_s: Time that the caller waits, in seconds, or None.
         received: Loop time of the end of its head.
+        fingerprint: Digest that tells the same request, sent again.
     """
 
     method: str
@@ -38,6 +39,7 @@
     request_id: str
     remaining_s: float | None
     received: float
+    fingerprint: str = ""
 
     def outgoing(self, wire: types.WireNames) -> exchange.Outgoing:
         """Returns the request as it is sent to servers."""
--- /dev/null
+++ b/banyantiller/quarantine/fingerprint.py
@@ -0,0 +1,44 @@
+"""Tells whether two requests are the same request, sent again."""
+
+import hashlib
+
+# Separates these digests from others of the same bytes. It is no secret: all
+# daemons of a fleet have to find the same digest.
+KEY = b"banyantiller request"
+DIGEST_BYTES = 16
+LENGTH_BYTES = 8
+
+
+class Fingerprint:
+    """A digest of what stays the same when a request is sent again.
+
+    That is method, host, target, caller and body. What a caller renews with
+    each sending, such as an identity or a deadline, is no part of it, and
+    neither is how the body was cut into pieces.
+    """
+
+    __slots__ = ("_digest",)
+
+    def __init__(
+        self, method: bytes, host: bytes, target: bytes, caller: bytes
+    ) -> None:
+        """Begins with what is known before the body.
+
+        Args:
+            method: HTTP method.
+            host: Value of Host.
+            target: Path and query.
+            caller: Who sends it: an address without the port.
+        """
+        self._digest = hashlib.blake2b(key=KEY, digest_size=DIGEST_BYTES)
+        for part in (method, host.lower(), target, caller):
+            self._digest.update(len(part).to_bytes(LENGTH_BYTES, "big"))
+            self._digest.update(part)
+
+    def add(self, part: bytes) -> None:
+        """Adds the next piece of the body."""
+        self._digest.update(part)
+
+    def text(self) -> str:
+        """Returns the digest of what was added so far, in hex."""
+        return self._digest.hexdigest()
--- /dev/null
+++ b/banyantiller/tests/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the gateway."""
--- /dev/null
+++ b/banyantiller/tests/quarantine/test_fingerprint.py
@@ -0,0 +1,36 @@
+"""Tests of what makes two sendings the same request."""
+
+import testtools
+
+from banyantiller.quarantine import fingerprint
+
+
+def of(method=b"POST", host=b"a", target=b"/x", caller=b"10.0.0.1", body=()):
+    found = fingerprint.Fingerprint(method, host, target, caller)
+    for part in body:
+        found.add(part)
+    return found.text()
+
+
+class FingerprintTest(testtools.TestCase):
+    def test_pieces_of_a_body_make_no_difference(self):
+        self.assertEqual(of(body=(b"abc", b"", b"d")), of(body=(b"abcd",)))
+
+    def test_the_case_of_a_host_makes_no_difference(self):
+        self.assertEqual(of(host=b"A.example"), of(host=b"a.EXAMPLE"))
+
+    def test_each_part_makes_a_difference(self):
+        others = [
+            of(method=b"GET"),
+            of(host=b"b"),
+            of(target=b"/x?y=1"),
+            of(caller=b"10.0.0.2"),
+            of(body=(b"b",)),
+            # The same bytes, cut elsewhere.
+            of(host=b"a/", target=b"x"),
+        ]
+        self.assertEqual(len(others) + 1, len({of(), *others}))
+
+    def test_processes_agree(self):
+        """Python's own hash differs between processes; this may not."""
+        self.assertEqual("d2975d0cacfaf6c9c379177a9124704d", of())
