Show a request that ends each server which runs it

Callers saw their requests fail on servers that ended, over and over: a request that ends each server which begins to run it came again at any daemon, and each daemon sent it on.

Cause: not mended here. Ruled out: that second tries alone do it; the case of a request with a body that may not run twice, which is never sent to a second server, ends as many.

--- /dev/null
+++ b/banyantiller/tests/gateway/ending_world.py
@@ -0,0 +1,123 @@
+"""A fleet in which a request ends each server that runs it."""
+
+import asyncio
+import itertools
+from typing import NamedTuple
+
+from banyantiller.tests.gateway import world
+
+PORTS = (7001, 7002, 7003)
+SEEDS = tuple(f"{world.ADDRESS}:{port}" for port in PORTS)
+# Daemons besides those that the others ask.
+OTHERS = 3
+SERVERS = 6
+# A server that ended is back after so long, as another instance at its address.
+DOWN_S = 3.0
+# A registration without a heartbeat is removed after three of them.
+LAPSE_S = 4.5
+# The retry window, in which daemons have counted each other.
+SETTLE_S = 12.0
+DEADLY = "/read/deadly"
+DEADLY_POST = "/file/deadly"
+
+
+class End(NamedTuple):
+    """The end of a server under a request.
+
+    Attributes:
+        at: Loop time.
+        instance: The server.
+    """
+
+    at: float
+    instance: str
+
+
+class Fleet:
+    """Daemons that know each other, and servers that a request ends.
+
+    Attributes:
+        place: The world that it is in.
+        daemons: The daemons.
+        ends: Servers that ended, in order.
+        starts: Counts the starts of servers.
+    """
+
+    def __init__(self, place, ended_by):
+        self.place = place
+        self.ended_by = ended_by
+        self.daemons = []
+        self.ends = []
+        self.starts = itertools.count()
+        self.names = itertools.count()
+        self.tasks = set()
+
+    async def start(self):
+        """Starts servers in place of the world's own, and the daemons."""
+        for instance, server in self.place.servers.items():
+            server.stop()
+            self.place.store.remove("servers", instance)
+        for _ in range(SERVERS):
+            await self._start_server()
+        for port in (*PORTS, *[0] * OTHERS):
+            await self.add_daemon(port)
+        # Before, daemons have no part of the retry budget.
+        await asyncio.sleep(SETTLE_S)
+
+    async def add_daemon(self, port=0):
+        """Starts one more daemon and returns it."""
+        self.place.seed += 1
+        name = f"d{len(self.daemons)}-{port}"
+        await self.place.start_gateway(SEEDS, name, port)
+        self.daemons.append(self.place.gateway)
+        return self.place.gateway
+
+    async def close(self):
+        """Closes all daemons and what goes on by itself."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for daemon in self.daemons:
+            daemon.listener.close()
+            await daemon.close()
+
+    async def ask(self, daemon, *arguments, **more):
+        """Sends a request of a new identity to a daemon."""
+        bound = daemon.listener.sockets[0].getsockname()
+        self.place.port = bound[1]
+        name = f"r{next(self.names)}"
+        return await self.place.ask(name, *arguments, **more)
+
+    def begin(self, work):
+        """Lets work go on by itself."""
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    def arrivals(self, target, since=0.0):
+        """Counts the requests for a target that reached servers."""
+        return sum(
+            arrival.target == target and arrival.at >= since
+            for one in self.place.servers.values()
+            for arrival in one.arrivals
+        )
+
+    def end(self, server):
+        """Ends a server at once."""
+        server.stop()
+        server.on_end()
+
+    async def _start_server(self, port=0):
+        instance = f"e{next(self.starts)}"
+        one = await self.place.add_server(instance, port=port)
+        one.faults.ended_by = self.ended_by
+        one.on_end = lambda: self.begin(self._back(one))
+
+    async def _back(self, one):
+        loop = asyncio.get_running_loop()
+        self.ends.append(End(loop.time(), one.instance))
+        await asyncio.sleep(DOWN_S)
+        await self._start_server(one.port)
+        await asyncio.sleep(LAPSE_S - DOWN_S)
+        self.place.store.remove("servers", one.instance)
--- a/banyantiller/tests/gateway/world.py
+++ b/banyantiller/tests/gateway/world.py
@@ -210,11 +210,11 @@
             },
         )
 
-    async def add_server(self, instance, service=SERVICE, **more):
+    async def add_server(self, instance, service=SERVICE, port=0, **more):
         """Starts a server and registers it."""
         found = registered_server.RegisteredServer(instance, **more)
         self.servers[instance] = found
-        await found.start(ADDRESS)
+        await found.start(ADDRESS, port)
         self.register(instance, service)
         return found
 
--- a/standins/registered_server.py
+++ b/standins/registered_server.py
@@ -8,6 +8,7 @@
 import collections
 import dataclasses
 import random
+from collections.abc import Callable
 from typing import NamedTuple
 
 import h11
@@ -37,6 +38,8 @@
         ill: Calls itself unfit.
         unframed: Answers without a length and closes.
         other_id: Echoes another identity.
+        ended_by: Begin of the targets of requests that end it once it has
+            worked on them; empty for none.
     """
 
     silent: bool = False
@@ -54,6 +57,7 @@
     ill: bool = False
     unframed: bool = False
     other_id: bool = False
+    ended_by: str = ""
 
 
 class Arrival(NamedTuple):
@@ -63,11 +67,13 @@
         at: Loop time.
         request_id: Its identity.
         refusal: Status with which it was turned away, or 0.
+        target: Its path and query.
     """
 
     at: float
     request_id: str
     refusal: int
+    target: str
 
 
 class RegisteredServer:
@@ -88,6 +94,7 @@
         asked: Questions for its health.
         freed: Set when a slot gets free.
         dropped: Requests whose connection was closed while they ran.
+        on_end: Called when a request has ended it.
     """
 
     def __init__(
@@ -113,10 +120,11 @@
         self.server: asyncio.Server | None = None
         self.port = 0
         self.tasks: set[asyncio.Task[None]] = set()
+        self.on_end: Callable[[], None] = lambda: None
 
-    async def start(self, address: str) -> int:
-        """Listens and returns the port."""
-        self.server = await asyncio.start_server(self._serve, address, 0)
+    async def start(self, address: str, port: int = 0) -> int:
+        """Listens and returns the port, which is chosen for 0."""
+        self.server = await asyncio.start_server(self._serve, address, port)
         self.port = self.server.sockets[0].getsockname()[1]
         return self.port
 
@@ -165,12 +173,12 @@
         refusal = self._refusal(fields)
         now = asyncio.get_running_loop().time()
         status = refusal[0] if refusal else 0
-        self.arrivals.append(Arrival(now, own["attempt-id"], status))
+        target = head.target.decode()
+        self.arrivals.append(Arrival(now, own["attempt-id"], status, target))
         if refusal:
             writer.write(self._answer(codec, refusal[0], own | refusal[1], b""))
             return True
-        has_body = head.method != b"HEAD"
-        return await self._run(codec, reader, writer, own, has_body)
+        return await self._run(codec, reader, writer, own, head)
 
     def _refusal(self, fields: dict[str, str]) -> tuple[int, dict] | None:
         wanted = fields.get("target-instance", self.instance)
@@ -187,7 +195,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         own: dict[str, str],
-        has_body: bool,
+        head: h11.Request,
     ) -> bool:
         self.ran[own["attempt-id"]] += 1
         self.running += 1
@@ -205,8 +213,17 @@
         if gone:
             self.dropped += 1
             return False
+        if self._is_ended_by(head):
+            self.stop()
+            self.on_end()
+            return False
+        has_body = head.method != b"HEAD"
         return await self._finish(codec, writer, own, has_body)
 
+    def _is_ended_by(self, head: h11.Request) -> bool:
+        target = self.faults.ended_by
+        return bool(target) and head.target.decode().startswith(target)
+
     async def _work(self, left: asyncio.Future[bytes]) -> None:
         """Works at the speed of each moment until done or the caller left."""
         loop = asyncio.get_running_loop()
