Ask for the refused request while servers are free

Cause: a listed test passed on the code as it is, since the request came while all servers were down and was refused for want of one.

Change: the test waits until the servers are back, and wants the kind of the refusal.

--- a/banyantiller/tests/gateway/test_servers_that_end.py
+++ b/banyantiller/tests/gateway/test_servers_that_end.py
@@ -87,9 +87,12 @@
     def test_it_is_refused_as_not_run(self):
         async def body(fleet):
             await self.repeat(fleet, ending_world.DEADLY, for_s=6.0)
+            # With servers free, so that it is not refused for want of one.
+            await asyncio.sleep(ending_world.LAPSE_S)
             daemon = fleet.daemons[0]
             answer = await fleet.ask(daemon, ending_world.DEADLY)
             self.assertEqual(503, answer.status)
+            self.assertEqual(b"quarantined\n", answer.body)
             self.assertEqual("no", answer.headers["request-ran"])
             self.assertIn("retry-after", answer.headers)
             self.assertLess(answer.took_s, 0.05)
