Refuse requests under which servers ended, at every daemon

Callers of a service saw their requests fail on servers that ended, over and over: 30 of them in 15 s, under one request that came again at any daemon.

Cause: what a request did to servers was kept nowhere. Each call, at each daemon, started from nothing: it sent the request on, lost the server, and sent it to the next one. The class: what the fleet needs to know is learned anew by each daemon, at the users' expense.

Ruled out: a count at each daemon, since a request that ends three servers at each of 14 daemons ends 42; presence on servers that ended as proof, since a popular request is on many servers when they end at once; a status that is final (4xx), since one that was wrongly suspected could not come back; sending a suspect to one server at a time in the whole fleet, which needs an agreement before each send, and was not needed: it is known to all in less time than it takes to end a server.

Change: a request counts as having been on a server that ended if it got no answer there and the server's machine refuses connections. These are facts that only grow; daemons send them at once to those that others ask, which show a mark in their answers about the store, and whoever sees a new mark fetches. With three servers that ended one after the other, no answer since, and no other request that explains them, it is refused as not run, for 300 s or until a server answers it or an operator lifts it. Second servers are not tried beside one that is at work on a suspect, nor after a second server has ended.

Without the condition on one after the other, or without answers, the test of a popular request fails.

--- a/banyantiller/errors.py
+++ b/banyantiller/errors.py
@@ -40,6 +40,7 @@
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     DEADLINE_BEFORE_START = "deadline_before_start"
     DEADLINE_AFTER_START = "deadline_after_start"
+    QUARANTINED = "quarantined"
     NO_SERVER = "no_server"
     CONNECT_FAILED = "connect_failed"
     CONNECT_TIMEOUT = "connect_timeout"
@@ -120,6 +121,7 @@
     ErrorKind.DEADLINE_AFTER_START: Answer(
         504, "http_response_timeout", Ran.UNKNOWN, False
     ),
+    ErrorKind.QUARANTINED: Answer(503, "http_request_denied", Ran.NO, True),
     ErrorKind.NO_SERVER: Answer(503, "destination_unavailable", Ran.NO, True),
     ErrorKind.CONNECT_FAILED: Answer(502, "connection_refused", Ran.NO, True),
     ErrorKind.CONNECT_TIMEOUT: Answer(504, "connection_timeout", Ran.NO, True),
--- a/banyantiller/explain/story.py
+++ b/banyantiller/explain/story.py
@@ -33,6 +33,8 @@
 )
 # What a kind of failure means, in one clause.
 MEANINGS = {
+    "quarantined": "servers ended under the same request before, one after the"
+    " other (see the lines with its fingerprint)",
     "no_server": "no server got free in the time that leaves enough for work",
     "backend_shed": "servers turned it away, and no further try was allowed",
     "deadline_unreachable": "its time passed before it was sent",
--- a/banyantiller/gateway/asking.py
+++ b/banyantiller/gateway/asking.py
@@ -74,7 +74,18 @@
 
 
 Pools = Callable[[types.Server], pool.Pool]
-Moved = Callable[[types.Server], None]
+
+
+class Seen(NamedTuple):
+    """Called with a server of which asking has shown something.
+
+    Attributes:
+        moved: Another instance has its address.
+        refused: Its machine refuses connections to it.
+    """
+
+    moved: Callable[[types.Server], None]
+    refused: Callable[[types.Server], None]
 
 
 class Asker:
@@ -84,7 +95,7 @@
         wire: Names of header fields.
         read_load: Decodes the load header.
         pools: Returns the pool of a server.
-        moved: Called when another instance has a server's address.
+        seen: Called when a server has gone.
         zone: Availability zone of this daemon.
         services_without_load: Services of which a server answered without a
             load, and none has answered with one yet.
@@ -97,13 +108,13 @@
         self,
         adapter: types.Adapter,
         pools: Pools,
-        moved: Moved,
+        seen: Seen,
         zone: str,
     ) -> None:
         self.wire = adapter.wire
         self.read_load = adapter.read_load
         self.pools = pools
-        self.moved = moved
+        self.seen = seen
         self.zone = zone
         self.services_without_load: set[str] = set()
         self.services_with_load: set[str] = set()
@@ -236,7 +247,7 @@
             events.emit(events.ServerAnswers(entry.server.instance))
         if answer.instance and answer.instance != entry.server.instance:
             home.discard(link)
-            self.moved(entry.server)
+            self.seen.moved(entry.server)
             return
         if answer.load is not None:
             self._note_load(entry)
@@ -312,6 +323,8 @@
         return Candidate(entry, link, load, now, answer.fit, score)
 
     def _silent(self, entry: servers.Entry, error: Exception) -> None:
+        if isinstance(error, ConnectionRefusedError):
+            self.seen.refused(entry.server)
         if entry.belief.no_answer(self.loop.time()):
             events.emit(
                 events.ServerSilent(
--- a/banyantiller/gateway/attempts.py
+++ b/banyantiller/gateway/attempts.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from banyantiller.errors import ErrorKind
-from banyantiller.gateway import asking, events, exchange, pool
+from banyantiller.gateway import asking, endings, events, exchange, pool
 
 if TYPE_CHECKING:
     from banyantiller.gateway import call as calls
@@ -19,6 +19,7 @@
         candidate: What it told of its load.
         began: Loop time at which the try began.
         sent: Whether the server may be executing the call.
+        sent_at: Loop time at which it was sent.
         task: Runs the try; its result is the outcome.
     """
 
@@ -30,6 +31,7 @@
         self.entry = candidate.entry
         self.began = self.loop.time()
         self.sent = False
+        self.sent_at = 0.0
         self.task = self.loop.create_task(self._run())
 
     async def cancel(self) -> None:
@@ -57,6 +59,7 @@
             entry.belief.result(outcome.status < 500, now)
             self.gateway.asker.note_answer_load(entry, outcome.headers)
             if outcome.status < 500:
+                self.gateway.endings.answer(self.call.request.fingerprint)
                 took_s = now - self.began
                 self.gateway.durations.learn(self.call.route.name, took_s)
             if outcome.status >= 500:
@@ -74,6 +77,8 @@
                 fresh = not self.call.idempotent
                 candidate.link = await home.acquire(fresh)
             except (OSError, pool.PoolFullError) as error:
+                if isinstance(error, ConnectionRefusedError):
+                    self.gateway.endings.refused(server)
                 events.emit(
                     events.NoConnection(
                         self.call.request.request_id,
@@ -85,7 +90,7 @@
         link = candidate.link
         self._note_sending()
         self.entry.in_flight += 1
-        whole = False
+        outcome = None
         try:
             outcome = await exchange.run(
                 link,
@@ -95,15 +100,27 @@
                 self.gateway.adapter.wire,
                 self.gateway.answer_bytes,
             )
-            whole = not isinstance(outcome, exchange.Broken)
         finally:
             self.entry.in_flight -= 1
-            if whole:
+            if isinstance(outcome, exchange.Answered | exchange.NotRun):
                 home.release(link)
             else:
                 home.discard(link)
+                self._note_no_answer(outcome)
         return outcome
 
+    def _note_no_answer(self, outcome: exchange.Broken | None) -> None:
+        """Notes that the server gave no answer; None if it was given up."""
+        request = self.call.request
+        one = endings.Broken(
+            request.fingerprint,
+            request.request_id,
+            self.sent_at,
+            self.loop.time(),
+        )
+        lost = outcome is not None and outcome.kind is ErrorKind.CONNECTION_LOST
+        self.gateway.endings.no_answer(self.entry.server, one, lost)
+
     def _note_sending(self) -> None:
         now = self.loop.time()
         progress = self.call.progress
@@ -115,6 +132,7 @@
         progress.load_age_s = now - self.candidate.asked_at
         progress.sent_after_s = now - self.call.request.received
         self.sent = True
+        self.sent_at = now
 
     def _log(self, kind: str, reason: str) -> None:
         load = self.candidate.load
--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -24,6 +24,9 @@
 
 # Less time than this is too little to run anything.
 LEAST_TIME_S = 0.01
+# Servers that ended with a request on them, in this call or before, after which
+# a call is not sent to another one.
+MOST_ENDS_BEFORE_A_TRY = 2
 
 
 @dataclasses.dataclass(slots=True)
@@ -176,11 +179,14 @@
     ) -> replies.Reply | None:
         """Sends to one more server; returns an answer if that can't be."""
         beside = bool(self.attempts)
+        if self._is_quarantined():
+            self.sole = True
+            return None if beside else self._give_up()
         candidate = await self._choose(service, beside)
         if candidate is None:
             self.next_second = self.loop.time() + seconds.AGAIN_S
             return None if beside else self._give_up()
-        if not self._may_send(beside):
+        if self._is_quarantined() or not self._may_send(beside):
             self.gateway.asker.give_back([candidate])
             self.sole = True
             return None if beside else self._give_up()
@@ -236,6 +242,8 @@
         """
         if self.sole or not self.idempotent or len(self.attempts) > 1:
             return False
+        if self.gateway.endings.is_suspect(self.request.fingerprint):
+            return False
         if self.progress.sends >= self.route.max_attempts:
             return False
         late = seconds.is_late(self._first())
@@ -292,10 +300,33 @@
                 self.progress.maybe_ran = True
             elif isinstance(outcome, exchange.Broken):
                 self.progress.maybe_ran = True
-                if not self.idempotent:
+                if not self.idempotent or self._ends_servers(attempt, outcome):
                     return self._fail(outcome.kind)
         return None
 
+    def _is_quarantined(self) -> bool:
+        """Tells whether it is refused since servers ended under it.
+
+        Asked before each try: else every daemon ends servers with it anew.
+        """
+        fingerprint = self.request.fingerprint
+        return self.gateway.endings.wait_s(fingerprint) is not None
+
+    def _ends_servers(
+        self, attempt: attempts.Attempt, broken: exchange.Broken
+    ) -> bool:
+        """Tells whether too many servers ended under it for another try.
+
+        With one, it most likely was only there; after a second, the next
+        server would be risked for a request that perhaps ends it too.
+        """
+        if broken.kind is not ErrorKind.CONNECTION_LOST:
+            return False
+        found = self.gateway.endings.ended_under(
+            self.request.fingerprint, attempt.entry.server
+        )
+        return found >= MOST_ENDS_BEFORE_A_TRY
+
     def _worth_another(self, answer: exchange.Answered) -> bool:
         """Tells whether another server may do better than this failure."""
         return (
@@ -316,6 +347,9 @@
             return self._relay(self.failed_answer)
         if self.progress.maybe_ran:
             return self._fail(ErrorKind.CONNECTION_LOST)
+        wait_s = self.gateway.endings.wait_s(self.request.fingerprint)
+        if wait_s is not None:
+            return self._fail(ErrorKind.QUARANTINED, wait_s)
         shed = self.progress.sends > 0
         return self._refuse(
             ErrorKind.BACKEND_SHED if shed else ErrorKind.NO_SERVER
--- a/banyantiller/gateway/events.py
+++ b/banyantiller/gateway/events.py
@@ -295,6 +295,41 @@
     instance: Instance
 
 
+@event("gateway: server ended with a request on it.")
+class ServerEnded(NamedTuple):
+    """A request got no answer, and its server's machine refuses connections.
+
+    It may have ended the server, or only have been there.
+    """
+
+    id: Id
+    instance: Instance
+    fingerprint: Fingerprint
+
+
+@event("gateway: request is quarantined.", "warning")
+class RequestQuarantined(NamedTuple):
+    """Servers ended under a request one after the other, and none answered it.
+
+    It is refused as not run wherever it comes again.
+    """
+
+    fingerprint: Fingerprint
+    servers: Annotated[list[str], "Starts of the servers that ended."]
+    left_s: Annotated[float, "How long it is refused, in seconds."]
+
+
+@event("gateway: request is not quarantined any more.", "warning")
+class QuarantineLifted(NamedTuple):
+    """A server answered a request, or another one explains the servers' ends.
+
+    Or an operator lifted it. A quarantine that ends with its time has no line.
+    """
+
+    fingerprint: Fingerprint
+    servers: Annotated[list[str], "Starts of the servers that had ended."]
+
+
 @event("gateway: retry budget is spent.")
 class BudgetSpent(NamedTuple):
     """A request may not be sent to another server; told once a window."""
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -11,17 +11,21 @@
     asking,
     caller,
     choosing,
+    endings,
     events,
     knowledge,
     pool,
     sampling,
     servers,
+    spreading,
     tallies,
     types,
 )
 from banyantiller.gateway import call as calls
 from banyantiller.gateway import settings as options
 from banyantiller.gateway.decisions import budget, durations, selection
+from banyantiller.http import messages
+from banyantiller.quarantine import table
 
 BACKLOG = 1024
 # Part of the fleet's retry budget that is used: the users count a request
@@ -59,6 +63,8 @@
         connections: Open connections of callers.
         body_bytes: Bytes of request bodies in memory.
         durations: How long requests usually take.
+        endings: Which requests were on servers that ended.
+        spreader: Tells other daemons of them.
     """
 
     def __init__(
@@ -86,8 +92,24 @@
         self.part = budget.LeastPart(settings.retry_window_s, self.loop.time())
         self.durations = durations.Durations()
         self.sampler = sampling.CallSampler()
+        self.endings = endings.Endings(
+            table.Table(settings.quarantine_s, rng),
+            self.pool_of,
+            self.known.table.stays,
+        )
+        self.spreader = spreading.Spreader(
+            self.endings,
+            self.known.reader.others,
+            self.known.reader.asked_itself,
+            rng,
+        )
+        self.known.mirror.mark = self.spreader.mark
+        self.spreader.on_shown = self.known.mirror.wake
         self.asker = asking.Asker(
-            adapter, self.pool_of, self.known.moved, settings.zone
+            adapter,
+            self.pool_of,
+            asking.Seen(self.known.moved, self.endings.refused),
+            settings.zone,
         )
         self.chooser = choosing.Chooser(
             self.known.table,
@@ -169,6 +191,8 @@
             await asyncio.sleep(HOUSEKEEPING_S)
             now = self.loop.time()
             self.known.expire(now)
+            self.endings.table.period_s = self.settings.quarantine_s
+            self.endings.expire(now)
             self.least_share()
             for kept in self.pools.values():
                 kept.expire(now)
@@ -177,10 +201,19 @@
 
     async def close(self) -> None:
         """Closes every connection at once."""
+        self.spreader.close()
         for kept in self.pools.values():
             kept.close()
         await self.known.reader.close()
 
+    async def answer_daemon(
+        self, request: messages.Request
+    ) -> messages.Response:
+        """Answers another daemon."""
+        if request.path.startswith(spreading.PATH):
+            return self.spreader.handle(request)
+        return await self.known.mirror.handle(request)
+
     # Called by connections and calls.
 
     def pool_of(self, server: types.Server) -> pool.Pool:
--- a/banyantiller/gateway/mirror.py
+++ b/banyantiller/gateway/mirror.py
@@ -35,6 +35,9 @@
 # Header field of a list: how long ago the store said so, in milliseconds. The
 # body is packed once for all that ask.
 AGE_FIELD = "age-ms"
+# Header field of every answer: stands for what this daemon knows of requests
+# that end servers; whoever asks fetches it when the mark is a new one.
+MARK_FIELD = "quarantine-mark"
 # What is answered in place of objects. A daemon that lost the store tells so,
 # which spares those that ask the same experience.
 NOT_READY_STATUS = 503
@@ -232,6 +235,7 @@
         askers: Last question of each daemon that asks, by its name.
         freshness: When the store said what is known here.
         on_demand: Called when the first other daemon asks.
+        mark: Returns the mark that answers carry; empty for none.
     """
 
     def __init__(self, status: Callable[[], int], sentinel: str) -> None:
@@ -240,6 +244,7 @@
         self.askers: dict[str, Asker] = {}
         self.freshness = Freshness(sentinel)
         self.on_demand: Callable[[], None] = lambda: None
+        self.mark: Callable[[], str] = lambda: ""
         self.loop = asyncio.get_running_loop()
 
     def demanded(self) -> bool:
@@ -275,6 +280,14 @@
 
     async def handle(self, request: messages.Request) -> messages.Response:
         """Answers another daemon's question."""
+        response = await self._handle(request)
+        mark = self.mark()
+        if not mark:
+            return response
+        headers = (*response.headers, (MARK_FIELD, mark))
+        return response._replace(headers=headers)
+
+    async def _handle(self, request: messages.Request) -> messages.Response:
         kind = request.path.removeprefix(PATH)
         if "since" not in request.query:
             return self._tell_list(kind)
@@ -283,6 +296,7 @@
             wait_s = int(request.query["wait_ms"]) / 1000
             name = request.query["name"]
             shares = request.query.get("shares", SHARES) == SHARES
+            mark = request.query.get("mark", self.mark())
         except (KeyError, ValueError):
             return messages.Response(400)
         first = not self.demanded()
@@ -290,7 +304,8 @@
         if first:
             events.emit(events.ReadsForOthers(name))
             self.on_demand()
-        return await self._answer(kind, since, min(wait_s, LONGEST_WAIT_S))
+        wait_s = min(wait_s, LONGEST_WAIT_S)
+        return await self._answer(kind, since, wait_s, mark)
 
     def _tell_list(self, kind: str) -> messages.Response:
         """Tells all objects of a kind, also while the store is away."""
@@ -302,8 +317,9 @@
         return packed._replace(headers=(*packed.headers, age))
 
     async def _answer(
-        self, kind: str, since: int, wait_s: float
+        self, kind: str, since: int, wait_s: float, mark: str
     ) -> messages.Response:
+        """Answers once there are changes, a new mark, or the time is over."""
         until = self.loop.time() + wait_s
         while True:
             history = self.histories.get(kind)
@@ -315,7 +331,7 @@
                 return messages.Response(GONE_STATUS)
             events = history.after(since)
             left = until - self.loop.time()
-            if events or left <= 0:
+            if events or left <= 0 or self.mark() != mark:
                 version = max(since, history.version)
                 age_s = self._age_s(kind)
                 return _reply(events, version, self.sharers(), age_s)
--- a/banyantiller/gateway/peers.py
+++ b/banyantiller/gateway/peers.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 import zlib
+from collections.abc import Callable
 from typing import Any, NamedTuple
 from urllib import parse
 
@@ -84,6 +85,8 @@
         sharers: Daemons that the other one told for, itself included.
         fresh_at: Loop time at which the store said what the other one told.
         unfit_until: Loop time until which it is not asked.
+        mark: Mark of the last answer; see `gateway.spreading`.
+        on_mark: Called with each answer's mark.
     """
 
     def __init__(
@@ -97,6 +100,8 @@
         self.fresh_at = 0.0
         self.user = client.HttpClient(endpoint.address, endpoint.port, LIMITS)
         self.unfit_until = 0.0
+        self.mark = ""
+        self.on_mark: Callable[[Peer, str], None] = lambda *_: None
 
     async def changes(
         self, kind: str, version: str, wait_s: float
@@ -105,7 +110,7 @@
         target = (
             f"{mirror.PATH}{kind}?since={version}"
             f"&wait_ms={wait_s * 1000:.0f}&name={self.name}"
-            f"&shares={self.shares}"
+            f"&shares={self.shares}&mark={self.mark}"
         )
         told = await self._ask(target, wait_s, mirror.ReplyFields)
         if isinstance(told, interface.Gone | Refused):
@@ -139,6 +144,7 @@
         outcome = await self.user.request("GET", target, wait_s + ASK_MARGIN_S)
         if not isinstance(outcome, outcomes.Answered):
             return Refused(RefusalKind.SILENT)
+        self._note_mark(outcome.response)
         status = outcome.response.status
         if status == mirror.GONE_STATUS:
             return interface.Gone()
@@ -155,6 +161,11 @@
             return Refused(RefusalKind.SILENT)
         return Told(outcome.response, fields)
 
+    def _note_mark(self, response: messages.Response) -> None:
+        self.mark = response.header(mirror.MARK_FIELD)
+        if self.mark:
+            self.on_mark(self, self.mark)
+
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/banyantiller/gateway/run.py
+++ b/banyantiller/gateway/run.py
@@ -62,7 +62,7 @@
         self.ready = server.HttpServer(self._answer_ready, SIDE_LIMITS)
         self.metrics = server.HttpServer(self._answer_metrics, SIDE_LIMITS)
         self.control = server.HttpServer(
-            self.gateway.known.mirror.handle, CONTROL_LIMITS
+            self.gateway.answer_daemon, CONTROL_LIMITS
         )
         self.page: Any = None
         self.last_reason = "starting"
@@ -78,6 +78,7 @@
         for follower in self.gateway.known.followers():
             self.kernel.start(follower.kind, follower.run)
         self.kernel.start("housekeeping", self.gateway.keep_house)
+        self.kernel.start("quarantine", self.gateway.spreader.run)
         self.kernel.start("settings", self._watch_settings)
         try:
             await self._listen()
--- a/banyantiller/gateway/servers.py
+++ b/banyantiller/gateway/servers.py
@@ -135,6 +135,12 @@
         same = entry.server is server
         return same or Start.of(entry.server) == Start.of(server)
 
+    def stays(self, server: types.Server) -> bool:
+        """Tells whether a server is registered and has not said it leaves."""
+        if not self.holds(server):
+            return False
+        return not self.entries[server.instance].server.leaving
+
     def remove(self, instance: str, reason: str) -> types.Server | None:
         """Takes a server out for good; None if it is not known."""
         entry = self.entries.pop(instance, None)
--- a/banyantiller/gateway/settings.py
+++ b/banyantiller/gateway/settings.py
@@ -60,6 +60,14 @@
     retry_window_s: Annotated[
         float, Option("Window of the retry budget.", unit="s", low=0.1)
     ] = 10.0
+    quarantine_s: Annotated[
+        float,
+        Option(
+            "Time for which a request under which servers ended is refused.",
+            unit="s",
+            low=1,
+        ),
+    ] = 300.0
     plugins: Annotated[
         tuple[str, ...], Option("Plug-ins to load, as MODULE:FUNCTION.")
     ] = ("banyantiller.platform.plugin:register",)
--- /dev/null
+++ b/banyantiller/gateway/spreading.py
@@ -0,0 +1,228 @@
+"""Tells all daemons which requests end servers.
+
+The daemons that others ask collect what each daemon saw: it is sent to all of
+them at once, and they fetch from one another what one of them missed. What
+concerns the whole fleet, a request with which two servers or more have ended,
+they tell to those that ask them for changes of the store: each answer carries a
+mark, and whoever sees a new one fetches what is behind it. A daemon that starts
+sees the mark with its first question.
+
+A lost message is sent again, and order and duplicates make no difference: see
+`quarantine.table`.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from typing import TypedDict
+from urllib import parse
+
+import msgspec
+
+from banyantiller.gateway import endings, events, peers
+from banyantiller.http import messages, outcomes
+from banyantiller.quarantine import table
+
+PATH = "/quarantine/"
+LIFT = PATH + "lift"
+# Value of the query parameter `all` of a daemon that others ask.
+ALL = "1"
+# One end says nothing yet of a request to daemons that did not see it.
+LEAST_SHARED_ENDS = 2
+# What is seen within this time is sent at once: a server ends with several
+# requests on it.
+GATHER_S = 0.02
+# New marks are shown this much later, so that hundreds of daemons that wait
+# for changes are not woken for each of many servers that end together.
+SHOW_S = 0.05
+# How often the daemons that are asked fetch from one another.
+FETCH_S = 1.0
+ANSWER_S = 0.4
+# Pause before it is sent again to a daemon that gave no answer, and how often:
+# one that starts later fetches it from the others.
+AGAIN_S = 0.3
+MOST_TRIES = 10
+
+
+class Message(TypedDict):
+    """What daemons tell each other; `mark` names the state that it is of."""
+
+    mark: str
+    records: list[table.RecordFields]
+
+
+class Spreader:
+    """Exchanges with other daemons what is known of requests.
+
+    Attributes:
+        endings: What this daemon knows.
+        others: Daemons that others ask, without this one.
+        asked_itself: Whether others ask this daemon.
+        life: Tells this process from an earlier one of the same daemon.
+        shown: Revision of the table that the mark stands for.
+        on_shown: Called when the mark has changed.
+        fetched: Mark of what was fetched last, by the address of a daemon.
+        unsent: Requests to tell, by the address of a daemon.
+        tasks: Messages on their way.
+    """
+
+    def __init__(
+        self,
+        known: endings.Endings,
+        others: list[peers.Peer],
+        asked_itself: bool,
+        rng: random.Random,
+    ) -> None:
+        self.endings = known
+        self.others = others
+        self.asked_itself = asked_itself
+        self.life = f"{rng.getrandbits(32):08x}"
+        self.shown = 0
+        self.on_shown: Callable[[], None] = lambda: None
+        self.fetched: dict[str, str] = {}
+        self.unsent: dict[str, set[str]] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.loop = asyncio.get_running_loop()
+        known.on_news = self.tell
+        for peer in others:
+            peer.on_mark = self.see
+
+    async def run(self) -> None:
+        """Fetches from other daemons that are asked, until cancelled."""
+        while self.asked_itself:
+            for peer in self.others:
+                self._begin(f"fetch {peer.address}", self._fetch(peer))
+            await asyncio.sleep(FETCH_S)
+
+    def close(self) -> None:
+        """Ends what is on its way."""
+        for task in self.tasks.values():
+            task.cancel()
+
+    def tell(self, fingerprints: Iterable[str]) -> None:
+        """Tells the daemons that are asked what is known of requests."""
+        self._show_later()
+        for peer in self.others:
+            self.unsent.setdefault(peer.address, set()).update(fingerprints)
+            self._begin(f"send {peer.address}", self._send(peer))
+
+    def see(self, peer: peers.Peer, mark: str) -> None:
+        """Fetches what is behind a mark of another daemon if it is new."""
+        if _is_newer(mark, self.fetched.get(peer.address, "")):
+            self._begin(f"fetch {peer.address}", self._fetch(peer))
+
+    def mark(self) -> str:
+        """Returns the mark to show to daemons that ask; empty for none."""
+        return f"{self.life}-{self.shown}" if self.shown else ""
+
+    # Questions of others.
+
+    def handle(self, request: messages.Request) -> messages.Response:
+        """Answers another daemon, or an operator who lifts a quarantine."""
+        if request.path == LIFT:
+            return self._lift(request)
+        if request.method == "POST":
+            return self._take(request)
+        least = LEAST_SHARED_ENDS
+        if request.query.get("all") == ALL:
+            least = 1
+        after = self._revision_of(request.query.get("since", ""))
+        now = self.loop.time()
+        records = self.endings.table.tell(now, after, least)
+        shown = self.endings.table.revision if least == 1 else self.shown
+        reply = Message(mark=f"{self.life}-{shown}", records=records)
+        return messages.Response(200, (), msgspec.json.encode(reply))
+
+    def _take(self, request: messages.Request) -> messages.Response:
+        try:
+            told = msgspec.json.decode(request.body, type=Message)
+        except msgspec.DecodeError:
+            return messages.Response(400)
+        self._learn(told["records"])
+        return messages.Response(204)
+
+    def _lift(self, request: messages.Request) -> messages.Response:
+        if request.method != "POST":
+            return messages.Response(405)
+        if self.endings.lift(request.query.get("fingerprint", "")):
+            return messages.Response(204)
+        return messages.Response(404)
+
+    def _revision_of(self, mark: str) -> int:
+        """Returns the revision that a mark of this process stands for."""
+        life, _, revision = mark.partition("-")
+        return int(revision) if life == self.life and revision.isdigit() else 0
+
+    # What is learned.
+
+    def _learn(self, records: list[table.RecordFields]) -> None:
+        if self.endings.learn(records):
+            self._show_later()
+
+    def _show_later(self) -> None:
+        self._begin("show", self._show())
+
+    async def _show(self) -> None:
+        """Shows a new mark if something concerns the whole fleet."""
+        await asyncio.sleep(SHOW_S)
+        newest = self.endings.table.newest(LEAST_SHARED_ENDS)
+        if newest > self.shown:
+            self.shown = newest
+            self.on_shown()
+
+    # Messages.
+
+    def _begin(self, name: str, work) -> None:
+        """Lets work go on by itself, unless the same is under way."""
+        if name in self.tasks:
+            work.close()
+            return
+        task = self.loop.create_task(work)
+        self.tasks[name] = task
+        task.add_done_callback(lambda _: self.tasks.pop(name, None))
+
+    async def _send(self, peer: peers.Peer) -> None:
+        """Sends what a daemon was not told yet, until it has taken it."""
+        await asyncio.sleep(GATHER_S)
+        unsent = self.unsent[peer.address]
+        tries = 0
+        while unsent and tries < MOST_TRIES:
+            sending = set(unsent)
+            unsent.clear()
+            now = self.loop.time()
+            records = self.endings.table.tell_of(sending, now)
+            body = msgspec.json.encode(Message(mark="", records=records))
+            outcome = await peer.user.request("POST", PATH, ANSWER_S, (), body)
+            if not isinstance(outcome, outcomes.Answered):
+                tries += 1
+                unsent |= sending
+                await asyncio.sleep(AGAIN_S)
+        unsent.clear()
+
+    async def _fetch(self, peer: peers.Peer) -> None:
+        """Fetches what another daemon knows and this one may not."""
+        query = {"since": self.fetched.get(peer.address, "")}
+        if self.asked_itself:
+            query["all"] = ALL
+        target = f"{PATH}?{parse.urlencode(query)}"
+        outcome = await peer.user.request("GET", target, ANSWER_S)
+        if not isinstance(outcome, outcomes.Answered):
+            return
+        if outcome.response.status != 200:
+            return
+        try:
+            told = msgspec.json.decode(outcome.body, type=Message)
+        except msgspec.DecodeError as error:
+            events.emit(events.PeerUnreadable(peer.address, str(error)))
+            return
+        self.fetched[peer.address] = told["mark"]
+        self._learn(told["records"])
+
+
+def _is_newer(mark: str, known: str) -> bool:
+    """Tells whether a mark stands for a later state than a known one."""
+    life, _, revision = mark.partition("-")
+    known_life, _, known_revision = known.partition("-")
+    if life != known_life:
+        return True
+    return int(revision or 0) > int(known_revision or 0)
--- a/banyantiller/tests/gateway/ending_world.py
+++ b/banyantiller/tests/gateway/ending_world.py
@@ -72,6 +72,29 @@
         self.daemons.append(self.place.gateway)
         return self.place.gateway
 
+    async def restart(self, number, port):
+        """Ends a daemon at once and starts another in its place."""
+        daemon = self.daemons[number]
+        daemon.listener.close()
+        await daemon.close()
+        await self.place.controls[number + 1].close()
+        await self.place.start_gateway(SEEDS, f"again{port}", port)
+        self.daemons[number] = self.place.gateway
+
+    def running(self):
+        """Returns the servers that run."""
+        ended = {end.instance for end in self.ends}
+        return [
+            server
+            for instance, server in self.place.servers.items()
+            if instance.startswith("e") and instance not in ended
+        ]
+
+    async def connect(self, daemon):
+        """Opens a caller's connection to a daemon."""
+        self.place.port = daemon.listener.sockets[0].getsockname()[1]
+        return await world.Caller.connect(self.place)
+
     async def close(self):
         """Closes all daemons and what goes on by itself."""
         for task in self.tasks:
@@ -83,8 +106,7 @@
 
     async def ask(self, daemon, *arguments, **more):
         """Sends a request of a new identity to a daemon."""
-        bound = daemon.listener.sockets[0].getsockname()
-        self.place.port = bound[1]
+        self.place.port = daemon.listener.sockets[0].getsockname()[1]
         name = f"r{next(self.names)}"
         return await self.place.ask(name, *arguments, **more)
 
--- a/banyantiller/tests/gateway/test_events.py
+++ b/banyantiller/tests/gateway/test_events.py
@@ -44,6 +44,16 @@
     await place.ask("a")
 
 
+@shows(events.ServerEnded, events.RequestQuarantined, events.QuarantineLifted)
+async def servers_end_under_a_request(place):
+    for one in place.servers.values():
+        one.faults.ended_by = "/file/deadly"
+    for _ in place.servers.copy():
+        await place.ask("a", "/file/deadly", "POST")
+    (record,) = place.gateway.endings.table.records
+    place.gateway.endings.lift(record)
+
+
 @shows(events.NoConnection)
 async def connecting_fails(place):
     for one in place.servers.values():
--- a/banyantiller/tests/gateway/test_servers_that_end.py
+++ b/banyantiller/tests/gateway/test_servers_that_end.py
@@ -1,10 +1,28 @@
 """Tests of requests that end each server which runs them.
 
-Callers saw their requests fail on servers that ended, over and over.
+Callers saw their requests fail on servers that ended, over and over. One
+request ended each server that began to run it and came again, every tenth of a
+second, at any daemon. No daemon remembered what a request had done to servers
+before, and none told another, so each call started from nothing and ended up
+to two servers.
+
+Lines of one call in a fleet where 25 servers ended. Each of them refused new
+connections from then on, and eleven calls lost two, all of one route:
+
+    a try failed. id=a1c14741a7115151 instance=i-e7b437ff13
+        kind=connection_lost load=[0, 0, 2, 1.0]
+    server gives no answer. instance=i-e7b437ff13 error=[Errno 111] ...
+    a try failed. id=a1c14741a7115151 instance=i-718e0652e5
+        kind=connection_lost load=[0, 0, 2, 1.0]
+
+In the fleet played here 30 servers ended, and the lines of all tries that
+failed had one fingerprint under as many identities.
 """
 
 import asyncio
 
+from banyantiller.http import messages
+from banyantiller.quarantine import table
 from banyantiller.tests import base
 from banyantiller.tests.gateway import ending_world, world
 
@@ -118,3 +136,134 @@
             self.assertEqual(ended, len(fleet.ends))
 
         self.play(body)
+
+    def test_a_daemon_that_saw_an_end_and_is_gone(self):
+        """What it saw was told before."""
+
+        async def body(fleet):
+            teller = await fleet.add_daemon()
+            for _ in range(3):
+                await fleet.ask(teller, ending_world.DEADLY)
+            await asyncio.sleep(0.2)
+            fleet.daemons.remove(teller)
+            teller.listener.close()
+            await teller.close()
+            ended = len(fleet.ends)
+            await asyncio.sleep(ending_world.LAPSE_S)
+            await self.repeat(fleet, ending_world.DEADLY, for_s=3.0)
+            self.assertEqual(3, ended)
+            self.assertEqual(ended, len(fleet.ends))
+
+        self.play(body)
+
+    def test_all_daemons_that_are_asked_start_again(self):
+        """One after the other; each learns it anew from the next."""
+
+        async def body(fleet):
+            await self.repeat(fleet, ending_world.DEADLY, for_s=3.0)
+            ended = len(fleet.ends)
+            for number, port in enumerate(ending_world.PORTS):
+                await fleet.restart(number, port)
+                await asyncio.sleep(KNOWN_WITHIN_S)
+            await self.repeat(fleet, ending_world.DEADLY, for_s=5.0)
+            self.assertEqual(ended, len(fleet.ends))
+
+        self.play(body)
+
+    def test_requests_sent_ahead_on_one_connection(self):
+        async def body(fleet):
+            await self.repeat(fleet, ending_world.DEADLY, for_s=3.0)
+            ended = len(fleet.ends)
+            await asyncio.sleep(ending_world.LAPSE_S)
+            caller = await fleet.connect(fleet.daemons[0])
+            paths = ["/read/a", ending_world.DEADLY, "/read/b"]
+            for path in paths:
+                caller.send(path, path)
+            answers = [await caller.read() for _ in paths]
+            caller.close()
+            self.assertEqual([200, 503, 200], [a.status for a in answers])
+            self.assertEqual(ended, len(fleet.ends))
+
+        self.play(body)
+
+
+class OtherRequestsTest(EndingTest):
+    """Requests that merely ran on servers that ended are not refused."""
+
+    def quarantined(self, answers):
+        """Counts the answers that refuse a request for good or a while."""
+        return sum(answer.body == b"quarantined\n" for answer in answers)
+
+    def test_those_beside_the_one_that_ends_servers(self):
+        async def body(fleet):
+            popular = fleet.begin(self.repeat(fleet, "/read/popular"))
+            await self.repeat(fleet, ending_world.DEADLY)
+            answers = await popular
+            self.assertEqual(0, self.quarantined(answers))
+            self.assertEqual({200}, {answer.status for answer in answers[-40:]})
+
+        self.play(body)
+
+    def test_a_popular_one_when_most_servers_end_again_and_again(self):
+        async def body(fleet):
+            popular = fleet.begin(
+                self.repeat(fleet, "/read/popular", for_s=20.0, each_s=0.01)
+            )
+            for _ in range(3):
+                await asyncio.sleep(5.0)
+                for server in fleet.running()[1:]:
+                    fleet.end(server)
+            answers = await popular
+            self.assertGreater(len(fleet.ends), 12)
+            self.assertEqual(0, self.quarantined(answers))
+
+        self.play(body)
+
+    def test_one_whose_connections_are_reset(self):
+        """A server that resets a connection and goes on has not ended."""
+
+        async def body(fleet):
+            for server in fleet.running():
+                server.faults.reset = True
+            await self.repeat(fleet, "/read/a", for_s=3.0)
+            for server in fleet.running():
+                server.faults.reset = False
+            daemon = fleet.daemons[0]
+            answer = await fleet.ask(daemon, "/read/a")
+            self.assertEqual(200, answer.status)
+
+        self.play(body)
+
+    def test_a_quarantine_can_be_lifted(self):
+        async def body(fleet):
+            await self.repeat(fleet, ending_world.DEADLY, for_s=3.0)
+            await asyncio.sleep(ending_world.LAPSE_S)
+            for server in fleet.running():
+                # The operators have mended the servers.
+                server.faults.ended_by = ""
+            (record,) = fleet.daemons[-1].endings.table.records.values()
+            target = f"/quarantine/lift?fingerprint={record.fingerprint}"
+            response = await fleet.daemons[0].answer_daemon(
+                messages.Request("POST", target)
+            )
+            self.assertEqual(204, response.status)
+            await asyncio.sleep(KNOWN_WITHIN_S)
+            for daemon in fleet.daemons:
+                answer = await fleet.ask(daemon, ending_world.DEADLY)
+                self.assertEqual(200, answer.status)
+
+        self.play(body)
+
+    def test_it_ends_by_itself(self):
+        async def body(fleet):
+            await self.repeat(fleet, ending_world.DEADLY, for_s=3.0)
+            for server in fleet.running():
+                server.faults.ended_by = ""
+            period_s = fleet.daemons[0].settings.quarantine_s
+            await asyncio.sleep(period_s * (1 + table.SPREAD))
+            for server in fleet.running():
+                server.faults.ended_by = ""
+            answer = await fleet.ask(fleet.daemons[0], ending_world.DEADLY)
+            self.assertEqual(200, answer.status)
+
+        self.play(body)
--- a/banyantiller/tests/gateway/world.py
+++ b/banyantiller/tests/gateway/world.py
@@ -162,10 +162,11 @@
         self.gateway = gateways.Gateway(settings, adapter, rng)
         bodies = [one.run() for one in self.gateway.known.followers()]
         bodies.append(self.gateway.keep_house())
+        bodies.append(self.gateway.spreader.run())
         self.tasks += [asyncio.ensure_future(body) for body in bodies]
         bound = await self.gateway.start(Endpoint(ADDRESS, 0))
         self.port = bound.port
-        handle = self.gateway.known.mirror.handle
+        handle = self.gateway.answer_daemon
         if control_port in self.silent:
             self.silent.pop(control_port).handler = handle
             return
--- a/banyantiller/tests/proxy/test_kinds.py
+++ b/banyantiller/tests/proxy/test_kinds.py
@@ -155,6 +155,8 @@
     ),
 )
 NOT_FROM_THE_DATA_PATH = {
+    # Of the gateway only.
+    K.QUARANTINED,
     # Denials of a claim, below.
     K.KEY_REUSED,
     K.KEY_IN_PROGRESS,
