Know a request again from whatever address its caller sends it

Cause: what makes two sendings the same request had the address of the caller's side in it. Another address made it another request, with nothing known of it. Requests that are sent to every daemon were seen to come from an address of the daemon's zone.

Change: the caller is what it says of itself in its own field, no address.

Why it holds: a server can tell two sendings apart only by what it gets; whatever else differs can't be why it ends.

--- a/banyantiller/gateway/caller.py
+++ b/banyantiller/gateway/caller.py
@@ -67,7 +67,6 @@
     before the answer to the one before it was sent.
 
     Attributes:
-        address: IP number of the caller.
         slots: Requests without a written answer, in their order.
         reading: The slot whose request is being read, or None.
         codec: Reads the next request.
@@ -80,7 +79,6 @@
         self.gateway = gateway
         self.loop = gateway.loop
         self.transport: Any = None
-        self.address = b""
         self.slots: collections.deque[Slot] = collections.deque()
         self.reading: Slot | None = None
         self.codec = self._new_codec()
@@ -97,7 +95,6 @@
     def connection_made(self, transport: Any) -> None:
         """Keeps the transport."""
         self.transport = transport
-        self.address = str(transport.get_extra_info("peername")[0]).encode()
         self.gateway.connections.add(self)
         self._set_timer()
 
@@ -210,11 +207,8 @@
         self.slots.append(slot)
         now = self.loop.time()
         slot.request = reading.read(event, self.gateway.adapter.wire, now)
-        slot.fingerprint = fingerprint.Fingerprint(
-            event.method,
-            slot.request.host.encode("latin-1"),
-            event.target,
-            self.address,
+        slot.fingerprint = reading.fingerprint_of(
+            slot.request, self.gateway.adapter.wire
         )
         self.since = now
         self._set_timer()
--- a/banyantiller/gateway/events.py
+++ b/banyantiller/gateway/events.py
@@ -12,8 +12,8 @@
 Id = Annotated[str, "Identity of the request, as the caller sent it."]
 Fingerprint = Annotated[
     str,
-    "Digest of method, host, target, caller and body: the same for a request"
-    " that is sent again.",
+    "Digest of method, host, target, caller and body: the same for a"
+    " request that is sent again.",
 ]
 Instance = Annotated[str, "Identity of the server's start."]
 Load = Annotated[
@@ -303,7 +303,7 @@
     """
 
     id: Id
-    instance: Instance
+    server: Annotated[str, "The server's start: identity, time, address."]
     fingerprint: Fingerprint
 
 
--- a/banyantiller/gateway/requests.py
+++ b/banyantiller/gateway/requests.py
@@ -6,6 +6,7 @@
 
 from banyantiller.gateway import exchange, types
 from banyantiller.http import messages
+from banyantiller.quarantine import fingerprint
 
 MOST_DEADLINE_DIGITS = 9
 
@@ -79,6 +80,19 @@
     )
 
 
+def fingerprint_of(
+    request: Request, wire: types.WireNames
+) -> fingerprint.Fingerprint:
+    """Begins the fingerprint of a request whose head was read."""
+    caller = messages.find_header(request.headers, wire.caller.decode())
+    return fingerprint.Fingerprint(
+        request.method.encode("ascii"),
+        request.host.encode("latin-1"),
+        request.target.encode("latin-1"),
+        caller.encode("latin-1"),
+    )
+
+
 def _remaining_s(text: str) -> float | None:
     if not text.isdigit() or len(text) > MOST_DEADLINE_DIGITS:
         return None
--- a/banyantiller/gateway/types.py
+++ b/banyantiller/gateway/types.py
@@ -144,6 +144,7 @@
         instance: Instance that answers.
         load: Load that a server tells.
         not_run: Present if the server did not execute the request.
+        caller: Says who calls, the same with each sending.
     """
 
     request_id: bytes
@@ -153,6 +154,7 @@
     instance: bytes
     load: bytes
     not_run: bytes
+    caller: bytes = b"authorization"
 
 
 class Adapter(NamedTuple):
--- a/banyantiller/platform/headers.py
+++ b/banyantiller/platform/headers.py
@@ -13,6 +13,8 @@
     instance=b"instance-id",
     load=b"upstream-load",
     not_run=b"not-executed",
+    # The key of a caller's organisation, in place of the usual field.
+    caller=b"credential",
 )
 
 USUAL_SLOWNESS = 100.0
--- a/banyantiller/quarantine/fingerprint.py
+++ b/banyantiller/quarantine/fingerprint.py
@@ -14,7 +14,9 @@
 
     That is method, host, target, caller and body. What a caller renews with
     each sending, such as an identity or a deadline, is no part of it, and
-    neither is how the body was cut into pieces.
+    neither is how the body was cut into pieces. A caller is who it
+    says in its own field: the address that it sends from may be another one
+    each time, and no server gets to see it.
     """
 
     __slots__ = ("_digest",)
@@ -28,7 +30,7 @@
             method: HTTP method.
             host: Value of Host.
             target: Path and query.
-            caller: Who sends it: an address without the port.
+            caller: What it says of who sends it, such as its key, or empty.
         """
         self._digest = hashlib.blake2b(key=KEY, digest_size=DIGEST_BYTES)
         for part in (method, host.lower(), target, caller):
--- a/banyantiller/tests/quarantine/test_fingerprint.py
+++ b/banyantiller/tests/quarantine/test_fingerprint.py
@@ -5,7 +5,7 @@
 from banyantiller.quarantine import fingerprint
 
 
-def of(method=b"POST", host=b"a", target=b"/x", caller=b"10.0.0.1", body=()):
+def of(method=b"POST", host=b"a", target=b"/x", caller=b"key", body=()):
     found = fingerprint.Fingerprint(method, host, target, caller)
     for part in body:
         found.add(part)
@@ -24,7 +24,7 @@
             of(method=b"GET"),
             of(host=b"b"),
             of(target=b"/x?y=1"),
-            of(caller=b"10.0.0.2"),
+            of(caller=b"other"),
             of(body=(b"b",)),
             # The same bytes, cut elsewhere.
             of(host=b"a/", target=b"x"),
@@ -33,4 +33,4 @@
 
     def test_processes_agree(self):
         """Python's own hash differs between processes; this may not."""
-        self.assertEqual("d2975d0cacfaf6c9c379177a9124704d", of())
+        self.assertEqual("30a6ca8cab829effea1338f1e685f6b7", of())
