Remind daemons that start anew of requests that end servers

A request that was refused everywhere reached servers again after all daemons that others ask had started anew at once.

Cause: those that knew told only what they saw anew, and daemons that start ask only those few, which knew nothing. Found by reading the mend cold; so were two smaller gaps of the same kind: news that came as the task that sends it was ending stayed behind, and a suspect that was given up a moment before its server ended was not looked into.

Ruled out: that the few fetch it from one another; all of them had started anew.

Change: a daemon whose mark shows a new process is told what concerns the fleet, each teller at a moment of its own. What joins requests with ends of servers moves to quarantine.watch, without sockets and clock, so that both programs can use it.

--- a/banyantiller/gateway/attempts.py
+++ b/banyantiller/gateway/attempts.py
@@ -5,7 +5,8 @@
 from typing import TYPE_CHECKING
 
 from banyantiller.errors import ErrorKind
-from banyantiller.gateway import asking, endings, events, exchange, pool
+from banyantiller.gateway import asking, events, exchange, pool
+from banyantiller.quarantine import watch
 
 if TYPE_CHECKING:
     from banyantiller.gateway import call as calls
@@ -59,7 +60,8 @@
             entry.belief.result(outcome.status < 500, now)
             self.gateway.asker.note_answer_load(entry, outcome.headers)
             if outcome.status < 500:
-                self.gateway.endings.answer(self.call.request.fingerprint)
+                fingerprint = self.call.request.fingerprint
+                self.gateway.endings.watch.answered(fingerprint, now)
                 took_s = now - self.began
                 self.gateway.durations.learn(self.call.route.name, took_s)
             if outcome.status >= 500:
@@ -112,7 +114,7 @@
     def _note_no_answer(self, outcome: exchange.Broken | None) -> None:
         """Notes that the server gave no answer; None if it was given up."""
         request = self.call.request
-        one = endings.Broken(
+        one = watch.Broken(
             request.fingerprint,
             request.request_id,
             self.sent_at,
--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -10,6 +10,7 @@
     asking,
     attempts,
     choosing,
+    endings,
     events,
     exchange,
     replies,
@@ -242,7 +243,7 @@
         """
         if self.sole or not self.idempotent or len(self.attempts) > 1:
             return False
-        if self.gateway.endings.is_suspect(self.request.fingerprint):
+        if self.gateway.endings.watch.is_suspect(self.request.fingerprint):
             return False
         if self.progress.sends >= self.route.max_attempts:
             return False
@@ -309,8 +310,13 @@
 
         Asked before each try: else every daemon ends servers with it anew.
         """
-        fingerprint = self.request.fingerprint
-        return self.gateway.endings.wait_s(fingerprint) is not None
+        return self._quarantine_s() is not None
+
+    def _quarantine_s(self) -> float | None:
+        """Returns how long it is still refused, in seconds, or None."""
+        return self.gateway.endings.watch.wait_s(
+            self.request.fingerprint, self.loop.time()
+        )
 
     def _ends_servers(
         self, attempt: attempts.Attempt, broken: exchange.Broken
@@ -322,8 +328,9 @@
         """
         if broken.kind is not ErrorKind.CONNECTION_LOST:
             return False
-        found = self.gateway.endings.ended_under(
-            self.request.fingerprint, attempt.entry.server
+        lost = endings.start_name(attempt.entry.server)
+        found = self.gateway.endings.watch.ended_under(
+            self.request.fingerprint, lost
         )
         return found >= MOST_ENDS_BEFORE_A_TRY
 
@@ -347,7 +354,7 @@
             return self._relay(self.failed_answer)
         if self.progress.maybe_ran:
             return self._fail(ErrorKind.CONNECTION_LOST)
-        wait_s = self.gateway.endings.wait_s(self.request.fingerprint)
+        wait_s = self._quarantine_s()
         if wait_s is not None:
             return self._fail(ErrorKind.QUARANTINED, wait_s)
         shed = self.progress.sends > 0
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -191,8 +191,8 @@
             await asyncio.sleep(HOUSEKEEPING_S)
             now = self.loop.time()
             self.known.expire(now)
-            self.endings.table.period_s = self.settings.quarantine_s
-            self.endings.expire(now)
+            self.endings.watch.table.period_s = self.settings.quarantine_s
+            self.endings.watch.expire(now)
             self.least_share()
             for kept in self.pools.values():
                 kept.expire(now)
--- a/banyantiller/gateway/peers.py
+++ b/banyantiller/gateway/peers.py
@@ -163,8 +163,7 @@
 
     def _note_mark(self, response: messages.Response) -> None:
         self.mark = response.header(mirror.MARK_FIELD)
-        if self.mark:
-            self.on_mark(self, self.mark)
+        self.on_mark(self, self.mark)
 
 
 def _now() -> float:
--- a/banyantiller/gateway/spreading.py
+++ b/banyantiller/gateway/spreading.py
@@ -38,6 +38,8 @@
 # How often the daemons that are asked fetch from one another.
 FETCH_S = 1.0
 ANSWER_S = 0.4
+# All daemons remind one that was started again within this time.
+REMIND_WITHIN_S = 0.5
 # Pause before it is sent again to a daemon that gave no answer, and how often:
 # one that starts later fetches it from the others.
 AGAIN_S = 0.3
@@ -55,13 +57,14 @@
     """Exchanges with other daemons what is known of requests.
 
     Attributes:
-        endings: What this daemon knows.
+        watch: What this daemon knows.
         others: Daemons that others ask, without this one.
         asked_itself: Whether others ask this daemon.
         life: Tells this process from an earlier one of the same daemon.
         shown: Revision of the table that the mark stands for.
         on_shown: Called when the mark has changed.
         fetched: Mark of what was fetched last, by the address of a daemon.
+        lives: Process that the last mark was of, by the address of a daemon.
         unsent: Requests to tell, by the address of a daemon.
         tasks: Messages on their way.
     """
@@ -73,13 +76,15 @@
         asked_itself: bool,
         rng: random.Random,
     ) -> None:
-        self.endings = known
+        self.watch = known.watch
         self.others = others
         self.asked_itself = asked_itself
+        self.random = rng
         self.life = f"{rng.getrandbits(32):08x}"
         self.shown = 0
         self.on_shown: Callable[[], None] = lambda: None
         self.fetched: dict[str, str] = {}
+        self.lives: dict[str, str] = {}
         self.unsent: dict[str, set[str]] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.loop = asyncio.get_running_loop()
@@ -103,12 +108,21 @@
         """Tells the daemons that are asked what is known of requests."""
         self._show_later()
         for peer in self.others:
-            self.unsent.setdefault(peer.address, set()).update(fingerprints)
-            self._begin(f"send {peer.address}", self._send(peer))
+            self._send_later(peer, fingerprints, GATHER_S)
 
     def see(self, peer: peers.Peer, mark: str) -> None:
-        """Fetches what is behind a mark of another daemon if it is new."""
-        if _is_newer(mark, self.fetched.get(peer.address, "")):
+        """Takes the mark of another daemon's answer.
+
+        What is behind a new mark is fetched. A daemon that was started again
+        is told what this one knows: those that are asked may all have been
+        started again at once, and have nobody else to learn it from.
+        """
+        life = mark.partition("-")[0]
+        known_life = self.lives.get(peer.address, life)
+        self.lives[peer.address] = life
+        if life != known_life:
+            self._remind(peer)
+        if mark and _is_newer(mark, self.fetched.get(peer.address, "")):
             self._begin(f"fetch {peer.address}", self._fetch(peer))
 
     def mark(self) -> str:
@@ -128,8 +142,8 @@
             least = 1
         after = self._revision_of(request.query.get("since", ""))
         now = self.loop.time()
-        records = self.endings.table.tell(now, after, least)
-        shown = self.endings.table.revision if least == 1 else self.shown
+        records = self.watch.table.tell(now, after, least)
+        shown = self.watch.table.revision if least == 1 else self.shown
         reply = Message(mark=f"{self.life}-{shown}", records=records)
         return messages.Response(200, (), msgspec.json.encode(reply))
 
@@ -144,7 +158,8 @@
     def _lift(self, request: messages.Request) -> messages.Response:
         if request.method != "POST":
             return messages.Response(405)
-        if self.endings.lift(request.query.get("fingerprint", "")):
+        fingerprint = request.query.get("fingerprint", "")
+        if self.watch.lift(fingerprint, self.loop.time()):
             return messages.Response(204)
         return messages.Response(404)
 
@@ -156,7 +171,7 @@
     # What is learned.
 
     def _learn(self, records: list[table.RecordFields]) -> None:
-        if self.endings.learn(records):
+        if self.watch.learn(records, self.loop.time()):
             self._show_later()
 
     def _show_later(self) -> None:
@@ -165,32 +180,54 @@
     async def _show(self) -> None:
         """Shows a new mark if something concerns the whole fleet."""
         await asyncio.sleep(SHOW_S)
-        newest = self.endings.table.newest(LEAST_SHARED_ENDS)
+        newest = self.watch.table.newest(LEAST_SHARED_ENDS)
         if newest > self.shown:
             self.shown = newest
             self.on_shown()
 
     # Messages.
 
+    def _remind(self, peer: peers.Peer) -> None:
+        """Tells a daemon that was started again what concerns the fleet."""
+        known = [
+            record.fingerprint
+            for record in self.watch.table.records.values()
+            if len(record.ends) >= LEAST_SHARED_ENDS
+        ]
+        if known:
+            pause_s = GATHER_S + self.random.random() * REMIND_WITHIN_S
+            self._send_later(peer, known, pause_s)
+
+    def _send_later(
+        self, peer: peers.Peer, fingerprints: Iterable[str], pause_s: float
+    ) -> None:
+        self.unsent.setdefault(peer.address, set()).update(fingerprints)
+        self._begin(f"send {peer.address}", self._send(peer, pause_s))
+
     def _begin(self, name: str, work) -> None:
         """Lets work go on by itself, unless the same is under way."""
-        if name in self.tasks:
+        running = self.tasks.get(name)
+        if running is not None and not running.done():
             work.close()
             return
         task = self.loop.create_task(work)
         self.tasks[name] = task
-        task.add_done_callback(lambda _: self.tasks.pop(name, None))
+        task.add_done_callback(lambda _: self._ended(name, task))
+
+    def _ended(self, name: str, task: asyncio.Task[None]) -> None:
+        if self.tasks.get(name) is task:
+            del self.tasks[name]
 
-    async def _send(self, peer: peers.Peer) -> None:
+    async def _send(self, peer: peers.Peer, pause_s: float) -> None:
         """Sends what a daemon was not told yet, until it has taken it."""
-        await asyncio.sleep(GATHER_S)
+        await asyncio.sleep(pause_s)
         unsent = self.unsent[peer.address]
         tries = 0
         while unsent and tries < MOST_TRIES:
             sending = set(unsent)
             unsent.clear()
             now = self.loop.time()
-            records = self.endings.table.tell_of(sending, now)
+            records = self.watch.table.tell_of(sending, now)
             body = msgspec.json.encode(Message(mark="", records=records))
             outcome = await peer.user.request("POST", PATH, ANSWER_S, (), body)
             if not isinstance(outcome, outcomes.Answered):
--- a/banyantiller/tests/gateway/test_events.py
+++ b/banyantiller/tests/gateway/test_events.py
@@ -50,8 +50,9 @@
         one.faults.ended_by = "/file/deadly"
     for _ in place.servers.copy():
         await place.ask("a", "/file/deadly", "POST")
-    (record,) = place.gateway.endings.table.records
-    place.gateway.endings.lift(record)
+    await asyncio.sleep(0.1)
+    (record,) = place.gateway.endings.watch.table.records
+    place.gateway.endings.watch.lift(record, place.gateway.loop.time())
 
 
 @shows(events.NoConnection)
--- a/banyantiller/tests/gateway/test_servers_that_end.py
+++ b/banyantiller/tests/gateway/test_servers_that_end.py
@@ -170,6 +170,22 @@
 
         self.play(body)
 
+    def test_all_daemons_that_are_asked_start_again_at_once(self):
+        """Nobody is left to ask; those that know remind them."""
+
+        async def body(fleet):
+            await self.repeat(fleet, ending_world.DEADLY, for_s=3.0)
+            ended = len(fleet.ends)
+            for number, port in enumerate(ending_world.PORTS):
+                await fleet.restart(number, port)
+            await asyncio.sleep(KNOWN_WITHIN_S)
+            await fleet.add_daemon()
+            await asyncio.sleep(KNOWN_WITHIN_S)
+            await self.repeat(fleet, ending_world.DEADLY, for_s=5.0)
+            self.assertEqual(ended, len(fleet.ends))
+
+        self.play(body)
+
     def test_requests_sent_ahead_on_one_connection(self):
         async def body(fleet):
             await self.repeat(fleet, ending_world.DEADLY, for_s=3.0)
@@ -234,6 +250,21 @@
 
         self.play(body)
 
+    def test_the_same_of_another_caller(self):
+        async def body(fleet):
+            await self.repeat(fleet, ending_world.DEADLY, for_s=3.0)
+            await asyncio.sleep(ending_world.LAPSE_S)
+            for server in fleet.running():
+                server.faults.ended_by = ""
+            more = {"credential": "another"}
+            daemon = fleet.daemons[0]
+            answer = await fleet.ask(daemon, ending_world.DEADLY, **more)
+            self.assertEqual(200, answer.status)
+            answer = await fleet.ask(daemon, ending_world.DEADLY)
+            self.assertEqual(503, answer.status)
+
+        self.play(body)
+
     def test_a_quarantine_can_be_lifted(self):
         async def body(fleet):
             await self.repeat(fleet, ending_world.DEADLY, for_s=3.0)
@@ -241,7 +272,7 @@
             for server in fleet.running():
                 # The operators have mended the servers.
                 server.faults.ended_by = ""
-            (record,) = fleet.daemons[-1].endings.table.records.values()
+            (record,) = fleet.daemons[-1].endings.watch.table.records.values()
             target = f"/quarantine/lift?fingerprint={record.fingerprint}"
             response = await fleet.daemons[0].answer_daemon(
                 messages.Request("POST", target)
