Show a request that ends servers under banyantillerd

Callers of banyantillerd see the same as those of the gateway did: a request that ends each server which begins to run it, and comes again at any daemon, is sent on each time.

Cause: not mended here; the same as in the gateway. Ruled out: nothing yet.

--- /dev/null
+++ b/banyantiller/tests/daemon/test_servers_that_end.py
@@ -0,0 +1,204 @@
+"""Tests of whole daemons whose servers end under a request.
+
+Callers saw their requests fail on servers that ended, over and over: one
+request ended each server that began to run it, and came again at any daemon.
+"""
+
+import asyncio
+
+from banyantiller.http import client, messages, outcomes, server
+from banyantiller.store import memory
+from banyantiller.tests import base
+from banyantiller.tests.bundle import samples
+from banyantiller.tests.daemon import test_whole_path as whole
+
+PORTS = range(9001, 9007)
+BUNDLE = """\
+description: Six servers.
+services:
+  - name: desk
+    path: /orders
+    servers:
+{servers}
+    requests:
+      - {{idempotent: true, methods: [GET, HEAD]}}
+""".format(
+    servers="\n".join(
+        f"      - {{name: desk-{port}, address: 127.0.0.1, port: {port}}}"
+        for port in PORTS
+    )
+)
+DEADLY = "/orders/deadly"
+WORK_S = 0.05
+# A server that ended is back at its address after so long.
+DOWN_S = 3.0
+DAEMONS = 4
+# It is known to all within this time of the third server that ended under it,
+# and reaches servers so often after that at most.
+KNOWN_WITHIN_S = 3.0
+MOST_LATER = 3
+EACH_S = 0.12
+PLAYED_S = 12.0
+
+
+class Fleet(whole.Fleet):
+    """Daemons, and servers that a request ends.
+
+    Attributes:
+        by_port: Servers that run, by port.
+        ends: Loop times at which servers ended.
+        arrivals: Loop times at which the request reached servers.
+        deadly: Whether the request ends servers.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.by_port = {}
+        self.ends = []
+        self.arrivals = []
+        self.deadly = True
+        self.tasks = set()
+
+    async def start(self, count):
+        """Starts servers and daemons, and rolls the bundle."""
+        for port in PORTS:
+            await self.start_server(port)
+        for number in range(1, count + 1):
+            await self.add(whole.settings(number))
+        store = memory.MemoryStore(self.table)
+        digest = await samples.prepare(store, BUNDLE)
+        await samples.roll(store, digest)
+        await asyncio.sleep(whole.SETTLED_S)
+
+    async def start_server(self, port):
+        """Starts a server."""
+
+        async def answer(request):
+            if request.target.startswith(DEADLY) and self.deadly:
+                self.arrivals.append(asyncio.get_running_loop().time())
+                await asyncio.sleep(WORK_S)
+                self.begin(self.end_server(port))
+                await asyncio.sleep(1000)
+            return await self.answer(request)
+
+        self.by_port[port] = server.HttpServer(answer)
+        await self.by_port[port].start("127.0.0.1", port)
+
+    async def end_server(self, port):
+        """Ends a server at once; another start takes its place."""
+        ended = self.by_port.pop(port, None)
+        if ended is None:
+            return
+        self.ends.append(asyncio.get_running_loop().time())
+        await ended.close()
+        await asyncio.sleep(DOWN_S)
+        await self.start_server(port)
+
+    def begin(self, work):
+        """Lets work go on by itself."""
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def stop(self):
+        """Stops all daemons and servers."""
+        for daemon in self.daemons:
+            await daemon.stop()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for one in self.by_port.values():
+            await one.close()
+
+    async def send(self, number, *arguments, headers=()):
+        """Sends a request to a daemon; None if it gets no answer."""
+        user = client.HttpClient("127.0.0.1", 8001 + number)
+        try:
+            method, target, *rest = arguments
+            body = rest[0] if rest else b""
+            outcome = await user.request(method, target, 5.0, headers, body)
+        finally:
+            await user.close()
+        if isinstance(outcome, outcomes.Answered):
+            return outcome.response._replace(body=outcome.body)
+        return messages.Response(0)
+
+    async def repeat(self, *arguments, for_s=PLAYED_S):
+        """Sends a request again and again, to one daemon after the other."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + for_s
+        answers = []
+        while loop.time() < until:
+            number = len(answers) % len(self.daemons)
+            answers.append(self.begin(self.send(number, *arguments)))
+            await asyncio.sleep(EACH_S)
+        return await asyncio.gather(*answers)
+
+
+class ServersThatEndTest(base.TestCase):
+    def play(self, body):
+        """Runs `body(fleet)` in a fleet of its own."""
+
+        async def whole_play():
+            fleet = Fleet()
+            await fleet.start(DAEMONS)
+            try:
+                await body(fleet)
+            finally:
+                await fleet.stop()
+
+        self.run_paused(whole_play())
+
+    def check_later(self, fleet):
+        """Checks what reached servers once all daemons have to know."""
+        since = fleet.ends[2] + KNOWN_WITHIN_S
+        later = [at for at in fleet.arrivals if at >= since]
+        self.assertLessEqual(len(later), MOST_LATER)
+
+    def test_a_request_reaches_servers_three_times_more_at_most(self):
+        async def body(fleet):
+            answers = await fleet.repeat("GET", DEADLY)
+            self.check_later(fleet)
+            last = answers[-1]
+            self.assertEqual(503, last.status)
+            self.assertIn("quarantined", last.header("proxy-status"))
+            self.assertNotEqual("", last.header("retry-after"))
+            proper = await fleet.send(0, "GET", "/orders/1")
+            self.assertEqual(200, proper.status)
+
+        self.play(body)
+
+    def test_one_with_a_body_that_comes_in_pieces(self):
+        async def body(fleet):
+            await fleet.repeat("POST", DEADLY, b"deadly" * 5000)
+            self.check_later(fleet)
+            other = await fleet.send(0, "POST", "/orders/1", b"deadly" * 5000)
+            self.assertEqual(200, other.status)
+
+        self.play(body)
+
+    def test_a_keyed_one(self):
+        """Each comes under a key of its own, and none is granted for good."""
+
+        async def body(fleet):
+            for number in range(40):
+                key = (("idempotency-key", f'"k{number}"'),)
+                daemon = number % DAEMONS
+                fleet.begin(fleet.send(daemon, "POST", DEADLY, headers=key))
+                await asyncio.sleep(EACH_S)
+            await asyncio.sleep(KNOWN_WITHIN_S)
+            self.check_later(fleet)
+
+        self.play(body)
+
+    def test_a_daemon_that_starts_later_knows(self):
+        async def body(fleet):
+            await fleet.repeat("GET", DEADLY, for_s=4.0)
+            await fleet.add(whole.settings(DAEMONS + 1))
+            await asyncio.sleep(whole.SETTLED_S)
+            ended = len(fleet.ends)
+            await fleet.send(DAEMONS, "GET", DEADLY)
+            self.assertEqual(ended, len(fleet.ends))
+
+        self.play(body)
