Leave a host's port out of what makes two sendings the same request

A request that callers send to each daemon at a port of its own ended servers once for each daemon.

Cause: Host names the port, and the whole field was part of the digest. Found by the tests of banyantillerd, whose daemons listen on different ports: one request had four fingerprints in four daemons' lines.

Ruled out: that daemons are not told; each fingerprint was refused by all four at once.

Change: the digest takes the host without its port. Two gauges show how many requests are suspected and refused.

--- a/banyantiller/gateway/metrics.py
+++ b/banyantiller/gateway/metrics.py
@@ -101,6 +101,7 @@
 
     def _add_gauges(self) -> None:
         gateway = self.gateway
+        suspects = gateway.endings.watch.table
         rows = (
             ("document_version", "Version in force.",
              lambda: gateway.known.version),
@@ -110,6 +111,11 @@
              lambda: gateway.known.health.lost_at is not None),
             ("connections", "Open connections of callers.",
              lambda: len(gateway.connections)),
+            ("quarantined_requests", "Requests that are refused since servers"
+             " ended under them.",
+             lambda: len(suspects.refused(gateway.loop.time()))),
+            ("suspect_requests", "Requests with which servers ended lately.",
+             lambda: len(suspects.records)),
         )  # fmt: skip
         for name, doc, read in rows:
             self.instruments.gauge(
--- a/banyantiller/quarantine/fingerprint.py
+++ b/banyantiller/quarantine/fingerprint.py
@@ -28,12 +28,13 @@
 
         Args:
             method: HTTP method.
-            host: Value of Host.
+            host: Value of Host. Its port counts for nothing: daemons may listen
+                on different ones.
             target: Path and query.
             caller: What it says of who sends it, such as its key, or empty.
         """
         self._digest = hashlib.blake2b(key=KEY, digest_size=DIGEST_BYTES)
-        for part in (method, host.lower(), target, caller):
+        for part in (method, _plain(host), target, caller):
             self._digest.update(len(part).to_bytes(LENGTH_BYTES, "big"))
             self._digest.update(part)
 
@@ -44,3 +45,10 @@
     def text(self) -> str:
         """Returns the digest of what was added so far, in hex."""
         return self._digest.hexdigest()
+
+
+def _plain(host: bytes) -> bytes:
+    """Returns a host in lower case, without its port."""
+    name, separator, port = host.rpartition(b":")
+    has_port = bool(separator) and (port.isdigit() or not port)
+    return (name if has_port else host).lower()
--- a/banyantiller/tests/quarantine/test_fingerprint.py
+++ b/banyantiller/tests/quarantine/test_fingerprint.py
@@ -19,6 +19,12 @@
     def test_the_case_of_a_host_makes_no_difference(self):
         self.assertEqual(of(host=b"A.example"), of(host=b"a.EXAMPLE"))
 
+    def test_the_port_of_a_host_makes_no_difference(self):
+        """Callers may reach each daemon at a port of its own."""
+        self.assertEqual(of(host=b"a"), of(host=b"a:8001"))
+        self.assertEqual(of(host=b"[::1]:80"), of(host=b"[::1]:81"))
+        self.assertNotEqual(of(host=b"[::1]"), of(host=b"[::2]"))
+
     def test_each_part_makes_a_difference(self):
         others = [
             of(method=b"GET"),
