Refuse requests under which servers ended in banyantillerd as well

Callers of banyantillerd saw their requests fail on servers that ended, under one request that each daemon sent on each time it came.

Cause: as in the gateway, what a request did to servers was kept nowhere and told nobody.

Ruled out: a digest of the head alone, which would refuse others; to hold every body until it is whole, which costs each upload its time to no use while no request is refused.

Change: the data path feeds the same watch as the gateway's: a try that lost its connection, the look whether the server still takes one, and whole answers. While any request is refused, requests wait for their body, up to what is kept for another try, and are then known or let go; keyed ones are looked at before their claim. A suspect gets no second server beside a first one, and none after two have ended under it. Daemons tell linked peers what is new, pass on what was new to them, and tell a peer that was linked all they know. Servers have no identity of their starts here: ends of one server are told apart by the part of time, 2 s, in which they were seen.

--- a/banyantiller/config/defaults.py
+++ b/banyantiller/config/defaults.py
@@ -313,6 +313,14 @@
     evidence: Annotated[EvidenceSettings, Option("Evidence.")] = (
         EvidenceSettings()
     )
+    quarantine_s: Annotated[
+        float,
+        Option(
+            "Time for which a request under which servers ended is refused.",
+            unit="s",
+            low=1,
+        ),
+    ] = 300.0
     routing: Annotated[str, Option("Name of the routing plug-in.")] = "adaptive"
     load_reader: Annotated[
         str, Option("Name of the plug-in that reads the load servers tell.")
--- a/banyantiller/daemon/assembly.py
+++ b/banyantiller/daemon/assembly.py
@@ -14,6 +14,7 @@
     bundles,
     cut_calls,
     leaving_servers,
+    suspect_requests,
 )
 from banyantiller.evidence import recorder as recording
 from banyantiller.evidence import writer as writing
@@ -139,6 +140,7 @@
         self.kernel.start("measuring", self.budget.run)
         self.kernel.start("evidence", self.writer.run)
         leaving_servers.start(self)
+        suspect_requests.start(self)
         callers = await self.proxy.start()
         log.info(
             "daemon: started.",
--- a/banyantiller/kernel/events.py
+++ b/banyantiller/kernel/events.py
@@ -174,3 +174,13 @@
     """
 
     at: float
+
+
+class RequestsSuspected(NamedTuple):
+    """This daemon saw something new of requests with which servers ended.
+
+    Attributes:
+        fingerprints: The requests.
+    """
+
+    fingerprints: tuple[str, ...]
--- a/banyantiller/membership/messages.py
+++ b/banyantiller/membership/messages.py
@@ -145,6 +145,34 @@
     age_ms: int = 0
 
 
+class ServerEnd(NamedTuple):
+    """A server ended with a request on it; ages in milliseconds."""
+
+    server: str
+    sent_age_ms: int
+    ended_age_ms: int
+
+
+class SuspectRequest(NamedTuple):
+    """What is known of a request with which servers ended.
+
+    Attributes:
+        fingerprint: Digest that tells the request.
+        ends: The servers.
+        answered_age_ms: Time since a server answered it; -1 for never.
+    """
+
+    fingerprint: str
+    ends: tuple[ServerEnd, ...]
+    answered_age_ms: int
+
+
+class SuspectRequests(NamedTuple):
+    """Requests with which servers ended; facts that only grow."""
+
+    requests: tuple[SuspectRequest, ...]
+
+
 class Challenge(NamedTuple):
     """Sent before Hello, so that the other side's proof is fresh.
 
@@ -167,6 +195,7 @@
     9: ServersLeaving,
     10: Challenge,
     11: ServersReturned,
+    12: SuspectRequests,
 }
 NUMBERS = {kind: number for number, kind in MESSAGE_TYPES.items()}
 
--- a/banyantiller/membership/peers.py
+++ b/banyantiller/membership/peers.py
@@ -43,6 +43,7 @@
         table: Member entries.
         links: Established links and their traffic counts.
         last_heard: Loop time of the last message from any peer, or None.
+        on_link: Called with the name of each peer that was linked.
         displaced: Whether a later run took this daemon's name; it then
             keeps no links.
         bundle: Version of the bundle in force here, sent with heartbeats.
@@ -77,6 +78,7 @@
         self.dialer = dialing.Dialer(
             settings.peers, self.table, self.links, self.random
         )
+        self.on_link: list[Callable[[str], None]] = []
         self.handlers: dict[type, list[MessageHandler]] = (
             collections.defaultdict(list)
         )
@@ -286,6 +288,8 @@
         self._apply(entry, link.daemon)
         link.post(messages.Members(self.table.all_entries()))
         self._beat(link)
+        for hook in self.on_link:
+            hook(link.daemon)
 
     def _went_down(self, link: Link) -> None:
         now = asyncio.get_running_loop().time()
--- a/banyantiller/proxy/attempt.py
+++ b/banyantiller/proxy/attempt.py
@@ -126,6 +126,7 @@
 
     def end(self, event: h11.EndOfMessage) -> None:
         """Relays the end of the answer; the slot is free."""
+        self.driver.answered(self)
         if self.stage is Stage.RELAYING:
             self.stage = Stage.OVER
             if not guard.run(self.call.relay_end, event):
@@ -135,6 +136,8 @@
     def failed(self, kind: ErrorKind) -> None:
         """Reports a broken connection, or cuts the relayed answer."""
         guard.run(self._suspect_kin)
+        if kind is ErrorKind.CONNECTION_LOST and self.connection.wrote:
+            guard.run(self.driver.lost, self, True)
         if self.stage in ACCEPTED:
             self.stage = Stage.OVER
             guard.run(self.driver.done, self)
@@ -186,6 +189,7 @@
         if self.connection.wrote:
             self.call.maybe_ran = True
             self.call.tries += 1
+            self.driver.lost(self, False)
         now = self.driver.loop.time()
         if now - self.began >= pools.SILENCE_SUSPECT_S:
             self._suspect_kin()
@@ -216,7 +220,8 @@
     def _report_failure(self, kind: ErrorKind, ran: Ran) -> None:
         self.stage = Stage.OVER
         self.wanted = False
+        replayable = self.call.body.kept and self.driver.may_try_again(self)
         result = AttemptResult(
-            ok=False, ran=ran, error=kind, replayable=self.call.body.kept
+            ok=False, ran=ran, error=kind, replayable=replayable
         )
         self.driver.head(self, result)
--- a/banyantiller/proxy/call.py
+++ b/banyantiller/proxy/call.py
@@ -9,6 +9,7 @@
 from banyantiller.kernel.events import CallFinished
 from banyantiller.proxy import answers, guard, headers
 from banyantiller.proxy import body as bodies
+from banyantiller.quarantine import fingerprint
 
 if TYPE_CHECKING:
     from banyantiller.proxy import attempt as attempts
@@ -27,6 +28,8 @@
         service: Options that were in force when the call came, or None.
         path: Path of the request target.
         target: Target as sent to backend servers.
+        fingerprint: Digest of the request as far as it was read, or None.
+        held: Whether it waits for its body before a server is chosen.
         host: Host as the caller sent it; claims have it without a port and in
             lower case.
         deadline: Loop time at which the caller stops waiting.
@@ -56,6 +59,8 @@
         self.began = caller.head_began
         self.request_id = head.request_id or proxy.new_request_id()
         self.body = bodies.RequestBody(proxy.settings.callers.replay_bytes)
+        self.fingerprint: fingerprint.Fingerprint | None = None
+        self.held = False
         self.call_id = 0
         self.service: options.Service | None = None
         self.driver: drivers.ServiceDriver | None = None
@@ -86,6 +91,8 @@
         streaming = [item for item in self.running if item.streaming]
         body = self.body
         body.add(data, bool(streaming))
+        if self.fingerprint is not None:
+            self.fingerprint.add(bytes(data))
         if body.size > self.proxy.settings.callers.max_body_bytes:
             self.fail(Failure(ErrorKind.BODY_TOO_LARGE))
             return
@@ -270,8 +277,18 @@
     # Within.
 
     def _body_ready(self) -> None:
-        if self.claim is not None:
+        if self.over:
+            return
+        wait_s = self.proxy.endings.wait_s(self)
+        waits = self.held or self.claim is not None
+        if waits and not self.running and wait_s is not None:
+            self.held = False
+            self.refuse(Failure(ErrorKind.QUARANTINED, "", wait_s))
+        elif self.claim is not None:
             self.claim.body_ready()
+        elif self.held:
+            self.held = False
+            self.driver.submit(self)
 
     def _stop_tries(self) -> None:
         if self.driver is not None:
--- a/banyantiller/proxy/driver.py
+++ b/banyantiller/proxy/driver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import functools
 import itertools
 import ssl
 from collections.abc import Callable
@@ -13,7 +14,7 @@
 from banyantiller.errors import ErrorKind, Ran
 from banyantiller.proxy import attempt as attempts
 from banyantiller.proxy import call as calls
-from banyantiller.proxy import guard, load, probe, watchdog
+from banyantiller.proxy import endings, guard, load, probe, watchdog
 from banyantiller.proxy import pool as pools
 from banyantiller.routing import types
 
@@ -22,6 +23,8 @@
 # A server that said it is leaving is asked so often whether it came back.
 RETURN_PROBE_S = 5.0
 REFUSED_PROBE_S = 0.5
+# A status from here on does not show that a server can run a request.
+SERVER_ERROR = 500
 FAILED_TICK_PAUSE_S = 0.1
 
 LeavingHook = Callable[[str, str], None]
@@ -37,6 +40,7 @@
         pools: Pools by server name.
         leaving: Servers that get nothing new, and why.
         loads: Reads the load that servers tell.
+        endings: Which requests were on servers that ended.
     """
 
     def __init__(
@@ -49,9 +53,11 @@
         announce: LeavingHook,
         returned: LeavingHook | None = None,
         loads: load.LoadReader = load.ORCA,
+        known: endings.Endings | None = None,
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self.service = service
+        self.endings = known or endings.Endings.alone()
         self.charge = charge
         self.settings = settings
         self.tls = tls
@@ -153,7 +159,8 @@
             idempotent=call.idempotent,
             deadline=call.deadline,
             replayable=known <= call.body.limit
-            and (call.body.complete or not call.head.chunked),
+            and (call.body.complete or not call.head.chunked)
+            and not self.endings.is_suspect(call),
         )
         self.perform(self.dispatcher.submit(wanted, self.loop.time()))
 
@@ -176,6 +183,31 @@
         if result.report is not None and result.report.draining:
             self._drain_told(attempt.server)
 
+    def answered(self, attempt: attempts.Attempt) -> None:
+        """Takes a whole answer: the server went on after the request."""
+        if attempt.response.status_code < SERVER_ERROR:
+            self.endings.answered(attempt.call)
+
+    def lost(self, attempt: attempts.Attempt, by_server: bool) -> None:
+        """Takes the end of a try that got no whole answer.
+
+        Args:
+            attempt: The try.
+            by_server: Whether the server's side broke the connection, so that
+                it is worth a look whether the server is still there.
+        """
+        if attempt.server in self.leaving:
+            return
+        server = f"{self.service.name}/{attempt.server}"
+        self.endings.no_answer(server, attempt.call, attempt.began)
+        if by_server or self.endings.is_suspect(attempt.call):
+            attempt.pool.look()
+
+    def may_try_again(self, attempt: attempts.Attempt) -> bool:
+        """Tells whether another server may be risked for a call."""
+        server = f"{self.service.name}/{attempt.server}"
+        return self.endings.may_try_again(attempt.call, server)
+
     def done(self, attempt: attempts.Attempt) -> None:
         """Takes the end of a relayed answer."""
         if self.attempts.pop(attempt.attempt_id, None) is None:
@@ -339,12 +371,18 @@
                 pool.leave()
         for name, address in wanted.items():
             if name not in self.pools:
-                self.pools[name] = pools.Pool(
+                pool = pools.Pool(
                     address, self.settings, self.tls, self._limit()
                 )
+                pool.on_refused = functools.partial(self._refused, name)
+                self.pools[name] = pool
             else:
                 self.pools[name].set_limit(self._limit())
 
+    def _refused(self, server: str) -> None:
+        if server not in self.leaving:
+            self.endings.refused(f"{self.service.name}/{server}")
+
     def _limit(self) -> int:
         return max(1, self.service.connections // self.alive)
 
--- a/banyantiller/proxy/intake.py
+++ b/banyantiller/proxy/intake.py
@@ -4,6 +4,7 @@
 
 from banyantiller.errors import ErrorKind, Failure
 from banyantiller.proxy import headers, keys, matching
+from banyantiller.quarantine import fingerprint
 
 if TYPE_CHECKING:
     from banyantiller.proxy import call as calls
@@ -14,6 +15,8 @@
 HTTP_VERSIONS = (b"1.1", b"1.0")
 IGNORED_UPGRADES = (b"", b"h2c")
 EXPECT_CONTINUE = (b"", b"100-continue")
+# Says who calls, the same each time that a request is sent.
+CALLER = b"authorization"
 
 # Refusals that another bundle may not give.
 BY_BUNDLE = (ErrorKind.UNKNOWN_SERVICE, ErrorKind.KEY_MISSING)
@@ -103,6 +106,12 @@
         remaining_s = service.deadline_s
     call.deadline = call.began + min(remaining_s, LONGEST_DEADLINE_S)
     call.fields = _backend_fields(proxy, call, host)
+    call.fingerprint = fingerprint.Fingerprint(
+        call.request.method,
+        host.encode("latin-1"),
+        call.target,
+        headers.get(call.head.fields, CALLER) or b"",
+    )
     return None
 
 
--- a/banyantiller/proxy/pool.py
+++ b/banyantiller/proxy/pool.py
@@ -4,13 +4,14 @@
 import collections
 import functools
 import ssl
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 import structlog
 
 from banyantiller.config.defaults import BackendSettings
 from banyantiller.errors import ErrorKind
-from banyantiller.proxy import backend, watchdog
+from banyantiller.proxy import backend, guard, watchdog
 
 log = structlog.get_logger("banyantiller.proxy")
 
@@ -44,6 +45,24 @@
         """No connection could be made."""
 
 
+class Look:
+    """Borrows a new connection only to see whether a server takes it."""
+
+    proven = True
+    wanted = True
+
+    def connected(self, connection: backend.BackendConnection) -> None:
+        """The server is there."""
+        connection.home.give_back(connection)
+
+    def connect_failed(self, kind: ErrorKind) -> None:
+        """It can't be reached; a refusal is told by the pool."""
+
+
+def _not_told() -> None:
+    pass
+
+
 class Pool:
     """Lends connections to one server and keeps idle ones.
 
@@ -54,6 +73,7 @@
         idle: Idle connections, the one used last at the end.
         waiting: Borrowers for which the limit leaves no connection.
         closing: Whether the server left; connections are then not kept.
+        on_refused: Called when the server's machine refuses a connection.
     """
 
     def __init__(
@@ -73,6 +93,7 @@
         self.connecting: set[asyncio.Task[None]] = set()
         self.waiting: collections.deque[Borrower] = collections.deque()
         self.closing = False
+        self.on_refused: Callable[[], None] = _not_told
         self.watch = watchdog.Watchdog(self.loop, self._expire)
 
     def acquire(self, borrower: Borrower) -> None:
@@ -85,6 +106,11 @@
         else:
             self.waiting.append(borrower)
 
+    def look(self) -> None:
+        """Makes a new connection to see whether the server is there."""
+        if not self.closing:
+            self._connect(Look())
+
     def give_back(self, connection: backend.BackendConnection) -> None:
         """Takes a connection that can be used again."""
         if self.closing or len(self.open) > self.limit:
@@ -220,6 +246,8 @@
             kind = ErrorKind.CONNECT_TIMEOUT
         except ssl.SSLError:
             kind = ErrorKind.TLS_FAILED
+        except ConnectionRefusedError:
+            guard.run(self.on_refused)
         except OSError:
             pass
         except Exception:
--- a/banyantiller/proxy/proxy.py
+++ b/banyantiller/proxy/proxy.py
@@ -23,6 +23,7 @@
     answers,
     caller,
     driver,
+    endings,
     headers,
     intake,
     load,
@@ -57,6 +58,7 @@
         is_outdated: Tells whether a newer bundle may have been accepted;
             asked before a request is refused for good by the bundle.
         services: The services of the bundle in force.
+        endings: Which requests were on servers that ended.
     """
 
     def __init__(
@@ -86,6 +88,9 @@
         self.version = 0
         self.is_outdated: Callable[[], bool] = _never_outdated
         self.services = services.Services(self._new_driver, wall)
+        self.endings = endings.Endings.from_settings(
+            settings, kernel, wall, seed
+        )
         self.callers: set[caller.CallerConnection] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         self.emptied = asyncio.Event()
@@ -266,9 +271,12 @@
         failure = intake.admit(self, call)
         if failure is not None:
             call.refuse(failure)
-        elif call.claim is None:
+        elif call.claim is None and not self.endings.watches():
             call.driver.submit(call)
         else:
+            # A claim covers the body, and so does what tells whether this is a
+            # request that ends servers.
+            call.held = call.claim is None
             call.send_continue()
 
     def reject(
@@ -356,6 +364,7 @@
             self._announce_leaving,
             self._announce_returned,
             self.loads,
+            self.endings,
         )
 
     def _announce_leaving(self, service: str, server: str) -> None:
--- a/banyantiller/tests/daemon/test_servers_that_end.py
+++ b/banyantiller/tests/daemon/test_servers_that_end.py
@@ -2,6 +2,9 @@
 
 Callers saw their requests fail on servers that ended, over and over: one
 request ended each server that began to run it, and came again at any daemon.
+As in the gateway, what a request had done to servers was kept nowhere and told
+nobody: here 22 servers ended in 12 s, under a request that each daemon logged
+as another one each time.
 """
 
 import asyncio
--- a/banyantiller/tests/proxy/test_kinds.py
+++ b/banyantiller/tests/proxy/test_kinds.py
@@ -155,8 +155,6 @@
     ),
 )
 NOT_FROM_THE_DATA_PATH = {
-    # Of the gateway only.
-    K.QUARANTINED,
     # Denials of a claim, below.
     K.KEY_REUSED,
     K.KEY_IN_PROGRESS,
@@ -173,8 +171,10 @@
     K.CLAIM_UNAVAILABLE,
     K.INTERNAL,
 }
-# In test_tls, test_at_most_once and daemon/test_whole_path.
+# In test_tls, test_at_most_once, daemon/test_whole_path and
+# daemon/test_servers_that_end.
 TESTED_ELSEWHERE = {
+    K.QUARANTINED,
     K.TLS_FAILED,
     K.KEY_ALREADY_RUN,
     K.DEADLINE_UNREACHABLE,
