Let operators of banyantillerd see and lift a quarantine

Operators could not see how many requests are refused, nor let one through that they know to be harmless.

Cause: the part had no way to the admin listener.

Ruled out: a restart, which forgets it at one daemon and is told by the next.

Change: a gauge, and POST /quarantine/lift on the admin listener. A server that broke several connections is looked at once at a time, and within the limit of its connections.

--- a/banyantiller/daemon/admin_server.py
+++ b/banyantiller/daemon/admin_server.py
@@ -1,10 +1,13 @@
 """Serves the admin pages over HTTP."""
 
+from collections.abc import Callable
+
 from banyantiller.config import defaults
 from banyantiller.http import messages, server
 from banyantiller.telemetry import admin
 
 CLOSE_GRACE_S = 1.0
+LIFT = "/quarantine/lift"
 
 
 class AdminServer:
@@ -12,11 +15,13 @@
 
     Attributes:
         admin: Makes the pages.
+        lift: Lifts the quarantine of a request; False if there is none.
         server: The listening server.
     """
 
-    def __init__(self, pages: admin.Admin) -> None:
+    def __init__(self, pages: admin.Admin, lift: Callable[[str], bool]) -> None:
         self.admin = pages
+        self.lift = lift
         self.server = server.HttpServer(self._handle)
 
     async def start(self, endpoint: defaults.Endpoint) -> defaults.Endpoint:
@@ -33,6 +38,9 @@
         await self.server.close(CLOSE_GRACE_S)
 
     async def _handle(self, request: messages.Request) -> messages.Response:
+        if request.method == "POST" and request.path == LIFT:
+            lifted = self.lift(request.query.get("fingerprint", ""))
+            return messages.Response(204 if lifted else 404)
         page = self.admin.answer(request.method, request.target)
         return messages.Response(
             page.status, (("content-type", page.content_type),), page.body
--- a/banyantiller/daemon/assembly.py
+++ b/banyantiller/daemon/assembly.py
@@ -95,7 +95,9 @@
             settings, self.store, self.recorder, wall, seed
         )
         self.admin = admin.Admin(self.readiness, self.state, self.instruments)
-        self.admin_server = admin_server.AdminServer(self.admin)
+        self.admin_server = admin_server.AdminServer(
+            self.admin, self.proxy.endings.lift
+        )
 
     @classmethod
     def from_settings(
@@ -130,6 +132,7 @@
     async def _start(self) -> None:
         metrics.add_calls(self.instruments, self.counts)
         metrics.add_in_flight(self.instruments, self.proxy.own_load)
+        metrics.add_quarantine(self.instruments, self.proxy.endings.count)
         self.kernel.subscribe(events.CallFinished, self.counts.record)
         self.registry.connect(self.kernel)
         bundles.connect(self)
--- a/banyantiller/proxy/call.py
+++ b/banyantiller/proxy/call.py
@@ -92,7 +92,7 @@
         body = self.body
         body.add(data, bool(streaming))
         if self.fingerprint is not None:
-            self.fingerprint.add(bytes(data))
+            self.fingerprint.add(data)
         if body.size > self.proxy.settings.callers.max_body_bytes:
             self.fail(Failure(ErrorKind.BODY_TOO_LARGE))
             return
@@ -277,18 +277,17 @@
     # Within.
 
     def _body_ready(self) -> None:
-        if self.over:
+        if self.over or not (self.held or self.claim is not None):
             return
+        held, self.held = self.held, False
         wait_s = self.proxy.endings.wait_s(self)
-        waits = self.held or self.claim is not None
-        if waits and not self.running and wait_s is not None:
-            self.held = False
+        if wait_s is not None and not self.running:
+            # Else each daemon ends a server with it, and the next one another.
             self.refuse(Failure(ErrorKind.QUARANTINED, "", wait_s))
-        elif self.claim is not None:
-            self.claim.body_ready()
-        elif self.held:
-            self.held = False
+        elif held:
             self.driver.submit(self)
+        else:
+            self.claim.body_ready()
 
     def _stop_tries(self) -> None:
         if self.driver is not None:
--- a/banyantiller/proxy/endings.py
+++ b/banyantiller/proxy/endings.py
@@ -78,7 +78,7 @@
 
     def watches(self) -> bool:
         """Tells whether any request is refused."""
-        return bool(self.watch.table.refused(self.loop.time()))
+        return self.count() > 0
 
     def wait_s(self, call: "calls.Call") -> float | None:
         """Returns how long a call's request is refused, or None.
@@ -134,6 +134,14 @@
         """Takes what another daemon knows; tells whether anything was new."""
         return self.watch.learn(told, self._now())
 
+    def lift(self, fingerprint: str) -> bool:
+        """Forgets what counts against a request; False if nothing does."""
+        return self.watch.lift(fingerprint, self._now())
+
+    def count(self) -> int:
+        """Returns how many requests are refused."""
+        return len(self.watch.table.refused(self._now()))
+
     def expire(self) -> None:
         """Forgets what is out of date."""
         self.watch.expire(self._now())
--- a/banyantiller/proxy/pool.py
+++ b/banyantiller/proxy/pool.py
@@ -51,12 +51,17 @@
     proven = True
     wanted = True
 
+    def __init__(self, pool: "Pool") -> None:
+        self.pool = pool
+
     def connected(self, connection: backend.BackendConnection) -> None:
         """The server is there."""
-        connection.home.give_back(connection)
+        self.pool.looking = False
+        self.pool.give_back(connection)
 
-    def connect_failed(self, kind: ErrorKind) -> None:
+    def connect_failed(self, kind: ErrorKind) -> None:  # noqa: ARG002
         """It can't be reached; a refusal is told by the pool."""
+        self.pool.looking = False
 
 
 def _not_told() -> None:
@@ -73,6 +78,7 @@
         idle: Idle connections, the one used last at the end.
         waiting: Borrowers for which the limit leaves no connection.
         closing: Whether the server left; connections are then not kept.
+        looking: Whether a look at the server is under way.
         on_refused: Called when the server's machine refuses a connection.
     """
 
@@ -93,6 +99,7 @@
         self.connecting: set[asyncio.Task[None]] = set()
         self.waiting: collections.deque[Borrower] = collections.deque()
         self.closing = False
+        self.looking = False
         self.on_refused: Callable[[], None] = _not_told
         self.watch = watchdog.Watchdog(self.loop, self._expire)
 
@@ -108,8 +115,10 @@
 
     def look(self) -> None:
         """Makes a new connection to see whether the server is there."""
-        if not self.closing:
-            self._connect(Look())
+        if self.closing or self.looking or not self._has_room():
+            return
+        self.looking = True
+        self._connect(Look(self))
 
     def give_back(self, connection: backend.BackendConnection) -> None:
         """Takes a connection that can be used again."""
--- a/banyantiller/telemetry/metrics.py
+++ b/banyantiller/telemetry/metrics.py
@@ -87,6 +87,16 @@
     )
 
 
+def add_quarantine(metrics: Metrics, count: Callable[[], int]) -> None:
+    """Adds how many requests are refused since servers ended under them."""
+    metrics.gauge(
+        "banyantiller_quarantined_requests",
+        "",
+        "Requests that are refused since servers ended under them.",
+        lambda: [Reading(count())],
+    )
+
+
 def add_calls(metrics: Metrics, counts: tallies.CallTallies) -> None:
     """Adds the instruments of the data path."""
 
--- a/banyantiller/tests/daemon/test_servers_that_end.py
+++ b/banyantiller/tests/daemon/test_servers_that_end.py
@@ -205,3 +205,40 @@
             self.assertEqual(ended, len(fleet.ends))
 
         self.play(body)
+
+    def test_a_quarantine_can_be_lifted(self):
+        async def body(fleet):
+            await fleet.repeat("GET", DEADLY, for_s=3.0)
+            fleet.deadly = False
+            await asyncio.sleep(DOWN_S)
+            daemon = fleet.daemons[0]
+            (record,) = daemon.proxy.endings.watch.table.records
+            target = f"/quarantine/lift?fingerprint={record}"
+            self.assertEqual(1, daemon.proxy.endings.count())
+            user = client.HttpClient("127.0.0.1", 8101)
+            for status in (204, 404):
+                outcome = await user.request("POST", target, 5.0)
+                self.assertEqual(status, outcome.response.status)
+            await user.close()
+            await asyncio.sleep(KNOWN_WITHIN_S)
+            for number in range(DAEMONS):
+                answer = await fleet.send(number, "GET", DEADLY)
+                self.assertEqual(200, answer.status)
+
+        self.play(body)
+
+    def test_a_popular_one_when_most_servers_end_at_once(self):
+        """It merely ran there, and is answered elsewhere."""
+
+        async def body(fleet):
+            fleet.deadly = False
+            popular = fleet.begin(fleet.repeat("GET", "/orders/popular"))
+            for _ in range(3):
+                await asyncio.sleep(3.5)
+                for port in list(fleet.by_port)[1:]:
+                    fleet.begin(fleet.end_server(port))
+            answers = await popular
+            kinds = {answer.header("proxy-status") for answer in answers}
+            self.assertFalse(any("quarantined" in kind for kind in kinds))
+
+        self.play(body)
