Play requests that end servers in the soak, and judge what becomes of them

The soak would not have found the incident: none of its requests did anything to a server, and its relays took connections for servers that were gone.

Cause of the gap: servers ended by faults of their own only.

Ruled out: changing the plans of earlier seeds.

Change: from seed 3000 on, a request comes every 0.12 s at any daemon and ends each server that runs it; the server's address refuses connections until it is back. Two promises: at most three arrivals from 3 s after the third server on, by daemons whose process and links were calm; and no proper request is refused in its place, where all callers send the same three.

--- a/banyantiller/tests/soak/test_checks.py
+++ b/banyantiller/tests/soak/test_checks.py
@@ -3,7 +3,15 @@
 from banyantiller.tests import base
 from soak import checks
 from soak import record as records
-from soak.record import Acceptance, Arrival, Attempt, Disturbance, Exit, Leaving
+from soak.record import (
+    Acceptance,
+    Arrival,
+    Attempt,
+    Disturbance,
+    Exit,
+    Leaving,
+    ServerEnd,
+)
 
 
 def attempt(request_id="a", kind=records.READ, at=10.0, **more):
@@ -223,3 +231,35 @@
         lag = Disturbance(15.0, 15.2, records.LAG, None)
         seen = record(good + bad, calm_from=20.0, disturbances=[lag])
         self.assert_broken("served again", seen)
+
+    def test_a_request_that_goes_on_ending_servers(self):
+        ends = [ServerEnd(10.0 + n, "/read/ends-1") for n in range(5)]
+        calls = [
+            attempt(f"e{n}", records.ENDING, 13.0 + 0.5 * n, status=502)
+            for n in range(9)
+        ]
+        seen = record(calls, ends=ends)
+        seen.arrivals = [
+            Arrival(call.sent_at, call.request_id, "s0", True, False,
+                    "/read/ends-1")
+            for call in calls
+        ]  # fmt: skip
+        # Those from 3 s after the third end on: 15.5, 16.0, 16.5, 17.0.
+        self.assert_broken("servers that end", seen)
+        seen.arrivals.pop()
+        self.assert_kept("servers that end", seen)
+        seen.arrivals.append(seen.arrivals[-1]._replace(at=99.0))
+        self.assert_broken("servers that end", seen)
+        killed = Disturbance(96.5, 97.0, records.PROCESS, 0)
+        seen.disturbances.append(killed)
+        self.assert_kept("servers that end", seen)
+        seen.ends = ends[:2]
+        seen.disturbances.clear()
+        self.assert_kept("servers that end", seen)
+
+    def test_a_proper_request_that_is_taken_for_another(self):
+        changes = {"status": 503, "body": checks.QUARANTINED}
+        seen = record([attempt(**changes)])
+        self.assert_broken("nobody else refused", seen)
+        seen = record([attempt(kind=records.ENDING, **changes)])
+        self.assert_kept("nobody else refused", seen)
--- a/banyantiller/tests/soak/test_run.py
+++ b/banyantiller/tests/soak/test_run.py
@@ -29,6 +29,10 @@
     def test_promises_are_kept_under_another_seed(self):
         self.play(plan.draw(102, SIZES))
 
+    def test_a_request_ends_servers(self):
+        step = plan.Step(1.0, 6.0, "request ends servers", 0, 0.5, "")
+        self.play(plan.Plan(plan.FIRST_ENDING_SEED, SIZES, (step,)))
+
     def test_callers_wait_while_all_daemons_start(self):
         # The store answers within the time that a request waits for it.
         steps = (
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -24,6 +24,7 @@
 # Share of the requests that the caller gives up early.
 GIVEN_UP = 0.03
 PROBE_S = 0.25
+REPEAT_S = 0.12
 READ_BYTES = 65536
 PATHS = ((records.READ, "/read/x"), (records.FILE, "/file/x"),
          (records.READ, "/look/x"))  # fmt: skip
@@ -225,6 +226,41 @@
         connection.close()
 
 
+async def repeat(
+    world: World, path: str, rng: random.Random, for_s: float
+) -> None:
+    """Sends one request again and again, each time to any daemon.
+
+    Args:
+        world: The world.
+        path: Its path.
+        rng: Draws the daemons.
+        for_s: How long, in seconds.
+    """
+    until = world.loop.time() + for_s
+    for number in itertools.count():
+        if world.loop.time() >= until:
+            return
+        name = f"{path.rpartition('/')[2]}-{number}"
+        daemon = rng.choice(world.daemons)
+        world.begin(_send_once(world, name, path, daemon))
+        await asyncio.sleep(REPEAT_S)
+
+
+async def _send_once(
+    world: World, name: str, path: str, daemon: Daemon
+) -> None:
+    try:
+        async with asyncio.timeout(CONNECT_S):
+            connection = await Connection.to(world, daemon)
+    except (OSError, TimeoutError):
+        return
+    try:
+        await connection.read([connection.send(name, records.ENDING, path)])
+    finally:
+        connection.close()
+
+
 async def probe(world: World, daemon: Daemon) -> None:
     """Asks a daemon again and again which version it has in force."""
     numbers = itertools.count()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -15,6 +15,8 @@
 # Server errors with which a daemon refuses a request for good: a method or a
 # protocol version that it does not serve.
 UNSUPPORTED = frozenset({501, 505})
+# Body of the refusal of a request that ends servers.
+QUARANTINED = b"quarantined\n"
 # How long after a fault's end its effects may last on a kept connection.
 SLACK_S = 0.3
 # Least part of the requests that is served once all faults are over.
@@ -204,6 +206,43 @@
             yield Finding("in force", text, (attempt.request_id,))
 
 
+def servers_that_end(seen: Record) -> Iterator[Finding]:
+    """Yields requests that ended servers and went on reaching them.
+
+    A daemon that starts is not told of by anything but other daemons, so that
+    its start excuses it for a moment only.
+    """
+    attempts = {a.request_id: a for a in seen.attempts}
+    excuses = (records.PROCESS, records.CONTROL_LINK, records.LAG)
+    ends = collections.defaultdict(list)
+    for end in seen.ends:
+        ends[end.target].append(end.at)
+    for target, times in ends.items():
+        if len(times) < seen.bounds.ended_servers:
+            continue
+        third = sorted(times)[seen.bounds.ended_servers - 1]
+        later = [
+            arrival
+            for arrival in seen.arrivals
+            if arrival.target == target
+            and arrival.at > third + seen.bounds.contact_s
+            and _calm(seen, attempts[arrival.request_id].daemon, arrival.at,
+                      arrival.at, excuses)
+        ]  # fmt: skip
+        if len(later) > seen.bounds.later_arrivals:
+            ids = tuple(arrival.request_id for arrival in later)
+            text = f"{target} ended {len(times)}, and came {len(later)} times"
+            yield Finding("servers that end", text, ids[:SHOWN_IDS])
+
+
+def nobody_else_refused(seen: Record) -> Iterator[Finding]:
+    """Yields proper requests that were taken for ones that end servers."""
+    for attempt in seen.attempts:
+        if attempt.kind != records.ENDING and attempt.body == QUARANTINED:
+            text = f"daemon {attempt.daemon} refused '{attempt.kind}'"
+            yield Finding("nobody else refused", text, (attempt.request_id,))
+
+
 def never_back(seen: Record) -> Iterator[Finding]:
     """Yields versions that a process served after a newer one."""
     newest: dict[tuple[int, int], tuple[int, float]] = {}
@@ -286,6 +325,7 @@
         for a in seen.attempts
         if a.sent_at >= seen.calm_from
         and not a.version
+        and a.kind != records.ENDING
         and a.end != records.LEFT
     ]
     if any(d.what == records.LAG and d.ended >= seen.calm_from
@@ -325,6 +365,8 @@
     Promise("nothing invented", False, nothing_invented),
     Promise("answered", False, answered),
     Promise("never back", False, never_back),
+    Promise("servers that end", False, servers_that_end),
+    Promise("nobody else refused", False, nobody_else_refused),
     Promise("retry budget", False, retry_budget),
     Promise("logs", False, logs),
     Promise("ends", True, ends),
--- a/soak/contents.py
+++ b/soak/contents.py
@@ -2,6 +2,8 @@
 
 HOST = "desk.example"
 SERVICES = ("desk", "archive")
+# Requests below it end each server that runs them.
+ENDING_PREFIX = "/read/ends-"
 TIMEOUT_S = 2.0
 OBJECTIVE_S = 0.4
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,7 +12,6 @@
 from soak.gateways import Daemon
 from soak.links import Link, Trouble
 from soak.world import (
-    HEARTBEATS_MISSED_S,
     STAYS_S,
     STORE_CALL_S,
     Place,
@@ -252,21 +251,23 @@
         await world.start_server(number)
 
 
+async def end_servers(world: World, step: plans.Step) -> None:
+    """Sends a request that ends each server which runs it, for a while."""
+    path = f"{contents.ENDING_PREFIX}{step.at_s}"
+    rng = random.Random(f"{step.at_s}-{step.x}")
+    await callers.repeat(world, path, rng, step.for_s)
+
+
 def _crash(world: World, place: Place) -> bool:
     """Ends a place's server at once; False if there is none."""
     server, place.server = place.server, None
     if server is None:
         return False
     server.stop()
-    world.begin(_remove_later(world, server.instance))
+    world.begin(world.remove_later(server.instance))
     return True
 
 
-async def _remove_later(world: World, instance: str) -> None:
-    await asyncio.sleep(HEARTBEATS_MISSED_S)
-    world.store.remove("servers", instance)
-
-
 async def start_again(world: World, step: plans.Step) -> None:
     """Ends a server without notice; it starts again as the same one."""
     number = step.target % len(world.places)
@@ -370,6 +371,7 @@
     "server link": trouble_server,
     "server fault": fail_server,
     "server crash": crash_server,
+    "request ends servers": end_servers,
     "server leaves": server_leaves,
     "server starts again": start_again,
     "server entry spoilt": spoil_entries,
--- a/soak/links.py
+++ b/soak/links.py
@@ -73,6 +73,19 @@
         for task in list(self.tasks):
             task.cancel()
 
+    def shut(self) -> None:
+        """Refuses new connections, as a machine without a server does."""
+        if self.server is not None:
+            self.server.close()
+        self.server = None
+
+    async def open(self) -> None:
+        """Listens again on its port; nothing if it does."""
+        if self.server is None:
+            self.server = await asyncio.start_server(
+                self._serve, self.address, self.port
+            )
+
     async def close(self) -> None:
         """Stops listening and resets all connections."""
         if self.server is not None:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -109,13 +109,17 @@
 }
 FIRST_POWER_SEED = 2000
 POWER_KINDS = LATER_KINDS | {"power lost": Kind(2, 1.0)}
+FIRST_ENDING_SEED = 3000
+ENDING_KINDS = POWER_KINDS | {"request ends servers": Kind(3, 9.0)}
 
 
 def kinds_of(seed: int) -> dict[str, Kind]:
     """Returns the kinds of trouble that the plan of a seed is drawn from."""
     if seed < FIRST_LATER_SEED:
         return KINDS
-    return LATER_KINDS if seed < FIRST_POWER_SEED else POWER_KINDS
+    if seed < FIRST_POWER_SEED:
+        return LATER_KINDS
+    return POWER_KINDS if seed < FIRST_ENDING_SEED else ENDING_KINDS
 
 
 def draw(seed: int, sizes: Sizes) -> Plan:
--- a/soak/record.py
+++ b/soak/record.py
@@ -5,6 +5,8 @@
 
 READ = "read"
 FILE = "file"
+# A request that ends each server which runs it.
+ENDING = "ending"
 # How an attempt ended at its caller.
 ANSWERED = "answered"
 CLOSED = "closed"
@@ -26,7 +28,7 @@
 
     Attributes:
         request_id: Its identity.
-        kind: `READ` may be executed again, `FILE` must not.
+        kind: `READ` and `ENDING` may be executed again, `FILE` must not.
         version: Version of the document that has its route; 0 for all.
         daemon: Number of the daemon that it was sent to.
         life: How often that daemon had been started.
@@ -62,6 +64,7 @@
         instance: Identity of the server's start.
         executed: Whether the server began to work on it.
         misdirected: Whether it was meant for another instance.
+        target: Its path and query.
     """
 
     at: float
@@ -69,6 +72,19 @@
     instance: str
     executed: bool
     misdirected: bool
+    target: str = ""
+
+
+class ServerEnd(NamedTuple):
+    """A server ended under a request.
+
+    Attributes:
+        at: Loop time.
+        target: Path and query of the request.
+    """
+
+    at: float
+    target: str
 
 
 class Disturbance(NamedTuple):
@@ -134,6 +150,9 @@
         retry_extra: Repeated sends in a window besides.
         window_s: Window of repeated sends.
         most_servers: Most servers that may execute one request.
+        ended_servers: Servers that may end under one request before all
+            daemons have to know it, `contact_s` later.
+        later_arrivals: How often it may reach servers after that.
     """
 
     contact_s: float = 3.0
@@ -145,6 +164,8 @@
     retry_extra: float = 24.0
     window_s: float = 10.0
     most_servers: int = 2
+    ended_servers: int = 3
+    later_arrivals: int = 3
 
 
 @dataclasses.dataclass
@@ -157,6 +178,7 @@
     disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
     leavings: list[Leaving] = dataclasses.field(default_factory=list)
     acceptances: list[Acceptance] = dataclasses.field(default_factory=list)
+    ends: list[ServerEnd] = dataclasses.field(default_factory=list)
     exits: list[Exit] = dataclasses.field(default_factory=list)
     log_errors: list[str] = dataclasses.field(default_factory=list)
     calm_from: float = 0.0
--- a/soak/world.py
+++ b/soak/world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 import os
 import pathlib
@@ -28,6 +29,8 @@
 # The platform asks once a second.
 READY_PERIOD_S = 1.0
 STORE_CALL_S = 0.004
+# A server that a request has ended is back after so long.
+DOWN_S = 1.5
 
 
 class Place:
@@ -160,6 +163,8 @@
         if not instance:
             instance = f"{place.service}-{number}-{len(self.all_servers)}"
         one = registered_server.RegisteredServer(instance, SLOTS, WORK_S)
+        one.faults.ended_by = contents.ENDING_PREFIX
+        one.on_end = functools.partial(self._server_ended, number, one)
         await one.start(runner.ADDRESS)
         place.server = one
         place.started_ms = int(time.time() * 1000)
@@ -167,6 +172,37 @@
         self.all_servers.append(one)
         self.register(place, "ready")
 
+    async def remove_later(self, instance: str) -> None:
+        """Removes the registration of a server that sends no heartbeats."""
+        await asyncio.sleep(HEARTBEATS_MISSED_S)
+        self.store.remove("servers", instance)
+
+    def _server_ended(
+        self, number: int, one: registered_server.RegisteredServer
+    ) -> None:
+        """A request has ended a server; another start takes its place."""
+        place = self.places[number]
+        if place.server is not one:
+            return
+        place.server = None
+        # A relay that takes connections for it would hide its end.
+        place.link.shut()
+        targets = [arrival.target for arrival in one.arrivals]
+        target = next(
+            one
+            for one in reversed(targets)
+            if one.startswith(contents.ENDING_PREFIX)
+        )
+        self.seen.ends.append(records.ServerEnd(self.loop.time(), target))
+        self.begin(self.remove_later(one.instance))
+        self.begin(self._start_again(number))
+
+    async def _start_again(self, number: int) -> None:
+        await asyncio.sleep(DOWN_S)
+        await self.places[number].link.open()
+        if self.places[number].server is None:
+            await self.start_server(number)
+
     def register(self, place: Place, state: str) -> None:
         """Writes the registration of a place's server."""
         assert place.server is not None
@@ -308,6 +344,7 @@
                     one.instance,
                     arrival.refusal == 0,
                     arrival.refusal == 421,
+                    arrival.target,
                 )
                 for arrival in one.arrivals
             )
--- a/standins/registered_server.py
+++ b/standins/registered_server.py
@@ -132,7 +132,8 @@
         """Stops at once; open connections break."""
         if self.server is not None:
             self.server.close()
-        for task in list(self.tasks):
+        # One that ends the server itself is about to end.
+        for task in self.tasks - {asyncio.current_task()}:
             task.cancel()
 
     async def _serve(
