Take a request that was answered shortly before for one that was only there

A read that all callers send was refused for 78 ms at one daemon, with a time to come back of five minutes, while two other requests ended every server of its service at once.

Cause: the read was on four servers that ended in 0.4 s, one after the other, and on more of them than either request that ended them; the daemons had just started, and no server was left to answer it. That it had been answered a moment before counted for nothing.

The lines: 'request is quarantined. fingerprint= servers=[desk-6-15, desk-2-18, desk-0-17, desk-4-16]' at one daemon, 0.08 s later 'not quarantined any more', after another's fingerprint was found on three of the four.

Ruled out: three servers as too few; a fourth would have made no difference.

Change: ends within 2 s after a request's last answer don't count against it. A daemon that knows of such an answer says so when it hears of the ends.

Why it holds: a request that ends each server is never answered. One that begins to end servers after a change of theirs is known 2 s later, within the bound.

--- a/banyantiller/gateway/peers.py
+++ b/banyantiller/gateway/peers.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import enum
+import re
 import zlib
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -20,6 +21,8 @@
 # A daemon that refuses for a reason that lasts is not asked again so long.
 UNFIT_S = 2.0
 LIMITS = messages.Limits(connections=4, silence_s=3)
+# A process and a revision; see `gateway.spreading`.
+MARK = re.compile("[0-9a-f]{8}-[0-9]{1,18}")
 
 
 class RefusalKind(enum.Enum):
@@ -162,7 +165,8 @@
         return Told(outcome.response, fields)
 
     def _note_mark(self, response: messages.Response) -> None:
-        self.mark = response.header(mirror.MARK_FIELD)
+        mark = response.header(mirror.MARK_FIELD)
+        self.mark = mark if MARK.fullmatch(mark) else ""
         self.on_mark(self, self.mark)
 
 
--- a/banyantiller/gateway/spreading.py
+++ b/banyantiller/gateway/spreading.py
@@ -262,4 +262,4 @@
     known_life, _, known_revision = known.partition("-")
     if life != known_life:
         return True
-    return int(revision or 0) > int(known_revision or 0)
+    return int(revision) > int(known_revision)
--- a/banyantiller/quarantine/table.py
+++ b/banyantiller/quarantine/table.py
@@ -7,7 +7,7 @@
 
 - at least three servers ended with it on them,
 - not all of them at once: it was sent to one after another had ended,
-- it was answered by no server since, and
+- it was answered by no server since, nor shortly before, and
 - no other refused request was on the same servers and on more of them.
 
 What is known are facts that only grow, so that daemons may learn them in any
@@ -17,11 +17,15 @@
 
 import math
 import random
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from typing import NamedTuple, TypedDict
 
 # Servers that have ended with a request on them before it is refused.
 ENOUGH_ENDS = 3
+# A request that was answered so shortly before a server ended did not end it. A
+# popular one may be on every server that others end, and be answered by none
+# until they are back.
+ANSWERED_LATELY_S = 2.0
 # Ends kept of one request, the latest ones.
 MOST_ENDS = 8
 # Requests that are known at a time. A caller that sends another body each time
@@ -81,6 +85,21 @@
     servers: tuple[str, ...]
 
 
+class Learned(NamedTuple):
+    """What followed from what another daemon told.
+
+    Attributes:
+        verdicts: Changes of what is believed.
+        is_new: Whether anything was new.
+        answered: Requests that this daemon knows to have been answered, and the
+            other one does not.
+    """
+
+    verdicts: list[Verdict]
+    is_new: bool
+    answered: list[str]
+
+
 class Record:
     """What is known of one request.
 
@@ -102,11 +121,12 @@
         self.share = share
 
     def open_ends(self, explained: Iterable[str] = ()) -> dict[str, End]:
-        """Returns the ends since the last answer, without explained ones."""
+        """Returns the ends that no answer and no other request explains."""
+        since = self.answered_at + ANSWERED_LATELY_S
         return {
             server: end
             for server, end in self.ends.items()
-            if end.ended_at > self.answered_at and server not in explained
+            if end.ended_at > since and server not in explained
         }
 
     def last_end(self) -> float:
@@ -131,9 +151,24 @@
 
     # What is learned.
 
-    def ended(self, fingerprint: str, server: str, end: End) -> list[Verdict]:
-        """Notes that a server ended with a request on it."""
-        if self._add_end(self._record(fingerprint), server, end):
+    def ended(
+        self,
+        fingerprint: str,
+        server: str,
+        end: End,
+        answered_at: float = -math.inf,
+    ) -> list[Verdict]:
+        """Notes that a server ended with a request on it.
+
+        Args:
+            fingerprint: The request.
+            server: The server's start.
+            end: When it was sent and when the server ended.
+            answered_at: Loop time of the last answer that is known here.
+        """
+        record = self._record(fingerprint)
+        record.answered_at = max(record.answered_at, answered_at)
+        if self._add_end(record, server, end):
             return self._judge()
         return []
 
@@ -148,14 +183,21 @@
         return self._judge()
 
     def learn(
-        self, told: Iterable[RecordFields], now: float
-    ) -> tuple[list[Verdict], bool]:
+        self,
+        told: Iterable[RecordFields],
+        now: float,
+        answers: Mapping[str, float],
+    ) -> Learned:
         """Takes what another daemon knows.
 
-        Returns:
-            The changes of what is believed, and whether anything was new.
+        Args:
+            told: What it knows.
+            now: Loop time.
+            answers: Loop time of the last answers that are known here, by
+                request.
         """
         before = self.revision
+        answered = []
         for fields in told:
             record = self._record(fields["fingerprint"])
             for end in fields["ends"]:
@@ -165,9 +207,12 @@
             age_ms = fields["answered_age_ms"]
             if age_ms >= 0:
                 self._note_answer(record, now - age_ms / 1000)
+            known_at = answers.get(record.fingerprint, -math.inf)
+            if self._note_answer(record, known_at):
+                answered.append(record.fingerprint)
         if self.revision == before:
-            return [], False
-        return self._judge(), True
+            return Learned([], False, [])
+        return Learned(self._judge(), True, answered)
 
     def expire(self, now: float) -> None:
         """Forgets requests with which no server ended for long."""
--- a/banyantiller/quarantine/watch.py
+++ b/banyantiller/quarantine/watch.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import math
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
@@ -97,20 +98,20 @@
         for one in recent:
             self.outlets.ended(server, one)
             end = table.End(one.sent_at, one.broke_at)
-            self._conclude(self.table.ended(one.fingerprint, server, end))
+            answered_at = self.answers.get(one.fingerprint, -math.inf)
+            self._conclude(
+                self.table.ended(one.fingerprint, server, end, answered_at)
+            )
         if recent:
             self.outlets.news({one.fingerprint for one in recent})
 
     def learn(self, told: list[table.RecordFields], now: float) -> bool:
         """Takes what another daemon knows; tells whether anything was new."""
-        verdicts, is_new = self.table.learn(told, now)
-        self._conclude(verdicts)
-        for fields in told:
-            fingerprint = fields["fingerprint"]
-            answered_at = self.answers.get(fingerprint)
-            if answered_at is not None:
-                self._take_answer(fingerprint, answered_at)
-        return is_new
+        learned = self.table.learn(told, now, self.answers)
+        self._conclude(learned.verdicts)
+        if learned.answered:
+            self.outlets.news(learned.answered)
+        return learned.is_new
 
     def lift(self, fingerprint: str, now: float) -> bool:
         """Forgets what counts against a request; False if nothing does.
