Specify what daemons tell each other of requests that end servers

Cause: the protocol that carries these facts had tests and no specification, so that nothing showed that no order of deaths, starts and lost answers was left out.

Ruled out: time; that the facts arrive within the bound is for the tests.

Change: a specification with two properties and three variants that break them: numbers that are added up, nobody who reminds a daemon that is asked and starts anew, a daemon that starts without fetching.

--- a/spec/check.py
+++ b/spec/check.py
@@ -17,6 +17,7 @@
 from spec.daemon_drain import DAEMON_DRAIN
 from spec.measuring import MEASURING
 from spec.mirror import MIRROR
+from spec.quarantine import QUARANTINE
 from spec.server_drain import SERVER_DRAIN
 from spec.sharing import SHARING
 from spec.specification import Broken, Specification, protocol
@@ -31,6 +32,7 @@
     MEASURING,
     MIRROR,
     SHARING,
+    QUARANTINE,
 )
 # States of one search: a protocol that grows by mistake ends as undetermined
 # in place of running on. The largest one, claims, takes four fifths of them.
