Count a server once, and none that was not reached, before another try is given up

Callers of banyantillerd whose server ended were refused another try although only one server had ended: with a second connection that broke there, or a server on the way that took none.

Cause: the server at hand was counted under another name than the end that was seen of it, and a try that sent nothing was counted as well.

Ruled out: that the gateway does so; it counts by one name and only what was sent.

Change: the end of the server at hand counts once, and a try that was not sent for nothing. News of other daemons are passed on as this daemon knows them, with the age that they have now.

--- a/banyantiller/daemon/suspect_requests.py
+++ b/banyantiller/daemon/suspect_requests.py
@@ -29,8 +29,12 @@
 
     def on_told(sender: str, message: messages.SuspectRequests) -> None:
         told = _records(message)
-        if known.learn(told):
-            peers.broadcast(message, but=sender)
+        if not known.learn(told):
+            return
+        now = asyncio.get_running_loop().time()
+        names = [fields["fingerprint"] for fields in told]
+        passed_on = known.watch.table.tell_of(names, now)
+        peers.broadcast(_message(passed_on), but=sender)
 
     def on_link(peer: str) -> None:
         now = asyncio.get_running_loop().time()
--- a/banyantiller/proxy/attempt.py
+++ b/banyantiller/proxy/attempt.py
@@ -220,7 +220,9 @@
     def _report_failure(self, kind: ErrorKind, ran: Ran) -> None:
         self.stage = Stage.OVER
         self.wanted = False
-        replayable = self.call.body.kept and self.driver.may_try_again(self)
+        replayable = self.call.body.kept and (
+            ran is Ran.NO or self.driver.may_try_again(self)
+        )
         result = AttemptResult(
             ok=False, ran=ran, error=kind, replayable=replayable
         )
--- a/banyantiller/proxy/endings.py
+++ b/banyantiller/proxy/endings.py
@@ -121,12 +121,19 @@
             self.watch.refused(start, self._now())
 
     def may_try_again(self, call: "calls.Call", server: str) -> bool:
-        """Tells whether another server may be risked for a call."""
+        """Tells whether another server may be risked for a call.
+
+        Args:
+            call: The call.
+            server: A server on which it was lost just now, which counts as
+                ended.
+        """
         text = _whole(call)
         if text is None:
             return True
-        found = self.watch.ended_under(text, server)
-        return found < MOST_ENDS_BEFORE_A_TRY
+        known = self.watch.table.ends_of(text)
+        before = [one for one in known if one.partition("@")[0] != server]
+        return len(before) + 1 < MOST_ENDS_BEFORE_A_TRY
 
     # Called by the daemon.
 
--- a/banyantiller/tests/daemon/test_servers_that_end.py
+++ b/banyantiller/tests/daemon/test_servers_that_end.py
@@ -242,3 +242,22 @@
             self.assertFalse(any("quarantined" in kind for kind in kinds))
 
         self.play(body)
+
+    def test_one_that_was_there_goes_on_past_a_server_that_is_down(self):
+        """Not a byte was sent to that one, so it counts for nothing."""
+
+        async def body(fleet):
+            fleet.deadly = False
+            fleet.service_s = 0.2
+            sent = [
+                fleet.begin(fleet.send(n % DAEMONS, "GET", f"/orders/{n}"))
+                for n in range(8)
+            ]
+            await asyncio.sleep(0.1)
+            # Two go down; what ran there meets the other on its way.
+            for port in list(fleet.by_port)[:2]:
+                fleet.begin(fleet.end_server(port))
+            answers = await asyncio.gather(*sent)
+            self.assertEqual({200}, {answer.status for answer in answers})
+
+        self.play(body)
