Give each run of the soak ports that no other run has

A soak found a daemon that ended by itself at a start, its control port being in use.

Cause: a range of ports was chosen by the process id, and found free as long as no daemon of another run was up in it.

Change: a run binds the first port of its range for as long as it lasts, and takes the next range where that is bound.

--- a/banyantiller/tests/gateway/test_program.py
+++ b/banyantiller/tests/gateway/test_program.py
@@ -38,7 +38,9 @@
     def test_metrics_are_served(self):
         async def body():
             with tempfile.TemporaryDirectory() as folder:
-                (port,) = gateways.daemon_ports(4)[-1:]
+                ports = gateways.Ports.take(1)
+                self.addCleanup(ports.give_back)
+                (port,) = ports.numbers
                 settings = {"metrics_port": port}
                 world = worlds.World(pathlib.Path(folder), SIZES, settings)
                 try:
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -53,23 +53,68 @@
         return self.misses < READY_MISSES
 
 
-def daemon_ports(count: int) -> list[int]:
-    """Returns free ports that the system gives to nobody else meanwhile.
+class Ports:
+    """Ports of one run, which no other run on the machine takes.
 
-    Those of a daemon that is down must not go to a server that starts.
+    Those of a daemon that is down must not go to a server that starts, so that
+    the system may not give them to anybody; and a run whose daemons are not up
+    yet must not be overlooked by another one.
+
+    Attributes:
+        numbers: The ports.
+        guard: Socket bound to the first port of the range while it is taken.
     """
-    found = []
-    first = LEAST_PORT + os.getpid() * PORTS_EACH % PORTS
-    for port in range(first, first + PORTS_EACH):
-        with socket.socket() as one:
-            try:
-                one.bind((runner.ADDRESS, port))
-            except OSError:
+
+    def __init__(self, numbers: list[int], guard: socket.socket) -> None:
+        self.numbers = numbers
+        self.guard = guard
+
+    @classmethod
+    def take(cls, count: int) -> "Ports":
+        """Takes free ports of a range that no other run has.
+
+        Raises:
+            DemoError: There are none.
+        """
+        ranges = PORTS // PORTS_EACH
+        for turn in range(ranges):
+            number = (os.getpid() + turn) % ranges
+            first = LEAST_PORT + number * PORTS_EACH
+            guard = _bound(first)
+            if guard is None:
                 continue
-        found.append(port)
+            numbers = _free_ports(first + 1, first + PORTS_EACH, count)
+            if len(numbers) == count:
+                return cls(numbers, guard)
+            guard.close()
+        raise processes.DemoError("No free ports are left.")
+
+    def give_back(self) -> None:
+        """Lets other runs take the range."""
+        self.guard.close()
+
+
+def _free_ports(first: int, last: int, count: int) -> list[int]:
+    found = []
+    for port in range(first, last):
+        one = _bound(port)
+        if one is not None:
+            one.close()
+            found.append(port)
         if len(found) == count:
-            return found
-    raise processes.DemoError("No free ports are left.")
+            break
+    return found
+
+
+def _bound(port: int) -> socket.socket | None:
+    """Returns a socket bound to a port, or None if it is taken."""
+    one = socket.socket()
+    try:
+        one.bind((runner.ADDRESS, port))
+    except OSError:
+        one.close()
+        return None
+    return one
 
 
 def errors_of(child: processes.Child) -> list[str]:
--- a/soak/world.py
+++ b/soak/world.py
@@ -62,6 +62,7 @@
         version: Newest version of the document.
         tasks: Work that goes on by itself.
         all_ready: Set once every daemon was ready at the same time.
+        ports: Ports of the daemons, once they are taken.
     """
 
     def __init__(
@@ -84,6 +85,7 @@
         self.version = 0
         self.tasks: set[asyncio.Task[None]] = set()
         self.all_ready = asyncio.Event()
+        self.ports: gateways.Ports | None = None
 
     async def start(self) -> None:
         """Starts everything and returns once every daemon is ready."""
@@ -94,7 +96,8 @@
             service = contents.SERVICES[number % len(contents.SERVICES)]
             self.places.append(Place(service, link))
             await self.start_server(number)
-        ports = gateways.daemon_ports(3 * self.sizes.daemons)
+        self.ports = gateways.Ports.take(3 * self.sizes.daemons)
+        ports = self.ports.numbers
         for number in range(self.sizes.daemons):
             daemon = gateways.Daemon(number, ports[3 * number : 3 * number + 3])
             daemon.callers = await Link.to(runner.ADDRESS, daemon.callers_port)
@@ -124,6 +127,8 @@
             for link in (daemon.callers, daemon.store, daemon.control):
                 await link.close()
         await self.http.close()
+        if self.ports is not None:
+            self.ports.give_back()
 
     def begin(self, work) -> None:
         """Lets work go on by itself; an error of it ends the run."""
