Send nothing to the servers of an evacuated availability zone

Ruled out: reading the entries with the servers' in one call, which the store does not offer; sending a mark with each answer between daemons, as for requests that end servers, which saves no call and is a second way to know.

Change: a third kind is followed over what daemons tell each other already. It is asked for every 1.5 s in place of 0.5 s, as an evacuation has 5 s. Each kind adds one waiting call of the one daemon that reads, 10 s long, and one list for each daemon with a waiting caller whom nobody can tell. A zone counts by the entry's name, whatever it holds; an older state of an entry changes nothing. A daemon sends nothing before it knows the zones. Requests, questions, second tries and connections that open late leave the zone; if it is the only one with servers, calls are refused at once.

Bounds of three tests of the store's calls count kinds: 2 lists a daemon became 3, 7 calls became 8, one for each kind as before.

--- a/banyantiller/gateway/attempts.py
+++ b/banyantiller/gateway/attempts.py
@@ -49,8 +49,9 @@
             self.call.progress.reason = outcome.kind.value
             if outcome.moved:
                 self.gateway.known.moved(entry.server)
-            # A server with a free slot that turns work away is at fault.
-            entry.belief.result(not self.candidate.ready(math.inf), now)
+            if outcome.kind is not ErrorKind.NO_SERVER:
+                # One with a free slot that turns work away is at fault.
+                entry.belief.result(not self.candidate.ready(math.inf), now)
             self._log(outcome.kind.value, "")
         elif isinstance(outcome, exchange.Broken):
             self.call.progress.reason = outcome.reason
@@ -90,6 +91,10 @@
                 )
                 return exchange.NotRun(ErrorKind.CONNECT_FAILED)
         link = candidate.link
+        if not self.entry.usable(self.loop.time()):
+            # It left, or its zone was evacuated, while the connection opened.
+            home.keep(link)
+            return exchange.NotRun(ErrorKind.NO_SERVER)
         self._note_sending()
         self.entry.in_flight += 1
         outcome = None
--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -279,6 +279,8 @@
         if self.sole or self.suspected or len(self.attempts) != 1:
             return
         entry = self.attempts[0].entry
+        if not entry.usable(self.loop.time()):
+            return
         found = await self.gateway.asker.ask([entry], service.health_path)
         self.gateway.asker.give_back(found)
         if not found:
@@ -357,6 +359,12 @@
         wait_s = self._quarantine_s()
         if wait_s is not None:
             return self._fail(ErrorKind.QUARANTINED, wait_s)
+        now = self.loop.time()
+        if self.gateway.known.table.only_evacuated(self.service, now):
+            self.progress.reason = "zone_evacuated"
+            return self._fail(
+                ErrorKind.NO_SERVER, refusing.EVACUATED_RETRY_AFTER_S
+            )
         shed = self.progress.sends > 0
         return self._refuse(
             ErrorKind.BACKEND_SHED if shed else ErrorKind.NO_SERVER
--- a/banyantiller/gateway/choosing.py
+++ b/banyantiller/gateway/choosing.py
@@ -56,7 +56,10 @@
         The candidate's connection belongs to the caller.
         """
         while True:
-            found = await self._ask(wanted)
+            usable = self.usable(wanted)
+            if not usable and self._is_hopeless(wanted):
+                return None
+            found = await self._ask(wanted, usable)
             now = self.loop.time()
             again = now + waiting.ASK_AGAIN_S
             spare = again <= wanted.limits.spare
@@ -80,11 +83,16 @@
         # If all are silent, the fault may be on this side.
         return alive or found
 
-    async def _ask(self, wanted: Wanted) -> list[asking.Candidate]:
+    def _is_hopeless(self, wanted: Wanted) -> bool:
+        """Tells whether waiting for a server is of no use."""
+        return self.table.only_evacuated(wanted.service.name, self.loop.time())
+
+    async def _ask(
+        self, wanted: Wanted, usable: list[servers.Entry]
+    ) -> list[asking.Candidate]:
         """Asks some servers, and others if these are not enough."""
         name = wanted.service.name
         path = wanted.service.health_path
-        usable = self.usable(wanted)
         first = self.selector.first(name, usable, self.connected(usable))
         found = await self.asker.ask(first.asked, path)
         more = self.selector.more(name, usable, first, found)
--- a/banyantiller/gateway/decisions/refusing.py
+++ b/banyantiller/gateway/decisions/refusing.py
@@ -24,6 +24,8 @@
 # When a daemon that knows no document yet, or perhaps not the newest, may be
 # asked again.
 START_RETRY_AFTER_S = 0.5
+# When a service may be asked again of which all servers are in evacuated zones.
+EVACUATED_RETRY_AFTER_S = 1.0
 
 
 def retry_after_s(rng: random.Random, by_servers: bool = False) -> float:
--- a/banyantiller/gateway/events.py
+++ b/banyantiller/gateway/events.py
@@ -127,6 +127,27 @@
     kind: Annotated[str, "Kind of objects."]
 
 
+# Availability zones.
+
+
+@event("gateway: zone is evacuated.", "warning")
+class ZoneEvacuated(NamedTuple):
+    """An operator wants nothing sent to the servers of a zone."""
+
+    zone: Annotated[str, "The availability zone."]
+    version: Annotated[int, "Version of the entry in the store."]
+    servers: Annotated[int, "Servers of the zone that are known."]
+
+
+@event("gateway: zone is given back.", "warning")
+class ZoneGivenBack(NamedTuple):
+    """The servers of a zone get requests again."""
+
+    zone: Annotated[str, "The availability zone."]
+    version: Annotated[int, "Version of the entry in the store."]
+    servers: Annotated[int, "Servers of the zone that are known."]
+
+
 # Other daemons.
 
 
--- a/banyantiller/gateway/following.py
+++ b/banyantiller/gateway/following.py
@@ -39,6 +39,8 @@
 # one call brings what changed within 0.8 s: 40% fewer calls when nothing
 # fails. A lost store is noticed by the other kind.
 SERVER_PACE = Pace(wait_s=10.0, period_s=0.8)
+# Zones are evacuated rarely, and each evacuation has to be known at once.
+EVACUATION_PACE = Pace(wait_s=10.0, period_s=0.0)
 
 
 class Handlers(NamedTuple):
@@ -47,12 +49,12 @@
     Attributes:
         listed: Takes all objects that exist.
         changed: Takes an object that was created or changed.
-        deleted: Takes the name of an object that was removed.
+        deleted: Takes an object that was removed, as it was.
     """
 
     listed: Callable[[tuple[interface.StoredObject, ...]], None]
     changed: Callable[[interface.StoredObject], None]
-    deleted: Callable[[str], None]
+    deleted: Callable[[interface.StoredObject], None]
 
 
 class StoreHealth:
@@ -195,7 +197,7 @@
         if isinstance(event, interface.Changed):
             self.handlers.changed(event.item)
         else:
-            self.handlers.deleted(event.item.name)
+            self.handlers.deleted(event.item)
 
     def _answered(self) -> None:
         self.pause_s = FIRST_PAUSE_S
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -155,6 +155,8 @@
             return "no document is in force"
         if not self.known.listed:
             return "the servers are not known"
+        if not self.known.zones.listed:
+            return "the evacuated zones are not known"
         return ""
 
     async def drain(self, limit_s: float) -> int:
--- a/banyantiller/gateway/knowledge.py
+++ b/banyantiller/gateway/knowledge.py
@@ -7,6 +7,7 @@
 
 from banyantiller.errors import ErrorKind, Failure
 from banyantiller.gateway import (
+    evacuations,
     events,
     following,
     mirror,
@@ -39,8 +40,10 @@
         adapter: What is known of the surroundings.
         routes: Routes of the document in force, or None before the first.
         table: Servers that registered.
+        zones: Availability zones that are evacuated.
         listed: Whether the registered servers were read once.
-        complete: Set once there is a document and the servers are listed.
+        complete: Set once there is a document, and the servers and the
+            evacuated zones are listed.
         begun: Loop time at which reading began.
         limits: Limits for callers in force.
         health: Whether the store answers.
@@ -73,6 +76,7 @@
         self.loop = asyncio.get_running_loop()
         self.routes: routes.RouteTable | None = None
         self.table = servers.ServerTable()
+        self.zones = evacuations.Evacuations(self.table, self._note_complete)
         self.listed = False
         self.complete = asyncio.Event()
         self.begun = self.loop.time()
@@ -92,6 +96,7 @@
             settings.control if settings.control in settings.seeds else "",
             rng,
             reliance,
+            frozenset((adapter.evacuation_kind,)),
         )
 
     @property
@@ -143,12 +148,17 @@
             self._documents_listed, self._document_changed, self._ignore
         )
         registrations = following.Handlers(
-            self._servers_listed, self._server_changed, self._server_deleted
+            self._servers_listed, self._server_changed, self._server_removed
         )
         adapter = self.adapter
         wanted = (
             (adapter.document_kind, document, following.DOCUMENT_PACE),
             (adapter.server_kind, registrations, following.SERVER_PACE),
+            (
+                adapter.evacuation_kind,
+                self.zones.handlers(),
+                following.EVACUATION_PACE,
+            ),
         )
         return [
             following.Follower(
@@ -234,7 +244,8 @@
         self._note_complete()
 
     def _note_complete(self) -> None:
-        if self.listed and self.routes is not None:
+        known = self.listed and self.zones.listed
+        if known and self.routes is not None:
             self.complete.set()
 
     def _server_changed(self, item: interface.StoredObject) -> None:
@@ -262,6 +273,9 @@
         if server is not None:
             self.gone(server)
 
+    def _server_removed(self, item: interface.StoredObject) -> None:
+        self._server_deleted(item.name)
+
     def _server_deleted(self, instance: str) -> None:
         now = self.loop.time()
         self.unreadable.pop(instance, None)
@@ -272,8 +286,8 @@
         if server is not None:
             self.gone(server)
 
-    def _ignore(self, name: str) -> None:
-        events.emit(events.DocumentRemoved(name))
+    def _ignore(self, item: interface.StoredObject) -> None:
+        events.emit(events.DocumentRemoved(item.name))
 
     # Within.
 
--- a/banyantiller/gateway/metrics.py
+++ b/banyantiller/gateway/metrics.py
@@ -109,6 +109,8 @@
              lambda: not gateway.not_ready()),
             ("store_lost", "Whether the store gives no answer.",
              lambda: gateway.known.health.lost_at is not None),
+            ("evacuated_zones", "Zones whose servers get no requests.",
+             lambda: len(gateway.known.zones.evacuated)),
             ("connections", "Open connections of callers.",
              lambda: len(gateway.connections)),
             ("quarantined_requests", "Requests that are refused since servers"
--- a/banyantiller/gateway/servers.py
+++ b/banyantiller/gateway/servers.py
@@ -44,6 +44,7 @@
         without_load: Whether it told no load where others of its service do.
         lapses_at: Loop time at which a registration that vanished with the
             store's outage counts as gone, or None.
+        evacuated: Whether its availability zone is to get no requests.
     """
 
     def __init__(self, server: types.Server, now: float) -> None:
@@ -55,10 +56,11 @@
         self.failed = 0
         self.without_load = False
         self.lapses_at: float | None = None
+        self.evacuated = False
 
     def usable(self, now: float) -> bool:
         """Tells whether it may get new requests."""
-        if self.server.leaving:
+        if self.server.leaving or self.evacuated:
             return False
         return self.lapses_at is None or now < self.lapses_at
 
@@ -78,6 +80,8 @@
             milliseconds; kept for instances that are gone.
         left: The start with which an instance said that it leaves. That one
             stays out for the life of this process.
+        evacuated: Availability zones whose servers get no requests, or None
+            while they are not known; no server gets requests then.
     """
 
     def __init__(self) -> None:
@@ -85,6 +89,7 @@
         self.by_service: dict[str, dict[str, Entry]] = {}
         self.started: dict[str, int] = {}
         self.left: dict[str, Start] = {}
+        self.evacuated: frozenset[str] | None = None
 
     def put(self, server: types.Server, now: float) -> types.Server | None:
         """Adds or changes a registration.
@@ -123,9 +128,27 @@
             self._of(entry.server.service).pop(server.instance, None)
             self._of(server.service)[server.instance] = entry
         entry.server = server
+        entry.evacuated = self._is_evacuated(server)
         entry.lapses_at = None
         entry.warm_at = now + server.warmup_s
 
+    def evacuate(self, zones: frozenset[str]) -> None:
+        """Lets the servers of some zones get no requests, and others again."""
+        self.evacuated = zones
+        for entry in self.entries.values():
+            entry.evacuated = self._is_evacuated(entry.server)
+
+    def only_evacuated(self, service: str, now: float) -> bool:
+        """Tells whether all servers of a service are in evacuated zones."""
+        entries = self.by_service.get(service, {}).values()
+        if any(entry.usable(now) for entry in entries):
+            return False
+        return any(entry.evacuated for entry in entries)
+
+    def in_zone(self, zone: str) -> int:
+        """Counts the servers of an availability zone."""
+        return sum(e.server.zone == zone for e in self.entries.values())
+
     def holds(self, server: types.Server) -> bool:
         """Tells whether a server is still registered as the same start."""
         entry = self.entries.get(server.instance)
@@ -176,6 +199,9 @@
         found = self.by_service.get(service, {})
         return [entry for entry in found.values() if entry.usable(now)]
 
+    def _is_evacuated(self, server: types.Server) -> bool:
+        return self.evacuated is None or server.zone in self.evacuated
+
     def _of(self, service: str) -> dict[str, Entry]:
         return self.by_service.setdefault(service, {})
 
--- a/banyantiller/gateway/sharing.py
+++ b/banyantiller/gateway/sharing.py
@@ -15,6 +15,9 @@
 # Longest wait of one question to another daemon; with its margin a daemon that
 # froze is noticed within 0.9 s.
 ASK_WAIT_S = 0.5
+# The same for a kind that may be known later: what is known is confirmed by
+# fewer questions, and a daemon that froze is noticed within 1.9 s.
+PATIENT_ASK_WAIT_S = 1.5
 # Others that gave no answer before the store is read: a second one that is
 # asked without a wait takes 0.4 s, and a change is known within 1.4 s.
 MOST_SILENT = 2
@@ -44,6 +47,7 @@
         store: The store.
         mirror: What this daemon tells others.
         sentinel: Kind whose calls show whether the store answers.
+        patient: Kinds whose changes may be known later than others.
         peers: Daemons to ask for changes; of a daemon that is asked itself,
             those before it in the order of their addresses.
         others: Daemons to ask for what was in force, without this one.
@@ -70,8 +74,10 @@
         own_address: str,
         rng: random.Random,
         reliance: reading.Reliance,
+        patient: frozenset[str] = frozenset(),
     ) -> None:
         self.store = store
+        self.patient = patient
         self.mirror = own
         self.sentinel = sentinel
         self.others = list(others)
@@ -294,7 +300,9 @@
         self, peer: peers.Peer, kind: str, version: str, wait_s: float
     ) -> interface.Changes | interface.Gone | peers.Refused:
         """Asks a daemon, and notes whether it can be relied on."""
-        found = await peer.changes(kind, version, min(wait_s, ASK_WAIT_S))
+        patient = kind in self.patient
+        most_s = PATIENT_ASK_WAIT_S if patient else ASK_WAIT_S
+        found = await peer.changes(kind, version, min(wait_s, most_s))
         if not isinstance(found, peers.Refused):
             self.questions["answered"] += 1
             peer.unfit_until = 0.0
--- a/banyantiller/gateway/types.py
+++ b/banyantiller/gateway/types.py
@@ -165,6 +165,7 @@
         document_kind: Kind of the object that holds the document.
         document_name: Name of that object.
         server_kind: Kind of the objects that servers register.
+        evacuation_kind: Kind of the objects that name evacuated zones.
         read_document: Decodes a document; raises `ValueError` with the place.
         read_server: Decodes a registration; raises `ValueError`.
         read_load: Decodes the load header; None if it can't be read.
@@ -175,6 +176,7 @@
     document_kind: str
     document_name: str
     server_kind: str
+    evacuation_kind: str
     read_document: Callable[[dict[str, Any]], Document]
     read_server: Callable[[str, dict[str, Any]], Server]
     read_load: Callable[[bytes], Load | None]
--- a/banyantiller/platform/plugin.py
+++ b/banyantiller/platform/plugin.py
@@ -8,6 +8,8 @@
 DOCUMENT_KIND = "config"
 DOCUMENT_NAME = "main"
 SERVER_KIND = "servers"
+# The name of an object is the zone; what it holds says nothing.
+EVACUATION_KIND = "evacuations"
 
 
 def register(registry: plugins.Registry) -> None:
@@ -22,6 +24,7 @@
         document_kind=DOCUMENT_KIND,
         document_name=DOCUMENT_NAME,
         server_kind=SERVER_KIND,
+        evacuation_kind=EVACUATION_KIND,
         read_document=documents.read_document,
         read_server=registrations.read_server,
         read_load=headers.read_load,
--- a/banyantiller/tests/gateway/decisions/test_beliefs.py
+++ b/banyantiller/tests/gateway/decisions/test_beliefs.py
@@ -173,6 +173,7 @@
 class ServerTableTest(base.TestCase):
     def test_instance_that_left_stays_out(self):
         table = servers.ServerTable()
+        table.evacuate(frozenset())
         table.put(server(leaving=True), 0.0)
         table.put(server(leaving=False), 1.0)
         self.assertEqual([], table.usable("one", 1.0))
@@ -182,6 +183,7 @@
 
     def test_lapsed_server_serves_for_a_moment_and_then_is_gone(self):
         table = servers.ServerTable()
+        table.evacuate(frozenset())
         table.put(server(), 0.0)
         table.lapse("i", 1.0)
         self.assertEqual(1, len(table.usable("one", 2.7)))
@@ -191,6 +193,7 @@
 
     def test_lapsed_server_that_comes_back_stays(self):
         table = servers.ServerTable()
+        table.evacuate(frozenset())
         table.put(server(), 0.0)
         table.lapse("i", 1.0)
         table.put(server(), 2.0)
@@ -199,6 +202,7 @@
 
     def test_server_may_change_its_service(self):
         table = servers.ServerTable()
+        table.evacuate(frozenset())
         table.put(server(), 0.0)
         table.put(server(service="two"), 1.0)
         self.assertEqual([], table.usable("one", 1.0))
--- a/banyantiller/tests/gateway/test_calls_to_the_store.py
+++ b/banyantiller/tests/gateway/test_calls_to_the_store.py
@@ -10,6 +10,10 @@
 PORTS = (7001, 7002, 7003)
 SEEDS = tuple(f"{world.ADDRESS}:{port}" for port in PORTS)
 OTHERS = 8
+# Kinds of objects that are followed; each may call a silent store once.
+KINDS = ("config", "servers", "evacuations")
+# Tries of a store that is lost for 20 s, by the kind that shows its return.
+TRIES_OF_LOST_STORE = 5
 NEW = [world.route("new", "safe", "/new/")]
 
 
@@ -203,7 +207,7 @@
             return max(spent), {one.known.version for one in others}
 
         most, known = self.play(body)
-        self.assertLessEqual(most, 7)
+        self.assertLessEqual(most, len(KINDS) + TRIES_OF_LOST_STORE)
         self.assertEqual({4}, known)
 
     def test_list_of_another_daemon_never_goes_back(self):
--- a/banyantiller/tests/gateway/test_common_start.py
+++ b/banyantiller/tests/gateway/test_common_start.py
@@ -16,11 +16,12 @@
 # A daemon that was asked in vain is not asked for 2 s; twice that, and the time
 # until those that are asked listen, cover all calls that a start leads to.
 PLAYED_S = 8.0
-# A caller that waits needs the document and the list of servers. While nobody
-# can tell them, each daemon with such a caller reads both once. A watch serves
+# A caller that waits needs the document, the list of servers and that of the
+# evacuated zones. While nobody can tell them, each daemon with such a caller
+# reads all three once. A watch serves
 # no caller that waits: what was listed is in force, and those that are asked
 # tell the changes once they listen.
-CALLS_FOR_WAITING_CALLERS = 2
+CALLS_FOR_WAITING_CALLERS = 3
 
 
 class Start(NamedTuple):
@@ -157,7 +158,7 @@
             for late_s in (0.0, 0.2, 0.5):
                 self.check(Start(late_s, silent, callers=False), 0)
 
-    def test_callers_cost_two_lists_a_daemon(self):
+    def test_callers_cost_one_list_of_each_kind_a_daemon(self):
         for silent in (False, True):
             for late_s in (0.0, 0.2, 0.5):
                 self.check_with_callers(Start(late_s, silent))
--- a/banyantiller/tests/gateway/test_events.py
+++ b/banyantiller/tests/gateway/test_events.py
@@ -55,6 +55,14 @@
     place.gateway.endings.watch.lift(record, place.gateway.loop.time())
 
 
+@shows(events.ZoneEvacuated, events.ZoneGivenBack)
+async def zone_is_evacuated(place):
+    place.store.put("evacuations", "zone-a", {})
+    await asyncio.sleep(0.1)
+    place.store.remove("evacuations", "zone-a")
+    await asyncio.sleep(0.1)
+
+
 @shows(events.NoConnection)
 async def connecting_fails(place):
     for one in place.servers.values():
--- a/banyantiller/tests/gateway/test_order_of_reading.py
+++ b/banyantiller/tests/gateway/test_order_of_reading.py
@@ -136,7 +136,7 @@
             await early.close()
             return calls
 
-        self.assertEqual({"list": 2, "watch": 2}, self.play(body))
+        self.assertEqual({"list": 3, "watch": 3}, self.play(body))
 
     def test_change_is_in_force_although_daemons_ask_in_a_circle(self):
         """Each knows the other under an address before its own."""
--- a/banyantiller/tests/gateway/test_registrations.py
+++ b/banyantiller/tests/gateway/test_registrations.py
@@ -17,6 +17,7 @@
     def setUp(self):
         super().setUp()
         self.table = servers.ServerTable()
+        self.table.evacuate(frozenset())
 
     def usable(self, now=1.0):
         return [
--- a/banyantiller/tests/gateway/world.py
+++ b/banyantiller/tests/gateway/world.py
@@ -226,8 +226,7 @@
         self.store.put(
             "servers",
             instance,
-            more
-            | {
+            {
                 "service": service,
                 "address": f"{ADDRESS}:{port or self.servers[instance].port}",
                 "zone": "zone-a",
@@ -236,7 +235,8 @@
                 "state": state,
                 "warmupLeftS": 0,
                 "sequence": 1,
-            },
+            }
+            | more,
         )
 
     async def ask(self, request_id, *arguments, **more):
--- a/banyantiller/tests/soak/test_checks.py
+++ b/banyantiller/tests/soak/test_checks.py
@@ -8,6 +8,7 @@
     Arrival,
     Attempt,
     Disturbance,
+    Evacuation,
     Exit,
     Leaving,
     ServerEnd,
@@ -165,6 +166,23 @@
         seen = record([attempt(at=7.2)], [arrival(at=7.25)], leavings=leavings)
         self.assert_kept("leaving servers", seen)
 
+    def test_evacuated_zone_gets_new_requests(self):
+        spans = [Evacuation("zone-a", 5.0, 15.0)]
+        zones = {"s0": "zone-a"}
+        for at, check in (
+            (11.0, self.assert_broken),
+            (9.0, self.assert_kept),
+            (15.5, self.assert_kept),
+        ):
+            sent, arrived = [attempt(at=at - 0.05)], [arrival(at=at)]
+            seen = record(sent, arrived, evacuations=spans, zones=zones)
+            check("evacuated zones", seen)
+        elsewhere = record(
+            [attempt(at=10.95)], [arrival(at=11.0)],
+            evacuations=spans, zones={"s0": "zone-b"},
+        )  # fmt: skip
+        self.assert_kept("evacuated zones", elsewhere)
+
     def test_old_version_in_force(self):
         acceptances = [Acceptance(0.0, 1), Acceptance(5.0, 2)]
         old = attempt(version=1, at=7.5)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -182,6 +182,28 @@
             yield Finding("leaving servers", text, (arrival.request_id,))
 
 
+def evacuated_zones(seen: Record) -> Iterator[Finding]:
+    """Yields new requests at servers of a zone evacuated long before."""
+    attempts = {a.request_id: a for a in seen.attempts}
+    excuses = (records.PROCESS, records.STORE, records.STORE_LINK,
+               records.CONTROL_LINK, records.LAG)  # fmt: skip
+    for one in seen.evacuations:
+        due = one.began + seen.bounds.evacuate_s + SLACK_S
+        for arrival in seen.arrivals:
+            there = seen.zones.get(arrival.instance) == one.zone
+            if not there or not due < arrival.at < one.ended:
+                continue
+            attempt = attempts.get(arrival.request_id)
+            if attempt is None or arrival.misdirected:
+                continue
+            if _calm(seen, attempt.daemon, one.began, arrival.at, excuses):
+                text = (
+                    f"{one.zone} got one {arrival.at - one.began:.2f} s after"
+                    f" its evacuation from daemon {attempt.daemon}"
+                )
+                yield Finding("evacuated zones", text, (arrival.request_id,))
+
+
 def in_force(seen: Record) -> Iterator[Finding]:
     """Yields answers by a version that should no longer be in force."""
     times = [a.at for a in seen.acceptances]
@@ -372,6 +394,7 @@
     Promise("ends", True, ends),
     Promise("in time", True, in_time),
     Promise("leaving servers", True, leaving_servers),
+    Promise("evacuated zones", True, evacuated_zones),
     Promise("in force", True, in_force),
     Promise("served again", True, served_again),
     Promise("kept up", True, kept_up),
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -14,11 +14,14 @@
 from soak.world import (
     STAYS_S,
     STORE_CALL_S,
+    ZONES,
     Place,
     World,
 )
 from standins import platform_store
 
+# Kind of the objects that name evacuated zones.
+EVACUATIONS = "evacuations"
 # Strongest of what varies with `Step.x`.
 MOST_DELAY_S = 0.3
 MOST_STORE_DELAY_S = 0.8
@@ -325,6 +328,20 @@
         await world.start_server(number)
 
 
+async def evacuate_zone(world: World, step: plans.Step) -> None:
+    """Evacuates an availability zone for a while."""
+    zone = ZONES[step.target % len(ZONES)]
+    if zone in world.store.objects.get(EVACUATIONS, {}):
+        return
+    world.store.put(EVACUATIONS, zone, {"at": step.at_s})
+    began = world.loop.time()
+    await asyncio.sleep(step.for_s)
+    # A request that arrives while it is given back counts for neither.
+    ended = world.loop.time()
+    world.store.remove(EVACUATIONS, zone)
+    world.seen.evacuations.append(records.Evacuation(zone, began, ended))
+
+
 # The store.
 
 
@@ -376,6 +393,7 @@
     "server starts again": start_again,
     "server entry spoilt": spoil_entries,
     "server address reused": reuse_address,
+    "zone evacuated": evacuate_zone,
     "store": fail_store,
     "store forgets": forget_history,
     "document": change_document,
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -111,6 +111,8 @@
 POWER_KINDS = LATER_KINDS | {"power lost": Kind(2, 1.0)}
 FIRST_ENDING_SEED = 3000
 ENDING_KINDS = POWER_KINDS | {"request ends servers": Kind(3, 9.0)}
+FIRST_EVACUATION_SEED = 4000
+EVACUATION_KINDS = ENDING_KINDS | {"zone evacuated": Kind(4, 10.0)}
 
 
 def kinds_of(seed: int) -> dict[str, Kind]:
@@ -119,7 +121,11 @@
         return KINDS
     if seed < FIRST_POWER_SEED:
         return LATER_KINDS
-    return POWER_KINDS if seed < FIRST_ENDING_SEED else ENDING_KINDS
+    if seed < FIRST_ENDING_SEED:
+        return POWER_KINDS
+    if seed < FIRST_EVACUATION_SEED:
+        return ENDING_KINDS
+    return EVACUATION_KINDS
 
 
 def draw(seed: int, sizes: Sizes) -> Plan:
--- a/soak/record.py
+++ b/soak/record.py
@@ -110,6 +110,20 @@
     instance: str
 
 
+class Evacuation(NamedTuple):
+    """An availability zone that was to get nothing for a while.
+
+    Attributes:
+        zone: The zone.
+        began: Loop time at which the store acknowledged it.
+        ended: Loop time at which it was given back.
+    """
+
+    zone: str
+    began: float
+    ended: float
+
+
 class Acceptance(NamedTuple):
     """A version of the document that the store acknowledged."""
 
@@ -143,6 +157,7 @@
     Attributes:
         contact_s: Time without a fault after which time limits hold again.
         drain_s: Longest time that a leaving server gets new requests.
+        evacuate_s: Longest time that an evacuated zone gets new requests.
         grace_s: Longest time from SIGTERM to the process's end.
         apply_s: Longest time from acceptance until a version is in force.
         late_s: Longest time past its limit that a request may be held.
@@ -157,6 +172,7 @@
 
     contact_s: float = 3.0
     drain_s: float = 2.0
+    evacuate_s: float = 5.0
     grace_s: float = 6.0
     apply_s: float = 2.0
     late_s: float = 0.5
@@ -170,13 +186,19 @@
 
 @dataclasses.dataclass
 class Record:
-    """Everything that was seen in one run."""
+    """Everything that was seen in one run.
+
+    Attributes:
+        zones: Availability zone of each start of a server, by its identity.
+    """
 
     bounds: Bounds = dataclasses.field(default_factory=Bounds)
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
     leavings: list[Leaving] = dataclasses.field(default_factory=list)
+    zones: dict[str, str] = dataclasses.field(default_factory=dict)
+    evacuations: list[Evacuation] = dataclasses.field(default_factory=list)
     acceptances: list[Acceptance] = dataclasses.field(default_factory=list)
     ends: list[ServerEnd] = dataclasses.field(default_factory=list)
     exits: list[Exit] = dataclasses.field(default_factory=list)
--- a/soak/world.py
+++ b/soak/world.py
@@ -38,12 +38,14 @@
 
     Attributes:
         service: Its service.
+        zone: Its availability zone.
         server: The running server, or None.
         started_ms: When the latest server was started, in Unix milliseconds.
     """
 
-    def __init__(self, service: str, link: Link) -> None:
+    def __init__(self, service: str, zone: str, link: Link) -> None:
         self.service = service
+        self.zone = zone
         self.link = link
         self.server: registered_server.RegisteredServer | None = None
         self.started_ms = 0
@@ -94,7 +96,8 @@
         for number in range(2 * self.sizes.servers):
             link = await Link.to(runner.ADDRESS, 0)
             service = contents.SERVICES[number % len(contents.SERVICES)]
-            self.places.append(Place(service, link))
+            zone = ZONES[number // len(contents.SERVICES) % len(ZONES)]
+            self.places.append(Place(service, zone, link))
             await self.start_server(number)
         self.ports = gateways.Ports.take(3 * self.sizes.daemons)
         ports = self.ports.numbers
@@ -212,9 +215,11 @@
         """Writes the registration of a place's server."""
         assert place.server is not None
         address = f"{runner.ADDRESS}:{place.link.port}"
+        zone = place.zone
         content = contents.registration(
-            place.service, address, ZONES[0], SLOTS, state, place.started_ms
+            place.service, address, zone, SLOTS, state, place.started_ms
         )
+        self.seen.zones[place.server.instance] = zone
         self.store.put("servers", place.server.instance, content)
 
     # The daemons.
--- a/spec/check.py
+++ b/spec/check.py
@@ -15,6 +15,7 @@
 from spec.acceptance import ACCEPTANCE
 from spec.claims import CLAIMS
 from spec.daemon_drain import DAEMON_DRAIN
+from spec.evacuations import EVACUATIONS
 from spec.measuring import MEASURING
 from spec.mirror import MIRROR
 from spec.quarantine import QUARANTINE
@@ -33,6 +34,7 @@
     MIRROR,
     SHARING,
     QUARANTINE,
+    EVACUATIONS,
 )
 # States of one search: a protocol that grows by mistake ends as undetermined
 # in place of running on. The largest one, claims, takes four fifths of them.
