Send a cold server no more than the fleet's part of its rate

Cause: a server that is cold ends when it gets well more requests a second than it states, over all daemons. Nothing bounded that: all daemons that see one idle server may send at once. With 8 daemons and 48 callers that wait, 15 requests reached a cold server in one second where 11 end none (34 with 24 daemons).

Ruled out: the load that the server tells in the question just before, alone (the 15 and 34 above were sent so); a chance for each request, whose sum is right only in the mean while daemons press at different rates.

Change: each daemon has its share of the stated rate. Below one request a second that share is the chance, drawn once for a daemon and a start of a server, to send one a second; others neither send nor ask until it is warm. A server says so in its answers; a registration counts where servers are not asked.

--- a/banyantiller/gateway/asking.py
+++ b/banyantiller/gateway/asking.py
@@ -66,11 +66,13 @@
         fit: Whether it says that it is well.
         load: Its load, or None.
         instance: Its identity, or empty.
+        warmup_s: How long it is still cold, in seconds.
     """
 
     fit: bool
     load: types.Load | None
     instance: str
+    warmup_s: float = 0.0
 
 
 Pools = Callable[[types.Server], pool.Pool]
@@ -249,6 +251,7 @@
             home.discard(link)
             self.seen.moved(entry.server)
             return
+        entry.note_warmup(answer.warmup_s, self.loop.time())
         if answer.load is not None:
             self._note_load(entry)
         elif answer.fit:
@@ -306,8 +309,13 @@
             response.status == 200,
             load,
             response.header(self.wire.instance.decode()),
+            self._warmup_s(response),
         )
 
+    def _warmup_s(self, response: messages.Response) -> float:
+        told = response.header(self.wire.warmup_ms.decode())
+        return int(told) / 1000 if told.isdigit() else 0.0
+
     def _candidate(
         self, entry: servers.Entry, link: pool.Link | None, answer: Answer
     ) -> Candidate:
--- a/banyantiller/gateway/choosing.py
+++ b/banyantiller/gateway/choosing.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from banyantiller.gateway import asking, servers, types
-from banyantiller.gateway.decisions import selection, waiting
+from banyantiller.gateway.decisions import cold, selection, waiting
 
 
 class Wanted(NamedTuple):
@@ -35,6 +35,8 @@
         asker: Asks for their load.
         selector: Decides who is asked and who is taken.
         connected: Returns to which servers there are connections.
+        cold_share: Returns which part of the rate that a cold server states
+            this daemon may send.
     """
 
     def __init__(
@@ -43,11 +45,13 @@
         asker: asking.Asker,
         selector: selection.Selector,
         connected: Callable[[list[servers.Entry]], selection.Connected],
+        cold_share: Callable[[], float],
     ) -> None:
         self.table = table
         self.asker = asker
         self.selector = selector
         self.connected = connected
+        self.cold_share = cold_share
         self.loop = asyncio.get_running_loop()
 
     async def choose(self, wanted: Wanted) -> asking.Candidate | None:
@@ -63,9 +67,11 @@
             now = self.loop.time()
             again = now + waiting.ASK_AGAIN_S
             spare = again <= wanted.limits.spare
-            best = self.selector.pick(found, wanted.most_score, now, spare)
+            fit = [one for one in found if self._may_send(one.entry, wanted)]
+            best = self.selector.pick(fit, wanted.most_score, now, spare)
             self.asker.give_back([one for one in found if one is not best])
             if best is not None:
+                best.entry.note_cold_send(now)
                 return best
             if again > wanted.limits.any:
                 return None
@@ -78,11 +84,32 @@
             entry
             for entry in self.table.usable(wanted.service.name, now)
             if entry.server.instance not in wanted.tried
+            and self._may_ask(entry, wanted)
         ]
         alive = [entry for entry in found if not entry.belief.silent(now)]
         # If all are silent, the fault may be on this side.
         return alive or found
 
+    def _may_ask(self, entry: servers.Entry, wanted: Wanted) -> bool:
+        """Tells whether a server may be asked.
+
+        One whose registration says that it is cold may be asked once: it may
+        be warm meanwhile.
+        """
+        said_cold = self.loop.time() < entry.said_cold_until
+        return not said_cold or self._may_send(entry, wanted)
+
+    def _may_send(self, entry: servers.Entry, wanted: Wanted) -> bool:
+        """Tells whether a server is warm, or may get a request all the same."""
+        now = self.loop.time()
+        per_s = wanted.service.cold_per_s
+        if now >= entry.warm_at or math.isinf(per_s):
+            return True
+        start = f"{entry.server.instance} {entry.server.started_ms}"
+        share = self.cold_share()
+        part = cold.part(self.selector.daemon, start, per_s, share)
+        return part.allowed and now >= entry.sent_cold_at + part.spacing_s
+
     def _is_hopeless(self, wanted: Wanted) -> bool:
         """Tells whether waiting for a server is of no use."""
         return self.table.only_evacuated(wanted.service.name, self.loop.time())
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -116,6 +116,7 @@
             self.asker,
             selection.Selector(settings.daemon, settings.zone, rng),
             self._connected,
+            lambda: self.least_share() * self.settings.cold_tolerance,
         )
         self.emptied = asyncio.Event()
         self.listener: asyncio.Server | None = None
--- a/banyantiller/gateway/servers.py
+++ b/banyantiller/gateway/servers.py
@@ -1,5 +1,6 @@
 """Servers that registered themselves, and which of them get new requests."""
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -38,6 +39,8 @@
         server: The registration.
         belief: What this daemon saw of it.
         warm_at: Loop time at which it is as fast as usual.
+        said_cold_until: The same, as it said itself when it was asked.
+        sent_cold_at: When it got the last request while it was cold.
         in_flight: Requests of this daemon at the server.
         sends: Requests of this daemon so far.
         failed: Of these, those without an answer that can be used.
@@ -51,6 +54,8 @@
         self.server = server
         self.belief = beliefs.Belief()
         self.warm_at = now + server.warmup_s
+        self.said_cold_until = -math.inf
+        self.sent_cold_at = -math.inf
         self.in_flight = 0
         self.sends = 0
         self.failed = 0
@@ -58,6 +63,16 @@
         self.lapses_at: float | None = None
         self.evacuated = False
 
+    def note_warmup(self, warmup_s: float, now: float) -> None:
+        """Notes for how long it says that it is still cold."""
+        self.warm_at = now + warmup_s
+        self.said_cold_until = self.warm_at
+
+    def note_cold_send(self, now: float) -> None:
+        """Notes that it gets a request, which counts while it is cold."""
+        if now < self.warm_at:
+            self.sent_cold_at = now
+
     def usable(self, now: float) -> bool:
         """Tells whether it may get new requests."""
         if self.server.leaving or self.evacuated:
@@ -130,7 +145,7 @@
         entry.server = server
         entry.evacuated = self._is_evacuated(server)
         entry.lapses_at = None
-        entry.warm_at = now + server.warmup_s
+        entry.warm_at = max(entry.warm_at, now + server.warmup_s)
 
     def evacuate(self, zones: frozenset[str]) -> None:
         """Lets the servers of some zones get no requests, and others again."""
--- a/banyantiller/gateway/settings.py
+++ b/banyantiller/gateway/settings.py
@@ -60,6 +60,13 @@
     retry_window_s: Annotated[
         float, Option("Window of the retry budget.", unit="s", low=0.1)
     ] = 10.0
+    cold_tolerance: Annotated[
+        float,
+        Option(
+            "How many times the rate that it states a cold server bears.",
+            low=0.1,
+        ),
+    ] = 1.0
     quarantine_s: Annotated[
         float,
         Option(
--- a/banyantiller/gateway/types.py
+++ b/banyantiller/gateway/types.py
@@ -1,5 +1,6 @@
 """What the gateway is told: routes, services, servers and wire names."""
 
+import math
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -51,11 +52,14 @@
         name: Name of the service.
         health_path: Path at which a server tells its health and load.
         max_connections: Connections that a server takes from all callers.
+        cold_per_s: Requests a second that a cold server bears from all callers,
+            or infinite if that is not stated.
     """
 
     name: str
     health_path: str
     max_connections: int
+    cold_per_s: float = math.inf
 
 
 class CallerLimits(NamedTuple):
@@ -144,6 +148,7 @@
         instance: Instance that answers.
         load: Load that a server tells.
         not_run: Present if the server did not execute the request.
+        warmup_ms: Milliseconds for which a server is still cold.
         caller: Says who calls, the same with each sending.
     """
 
@@ -154,6 +159,7 @@
     instance: bytes
     load: bytes
     not_run: bytes
+    warmup_ms: bytes
     caller: bytes = b"authorization"
 
 
--- a/banyantiller/platform/documents.py
+++ b/banyantiller/platform/documents.py
@@ -1,6 +1,7 @@
 """Decodes the operators' document as the platform's store holds it."""
 
-from typing import Any, TypedDict
+import math
+from typing import Any, NotRequired, TypedDict
 
 import msgspec
 
@@ -42,6 +43,8 @@
     healthPath: str
     # For each server and all callers together, not for the service.
     maxConns: int
+    # Of one cold server, from all daemons together.
+    warmupPerS: NotRequired[float]
 
 
 class LimitFields(TypedDict):
@@ -90,7 +93,10 @@
 
 def _service(fields: ServiceFields) -> types.Service:
     return types.Service(
-        fields["name"], fields["healthPath"], fields["maxConns"]
+        fields["name"],
+        fields["healthPath"],
+        fields["maxConns"],
+        fields.get("warmupPerS", math.inf),
     )
 
 
--- a/banyantiller/platform/headers.py
+++ b/banyantiller/platform/headers.py
@@ -13,6 +13,8 @@
     instance=b"instance-id",
     load=b"upstream-load",
     not_run=b"not-executed",
+    # Only in answers to questions for health; left out by a warm server.
+    warmup_ms=b"warmup-ms",
     # The key of a caller's organisation, in place of the usual field.
     caller=b"credential",
 )
--- a/banyantiller/tests/gateway/world.py
+++ b/banyantiller/tests/gateway/world.py
@@ -184,8 +184,15 @@
         self.silent[control_port] = machine
         self.controls.append(machine)
 
-    def put_document(self, routes=None, services=(SERVICE, "other"), **limits):
+    def put_document(
+        self,
+        routes=None,
+        services=(SERVICE, "other"),
+        cold_per_s=None,
+        **limits,
+    ):
         """Puts a new version in force."""
+        cold = {} if cold_per_s is None else {"warmupPerS": cold_per_s}
         self.version += 2
         routes = routes or [
             route("read", "safe", "/read/"),
@@ -205,6 +212,7 @@
                 "routes": routes,
                 "services": [
                     {"name": name, "healthPath": "/health", "maxConns": 220}
+                    | cold
                     for name in services
                 ],
                 "limits": allowed | limits,
--- a/standins/registered_server.py
+++ b/standins/registered_server.py
@@ -88,6 +88,7 @@
         tells_load: Whether it tells its load; if not, questions for its
             health take a slot.
         faults: What it does wrong.
+        cold_until: Loop time until which it calls itself cold.
         ran: Identities of the requests that it executed.
         seen: Heads of the requests that reached it, health left out.
         arrivals: The same requests with time and outcome.
@@ -108,6 +109,7 @@
         self.changed = asyncio.Event()
         self.tells_load = True
         self.faults = Faults()
+        self.cold_until = 0.0
         self.random = random.Random(instance)
         self.ran: collections.Counter[str] = collections.Counter()
         self.seen: list[dict[str, str]] = []
@@ -128,6 +130,10 @@
         self.port = self.server.sockets[0].getsockname()[1]
         return self.port
 
+    def cool_down(self, for_s: float) -> None:
+        """Is cold for a while; it says so when it is asked for its health."""
+        self.cold_until = asyncio.get_running_loop().time() + for_s
+
     def stop(self) -> None:
         """Stops at once; open connections break."""
         if self.server is not None:
@@ -166,7 +172,7 @@
                 self.freed.clear()
                 await self.freed.wait()
             status = 503 if self.faults.ill else 200
-            writer.write(self._answer(codec, status, {}, b""))
+            writer.write(self._answer(codec, status, self._warmup(), b""))
             return True
         self.seen.append(fields)
         self.bodies.append(body)
@@ -181,6 +187,10 @@
             return True
         return await self._run(codec, reader, writer, own, head)
 
+    def _warmup(self) -> dict[str, str]:
+        left_s = self.cold_until - asyncio.get_running_loop().time()
+        return {"warmup-ms": f"{left_s * 1000:.0f}"} if left_s > 0 else {}
+
     def _refusal(self, fields: dict[str, str]) -> tuple[int, dict] | None:
         wanted = fields.get("target-instance", self.instance)
         if wanted != self.instance:
