Let operators of banyantillerd evacuate a zone by signed bundles

Cause: only the gateway, by the platform's store, could leave out a whole zone; under banyantillerd an operator had to name every server of it.

Ruled out: a list of zones beside the services, which a manifest has no part for; marking each server, which a later bundle would have to undo one by one.

Change: a service of a bundle may name evacuated_zones. Its servers there get no new calls, as those that leave; calls that run end in their own time, and a service without another zone is refused at once, not run, with a time. `banyantiller zones` shows the zones of the bundle in force, proposes to evacuate one or to give it back; another operator signs, and it is rolled.

Tests: test_zones.py over the command line end to end, test_evacuations.py on the data path; both fail without the option, which did not exist.

--- a/banyantiller/bundle/options.py
+++ b/banyantiller/bundle/options.py
@@ -154,6 +154,10 @@
     stages: Annotated[
         tuple[Stage, ...], Option("Shares that follow, in order of time.")
     ] = ()
+    evacuated_zones: Annotated[
+        tuple[str, ...],
+        Option("Availability zones whose servers get no new calls."),
+    ] = ()
     queue: Annotated[QueuePolicy, Option("Waiting.")] = QueuePolicy()
     retry: Annotated[RetryPolicy, Option("Retries and hedges.")] = RetryPolicy()
     measuring: Annotated[MeasuringPolicy, Option("Probes.")] = MeasuringPolicy()
--- a/banyantiller/commands/cli.py
+++ b/banyantiller/commands/cli.py
@@ -31,6 +31,7 @@
     "held",
     "audit",
     "gone",
+    "zones",
     "report",
     "explain",
     "replay",
--- a/banyantiller/commands/propose.py
+++ b/banyantiller/commands/propose.py
@@ -16,8 +16,15 @@
 from banyantiller.config.problems import Problem
 
 
-class _Result(NamedTuple):
-    """What is told about a proposal."""
+class Offered(NamedTuple):
+    """A proposal that was made, and what is told about it.
+
+    Attributes:
+        proposed: The proposal.
+        found: How it differs from the bundle in force.
+        doubts: Why daemons refuse what is in force; empty if they take it.
+        warnings: What is questionable in the bundle.
+    """
 
     proposed: Proposed
     found: tuple[difference.Difference, ...]
@@ -45,30 +52,54 @@
     async def body(session: context.Session) -> int:
         seen = await references.view(session)
         before = await _content(session, seen)
-        known = await statuses.read(session)
-        outcome = await proposals.propose(
-            session.store,
-            session.deployment,
-            parsed.bundle,
-            session.operator(),
-            floor=max((item.bundle for item in known), default=0),
-        )
-        proposed = failures.expect(outcome, Proposed)
-        found = difference.compare(before, parsed.bundle)
-        result = _Result(proposed, found, seen.doubts, parsed.warnings)
-        output.emit(json, _data(result), _lines(result))
+        result = await offer(session, seen.doubts, before, parsed.bundle)
+        emit(json, result._replace(warnings=parsed.warnings))
         return 0
 
     return context.run(settings, body)
 
 
+async def offer(
+    session: context.Session,
+    doubts: tuple[str, ...],
+    before: Bundle,
+    bundle: Bundle,
+) -> Offered:
+    """Proposes a bundle that follows the one in force.
+
+    Args:
+        session: What the operator works with.
+        doubts: Why daemons refuse what is in force.
+        before: Content of the bundle in force.
+        bundle: The content that is proposed.
+
+    Raises:
+        BanyantillerError: It could not be proposed.
+    """
+    known = await statuses.read(session)
+    outcome = await proposals.propose(
+        session.store,
+        session.deployment,
+        bundle,
+        session.operator(),
+        floor=max((item.bundle for item in known), default=0),
+    )
+    proposed = failures.expect(outcome, Proposed)
+    return Offered(proposed, difference.compare(before, bundle), doubts, ())
+
+
+def emit(json: bool, result: Offered) -> None:
+    """Prints what is told about a proposal."""
+    output.emit(json, _data(result), _lines(result))
+
+
 async def _content(session: context.Session, seen: references.View) -> Bundle:
     if seen.head is None or seen.doubts:
         return Bundle(())
     return await references.content(session, seen.head.accepted.manifest)
 
 
-def _data(result: _Result) -> dict[str, Any]:
+def _data(result: Offered) -> dict[str, Any]:
     return {
         "digest": result.proposed.digest,
         "version": result.proposed.manifest.version,
@@ -78,7 +109,7 @@
     }
 
 
-def _lines(result: _Result) -> list[str]:
+def _lines(result: Offered) -> list[str]:
     digest = result.proposed.digest
     version = result.proposed.manifest.version
     return [
--- a/banyantiller/proxy/driver.py
+++ b/banyantiller/proxy/driver.py
@@ -354,11 +354,16 @@
                 server.zone,
                 server.slots or self.service.slots,
                 server.group,
-                server.name in self.leaving,
+                self._gets_nothing(server),
             )
             for server in self.service.servers
         )
 
+    def _gets_nothing(self, server: options.BackendServer) -> bool:
+        """Tells whether a server leaves or is in an evacuated zone."""
+        evacuated = server.zone in self.service.evacuated_zones
+        return evacuated or server.name in self.leaving
+
     def _set_pools(self) -> None:
         wanted = {
             server.name: pools.Address(server.address, server.port)
