Ask the cold server that a daemon may send to while others are full

Change: one cold server that this daemon may send to is asked besides. A warm one with a free slot is still better.

Test: with eleven full servers the cold one is found at the first question; the request was refused before.

--- a/banyantiller/gateway/choosing.py
+++ b/banyantiller/gateway/choosing.py
@@ -8,6 +8,9 @@
 from banyantiller.gateway import asking, servers, types
 from banyantiller.gateway.decisions import cold, selection, waiting
 
+# Cold servers that are asked beside the others.
+MOST_COLD_ASKED = 1
+
 
 class Wanted(NamedTuple):
     """What a server is wanted for.
@@ -110,6 +113,22 @@
         part = cold.part(self.selector.daemon, start, per_s, share)
         return part.allowed and now >= entry.sent_cold_at + part.spacing_s
 
+    def _own_cold(
+        self, usable: list[servers.Entry], asked: list[servers.Entry]
+    ) -> list[servers.Entry]:
+        """Returns a cold server that is asked besides, if there is one.
+
+        Few daemons may send to it, and these are to find it while all other
+        servers are full.
+        """
+        now = self.loop.time()
+        found = [
+            entry
+            for entry in usable
+            if now < entry.said_cold_until and entry not in asked
+        ]
+        return found[:MOST_COLD_ASKED]
+
     def _is_hopeless(self, wanted: Wanted) -> bool:
         """Tells whether waiting for a server is of no use."""
         return self.table.only_evacuated(wanted.service.name, self.loop.time())
@@ -121,7 +140,8 @@
         name = wanted.service.name
         path = wanted.service.health_path
         first = self.selector.first(name, usable, self.connected(usable))
-        found = await self.asker.ask(first.asked, path)
+        own_cold = self._own_cold(usable, first.asked)
+        found = await self.asker.ask(first.asked + own_cold, path)
         more = self.selector.more(name, usable, first, found)
         if not more:
             return found
--- a/banyantiller/tests/gateway/test_cold_servers.py
+++ b/banyantiller/tests/gateway/test_cold_servers.py
@@ -74,6 +74,24 @@
 
         self.assertEqual(({200}, 0, True), self.play(body, share=0.0))
 
+    def test_cold_server_is_found_while_all_others_are_full(self):
+        async def body(place):
+            place.servers["s0"].cool_down(WARMUP_S)
+            for name in ("s1", "s2"):
+                place.servers[name].running = 9
+            await place.ask("first")
+            for number in range(3, 12):
+                one = await place.add_server(f"s{number}")
+                one.running = 9
+            await asyncio.sleep(1)
+            before = place.gateway.asker.asked
+            answer = await place.ask("r")
+            return answer.status, place.gateway.asker.asked - before
+
+        status, asked = self.play(body, share=1.0)
+        self.assertEqual(200, status)
+        self.assertLessEqual(asked, 6)
+
     def test_server_that_is_warm_again_gets_requests(self):
         async def body(place):
             place.servers["s0"].cool_down(0.5)
