Let a doubt end with the failures, and name no server by an empty text

Cause: read through as a newcomer would, a question that names no failing server was taken for one that names the server '', so that each answer between daemons carried it (15 bytes); and a doubt held for 8 s after an answer that itself counts failures of 8 s, 16 s in all.

Change: empty names are left out; a doubt holds for 2 s after the last answer that names the server, as each answer renews it.

Test: three daemons that name no server put none in doubt; failed before.

--- a/banyantiller/gateway/decisions/failing.py
+++ b/banyantiller/gateway/decisions/failing.py
@@ -15,6 +15,8 @@
 
 # How long a failure counts, in seconds.
 RECENT_S = 8.0
+# How long a doubt holds, in seconds; answers that name the server renew it.
+HELD_S = 2.0
 # Daemons that a server has to have failed.
 LEAST_DAEMONS = 2
 # Most servers that are named in one message.
--- a/banyantiller/gateway/knowledge.py
+++ b/banyantiller/gateway/knowledge.py
@@ -313,7 +313,7 @@
 
     def _doubted(self, instances: list[str]) -> None:
         now = self.loop.time()
-        self.table.doubt(instances, now + failing.RECENT_S, now)
+        self.table.doubt(instances, now + failing.HELD_S, now)
 
     def _ignore(self, item: interface.StoredObject) -> None:
         events.emit(events.DocumentRemoved(item.name))
--- a/banyantiller/gateway/mirror.py
+++ b/banyantiller/gateway/mirror.py
@@ -309,7 +309,7 @@
         first = not self.demanded()
         now = self.loop.time()
         self.askers[name] = Asker(now, shares)
-        named = request.query.get("failing", "").split(",")
+        named = [n for n in request.query.get("failing", "").split(",") if n]
         self.reports.take(name, named[: failing.MOST_NAMED], now)
         if first:
             events.emit(events.ReadsForOthers(name))
--- a/banyantiller/tests/gateway/test_failing_servers.py
+++ b/banyantiller/tests/gateway/test_failing_servers.py
@@ -4,6 +4,7 @@
 import random
 
 from banyantiller.gateway.decisions import failing
+from banyantiller.http import messages
 from banyantiller.tests import base
 from banyantiller.tests.gateway import world
 
@@ -41,6 +42,17 @@
 
 
 class TableTest(world.TestCase):
+    def test_questions_that_name_no_server_put_none_in_doubt(self):
+        async def body(place):
+            since = place.gateway.known.mirror.histories["config"].version
+            for name in ("d1", "d2", "d3"):
+                target = f"/mirror/config?since={since}&wait_ms=0&name={name}"
+                request = messages.Request("GET", target, ())
+                answer = await place.gateway.answer_daemon(request)
+            return answer.status, b"doubted" in answer.body
+
+        self.assertEqual((200, False), self.play(body))
+
     def test_half_of_a_service_is_not_doubted(self):
         async def body(place):
             await place.add_server("s3")
