--- a/banyantiller/proxy/driver.py
+++ b/banyantiller/proxy/driver.py
@@ -14,7 +14,14 @@
 from banyantiller.errors import ErrorKind, Ran
 from banyantiller.proxy import attempt as attempts
 from banyantiller.proxy import call as calls
-from banyantiller.proxy import endings, guard, load, probe, watchdog
+from banyantiller.proxy import (
+    endings,
+    guard,
+    load,
+    probe,
+    server_states,
+    watchdog,
+)
 from banyantiller.proxy import pool as pools
 from banyantiller.routing import types
 
@@ -75,7 +82,8 @@
         self.watch = watchdog.Watchdog(self.loop, self._tick)
         self.return_watch = watchdog.Watchdog(self.loop, self._ask_leaving)
         self._set_pools()
-        self.dispatcher = create(service, self._states(), self.loop.time())
+        states = server_states.of(service, self.leaving)
+        self.dispatcher = create(service, states, self.loop.time())
         self._set_timer()
 
     # Called by the proxy.
@@ -343,26 +351,8 @@
 
     def _reconfigure(self) -> None:
         now = self.loop.time()
-        self.perform(
-            self.dispatcher.configure(self.service, self._states(), now)
-        )
-
-    def _states(self) -> tuple[types.ServerState, ...]:
-        return tuple(
-            types.ServerState(
-                server.name,
-                server.zone,
-                server.slots or self.service.slots,
-                server.group,
-                self._gets_nothing(server),
-            )
-            for server in self.service.servers
-        )
-
-    def _gets_nothing(self, server: options.BackendServer) -> bool:
-        """Tells whether a server leaves or is in an evacuated zone."""
-        evacuated = server.zone in self.service.evacuated_zones
-        return evacuated or server.name in self.leaving
+        states = server_states.of(self.service, self.leaving)
+        self.perform(self.dispatcher.configure(self.service, states, now))
 
     def _set_pools(self) -> None:
         wanted = {
--- /dev/null
+++ b/banyantiller/proxy/server_states.py
@@ -0,0 +1,29 @@
+"""What the routing is told of the servers of a service."""
+
+from collections.abc import Container
+
+from banyantiller.bundle import options
+from banyantiller.routing import types
+
+
+def of(
+    service: options.Service, leaving: Container[str]
+) -> tuple[types.ServerState, ...]:
+    """Returns the state of each server.
+
+    Those of an evacuated zone get no new calls, as those that leave.
+
+    Args:
+        service: The service.
+        leaving: Names of its servers that leave.
+    """
+    return tuple(
+        types.ServerState(
+            server.name,
+            server.zone,
+            server.slots or service.slots,
+            server.group,
+            server.name in leaving or server.zone in service.evacuated_zones,
+        )
+        for server in service.servers
+    )
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,11 +5,10 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
+from soak import excuses, store_checks
 from soak import record as records
 from soak.record import Finding, Record
 
-OK = 200
-NOT_FOUND = 404
 # The statuses that say that a request was not executed and won't be.
 NOT_RUN = frozenset({408, 421, 429, 503})
 # Server errors with which a daemon refuses a request for good: a method or a
@@ -17,8 +16,6 @@
 UNSUPPORTED = frozenset({501, 505})
 # Body of the refusal of a request that ends servers.
 QUARANTINED = b"quarantined\n"
-# How long after a fault's end its effects may last on a kept connection.
-SLACK_S = 0.3
 # Least part of the requests that is served once all faults are over.
 SERVED_AGAIN = 0.9
 LEAST_REQUESTS = 20
@@ -134,100 +131,32 @@
     excuse.
     """
     arrived = {a.request_id for a in seen.arrivals}
-    excuses = (records.PROCESS, records.CALLER_LINK, records.LAG)
+    excused = (records.PROCESS, records.CALLER_LINK, records.LAG)
     for attempt in seen.attempts:
         lost = attempt.end in (records.CLOSED, records.CUT_SHORT)
         if not lost or attempt.request_id not in arrived:
             continue
-        if _calm(seen, attempt.daemon, attempt.sent_at, attempt.ended_at,
-                 excuses):  # fmt: skip
+        if excuses.calm(seen, attempt.daemon, attempt.sent_at, attempt.ended_at,
+                 excused):  # fmt: skip
             text = f"daemon {attempt.daemon} {attempt.end} at work"
             yield Finding("answered", text, (attempt.request_id,))
 
 
 def in_time(seen: Record) -> Iterator[Finding]:
     """Yields requests that were held past their limit."""
-    excuses = (records.PROCESS, records.CALLER_LINK, records.LAG)
+    excused = (records.PROCESS, records.CALLER_LINK, records.LAG)
     for attempt in seen.attempts:
         if attempt.end == records.LEFT:
             continue
         took_s = attempt.ended_at - attempt.sent_at
         if took_s <= attempt.limit_s + seen.bounds.late_s:
             continue
-        if _calm(seen, attempt.daemon, attempt.sent_at, attempt.ended_at,
-                 excuses):  # fmt: skip
+        if excuses.calm(seen, attempt.daemon, attempt.sent_at, attempt.ended_at,
+                 excused):  # fmt: skip
             text = f"daemon {attempt.daemon} held it {took_s:.2f} s"
             yield Finding("in time", text, (attempt.request_id,))
 
 
-def leaving_servers(seen: Record) -> Iterator[Finding]:
-    """Yields new requests at servers that left long ago."""
-    attempts = {a.request_id: a for a in seen.attempts}
-    left = {leaving.instance: leaving.at for leaving in seen.leavings}
-    excuses = (records.PROCESS, records.STORE, records.STORE_LINK,
-               records.CONTROL_LINK, records.LAG)  # fmt: skip
-    for arrival in seen.arrivals:
-        if arrival.instance not in left or arrival.misdirected:
-            continue
-        since = left[arrival.instance]
-        attempt = attempts.get(arrival.request_id)
-        after_s = arrival.at - since
-        if attempt is None or after_s <= seen.bounds.drain_s + SLACK_S:
-            continue
-        if _calm(seen, attempt.daemon, since, arrival.at, excuses):
-            text = (
-                f"{arrival.instance} got one {after_s:.2f} s after its leaving"
-                f" from daemon {attempt.daemon}"
-            )
-            yield Finding("leaving servers", text, (arrival.request_id,))
-
-
-def evacuated_zones(seen: Record) -> Iterator[Finding]:
-    """Yields new requests at servers of a zone evacuated long before."""
-    attempts = {a.request_id: a for a in seen.attempts}
-    excuses = (records.PROCESS, records.STORE, records.STORE_LINK,
-               records.CONTROL_LINK, records.LAG)  # fmt: skip
-    for one in seen.evacuations:
-        due = one.began + seen.bounds.evacuate_s + SLACK_S
-        for arrival in seen.arrivals:
-            there = seen.zones.get(arrival.instance) == one.zone
-            if not there or not due < arrival.at < one.ended:
-                continue
-            attempt = attempts.get(arrival.request_id)
-            if attempt is None or arrival.misdirected:
-                continue
-            if _calm(seen, attempt.daemon, one.began, arrival.at, excuses):
-                text = (
-                    f"{one.zone} got one {arrival.at - one.began:.2f} s after"
-                    f" its evacuation from daemon {attempt.daemon}"
-                )
-                yield Finding("evacuated zones", text, (arrival.request_id,))
-
-
-def in_force(seen: Record) -> Iterator[Finding]:
-    """Yields answers by a version that should no longer be in force."""
-    times = [a.at for a in seen.acceptances]
-    excuses = (records.PROCESS, records.STORE, records.STORE_LINK,
-               records.CONTROL_LINK, records.LAG)  # fmt: skip
-    for attempt in seen.attempts:
-        if not attempt.version or attempt.status not in (OK, NOT_FOUND):
-            continue
-        settled = bisect.bisect(times, attempt.sent_at - seen.bounds.apply_s)
-        latest = bisect.bisect(times, attempt.ended_at)
-        due = seen.acceptances[settled - 1].version if settled else 0
-        possible = {a.version for a in seen.acceptances[settled:latest]} | {due}
-        served = attempt.status == OK
-        wrong = served and attempt.version not in possible
-        wrong |= not served and possible == {attempt.version}
-        if wrong and _calm(seen, attempt.daemon, times[settled - 1],
-                           attempt.ended_at, excuses):  # fmt: skip
-            text = (
-                f"daemon {attempt.daemon} answered {attempt.status} for"
-                f" version {attempt.version} while {sorted(possible)} held"
-            )
-            yield Finding("in force", text, (attempt.request_id,))
-
-
 def servers_that_end(seen: Record) -> Iterator[Finding]:
     """Yields requests that ended servers and went on reaching them.
 
@@ -235,7 +164,7 @@
     its start excuses it for a moment only.
     """
     attempts = {a.request_id: a for a in seen.attempts}
-    excuses = (records.PROCESS, records.CONTROL_LINK, records.LAG)
+    excused = (records.PROCESS, records.CONTROL_LINK, records.LAG)
     ends = collections.defaultdict(list)
     for end in seen.ends:
         ends[end.target].append(end.at)
@@ -248,9 +177,14 @@
             for arrival in seen.arrivals
             if arrival.target == target
             and arrival.at > third + seen.bounds.contact_s
-            and _calm(seen, attempts[arrival.request_id].daemon, arrival.at,
-                      arrival.at, excuses)
-        ]  # fmt: skip
+            and excuses.calm(
+                seen,
+                attempts[arrival.request_id].daemon,
+                arrival.at,
+                arrival.at,
+                excused,
+            )
+        ]
         if len(later) > seen.bounds.later_arrivals:
             ids = tuple(arrival.request_id for arrival in later)
             text = f"{target} ended {len(times)}, and came {len(later)} times"
@@ -268,7 +202,7 @@
 def never_back(seen: Record) -> Iterator[Finding]:
     """Yields versions that a process served after a newer one."""
     newest: dict[tuple[int, int], tuple[int, float]] = {}
-    served = [a for a in seen.attempts if a.version and a.status == OK]
+    served = [a for a in seen.attempts if a.version and a.status == records.OK]
     for attempt in sorted(served, key=lambda a: a.ended_at):
         life = (attempt.daemon, attempt.life)
         version, since = newest.get(life, (0, 0.0))
@@ -310,8 +244,8 @@
             text = f"daemon {one.daemon} ended by itself with {one.status}"
             yield Finding("ends", text)
             continue
-        excuses = (records.PROCESS, records.LAG)
-        if not _calm(seen, one.daemon, one.asked_at, one.at, excuses):
+        excused = (records.PROCESS, records.LAG)
+        if not excuses.calm(seen, one.daemon, one.asked_at, one.at, excused):
             continue
         took_s = one.at - one.asked_at
         if one.status != 0:
@@ -354,31 +288,13 @@
            for d in seen.disturbances):  # fmt: skip
         # The servers, which run in the soak, could not keep up.
         return
-    good = sum(a.status == OK for a in late)
+    good = sum(a.status == records.OK for a in late)
     if len(late) < LEAST_REQUESTS or good < SERVED_AGAIN * len(late):
-        bad = tuple(a.request_id for a in late if a.status != OK)
+        bad = tuple(a.request_id for a in late if a.status != records.OK)
         text = f"{good} of {len(late)} served after the last fault"
         yield Finding("served again", text, bad[:SHOWN_IDS])
 
 
-def _calm(
-    seen: Record,
-    daemon: int,
-    began: float,
-    ended: float,
-    excuses: tuple[str, ...],
-) -> bool:
-    """Tells whether nothing that excuses a daemon came near a time span."""
-    earliest = began - seen.bounds.contact_s
-    return not any(
-        one.what in excuses
-        and one.daemon in (None, daemon)
-        and one.began <= ended
-        and one.ended >= earliest
-        for one in seen.disturbances
-    )
-
-
 PROMISES = (
     Promise("whole answer", False, whole_answer),
     Promise("not run", False, not_run),
@@ -393,9 +309,9 @@
     Promise("logs", False, logs),
     Promise("ends", True, ends),
     Promise("in time", True, in_time),
-    Promise("leaving servers", True, leaving_servers),
-    Promise("evacuated zones", True, evacuated_zones),
-    Promise("in force", True, in_force),
+    Promise("leaving servers", True, store_checks.leaving_servers),
+    Promise("evacuated zones", True, store_checks.evacuated_zones),
+    Promise("in force", True, store_checks.in_force),
     Promise("served again", True, served_again),
     Promise("kept up", True, kept_up),
 )
--- a/soak/record.py
+++ b/soak/record.py
@@ -3,6 +3,8 @@
 import dataclasses
 from typing import NamedTuple
 
+OK = 200
+NOT_FOUND = 404
 READ = "read"
 FILE = "file"
 # A request that ends each server which runs it.
--- a/soak/run.py
+++ b/soak/run.py
@@ -66,6 +66,6 @@
         plan.seed,
         len(plan.steps),
         len(seen.attempts),
-        sum(a.status == checks.OK for a in seen.attempts),
+        sum(a.status == records.OK for a in seen.attempts),
         checks.judge(seen, timed),
     )
