--- a/standins/registered_server.py
+++ b/standins/registered_server.py
@@ -89,6 +89,8 @@
             health take a slot.
         faults: What it does wrong.
         cold_until: Loop time until which it calls itself cold.
+        limit: Requests a second that it says it takes from all callers, as
+            it writes them in answers to requests; empty for none.
         ran: Identities of the requests that it executed.
         seen: Heads of the requests that reached it, health left out.
         arrivals: The same requests with time and outcome.
@@ -110,6 +112,7 @@
         self.tells_load = True
         self.faults = Faults()
         self.cold_until = 0.0
+        self.limit = ""
         self.random = random.Random(instance)
         self.ran: collections.Counter[str] = collections.Counter()
         self.seen: list[dict[str, str]] = []
@@ -177,6 +180,8 @@
         self.seen.append(fields)
         self.bodies.append(body)
         own = {"attempt-id": fields.get("attempt-id", "")}
+        if self.limit:
+            own["server-limit"] = self.limit
         refusal = self._refusal(fields)
         now = asyncio.get_running_loop().time()
         status = refusal[0] if refusal else 0
