Log through whom a daemon learns of a document, and after what time

A line of a document in force said neither who told it nor how long the daemon had heard nothing of documents before, so that a late change could not be put down to a step of its way. The line has `through` (the store, or the address of another daemon) and `unconfirmed_ms` now. Nothing else changes.

--- a/banyantiller/gateway/events.py
+++ b/banyantiller/gateway/events.py
@@ -92,6 +92,13 @@
     version: Annotated[int, "Its version."]
     before: Annotated[int, "Version that it replaces; 0 for none."]
     routes: Annotated[int, "Number of its routes."]
+    through: Annotated[
+        str, "`store`, or IP number and port of the daemon that told it."
+    ]
+    unconfirmed_ms: Annotated[
+        float,
+        "How old the store's last word on documents was before, in ms.",
+    ]
 
 
 @event("gateway: document is unreadable.", "error")
--- a/banyantiller/gateway/knowledge.py
+++ b/banyantiller/gateway/knowledge.py
@@ -236,7 +236,13 @@
         self._note_complete()
         self.counts.documents["in_force"] += 1
         events.emit(
-            events.DocumentInForce(document.version, held, len(document.routes))
+            events.DocumentInForce(
+                version=document.version,
+                before=held,
+                routes=len(document.routes),
+                through=self.reader.heard_through,
+                unconfirmed_ms=round(self.reader.unconfirmed_s * 1000, 1),
+            )
         )
         if not held:
             self.on_first_document()
--- a/banyantiller/gateway/peers.py
+++ b/banyantiller/gateway/peers.py
@@ -64,10 +64,12 @@
     Attributes:
         listed: The objects.
         fresh_at: Loop time at which the store said so.
+        address: IP number and port of the other daemon.
     """
 
     listed: interface.Listed
     fresh_at: float
+    address: str
 
 
 REFUSALS = {
@@ -147,7 +149,7 @@
         items = tuple(_stored(kind, item) for item in told.fields["items"])
         version = told.fields["version"]
         listed = interface.Listed(items, version, second_hand=True)
-        return ToldList(listed, _now() - int(age) / 1000)
+        return ToldList(listed, _now() - int(age) / 1000, self.address)
 
     async def _ask(
         self, target: str, wait_s: float, kind: Any
--- a/banyantiller/gateway/sharing.py
+++ b/banyantiller/gateway/sharing.py
@@ -32,6 +32,8 @@
 
 LOST_WITH_OTHERS = "the daemons that are asked hear nothing of the store"
 NOBODY_REACHES = "no daemon reaches the store"
+# Stands for the store where the address of another daemon would stand.
+STORE = "store"
 
 
 class SharedReader:
@@ -56,6 +58,10 @@
         counts_from: Loop time from which a daemon that is asked knows who
             shares with it.
         relied_on: Daemon that told changes last, or None.
+        heard_through: Where what is known of the sentinel came from last:
+            `store`, or the address of another daemon.
+        unconfirmed_s: How old the store's last word on the sentinel had become
+            when the latest one came, in seconds.
         groups: Daemons that others may ask; each tells a part of the fleet.
         share: Part of the fleet's budgets that this daemon may use, or None
             while the others can't be counted.
@@ -89,6 +95,8 @@
         self.groups = max(1, len(self.others) + self.asked_itself)
         self.share: float | None = None
         self.relied_on: peers.Peer | None = None
+        self.heard_through = STORE
+        self.unconfirmed_s = 0.0
         self.reliance = reliance
         self.hurried = asyncio.Event()
         self.least: dict[str, int] = {}
@@ -108,7 +116,7 @@
         """
         told = await self._told_list(kind)
         if told is not None and self._is_fresh(told):
-            self._heard(kind, told.fresh_at)
+            self._heard(kind, told.fresh_at, told.address)
             return self._listed(kind, told.listed)
         found = await self.store.list(kind, labels)
         if isinstance(found, interface.Listed):
@@ -305,7 +313,7 @@
             self.questions["answered"] += 1
             peer.unfit_until = 0.0
             if isinstance(found, interface.Changes):
-                self._heard(kind, peer.fresh_at)
+                self._heard(kind, peer.fresh_at, peer.address)
                 self._rely_on(peer)
             return found
         self.questions["unanswered"] += 1
@@ -317,10 +325,12 @@
         self.relied_on = None
         return found
 
-    def _heard(self, kind: str, fresh_at: float) -> None:
+    def _heard(self, kind: str, fresh_at: float, through: str = STORE) -> None:
         """Notes when the store said what is known now."""
         self.mirror.freshness.note(kind, fresh_at)
         if kind == self.sentinel:
+            self.heard_through = through
+            self.unconfirmed_s = self.loop.time() - self.reliance.fresh_at
             self.reliance.heard(fresh_at)
 
     def _rely_on(self, peer: peers.Peer) -> None:
--- a/banyantiller/tests/gateway/test_mirror.py
+++ b/banyantiller/tests/gateway/test_mirror.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import structlog
+
 from banyantiller.http import messages
 from banyantiller.tests import base
 from banyantiller.tests.gateway import world
@@ -41,6 +43,23 @@
 
         self.assertEqual((200, True, ["s1", "s2"]), self.play(body))
 
+    def test_log_tells_through_whom_a_change_came_and_after_what_age(self):
+        async def body(place, first):
+            await asyncio.sleep(5)
+            with structlog.testing.capture_logs() as lines:
+                place.put_document(NEW)
+                await asyncio.sleep(0.2)
+            found = [
+                (line["through"], line["unconfirmed_ms"] < 2000)
+                for line in lines
+                if line["event"] == "gateway: document in force."
+            ]
+            return sorted(found) == sorted(
+                [("store", True), (place.first_seed, True)]
+            )
+
+        self.assertTrue(self.play(body))
+
     def test_calls_to_the_store_hardly_grow_with_daemons(self):
         async def body(place, first):
             await asyncio.sleep(10)
