Count the age of what is known from when it was asked for

A daemon took the moment at which an answer arrived for the moment at which it was said. An answer that was under way for 0.3 s, or lay in the socket of a process that stood still, counted as so much fresher at each step of the way, of the store as of other daemons, and who asked that daemon went on relying on it for as much longer.

What is certain is when the question was sent. An answer of a daemon says for how long the question waited there; the store waits as long as it was asked to if it has no change; with a change, what is known counts from the question. Ages are rounded up. As a call that ends with a change now confirms only what was known when it began, a document counts as the newest for 7.0 s and no more for 6.5.

--- a/banyantiller/gateway/knowledge.py
+++ b/banyantiller/gateway/knowledge.py
@@ -26,11 +26,11 @@
 # of servers: both are read within 0.02 s if anybody answers, and ten times as
 # long is within the objective of a short request.
 FIRST_READ_S = 0.2
-# Age up to which a document counts as the newest, in seconds: 3 x 0.9 s for
-# other daemons that are asked in vain, 3 s for a call to the store that waits
-# for a change, and 0.8 s for its answer. With less, callers of routes that do
-# not exist are told to come back although the store answers.
-CURRENT_S = 6.5
+# Age up to which a document counts as the newest, in seconds: 3 s for a call to
+# the store that ended with a change, 0.1 s for other daemons, 3 s for the next
+# call, and 0.8 s for its answer. With less, callers of routes that do not exist
+# are told to come back although the store answers.
+CURRENT_S = 7.0
 # Stands for this daemon among those that reported servers to it.
 OWN_REPORT = ""
 
--- a/banyantiller/gateway/mirror.py
+++ b/banyantiller/gateway/mirror.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import math
 import zlib
 from collections.abc import Callable
 from typing import Any, NamedTuple, NotRequired, TypedDict
@@ -59,14 +60,17 @@
     """Changes on their way between daemons.
 
     `sharers` counts the daemons that ask the one that answers, and that one;
-    `age_ms` tells how long ago the store answered whoever read it; `doubted`
-    names servers that failed several daemons.
+    `age_ms` tells how long ago the store answered whoever read it, and
+    `held_ms` for how long the question waited for this answer: the one who
+    asks knows when it asked, and not how long the answer was under way.
+    `doubted` names servers that failed several daemons.
     """
 
     events: list[EventFields]
     version: str
     sharers: int
     age_ms: int
+    held_ms: NotRequired[int]
     doubted: NotRequired[list[str]]
 
 
@@ -330,7 +334,8 @@
         self, kind: str, since: int, wait_s: float, mark: str
     ) -> messages.Response:
         """Answers once there are changes, a new mark, or the time is over."""
-        until = self.loop.time() + wait_s
+        received = self.loop.time()
+        until = received + wait_s
         while True:
             history = self.histories.get(kind)
             if history is None:
@@ -345,6 +350,8 @@
                 version = max(since, history.version)
                 age_s = self._age_s(kind)
                 fields = _reply(events, version, self.sharers(), age_s)
+                held_s = self.loop.time() - received
+                fields["held_ms"] = int(held_s * 1000)
                 doubted = self.doubted()
                 if doubted:
                     fields["doubted"] = doubted
@@ -364,7 +371,7 @@
 
 
 def _age_ms(age_s: float) -> int:
-    return int(age_s * 1000)
+    return math.ceil(age_s * 1000)
 
 
 def _reply(
--- a/banyantiller/gateway/peers.py
+++ b/banyantiller/gateway/peers.py
@@ -124,6 +124,7 @@
         named = self.failing()
         if named:
             target += f"&failing={parse.quote(','.join(named))}"
+        asked_at = _now()
         told = await self._ask(target, wait_s, mirror.ReplyFields)
         if isinstance(told, interface.Gone | Refused):
             return told
@@ -132,12 +133,14 @@
             return Refused(RefusalKind.NOT_READY)
         self.on_doubted(fields.get("doubted", []))
         self.sharers = fields["sharers"]
-        self.fresh_at = _now() - fields["age_ms"] / 1000
+        composed_at = asked_at + fields.get("held_ms", 0) / 1000
+        self.fresh_at = composed_at - fields["age_ms"] / 1000
         changes = tuple(_event(kind, item) for item in fields["events"])
         return interface.Changes(changes, fields["version"], second_hand=True)
 
     async def list(self, kind: str) -> ToldList | Refused:
         """Asks for all objects, however old what is known there may be."""
+        asked_at = _now()
         told = await self._ask(f"{mirror.PATH}{kind}", 0, mirror.ListFields)
         if isinstance(told, interface.Gone):
             return Refused(RefusalKind.NOT_READY)
@@ -149,7 +152,7 @@
         items = tuple(_stored(kind, item) for item in told.fields["items"])
         version = told.fields["version"]
         listed = interface.Listed(items, version, second_hand=True)
-        return ToldList(listed, _now() - int(age) / 1000, self.address)
+        return ToldList(listed, asked_at - int(age) / 1000, self.address)
 
     async def _ask(
         self, target: str, wait_s: float, kind: Any
--- a/banyantiller/gateway/sharing.py
+++ b/banyantiller/gateway/sharing.py
@@ -118,9 +118,10 @@
         if told is not None and self._is_fresh(told):
             self._heard(kind, told.fresh_at, told.address)
             return self._listed(kind, told.listed)
+        asked_at = self.loop.time()
         found = await self.store.list(kind, labels)
         if isinstance(found, interface.Listed):
-            self._heard(kind, self.loop.time())
+            self._heard(kind, asked_at)
             return self._listed(kind, found)
         self.reliance.settled()
         told = told or await self._told_list(kind)
@@ -262,14 +263,29 @@
     async def _read_store(
         self, kind: str, version: str, wait_s: float
     ) -> interface.ChangesOutcome:
+        asked_at = self.loop.time()
         found = await self.store.changes(kind, version, wait_s)
         if isinstance(found, interface.Changes):
-            self._heard(kind, self.loop.time())
+            self._heard(kind, self._composed_at(found, asked_at, wait_s))
         if isinstance(found, interface.Gone):
             # A list from before would lead here again.
             self.least[kind] = int(version) + 1
         return found
 
+    def _composed_at(
+        self, found: interface.Changes, asked_at: float, wait_s: float
+    ) -> float:
+        """Returns the earliest loop time at which the store said something.
+
+        When it was received tells nothing: an answer may have been under way
+        for long, or lie in the socket of a process that stood still. Without a
+        change the store waits for as long as it was asked to.
+        """
+        waited_until = asked_at + wait_s
+        if found.events or self.loop.time() < waited_until:
+            return asked_at
+        return waited_until
+
     async def _ask_others(
         self, kind: str, version: str, wait_s: float
     ) -> interface.ChangesOutcome | None:
