Read the store by one time that follows from the age of what is known

What callers saw: a change confirmed by the store was handled by the version before it, longer than the 2 s that it may take.

Cause: the way to a daemon had a time-out at each step (0.9 s for a daemon that gives no answer, 0.4 s for the next, 1.4 s for what an answer may be old, up to 0.8 s of pause after a failure) and nothing that bounds their sum. One that is asked and too old made the next be asked with a whole wait again; a daemon whose tellers had lost the store polled it at intervals of up to 2.1 s; an answer with a change in it was thrown away if it was old. Class: time-outs of single steps where the whole has a bound.

Now the age of what is known gives one time by which the store is read, for each kind, whatever is waited for; the pause after a failure keeps to it. A daemon that reaches the store while those it asks don't reads it with calls that wait. A change is taken however old the answer is. Among those that are asked, one that was just silent is not tried while another is left.

The same cause lay in the registrations of servers and the evacuated zones, which go the same way and keep to their own times now. Tests of calls to the store pass unchanged.

--- a/banyantiller/gateway/decisions/reading.py
+++ b/banyantiller/gateway/decisions/reading.py
@@ -10,11 +10,19 @@
 experience, for as long as a change that they can't see yet may go unseen. Then
 each of them reads the store itself, since only those that are asked may be cut
 off from it.
+
+Others may be silent, late or wrong on how fresh they are, one after the other,
+and each that is waited for takes time that a change has. So there is one time
+for all of it, which follows from the age of what is known: from then on the
+store is read, whatever is being waited for.
 """
 
 # A read of the store takes up to 0.4 s when it is slow, and another daemon may
 # be asked in vain for 0.2 s before.
 OWN_READ_S = 0.6
+# What is left for a read of the store that answers as usual, where everything
+# before it was in vain.
+LAST_READ_S = 0.25
 # First pause between own tries of a lost store. A store that is back is seen by
 # the daemons that are asked within a second, so own tries matter only where all
 # of those are cut off.
@@ -50,6 +58,16 @@
         """Age up to which what others tell is relied on, in seconds."""
         return self.bound_s - OWN_READ_S
 
+    @property
+    def most_age_s(self) -> float:
+        """Age of what is known at which the store is read, in seconds."""
+        return self.bound_s - LAST_READ_S
+
+    @property
+    def next_own_try(self) -> float:
+        """Loop time from which a lost store may be tried again."""
+        return max(self.fresh_at + self.patience_s, self.next_try)
+
     def heard(self, fresh_at: float) -> None:
         """Notes that the store said at `fresh_at` what is known now."""
         if fresh_at > self.fresh_at:
@@ -71,7 +89,7 @@
 
     def may_try(self, now: float) -> bool:
         """Tells whether to try a lost store now; each try moves the next."""
-        if self.may_wait(now) or now < self.next_try:
+        if now < self.next_own_try:
             return False
         self.next_try = now + self.again_s
         self.again_s = min(2 * self.again_s, MOST_AGAIN_S)
--- a/banyantiller/gateway/following.py
+++ b/banyantiller/gateway/following.py
@@ -167,7 +167,7 @@
             wait_s = 0.0 if lost else self.pace.wait_s
             found = await self.store.changes(self.kind, self.version, wait_s)
             if isinstance(found, interface.Unavailable):
-                await self._failed(found.reason)
+                await self._failed(found)
                 return
             self._answered()
             if isinstance(found, interface.Gone):
@@ -185,7 +185,7 @@
     async def _list(self) -> bool:
         found = await self.store.list(self.kind)
         if isinstance(found, interface.Unavailable):
-            await self._failed(found.reason)
+            await self._failed(found)
             return False
         if not found.second_hand:
             self._answered()
@@ -203,10 +203,10 @@
         self.pause_s = FIRST_PAUSE_S
         self.health.answered(self.loop.time())
 
-    async def _failed(self, reason: str) -> None:
-        self.health.failed(self.kind, reason, self.loop.time())
+    async def _failed(self, found: interface.Unavailable) -> None:
+        self.health.failed(self.kind, found.reason, self.loop.time())
         pause_s = self.pause_s * self.random.uniform(0.5, 1.0)
         self.pause_s = min(self.pause_s * 2, LONGEST_PAUSE_S)
-        await asyncio.sleep(pause_s)
+        await asyncio.sleep(min(pause_s, found.again_s))
         if not self.leads:
             await self.health.back.wait()
--- a/banyantiller/gateway/peers.py
+++ b/banyantiller/gateway/peers.py
@@ -129,12 +129,15 @@
         if isinstance(told, interface.Gone | Refused):
             return told
         fields = told.fields
-        if fields["age_ms"] > self.patience_s * 1000:
+        composed_at = asked_at + fields.get("held_ms", 0) / 1000
+        fresh_at = composed_at - fields["age_ms"] / 1000
+        too_old = fresh_at < _now() - self.patience_s
+        # A change is one, however old the answer is.
+        if too_old and not fields["events"]:
             return Refused(RefusalKind.NOT_READY)
         self.on_doubted(fields.get("doubted", []))
         self.sharers = fields["sharers"]
-        composed_at = asked_at + fields.get("held_ms", 0) / 1000
-        self.fresh_at = composed_at - fields["age_ms"] / 1000
+        self.fresh_at = fresh_at
         changes = tuple(_event(kind, item) for item in fields["events"])
         return interface.Changes(changes, fields["version"], second_hand=True)
 
--- a/banyantiller/gateway/sharing.py
+++ b/banyantiller/gateway/sharing.py
@@ -21,6 +21,15 @@
 # Others that gave no answer before the store is read: a second one that is
 # asked without a wait takes 0.4 s, and a change is known within 1.4 s.
 MOST_SILENT = 2
+# One that is asked after others took longer than this is not to wait for a
+# change.
+PROMPT_S = 0.05
+# Time for a question to others where the store should be read already: one that
+# lives answers within it, which spares the store a call of each daemon that
+# stood still.
+BRIEF_S = 0.1
+# Age at which the store is read for a kind that may be known later.
+PATIENT_MOST_AGE_S = 3.5
 # Pause before those that are not ready are asked again at a start.
 START_PAUSE_S = 0.1
 # Another daemon that lives tells a list within this time, also a slow one. A
@@ -58,6 +67,9 @@
         counts_from: Loop time from which a daemon that is asked knows who
             shares with it.
         relied_on: Daemon that told changes last, or None.
+        reaches_store: Whether the store answered this daemon since another one
+            told changes. Those that are asked may be the only ones that have
+            lost it.
         heard_through: Where what is known of the sentinel came from last:
             `store`, or the address of another daemon.
         unconfirmed_s: How old the store's last word on the sentinel had become
@@ -95,6 +107,7 @@
         self.groups = max(1, len(self.others) + self.asked_itself)
         self.share: float | None = None
         self.relied_on: peers.Peer | None = None
+        self.reaches_store = False
         self.heard_through = STORE
         self.unconfirmed_s = 0.0
         self.reliance = reliance
@@ -231,12 +244,12 @@
         counts = self.asked_itself and self.loop.time() >= self.counts_from
         if demanded or counts:
             self._divide(self.mirror.sharers())
-        found = await self._ask_others(kind, version, wait_s)
+        found = await self._ask_others_in_time(kind, version, wait_s)
         while found is None and self._may_settle():
             await asyncio.sleep(START_PAUSE_S)
             for peer in self.peers:
                 peer.unfit_until = 0.0
-            found = await self._ask_others(kind, version, wait_s)
+            found = await self._ask_others_in_time(kind, version, wait_s)
         if found is not None:
             return found
         if demanded and kind == self.sentinel:
@@ -251,13 +264,16 @@
         self, kind: str, version: str
     ) -> interface.ChangesOutcome:
         """Asks the store now and then, and one of the others in between."""
-        alone = not self.peers or self.mirror.demanded()
-        if alone or self.reliance.may_try(self.loop.time()):
+        now = self.loop.time()
+        fit = [peer for peer in self.peers if peer.unfit_until <= now]
+        alone = not fit or self.mirror.demanded()
+        if alone or self.reliance.may_try(now):
             return await self._read_store(kind, version, 0.0)
-        peer = self.random.choice(self.peers)
+        peer = self.random.choice(fit)
         found = await self._ask(peer, kind, version, 0.0)
         if isinstance(found, peers.Refused):
-            return interface.Unavailable(NOBODY_REACHES)
+            again_s = self.reliance.next_own_try - self.loop.time()
+            return interface.Unavailable(NOBODY_REACHES, max(0.0, again_s))
         return found
 
     async def _read_store(
@@ -267,6 +283,7 @@
         found = await self.store.changes(kind, version, wait_s)
         if isinstance(found, interface.Changes):
             self._heard(kind, self._composed_at(found, asked_at, wait_s))
+        self.reaches_store = not isinstance(found, interface.Unavailable)
         if isinstance(found, interface.Gone):
             # A list from before would lead here again.
             self.least[kind] = int(version) + 1
@@ -286,6 +303,28 @@
             return asked_at
         return waited_until
 
+    async def _ask_others_in_time(
+        self, kind: str, version: str, wait_s: float
+    ) -> interface.ChangesOutcome | None:
+        """Asks others until the store has to be read; see `_ask_others`."""
+        now = self.loop.time()
+        left_s = self._read_by(kind) - now
+        until = now + max(left_s, BRIEF_S)
+        wait_s = max(0.0, min(wait_s, left_s))
+        try:
+            async with asyncio.timeout_at(until):
+                return await self._ask_others(kind, version, wait_s)
+        except TimeoutError:
+            self.questions["given_up"] += 1
+            return None
+
+    def _read_by(self, kind: str) -> float:
+        """Returns the loop time at which the store has to be read."""
+        most_age_s = self.reliance.most_age_s
+        if kind in self.patient:
+            most_age_s = PATIENT_MOST_AGE_S
+        return self.mirror.freshness.times.get(kind, 0.0) + most_age_s
+
     async def _ask_others(
         self, kind: str, version: str, wait_s: float
     ) -> interface.ChangesOutcome | None:
@@ -297,11 +336,14 @@
         """
         store_lost = False
         silent = 0
+        prompt_until = self.loop.time() + PROMPT_S
         for peer in self.peers:
-            if peer.unfit_until > self.loop.time():
+            now = self.loop.time()
+            if peer.unfit_until > now:
                 continue
             # One that was waited for in vain leaves no time to wait again.
-            found = await self._ask(peer, kind, version, wait_s * (not silent))
+            left_s = wait_s if now < prompt_until else 0.0
+            found = await self._ask(peer, kind, version, left_s)
             if not isinstance(found, peers.Refused):
                 return found
             store_lost |= found.kind is peers.RefusalKind.STORE_LOST
@@ -309,12 +351,13 @@
             if silent == MOST_SILENT:
                 break
         if store_lost and self._may_wait():
-            return interface.Unavailable(LOST_WITH_OTHERS)
+            again_s = self._read_by(kind) - self.loop.time()
+            return interface.Unavailable(LOST_WITH_OTHERS, max(0.0, again_s))
         return None
 
     def _may_wait(self) -> bool:
         """Tells whether a lost store may be left to those that are asked."""
-        if self.asked_itself:
+        if self.asked_itself or self.reaches_store:
             return False
         return self.reliance.may_wait(self.loop.time())
 
@@ -327,6 +370,7 @@
         found = await peer.changes(kind, version, min(wait_s, most_s))
         if not isinstance(found, peers.Refused):
             self.questions["answered"] += 1
+            self.reaches_store = False
             peer.unfit_until = 0.0
             if isinstance(found, interface.Changes):
                 self._heard(kind, peer.fresh_at, peer.address)
--- a/banyantiller/store/interface.py
+++ b/banyantiller/store/interface.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import AsyncIterator
 from typing import Any, NamedTuple, Protocol
 
@@ -71,9 +72,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unavailable:
-    """The call failed and certainly had no effect."""
+    """The call failed and certainly had no effect.
+
+    Attributes:
+        reason: One sentence for the log.
+        again_s: Longest pause before the next try, in seconds.
+    """
 
     reason: str
+    again_s: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
