Read the limits that servers name, and log each change of them

The field was not read at all, so that no line could tell a limit that is not known from one that is not kept. It is decoded in the adapter, taken from answers to requests, refusals and questions for health, and each change of what a daemon believes is a line, as is a field that can't be read (once while the same is wrong). An answer to a request that was sent before the newest one's neither lifts nor lowers a limit. A gauge counts the servers that name one.

--- a/banyantiller/gateway/asking.py
+++ b/banyantiller/gateway/asking.py
@@ -84,10 +84,12 @@
     Attributes:
         moved: Another instance has its address.
         refused: Its machine refuses connections to it.
+        answered: It answered a question that was sent at a loop time.
     """
 
     moved: Callable[[types.Server], None]
     refused: Callable[[types.Server], None]
+    answered: Callable[[types.Server, messages.Headers, float], None]
 
 
 class Asker:
@@ -291,6 +293,7 @@
         request = messages.Request(
             "GET", health_path, (("host", f"{server.host}:{server.port}"),)
         )
+        sent_at = self.loop.time()
         try:
             link.connection.write(request)
             while True:
@@ -303,6 +306,7 @@
         except BaseException:
             home.discard(link)
             raise
+        self.seen.answered(server, response.headers, sent_at)
         told = response.header(self.wire.load.decode())
         load = self.read_load(told.encode("latin-1")) if told else None
         return Answer(
--- a/banyantiller/gateway/attempts.py
+++ b/banyantiller/gateway/attempts.py
@@ -12,6 +12,7 @@
     pool,
     ports,
 )
+from banyantiller.http import messages
 from banyantiller.quarantine import watch
 
 # Statuses with which a server tells of a fault of its own, and not of a time
@@ -118,6 +119,7 @@
                 self.call.deadline - self.loop.time(),
                 self.gateway.adapter.wire,
                 self.gateway.answer_bytes,
+                self._note_head,
             )
         finally:
             self.entry.in_flight -= 1
@@ -128,6 +130,11 @@
                 self._note_no_answer(outcome)
         return outcome
 
+    def _note_head(self, response: messages.Response) -> None:
+        self.gateway.limits.note_answer(
+            self.entry.server, response.headers, self.sent_at
+        )
+
     def _note_no_answer(self, outcome: exchange.Broken | None) -> None:
         """Notes that the server gave no answer; None if it was given up."""
         request = self.call.request
--- a/banyantiller/gateway/events.py
+++ b/banyantiller/gateway/events.py
@@ -19,6 +19,10 @@
     " request that is sent again.",
 ]
 Instance = Annotated[str, "Identity of the server's start."]
+Start = Annotated[str, "The server's start: identity, time, address."]
+LimitSource = Annotated[
+    str, "`answer` of the server, or another `daemon` that told it."
+]
 Load = Annotated[
     list[float] | None,
     "What the server said when it was chosen: requests running, waiting,"
@@ -288,6 +292,31 @@
     instance: Instance
 
 
+@event("gateway: server names a limit.", "warning")
+class ServerLimited(NamedTuple):
+    """A server takes only so many requests a second from all daemons."""
+
+    start: Start
+    per_s: Annotated[float, "Requests a second that it takes from all daemons."]
+    through: LimitSource
+
+
+@event("gateway: server names no limit any more.")
+class ServerUnlimited(NamedTuple):
+    """A server that named a limit answers without one."""
+
+    start: Start
+    through: LimitSource
+
+
+@event("gateway: limit is unreadable.", "warning")
+class LimitUnreadable(NamedTuple):
+    """A server's limit can't be read; what was known of it stays."""
+
+    start: Start
+    error: Annotated[str, "What is wrong."]
+
+
 @event("gateway: kept connection lost.", "debug")
 class KeptConnectionLost(NamedTuple):
     """A kept connection had ended; a new one is tried."""
--- a/banyantiller/gateway/exchange.py
+++ b/banyantiller/gateway/exchange.py
@@ -1,6 +1,7 @@
 """One request at one server: what is sent, and what its answer means."""
 
 import dataclasses
+from collections.abc import Callable
 from typing import NamedTuple
 
 from banyantiller.errors import ErrorKind
@@ -101,6 +102,7 @@
     remaining_s: float,
     wire: types.WireNames,
     body_bytes: int,
+    on_head: Callable[[messages.Response], None],
 ) -> Outcome:
     """Sends a request and reads its whole answer.
 
@@ -114,11 +116,13 @@
         remaining_s: Time that is left for it, in seconds.
         wire: Names of header fields.
         body_bytes: Largest answer body.
+        on_head: Called with the head of the answer.
     """
     request = _build(outgoing, instance, remaining_s, wire)
     try:
         link.connection.write(request)
         response, body = await _read_own(link, request, wire, body_bytes)
+        on_head(response)
     except connection.BodyTooLargeError as error:
         return Broken(ErrorKind.BACKEND_MALFORMED, str(error))
     except (OSError, connection.ConnectionLostError) as error:
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -15,6 +15,7 @@
     endings,
     events,
     knowledge,
+    limits,
     pool,
     sampling,
     servers,
@@ -70,6 +71,7 @@
         durations: How long requests usually take.
         endings: Which requests were on servers that ended.
         spreader: Tells other daemons of them.
+        limits: Limits that servers name.
     """
 
     def __init__(
@@ -110,10 +112,13 @@
         )
         self.known.mirror.mark = self.spreader.mark
         self.spreader.on_shown = self.known.mirror.wake
+        self.limits = limits.Limits(adapter)
         self.asker = asking.Asker(
             adapter,
             self.pool_of,
-            asking.Seen(self.known.moved, self.endings.refused),
+            asking.Seen(
+                self.known.moved, self.endings.refused, self._note_health
+            ),
             settings.zone,
         )
         self.chooser = choosing.Chooser(
@@ -199,6 +204,7 @@
             await asyncio.sleep(HOUSEKEEPING_S)
             now = self.loop.time()
             self.known.expire(now)
+            self.limits.expire(self.known.table.servers(), now)
             self.endings.watch.table.period_s = self.settings.quarantine_s
             self.endings.watch.expire(now)
             self.least_share()
@@ -332,6 +338,11 @@
 
     # Within.
 
+    def _note_health(
+        self, server: types.Server, headers: messages.Headers, sent_at: float
+    ) -> None:
+        self.limits.note_answer(server, headers, sent_at, to_request=False)
+
     def _run_waiting_calls(self) -> None:
         """Runs reads that were sent ahead of their answers at a start.
 
--- /dev/null
+++ b/banyantiller/gateway/limits.py
@@ -0,0 +1,139 @@
+"""Limits that servers in need name in their answers."""
+
+import asyncio
+import dataclasses
+from collections.abc import Iterable
+
+from banyantiller.gateway import endings, events, types
+from banyantiller.http import messages
+
+# How long it is remembered that a limit has ended: it is told to others, and an
+# answer from before must not bring the limit back.
+ENDED_KEPT_S = 10.0
+# How long a limit of a server is remembered that is not registered: another
+# daemon may know of its start earlier.
+UNREGISTERED_KEPT_S = 10.0
+
+
+@dataclasses.dataclass(slots=True)
+class Limit:
+    """What is known of a server's limit.
+
+    Attributes:
+        per_s: Requests a second that it takes from all daemons, or None if it
+            names no limit any more.
+        at: Loop time at which the request was sent whose answer said so.
+    """
+
+    per_s: float | None
+    at: float
+
+
+class Limits:
+    """Follows the limits of servers.
+
+    Attributes:
+        name: Name of the header field, in lower case.
+        read: Decodes the values of that field; raises `ValueError`.
+        known: What is known, by the start of a server.
+        unreadable: What is wrong with a server's field, by its start.
+        seen_at: Loop time at which a start was registered last.
+    """
+
+    def __init__(self, adapter: types.Adapter) -> None:
+        self.name = adapter.wire.limit.decode()
+        self.read = adapter.read_limit
+        self.known: dict[str, Limit] = {}
+        self.unreadable: dict[str, str] = {}
+        self.seen_at: dict[str, float] = {}
+        self.loop = asyncio.get_running_loop()
+
+    def note_answer(
+        self,
+        server: types.Server,
+        headers: messages.Headers,
+        sent_at: float,
+        to_request: bool = True,
+    ) -> None:
+        """Takes what an answer of a server says of its limit.
+
+        Args:
+            server: The server.
+            headers: Fields of the answer.
+            sent_at: Loop time at which what it answers was sent.
+            to_request: Whether it answers a request. A server may leave its
+                limit out of answers to questions for its health.
+        """
+        texts = [value for name, value in headers if name == self.name]
+        start = endings.start_name(server)
+        if not texts:
+            if to_request and start in self.known:
+                self._take(start, None, sent_at)
+            return
+        try:
+            per_s = self.read(texts)
+        except ValueError as error:
+            self._note_unreadable(start, str(error))
+            return
+        self.unreadable.pop(start, None)
+        self._take(start, per_s, sent_at)
+
+    def is_limited(self, server: types.Server) -> bool:
+        """Tells whether a server names a limit."""
+        limit = self.known.get(endings.start_name(server))
+        return limit is not None and limit.per_s is not None
+
+    def count(self) -> int:
+        """Counts the servers that name a limit."""
+        return sum(one.per_s is not None for one in self.known.values())
+
+    # Within.
+
+    def expire(self, registered: Iterable[types.Server], now: float) -> None:
+        """Forgets limits that ended, and those of servers that are gone."""
+        for server in registered:
+            self.seen_at[endings.start_name(server)] = now
+        oldest = now - UNREGISTERED_KEPT_S
+        for start, limit in list(self.known.items()):
+            seen_at = max(self.seen_at.get(start, 0.0), limit.at)
+            ended = limit.per_s is None and limit.at < now - ENDED_KEPT_S
+            if ended or seen_at < oldest:
+                del self.known[start]
+        self.seen_at = {n: at for n, at in self.seen_at.items() if at >= oldest}
+        self.unreadable = {
+            n: error
+            for n, error in self.unreadable.items()
+            if n in self.seen_at
+        }
+
+    def _take(
+        self,
+        start: str,
+        per_s: float | None,
+        at: float,
+        through: str = "answer",
+    ) -> None:
+        """Takes a limit, unless a later one is known."""
+        limit = self.known.get(start)
+        if limit is not None and at <= limit.at:
+            return
+        before = limit.per_s if limit is not None else None
+        if limit is None or (before is None and per_s is not None):
+            self.known[start] = Limit(per_s, at)
+        else:
+            limit.per_s = per_s
+            limit.at = at
+        if per_s != before:
+            self._log(start, per_s, through)
+
+    def _log(self, start: str, per_s: float | None, through: str) -> None:
+        if per_s is None:
+            events.emit(events.ServerUnlimited(start, through))
+        else:
+            events.emit(events.ServerLimited(start, per_s, through))
+
+    def _note_unreadable(self, start: str, error: str) -> None:
+        """Logs what is wrong with a field; once while the same is wrong."""
+        if self.unreadable.get(start) != error:
+            self.unreadable[start] = error
+            events.emit(events.LimitUnreadable(start, error))
--- a/banyantiller/gateway/metrics.py
+++ b/banyantiller/gateway/metrics.py
@@ -111,6 +111,8 @@
              lambda: gateway.known.health.lost_at is not None),
             ("evacuated_zones", "Zones whose servers get no requests.",
              lambda: len(gateway.known.zones.evacuated)),
+            ("limited_servers", "Servers that name a limit.",
+             gateway.limits.count),
             ("connections", "Open connections of callers.",
              lambda: len(gateway.connections)),
             ("quarantined_requests", "Requests that are refused since servers"
--- a/banyantiller/gateway/ports.py
+++ b/banyantiller/gateway/ports.py
@@ -15,6 +15,7 @@
     endings,
     exchange,
     knowledge,
+    limits,
     pool,
     progress,
     requests,
@@ -35,6 +36,7 @@
     tallies: tallies.Tallies
     known: knowledge.Knowledge
     endings: endings.Endings
+    limits: limits.Limits
     asker: asking.Asker
     chooser: choosing.Chooser
     durations: durations.Durations
--- a/banyantiller/gateway/servers.py
+++ b/banyantiller/gateway/servers.py
@@ -225,6 +225,10 @@
         """Returns the known instances that a list does not have."""
         return sorted(set(self.entries) - set(present))
 
+    def servers(self) -> list[types.Server]:
+        """Returns all registrations."""
+        return [entry.server for entry in self.entries.values()]
+
     def usable(self, service: str, now: float) -> list[Entry]:
         """Returns the servers of a service that may get new requests."""
         found = self.by_service.get(service, {})
--- a/banyantiller/gateway/types.py
+++ b/banyantiller/gateway/types.py
@@ -1,7 +1,7 @@
 """What the gateway is told: routes, services, servers and wire names."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
 from banyantiller.store import interface
@@ -149,6 +149,7 @@
         load: Load that a server tells.
         not_run: Present if the server did not execute the request.
         warmup_ms: Milliseconds for which a server is still cold.
+        limit: Requests a second that a server in need takes from all daemons.
         caller: Says who calls, the same with each sending.
     """
 
@@ -160,6 +161,7 @@
     load: bytes
     not_run: bytes
     warmup_ms: bytes
+    limit: bytes
     caller: bytes = b"authorization"
 
 
@@ -175,6 +177,8 @@
         read_document: Decodes a document; raises `ValueError` with the place.
         read_server: Decodes a registration; raises `ValueError`.
         read_load: Decodes the load header; None if it can't be read.
+        read_limit: Decodes the values of the limit header; raises
+            `ValueError`.
         wire: Names of header fields.
     """
 
@@ -186,4 +190,5 @@
     read_document: Callable[[dict[str, Any]], Document]
     read_server: Callable[[str, dict[str, Any]], Server]
     read_load: Callable[[bytes], Load | None]
+    read_limit: Callable[[Sequence[str]], float]
     wire: WireNames
--- a/banyantiller/platform/plugin.py
+++ b/banyantiller/platform/plugin.py
@@ -28,5 +28,6 @@
         read_document=documents.read_document,
         read_server=registrations.read_server,
         read_load=headers.read_load,
+        read_limit=headers.read_limit,
         wire=headers.WIRE,
     )
--- a/banyantiller/tests/gateway/test_events.py
+++ b/banyantiller/tests/gateway/test_events.py
@@ -44,6 +44,15 @@
     await place.ask("a")
 
 
+@shows(events.ServerLimited, events.ServerUnlimited, events.LimitUnreadable)
+async def servers_name_limits(place):
+    for limit in ("5", "", "many"):
+        for one in place.servers.values():
+            one.limit = limit
+        for number in range(9):
+            await place.ask(f"{limit}{number}")
+
+
 @shows(
     call_events.ServerEnded,
     call_events.RequestQuarantined,
