Let daemons take turns at a server that names a limit

What callers saw: nothing; a server in need got what the others got. Cause: the field it names its limit in was not read. Class: a bound on what all daemons send together, which no daemon sees by itself.

Each daemon has a place among those that share the budgets with it: the daemon that they ask tells each its rank, their number and its own clock with the answers about documents, so that nothing is added to what is asked. From that and the limit follow turns, evenly one after the other over the fleet; a turn is good for 0.7 s. Daemons tell the limits that the one they ask does not know, and learn all from its answers: the latest request's answer counts. A server without a turn is neither asked nor sent to, by first and second tries and by requests that wait alike. Where all servers of a service are limited and no turn comes in the time that a request may wait, it is refused at once, not run, with the time of the next turn.

Weighed: a chance for each daemon (a fixed one sends nothing in one case of four with 13 daemons and 1.3 a second; a Poisson mean of 5.2 passes 12 in 3 of 1,000 windows with 112), parts that are lent (gone with the lender), and turns.

A limit that falls, ends, daemons that start again: tested.

--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -334,9 +334,12 @@
                 ErrorKind.NO_SERVER, refusing.EVACUATED_RETRY_AFTER_S
             )
         shed = self.progress.sends > 0
-        return self._refuse(
-            ErrorKind.BACKEND_SHED if shed else ErrorKind.NO_SERVER
-        )
+        kind = ErrorKind.BACKEND_SHED if shed else ErrorKind.NO_SERVER
+        turn_in_s = self.gateway.chooser.turn_in_s(self.service, self.tried)
+        if 0 < turn_in_s < math.inf:
+            self.progress.reason = "servers_limited"
+            return self._fail(kind, refusing.turn_retry_after_s(turn_in_s))
+        return self._refuse(kind)
 
     def _refuse(self, kind: ErrorKind) -> replies.Reply:
         by_servers = kind is ErrorKind.BACKEND_SHED
--- a/banyantiller/gateway/choosing.py
+++ b/banyantiller/gateway/choosing.py
@@ -2,14 +2,14 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import NamedTuple
 
-from banyantiller.gateway import asking, servers, types
+from banyantiller.gateway import asking, limits, servers, types
 from banyantiller.gateway.decisions import cold, selection, waiting
 
-# Cold servers that are asked beside the others.
-MOST_COLD_ASKED = 1
+# Servers that few daemons may send to, which are asked beside the others.
+MOST_SCARCE_ASKED = 1
 
 
 class Wanted(NamedTuple):
@@ -40,6 +40,7 @@
         connected: Returns to which servers there are connections.
         cold_share: Returns which part of the rate that a cold server states
             this daemon may send.
+        limits: Limits that servers name.
     """
 
     def __init__(
@@ -49,12 +50,14 @@
         selector: selection.Selector,
         connected: Callable[[list[servers.Entry]], selection.Connected],
         cold_share: Callable[[], float],
+        named: limits.Limits,
     ) -> None:
         self.table = table
         self.asker = asker
         self.selector = selector
         self.connected = connected
         self.cold_share = cold_share
+        self.limits = named
         self.loop = asyncio.get_running_loop()
 
     async def choose(self, wanted: Wanted) -> asking.Candidate | None:
@@ -75,6 +78,7 @@
             self.asker.give_back([one for one in found if one is not best])
             if best is not None:
                 best.entry.note_cold_send(now)
+                self.limits.note_send(best.entry.server, now)
                 return best
             if again > wanted.limits.any:
                 return None
@@ -99,12 +103,19 @@
         One whose registration says that it is cold may be asked once: it may
         be warm meanwhile.
         """
-        said_cold = self.loop.time() < entry.said_cold_until
-        return not said_cold or self._may_send(entry, wanted)
+        now = self.loop.time()
+        if now < entry.said_cold_until:
+            return self._may_send(entry, wanted)
+        return self.limits.may_send(entry.server, now)
 
     def _may_send(self, entry: servers.Entry, wanted: Wanted) -> bool:
-        """Tells whether a server is warm, or may get a request all the same."""
+        """Tells whether a server is warm, or may get a request all the same.
+
+        In any case no more than it takes, if it names a limit.
+        """
         now = self.loop.time()
+        if not self.limits.may_send(entry.server, now):
+            return False
         per_s = wanted.service.cold_per_s
         if now >= entry.warm_at or math.isinf(per_s):
             return True
@@ -113,10 +124,10 @@
         part = cold.part(self.selector.daemon, start, per_s, share)
         return part.allowed and now >= entry.sent_cold_at + part.spacing_s
 
-    def _own_cold(
+    def _own_scarce(
         self, usable: list[servers.Entry], asked: list[servers.Entry]
     ) -> list[servers.Entry]:
-        """Returns a cold server that is asked besides, if there is one.
+        """Returns a cold or limited server that is asked besides, if any.
 
         Few daemons may send to it, and these are to find it while all other
         servers are full.
@@ -125,13 +136,40 @@
         found = [
             entry
             for entry in usable
-            if now < entry.said_cold_until and entry not in asked
+            if entry not in asked and self._is_scarce(entry, now)
         ]
-        return found[:MOST_COLD_ASKED]
+        return found[:MOST_SCARCE_ASKED]
+
+    def _is_scarce(self, entry: servers.Entry, now: float) -> bool:
+        cold = now < entry.said_cold_until
+        return cold or self.limits.is_limited(entry.server)
+
+    def turn_in_s(self, service: str, tried: Collection[str]) -> float:
+        """Returns when a server of a service may get a request, in seconds.
+
+        Zero or less if one may now; infinite if there is none.
+
+        Args:
+            service: Name of the service.
+            tried: Instances that do not count.
+        """
+        now = self.loop.time()
+        times = [
+            self.limits.next_turn(entry.server, now)
+            for entry in self.table.usable(service, now)
+            if entry.server.instance not in tried
+        ]
+        return min(times, default=math.inf) - now
 
     def _is_hopeless(self, wanted: Wanted) -> bool:
         """Tells whether waiting for a server is of no use."""
-        return self.table.only_evacuated(wanted.service.name, self.loop.time())
+        now = self.loop.time()
+        name = wanted.service.name
+        if self.table.only_evacuated(name, now):
+            return True
+        turn_in_s = self.turn_in_s(name, wanted.tried)
+        # Where there is no server one may register.
+        return math.isfinite(turn_in_s) and now + turn_in_s > wanted.limits.any
 
     async def _ask(
         self, wanted: Wanted, usable: list[servers.Entry]
@@ -140,8 +178,8 @@
         name = wanted.service.name
         path = wanted.service.health_path
         first = self.selector.first(name, usable, self.connected(usable))
-        own_cold = self._own_cold(usable, first.asked)
-        found = await self.asker.ask(first.asked + own_cold, path)
+        scarce = self._own_scarce(usable, first.asked)
+        found = await self.asker.ask(first.asked + scarce, path)
         more = self.selector.more(name, usable, first, found)
         if not more:
             return found
--- a/banyantiller/gateway/decisions/refusing.py
+++ b/banyantiller/gateway/decisions/refusing.py
@@ -24,6 +24,20 @@
 START_RETRY_AFTER_S = 0.5
 # When a service may be asked again of which all servers are in evacuated zones.
 EVACUATED_RETRY_AFTER_S = 1.0
+# Bounds of the time told to a caller where all servers of a service name
+# limits: it may come back when it is this daemon's turn at one of them.
+LEAST_TURN_RETRY_AFTER_S = 0.03
+MOST_TURN_RETRY_AFTER_S = 1.0
+
+
+def turn_retry_after_s(turn_in_s: float) -> float:
+    """Returns when a caller may come back where servers name limits.
+
+    Args:
+        turn_in_s: Time until this daemon may send to one, in seconds.
+    """
+    least_s = max(LEAST_TURN_RETRY_AFTER_S, turn_in_s)
+    return min(least_s, MOST_TURN_RETRY_AFTER_S)
 
 
 def retry_after_s(rng: random.Random, by_servers: bool = False) -> float:
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -4,6 +4,7 @@
 import math
 import random
 import socket
+import zlib
 
 from banyantiller.config.defaults import Endpoint
 from banyantiller.errors import ErrorKind
@@ -29,6 +30,7 @@
     budget,
     durations,
     selection,
+    turns,
 )
 from banyantiller.http import messages
 from banyantiller.quarantine import table
@@ -39,7 +41,8 @@
 BUDGET_USE = 0.9
 # A daemon's part of what the budget allows besides, and of a server's
 # connections, where daemons can't be counted: fleets of up to 24 have none.
-FLEET_SHARE = 1 / 24
+UNCOUNTED_FLEET = 24
+FLEET_SHARE = 1 / UNCOUNTED_FLEET
 # Part of what is shared that is used: a daemon that changes its group counts
 # in two for 3 s.
 SHARE_USE = 0.8
@@ -112,7 +115,10 @@
         )
         self.known.mirror.mark = self.spreader.mark
         self.spreader.on_shown = self.known.mirror.wake
-        self.limits = limits.Limits(adapter)
+        self.limits = limits.Limits(adapter, self._place)
+        self.known.mirror.limits = self.limits
+        for peer in self.known.reader.others:
+            peer.limits = self.limits
         self.asker = asking.Asker(
             adapter,
             self.pool_of,
@@ -127,6 +133,7 @@
             selection.Selector(settings.daemon, settings.zone, rng),
             self._connected,
             lambda: self.least_share() * self.settings.cold_tolerance,
+            self.limits,
         )
         self.emptied = asyncio.Event()
         self.listener: asyncio.Server | None = None
@@ -352,6 +359,13 @@
         for connection in tuple(self.connections):
             connection.run_waiting_calls()
 
+    def _place(self) -> turns.Place | None:
+        """Returns this daemon's place among those that take turns."""
+        if self.settings.seeds:
+            return self.known.reader.place
+        rank = zlib.crc32(self.settings.daemon.encode()) % UNCOUNTED_FLEET
+        return turns.Place(rank, UNCOUNTED_FLEET)
+
     def _connected(self, entries: list[servers.Entry]) -> selection.Connected:
         """Returns to which servers there are connections."""
         pools = [
--- a/banyantiller/gateway/limits.py
+++ b/banyantiller/gateway/limits.py
@@ -2,11 +2,16 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Iterable
+import math
+from collections.abc import Callable, Iterable
+from typing import TypedDict
 
 from banyantiller.gateway import endings, events, types
+from banyantiller.gateway.decisions import turns
 from banyantiller.http import messages
 
+# Most limits in one message between daemons.
+MOST_TOLD = 64
 # How long it is remembered that a limit has ended: it is told to others, and an
 # answer from before must not bring the limit back.
 ENDED_KEPT_S = 10.0
@@ -15,6 +20,19 @@
 UNREGISTERED_KEPT_S = 10.0
 
 
+class LimitFields(TypedDict):
+    """A limit on its way between daemons.
+
+    `start` names the start of a server, and `per_s` is None if it names no
+    limit any more; `age_ms` tells how long ago the request was sent whose
+    answer said so.
+    """
+
+    start: str
+    per_s: float | None
+    age_ms: int
+
+
 @dataclasses.dataclass(slots=True)
 class Limit:
     """What is known of a server's limit.
@@ -23,26 +41,33 @@
         per_s: Requests a second that it takes from all daemons, or None if it
             names no limit any more.
         at: Loop time at which the request was sent whose answer said so.
+        used: What this daemon has used of its turns.
     """
 
     per_s: float | None
     at: float
+    used: turns.Used
 
 
 class Limits:
-    """Follows the limits of servers.
+    """Follows the limits of servers, and keeps this daemon's part of them.
 
     Attributes:
         name: Name of the header field, in lower case.
         read: Decodes the values of that field; raises `ValueError`.
+        place: Returns this daemon's place in the fleet, or None while it is
+            not known.
         known: What is known, by the start of a server.
         unreadable: What is wrong with a server's field, by its start.
         seen_at: Loop time at which a start was registered last.
     """
 
-    def __init__(self, adapter: types.Adapter) -> None:
+    def __init__(
+        self, adapter: types.Adapter, place: Callable[[], turns.Place | None]
+    ) -> None:
         self.name = adapter.wire.limit.decode()
         self.read = adapter.read_limit
+        self.place = place
         self.known: dict[str, Limit] = {}
         self.unreadable: dict[str, str] = {}
         self.seen_at: dict[str, float] = {}
@@ -78,15 +103,78 @@
         self.unreadable.pop(start, None)
         self._take(start, per_s, sent_at)
 
+    def next_turn(self, server: types.Server, now: float) -> float:
+        """Returns the loop time from which a server may be sent a request.
+
+        Infinite while this daemon's place in the fleet is not known.
+        """
+        if not self.known:
+            return -math.inf
+        start = endings.start_name(server)
+        limit = self.known.get(start)
+        if limit is None or limit.per_s is None:
+            return -math.inf
+        place = self.place()
+        if place is None:
+            return math.inf
+        return turns.next_turn(place, start, limit.per_s, limit.used, now)
+
+    def may_send(self, server: types.Server, now: float) -> bool:
+        """Tells whether a server may be sent a request now."""
+        return self.next_turn(server, now) <= now
+
     def is_limited(self, server: types.Server) -> bool:
         """Tells whether a server names a limit."""
         limit = self.known.get(endings.start_name(server))
         return limit is not None and limit.per_s is not None
 
+    def note_send(self, server: types.Server, now: float) -> None:
+        """Notes that a server gets a request."""
+        turn = self.next_turn(server, now)
+        if math.isfinite(turn):
+            limit = self.known[endings.start_name(server)]
+            limit.used = limit.used._replace(last=turn)
+
     def count(self) -> int:
         """Counts the servers that name a limit."""
         return sum(one.per_s is not None for one in self.known.values())
 
+    # Between daemons.
+
+    def tell(self) -> list[LimitFields]:
+        """Returns what other daemons are told."""
+        now = self.loop.time()
+        newest = sorted(self.known.items(), key=lambda item: -item[1].at)
+        return [
+            LimitFields(
+                start=start,
+                per_s=limit.per_s,
+                age_ms=math.ceil((now - limit.at) * 1000),
+            )
+            for start, limit in newest[:MOST_TOLD]
+        ]
+
+    def tell_unknown(self, told: Iterable[LimitFields]) -> list[LimitFields]:
+        """Returns what a daemon is to be told.
+
+        Args:
+            told: What that daemon knew when it answered last.
+        """
+        if not self.known:
+            return []
+        knows = {fields["start"]: fields["per_s"] for fields in told}
+        return [
+            fields
+            for fields in self.tell()
+            if knows.get(fields["start"]) != fields["per_s"]
+        ]
+
+    def learn(self, told: Iterable[LimitFields], composed_at: float) -> None:
+        """Takes what another daemon told at a loop time."""
+        for fields in told:
+            at = composed_at - fields["age_ms"] / 1000
+            self._take(fields["start"], fields["per_s"], at, "daemon")
+
     # Within.
 
     def expire(self, registered: Iterable[types.Server], now: float) -> None:
@@ -119,7 +207,8 @@
             return
         before = limit.per_s if limit is not None else None
         if limit is None or (before is None and per_s is not None):
-            self.known[start] = Limit(per_s, at)
+            # What was sent before the limit was known counts for nothing.
+            self.known[start] = Limit(per_s, at, turns.Used(self.loop.time()))
         else:
             limit.per_s = per_s
             limit.at = at
--- a/banyantiller/gateway/mirror.py
+++ b/banyantiller/gateway/mirror.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from banyantiller.gateway import events
+from banyantiller.gateway import events, limits
 from banyantiller.gateway.decisions import failing
 from banyantiller.http import messages
 from banyantiller.store import interface
@@ -63,7 +63,9 @@
     `age_ms` tells how long ago the store answered whoever read it, and
     `held_ms` for how long the question waited for this answer: the one who
     asks knows when it asked, and not how long the answer was under way.
-    `doubted` names servers that failed several daemons.
+    `doubted` names servers that failed several daemons. Answers about
+    documents have besides the rank of the one who asks among the sharers, the
+    clock of the one who answers, and the limits that servers name.
     """
 
     events: list[EventFields]
@@ -72,6 +74,9 @@
     age_ms: int
     held_ms: NotRequired[int]
     doubted: NotRequired[list[str]]
+    rank: NotRequired[int]
+    clock_ms: NotRequired[int]
+    limits: NotRequired[list[limits.LimitFields]]
 
 
 class ListFields(TypedDict):
@@ -245,6 +250,7 @@
         mark: Returns the mark that answers carry; empty for none.
         reports: What daemons that ask said of servers that failed them.
         doubted: Returns the servers that are told to be doubted.
+        limits: Limits that servers name, or None if nobody follows them.
     """
 
     def __init__(self, status: Callable[[], int], sentinel: str) -> None:
@@ -256,6 +262,7 @@
         self.mark: Callable[[], str] = lambda: ""
         self.reports = failing.Reports()
         self.doubted: Callable[[], list[str]] = self._doubted
+        self.limits: limits.Limits | None = None
         self.loop = asyncio.get_running_loop()
 
     def demanded(self) -> bool:
@@ -308,18 +315,24 @@
             name = request.query["name"]
             shares = request.query.get("shares", SHARES) == SHARES
             mark = request.query.get("mark", self.mark())
-        except (KeyError, ValueError):
+            told = request.query.get("limits", "[]")
+            named_limits = msgspec.json.decode(
+                told, type=list[limits.LimitFields]
+            )
+        except (KeyError, ValueError, msgspec.DecodeError):
             return messages.Response(400)
         first = not self.demanded()
         now = self.loop.time()
         self.askers[name] = Asker(now, shares)
         named = [n for n in request.query.get("failing", "").split(",") if n]
         self.reports.take(name, named[: failing.MOST_NAMED], now)
+        if self.limits is not None:
+            self.limits.learn(named_limits, now)
         if first:
             events.emit(events.ReadsForOthers(name))
             self.on_demand()
         wait_s = min(wait_s, LONGEST_WAIT_S)
-        return await self._answer(kind, since, wait_s, mark)
+        return await self._answer(kind, since, wait_s, mark, name)
 
     def _tell_list(self, kind: str) -> messages.Response:
         """Tells all objects of a kind, also while the store is away."""
@@ -331,7 +344,7 @@
         return packed._replace(headers=(*packed.headers, age))
 
     async def _answer(
-        self, kind: str, since: int, wait_s: float, mark: str
+        self, kind: str, since: int, wait_s: float, mark: str, name: str
     ) -> messages.Response:
         """Answers once there are changes, a new mark, or the time is over."""
         received = self.loop.time()
@@ -355,6 +368,8 @@
                 doubted = self.doubted()
                 if doubted:
                     fields["doubted"] = doubted
+                if kind == self.freshness.sentinel:
+                    self._add_turns(fields, name)
                 return _packed(fields)
             try:
                 async with asyncio.timeout(left):
@@ -362,6 +377,21 @@
             except TimeoutError:
                 continue
 
+    def _add_turns(self, fields: ReplyFields, name: str) -> None:
+        """Adds what a daemon needs to take its turns at servers."""
+        fields["rank"] = self.rank(name)
+        fields["clock_ms"] = int(self.loop.time() * 1000)
+        if self.limits is not None and self.limits.known:
+            fields["limits"] = self.limits.tell()
+
+    def rank(self, name: str) -> int:
+        """Returns a daemon's number among those that share with this one.
+
+        This one is the last.
+        """
+        sharing = [n for n, asker in self.askers.items() if asker.shares]
+        return sum(other < name for other in sharing)
+
     def _doubted(self) -> list[str]:
         return self.reports.doubted(self.loop.time())
 
--- a/banyantiller/gateway/peers.py
+++ b/banyantiller/gateway/peers.py
@@ -12,7 +12,8 @@
 import msgspec
 
 from banyantiller.config.defaults import Endpoint
-from banyantiller.gateway import events, mirror
+from banyantiller.gateway import events, limits, mirror
+from banyantiller.gateway.decisions import turns
 from banyantiller.http import client, messages, outcomes
 from banyantiller.store import interface
 
@@ -88,12 +89,16 @@
         address: IP number and port of the other daemon.
         patience_s: Age up to which what it tells is relied on, in seconds.
         sharers: Daemons that the other one told for, itself included.
+        rank: Number of this daemon among these.
+        ahead_s: How far the other one's clock is ahead, in seconds.
         fresh_at: Loop time at which the store said what the other one told.
         unfit_until: Loop time until which it is not asked.
         mark: Mark of the last answer; see `gateway.spreading`.
         on_mark: Called with each answer's mark.
         failing: Returns the servers that failed this daemon lately.
         on_doubted: Called with the servers that the other doubts.
+        limits: Limits that servers name, or None if nobody follows them.
+        told_limits: What the other one knew of limits when it answered last.
     """
 
     def __init__(
@@ -104,6 +109,8 @@
         self.address = f"{endpoint.address}:{endpoint.port}"
         self.patience_s = patience_s
         self.sharers = 0
+        self.rank = 0
+        self.ahead_s = 0.0
         self.fresh_at = 0.0
         self.user = client.HttpClient(endpoint.address, endpoint.port, LIMITS)
         self.unfit_until = 0.0
@@ -111,6 +118,8 @@
         self.on_mark: Callable[[Peer, str], None] = lambda *_: None
         self.failing: Callable[[], list[str]] = list
         self.on_doubted: Callable[[list[str]], None] = lambda _: None
+        self.limits: limits.Limits | None = None
+        self.told_limits: list[limits.LimitFields] = []
 
     async def changes(
         self, kind: str, version: str, wait_s: float
@@ -124,6 +133,7 @@
         named = self.failing()
         if named:
             target += f"&failing={parse.quote(','.join(named))}"
+        target += self._limits_to_tell()
         asked_at = _now()
         told = await self._ask(target, wait_s, mirror.ReplyFields)
         if isinstance(told, interface.Gone | Refused):
@@ -136,11 +146,43 @@
         if too_old and not fields["events"]:
             return Refused(RefusalKind.NOT_READY)
         self.on_doubted(fields.get("doubted", []))
-        self.sharers = fields["sharers"]
+        self._note_turns(fields, composed_at)
         self.fresh_at = fresh_at
         changes = tuple(_event(kind, item) for item in fields["events"])
         return interface.Changes(changes, fields["version"], second_hand=True)
 
+    def place(self, groups: int) -> turns.Place:
+        """Returns this daemon's place among those that share with the other.
+
+        Args:
+            groups: Number of daemons that others may ask.
+        """
+        return turns.Place(self.rank, self.sharers, groups, self.ahead_s)
+
+    def _limits_to_tell(self) -> str:
+        if self.limits is None:
+            return ""
+        found = self.limits.tell_unknown(self.told_limits)
+        if not found:
+            return ""
+        return f"&limits={parse.quote(msgspec.json.encode(found))}"
+
+    def _note_turns(
+        self, fields: mirror.ReplyFields, composed_at: float
+    ) -> None:
+        """Notes who shares with this daemon, and the limits that were told.
+
+        Answers about other kinds than documents tell the sharers only.
+        """
+        self.sharers = fields["sharers"]
+        if "clock_ms" not in fields:
+            return
+        self.rank = fields.get("rank", 0)
+        self.ahead_s = fields["clock_ms"] / 1000 - composed_at
+        self.told_limits = fields.get("limits", [])
+        if self.limits is not None:
+            self.limits.learn(self.told_limits, composed_at)
+
     async def list(self, kind: str) -> ToldList | Refused:
         """Asks for all objects, however old what is known there may be."""
         asked_at = _now()
--- a/banyantiller/gateway/sharing.py
+++ b/banyantiller/gateway/sharing.py
@@ -5,7 +5,7 @@
 import random
 
 from banyantiller.gateway import events, mirror, peers
-from banyantiller.gateway.decisions import reading
+from banyantiller.gateway.decisions import reading, turns
 from banyantiller.store import interface
 
 # Longest wait of a call for the kind that shows whether the store answers,
@@ -75,6 +75,8 @@
         unconfirmed_s: How old the store's last word on the sentinel had become
             when the latest one came, in seconds.
         groups: Daemons that others may ask; each tells a part of the fleet.
+        place: This daemon's place among those that take turns, or None while
+            the others can't be counted.
         share: Part of the fleet's budgets that this daemon may use, or None
             while the others can't be counted.
         calls: Calls to the store by verb.
@@ -106,6 +108,7 @@
             self.peers = sorted(before, key=lambda peer: peer.address)
         self.groups = max(1, len(self.others) + self.asked_itself)
         self.share: float | None = None
+        self.place: turns.Place | None = None
         self.relied_on: peers.Peer | None = None
         self.reaches_store = False
         self.heard_through = STORE
@@ -243,7 +246,9 @@
         demanded = self.mirror.demanded()
         counts = self.asked_itself and self.loop.time() >= self.counts_from
         if demanded or counts:
-            self._divide(self.mirror.sharers())
+            sharers = self.mirror.sharers()
+            self._divide(sharers)
+            self.place = turns.Place(sharers - 1, sharers, self.groups)
         found = await self._ask_others_in_time(kind, version, wait_s)
         while found is None and self._may_settle():
             await asyncio.sleep(START_PAUSE_S)
@@ -400,6 +405,7 @@
             events.emit(events.ReadsThrough(peer.address, peer.sharers))
         if not self.asked_itself:
             self._divide(peer.sharers)
+            self.place = peer.place(self.groups)
 
     def _divide(self, sharers: int) -> None:
         """Takes this daemon's part of what a group of daemons may use.
--- a/banyantiller/tests/gateway/test_named_limits.py
+++ b/banyantiller/tests/gateway/test_named_limits.py
@@ -21,13 +21,16 @@
         self.assertLessEqual(
             got.most("s0", limits_world.KNOWN_S), limits_world.allowed(PER_S)
         )
+        # What may be used is.
+        times = [at for at in got.arrivals["s0"] if at >= limits_world.KNOWN_S]
+        self.assertGreater(len(times) / 17, 0.5 * PER_S)
 
     def test_fleet_keeps_the_limits_that_all_servers_name(self):
         async def script(place, fleet):
             for server in place.servers.values():
                 server.limit = "4"
 
-        got = self.play(script)
+        got = self.play(script, seconds=10.0)
         for name in got.arrivals:
             self.assertLessEqual(
                 got.most(name, limits_world.KNOWN_S), limits_world.allowed(4)
@@ -61,3 +64,62 @@
         self.assertLessEqual(
             got.most("s0", limits_world.KNOWN_S), limits_world.allowed(PER_S)
         )
+
+    def test_server_gets_its_share_again_when_its_limit_ends(self):
+        async def script(place, fleet):
+            place.servers["s0"].limit = str(PER_S)
+            await asyncio.sleep(8)
+            place.servers["s0"].limit = ""
+
+        got = self.play(script)
+        before = [at for at in got.arrivals["s0"] if 3 <= at < 8]
+        after = [at for at in got.arrivals["s0"] if 13 <= at < 18]
+        self.assertGreater(len(after), 4 * len(before))
+
+    def test_what_is_beyond_all_limits_is_refused_at_once_as_not_run(self):
+        async def script(place, fleet):
+            for server in place.servers.values():
+                server.limit = "2"
+
+        got = self.play(script, seconds=10.0)
+        refused = [
+            answer
+            for at, answer in got.answers
+            if answer.status == 503 and at >= limits_world.KNOWN_S
+        ]
+        self.assertGreater(len(refused), 100)
+        arrived = sum(len(times) for times in got.arrivals.values())
+        served = got.statuses.count(200)
+        self.assertEqual(arrived, served)
+        for answer in refused:
+            self.assertGreater(float(answer.headers["retry-after"]), 0)
+            self.assertLessEqual(float(answer.headers["retry-after"]), 1)
+        late = [answer for answer in refused if answer.took_s > 0.05]
+        self.assertLess(len(late), len(refused) / 10)
+
+    def test_daemon_that_starts_is_told_by_others(self):
+        known = []
+
+        async def script(place, fleet):
+            place.servers["s0"].limit = str(PER_S)
+            await asyncio.sleep(6)
+            place.seed += 1
+            await place.start_gateway(limits_world.SEEDS, "more")
+            fleet.append(place.gateway)
+            place.gateway.listener.close()
+            await asyncio.sleep(1)
+            known.append(place.gateway.limits.count())
+
+        self.play(script, seconds=8.0)
+        self.assertEqual([1], known)
+
+    def test_limit_is_known_everywhere_soon(self):
+        known = []
+
+        async def script(place, fleet):
+            place.servers["s0"].limit = str(PER_S)
+            await asyncio.sleep(2.5)
+            known.extend(one.limits.count() for one in fleet)
+
+        self.play(script, seconds=4.0, others=8)
+        self.assertEqual([1] * 11, known)
