Test that all kinds are known while all that are asked are cut off, and space the calls

Where the daemons that are asked had lost the store and a daemon reached it, only documents were read from it: each read made the daemon fit to wait again, so that the registrations of servers and the evacuated zones were not read at all for as long as that lasted.

Reads of a kind are 1.4 s apart now (less than the bound by what a read takes) where others could be asked; a test bounds them.

--- a/banyantiller/gateway/sharing.py
+++ b/banyantiller/gateway/sharing.py
@@ -67,6 +67,7 @@
         counts_from: Loop time from which a daemon that is asked knows who
             shares with it.
         relied_on: Daemon that told changes last, or None.
+        read_at: Loop time of the last read of the store, by kind.
         reaches_store: Whether the store answered this daemon since another one
             told changes. Those that are asked may be the only ones that have
             lost it.
@@ -110,6 +111,7 @@
         self.share: float | None = None
         self.place: turns.Place | None = None
         self.relied_on: peers.Peer | None = None
+        self.read_at: dict[str, float] = {}
         self.reaches_store = False
         self.heard_through = STORE
         self.unconfirmed_s = 0.0
@@ -259,8 +261,18 @@
             return found
         if demanded and kind == self.sentinel:
             wait_s = min(wait_s, READER_WAIT_S)
+        if self.peers and not demanded:
+            await self._space_reads(kind)
         return await self._read_store(kind, version, wait_s)
 
+    async def _space_reads(self, kind: str) -> None:
+        """Waits so that changes in series don't cost a call each.
+
+        Where all that are asked have lost the store, each daemon reads it.
+        """
+        due = self.read_at.get(kind, 0.0) + self.reliance.patience_s
+        await asyncio.sleep(due - self.loop.time())
+
     def _may_settle(self) -> bool:
         """Tells whether others may still be about to listen."""
         return bool(self.peers) and self.reliance.may_settle(self.loop.time())
@@ -285,6 +297,7 @@
         self, kind: str, version: str, wait_s: float
     ) -> interface.ChangesOutcome:
         asked_at = self.loop.time()
+        self.read_at[kind] = asked_at
         found = await self.store.changes(kind, version, wait_s)
         if isinstance(found, interface.Changes):
             self._heard(kind, self._composed_at(found, asked_at, wait_s))
--- a/banyantiller/tests/gateway/test_calls_to_the_store.py
+++ b/banyantiller/tests/gateway/test_calls_to_the_store.py
@@ -14,6 +14,8 @@
 KINDS = ("config", "servers", "evacuations")
 # Tries of a store that is lost for 20 s, by the kind that shows its return.
 TRIES_OF_LOST_STORE = 5
+# A call of each kind each 1.4 s, the age up to which others are relied on.
+CALLS_IN_9_S = 7
 NEW = [world.route("new", "safe", "/new/")]
 
 
@@ -191,6 +193,42 @@
             found = self.play(body, apply_s=bound_s, leave_s=bound_s)
             self.assertEqual({4}, found, bound_s)
 
+    def test_all_kinds_are_known_although_all_that_are_asked_are_cut_off(self):
+        async def body(place, asked, others):
+            for one in asked:
+                cut_off(one)
+            cut_connections(place)
+            # What was known is not known for fresh any more.
+            await asyncio.sleep(6)
+            place.register("s0", state="draining")
+            place.store.put("evacuations", "zone-b", {})
+            await asyncio.sleep(1.95)
+            now = asyncio.get_running_loop().time()
+            left = [one.known.table.entries["s0"].usable(now) for one in others]
+            await asyncio.sleep(3)
+            zones = {one.known.zones.evacuated for one in others}
+            return left, zones
+
+        wanted = ([False] * OTHERS, {frozenset({"zone-b"})})
+        self.assertEqual(wanted, self.play(body))
+
+    def test_changes_in_series_cost_few_calls_if_all_asked_are_cut_off(self):
+        async def body(place, asked, others):
+            for one in asked:
+                cut_off(one)
+            cut_connections(place)
+            before = calls(others)
+            for number in range(36):
+                place.put_document()
+                place.register("s0", sequence=number, zone=f"z{number}")
+                await asyncio.sleep(0.25)
+            return max(
+                now - then
+                for now, then in zip(calls(others), before, strict=True)
+            )
+
+        self.assertLessEqual(self.play(body), len(KINDS) * CALLS_IN_9_S)
+
     def test_long_outage_takes_few_calls_and_its_end_is_seen(self):
         async def body(place, asked, others):
             before = calls(others)
