--- a/banyantiller/gateway/decisions/turns.py
+++ b/banyantiller/gateway/decisions/turns.py
@@ -46,6 +46,13 @@
 
 
 ALONE = Place(0, 1)
+# Daemons that a daemon without others to count takes for its fleet.
+UNCOUNTED_FLEET = 24
+
+
+def uncounted(daemon: str) -> Place:
+    """Returns the place of a daemon that has no others to count."""
+    return Place(zlib.crc32(daemon.encode()) % UNCOUNTED_FLEET, UNCOUNTED_FLEET)
 
 
 class Used(NamedTuple):
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -4,7 +4,6 @@
 import math
 import random
 import socket
-import zlib
 
 from banyantiller.config.defaults import Endpoint
 from banyantiller.errors import ErrorKind
@@ -40,9 +39,8 @@
 # where it was sent, this daemon where it arrived.
 BUDGET_USE = 0.9
 # A daemon's part of what the budget allows besides, and of a server's
-# connections, where daemons can't be counted: fleets of up to 24 have none.
-UNCOUNTED_FLEET = 24
-FLEET_SHARE = 1 / UNCOUNTED_FLEET
+# connections, where daemons can't be counted: small fleets have none to ask.
+FLEET_SHARE = 1 / turns.UNCOUNTED_FLEET
 # Part of what is shared that is used: a daemon that changes its group counts
 # in two for 3 s.
 SHARE_USE = 0.8
@@ -363,8 +361,7 @@
         """Returns this daemon's place among those that take turns."""
         if self.settings.seeds:
             return self.known.reader.place
-        rank = zlib.crc32(self.settings.daemon.encode()) % UNCOUNTED_FLEET
-        return turns.Place(rank, UNCOUNTED_FLEET)
+        return turns.uncounted(self.settings.daemon)
 
     def _connected(self, entries: list[servers.Entry]) -> selection.Connected:
         """Returns to which servers there are connections."""
--- a/banyantiller/gateway/mirror.py
+++ b/banyantiller/gateway/mirror.py
@@ -6,15 +6,12 @@
 """
 
 import asyncio
-import collections
-import math
-import zlib
 from collections.abc import Callable
-from typing import Any, NamedTuple, NotRequired, TypedDict
+from typing import NamedTuple
 
 import msgspec
 
-from banyantiller.gateway import events, limits
+from banyantiller.gateway import events, histories, limits, telling
 from banyantiller.gateway.decisions import failing
 from banyantiller.http import messages
 from banyantiller.store import interface
@@ -22,18 +19,10 @@
 PATH = "/mirror/"
 # Value of the query parameter `shares` of a daemon that does.
 SHARES = "1"
-# Batches of changes that are kept for daemons that ask late; the store itself
-# has some 20 s, in which no more than 40 come.
-MOST_BATCHES = 100
 # A daemon that was not asked for so long stops reading for others.
 DEMAND_S = 3.0
 # Longest wait of one question.
 LONGEST_WAIT_S = 5.0
-# A document of 480 routes has 100 KB, of which the fastest level leaves a
-# tenth; below 1 KB there is nothing to gain.
-DEFLATE_LEVEL = 1
-LEAST_DEFLATED_BYTES = 1024
-DEFLATED = (("content-encoding", "deflate"),)
 # Header field of a list: how long ago the store said so, in milliseconds. The
 # body is packed once for all that ask.
 AGE_FIELD = "age-ms"
@@ -47,45 +36,6 @@
 GONE_STATUS = 410
 
 
-class EventFields(TypedDict):
-    """One change on its way between daemons."""
-
-    name: str
-    version: str
-    value: Any
-    removed: bool
-
-
-class ReplyFields(TypedDict):
-    """Changes on their way between daemons.
-
-    `sharers` counts the daemons that ask the one that answers, and that one;
-    `age_ms` tells how long ago the store answered whoever read it, and
-    `held_ms` for how long the question waited for this answer: the one who
-    asks knows when it asked, and not how long the answer was under way.
-    `doubted` names servers that failed several daemons. Answers about
-    documents have besides the rank of the one who asks among the sharers, the
-    clock of the one who answers, and the limits that servers name.
-    """
-
-    events: list[EventFields]
-    version: str
-    sharers: int
-    age_ms: int
-    held_ms: NotRequired[int]
-    doubted: NotRequired[list[str]]
-    rank: NotRequired[int]
-    clock_ms: NotRequired[int]
-    limits: NotRequired[list[limits.LimitFields]]
-
-
-class ListFields(TypedDict):
-    """All objects of a kind on their way between daemons."""
-
-    items: list[EventFields]
-    version: str
-
-
 class Asker(NamedTuple):
     """A daemon that relies on this one.
 
@@ -99,115 +49,6 @@
     shares: bool
 
 
-class Batch(NamedTuple):
-    """Changes that were read at once.
-
-    Attributes:
-        version: Version of the store after them.
-        events: The changes.
-        bridges: Version before them, if they were found by comparing lists;
-            what came and went in between is missing then.
-    """
-
-    version: int
-    events: tuple[interface.Changed | interface.Deleted, ...]
-    bridges: int | None = None
-
-
-class History:
-    """Changes of one kind since some version.
-
-    Attributes:
-        items: All objects by name.
-        oldest: Version from which changes are known.
-        version: Version up to which they are known.
-        batches: The changes.
-        changed: Set at each change; replaced after it.
-        packed: Answer with all objects, or None after a change.
-    """
-
-    def __init__(self, listed: interface.Listed) -> None:
-        self.items = {item.name: item for item in listed.items}
-        self.packed: messages.Response | None = None
-        self.oldest = int(listed.version)
-        self.version = self.oldest
-        self.batches: collections.deque[Batch] = collections.deque()
-        self.changed = asyncio.Event()
-
-    def add(self, found: interface.Changes) -> None:
-        """Adds what was read."""
-        self._add(Batch(int(found.version), found.events))
-
-    def relist(self, found: interface.Listed) -> None:
-        """Takes a newer list as the changes that lead to it.
-
-        Those who ask go on from what they know: after a lost history one list
-        is read for the whole fleet.
-        """
-        listed = {item.name: item for item in found.items}
-        gone = [
-            interface.Deleted(item)
-            for name, item in self.items.items()
-            if name not in listed
-        ]
-        changed = [
-            interface.Changed(item)
-            for name, item in listed.items()
-            if self.items.get(name) != item
-        ]
-        version = int(found.version)
-        self._add(Batch(version, (*gone, *changed), self.version))
-
-    def knows_since(self, version: int) -> bool:
-        """Tells whether all changes after a version are known."""
-        if version < self.oldest:
-            return False
-        return not any(
-            batch.bridges is not None
-            and batch.bridges < version < batch.version
-            for batch in self.batches
-        )
-
-    def _add(self, batch: Batch) -> None:
-        self.version = max(self.version, batch.version)
-        self.packed = None
-        if not batch.events and batch.bridges is None:
-            return
-        for event in batch.events:
-            if isinstance(event, interface.Deleted):
-                self.items.pop(event.item.name, None)
-            else:
-                self.items[event.item.name] = event.item
-        self.batches.append(batch._replace(version=self.version))
-        if len(self.batches) > MOST_BATCHES:
-            self.oldest = self.batches.popleft().version
-        self.wake()
-
-    def pack(self) -> messages.Response:
-        """Returns an answer with all objects."""
-        if self.packed is None:
-            items = [_fields(item, False) for item in self.items.values()]
-            fields = ListFields(items=items, version=str(self.version))
-            self.packed = _packed(fields)
-        return self.packed
-
-    def after(
-        self, version: int
-    ) -> list[interface.Changed | interface.Deleted]:
-        """Returns the changes after a version."""
-        return [
-            event
-            for batch in self.batches
-            if batch.version > version
-            for event in batch.events
-        ]
-
-    def wake(self) -> None:
-        """Lets those who wait look again."""
-        self.changed.set()
-        self.changed = asyncio.Event()
-
-
 class Freshness:
     """When the store last answered about each kind.
 
@@ -255,7 +96,7 @@
 
     def __init__(self, status: Callable[[], int], sentinel: str) -> None:
         self.status = status
-        self.histories: dict[str, History] = {}
+        self.histories: dict[str, histories.History] = {}
         self.askers: dict[str, Asker] = {}
         self.freshness = Freshness(sentinel)
         self.on_demand: Callable[[], None] = lambda: None
@@ -283,7 +124,7 @@
         """Notes that a kind was read whole."""
         history = self.histories.get(kind)
         if history is None:
-            self.histories[kind] = History(found)
+            self.histories[kind] = histories.History(found)
         elif int(found.version) >= history.version:
             history.relist(found)
 
@@ -340,7 +181,7 @@
         if history is None:
             return messages.Response(NOT_READY_STATUS)
         packed = history.pack()
-        age = (AGE_FIELD, str(_age_ms(self._age_s(kind))))
+        age = (AGE_FIELD, str(telling.age_ms(self._age_s(kind))))
         return packed._replace(headers=(*packed.headers, age))
 
     async def _answer(
@@ -362,7 +203,7 @@
             if events or left <= 0 or self.mark() != mark:
                 version = max(since, history.version)
                 age_s = self._age_s(kind)
-                fields = _reply(events, version, self.sharers(), age_s)
+                fields = telling.reply(events, version, self.sharers(), age_s)
                 held_s = self.loop.time() - received
                 fields["held_ms"] = int(held_s * 1000)
                 doubted = self.doubted()
@@ -370,14 +211,14 @@
                     fields["doubted"] = doubted
                 if kind == self.freshness.sentinel:
                     self._add_turns(fields, name)
-                return _packed(fields)
+                return telling.pack(fields)
             try:
                 async with asyncio.timeout(left):
                     await history.changed.wait()
             except TimeoutError:
                 continue
 
-    def _add_turns(self, fields: ReplyFields, name: str) -> None:
+    def _add_turns(self, fields: telling.ReplyFields, name: str) -> None:
         """Adds what a daemon needs to take its turns at servers."""
         fields["rank"] = self.rank(name)
         fields["clock_ms"] = int(self.loop.time() * 1000)
@@ -398,38 +239,3 @@
     def _age_s(self, kind: str) -> float:
         """Returns how long ago the store said what is known, in seconds."""
         return self.loop.time() - self.freshness.confirmed_at(kind)
-
-
-def _age_ms(age_s: float) -> int:
-    return math.ceil(age_s * 1000)
-
-
-def _reply(
-    events: list[interface.Changed | interface.Deleted],
-    version: int,
-    sharers: int,
-    age_s: float,
-) -> ReplyFields:
-    fields = [
-        _fields(event.item, isinstance(event, interface.Deleted))
-        for event in events
-    ]
-    return ReplyFields(
-        events=fields,
-        version=str(version),
-        sharers=sharers,
-        age_ms=_age_ms(age_s),
-    )
-
-
-def _fields(item: interface.StoredObject, removed: bool) -> EventFields:
-    return EventFields(
-        name=item.name, version=item.version, value=item.value, removed=removed
-    )
-
-
-def _packed(fields: ReplyFields | ListFields) -> messages.Response:
-    body = msgspec.json.encode(fields)
-    if len(body) < LEAST_DEFLATED_BYTES:
-        return messages.Response(200, (), body)
-    return messages.Response(200, DEFLATED, zlib.compress(body, DEFLATE_LEVEL))
--- a/banyantiller/gateway/peers.py
+++ b/banyantiller/gateway/peers.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from banyantiller.config.defaults import Endpoint
-from banyantiller.gateway import events, limits, mirror
+from banyantiller.gateway import events, limits, mirror, telling
 from banyantiller.gateway.decisions import turns
 from banyantiller.http import client, messages, outcomes
 from banyantiller.store import interface
@@ -135,7 +135,7 @@
             target += f"&failing={parse.quote(','.join(named))}"
         target += self._limits_to_tell()
         asked_at = _now()
-        told = await self._ask(target, wait_s, mirror.ReplyFields)
+        told = await self._ask(target, wait_s, telling.ReplyFields)
         if isinstance(told, interface.Gone | Refused):
             return told
         fields = told.fields
@@ -168,7 +168,7 @@
         return f"&limits={parse.quote(msgspec.json.encode(found))}"
 
     def _note_turns(
-        self, fields: mirror.ReplyFields, composed_at: float
+        self, fields: telling.ReplyFields, composed_at: float
     ) -> None:
         """Notes who shares with this daemon, and the limits that were told.
 
@@ -186,7 +186,7 @@
     async def list(self, kind: str) -> ToldList | Refused:
         """Asks for all objects, however old what is known there may be."""
         asked_at = _now()
-        told = await self._ask(f"{mirror.PATH}{kind}", 0, mirror.ListFields)
+        told = await self._ask(f"{mirror.PATH}{kind}", 0, telling.ListFields)
         if isinstance(told, interface.Gone):
             return Refused(RefusalKind.NOT_READY)
         if isinstance(told, Refused):
@@ -233,7 +233,7 @@
 
 
 def _event(
-    kind: str, fields: mirror.EventFields
+    kind: str, fields: telling.EventFields
 ) -> interface.Changed | interface.Deleted:
     item = _stored(kind, fields)
     if fields["removed"]:
@@ -241,7 +241,7 @@
     return interface.Changed(item)
 
 
-def _stored(kind: str, fields: mirror.EventFields) -> interface.StoredObject:
+def _stored(kind: str, fields: telling.EventFields) -> interface.StoredObject:
     return interface.StoredObject(
         kind, fields["name"], fields["version"], fields["value"]
     )
--- a/banyantiller/gateway/sharing.py
+++ b/banyantiller/gateway/sharing.py
@@ -4,7 +4,7 @@
 import collections
 import random
 
-from banyantiller.gateway import events, mirror, peers
+from banyantiller.gateway import events, mirror, peers, told_lists
 from banyantiller.gateway.decisions import reading, turns
 from banyantiller.store import interface
 
@@ -30,14 +30,6 @@
 BRIEF_S = 0.1
 # Age at which the store is read for a kind that may be known later.
 PATIENT_MOST_AGE_S = 3.5
-# Pause before those that are not ready are asked again at a start.
-START_PAUSE_S = 0.1
-# Another daemon that lives tells a list within this time, also a slow one. A
-# daemon that knows nothing asks the store then if a caller waits, or if other
-# daemons wait for it: when all start at once after a power cut nobody can tell.
-HASTE_S = 0.05
-# The same for a daemon that knows something already.
-LIST_S = 0.4
 
 LOST_WITH_OTHERS = "the daemons that are asked hear nothing of the store"
 NOBODY_REACHES = "no daemon reaches the store"
@@ -62,8 +54,8 @@
         others: Daemons to ask for what was in force, without this one.
         asked_itself: Whether others ask this daemon.
         reliance: How long others are relied on.
-        hurried: Set once a caller waits for what is to be read at the start.
         least: Least version that a list told by others must have, by kind.
+        lists: Asks others for lists.
         counts_from: Loop time from which a daemon that is asked knows who
             shares with it.
         relied_on: Daemon that told changes last, or None.
@@ -116,8 +108,10 @@
         self.heard_through = STORE
         self.unconfirmed_s = 0.0
         self.reliance = reliance
-        self.hurried = asyncio.Event()
         self.least: dict[str, int] = {}
+        self.lists = told_lists.ToldLists(
+            self.others, self.asked_itself, reliance, self.least
+        )
         self.random = rng
         self.calls = store.calls
         self.questions: collections.Counter[str] = collections.Counter()
@@ -132,8 +126,8 @@
         A daemon that starts while the store is away is told by another one
         what was in force, and serves within a second.
         """
-        told = await self._told_list(kind)
-        if told is not None and self._is_fresh(told):
+        told = await self.lists.ask(kind)
+        if told is not None and self.lists.is_fresh(told):
             self._heard(kind, told.fresh_at, told.address)
             return self._listed(kind, told.listed)
         asked_at = self.loop.time()
@@ -142,7 +136,7 @@
             self._heard(kind, asked_at)
             return self._listed(kind, found)
         self.reliance.settled()
-        told = told or await self._told_list(kind)
+        told = told or await self.lists.ask(kind)
         if told is None:
             return found
         self.mirror.freshness.note(kind, told.fresh_at)
@@ -169,69 +163,7 @@
 
     def hurry(self) -> None:
         """Notes that a caller waits for what is to be read at the start."""
-        self.hurried.set()
-
-    # Lists.
-
-    async def _told_list(self, kind: str) -> peers.ToldList | None:
-        """Asks for a list, as long as nobody waits for what is known then.
-
-        A machine without power gives no answer at all, so that asking all in
-        vain takes a second; callers have no time for that after a power cut.
-        """
-        asking = asyncio.ensure_future(self._ask_until_told(kind))
-        waiting = asyncio.ensure_future(self._wait_for_haste(kind))
-        try:
-            await asyncio.wait(
-                {asking, waiting}, return_when=asyncio.FIRST_COMPLETED
-            )
-            return asking.result() if asking.done() else None
-        finally:
-            for task in (asking, waiting):
-                task.cancel()
-            await asyncio.gather(asking, waiting, return_exceptions=True)
-
-    async def _wait_for_haste(self, kind: str) -> None:
-        """Returns when the store should be asked in place of others."""
-        if kind in self.least:
-            await asyncio.sleep(LIST_S)
-            return
-        if not self.asked_itself:
-            await self.hurried.wait()
-        await asyncio.sleep(HASTE_S)
-
-    async def _ask_until_told(self, kind: str) -> peers.ToldList | None:
-        """Asks again while others may be about to have a list."""
-        while True:
-            found = await self._ask_for_list(kind)
-            now = self.loop.time()
-            waits = not self.asked_itself and self.reliance.may_settle(now)
-            if found is not None or not self.others or not waits:
-                return found
-            await asyncio.sleep(START_PAUSE_S)
-
-    async def _ask_for_list(self, kind: str) -> peers.ToldList | None:
-        """Returns the first fresh list, else the freshest.
-
-        None that is older than what is known.
-        """
-        best = None
-        for peer in self.others:
-            found = await peer.list(kind)
-            if isinstance(found, peers.Refused):
-                continue
-            if int(found.listed.version) < self.least.get(kind, 0):
-                continue
-            events.emit(events.ListTold(kind, peer.address))
-            if self._is_fresh(found):
-                return found
-            if best is None or found.fresh_at > best.fresh_at:
-                best = found
-        return best
-
-    def _is_fresh(self, told: peers.ToldList) -> bool:
-        age_s = self.loop.time() - told.fresh_at
-        return age_s <= self.reliance.patience_s
+        self.lists.hurried.set()
 
     def _listed(
         self, kind: str, found: interface.Listed
@@ -253,7 +185,7 @@
             self.place = turns.Place(sharers - 1, sharers, self.groups)
         found = await self._ask_others_in_time(kind, version, wait_s)
         while found is None and self._may_settle():
-            await asyncio.sleep(START_PAUSE_S)
+            await asyncio.sleep(told_lists.START_PAUSE_S)
             for peer in self.peers:
                 peer.unfit_until = 0.0
             found = await self._ask_others_in_time(kind, version, wait_s)
--- a/banyantiller/tests/gateway/test_history.py
+++ b/banyantiller/tests/gateway/test_history.py
@@ -2,7 +2,7 @@
 
 import random
 
-from banyantiller.gateway import mirror
+from banyantiller.gateway import histories
 from banyantiller.store import interface
 from banyantiller.tests import base
 
@@ -69,7 +69,7 @@
     def follow(self, rng):
         """Reads at random moments; returns how often another was asked."""
         store = Store(rng)
-        history = mirror.History(store.listed())
+        history = histories.History(store.listed())
         version, view, answers = 0, {}, 0
         for _ in range(CHANGES):
             store.change()
@@ -97,11 +97,11 @@
     def test_difference_of_lists_is_told_to_those_that_know_no_part_of_it(self):
         async def body():
             store = Store(random.Random(1))
-            history = mirror.History(store.listed())
+            history = histories.History(store.listed())
             for _ in range(3):
                 store.change()
             history.relist(store.listed())
-            empty = mirror.History(store.listed())
+            empty = histories.History(store.listed())
             empty.relist(store.listed())
             return (
                 [history.knows_since(version) for version in range(5)],
@@ -114,10 +114,10 @@
     def test_dropped_batches_are_not_told_as_known(self):
         async def body():
             store = Store(random.Random(1))
-            history = mirror.History(store.listed())
-            for _ in range(mirror.MOST_BATCHES + 5):
+            history = histories.History(store.listed())
+            for _ in range(histories.MOST_BATCHES + 5):
                 store.change()
                 history.add(store.since(history.version))
             return history.oldest, len(history.batches)
 
-        self.assertEqual((5, mirror.MOST_BATCHES), self.run_paused(body()))
+        self.assertEqual((5, histories.MOST_BATCHES), self.run_paused(body()))
