Let servers name limits in the soak, and check that they are kept

From seed 5000 on a plan may have a server, or all of its service, name a limit of 0.5 to 8.5 requests a second for up to 12 s. From 3 s after it, the server gets in no 4 s more than half as much again and five more from the daemons that it had told 0.5 s before; a paused or killed daemon, its links and a lag of the soak excuse. Earlier seeds keep their plans.

--- a/banyantiller/tests/soak/test_checks.py
+++ b/banyantiller/tests/soak/test_checks.py
@@ -11,6 +11,7 @@
     Evacuation,
     Exit,
     Leaving,
+    NamedLimit,
     ServerEnd,
 )
 
@@ -183,6 +184,44 @@
         )  # fmt: skip
         self.assert_kept("evacuated zones", elsewhere)
 
+    def test_server_gets_more_than_the_limit_that_it_named(self):
+        def seen(count, gap_s=0.1, began=15.0, **more):
+            times = [began + gap_s * number for number in range(count)]
+            # The first tells the daemon, well before the others.
+            times.insert(0, 10.0)
+            attempts = [
+                attempt(f"r{number}", at=at) for number, at in enumerate(times)
+            ]
+            arrivals = [
+                arrival(f"r{number}", at=at + 0.05)
+                for number, at in enumerate(times)
+            ]
+            limits = [NamedLimit("s0", 1.5, 10.0, 30.0)]
+            return record(attempts, arrivals, limits=limits, **more)
+
+        self.assert_broken("named limits", seen(15))
+        self.assert_kept("named limits", seen(14))
+        self.assert_kept("named limits", seen(40, gap_s=0.5))
+        # Before the limit has to be kept, and after it ended.
+        self.assert_kept("named limits", seen(15, began=10.6))
+        self.assert_kept("named limits", seen(15, began=31.0))
+        paused = [Disturbance(14.0, 15.0, records.PROCESS, 0)]
+        self.assert_kept("named limits", seen(15, disturbances=paused))
+
+    def test_daemon_that_was_not_told_a_limit_is_not_judged(self):
+        times = [15.0 + 0.01 * number for number in range(15)]
+        attempts = [
+            attempt(f"r{number}", at=at) for number, at in enumerate(times)
+        ]
+        arrivals = [
+            arrival(f"r{number}", at=at + 0.05)
+            for number, at in enumerate(times)
+        ]
+        limits = [NamedLimit("s0", 1.5, 10.0, 30.0)]
+        self.assert_kept(
+            "named limits", record(attempts, arrivals, limits=limits)
+        )
+
     def test_old_version_in_force(self):
         acceptances = [Acceptance(0.0, 1), Acceptance(5.0, 2)]
         old = attempt(version=1, at=7.5)
--- a/banyantiller/tests/soak/test_plan.py
+++ b/banyantiller/tests/soak/test_plan.py
@@ -20,7 +20,7 @@
         )
 
     def test_every_kind_can_be_carried_out(self):
-        self.assertEqual(set(plan.EVACUATION_KINDS), set(faults.ACTIONS))
+        self.assertEqual(set(plan.LIMIT_KINDS), set(faults.ACTIONS))
 
     def test_hundred_seeds_have_every_kind_and_choice(self):
         for kinds, first in (
@@ -29,6 +29,7 @@
             (plan.POWER_KINDS, plan.FIRST_POWER_SEED),
             (plan.ENDING_KINDS, plan.FIRST_ENDING_SEED),
             (plan.EVACUATION_KINDS, plan.FIRST_EVACUATION_SEED),
+            (plan.LIMIT_KINDS, plan.FIRST_LIMIT_SEED),
         ):
             wanted = {(name, choice) for name, kind in kinds.items()
                       for choice in kind.choices}  # fmt: skip
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
-from soak import excuses, store_checks
+from soak import excuses, limit_checks, store_checks
 from soak import record as records
 from soak.record import Finding, Record
 
@@ -311,6 +311,7 @@
     Promise("in time", True, in_time),
     Promise("leaving servers", True, store_checks.leaving_servers),
     Promise("evacuated zones", True, store_checks.evacuated_zones),
+    Promise("named limits", True, limit_checks.named_limits),
     Promise("in force", True, store_checks.in_force),
     Promise("served again", True, served_again),
     Promise("kept up", True, kept_up),
--- a/soak/excuses.py
+++ b/soak/excuses.py
@@ -13,6 +13,13 @@
     records.CONTROL_LINK,
     records.LAG,
 )
+# What excuses a daemon that sends more than its part.
+PART_EXCUSES = (
+    records.PROCESS,
+    records.STORE_LINK,
+    records.CONTROL_LINK,
+    records.LAG,
+)
 
 
 def calm(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -26,6 +26,8 @@
 MOST_DELAY_S = 0.3
 MOST_STORE_DELAY_S = 0.8
 MOST_SLOWNESS = 900
+LEAST_LIMIT_PER_S = 0.5
+MOST_LIMIT_PER_S = 8.0
 STORM = 5
 STORM_PAUSE_S = 0.15
 # An address is given to another service after this time at the earliest.
@@ -254,6 +256,25 @@
         await world.start_server(number)
 
 
+async def name_limits(world: World, step: plans.Step) -> None:
+    """Lets a server, or all of its service, name a limit for a while."""
+    place = world.places[step.target % len(world.places)]
+    named = [place]
+    if step.choice == "all":
+        named = [one for one in world.places if one.service == place.service]
+    per_s = round(LEAST_LIMIT_PER_S + MOST_LIMIT_PER_S * step.x, 1)
+    servers = [one.server for one in named if one.server is not None]
+    began = world.loop.time()
+    for server in servers:
+        server.limit = str(per_s)
+    await asyncio.sleep(step.for_s)
+    for server in servers:
+        server.limit = ""
+        world.seen.limits.append(
+            records.NamedLimit(server.instance, per_s, began, world.loop.time())
+        )
+
+
 async def end_servers(world: World, step: plans.Step) -> None:
     """Sends a request that ends each server which runs it, for a while."""
     path = f"{contents.ENDING_PREFIX}{step.at_s}"
@@ -390,6 +411,7 @@
     "server crash": crash_server,
     "request ends servers": end_servers,
     "server leaves": server_leaves,
+    "server names a limit": name_limits,
     "server starts again": start_again,
     "server entry spoilt": spoil_entries,
     "server address reused": reuse_address,
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -113,6 +113,10 @@
 ENDING_KINDS = POWER_KINDS | {"request ends servers": Kind(3, 9.0)}
 FIRST_EVACUATION_SEED = 4000
 EVACUATION_KINDS = ENDING_KINDS | {"zone evacuated": Kind(4, 10.0)}
+FIRST_LIMIT_SEED = 5000
+LIMIT_KINDS = EVACUATION_KINDS | {
+    "server names a limit": Kind(4, 12.0, ("one", "all"))
+}
 
 
 def kinds_of(seed: int) -> dict[str, Kind]:
@@ -125,7 +129,9 @@
         return POWER_KINDS
     if seed < FIRST_EVACUATION_SEED:
         return ENDING_KINDS
-    return EVACUATION_KINDS
+    if seed < FIRST_LIMIT_SEED:
+        return EVACUATION_KINDS
+    return LIMIT_KINDS
 
 
 def draw(seed: int, sizes: Sizes) -> Plan:
--- a/soak/record.py
+++ b/soak/record.py
@@ -126,6 +126,22 @@
     ended: float
 
 
+class NamedLimit(NamedTuple):
+    """A limit that a server named in its answers for a while.
+
+    Attributes:
+        instance: Identity of the server's start.
+        per_s: Requests a second that it takes from all daemons.
+        began: Loop time of the first answer that may have named it.
+        ended: Loop time of the last one.
+    """
+
+    instance: str
+    per_s: float
+    began: float
+    ended: float
+
+
 class Acceptance(NamedTuple):
     """A version of the document that the store acknowledged."""
 
@@ -170,6 +186,10 @@
         ended_servers: Servers that may end under one request before all
             daemons have to know it, `contact_s` later.
         later_arrivals: How often it may reach servers after that.
+        limit_window_s: Window of the requests at a server that named a limit.
+        limit_tolerance: What it may get, as a multiple of its limit.
+        limit_extra: Requests that it may get in a window besides.
+        limit_told_s: Time after which a limit binds the daemon that was told.
     """
 
     contact_s: float = 3.0
@@ -184,6 +204,10 @@
     most_servers: int = 2
     ended_servers: int = 3
     later_arrivals: int = 3
+    limit_window_s: float = 4.0
+    limit_tolerance: float = 1.5
+    limit_extra: float = 5.0
+    limit_told_s: float = 0.5
 
 
 @dataclasses.dataclass
@@ -201,6 +225,7 @@
     leavings: list[Leaving] = dataclasses.field(default_factory=list)
     zones: dict[str, str] = dataclasses.field(default_factory=dict)
     evacuations: list[Evacuation] = dataclasses.field(default_factory=list)
+    limits: list[NamedLimit] = dataclasses.field(default_factory=list)
     acceptances: list[Acceptance] = dataclasses.field(default_factory=list)
     ends: list[ServerEnd] = dataclasses.field(default_factory=list)
     exits: list[Exit] = dataclasses.field(default_factory=list)
