--- a/banyantiller/tests/soak/test_plan.py
+++ b/banyantiller/tests/soak/test_plan.py
@@ -45,6 +45,16 @@
                 digest.update(repr(tuple(step)).encode())
         self.assertEqual(EARLIER_PLANS, digest.hexdigest())
 
+    def test_no_two_requests_that_end_servers_are_the_same(self):
+        first = plan.FIRST_ENDING_SEED
+        for seed in (*range(first, first + 200), 5004):
+            paths = [
+                faults.ending_path(step)
+                for step in plan.draw(seed, SIZES).steps
+                if step.kind == "request ends servers"
+            ]
+            self.assertEqual(len(paths), len(set(paths)), seed)
+
     def test_faults_end_before_the_quiet_end(self):
         last_s = SIZES.seconds - plan.QUIET_S
         for seed in range(50):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -275,9 +275,14 @@
         )
 
 
+def ending_path(step: plans.Step) -> str:
+    """Returns the path of a step's request; steps may begin together."""
+    return f"{contents.ENDING_PREFIX}{step.at_s}-{step.x}"
+
+
 async def end_servers(world: World, step: plans.Step) -> None:
     """Sends a request that ends each server which runs it, for a while."""
-    path = f"{contents.ENDING_PREFIX}{step.at_s}"
+    path = ending_path(step)
     rng = random.Random(f"{step.at_s}-{step.x}")
     await callers.repeat(world, path, rng, step.for_s)
 
