--- a/soak/faults.py
+++ b/soak/faults.py
@@ -27,7 +27,7 @@
 MOST_STORE_DELAY_S = 0.8
 MOST_SLOWNESS = 900
 LEAST_LIMIT_PER_S = 0.5
-MOST_LIMIT_PER_S = 8.0
+MOST_LIMIT_PER_S = 2.0
 STORM = 5
 STORM_PAUSE_S = 0.15
 # An address is given to another service after this time at the earliest.
@@ -257,13 +257,17 @@
 
 
 async def name_limits(world: World, step: plans.Step) -> None:
-    """Lets a server, or all of its service, name a limit for a while."""
+    """Lets a server, or all of its service, name a limit for a while.
+
+    One that names a limit already keeps that one.
+    """
     place = world.places[step.target % len(world.places)]
     named = [place]
     if step.choice == "all":
         named = [one for one in world.places if one.service == place.service]
     per_s = round(LEAST_LIMIT_PER_S + MOST_LIMIT_PER_S * step.x, 1)
-    servers = [one.server for one in named if one.server is not None]
+    running = [one.server for one in named if one.server is not None]
+    servers = [server for server in running if not server.limit]
     began = world.loop.time()
     for server in servers:
         server.limit = str(per_s)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -115,7 +115,7 @@
 EVACUATION_KINDS = ENDING_KINDS | {"zone evacuated": Kind(4, 10.0)}
 FIRST_LIMIT_SEED = 5000
 LIMIT_KINDS = EVACUATION_KINDS | {
-    "server names a limit": Kind(4, 12.0, ("one", "all"))
+    "server names a limit": Kind(4, 20.0, ("one", "all"))
 }
 
 
