--- a/banyantiller/tests/gateway/test_history.py
+++ b/banyantiller/tests/gateway/test_history.py
@@ -121,3 +121,97 @@
             return history.oldest, len(history.batches)
 
         self.assertEqual((5, histories.MOST_BATCHES), self.run_paused(body()))
+
+
+class Follower:
+    """A daemon that follows a kind, from the store or from another one.
+
+    Attributes:
+        history: What it keeps for daemons that ask it, or None before it has
+            listed.
+        version: Version up to which it has seen all changes.
+        view: Objects that it believes to exist.
+    """
+
+    def __init__(self):
+        self.history = None
+        self.version = 0
+        self.view = {}
+
+    def take_list(self, listed):
+        """Takes a list of the store, or one that another daemon told."""
+        if int(listed.version) < self.version:
+            return
+        self.view = {one.name: int(one.version) for one in listed.items}
+        self.version = int(listed.version)
+        if self.history is None:
+            self.history = histories.History(listed)
+        else:
+            self.history.relist(listed)
+
+    def take_changes(self, events, version):
+        """Takes what the store or another daemon told."""
+        self.view = apply(self.view, events)
+        self.version = version
+        found = interface.Changes(tuple(events), str(version))
+        self.history.add(found)
+
+    def tell_list(self):
+        """Returns all objects, as another daemon is told them."""
+        items = tuple(self.history.items.values())
+        return interface.Listed(items, str(self.history.version))
+
+
+class ChainTest(base.TestCase):
+    """Two daemons that are asked, by turns ahead of each other, and a third."""
+
+    def test_nobody_ever_misses_a_change(self):
+        async def body():
+            return sum(self.play(random.Random(seed)) for seed in range(SEEDS))
+
+        self.assertGreater(self.run_paused(body()), SEEDS * 20)
+
+    def play(self, rng):
+        """Plays random steps; returns how often a daemon told another."""
+        store = Store(rng)
+        daemons = [Follower() for _ in range(3)]
+        oldest, told = 0, 0
+        for _ in range(CHANGES * 3):
+            chance = rng.random()
+            if chance < 0.3:
+                store.change()
+            elif chance < 0.35:
+                oldest = len(store.events)
+            elif chance < 0.4:
+                daemons[rng.randrange(3)] = Follower()
+            else:
+                number = rng.randrange(3)
+                # The first reads the store, the second may ask the first.
+                before = daemons[: min(number, 2)]
+                one = daemons[number]
+                if before and rng.random() < 0.8:
+                    told += self.ask(one, rng.choice(before))
+                else:
+                    self.read(one, store, oldest)
+            for one in daemons:
+                self.assertEqual(store.contents[one.version], one.view)
+        return told
+
+    def read(self, one, store, oldest):
+        """Lets a daemon read the store."""
+        if one.history is None or one.version < oldest:
+            one.take_list(store.listed())
+        else:
+            found = store.since(one.version)
+            one.take_changes(found.events, int(found.version))
+
+    def ask(self, one, other):
+        """Lets a daemon ask another; tells whether it was told something."""
+        if other.history is None:
+            return False
+        if one.history is None or not other.history.knows_since(one.version):
+            one.take_list(other.tell_list())
+            return True
+        version = max(one.version, other.history.version)
+        one.take_changes(other.history.after(one.version), version)
+        return True
