Specify the turns at a server that names a limit

Four broken variants are caught: turns that are saved, a used turn that counts again, the whole limit for each daemon, and a start that uses turns from before.

--- a/spec/check.py
+++ b/spec/check.py
@@ -23,6 +23,7 @@
 from spec.sharing import SHARING
 from spec.specification import Broken, Specification, protocol
 from spec.spread import SPREAD
+from spec.turns import TURNS
 
 SPECIFICATIONS = (
     ACCEPTANCE,
@@ -35,6 +36,7 @@
     SHARING,
     QUARANTINE,
     EVACUATIONS,
+    TURNS,
 )
 # States of one search: a protocol that grows by mistake ends as undetermined
 # in place of running on. The largest one, claims, takes four fifths of them.
