Wait for daemons that are asked for as long as what is known allows

All daemons of a fleet start at once, and those that are asked listen one or two seconds late: each daemon with a caller that waits listed all three kinds, and then called for changes of one or two, though nothing of that served its caller.

Now that the age of what is known bounds the whole, changes are waited for until then, at most 3 s after the start; lists as before, for 1.2 s. A question to another daemon ends a moment before the store has to be read, as its answer came just too late otherwise.

--- a/banyantiller/gateway/decisions/reading.py
+++ b/banyantiller/gateway/decisions/reading.py
@@ -33,6 +33,9 @@
 # How long after its start a daemon waits for others to listen or to list: where
 # a fleet starts at once, those that are asked need up to 1 s on a busy machine.
 SETTLE_S = 1.2
+# The same for changes once everything is listed: the age of what is known ends
+# that as well, and until then callers are served.
+LISTED_SETTLE_S = 3.0
 
 
 class Reliance:
@@ -42,6 +45,7 @@
         bound_s: Time in which a change has to be known, in seconds.
         fresh_at: Loop time at which the store said what is known here.
         settled_at: Loop time until which others may be about to listen.
+        listed_settled_at: The same where everything is listed already.
         next_try: Loop time from which a lost store is tried again.
         again_s: Pause before the next own try of a lost store, in seconds.
     """
@@ -50,6 +54,7 @@
         self.bound_s = bound_s
         self.fresh_at = now
         self.settled_at = now + SETTLE_S
+        self.listed_settled_at = now + LISTED_SETTLE_S
         self.next_try = 0.0
         self.again_s = FIRST_AGAIN_S
 
@@ -78,10 +83,16 @@
     def settled(self) -> None:
         """Notes that others are not about to listen any more."""
         self.settled_at = 0.0
+        self.listed_settled_at = 0.0
 
-    def may_settle(self, now: float) -> bool:
-        """Tells whether others may still be about to listen."""
-        return now < self.settled_at
+    def may_settle(self, now: float, listed: bool = False) -> bool:
+        """Tells whether others may still be about to listen.
+
+        Args:
+            now: Loop time.
+            listed: Whether everything is listed, and only changes are missing.
+        """
+        return now < (self.listed_settled_at if listed else self.settled_at)
 
     def may_wait(self, now: float) -> bool:
         """Tells whether others that hear nothing of the store will do."""
--- a/banyantiller/gateway/sharing.py
+++ b/banyantiller/gateway/sharing.py
@@ -184,7 +184,7 @@
             self._divide(sharers)
             self.place = turns.Place(sharers - 1, sharers, self.groups)
         found = await self._ask_others_in_time(kind, version, wait_s)
-        while found is None and self._may_settle():
+        while found is None and self._may_settle(kind):
             await asyncio.sleep(told_lists.START_PAUSE_S)
             for peer in self.peers:
                 peer.unfit_until = 0.0
@@ -205,9 +205,12 @@
         due = self.read_at.get(kind, 0.0) + self.reliance.patience_s
         await asyncio.sleep(due - self.loop.time())
 
-    def _may_settle(self) -> bool:
-        """Tells whether others may still be about to listen."""
-        return bool(self.peers) and self.reliance.may_settle(self.loop.time())
+    def _may_settle(self, kind: str) -> bool:
+        """Tells whether others that are about to listen may be waited for."""
+        now = self.loop.time()
+        if not self.peers or now >= self._read_by(kind):
+            return False
+        return self.reliance.may_settle(now, listed=True)
 
     async def _try_lost_store(
         self, kind: str, version: str
@@ -260,7 +263,8 @@
         now = self.loop.time()
         left_s = self._read_by(kind) - now
         until = now + max(left_s, BRIEF_S)
-        wait_s = max(0.0, min(wait_s, left_s))
+        # An answer that was waited for needs time to arrive.
+        wait_s = max(0.0, min(wait_s, left_s - BRIEF_S))
         try:
             async with asyncio.timeout_at(until):
                 return await self._ask_others(kind, version, wait_s)
--- a/banyantiller/tests/gateway/decisions/test_reading.py
+++ b/banyantiller/tests/gateway/decisions/test_reading.py
@@ -35,5 +35,8 @@
         reliance = reading.Reliance(2.0, 5.0)
         self.assertTrue(reliance.may_settle(6.1))
         self.assertFalse(reliance.may_settle(6.2))
+        self.assertTrue(reliance.may_settle(7.9, listed=True))
+        self.assertFalse(reliance.may_settle(8.0, listed=True))
         reliance.settled()
         self.assertFalse(reliance.may_settle(5.0))
+        self.assertFalse(reliance.may_settle(5.0, listed=True))
--- a/banyantiller/tests/gateway/test_calls_to_the_store.py
+++ b/banyantiller/tests/gateway/test_calls_to_the_store.py
@@ -126,6 +126,17 @@
 
         self.assertEqual("", self.play(body))
 
+    def test_calm_fleet_is_read_for_by_one_daemon(self):
+        async def body(place, asked, others):
+            await asyncio.sleep(40)
+            given_up = [
+                one.known.reader.questions["given_up"] for one in others
+            ]
+            return calls(others), given_up
+
+        nothing = [0] * OTHERS
+        self.assertEqual((nothing, nothing), self.play(body))
+
     def test_lost_history_is_listed_once_for_all(self):
         async def body(place, asked, others):
             before = (
