--- a/banyantiller/tests/soak/test_plan.py
+++ b/banyantiller/tests/soak/test_plan.py
@@ -3,7 +3,7 @@
 import hashlib
 
 from banyantiller.tests import base
-from soak import faults, plan, regressions
+from soak import faults, plan, regressions, server_faults
 
 SIZES = plan.Sizes()
 # SHA-256 of the steps of seeds 0 to 299 and 1000 to 1099.
@@ -49,7 +49,7 @@
         first = plan.FIRST_ENDING_SEED
         for seed in (*range(first, first + 200), 5004):
             paths = [
-                faults.ending_path(step)
+                server_faults.ending_path(step)
                 for step in plan.draw(seed, SIZES).steps
                 if step.kind == "request ends servers"
             ]
