--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,9 +5,9 @@
 import signal
 from collections.abc import Awaitable, Callable
 
+from soak import callers, server_faults
 from soak import plan as plans
 from soak import record as records
-from soak import callers, server_faults
 from soak.gateways import Daemon
 from soak.links import Link, Trouble
 from soak.world import (
