--- a/banyantiller/gateway/decisions/turns.py
+++ b/banyantiller/gateway/decisions/turns.py
@@ -18,8 +18,8 @@
 import zlib
 from typing import NamedTuple
 
-# How long a turn may be used, in seconds: those of so much longer than a window
-# may be used in it.
+# How long a turn may be used, in seconds. Turns that began up to so long before
+# a window may be used in it.
 VALID_S = 0.7
 # What a server is sent that names less, in requests a second of all daemons:
 # nothing but an answer shows that it takes more again.
@@ -45,7 +45,6 @@
     ahead_s: float = 0.0
 
 
-ALONE = Place(0, 1)
 # Daemons that a daemon without others to count takes for its fleet.
 UNCOUNTED_FLEET = 24
 
--- a/banyantiller/gateway/limits.py
+++ b/banyantiller/gateway/limits.py
@@ -106,7 +106,8 @@
     def next_turn(self, server: types.Server, now: float) -> float:
         """Returns the loop time from which a server may be sent a request.
 
-        Infinite while this daemon's place in the fleet is not known.
+        Minus infinity if it names no limit, and infinity while this daemon's
+        place in the fleet is not known.
         """
         if not self.known:
             return -math.inf
--- a/banyantiller/tests/gateway/decisions/test_turns.py
+++ b/banyantiller/tests/gateway/decisions/test_turns.py
@@ -10,6 +10,7 @@
 WINDOW_S = 4.0
 TOLERANCE = 1.5
 SLACK = 5
+ALONE = turns.Place(0, 1)
 PLAYED_S = 160.0
 STEP_S = 0.1
 GROUPS = 3
@@ -131,9 +132,9 @@
 
     def test_turn_that_was_not_used_in_time_is_lost(self):
         used = turns.Used(0.0)
-        turn = turns.next_turn(turns.ALONE, "server", 0.2, used, 100.0)
+        turn = turns.next_turn(ALONE, "server", 0.2, used, 100.0)
         late = turns.next_turn(
-            turns.ALONE, "server", 0.2, used, turn + turns.VALID_S + 0.1
+            ALONE, "server", 0.2, used, turn + turns.VALID_S + 0.1
         )
         self.assertGreater(late, turn + turns.VALID_S + 0.1)
 
