--- a/banyantiller/tests/explain/test_story.py
+++ b/banyantiller/tests/explain/test_story.py
@@ -87,6 +87,27 @@
             events,
         )
 
+    def test_limit_that_a_server_named_is_shown(self):
+        found = self.tell(
+            line(
+                "server names a limit.",
+                at="00:00:09.000000",
+                start="s1/1/127.0.0.1:1",
+                per_s=1.5,
+                through="answer",
+            ),
+            ended(
+                status=503,
+                error="no_server",
+                reason="servers_limited",
+                sends=0,
+                instances=[],
+            ),
+        )
+        self.assertEqual("no", found.ran)
+        shown = [one.fields["event"] for one in found.lines]
+        self.assertIn("gateway: server names a limit.", shown)
+
     def test_clocks_that_differ_are_never_compared(self):
         """The second daemon's clock is an hour behind; it saw the same id."""
         found = self.tell(
