Log when a server asks for a backoff, and count such servers

The lines of refused attempts did not say whether the server had sent Retry-After, so that attempts within a time that a server wanted to be left alone could not be told from others. A 503 with the field, to a request or a probe, now has a line with the server's incarnation, the seconds, and what was left of an earlier time: sends within it show as left_s above 0. An unreadable field has one line a server. A gauge counts the servers.

Nothing is decided by it: which server gets a request is as before. What responses state goes through one place, response_recorders, for requests and probes.

--- a/banyantiller/gateway/attempts.py
+++ b/banyantiller/gateway/attempts.py
@@ -141,8 +141,8 @@
         return outcome
 
     def _record_head(self, response: messages.Response) -> None:
-        self.gateway.server_limits.record_response(
-            self.entry.server, response.headers, self.sent_at
+        self.gateway.response_recorders.to_request(
+            self.entry.server, response, self.sent_at
         )
 
     def _record_no_response(
--- a/banyantiller/gateway/events.py
+++ b/banyantiller/gateway/events.py
@@ -329,6 +329,29 @@
     error: Annotated[str, "What is wrong."]
 
 
+@event("gateway: server asks for a backoff.")
+class BackoffRequested(NamedTuple):
+    """A server answered 503 with `Retry-After`."""
+
+    start: IncarnationId
+    seconds: Annotated[
+        float, "Time for which it wants nothing from this daemon, in seconds."
+    ]
+    left_s: Annotated[
+        float,
+        "Rest of the time for which it had asked for that before, in seconds;"
+        " 0 for none.",
+    ]
+
+
+@event("gateway: retry-after is unreadable.", "warning")
+class RetryAfterUnreadable(NamedTuple):
+    """A server answered 503 with a `Retry-After` that can't be decoded."""
+
+    start: IncarnationId
+    error: Annotated[str, "What is wrong."]
+
+
 @event("gateway: idle connection lost.", "debug")
 class IdleConnectionLost(NamedTuple):
     """An idle connection was broken; the probe opens a new one."""
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -17,8 +17,10 @@
     probing,
     quarantine_sync,
     sampling,
+    server_backoffs,
     server_choice,
     server_limits,
+    server_responses,
     servers,
     store_view,
     tallies,
@@ -68,6 +70,8 @@
         crash_detector: Finds requests that were on servers that crashed.
         quarantine_sync: Exchanges quarantined requests with peers.
         server_limits: Rate limits that servers name.
+        server_backoffs: Times for which servers want no requests.
+        response_recorders: Evaluate the responses of servers.
     """
 
     def __init__(
@@ -112,13 +116,17 @@
         self.store_view.mirror.server_limits = self.server_limits
         for peer in self.store_view.reader.relays:
             peer.server_limits = self.server_limits
+        self.server_backoffs = server_backoffs.ServerBackoffs(adapter)
+        self.response_recorders = server_responses.recorders(
+            self.server_limits, self.server_backoffs
+        )
         self.prober = probing.LoadProber(
             adapter,
             self.pool_of,
             probing.ProbeCallbacks(
                 self.store_view.remove_moved,
                 self.crash_detector.record_refused_connection,
-                self._record_probe_limit,
+                self.response_recorders.to_probe,
             ),
             settings.zone,
         )
@@ -204,7 +212,9 @@
             await asyncio.sleep(HOUSEKEEPING_S)
             now = self.loop.time()
             self.store_view.expire(now)
-            self.server_limits.expire(self.store_view.table.servers(), now)
+            registered = self.store_view.table.servers()
+            self.server_limits.expire(registered, now)
+            self.server_backoffs.expire(registered, now)
             self.crash_detector.tracker.table.period_s = (
                 self.settings.quarantine_s
             )
@@ -337,13 +347,6 @@
         )
         events.emit(ended)
 
-    def _record_probe_limit(
-        self, server: types.Server, headers: messages.Headers, sent_at: float
-    ) -> None:
-        self.server_limits.record_response(
-            server, headers, sent_at, to_request=False
-        )
-
     def _run_waiting_calls(self) -> None:
         """Starts pipelined reads once the first document is in force.
 
--- a/banyantiller/gateway/metrics.py
+++ b/banyantiller/gateway/metrics.py
@@ -114,6 +114,9 @@
              lambda: len(gateway.store_view.evacuations.evacuated)),
             ("limited_servers", "Servers that name a rate limit.",
              gateway.server_limits.count_limited),
+            ("backed_off_servers", "Servers that asked this daemon for a"
+             " backoff by Retry-After.",
+             gateway.server_backoffs.count_active),
             ("connections", "Open connections of callers.",
              lambda: len(gateway.connections)),
             ("quarantined_requests", "Requests that are rejected since they"
--- a/banyantiller/gateway/probing.py
+++ b/banyantiller/gateway/probing.py
@@ -5,7 +5,13 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from banyantiller.gateway import events, pool, servers, types
+from banyantiller.gateway import (
+    events,
+    pool,
+    server_responses,
+    servers,
+    types,
+)
 from banyantiller.gateway.decisions import scoring
 from banyantiller.http import connection, messages
 
@@ -87,13 +93,13 @@
         on_moved: Called if another instance has the server's address.
         on_refused_connection: Called if the server's machine refuses
             connections to it.
-        on_response: Called with the header fields of its answer and the loop
-            time at which the probe was sent.
+        on_response: Called with the head of its answer and the loop time at
+            which the probe was sent.
     """
 
     on_moved: Callable[[types.Server], None]
     on_refused_connection: Callable[[types.Server], None]
-    on_response: Callable[[types.Server, messages.Headers, float], None]
+    on_response: server_responses.Recorder
 
 
 class LoadProber:
@@ -329,7 +335,7 @@
         except BaseException:
             server_pool.discard(link)
             raise
-        self.callbacks.on_response(server, response.headers, sent_at)
+        self.callbacks.on_response(server, response, sent_at)
         field = response.header(self.wire.load.decode())
         load = self.read_load(field.encode("latin-1")) if field else None
         return ProbeResult(
--- a/banyantiller/gateway/protocols.py
+++ b/banyantiller/gateway/protocols.py
@@ -17,7 +17,7 @@
     progress,
     requests,
     server_choice,
-    server_limits,
+    server_responses,
     store_view,
     tallies,
     types,
@@ -36,7 +36,7 @@
     tallies: tallies.Tallies
     store_view: store_view.StoreView
     crash_detector: crash_detection.CrashDetector
-    server_limits: server_limits.ServerLimits
+    response_recorders: server_responses.Recorders
     prober: probing.LoadProber
     chooser: server_choice.ServerChooser
     durations: durations.Durations
--- a/banyantiller/gateway/types.py
+++ b/banyantiller/gateway/types.py
@@ -181,6 +181,8 @@
         read_server: Decodes a registration; raises `ValueError`.
         read_load: Decodes the load header; None if it can't be read.
         read_limit: Decodes the values of the limit header; raises `ValueError`.
+        read_retry_after: Decodes the values of `Retry-After`, to seconds;
+            raises `ValueError`.
         wire: Names of header fields.
     """
 
@@ -193,4 +195,5 @@
     read_server: Callable[[str, dict[str, Any]], Server]
     read_load: Callable[[bytes], Load | None]
     read_limit: Callable[[Sequence[str]], float]
+    read_retry_after: Callable[[Sequence[str]], float]
     wire: WireNames
--- a/banyantiller/platform/headers.py
+++ b/banyantiller/platform/headers.py
@@ -25,8 +25,8 @@
 )
 
 NORMAL_SLOWNESS_PERCENT = 100.0
-# More digits on either side of the point are no plausible rate.
-LIMIT = re.compile(r"\d{1,9}(\.\d{0,9})?|\.\d{1,9}", re.ASCII)
+# More digits on either side of the point are no plausible rate or time.
+DECIMAL = re.compile(r"\d{1,9}(\.\d{0,9})?|\.\d{1,9}", re.ASCII)
 MAX_SHOWN_CHARS = 20
 
 
@@ -51,9 +51,27 @@
     Raises:
         ValueError: They are not one decimal number.
     """
+    return _read_decimal(texts)
+
+
+def read_retry_after(texts: Sequence[str]) -> float:
+    """Decodes the time for which a server wants no requests, in seconds.
+
+    The platform allows fractions of a second, and no dates.
+
+    Args:
+        texts: Values of all occurrences of the field.
+
+    Raises:
+        ValueError: They are not one decimal number.
+    """
+    return _read_decimal(texts)
+
+
+def _read_decimal(texts: Sequence[str]) -> float:
     if len(set(texts)) != 1:
         raise ValueError("the field occurs with different values")
     text = texts[0].strip()
-    if not LIMIT.fullmatch(text):
+    if not DECIMAL.fullmatch(text):
         raise ValueError(f"'{text[:MAX_SHOWN_CHARS]}' is not a decimal number")
     return float(text)
--- a/banyantiller/platform/plugin.py
+++ b/banyantiller/platform/plugin.py
@@ -29,5 +29,6 @@
         read_server=registrations.read_server,
         read_load=headers.read_load,
         read_limit=headers.read_limit,
+        read_retry_after=headers.read_retry_after,
         wire=headers.WIRE,
     )
--- a/banyantiller/tests/gateway/test_events.py
+++ b/banyantiller/tests/gateway/test_events.py
@@ -54,6 +54,16 @@
             await asyncio.sleep(0.2)
 
 
+@shows(events.BackoffRequested, events.RetryAfterUnreadable)
+async def servers_refuse_requests_with_retry_after(env):
+    env.fault(shed=True)
+    for retry_after in ("0.1", "soon"):
+        for one in env.servers.values():
+            one.retry_after = retry_after
+        await env.request(retry_after)
+        await asyncio.sleep(0.2)
+
+
 @shows(
     call_events.ServerCrashed,
     call_events.RequestQuarantined,
--- a/banyantiller/tests/platform/test_decoding.py
+++ b/banyantiller/tests/platform/test_decoding.py
@@ -155,3 +155,16 @@
     def test_malformed_load_is_none(self):
         for value in (b"", b"1,2", b"a,b,c", b"-1,0,2", b"1;0;2"):
             self.assertIsNone(headers.read_load(value))
+
+
+class RetryAfterTest(base.TestCase):
+    def test_time_may_be_a_fraction_of_a_second(self):
+        for text, seconds in (("3", 3.0), ("0.25", 0.25), (" 1.5 ", 1.5)):
+            self.assertEqual(seconds, headers.read_retry_after([text]))
+
+    def test_what_is_no_number_of_seconds_is_an_error(self):
+        for text in ("", "soon", "-1", "1e3", "Wed, 21 Oct 2026 07:28:00 GMT"):
+            self.assertRaises(ValueError, headers.read_retry_after, [text])
+
+    def test_different_values_are_an_error(self):
+        self.assertRaises(ValueError, headers.read_retry_after, ["2", "3"])
--- a/standins/registered_server.py
+++ b/standins/registered_server.py
@@ -89,6 +89,7 @@
             health take a slot.
         faults: What it does wrong.
         cold_until: Loop time until which it calls itself cold.
+        retry_after: Value of `Retry-After` in its refusals; empty for none.
         limit: Requests a second that it says it takes from all callers, as
             it writes them in answers to requests; empty for none.
         ran: Identities of the requests that it executed.
@@ -113,6 +114,7 @@
         self.faults = Faults()
         self.cold_until = 0.0
         self.limit = ""
+        self.retry_after = ""
         self.random = random.Random(instance)
         self.ran: collections.Counter[str] = collections.Counter()
         self.seen: list[dict[str, str]] = []
@@ -202,7 +204,10 @@
             return 421, {}
         shed = self.random.random() < self.faults.shed_share
         if shed or self.faults.shed or self.running >= self.slots:
-            return 503, {"not-executed": "1"}
+            fields = {"not-executed": "1"}
+            if self.retry_after:
+                fields["retry-after"] = self.retry_after
+            return 503, fields
         return None
 
     async def _run(
