Send nothing to a server until the end of its Retry-After

What callers saw: while some servers refused every request and asked for 3 s without any, daemons kept sending there (up to 4 requests in the rest of the 3 s, 2 are allowed), and callers were refused that other servers could have served: five requests for reports in one second of the incident.

Cause: Retry-After of a server was not read. A server that refuses at once reports itself idle, so the choice by load prefers it. Ruled out: that what is known is lost with a change of the document or of a registration, and that requests had been assigned before (they came 1.4 s and later, on a load less than 3 ms old).

Change: a 503 with Retry-After, to a request or to a probe, starts a backoff of the server's incarnation at this daemon. No requests, hedges or probes go there until it ends; it is checked again once a connection is open. It is kept apart from the registration, which may lapse and come back meanwhile, and is never shortened. The head of a response counts even if its body is broken. If no server is available in time, a request is refused at once, with the time until the first one is.

--- a/banyantiller/gateway/attempts.py
+++ b/banyantiller/gateway/attempts.py
@@ -114,8 +114,12 @@
                 )
                 return exchange.NotRun(ErrorKind.CONNECT_FAILED)
         link = candidate.link
-        if not self.entry.usable(self.loop.time()):
-            # The server left or its zone was evacuated during the connect.
+        now = self.loop.time()
+        if not self.entry.usable(now) or self.gateway.server_backoffs.is_active(
+            server, now
+        ):
+            # The server left or asked for a backoff, or its zone was
+            # evacuated, during the connect.
             server_pool.put_idle(link)
             return exchange.NotRun(ErrorKind.NO_SERVER)
         self._record_send()
--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -272,7 +272,10 @@
         ):
             return
         entry = self.attempts[0].entry
-        if not entry.usable(self.loop.time()):
+        now = self.loop.time()
+        if not entry.usable(now) or self.gateway.server_backoffs.is_active(
+            entry.server, now
+        ):
             return
         candidates = await self.gateway.prober.probe(
             [entry], service.health_path
@@ -369,14 +372,14 @@
             )
         shed = self.progress.sends > 0
         kind = ErrorKind.BACKEND_SHED if shed else ErrorKind.NO_SERVER
-        wait_for_turn_s = self.gateway.chooser.seconds_until_turn(
-            self.service, self.attempted
-        )
-        if 0 < wait_for_turn_s < math.inf:
-            self.progress.reason = "servers_limited"
-            return self._fail(
-                kind, retry_after.turn_retry_after_s(wait_for_turn_s)
+        chooser = self.gateway.chooser
+        wait_s = chooser.seconds_until_available(self.service, self.attempted)
+        if 0 < wait_s < math.inf:
+            backed_off = chooser.any_backed_off(self.service, self.attempted)
+            self.progress.reason = (
+                "servers_backed_off" if backed_off else "servers_limited"
             )
+            return self._fail(kind, retry_after.available_retry_after_s(wait_s))
         return self._fail_with_retry_after(kind)
 
     def _fail_with_retry_after(self, kind: ErrorKind) -> replies.Reply:
--- a/banyantiller/gateway/decisions/retry_after.py
+++ b/banyantiller/gateway/decisions/retry_after.py
@@ -25,20 +25,25 @@
 # Time after which to retry if all servers of the service are in evacuated
 # zones.
 EVACUATED_RETRY_AFTER_S = 1.0
-# Bounds of the time given to a caller if all servers of a service name limits:
-# it may retry when it is this daemon's turn at one of them.
-MIN_TURN_RETRY_AFTER_S = 0.03
-MAX_TURN_RETRY_AFTER_S = 1.0
+# Bounds of the time given to a caller if all servers of a service limit their
+# requests or asked for a backoff: it may retry when the first one accepts
+# requests of this daemon again.
+MIN_AVAILABLE_RETRY_AFTER_S = 0.03
+MAX_AVAILABLE_RETRY_AFTER_S = 1.0
 
 
-def turn_retry_after_s(seconds_until_turn: float) -> float:
-    """Returns when a caller may retry if servers name limits, in seconds.
+def available_retry_after_s(seconds_until_available: float) -> float:
+    """Returns when a caller may retry if no server accepts requests now.
 
     Args:
-        seconds_until_turn: Time until this daemon may send to one, in seconds.
+        seconds_until_available: Time until this daemon may send to one, in
+            seconds.
+
+    Returns:
+        The time in seconds.
     """
-    bounded_s = max(MIN_TURN_RETRY_AFTER_S, seconds_until_turn)
-    return min(bounded_s, MAX_TURN_RETRY_AFTER_S)
+    bounded_s = max(MIN_AVAILABLE_RETRY_AFTER_S, seconds_until_available)
+    return min(bounded_s, MAX_AVAILABLE_RETRY_AFTER_S)
 
 
 def retry_after_s(rng: random.Random, by_servers: bool = False) -> float:
--- a/banyantiller/gateway/exchange.py
+++ b/banyantiller/gateway/exchange.py
@@ -118,15 +118,15 @@
         remaining_s: Time until the deadline, in seconds.
         wire: Names of header fields.
         body_bytes: Maximum size of the response body, in bytes.
-        on_head: Called with the response once it was read.
+        on_head: Called with the head of the response, also if its body is
+            broken.
     """
     request = _build_request(outgoing, instance, remaining_s, wire)
     try:
         link.connection.write(request)
         response, body = await _read_matching_response(
-            link, request, wire, body_bytes
+            link, request, wire, body_bytes, on_head
         )
-        on_head(response)
     except connection.BodyTooLargeError as error:
         return BrokenResponse(ErrorKind.BACKEND_MALFORMED, str(error))
     except (OSError, connection.ConnectionLostError) as error:
@@ -184,6 +184,7 @@
     request: messages.Request,
     wire: types.WireNames,
     body_bytes: int,
+    on_head: Callable[[messages.Response], None],
 ) -> tuple[messages.Response, bytes]:
     """Reads responses until one belongs to the request.
 
@@ -193,9 +194,12 @@
     expected_id = request.header(wire.request_id.decode())
     for _ in range(MAX_STRAY_RESPONSES):
         response = await link.connection.read_head()
-        body = await link.connection.read_body(body_bytes)
         echoed = response.header(wire.request_id.decode())
-        if not echoed or not expected_id or echoed == expected_id:
+        matches = not echoed or not expected_id or echoed == expected_id
+        if matches:
+            on_head(response)
+        body = await link.connection.read_body(body_bytes)
+        if matches:
             return response, body
         link.connection.expect_again(request)
     raise connection.ConnectionLostError(
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -137,6 +137,7 @@
             self._find_connected,
             lambda: self.min_recent_share() * self.settings.cold_tolerance,
             self.server_limits,
+            self.server_backoffs,
         )
         self.all_closed = asyncio.Event()
         self.listener: asyncio.Server | None = None
--- a/banyantiller/gateway/server_choice.py
+++ b/banyantiller/gateway/server_choice.py
@@ -5,7 +5,13 @@
 from collections.abc import Callable, Collection
 from typing import NamedTuple
 
-from banyantiller.gateway import probing, server_limits, servers, types
+from banyantiller.gateway import (
+    probing,
+    server_backoffs,
+    server_limits,
+    servers,
+    types,
+)
 from banyantiller.gateway.decisions import cold_start, selection, waiting
 
 # Maximum number of cold or limited servers that are probed besides the others.
@@ -41,6 +47,7 @@
         cold_share: Returns this daemon's share of the rate that a cold server
             states, 0 to 1.
         server_limits: Limits that servers name.
+        server_backoffs: Times for which servers want no requests.
     """
 
     def __init__(
@@ -53,6 +60,7 @@
         ],
         cold_share: Callable[[], float],
         limits: server_limits.ServerLimits,
+        backoffs: server_backoffs.ServerBackoffs,
     ) -> None:
         self.table = table
         self.prober = prober
@@ -60,6 +68,7 @@
         self.connected = connected
         self.cold_share = cold_share
         self.server_limits = limits
+        self.server_backoffs = backoffs
         self.loop = asyncio.get_running_loop()
 
     async def choose(
@@ -122,18 +131,18 @@
         now = self.loop.time()
         if now < entry.reported_cold_until:
             return self._may_send(entry, request)
-        return self.server_limits.may_send(entry.server, now)
+        return self.available_at(entry.server, now) <= now
 
     def _may_send(
         self, entry: servers.ServerEntry, request: SelectionRequest
     ) -> bool:
         """Returns whether a server may get a request.
 
-        A limit that the server names always holds. A cold server gets only this
+        What the server asked for always holds. A cold server gets only this
         daemon's share of the rate that it states.
         """
         now = self.loop.time()
-        if not self.server_limits.may_send(entry.server, now):
+        if self.available_at(entry.server, now) > now:
             return False
         per_s = request.service.cold_per_s
         if now >= entry.warm_at or math.isinf(per_s):
@@ -170,7 +179,17 @@
         cold = now < entry.reported_cold_until
         return cold or self.server_limits.is_limited(entry.server)
 
-    def seconds_until_turn(
+    def available_at(self, server: types.Server, now: float) -> float:
+        """Returns the loop time from which a server may be sent a request.
+
+        The time is minus infinity if the server asked for no restriction.
+        """
+        return max(
+            self.server_limits.next_turn(server, now),
+            self.server_backoffs.ends_at(server),
+        )
+
+    def seconds_until_available(
         self, service: str, attempted: Collection[str]
     ) -> float:
         """Returns the time until a server may get a request, in seconds.
@@ -184,23 +203,37 @@
         """
         now = self.loop.time()
         times = [
-            self.server_limits.next_turn(entry.server, now)
+            self.available_at(entry.server, now)
             for entry in self.table.usable(service, now)
             if entry.server.instance not in attempted
         ]
         return min(times, default=math.inf) - now
 
+    def any_backed_off(self, service: str, attempted: Collection[str]) -> bool:
+        """Returns whether a server is unavailable since it asked for a backoff.
+
+        Args:
+            service: Name of the service.
+            attempted: Instances that are ignored.
+        """
+        now = self.loop.time()
+        return any(
+            self.server_backoffs.is_active(entry.server, now)
+            for entry in self.table.usable(service, now)
+            if entry.server.instance not in attempted
+        )
+
     def _none_in_time(self, request: SelectionRequest) -> bool:
         """Returns whether no server can be available in time."""
         now = self.loop.time()
         name = request.service.name
         if self.table.all_evacuated(name, now):
             return True
-        until_turn_s = self.seconds_until_turn(name, request.attempted)
+        wait_s = self.seconds_until_available(name, request.attempted)
         # If there is no server at all, one may still register.
         return (
-            math.isfinite(until_turn_s)
-            and now + until_turn_s > request.wait_limits.any_server_until
+            math.isfinite(wait_s)
+            and now + wait_s > request.wait_limits.any_server_until
         )
 
     async def _probe(
--- a/banyantiller/gateway/server_limits.py
+++ b/banyantiller/gateway/server_limits.py
@@ -126,10 +126,6 @@
             position, incarnation, limit.per_s, limit.usage, now
         )
 
-    def may_send(self, server: types.Server, now: float) -> bool:
-        """Returns whether a server may be sent a request now."""
-        return self.next_turn(server, now) <= now
-
     def is_limited(self, server: types.Server) -> bool:
         """Returns whether a server names a limit."""
         limit = self.by_incarnation.get(crash_detection.incarnation_id(server))
--- a/standins/registered_server.py
+++ b/standins/registered_server.py
@@ -177,7 +177,10 @@
                 self.freed.clear()
                 await self.freed.wait()
             status = 503 if self.faults.ill else 200
-            writer.write(self._answer(codec, status, self._warmup(), b""))
+            fields = self._warmup()
+            if self.faults.ill and self.retry_after:
+                fields["retry-after"] = self.retry_after
+            writer.write(self._answer(codec, status, fields, b""))
             return True
         self.seen.append(fields)
         self.bodies.append(body)
@@ -190,8 +193,9 @@
         target = head.target.decode()
         self.arrivals.append(Arrival(now, own["attempt-id"], status, target))
         if refusal:
-            writer.write(self._answer(codec, refusal[0], own | refusal[1], b""))
-            return True
+            data = self._answer(codec, refusal[0], own | refusal[1], b"refused")
+            writer.write(data[:-3] if self.faults.cut else data)
+            return not self.faults.cut
         return await self._run(codec, reader, writer, own, head)
 
     def _warmup(self) -> dict[str, str]:
