Send nothing more to a server that states its shutdown in a response

A server that leaves says so in each of its answers (Server-Leaving), and a daemon that has passed on such an answer has to stop sending there within drainS, in touch with the store or not. The field was not read: a daemon knew of a shutdown by the registration only, so that one that is cut off from the store, or reads it late, kept sending.

The field of a response to a request or a probe now marks the server's incarnation as leaving, as its registration does, for the lifetime of the process: a registration that still says ready, or that lapses and comes back, changes nothing. The line on a leaving server says through what it is known.

What a response states counts only for the server that sent it: with 421, or another instance id, it is from the server that has the address now. Before, the limit that such a server named was taken for that of the former one.

--- a/banyantiller/gateway/events.py
+++ b/banyantiller/gateway/events.py
@@ -236,6 +236,9 @@
     address: Annotated[str, "IP address and port of the server."]
     zone: Annotated[str, "Availability zone of the server."]
     leaving: Annotated[bool, "Always true."]
+    through: Annotated[
+        str, "`registration`, or `response` for a response of the server."
+    ]
 
 
 @event("gateway: server gone.")
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -118,7 +118,10 @@
             peer.server_limits = self.server_limits
         self.server_backoffs = server_backoffs.ServerBackoffs(adapter)
         self.response_recorders = server_responses.recorders(
-            self.server_limits, self.server_backoffs
+            adapter.wire,
+            self.store_view.table,
+            self.server_limits,
+            self.server_backoffs,
         )
         self.prober = probing.LoadProber(
             adapter,
--- a/banyantiller/gateway/server_responses.py
+++ b/banyantiller/gateway/server_responses.py
@@ -4,7 +4,13 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from banyantiller.gateway import server_backoffs, server_limits, types
+from banyantiller.gateway import (
+    exchange,
+    server_backoffs,
+    server_limits,
+    servers,
+    types,
+)
 from banyantiller.http import messages
 
 Recorder = Callable[[types.Server, messages.Response, float], None]
@@ -26,7 +32,10 @@
 
 
 def recorders(
-    limits: server_limits.ServerLimits, backoffs: server_backoffs.ServerBackoffs
+    wire: types.WireNames,
+    table: servers.ServerTable,
+    limits: server_limits.ServerLimits,
+    backoffs: server_backoffs.ServerBackoffs,
 ) -> Recorders:
     """Returns the functions that pass responses on to these trackers."""
 
@@ -36,10 +45,23 @@
         sent_at: float,
         to_request: bool,
     ) -> None:
+        if _is_from_another_server(server, response, wire):
+            return
         limits.record_response(server, response.headers, sent_at, to_request)
         backoffs.record_response(server, response)
+        if response.header(wire.leaving.decode()):
+            table.record_leaving(server)
 
     return Recorders(
         functools.partial(record, to_request=True),
         functools.partial(record, to_request=False),
     )
+
+
+def _is_from_another_server(
+    server: types.Server, response: messages.Response, wire: types.WireNames
+) -> bool:
+    """Returns whether another server now responds at a server's address."""
+    instance = response.header(wire.instance.decode())
+    is_other = bool(instance) and instance != server.instance
+    return is_other or response.status in exchange.NOT_RUN_STATUSES
--- a/banyantiller/gateway/servers.py
+++ b/banyantiller/gateway/servers.py
@@ -100,7 +100,8 @@
         latest_start_ms: Latest start time seen for each instance, in Unix
             milliseconds; kept for instances that were removed.
         left_incarnations: Incarnation of each instance that announced its
-            shutdown. It gets no requests for the lifetime of this process.
+            shutdown, by its registration or in a response. It gets no requests
+            for the lifetime of this process.
         evacuated: Availability zones whose servers get no requests, or None
             while they are unknown; no server gets requests then.
     """
@@ -135,6 +136,32 @@
         self._update_entry(server, now)
         return replaced
 
+    def record_leaving(self, server: types.Server) -> None:
+        """Records that a server stated in a response that it shuts down.
+
+        Its registration may say so later, or not at all. A response of an
+        earlier incarnation does not concern a later one.
+        """
+        incarnation = Incarnation.of(server)
+        if not self._is_latest(server):
+            return
+        self.left_incarnations[server.instance] = incarnation
+        entry = self.entries.get(server.instance)
+        if entry is not None and not entry.server.leaving:
+            entry.server = entry.server._replace(leaving=True)
+            self._log_leaving(entry.server, "response")
+
+    def _is_latest(self, server: types.Server) -> bool:
+        """Returns whether no later incarnation of a server is known."""
+        latest = self.latest_start_ms.get(server.instance, server.started_ms)
+        entry = self.entries.get(server.instance)
+        replaced = entry is not None and not self.is_registered(server)
+        return server.started_ms >= latest and not replaced
+
+    def _log_leaving(self, server: types.Server, through: str) -> None:
+        fields = _event_fields(server)
+        events.emit(events.ServerLeaving(*fields, through=through))
+
     def _update_entry(self, server: types.Server, now: float) -> None:
         entry = self.entries.get(server.instance)
         if entry is None:
@@ -143,7 +170,7 @@
             self._entries_of_service(server.service)[server.instance] = entry
             events.emit(events.ServerJoined(*_event_fields(server)))
         elif entry.server.leaving != server.leaving:
-            events.emit(events.ServerLeaving(*_event_fields(server)))
+            self._log_leaving(server, "registration")
         if entry.lapses_at is not None:
             events.emit(events.RegistrationRestored(server.instance))
         if entry.server.service != server.service:
--- a/banyantiller/gateway/types.py
+++ b/banyantiller/gateway/types.py
@@ -153,6 +153,7 @@
         warmup_ms: Milliseconds for which a server is still cold.
         limit: Requests a second that an overloaded server takes from all
             daemons.
+        leaving: Present in each response of a server that shuts down.
         caller: Identifies the caller, the same with each sending.
     """
 
@@ -165,6 +166,7 @@
     not_run: bytes
     warmup_ms: bytes
     limit: bytes
+    leaving: bytes
     caller: bytes = b"authorization"
 
 
--- a/banyantiller/platform/headers.py
+++ b/banyantiller/platform/headers.py
@@ -20,6 +20,8 @@
     warmup_ms=b"warmup-ms",
     # Requests per second from all daemons together, not per daemon.
     limit=b"server-limit",
+    # Also while the registration does not say so yet, or if it never does.
+    leaving=b"server-leaving",
     # Key of the caller's organisation, instead of the standard field.
     caller=b"credential",
 )
--- a/banyantiller/tests/gateway/test_server_backoffs.py
+++ b/banyantiller/tests/gateway/test_server_backoffs.py
@@ -12,6 +12,7 @@
 # response on: they were sent before.
 MAX_LATE_ARRIVALS = 2
 SETTLE_S = 0.5
+MAX_REQUESTS = 100
 
 
 def work_long(env):
@@ -47,10 +48,11 @@
 
 async def request_until_refused(env, server):
     """Sends requests until a server has refused one."""
-    number = 0
-    while not any(one.refusal == 503 for one in server.arrivals):
+    for number in range(MAX_REQUESTS):
+        if any(one.refusal == 503 for one in server.arrivals):
+            return
         await env.request(f"{server.instance}-{number}")
-        number += 1
+    raise AssertionError("the server got no request")
 
 
 def record_refusal(env, name, backoff_s=BACKOFF_S):
--- a/standins/registered_server.py
+++ b/standins/registered_server.py
@@ -89,6 +89,7 @@
             health take a slot.
         faults: What it does wrong.
         cold_until: Loop time until which it calls itself cold.
+        leaving: Says in all its answers that it is about to leave.
         retry_after: Value of `Retry-After` in its refusals; empty for none.
         limit: Requests a second that it says it takes from all callers, as
             it writes them in answers to requests; empty for none.
@@ -114,6 +115,7 @@
         self.faults = Faults()
         self.cold_until = 0.0
         self.limit = ""
+        self.leaving = False
         self.retry_after = ""
         self.random = random.Random(instance)
         self.ran: collections.Counter[str] = collections.Counter()
@@ -327,6 +329,8 @@
         }
         if not self.tells_load:
             del headers["upstream-load"]
+        if self.leaving:
+            headers["server-leaving"] = "1"
         head = h11.Response(status_code=status, headers=list(headers.items()))
         data = codec.send(head)
         if body:
