Honour long and fractional Retry-After of servers in banyantillerd

A server that had asked for 20 s got requests after 5, one that had asked for 2.5 s within milliseconds.

Up to 60 s are honoured now: a server that starts again keeps its name in the bundle, so that a wrong value must not hold for hours. Probes after an ejection wait for the end of the backoff. Numbers of header fields are parsed in one place for both programs.

Three tests fail on the code before: test_server_gets_no_requests_until_the_end_of_a_long_retry_after, test_ejected_server_is_not_probed_in_its_backoff, test_retry_after_of_a_server_may_be_a_fraction_of_a_second.

--- a/banyantiller/platform/headers.py
+++ b/banyantiller/platform/headers.py
@@ -1,9 +1,9 @@
 """Header fields exchanged with callers and the platform's servers."""
 
-import re
 from collections.abc import Sequence
 
 from banyantiller.gateway import types
+from banyantiller.utils import decimals
 
 WIRE = types.WireNames(
     # Identifies one request of a caller; a retry by the caller has another.
@@ -27,9 +27,6 @@
 )
 
 NORMAL_SLOWNESS_PERCENT = 100.0
-# More digits on either side of the point are no plausible rate or time.
-DECIMAL = re.compile(r"\d{1,9}(\.\d{0,9})?|\.\d{1,9}", re.ASCII)
-MAX_SHOWN_CHARS = 20
 
 
 def read_load(value: bytes) -> types.Load | None:
@@ -73,7 +70,4 @@
 def _read_decimal(texts: Sequence[str]) -> float:
     if len(set(texts)) != 1:
         raise ValueError("the field occurs with different values")
-    text = texts[0].strip()
-    if not DECIMAL.fullmatch(text):
-        raise ValueError(f"'{text[:MAX_SHOWN_CHARS]}' is not a decimal number")
-    return float(text)
+    return decimals.parse(texts[0])
--- a/banyantiller/proxy/attempt.py
+++ b/banyantiller/proxy/attempt.py
@@ -10,6 +10,7 @@
 from banyantiller.proxy import backend, guard, headers
 from banyantiller.proxy import pool as pools
 from banyantiller.routing.types import AttemptResult, Start
+from banyantiller.utils import decimals
 
 if TYPE_CHECKING:
     from banyantiller.proxy import call as calls
@@ -218,9 +219,12 @@
 
     def _retry_after(self) -> float | None:
         value = headers.get(self.fields, b"retry-after")
-        if value is None or not value.isdigit():
+        if value is None:
+            return None
+        try:
+            return decimals.parse(value.decode("latin-1"))
+        except ValueError:
             return None
-        return float(value)
 
     def _close_stale_idle(self) -> None:
         if not self.connection.has_received and self.connection.is_reused:
--- a/banyantiller/routing/adaptive.py
+++ b/banyantiller/routing/adaptive.py
@@ -165,6 +165,10 @@
             return []
         if view.ejected_until > now or view.probing:
             return []
+        if view.backoff_until > now:
+            retry = partial(self._probe, view)
+            self.scheduler.timers.schedule(view.backoff_until, retry)
+            return []
         is_current = self.state.views.get(view.server.name) is view
         if not (is_current and view.is_usable()):
             return []
--- a/banyantiller/routing/limits.py
+++ b/banyantiller/routing/limits.py
@@ -14,7 +14,9 @@
 BACKLOG_DECREASE = 0.95
 SHED_DECREASE = 0.8
 WINDOW_INCREASE = 0.1
-MAX_BACKOFF_S = 5.0
+# Maximum backoff after `Retry-After`. A server that starts again keeps its name
+# and can't withdraw what it asked for.
+MAX_BACKOFF_S = 60.0
 
 
 class ConcurrencyWindow:
--- a/banyantiller/tests/proxy/test_at_most_once.py
+++ b/banyantiller/tests/proxy/test_at_most_once.py
@@ -114,6 +114,23 @@
                 self.assertIn(b" 200 ", response)
                 self.assertEqual(1, len(second))
 
+    def test_retry_after_of_a_server_may_be_a_fraction_of_a_second(
+        self,
+    ) -> None:
+        for text, expected in ((b"2.5", 2.5), (b"3", 3.0), (b"soon", None)):
+            refusal = fakes.responding(
+                NOT_RUN.replace(b"After: 3", b"After: " + text)
+            )
+            with mock.patch.object(
+                fakes.RoundRobin,
+                "attempt_head",
+                autospec=True,
+                side_effect=fakes.RoundRobin.attempt_head,
+            ) as attempt_head:
+                self.exchange(GET, refusal, refusal)
+            result = attempt_head.call_args.args[2]
+            self.assertEqual(expected, result.retry_after_s)
+
     def test_body_that_exceeds_the_limit_midway_may_have_run(self) -> None:
         async def body() -> None:
             settings = fakes.make_settings(max_body_bytes=4)
--- a/banyantiller/tests/routing/test_ejection.py
+++ b/banyantiller/tests/routing/test_ejection.py
@@ -1,7 +1,7 @@
 """Tests of ejection, its limit, recovery, slow start and leaving servers."""
 
 from banyantiller.errors import ErrorKind, Ran
-from banyantiller.routing import types
+from banyantiller.routing import limits, types
 from banyantiller.tests.base import TestCase
 from banyantiller.tests.routing.driver import (
     Driver,
@@ -93,6 +93,20 @@
         driver.dispatcher.report("b00", report, driver.now)
         self.assertFalse(driver.dispatcher.state.views["b00"].awaiting_trial)
 
+    def test_ejected_server_is_not_probed_in_its_backoff(self):
+        driver = Driver(server_states(2), charge=lambda _: True)
+        driver.warm_up(50)
+        view = driver.dispatcher.state.views["b00"]
+        while not ejected_servers(driver):
+            send_calls(driver, 1, {"b00"})
+        limits.back_off(view, 10.0, 0.1, driver.now)
+        ends_at = driver.now + 10.0
+        self.assertEqual(
+            [], of_type(driver.run_due(ends_at - 0.1), types.Probe)
+        )
+        probes = of_type(driver.run_due(ends_at + 0.1), types.Probe)
+        self.assertEqual([types.Probe("b00")], probes)
+
     def test_no_probe_is_charged_for_a_leaving_or_removed_server(self):
         leaving = (server_states(1, leaving=True)[0], server_states(2)[1])
         for present in (leaving, server_states(2)[1:]):
--- a/banyantiller/tests/routing/test_retries.py
+++ b/banyantiller/tests/routing/test_retries.py
@@ -96,6 +96,19 @@
             self.assertNotEqual(first.server, start.server)
             driver.respond(start.attempt_id)
 
+    def test_server_gets_no_requests_until_the_end_of_a_long_retry_after(self):
+        driver = Driver(server_states(2))
+        fill_budget(driver)
+        (first,) = driver.submit()
+        shed = failure(ErrorKind.BACKEND_SHED, Ran.NO, retry_after_s=20.0)
+        (second,) = driver.receive_head(first.attempt_id, shed)
+        driver.respond(second.attempt_id)
+        for _ in range(19):
+            driver.run_due(driver.now + 1.0)
+            (start,) = driver.submit()
+            self.assertNotEqual(first.server, start.server)
+            driver.respond(start.attempt_id)
+
     def test_failure_carries_retry_after_of_the_server(self):
         driver = Driver(server_states(1))
         (first,) = driver.submit()
