Skip the check of restrictions while no server names any

The choice looks at each server of a service for each request. Without a limit or a backoff in force, nothing has to be looked up by incarnation.

--- a/banyantiller/gateway/server_choice.py
+++ b/banyantiller/gateway/server_choice.py
@@ -184,6 +184,10 @@
 
         The time is minus infinity if the server asked for no restriction.
         """
+        # Called for each server of a service for each request.
+        limited = self.server_limits.by_incarnation
+        if not limited and not self.server_backoffs.by_incarnation:
+            return -math.inf
         return max(
             self.server_limits.next_turn(server, now),
             self.server_backoffs.ends_at(server),
