Play servers that ask for a backoff or state their leaving in the soak

Two promises: at most two requests in the rest of a backoff from the daemon that was told, and none from a daemon 2 s after it had passed on a response that states the leaving. A disturbed link of a server excuses the former, since it may lose the response; a restart or freeze of the daemon excuses both, the store neither.

--- a/banyantiller/tests/soak/test_checks.py
+++ b/banyantiller/tests/soak/test_checks.py
@@ -13,6 +13,7 @@
     Leaving,
     NamedLimit,
     ServerEnd,
+    StatedLeaving,
 )
 
 
@@ -222,6 +223,51 @@
             "named limits", record(attempts, arrivals, limits=limits)
         )
 
+    def test_requests_in_a_backoff(self):
+        def seen(count, gap_s=0.1, daemon=0, **more):
+            times = [10.0, *(11.0 + gap_s * number for number in range(count))]
+            daemons = [0, *[daemon] * count]
+            attempts = [
+                attempt(f"r{number}", at=at, daemon=by)
+                for number, (at, by) in enumerate(
+                    zip(times, daemons, strict=True)
+                )
+            ]
+            arrivals = [
+                arrival(f"r{number}", at=at) for number, at in enumerate(times)
+            ]
+            arrivals[0] = arrivals[0]._replace(retry_after_s=3.0)
+            return record(attempts, arrivals, **more)
+
+        self.assert_broken("backoffs", seen(3))
+        self.assert_kept("backoffs", seen(2))
+        # After the end of the backoff, and from another daemon.
+        self.assert_kept("backoffs", seen(4, gap_s=1.0))
+        self.assert_kept("backoffs", seen(3, daemon=1))
+        for what in (records.PROCESS, records.SERVER_LINK):
+            disturbed = [Disturbance(10.0, 10.5, what, None)]
+            self.assert_kept("backoffs", seen(3, disturbances=disturbed))
+
+    def test_requests_after_a_stated_leaving_was_passed_on(self):
+        def seen(at, daemon=0, life=1, **more):
+            attempts = [
+                attempt("told", at=10.0),
+                attempt("late", at=at, daemon=daemon, life=life),
+            ]
+            arrivals = [arrival("told"), arrival("late", at=at + 0.05)]
+            leavings = [StatedLeaving(9.9, "s0")]
+            return record(attempts, arrivals, stated_leavings=leavings, **more)
+
+        self.assert_broken("stated leaving", seen(12.2))
+        self.assert_kept("stated leaving", seen(12.0))
+        self.assert_kept("stated leaving", seen(12.2, daemon=1))
+        self.assert_kept("stated leaving", seen(12.2, life=2))
+        paused = [Disturbance(11.0, 11.5, records.PROCESS, 0)]
+        self.assert_kept("stated leaving", seen(12.2, disturbances=paused))
+        # A disturbance of the store excuses nothing here.
+        lost = [Disturbance(11.0, 11.5, records.STORE, None)]
+        self.assert_broken("stated leaving", seen(12.2, disturbances=lost))
+
     def test_old_version_in_force(self):
         acceptances = [Acceptance(0.0, 1), Acceptance(5.0, 2)]
         old = attempt(version=1, at=7.5)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
-from soak import excuses, limit_checks, store_checks
+from soak import excuses, limit_checks, response_checks, store_checks
 from soak import record as records
 from soak.record import Finding, Record
 
@@ -312,6 +312,8 @@
     Promise("leaving servers", True, store_checks.leaving_servers),
     Promise("evacuated zones", True, store_checks.evacuated_zones),
     Promise("named limits", True, limit_checks.named_limits),
+    Promise("backoffs", True, response_checks.backoffs),
+    Promise("stated leaving", True, response_checks.stated_leaving),
     Promise("in force", True, store_checks.in_force),
     Promise("served again", True, served_again),
     Promise("kept up", True, kept_up),
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -190,9 +190,14 @@
 
 
 async def trouble_server(world: World, step: plans.Step) -> None:
-    """Disturbs the link on which daemons reach a server; excuses nothing."""
+    """Disturbs the link on which daemons reach a server.
+
+    It excuses only that daemons do not heed responses that it may have lost.
+    """
+    began = world.loop.time()
     link = world.places[step.target % len(world.places)].link
     await _apply_trouble(link, step)
+    _note(world, began, records.SERVER_LINK, None)
 
 
 async def _trouble(
@@ -268,6 +273,8 @@
     "request ends servers": server_faults.end_servers,
     "server leaves": server_faults.server_leaves,
     "server names a limit": server_faults.name_limits,
+    "server asks for a backoff": server_faults.ask_for_backoff,
+    "server states its leaving": server_faults.state_leaving,
     "server starts again": server_faults.start_again,
     "server entry spoilt": server_faults.spoil_entries,
     "server address reused": server_faults.reuse_address,
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -117,6 +117,11 @@
 LIMIT_KINDS = EVACUATION_KINDS | {
     "server names a limit": Kind(4, 20.0, ("one", "all"))
 }
+FIRST_BACKOFF_SEED = 6000
+BACKOFF_KINDS = LIMIT_KINDS | {
+    "server asks for a backoff": Kind(4, 8.0, ("one", "all")),
+    "server states its leaving": Kind(4),
+}
 
 
 def kinds_of(seed: int) -> dict[str, Kind]:
@@ -131,7 +136,9 @@
         return ENDING_KINDS
     if seed < FIRST_LIMIT_SEED:
         return EVACUATION_KINDS
-    return LIMIT_KINDS
+    if seed < FIRST_BACKOFF_SEED:
+        return LIMIT_KINDS
+    return BACKOFF_KINDS
 
 
 def draw(seed: int, sizes: Sizes) -> Plan:
--- a/soak/record.py
+++ b/soak/record.py
@@ -20,6 +20,7 @@
 CALLER_LINK = "caller link"
 STORE_LINK = "store link"
 CONTROL_LINK = "control link"
+SERVER_LINK = "server link"
 STORE = "store"
 LAG = "lag of the soak itself"
 
@@ -67,6 +68,7 @@
         executed: Whether the server began to work on it.
         misdirected: Whether it was meant for another instance.
         target: Its path and query.
+        retry_after_s: `Retry-After` of its refusal, in seconds; 0 for none.
     """
 
     at: float
@@ -75,6 +77,7 @@
     executed: bool
     misdirected: bool
     target: str = ""
+    retry_after_s: float = 0.0
 
 
 class ServerEnd(NamedTuple):
@@ -112,6 +115,13 @@
     instance: str
 
 
+class StatedLeaving(NamedTuple):
+    """A server that states its shutdown in its responses from a time on."""
+
+    at: float
+    instance: str
+
+
 class Evacuation(NamedTuple):
     """An availability zone that was to get nothing for a while.
 
@@ -190,6 +200,10 @@
         limit_tolerance: What it may get, as a multiple of its limit.
         limit_extra: Requests that it may get in a window besides.
         limit_told_s: Time after which a limit binds the daemon that was told.
+        backoff_told_s: Time after which a backoff binds the daemon that was
+            told.
+        backoff_arrivals: Requests that a server may get from a daemon after
+            that until the backoff ends.
     """
 
     contact_s: float = 3.0
@@ -208,6 +222,8 @@
     limit_tolerance: float = 1.5
     limit_extra: float = 5.0
     limit_told_s: float = 0.5
+    backoff_told_s: float = 0.5
+    backoff_arrivals: int = 2
 
 
 @dataclasses.dataclass
@@ -223,6 +239,9 @@
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
     leavings: list[Leaving] = dataclasses.field(default_factory=list)
+    stated_leavings: list[StatedLeaving] = dataclasses.field(
+        default_factory=list
+    )
     zones: dict[str, str] = dataclasses.field(default_factory=dict)
     evacuations: list[Evacuation] = dataclasses.field(default_factory=list)
     limits: list[NamedLimit] = dataclasses.field(default_factory=list)
--- a/soak/server_faults.py
+++ b/soak/server_faults.py
@@ -13,6 +13,11 @@
 EVACUATIONS = "evacuations"
 # Strongest of what varies with `Step.x`.
 MOST_SLOWNESS = 900
+LEAST_RETRY_AFTER_S = 0.5
+MOST_RETRY_AFTER_S = 4.0
+# How long a server stays that states its leaving while its registration says
+# that it is ready. Longer than a daemon may send to it once it knows.
+STATED_STAYS_S = 5.0
 LEAST_LIMIT_PER_S = 0.5
 MOST_LIMIT_PER_S = 2.0
 # How often the soak looks whether a server that names a limit is still there.
@@ -78,6 +83,40 @@
     world.seen.limits.append(limit)
 
 
+async def ask_for_backoff(world: World, step: plans.Step) -> None:
+    """Lets a server, or all of its service, refuse with `Retry-After`."""
+    place = world.places[step.target % len(world.places)]
+    places = [place]
+    if step.choice == "all":
+        places = [one for one in world.places if one.service == place.service]
+    refusing = [one.server for one in places if one.server is not None]
+    retry_after_s = LEAST_RETRY_AFTER_S + MOST_RETRY_AFTER_S * step.x
+    for server in refusing:
+        server.retry_after = f"{retry_after_s:.3f}"
+        server.faults.shed = True
+    await asyncio.sleep(step.for_s)
+    for server in refusing:
+        server.retry_after = ""
+        server.faults.shed = False
+
+
+async def state_leaving(world: World, step: plans.Step) -> None:
+    """Lets a server state its leaving in responses; its registration stays."""
+    number = step.target % len(world.places)
+    place = world.places[number]
+    server, place.server = place.server, None
+    if server is None:
+        return
+    server.leaving = True
+    world.seen.stated_leavings.append(
+        records.StatedLeaving(world.loop.time(), server.instance)
+    )
+    await asyncio.sleep(STATED_STAYS_S)
+    server.stop()
+    world.store.remove("servers", server.instance)
+    await world.start_server(number)
+
+
 def ending_path(step: plans.Step) -> str:
     """Returns the path of a step's request; steps may begin together."""
     return f"{contents.ENDING_PREFIX}{step.at_s}-{step.x}"
--- a/soak/world.py
+++ b/soak/world.py
@@ -357,6 +357,7 @@
                     arrival.refusal == 0,
                     arrival.refusal == 421,
                     arrival.target,
+                    float(arrival.retry_after or 0),
                 )
                 for arrival in one.arrivals
             )
--- a/standins/registered_server.py
+++ b/standins/registered_server.py
@@ -68,12 +68,14 @@
         request_id: Its identity.
         refusal: Status with which it was turned away, or 0.
         target: Its path and query.
+        retry_after: `Retry-After` of the refusal; empty for none.
     """
 
     at: float
     request_id: str
     refusal: int
     target: str
+    retry_after: str = ""
 
 
 class RegisteredServer:
@@ -193,7 +195,10 @@
         now = asyncio.get_running_loop().time()
         status = refusal[0] if refusal else 0
         target = head.target.decode()
-        self.arrivals.append(Arrival(now, own["attempt-id"], status, target))
+        retry_after = refusal[1].get("retry-after", "") if refusal else ""
+        self.arrivals.append(
+            Arrival(now, own["attempt-id"], status, target, retry_after)
+        )
         if refusal:
             data = self._answer(codec, refusal[0], own | refusal[1], b"refused")
             writer.write(data[:-3] if self.faults.cut else data)
