Signal processes of the soak without collecting their exit status

Cause: Process.send_signal asks Popen for the status first, which collects a process that has just ended; the event loop's wait then finds none and reports 255. So a daemon that the soak had killed counted as ended by itself.

--- a/bench/fleet_processes.py
+++ b/bench/fleet_processes.py
@@ -142,7 +142,7 @@
     async def kill(self) -> None:
         """Ends the process without a word."""
         self.read_log()
-        self.child.process.send_signal(signal.SIGKILL)
+        self.child.signal(signal.SIGKILL)
         await self.child.process.wait()
 
     def read_log(self) -> None:
--- a/bench/load_processes.py
+++ b/bench/load_processes.py
@@ -85,7 +85,7 @@
 
     async def kill(self) -> None:
         """Ends the process without a word; its journal has its runs."""
-        self.child.process.send_signal(signal.SIGKILL)
+        self.child.signal(signal.SIGKILL)
         await self.child.process.wait()
         for line in self.journal.read_text().splitlines():
             request_id, _, key = line.partition("\t")
@@ -147,7 +147,7 @@
 
     async def kill(self) -> None:
         """Ends the process without a word."""
-        self.child.process.send_signal(signal.SIGKILL)
+        self.child.signal(signal.SIGKILL)
         await self.child.process.wait()
 
     async def wait_alive(self) -> None:
--- a/bench/load_scenarios.py
+++ b/bench/load_scenarios.py
@@ -89,9 +89,9 @@
     await asyncio.sleep(WARM_UP * seconds)
     while loop.time() < ends:
         for paused in (rng.choice(fleet.daemons), rng.choice(fleet.servers)):
-            paused.child.process.send_signal(signal.SIGSTOP)
+            paused.child.signal(signal.SIGSTOP)
             await asyncio.sleep(rng.uniform(*PAUSES_S))
-            paused.child.process.send_signal(signal.SIGCONT)
+            paused.child.signal(signal.SIGCONT)
             await asyncio.sleep(BETWEEN_S)
 
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -294,11 +294,7 @@
 
     def signal(self, daemon: gateways.Daemon, number: signal.Signals) -> bool:
         """Sends a signal to a daemon's process; False if it is down."""
-        child = daemon.child
-        if child is None or child.process.returncode is not None:
-            return False
-        child.process.send_signal(number)
-        return True
+        return daemon.child is not None and daemon.child.signal(number)
 
     async def _watch(self, daemon: gateways.Daemon) -> None:
         """Notes the end of a daemon's process."""
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import signal
 import socket
@@ -44,15 +45,28 @@
             raise DemoError(f"{self.name} ended early.\n{self.tail()}")
         return json.loads(line)
 
+    def signal(self, number: signal.Signals) -> bool:
+        """Sends a signal to the process; False if it has ended.
+
+        `Process.send_signal` may collect the exit status of a process that is
+        just ending, and the event loop then reports status 255 in its place.
+        """
+        if self.process.returncode is not None:
+            return False
+        try:
+            os.kill(self.process.pid, number)
+        except ProcessLookupError:
+            return False
+        return True
+
     async def end(self) -> int:
         """Sends SIGTERM and returns the exit status."""
-        if self.process.returncode is None:
-            self.process.send_signal(signal.SIGTERM)
+        self.signal(signal.SIGTERM)
         try:
             async with asyncio.timeout(END_S):
                 return await self.process.wait()
         except TimeoutError:
-            self.process.kill()
+            self.signal(signal.SIGKILL)
             await self.process.wait()
             raise DemoError(
                 f"{self.name} did not end within {END_S:g} s.\n{self.tail()}"
@@ -108,13 +122,13 @@
         """Ends every process, by force if it doesn't end by itself."""
         left = [c for c in self.running if c.process.returncode is None]
         for child in left:
-            child.process.terminate()
+            child.signal(signal.SIGTERM)
         for child in left:
             try:
                 async with asyncio.timeout(END_S):
                     await child.process.wait()
             except TimeoutError:
-                child.process.kill()
+                child.signal(signal.SIGKILL)
                 await child.process.wait()
 
 
