Read all kinds again once the store has lost its history

Eight of 19 daemons never learned of the evacuation; all read through one relay.

Cause, from a trial that logged each read: the relay's call for changes of evacuations began while the store's watches heard nothing, and was to wait 10 s. Its call for documents, begun then too, ended after 0.6 s and told that the history was lost; the evacuation had fallen into the gap. Only documents were listed again. The other call stayed open for 8 s, and the relay passed its old state on as confirmed, as an answer about documents confirms the other kinds. Ruled out: versions of histories that skip an entry (the reads show since 28 throughout; the entry had 31), and stale lists.

The store keeps one history, so its loss concerns every kind: calls for other kinds that go on from the lost version or an earlier one are made again. They learn of the loss at once.

--- a/banyantiller/gateway/store_watching.py
+++ b/banyantiller/gateway/store_watching.py
@@ -102,6 +102,16 @@
             if watcher.object_kind != object_kind:
                 watcher.restart.set()
 
+    def record_history_loss(self, version: str) -> None:
+        """Records that changes after a version are lost, for each kind.
+
+        The store keeps one history. A call for another kind that began before
+        the loss may wait to its end without a change, so it is made again.
+        """
+        for watcher in self.watchers:
+            if watcher.version and int(watcher.version) <= int(version):
+                watcher.restart.set()
+
     def may_have_lapsed(self, now: float) -> bool:
         """Returns whether an object may be missing because of an outage."""
         return self.lost_at is not None or now < self.lapsed_until
@@ -175,7 +185,8 @@
             self._record_response()
             if isinstance(outcome, interface.Gone):
                 events.emit(events.ChangeHistoryLost(self.object_kind))
-                self.version = ""
+                lost_after, self.version = self.version, ""
+                self.store_health.record_history_loss(lost_after)
                 return
             self.version = outcome.version
             for event in outcome.events:
--- a/banyantiller/tests/gateway/test_evacuations.py
+++ b/banyantiller/tests/gateway/test_evacuations.py
@@ -221,6 +221,31 @@
 
         self.assertEqual(["s2"], self.play(body))
 
+    def test_lost_history_hides_no_evacuation_from_a_call_that_waits(self):
+        async def body(env):
+            # The calls of this daemon begin while watches hear nothing.
+            env.store.faults.deaf = True
+            await env.start_gateway()
+            await asyncio.sleep(0.5)
+            env.store.put(OBJECT_KIND, "zone-a", {})
+            env.store.forget()
+            env.store.faults.deaf = False
+            await asyncio.sleep(PROPAGATION_LIMIT_S)
+            return env.gateway.store_view.evacuations.evacuated
+
+        self.assertEqual({"zone-a"}, self.play(body))
+
+    def test_lost_history_costs_one_more_list_of_each_kind(self):
+        async def body(env):
+            await asyncio.sleep(1)
+            lists = env.gateway.adapter.store.calls["list"]
+            env.store.put("other", "unrelated", {})
+            env.store.forget()
+            await asyncio.sleep(12)
+            return env.gateway.adapter.store.calls["list"] - lists
+
+        self.assertEqual(3, self.play(body))
+
     def test_outage_of_the_store_does_not_end_an_evacuation(self):
         async def body(env):
             env.store.put(OBJECT_KIND, "zone-a", {})
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -43,6 +43,7 @@
             stays open and returns nothing further.
         late: Seconds after which a write is carried out that got no answer;
             0 for none.
+        deaf: Watches that begin now hear of no change until their wait is over.
         stale: Seconds that a read with `staleOk` is behind.
         slow: Seconds that a call takes.
         page: Most items of a page.
@@ -54,6 +55,7 @@
     reset: bool = False
     lost: bool = False
     late: float = 0.0
+    deaf: bool = False
     stale: float = 0.0
     slow: float = 0.004
     page: int = PAGE_ITEMS
@@ -226,6 +228,8 @@
         since = int(query["watch"])
         loop = asyncio.get_running_loop()
         until = loop.time() + int(query["waitMs"]) / 1000
+        if self.faults.deaf:
+            await asyncio.sleep(until - loop.time())
         while True:
             if since + 1 < self.oldest:
                 return answers.to_json(410, {})
