--- a/banyantiller/explain/explanation.py
+++ b/banyantiller/explain/explanation.py
@@ -27,6 +27,8 @@
         events.ServerLimited,
         events.ServerUnlimited,
         events.LimitUnreadable,
+        events.BackoffRequested,
+        events.RetryAfterUnreadable,
         events.DocumentInForce,
         events.DocumentUnreadable,
         events.StoreLost,
--- a/banyantiller/tests/explain/test_explanation.py
+++ b/banyantiller/tests/explain/test_explanation.py
@@ -108,6 +108,27 @@
         shown = [one.fields["event"] for one in found.lines]
         self.assertIn("gateway: server names a limit.", shown)
 
+    def test_backoff_that_a_server_asked_for_is_shown(self):
+        found = self.explain(
+            line(
+                "server asks for a backoff.",
+                at="00:00:09.000000",
+                start="s1/1/127.0.0.1:1",
+                seconds=3.0,
+                left_s=0.0,
+            ),
+            ended(
+                status=503,
+                error="no_server",
+                reason="servers_backed_off",
+                sends=0,
+                instances=[],
+            ),
+        )
+        self.assertEqual("no", found.ran)
+        shown = [one.fields["event"] for one in found.lines]
+        self.assertIn("gateway: server asks for a backoff.", shown)
+
     def test_clocks_of_different_daemons_are_not_compared(self):
         """The second daemon's clock is an hour behind; it logs the same id."""
         found = self.explain(
--- a/banyantiller/tests/soak/test_run.py
+++ b/banyantiller/tests/soak/test_run.py
@@ -33,6 +33,13 @@
         step = plan.Step(1.0, 6.0, "request ends servers", 0, 0.5, "")
         self.play(plan.Plan(plan.FIRST_ENDING_SEED, SIZES, (step,)))
 
+    def test_servers_ask_for_backoffs_and_state_their_leaving(self):
+        steps = (
+            plan.Step(1.0, 3.0, "server asks for a backoff", 0, 0.3, "one"),
+            plan.Step(1.5, 0.0, "server states its leaving", 1, 0.0, ""),
+        )
+        self.play(plan.Plan(plan.FIRST_BACKOFF_SEED, SIZES, steps))
+
     def test_callers_wait_while_all_daemons_start(self):
         # The store answers within the time that a request waits for it.
         steps = (
