Start one process of a daemon when steps of the soak overlap

A loss of power and a planned restart of the daemon began together; both started it again, and one of the two processes could not listen on its port. The other watcher then took the end of the run for an end by itself.

Cause: start_daemon asked whether the daemon was up, and noted the process only once it had been started.

--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -29,6 +29,7 @@
         store: Link on which it reaches the store.
         control: Link on which other daemons reach it.
         child: Its process, or None while it is down.
+        starting: Whether its process is being started.
         life: How often it was started.
         asked_at: Loop time of the order to end, or None.
         misses: Questions for readiness without a good answer, in a row.
@@ -42,6 +43,7 @@
         self.store: Link
         self.control: Link
         self.child: processes.Child | None = None
+        self.starting = False
         self.life = 0
         self.asked_at: float | None = None
         self.misses = READY_MISSES
--- a/soak/world.py
+++ b/soak/world.py
@@ -227,15 +227,16 @@
     async def start_daemon(
         self, daemon: gateways.Daemon, lets_wait: bool = False
     ) -> None:
-        """Starts a daemon's process; nothing if it is up.
+        """Starts a daemon's process; nothing if it is up or being started.
 
         Args:
             daemon: The daemon.
             lets_wait: Whether it is told what it needs to let callers wait
                 while it loads, if no other daemon lives.
         """
-        if daemon.child is not None:
+        if daemon.child is not None or daemon.starting:
             return
+        daemon.starting = True
         daemon.life += 1
         daemon.asked_at = None
         name = f"gateway-{daemon.number}"
@@ -249,6 +250,7 @@
             read=False,
             env=os.environ | (self._early(daemon) if lets_wait else {}),
         )
+        daemon.starting = False
         daemon.watcher = asyncio.ensure_future(self._watch(daemon))
 
     def _early(self, daemon: gateways.Daemon) -> dict[str, str]:
