Judge backoffs in the soak by the start of a server, not by its identity

The requests went to the second start, which had asked for nothing; a backoff belongs to one start. The check counts arrivals by start now and is as strict for each; its test has both cases.

--- a/banyantiller/tests/soak/test_checks.py
+++ b/banyantiller/tests/soak/test_checks.py
@@ -224,7 +224,7 @@
         )
 
     def test_requests_in_a_backoff(self):
-        def seen(count, gap_s=0.1, daemon=0, **more):
+        def seen(count, gap_s=0.1, daemon=0, start=0, **more):
             times = [10.0, *(11.0 + gap_s * number for number in range(count))]
             daemons = [0, *[daemon] * count]
             attempts = [
@@ -234,9 +234,10 @@
                 )
             ]
             arrivals = [
-                arrival(f"r{number}", at=at) for number, at in enumerate(times)
+                arrival(f"r{number}", at=at)._replace(start=start)
+                for number, at in enumerate(times)
             ]
-            arrivals[0] = arrivals[0]._replace(retry_after_s=3.0)
+            arrivals[0] = arrivals[0]._replace(retry_after_s=3.0, start=0)
             return record(attempts, arrivals, **more)
 
         self.assert_broken("backoffs", seen(3))
@@ -244,6 +245,8 @@
         # After the end of the backoff, and from another daemon.
         self.assert_kept("backoffs", seen(4, gap_s=1.0))
         self.assert_kept("backoffs", seen(3, daemon=1))
+        # At another start of the server.
+        self.assert_kept("backoffs", seen(3, start=1))
         for what in (records.PROCESS, records.SERVER_LINK):
             disturbed = [Disturbance(10.0, 10.5, what, None)]
             self.assert_kept("backoffs", seen(3, disturbances=disturbed))
--- a/soak/record.py
+++ b/soak/record.py
@@ -69,6 +69,8 @@
         misdirected: Whether it was meant for another instance.
         target: Its path and query.
         retry_after_s: `Retry-After` of its refusal, in seconds; 0 for none.
+        start: Number of the server's start; another start may have the same
+            identity.
     """
 
     at: float
@@ -78,6 +80,7 @@
     misdirected: bool
     target: str = ""
     retry_after_s: float = 0.0
+    start: int = 0
 
 
 class ServerEnd(NamedTuple):
--- a/soak/response_checks.py
+++ b/soak/response_checks.py
@@ -19,8 +19,8 @@
     for arrival in sorted(seen.arrivals):
         attempt = attempts.get(arrival.request_id)
         if attempt is not None and not arrival.misdirected:
-            arrivals[attempt.daemon, arrival.instance].append(arrival)
-    for (daemon, instance), found in arrivals.items():
+            arrivals[attempt.daemon, arrival.start].append(arrival)
+    for (daemon, _), found in arrivals.items():
         for refusal in found:
             ends_at = refusal.at + refusal.retry_after_s
             since = refusal.at + seen.bounds.backoff_told_s
@@ -30,7 +30,7 @@
             )
             if len(late) > seen.bounds.backoff_arrivals and not excused:
                 text = (
-                    f"{instance} asked daemon {daemon} for"
+                    f"{refusal.instance} asked daemon {daemon} for"
                     f" {refusal.retry_after_s:g} s without requests and got"
                     f" {len(late)}"
                 )
--- a/soak/world.py
+++ b/soak/world.py
@@ -346,7 +346,7 @@
                 # Its caller was stopped with the run.
                 attempt.end = records.LEFT
                 attempt.ended_at = self.loop.time()
-        for one in self.all_servers:
+        for start, one in enumerate(self.all_servers):
             self.seen.arrivals.extend(
                 records.Arrival(
                     arrival.at,
@@ -356,6 +356,7 @@
                     arrival.refusal == 421,
                     arrival.target,
                     float(arrival.retry_after or 0),
+                    start,
                 )
                 for arrival in one.arrivals
             )
