--- a/soak/server_faults.py
+++ b/soak/server_faults.py
@@ -14,7 +14,7 @@
 # Strongest of what varies with `Step.x`.
 MOST_SLOWNESS = 900
 LEAST_RETRY_AFTER_S = 0.5
-MOST_RETRY_AFTER_S = 4.0
+RETRY_AFTER_RANGE_S = 4.0
 # How long a server stays that states its leaving while its registration says
 # that it is ready. Longer than a daemon may send to it once it knows.
 STATED_STAYS_S = 5.0
@@ -90,7 +90,7 @@
     if step.choice == "all":
         places = [one for one in world.places if one.service == place.service]
     refusing = [one.server for one in places if one.server is not None]
-    retry_after_s = LEAST_RETRY_AFTER_S + MOST_RETRY_AFTER_S * step.x
+    retry_after_s = LEAST_RETRY_AFTER_S + RETRY_AFTER_RANGE_S * step.x
     for server in refusing:
         server.retry_after = f"{retry_after_s:.3f}"
         server.faults.shed = True
