Name Retry-After of servers where the platform's other fields are named

The name stood in the gateway, while the folder of the platform had its decoder only. It is one of the names of fields now. Nothing else changes: the tests of backoffs pass unchanged.

--- a/banyantiller/gateway/server_backoffs.py
+++ b/banyantiller/gateway/server_backoffs.py
@@ -9,7 +9,6 @@
 from banyantiller.http import messages
 
 STATUS = 503
-HEADER_NAME = "retry-after"
 # How long the backoff of an unregistered server is remembered: registrations
 # that lapse during an outage of the store reappear within seconds.
 UNREGISTERED_KEPT_S = 10.0
@@ -35,6 +34,7 @@
     to peers, which the server may still accept requests from.
 
     Attributes:
+        header_name: Name of the header field, in lower case.
         read_retry_after: Decodes the values of `Retry-After`, to seconds;
             raises `ValueError`.
         by_incarnation: Backoffs by the incarnation id of the server.
@@ -42,6 +42,7 @@
     """
 
     def __init__(self, adapter: types.Adapter) -> None:
+        self.header_name = adapter.wire.retry_after.decode()
         self.read_retry_after = adapter.read_retry_after
         self.by_incarnation: dict[str, Backoff] = {}
         self.unreadable: dict[str, str] = {}
@@ -58,7 +59,9 @@
         if response.status != STATUS:
             return
         values = [
-            value for name, value in response.headers if name == HEADER_NAME
+            value
+            for name, value in response.headers
+            if name == self.header_name
         ]
         if not values:
             return
--- a/banyantiller/gateway/types.py
+++ b/banyantiller/gateway/types.py
@@ -154,6 +154,7 @@
         limit: Requests a second that an overloaded server takes from all
             daemons.
         leaving: Present in each response of a server that shuts down.
+        retry_after: Seconds for which a server that refuses wants no requests.
         caller: Identifies the caller, the same with each sending.
     """
 
@@ -167,6 +168,7 @@
     warmup_ms: bytes
     limit: bytes
     leaving: bytes
+    retry_after: bytes
     caller: bytes = b"authorization"
 
 
--- a/banyantiller/platform/headers.py
+++ b/banyantiller/platform/headers.py
@@ -22,6 +22,8 @@
     limit=b"server-limit",
     # Also while the registration does not say so yet, or if it never does.
     leaving=b"server-leaving",
+    # With 503; the platform allows fractions of a second.
+    retry_after=b"retry-after",
     # Key of the caller's organisation, instead of the standard field.
     caller=b"credential",
 )
