--- a/banyantiller/gateway/server_backoffs.py
+++ b/banyantiller/gateway/server_backoffs.py
@@ -42,7 +42,7 @@
     """
 
     def __init__(self, adapter: types.Adapter) -> None:
-        self.header_name = adapter.wire.retry_after.decode()
+        self.header_name = adapter.retry_after
         self.read_retry_after = adapter.read_retry_after
         self.by_incarnation: dict[str, Backoff] = {}
         self.unreadable: dict[str, str] = {}
--- a/banyantiller/gateway/types.py
+++ b/banyantiller/gateway/types.py
@@ -154,7 +154,6 @@
         limit: Requests a second that an overloaded server takes from all
             daemons.
         leaving: Present in each response of a server that shuts down.
-        retry_after: Seconds for which a server that refuses wants no requests.
         caller: Identifies the caller, the same with each sending.
     """
 
@@ -168,7 +167,6 @@
     warmup_ms: bytes
     limit: bytes
     leaving: bytes
-    retry_after: bytes
     caller: bytes = b"authorization"
 
 
@@ -185,6 +183,8 @@
         read_server: Decodes a registration; raises `ValueError`.
         read_load: Decodes the load header; None if it can't be read.
         read_limit: Decodes the values of the limit header; raises `ValueError`.
+        retry_after: Name of the field with the seconds for which a server that
+            refuses wants no requests, in lower case.
         read_retry_after: Decodes the values of `Retry-After`, to seconds;
             raises `ValueError`.
         wire: Names of header fields.
@@ -199,5 +199,6 @@
     read_server: Callable[[str, dict[str, Any]], Server]
     read_load: Callable[[bytes], Load | None]
     read_limit: Callable[[Sequence[str]], float]
+    retry_after: str
     read_retry_after: Callable[[Sequence[str]], float]
     wire: WireNames
--- a/banyantiller/platform/headers.py
+++ b/banyantiller/platform/headers.py
@@ -22,12 +22,13 @@
     limit=b"server-limit",
     # Also while the registration does not say so yet, or if it never does.
     leaving=b"server-leaving",
-    # With 503; the platform allows fractions of a second.
-    retry_after=b"retry-after",
     # Key of the caller's organisation, instead of the standard field.
     caller=b"credential",
 )
 
+# In refusals of servers. A standard field, which the gateway sends to callers
+# as well, so it is not among the platform's own names.
+RETRY_AFTER = "retry-after"
 NORMAL_SLOWNESS_PERCENT = 100.0
 
 
--- a/banyantiller/platform/plugin.py
+++ b/banyantiller/platform/plugin.py
@@ -29,6 +29,7 @@
         read_server=registrations.read_server,
         read_load=headers.read_load,
         read_limit=headers.read_limit,
+        retry_after=headers.RETRY_AFTER,
         read_retry_after=headers.read_retry_after,
         wire=headers.WIRE,
     )
