Move the line on a call out of the gateway, and check a chosen server once

The line on a finished call has a module of its own; whether a chosen server may still be sent something, which stood in the call and in the attempt, is asked of the chooser.

--- a/banyantiller/gateway/attempts.py
+++ b/banyantiller/gateway/attempts.py
@@ -114,10 +114,7 @@
                 )
                 return exchange.NotRun(ErrorKind.CONNECT_FAILED)
         link = candidate.link
-        now = self.loop.time()
-        if not self.entry.usable(now) or self.gateway.server_backoffs.is_active(
-            server, now
-        ):
+        if not self.gateway.chooser.accepts(self.entry):
             # The server left or asked for a backoff, or its zone was
             # evacuated, during the connect.
             server_pool.put_idle(link)
--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -272,10 +272,7 @@
         ):
             return
         entry = self.attempts[0].entry
-        now = self.loop.time()
-        if not entry.usable(now) or self.gateway.server_backoffs.is_active(
-            entry.server, now
-        ):
+        if not self.gateway.chooser.accepts(entry):
             return
         candidates = await self.gateway.prober.probe(
             [entry], service.health_path
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -1,7 +1,6 @@
 """The gateway of one daemon: its shared state and its life cycle."""
 
 import asyncio
-import math
 import random
 import socket
 
@@ -10,6 +9,7 @@
 from banyantiller.gateway import call as calls
 from banyantiller.gateway import (
     call_events,
+    call_log,
     caller,
     crash_detection,
     events,
@@ -315,41 +315,8 @@
         if skipped is not None:
             events.emit(call_events.CallsNotLogged(*skipped))
         if self.sampler.should_log(successful):
-            self._log_call(call, status, error, route, duration_s)
-
-    def _log_call(
-        self,
-        call: calls.Call,
-        status: int,
-        error: ErrorKind | None,
-        route: str,
-        duration_s: float,
-    ) -> None:
-        progress = call.progress
-        document_age_s = self.store_view.document_age_s()
-        ended = call_events.CallEnded(
-            id=call.request.request_id,
-            route=route,
-            service=call.service,
-            version=call.version,
-            known_ms=_rounded_ms(document_age_s),
-            status=status,
-            error=error,
-            reason=progress.reason,
-            maybe_ran=progress.maybe_ran,
-            sends=progress.sends,
-            instances=progress.instances,
-            among=progress.answered_count,
-            load=progress.load and list(progress.load),
-            load_age_ms=round(progress.load_age_s * 1000, 1),
-            sent_ms=round(progress.sent_after_s * 1000, 1),
-            took_ms=round(duration_s * 1000, 1),
-            usual_ms=round(progress.usual_s * 1000, 1),
-            objective_ms=call.route and round(call.route.objective_s * 1000, 1),
-            left_ms=round((call.deadline - self.loop.time()) * 1000, 1),
-            fingerprint=call.request.fingerprint,
-        )
-        events.emit(ended)
+            document_age_s = self.store_view.document_age_s()
+            call_log.log_call(call, status, error, duration_s, document_age_s)
 
     def _run_waiting_calls(self) -> None:
         """Starts pipelined reads once the first document is in force.
@@ -398,8 +365,3 @@
     def _signal_if_closed(self) -> None:
         if not self.connections:
             self.all_closed.set()
-
-
-def _rounded_ms(age_s: float) -> float | None:
-    """Returns a time in ms for the log; None if it is infinite."""
-    return round(age_s * 1000, 1) if math.isfinite(age_s) else None
--- a/banyantiller/gateway/protocols.py
+++ b/banyantiller/gateway/protocols.py
@@ -16,7 +16,6 @@
     probing,
     progress,
     requests,
-    server_backoffs,
     server_choice,
     server_responses,
     store_view,
@@ -37,7 +36,6 @@
     tallies: tallies.Tallies
     store_view: store_view.StoreView
     crash_detector: crash_detection.CrashDetector
-    server_backoffs: server_backoffs.ServerBackoffs
     response_recorders: server_responses.Recorders
     prober: probing.LoadProber
     chooser: server_choice.ServerChooser
--- a/banyantiller/gateway/server_choice.py
+++ b/banyantiller/gateway/server_choice.py
@@ -193,6 +193,12 @@
             self.server_backoffs.ends_at(server),
         )
 
+    def accepts(self, entry: servers.ServerEntry) -> bool:
+        """Returns whether a chosen server may still be sent something."""
+        now = self.loop.time()
+        backed_off = self.server_backoffs.is_active(entry.server, now)
+        return entry.usable(now) and not backed_off
+
     def seconds_until_available(
         self, service: str, attempted: Collection[str]
     ) -> float:
