Load the metrics page of the gateway without the histogram library

Tests ran in an environment that has all libraries.

Only a type is needed, so the import is for type checking alone; adding the library to the deployment would cost memory for nothing. The test loads the gateway and its metrics in a process and compares the distributions used with deploy/requirements.txt; before the change it named hdrhistogram.

--- a/banyantiller/telemetry/metrics.py
+++ b/banyantiller/telemetry/metrics.py
@@ -3,14 +3,16 @@
 import collections
 import functools
 from collections.abc import Callable, Iterable
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import prometheus_client
 from opentelemetry import metrics as api
 from opentelemetry.exporter import prometheus
 from opentelemetry.sdk import metrics as sdk
 
-from banyantiller.telemetry import tallies
+if TYPE_CHECKING:
+    # The gateway is deployed without the histogram library of the tallies.
+    from banyantiller.telemetry import tallies
 
 QUANTILES = (50.0, 90.0, 99.0, 99.9)
 MICROSECONDS = 1e6
@@ -97,7 +99,7 @@
     )
 
 
-def add_calls(metrics: Metrics, counts: tallies.CallTallies) -> None:
+def add_calls(metrics: Metrics, counts: "tallies.CallTallies") -> None:
     """Adds the counters and latency quantiles of calls."""
 
     def add(name: str, doc: str, tally: Tally, *labels: str) -> None:
@@ -153,7 +155,7 @@
     return result
 
 
-def _quantiles(counts: tallies.CallTallies) -> list[Reading]:
+def _quantiles(counts: "tallies.CallTallies") -> list[Reading]:
     return [
         Reading(
             latency.get_value_at_percentile(percent) / MICROSECONDS,
--- a/banyantiller/tests/gateway/test_program.py
+++ b/banyantiller/tests/gateway/test_program.py
@@ -1,9 +1,12 @@
 """Tests of the gateway as a separate process."""
 
 import asyncio
+import os
 import pathlib
+import re
 import subprocess
 import sys
+import sysconfig
 import tempfile
 
 from banyantiller.http import client, outcomes
@@ -12,6 +15,8 @@
 from soak import world as worlds
 
 SIZES = plan.Sizes(daemons=1, servers=1, callers=0)
+REPOSITORY = pathlib.Path(__file__).parents[3]
+DEPLOYED_REQUIREMENTS = REPOSITORY / "deploy" / "requirements.txt"
 # Maximum wait for a response, on a busy machine.
 MAX_WAIT_S = 30.0
 CHECK_TLS_IMPORTS = """
@@ -24,6 +29,14 @@
 import banyantiller.gateway.metrics
 assert "_ssl" in sys.modules
 """
+LIST_DISTRIBUTIONS = """
+import importlib.metadata, sys
+import banyantiller.gateway.run, banyantiller.platform.plugin
+import banyantiller.gateway.metrics
+names = importlib.metadata.packages_distributions()
+for module in set(name.partition(".")[0] for name in sys.modules):
+    print(*names.get(module, ()), sep="\\n")
+"""
 SIGHUP_WHILE_LOADING = """
 import os, runpy, signal, sys, types
 import banyantiller.gateway
@@ -65,7 +78,28 @@
         )
         self.assertEqual(0, process.returncode)
 
+    def test_deployed_requirements_suffice_for_the_metrics(self):
+        # Without the site module, whose hooks import further distributions.
+        paths = [str(REPOSITORY), sysconfig.get_path("purelib")]
+        output = subprocess.run(
+            [sys.executable, "-S", "-c", LIST_DISTRIBUTIONS],
+            check=True,
+            capture_output=True,
+            env={"PYTHONPATH": os.pathsep.join(paths)},
+            text=True,
+        ).stdout
+        used = {normalize(name) for name in output.split()}
+        lines = DEPLOYED_REQUIREMENTS.read_text().split()
+        deployed = {normalize(line.partition("==")[0]) for line in lines}
+        self.assertIn("opentelemetry-sdk", used)
+        self.assertEqual(set(), used - deployed - {"banyantiller"})
+
     def test_sighup_before_its_handler_is_installed_is_ignored(self):
         code = SIGHUP_WHILE_LOADING
         process = subprocess.run([sys.executable, "-c", code], check=False)
         self.assertEqual(0, process.returncode)
+
+
+def normalize(distribution):
+    """Returns the name of a distribution as package indexes compare it."""
+    return re.sub(r"[-_.]+", "-", distribution).lower()
