Say in the line of a refused call what the servers lacked

The line now has a reason: servers_not_registered, servers_unresponsive or servers_busy. A gauge by service counts the servers that did not respond to the last probe; after the loss it shows how long they are avoided. Nothing that is decided changes. The test provokes all three cases.

--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -377,6 +377,8 @@
                 "servers_backed_off" if backed_off else "servers_limited"
             )
             return self._fail(kind, retry_after.available_retry_after_s(wait_s))
+        if kind is ErrorKind.NO_SERVER:
+            self.progress.reason = chooser.shortage(self.service).value
         return self._fail_with_retry_after(kind)
 
     def _fail_with_retry_after(self, kind: ErrorKind) -> replies.Reply:
--- a/banyantiller/gateway/call_events.py
+++ b/banyantiller/gateway/call_events.py
@@ -136,7 +136,11 @@
         int, "Status of the response; 0 if the caller had disconnected."
     ]
     error: Annotated[str | None, "Kind of the error, or null."]
-    reason: Annotated[str, "Why the last attempt failed, or empty."]
+    reason: Annotated[
+        str,
+        "Why the last attempt failed, or why no server could be chosen;"
+        " empty if neither happened.",
+    ]
     maybe_ran: Annotated[bool, "Whether a server may have run the request."]
     sends: Annotated[int, "Number of servers that the request was sent to."]
     instances: Annotated[
--- a/banyantiller/gateway/metrics.py
+++ b/banyantiller/gateway/metrics.py
@@ -8,7 +8,7 @@
 import prometheus_client
 from prometheus_client import core, registry
 
-from banyantiller.gateway import tallies
+from banyantiller.gateway import servers, tallies
 from banyantiller.telemetry import metrics
 
 if TYPE_CHECKING:
@@ -132,22 +132,34 @@
                 doc,
                 lambda read=read: [metrics.Reading(float(read()))],
             )
-        self.instruments.gauge(
-            "banyantiller_gateway_servers",
-            "",
-            "Servers that can get requests.",
-            lambda: [
-                metrics.Reading(
-                    len(
-                        gateway.store_view.table.usable(
-                            name, gateway.loop.time()
-                        )
-                    ),
-                    {"service": name},
-                )
-                for name in gateway.store_view.table.by_service
-            ],
-        )
+        self._add_server_gauges()
+
+    def _add_server_gauges(self) -> None:
+        """Adds the gauges that count the servers of each service."""
+        gateway = self.gateway
+        table = gateway.store_view.table
+
+        def usable(service: str) -> list[servers.ServerEntry]:
+            return table.usable(service, gateway.loop.time())
+
+        def unresponsive(service: str) -> list[servers.ServerEntry]:
+            return [e for e in usable(service) if e.health.missed_responses]
+
+        rows = (
+            ("servers", "Servers that can get requests.", usable),
+            ("unresponsive_servers", "Servers that can get requests and did"
+             " not respond to their last probe.", unresponsive),
+        )  # fmt: skip
+        for name, doc, find in rows:
+            self.instruments.gauge(
+                f"banyantiller_gateway_{name}",
+                "",
+                doc,
+                lambda find=find: [
+                    metrics.Reading(len(find(service)), {"service": service})
+                    for service in table.by_service
+                ],
+            )
 
 
 class LatencyCollector(registry.Collector):
--- a/banyantiller/gateway/progress.py
+++ b/banyantiller/gateway/progress.py
@@ -22,7 +22,8 @@
         usual_s: Usual duration of the route's requests at the last selection,
             in seconds; it limits how long the call waits for a server.
         error: Kind of the failure that is reported to the caller, or None.
-        reason: Why the last attempt failed, or empty.
+        reason: Why the last attempt failed, or why no server could be chosen;
+            empty if neither happened.
     """
 
     sends: int = 0
--- a/banyantiller/gateway/server_choice.py
+++ b/banyantiller/gateway/server_choice.py
@@ -1,6 +1,7 @@
 """Chooses a server for a request, or finds that none is available in time."""
 
 import asyncio
+import enum
 import math
 from collections.abc import Callable, Collection
 from typing import NamedTuple
@@ -18,6 +19,20 @@
 MAX_SCARCE_PROBED = 1
 
 
+class Shortage(enum.Enum):
+    """Why no server of a service could be chosen.
+
+    Attributes:
+        NOT_REGISTERED: No server of the service may get requests.
+        UNRESPONSIVE: None of them responded to its last probe.
+        BUSY: Some responded, and had no free slot.
+    """
+
+    NOT_REGISTERED = "servers_not_registered"
+    UNRESPONSIVE = "servers_unresponsive"
+    BUSY = "servers_busy"
+
+
 class SelectionRequest(NamedTuple):
     """A request that needs a server.
 
@@ -233,6 +248,15 @@
             if entry.server.instance not in attempted
         )
 
+    def shortage(self, service: str) -> Shortage:
+        """Returns why no server of a service could be chosen."""
+        entries = self.table.usable(service, self.loop.time())
+        if not entries:
+            return Shortage.NOT_REGISTERED
+        if all(entry.health.missed_responses for entry in entries):
+            return Shortage.UNRESPONSIVE
+        return Shortage.BUSY
+
     def _none_in_time(self, request: SelectionRequest) -> bool:
         """Returns whether no server can be available in time."""
         now = self.loop.time()
--- a/banyantiller/tests/gateway/test_log_and_metrics.py
+++ b/banyantiller/tests/gateway/test_log_and_metrics.py
@@ -58,6 +58,41 @@
             ["gateway: store is lost.", "gateway: store is back."], events
         )
 
+    def test_line_of_a_refused_call_says_what_servers_lacked(self):
+        async def silent(env):
+            env.fault(silent=True)
+            await env.request("a")
+            page = metrics.MetricsPage(env.gateway)
+            text = page.text().decode()
+            page.instruments.close()
+            return text
+
+        async def not_registered(env):
+            for instance in env.servers:
+                env.store.remove("servers", instance)
+            await asyncio.sleep(1)
+            await env.request("a")
+
+        async def busy(env):
+            for server in env.servers.values():
+                server.running = server.slots
+            await env.request("a")
+
+        for body, reason in (
+            (silent, "servers_unresponsive"),
+            (not_registered, "servers_not_registered"),
+            (busy, "servers_busy"),
+        ):
+            text, lines = self.play(body)
+            (line,) = [entry for entry in lines if entry.get("id") == "a"]
+            self.assertEqual(
+                ("no_server", reason), (line["error"], line["reason"])
+            )
+            if body is silent:
+                self.assertIn(
+                    'unresponsive_servers{service="orders"} 3.0', text
+                )
+
     def test_successful_calls_are_sampled_and_failures_are_not(self):
         sampler = sampling.CallSampler()
         sampler.begin_second(1.0)
