--- a/banyantiller/tests/gateway/crash_harness.py
+++ b/banyantiller/tests/gateway/crash_harness.py
@@ -39,6 +39,7 @@
     """Daemons that know each other, and servers that a request crashes.
 
     Attributes:
+        ports: Control ports of the daemons; 0 for a daemon without one.
         harness: The harness that the fleet runs in.
         crashing_path: Prefix of the targets of requests that crash servers.
         daemons: The daemons.
@@ -48,6 +49,8 @@
         tasks: Background tasks.
     """
 
+    ports = (*RELAY_PORTS, *[0] * SUBSCRIBER_COUNT)
+
     def __init__(self, harness, crashing_path):
         self.harness = harness
         self.crashing_path = crashing_path
@@ -64,7 +67,7 @@
             self.harness.store.remove("servers", instance)
         for _ in range(SERVER_COUNT):
             await self._start_server()
-        for port in (*RELAY_PORTS, *[0] * SUBSCRIBER_COUNT):
+        for port in self.ports:
             await self.add_daemon(port)
         # Until then, daemons have no share of the retry budget.
         await asyncio.sleep(SETTLE_S)
--- a/banyantiller/tests/gateway/harness.py
+++ b/banyantiller/tests/gateway/harness.py
@@ -104,6 +104,7 @@
         store: Stand-in of the store.
         servers: Stand-ins of servers by instance.
         gateway: The gateway.
+        gateway_class: Class of gateways to start.
         port: Port on which it listens for callers.
         unresponsive: Servers that accept requests of peers but do not respond,
             by the control port of the daemon that takes their place.
@@ -117,6 +118,7 @@
         self.tasks = []
         self.controls = []
         self.unresponsive = {}
+        self.gateway_class = gateways.Gateway
 
     async def __aenter__(self):
         """Starts the store, three servers and the gateway."""
@@ -159,7 +161,7 @@
         )
         adapter = plugin.create(Endpoint(ADDRESS, self.bound.port))
         rng = random.Random(self.seed)
-        self.gateway = gateways.Gateway(settings, adapter, rng)
+        self.gateway = self.gateway_class(settings, adapter, rng)
         bodies = [
             watcher.run()
             for watcher in self.gateway.store_view.store_watchers()
