Forward calls to daemons that reach servers when this one does not

Cause: a call's only way was a link of its own daemon.

Now a call to which no server responds is forwarded to a daemon that reaches servers. The relays know the daemons by their queries, which state where forwarded calls are taken and which services are not reached; a daemon asks them for a list when it needs one. It keeps the call: route, service, retries, hedges and budgets stay its decisions, and the other one chooses a server and sends once. So routes don't go back where the other has an older document, and a route's limit on attempts holds. A daemon that shuts down takes no forwarded calls and completes those it has.

--- a/banyantiller/explain/explanation.py
+++ b/banyantiller/explain/explanation.py
@@ -24,6 +24,8 @@
         events.ServerReportedFailing,
         events.ZoneEvacuated,
         events.ZoneGivenBack,
+        events.ServersUnreachable,
+        events.ServersReachable,
         events.ServerLimited,
         events.ServerUnlimited,
         events.LimitUnreadable,
@@ -191,7 +193,14 @@
         )
     rest = ", ".join(
         f"{name} {fields[name]}"
-        for name in ("instance", "reason", "error", "version", "away_s")
+        for name in (
+            "service",
+            "instance",
+            "reason",
+            "error",
+            "version",
+            "away_s",
+        )
         if fields.get(name)
     )
     event = line.event.partition(": ")[2].rstrip(".")
@@ -203,6 +212,10 @@
     error = fields.get("error")
     where = f"route {fields.get('route') or 'none'}"
     where += f", document version {fields.get('version')}"
+    if fields.get("forwarded_by"):
+        where += f", forwarded by {fields['forwarded_by']}"
+    if fields.get("peers"):
+        where += f", forwarded to {', then '.join(fields['peers'])}"
     if error:
         meaning = ERROR_DESCRIPTIONS.get(error, error)
         ran = RAN_SENTENCES[bool(fields.get("maybe_ran"))]
--- a/banyantiller/gateway/attempts.py
+++ b/banyantiller/gateway/attempts.py
@@ -11,6 +11,7 @@
     pool,
     probing,
     protocols,
+    servers,
 )
 from banyantiller.http import messages
 from banyantiller.quarantine import crash_tracker
@@ -20,26 +21,26 @@
 SERVER_FAULT_STATUSES = frozenset((500, 501, 502, 503))
 
 
-class Attempt:
-    """Sends a call to a server and waits for the response.
+class RunningAttempt:
+    """An attempt of a call that runs as a task.
 
     Attributes:
-        entry: The server.
-        candidate: The server's reported load, and a connection if one is open.
+        entry: The server, or None if another daemon chooses it.
         started_at: Loop time at which the attempt started.
-        sent: Whether the request was sent, so that the server may execute it.
+        sent: Whether the request was sent, so that a server may execute it.
         sent_at: Loop time at which it was sent.
         task: Task of the attempt; its result is the outcome.
     """
 
     def __init__(
-        self, call: protocols.RunningCall, candidate: probing.Candidate
+        self,
+        call: protocols.RunningCall,
+        entry: servers.ServerEntry | None,
     ) -> None:
         self.call = call
         self.gateway = call.gateway
         self.loop = call.loop
-        self.candidate = candidate
-        self.entry = candidate.entry
+        self.entry = entry
         self.started_at = self.loop.time()
         self.sent = False
         self.sent_at = 0.0
@@ -50,6 +51,27 @@
         self.task.cancel()
         await asyncio.gather(self.task, return_exceptions=True)
 
+    def finish(self) -> exchange.Outcome:
+        """Records the result of an ended attempt and returns the outcome."""
+        raise NotImplementedError
+
+    async def _run(self) -> exchange.Outcome:
+        raise NotImplementedError
+
+
+class Attempt(RunningAttempt):
+    """Sends a call to a server and waits for the response.
+
+    Attributes:
+        candidate: The server's reported load, and a connection if one is open.
+    """
+
+    def __init__(
+        self, call: protocols.RunningCall, candidate: probing.Candidate
+    ) -> None:
+        self.candidate = candidate
+        super().__init__(call, candidate.entry)
+
     def finish(self) -> exchange.Outcome:
         """Records the result in the server's health and returns the outcome."""
         outcome = self.task.result()
--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -1,7 +1,6 @@
 """Handles one call: its route, its attempts at servers and its response."""
 
 import asyncio
-import math
 
 from banyantiller.errors import ErrorKind, Failure, Ran
 from banyantiller.gateway import (
@@ -10,16 +9,19 @@
     crash_detection,
     events,
     exchange,
+    forwarding,
     probing,
     progress,
     protocols,
+    refusals,
     replies,
     requests,
     routes,
     server_choice,
+    target_choice,
     types,
 )
-from banyantiller.gateway.decisions import hedging, retry_after, waiting
+from banyantiller.gateway.decisions import hedging
 
 # With less time left, a server could not execute the request.
 MIN_REMAINING_S = 0.01
@@ -47,6 +49,10 @@
             respond to a probe.
         failed_response: Last 5xx response of a server, forwarded if no other
             server responds successfully.
+        shortage: Why no server could be chosen last.
+        by_peer: Refusal by the last daemon that it was forwarded to, or None.
+        forwarded_by: Name of the daemon that forwarded it here; empty for a
+            call of a caller of this daemon.
     """
 
     def __init__(
@@ -59,7 +65,7 @@
         self.service = ""
         self.deadline = request.received + gateway.default_timeout_s
         self.attempted: set[str] = set()
-        self.attempts: list[attempts.Attempt] = []
+        self.attempts: list[attempts.RunningAttempt] = []
         self.hedging_stopped = False
         self.next_hedge_at = 0.0
         self.server_suspected = False
@@ -69,6 +75,18 @@
         self.version = 0
         self.route: types.Route | None = None
         self.urgent = False
+        self.shortage = server_choice.Shortage.NOT_REGISTERED
+        self.by_peer: exchange.RefusedByPeer | None = None
+        self.forwarded_by = ""
+
+    def accept_forwarded(self, forwarded: types.ForwardedRoute) -> None:
+        """Sets the route that another daemon has chosen."""
+        self.forwarded_by = forwarded.daemon
+        self.route = forwarded.route
+        self.service = forwarded.service
+        self.version = forwarded.version
+        self.urgent = forwarded.urgent
+        self.deadline = forwarded.deadline
 
     def look_up_route(self) -> None:
         """Sets the route and the deadline from the document in force.
@@ -106,7 +124,7 @@
         except Exception:
             fault = call_events.InternalError(self.request.request_id)
             events.emit(fault, exc_info=True)
-            reply = self._fail(ErrorKind.INTERNAL)
+            reply = self._fail(Failure(ErrorKind.INTERNAL))
         self._record_end(reply.status, self.progress.error)
         return reply
 
@@ -116,25 +134,29 @@
         if self.route is None:
             self.look_up_route()
         if self.route is None:
-            failure = self.gateway.store_view.refusal_of(
-                ErrorKind.UNKNOWN_SERVICE
+            return self._fail(
+                self.gateway.store_view.refusal_of(ErrorKind.UNKNOWN_SERVICE)
             )
-            return self._fail(failure.error_kind, failure.retry_after)
-        self.service = self.route_table.choose_service(self.route)
-        self.gateway.budget_of(self.service).record_request(self.loop.time())
+        if not self.forwarded_by:
+            self.service = self.route_table.choose_service(self.route)
+            now = self.loop.time()
+            self.gateway.budget_of(self.service).record_request(now)
+            service = self.route_table.document.services[self.service]
+        else:
+            service = self.gateway.store_view.service(self.service)
+        if service is None:
+            return self._end_without_server()
         try:
             async with asyncio.timeout_at(self.deadline):
-                return await self._run_attempts(self.route_table)
+                return await self._run_attempts(service)
         except TimeoutError:
             if self.progress.maybe_ran:
-                return self._fail(ErrorKind.DEADLINE_AFTER_START)
-            return self._fail_with_retry_after(ErrorKind.DEADLINE_UNREACHABLE)
+                return self._fail(Failure(ErrorKind.DEADLINE_AFTER_START))
+            kind = ErrorKind.DEADLINE_UNREACHABLE
+            return self._fail(refusals.with_retry_after(self, kind))
 
-    async def _run_attempts(
-        self, route_table: routes.RouteTable
-    ) -> replies.Reply:
+    async def _run_attempts(self, service: types.Service) -> replies.Reply:
         """Sends to servers until one responds, with one hedge at most."""
-        service = route_table.document.services[self.service]
         try:
             while True:
                 if not self.attempts or self._hedge_is_due():
@@ -161,39 +183,36 @@
             attempt is left, or None.
         """
         is_hedge = bool(self.attempts)
-        if self._is_quarantined():
+        sends_left = self.progress.sends < self.route.max_attempts
+        if self._is_quarantined() or not sends_left:
             self.hedging_stopped = True
             return None if is_hedge else self._end_without_server()
-        candidate = await self._choose_server(service, is_hedge)
-        if candidate is None:
+        target = await self._choose_target(service, is_hedge)
+        if target is None:
             self.next_hedge_at = self.loop.time() + hedging.RECHECK_PAUSE_S
             return None if is_hedge else self._end_without_server()
         if self._is_quarantined() or not self._can_send(is_hedge):
-            self.gateway.prober.release([candidate])
+            if isinstance(target, probing.Candidate):
+                self.gateway.prober.release([target])
             self.hedging_stopped = True
             return None if is_hedge else self._end_without_server()
-        self.attempted.add(candidate.entry.server.instance)
-        self.attempts.append(attempts.Attempt(self, candidate))
+        if isinstance(target, probing.Candidate):
+            self.attempted.add(target.entry.server.instance)
+            self.attempts.append(attempts.Attempt(self, target))
+        else:
+            self.progress.peers.append(target)
+            self.attempts.append(forwarding.ForwardedAttempt(self, target))
         return None
 
-    async def _choose_server(
+    async def _choose_target(
         self, service: types.Service, is_hedge: bool
-    ) -> probing.Candidate | None:
-        """Selects a server; a hedge within the objective needs a good score."""
-        now = self.loop.time()
-        objective_s = self.route.objective_s
-        in_time = now < self.request.received + objective_s
-        usual_s = self.gateway.durations.usual_s(self.route.name, objective_s)
-        limits = waiting.wait_limits(objective_s, usual_s, self.urgent, now)
-        self.progress.usual_s = usual_s
-        selection_request = server_choice.SelectionRequest(
-            self.route,
-            service,
-            waiting.no_wait(now) if is_hedge else limits,
-            frozenset(self.attempted),
-            hedging.MAX_SCORE if is_hedge and in_time else math.inf,
-        )
-        return await self.gateway.chooser.choose(selection_request)
+    ) -> probing.Candidate | str | None:
+        """Returns a server, or the address of a daemon, or None."""
+        choice = await target_choice.choose_server(self, service, is_hedge)
+        if isinstance(choice, probing.Candidate):
+            return choice
+        self.shortage = choice
+        return await target_choice.choose_peer(self, choice)
 
     def _can_send(self, is_hedge: bool) -> bool:
         if self.progress.sends == 0:
@@ -245,7 +264,7 @@
 
     async def _wait_for_attempts(
         self, service: types.Service
-    ) -> list[attempts.Attempt]:
+    ) -> list[attempts.RunningAttempt]:
         """Waits until an attempt ends or the next hedging check is due."""
         tasks = {attempt.task for attempt in self.attempts}
         if not tasks:
@@ -272,7 +291,7 @@
         ):
             return
         entry = self.attempts[0].entry
-        if not self.gateway.chooser.accepts(entry):
+        if entry is None or not self.gateway.chooser.accepts(entry):
             return
         candidates = await self.gateway.prober.probe(
             [entry], service.health_path
@@ -287,7 +306,7 @@
             )
 
     def _process_outcomes(
-        self, finished: list[attempts.Attempt]
+        self, finished: list[attempts.RunningAttempt]
     ) -> replies.Reply | None:
         """Processes ended attempts; returns the reply if there is one."""
         for attempt in finished:
@@ -303,7 +322,11 @@
                 if not self.idempotent or self._crashed_too_many(
                     attempt, outcome
                 ):
-                    return self._fail(outcome.kind)
+                    return self._fail(Failure(outcome.kind))
+            elif isinstance(outcome, exchange.RefusedByPeer):
+                self.by_peer = outcome
+                if forwarding.is_final(outcome):
+                    return self._end_without_server()
         return None
 
     def _is_quarantined(self) -> bool:
@@ -321,13 +344,15 @@
         )
 
     def _crashed_too_many(
-        self, attempt: attempts.Attempt, broken: exchange.BrokenResponse
+        self, attempt: attempts.RunningAttempt, broken: exchange.BrokenResponse
     ) -> bool:
         """Returns whether too many servers crashed for another attempt.
 
         After one crash the request most likely was not the cause. After a
         second one, another attempt would risk crashing a further server.
         """
+        if attempt.entry is None:
+            return False
         if broken.kind is not ErrorKind.CONNECTION_LOST:
             return False
         incarnation = crash_detection.incarnation_id(attempt.entry.server)
@@ -357,42 +382,17 @@
         if self.failed_response is not None:
             return self._forward_response(self.failed_response)
         if self.progress.maybe_ran:
-            return self._fail(ErrorKind.CONNECTION_LOST)
+            return self._fail(Failure(ErrorKind.CONNECTION_LOST))
         wait_s = self._quarantine_left_s()
         if wait_s is not None:
-            return self._fail(ErrorKind.QUARANTINED, wait_s)
-        now = self.loop.time()
-        if self.gateway.store_view.table.all_evacuated(self.service, now):
-            self.progress.reason = "zone_evacuated"
-            return self._fail(
-                ErrorKind.NO_SERVER, retry_after.EVACUATED_RETRY_AFTER_S
-            )
-        shed = self.progress.sends > 0
-        kind = ErrorKind.BACKEND_SHED if shed else ErrorKind.NO_SERVER
-        chooser = self.gateway.chooser
-        wait_s = chooser.seconds_until_available(self.service, self.attempted)
-        if 0 < wait_s < math.inf:
-            backed_off = chooser.any_backed_off(self.service, self.attempted)
-            self.progress.reason = (
-                "servers_backed_off" if backed_off else "servers_limited"
-            )
-            return self._fail(kind, retry_after.available_retry_after_s(wait_s))
-        if kind is ErrorKind.NO_SERVER:
-            self.progress.reason = chooser.shortage(self.service).value
-        return self._fail_with_retry_after(kind)
-
-    def _fail_with_retry_after(self, kind: ErrorKind) -> replies.Reply:
-        by_servers = kind is ErrorKind.BACKEND_SHED
-        retry_after_s = retry_after.retry_after_s(
-            self.gateway.random, by_servers
+            return self._fail(Failure(ErrorKind.QUARANTINED, "", wait_s))
+        return self._fail(
+            refusals.failure_without_server(self, self.shortage, self.by_peer)
         )
-        return self._fail(kind, retry_after_s)
 
-    def _fail(
-        self, kind: ErrorKind, retry_after_s: float | None = None
-    ) -> replies.Reply:
-        self.progress.error = kind
-        failure = Failure(kind, retry_after=retry_after_s)
+    def _fail(self, failure: Failure) -> replies.Reply:
+        self.progress.error = failure.error_kind
+        self.progress.retry_after_s = failure.retry_after
         ran = Ran.UNKNOWN if self.progress.maybe_ran else failure.response.ran
         return replies.from_failure(failure, ran, self.gateway.settings.daemon)
 
--- a/banyantiller/gateway/call_events.py
+++ b/banyantiller/gateway/call_events.py
@@ -146,6 +146,16 @@
     instances: Annotated[
         list[str], "Instance names of these servers, in order."
     ]
+    peers: Annotated[
+        list[str],
+        "Daemons that it was forwarded to, as no server responded here: IP"
+        " address and port, in order.",
+    ]
+    forwarded_by: Annotated[
+        str,
+        "Name of the daemon that forwarded it here; empty for a call of a"
+        " caller of this daemon.",
+    ]
     among: Annotated[
         int, "Number of servers that the last one was chosen from."
     ]
--- a/banyantiller/gateway/call_log.py
+++ b/banyantiller/gateway/call_log.py
@@ -38,6 +38,8 @@
         maybe_ran=progress.maybe_ran,
         sends=progress.sends,
         instances=progress.instances,
+        peers=progress.peers,
+        forwarded_by=call.forwarded_by,
         among=progress.answered_count,
         load=progress.load and list(progress.load),
         load_age_ms=round(progress.load_age_s * 1000, 1),
--- /dev/null
+++ b/banyantiller/gateway/daemon_list.py
@@ -0,0 +1,184 @@
+"""Lists the daemons that reach the servers of a service.
+
+Every daemon queries a relay for changes and states in each query where it takes
+forwarded calls and which services it doesn't reach, so the relays together
+know the fleet. Nothing is stored or agreed: a list is a hint, and a daemon
+on it may reject a call.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from typing import NamedTuple, TypedDict
+from urllib import parse
+
+import msgspec
+
+from banyantiller.gateway import events, mirror, peers
+from banyantiller.http import messages, outcomes
+
+PATH = "/daemons"
+# Maximum number of daemons in one reply: enough to spread calls over, also if
+# half of them have lost their links since.
+MAX_LISTED = 16
+# A relay that responds does so within 10 ms. Calls wait for the first list.
+QUERY_TIMEOUT_S = 0.1
+# How long a list is used before the relays are queried again.
+REFRESH_S = 0.5
+
+
+class DaemonFields(TypedDict):
+    """One daemon in a message: where it takes forwarded calls, and its zone."""
+
+    address: str
+    zone: str
+
+
+class ListFields(TypedDict):
+    """Reply of a relay."""
+
+    daemons: list[DaemonFields]
+
+
+class LocalContact(NamedTuple):
+    """What this daemon states about itself.
+
+    Attributes:
+        address: IP number and port of its control listener; empty for none.
+        zone: Its availability zone.
+        unreachable: Returns the names of the services that it doesn't reach.
+    """
+
+    address: str
+    zone: str
+    unreachable: Callable[[], list[str]]
+
+    def to_query(self) -> str:
+        """Returns the query parameters that state it; empty without address."""
+        if not self.address:
+            return ""
+        query = {"control": self.address, "zone": self.zone}
+        unreachable = self.unreachable()
+        if unreachable:
+            query["unreachable"] = ",".join(unreachable)
+        return f"&{parse.urlencode(query)}"
+
+
+class DaemonList:
+    """Daemons that reach a service, as relays list them.
+
+    Attributes:
+        relays: The relays, without this daemon.
+        local_mirror: Knows the daemons that query this one.
+        contact: What this daemon states about itself.
+        listed: Daemons by service.
+        queried_at: Loop time of the last query by service.
+        queries: Running queries by service.
+    """
+
+    def __init__(
+        self,
+        relays: list[peers.Peer],
+        local_mirror: mirror.Mirror,
+        contact: LocalContact,
+        rng: random.Random,
+    ) -> None:
+        self.relays = relays
+        self.local_mirror = local_mirror
+        self.contact = contact
+        self.random = rng
+        self.listed: dict[str, list[DaemonFields]] = {}
+        self.queried_at: dict[str, float] = {}
+        self.queries: dict[str, asyncio.Task[None]] = {}
+        self.loop = asyncio.get_running_loop()
+        for peer in relays:
+            peer.contact = contact.to_query
+
+    async def find(self, service: str) -> list[DaemonFields]:
+        """Returns daemons that reach a service, other than this one.
+
+        A known list is returned at once, and renewed in the background if it
+        is outdated.
+        """
+        now = self.loop.time()
+        due = now >= self.queried_at.get(service, -REFRESH_S) + REFRESH_S
+        if due and service not in self.queries:
+            self.queried_at[service] = now
+            query = self.loop.create_task(self._query(service))
+            self.queries[service] = query
+            query.add_done_callback(lambda _: self.queries.pop(service, None))
+        if not self.listed.get(service) and service in self.queries:
+            await asyncio.wait([self.queries[service]])
+        return self.listed.get(service, [])
+
+    def handle(self, request: messages.Request) -> messages.Response:
+        """Answers the query of another daemon."""
+        service = request.query.get("service", "")
+        zone = request.query.get("zone", "")
+        known = self._known_here(service)
+        if self.contact.address and service not in self.contact.unreachable():
+            known.append(self._local_fields())
+        reply = ListFields(daemons=self._select(known, zone))
+        return messages.Response(200, (), msgspec.json.encode(reply))
+
+    def close(self) -> None:
+        """Cancels running queries."""
+        for query in self.queries.values():
+            query.cancel()
+
+    def _local_fields(self) -> DaemonFields:
+        return DaemonFields(
+            address=self.contact.address, zone=self.contact.zone
+        )
+
+    def _known_here(self, service: str) -> list[DaemonFields]:
+        """Returns the daemons that query this one and reach a service."""
+        return [
+            DaemonFields(address=one.address, zone=one.zone)
+            for one in self.local_mirror.contacts()
+            if service not in one.unreachable
+        ]
+
+    def _select(
+        self, known: list[DaemonFields], zone: str
+    ) -> list[DaemonFields]:
+        """Returns some daemons at random, those of a zone first."""
+        self.random.shuffle(known)
+        known.sort(key=lambda one: one["zone"] != zone)
+        return known[:MAX_LISTED]
+
+    async def _query(self, service: str) -> None:
+        replies = await asyncio.gather(
+            *(self._query_relay(peer, service) for peer in self.relays)
+        )
+        found = self._known_here(service)
+        for reply in replies:
+            found += reply
+        self.listed[service] = [
+            one
+            for one in _unique(found)
+            if one["address"] != self.contact.address
+        ]
+
+    async def _query_relay(
+        self, peer: peers.Peer, service: str
+    ) -> list[DaemonFields]:
+        query = parse.urlencode({"service": service, "zone": self.contact.zone})
+        outcome = await peer.client.request(
+            "GET", f"{PATH}?{query}", QUERY_TIMEOUT_S
+        )
+        if not isinstance(outcome, outcomes.Answered):
+            return []
+        if outcome.response.status != 200:
+            return []
+        try:
+            reply = msgspec.json.decode(outcome.body, type=ListFields)
+        except msgspec.DecodeError as error:
+            events.emit(events.PeerMessageUnreadable(peer.address, str(error)))
+            return []
+        return reply["daemons"]
+
+
+def _unique(daemons: Iterable[DaemonFields]) -> list[DaemonFields]:
+    """Returns each daemon once."""
+    return list({one["address"]: one for one in daemons}.values())
--- a/banyantiller/gateway/decisions/server_health.py
+++ b/banyantiller/gateway/decisions/server_health.py
@@ -76,6 +76,10 @@
         self.missed_responses = min(self.missed_responses + 1, 8)
         return was_responsive
 
+    def end_pause(self) -> None:
+        """Ends the time for which the server is skipped."""
+        self.unresponsive_until = -math.inf
+
     def record_result(self, successful: bool, now: float) -> None:
         """Records whether a request at the server succeeded."""
         rate = self._local_failure_rate(now)
--- a/banyantiller/gateway/events.py
+++ b/banyantiller/gateway/events.py
@@ -294,6 +294,25 @@
     instance: Instance
 
 
+@event("gateway: no server of a service responds.", "warning")
+class ServersUnreachable(NamedTuple):
+    """None of several servers of a service responded to this daemon.
+
+    Calls are forwarded to daemons that reach servers, or refused at once.
+    """
+
+    service: Annotated[str, "Name of the service."]
+    servers: Annotated[int, "Servers of it that may get requests."]
+
+
+@event("gateway: servers of a service respond again.")
+class ServersReachable(NamedTuple):
+    """A server of a service responds that this daemon did not reach."""
+
+    service: Annotated[str, "Name of the service."]
+    lost_s: Annotated[float, "For how long none responded, in seconds."]
+
+
 @event("gateway: server is doubted.")
 class ServerReportedFailing(NamedTuple):
     """Several daemons reported a server as failing.
--- a/banyantiller/gateway/exchange.py
+++ b/banyantiller/gateway/exchange.py
@@ -94,7 +94,22 @@
     reason: str
 
 
-Outcome = CompleteResponse | NotRun | BrokenResponse
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefusedByPeer:
+    """A daemon refused a forwarded request, and no server executed it.
+
+    Attributes:
+        kind: Kind of the failure.
+        reason: Why no server could be chosen there, or empty.
+        retry_after_s: Time after which a retry is useful, in seconds, or None.
+    """
+
+    kind: ErrorKind
+    reason: str = ""
+    retry_after_s: float | None = None
+
+
+Outcome = CompleteResponse | NotRun | BrokenResponse | RefusedByPeer
 
 
 async def run(
--- /dev/null
+++ b/banyantiller/gateway/forwarded_calls.py
@@ -0,0 +1,119 @@
+"""Runs calls that other daemons forward to this one."""
+
+import asyncio
+from typing import Protocol
+
+import msgspec
+
+from banyantiller.errors import ErrorKind
+from banyantiller.gateway import (
+    call,
+    forwarding,
+    protocols,
+    replies,
+    requests,
+    types,
+)
+from banyantiller.http import messages
+
+
+class DaemonContext(protocols.CallContext, Protocol):
+    """Interface of the gateway for forwarded calls."""
+
+    def accepts_forwarded_calls(self) -> bool:
+        """Returns whether forwarded calls are accepted."""
+
+    def signal_if_drained(self) -> None:
+        """Tells a daemon that drains that a forwarded call has ended."""
+
+
+class ForwardedCalls:
+    """Handles messages with forwarded calls.
+
+    Attributes:
+        running: Number of forwarded calls that are running.
+    """
+
+    def __init__(self, gateway: DaemonContext) -> None:
+        self.gateway = gateway
+        self.running = 0
+        self.loop = asyncio.get_running_loop()
+
+    async def handle(self, request: messages.Request) -> messages.Response:
+        """Runs a forwarded call; cancelled if the other daemon disconnects."""
+        if not self.gateway.accepts_forwarded_calls():
+            return messages.Response(503)
+        try:
+            fields = msgspec.msgpack.decode(
+                request.body, type=forwarding.ForwardedRequest
+            )
+        except msgspec.DecodeError:
+            return messages.Response(400)
+        forwarded = self._build_call(fields)
+        self.running += 1
+        try:
+            reply = await forwarded.run()
+        finally:
+            self.running -= 1
+            self.gateway.signal_if_drained()
+        body = msgspec.msgpack.encode(_build_reply(forwarded, reply))
+        return messages.Response(200, (), body)
+
+    def _build_call(self, fields: forwarding.ForwardedRequest) -> call.Call:
+        """Builds a call whose route the other daemon has chosen."""
+        now = self.loop.time()
+        remaining_s = fields["remaining_ms"] / 1000
+        request = requests.Request(
+            method=fields["method"],
+            target=fields["target"],
+            host=fields["host"],
+            headers=tuple(fields["headers"]),
+            body=fields["body"],
+            has_body=fields["has_body"],
+            request_id=fields["request_id"],
+            remaining_s=remaining_s,
+            received=now - fields["waited_ms"] / 1000,
+            fingerprint=fields["fingerprint"],
+        )
+        route = types.Route(
+            name=fields["route"],
+            host=fields["host"],
+            prefix="/",
+            idempotent=fields["idempotent"],
+            timeout_s=remaining_s,
+            objective_s=fields["objective_ms"] / 1000,
+            priority=0,
+            max_attempts=1,
+            weighted_services=(types.WeightedService(fields["service"], 1),),
+        )
+        forwarded = call.Call(self.gateway, request)
+        forwarded.accept_forwarded(
+            types.ForwardedRoute(
+                fields["daemon"],
+                route,
+                fields["service"],
+                fields["version"],
+                fields["urgent"],
+                now + remaining_s,
+            )
+        )
+        forwarded.attempted.update(fields["attempted"])
+        return forwarded
+
+
+def _build_reply(
+    forwarded: call.Call, reply: replies.Reply
+) -> forwarding.ForwardedReply:
+    progress = forwarded.progress
+    error: ErrorKind | None = progress.error
+    return forwarding.ForwardedReply(
+        status=reply.status,
+        headers=list(reply.headers),
+        body=reply.body,
+        length=reply.length,
+        error=None if error is None else error.value,
+        reason=progress.reason,
+        maybe_ran=progress.maybe_ran,
+        instances=progress.instances,
+        retry_after_s=progress.retry_after_s,
+    )
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -12,10 +12,14 @@
     call_log,
     caller,
     crash_detection,
+    daemon_list,
     events,
+    forwarded_calls,
+    forwarding,
     pool,
     probing,
     quarantine_sync,
+    reachability,
     sampling,
     server_backoffs,
     server_choice,
@@ -72,6 +76,9 @@
         server_limits: Rate limits that servers name.
         server_backoffs: Times for which servers want no requests.
         response_recorders: Evaluate the responses of servers.
+        reachability: Services of which no server responds to this daemon.
+        forwarder: Forwards calls to daemons that reach servers.
+        forwarded_calls: Runs calls that other daemons forward.
     """
 
     def __init__(
@@ -142,6 +149,17 @@
             self.server_limits,
             self.server_backoffs,
         )
+        self.reachability = reachability.Reachability(
+            self.store_view.table, self.prober, self.store_view.service, rng
+        )
+        contact = daemon_list.LocalContact(
+            settings.control, settings.zone, self.reachability.lost_services
+        )
+        daemons = daemon_list.DaemonList(
+            self.store_view.reader.relays, self.store_view.mirror, contact, rng
+        )
+        self.forwarder = forwarding.Forwarder(daemons, rng)
+        self.forwarded_calls = forwarded_calls.ForwardedCalls(self)
         self.all_closed = asyncio.Event()
         self.listener: asyncio.Server | None = None
 
@@ -202,7 +220,7 @@
             connection.drain()
         # It may be set if no connection was open for a moment.
         self.all_closed.clear()
-        self._signal_if_closed()
+        self.signal_if_drained()
         try:
             async with asyncio.timeout_at(deadline):
                 await self.all_closed.wait()
@@ -234,12 +252,18 @@
         self.quarantine_sync.close()
         for server_pool in self.pools.values():
             server_pool.close()
+        self.reachability.close()
+        await self.forwarder.close()
         await self.store_view.reader.close()
 
     async def handle_peer(self, request: messages.Request) -> messages.Response:
         """Handles a request of a peer."""
         if request.path.startswith(quarantine_sync.PATH):
             return self.quarantine_sync.handle(request)
+        if request.path == daemon_list.PATH:
+            return self.forwarder.daemons.handle(request)
+        if request.path == forwarding.PATH:
+            return await self.forwarded_calls.handle(request)
         return await self.store_view.mirror.handle(request)
 
     def pool_of(self, server: types.Server) -> pool.Pool:
@@ -297,8 +321,20 @@
     def remove_connection(self, connection: caller.CallerConnection) -> None:
         """Removes a closed connection of a caller."""
         self.connections.discard(connection)
-        if self.draining:
-            self._signal_if_closed()
+        self.signal_if_drained()
+
+    def accepts_forwarded_calls(self) -> bool:
+        """Returns whether calls of other daemons' callers are accepted."""
+        return not self.not_ready_reason()
+
+    def signal_if_drained(self) -> None:
+        """Ends the drain once no connection and no forwarded call is left."""
+        if (
+            self.draining
+            and not self.connections
+            and not self.forwarded_calls.running
+        ):
+            self.all_closed.set()
 
     def record_call(
         self, call: calls.Call, status: int, error: ErrorKind | None
@@ -307,9 +343,12 @@
         progress = call.progress
         duration_s = self.loop.time() - call.request.received
         route = call.route.name if call.route is not None else ""
-        self.tallies.record_call(
-            call.service, route, status, error, progress.sends, duration_s
-        )
+        if call.forwarded_by:
+            self.tallies.received[call.service, status] += 1
+        else:
+            self.tallies.record_call(
+                call.service, route, status, error, progress.sends, duration_s
+            )
         successful = error is None and status < 500 and progress.sends <= 1
         skipped = self.sampler.begin_second(self.loop.time())
         if skipped is not None:
@@ -360,8 +399,6 @@
             server_pool.close()
 
     def _in_flight(self) -> int:
-        return sum(len(connection.pipeline) for connection in self.connections)
-
-    def _signal_if_closed(self) -> None:
-        if not self.connections:
-            self.all_closed.set()
+        """Counts the calls in flight, forwarded ones included."""
+        own = sum(len(connection.pipeline) for connection in self.connections)
+        return own + self.forwarded_calls.running
--- a/banyantiller/gateway/mirror.py
+++ b/banyantiller/gateway/mirror.py
@@ -44,6 +44,29 @@
 GONE_STATUS = 410
 
 
+class Contact(NamedTuple):
+    """A daemon that takes forwarded calls.
+
+    Attributes:
+        address: IP number and port of its control listener.
+        zone: Its availability zone.
+        unreachable: Names of the services that it doesn't reach.
+    """
+
+    address: str
+    zone: str
+    unreachable: frozenset[str]
+
+    @classmethod
+    def from_query(cls, query: dict[str, str]) -> "Contact | None":
+        """Returns the contact that a subscriber states, or None."""
+        address = query.get("control", "")
+        if not address:
+            return None
+        unreachable = frozenset(query.get("unreachable", "").split(","))
+        return cls(address, query.get("zone", ""), unreachable)
+
+
 class Subscriber(NamedTuple):
     """A daemon that reads the store through this one.
 
@@ -51,10 +74,12 @@
         queried_at: Loop time of its last query.
         shares: Whether it takes its share of the fleet's budgets from this
             relay's group; a daemon that is a relay itself has its own group.
+        contact: Where it takes forwarded calls, or None.
     """
 
     queried_at: float
     shares: bool
+    contact: Contact | None = None
 
 
 class Freshness:
@@ -122,6 +147,11 @@
         """Returns whether other daemons read through this one."""
         return bool(self._active_subscribers())
 
+    def contacts(self) -> list[Contact]:
+        """Returns the subscribers that take forwarded calls."""
+        found = [one.contact for one in self._active_subscribers()]
+        return [contact for contact in found if contact is not None]
+
     def count_sharers(self) -> int:
         """Counts the daemons that share the group's budget, with itself."""
         return (
@@ -187,7 +217,8 @@
             return messages.Response(400)
         is_first = not self.has_subscribers()
         now = self.loop.time()
-        self.subscribers[name] = Subscriber(now, shares)
+        contact = Contact.from_query(request.query)
+        self.subscribers[name] = Subscriber(now, shares, contact)
         failing = [n for n in request.query.get("failing", "").split(",") if n]
         self.failure_reports.receive(
             name, failing[: failure_reports.MAX_NAMED], now
--- a/banyantiller/gateway/peers.py
+++ b/banyantiller/gateway/peers.py
@@ -99,6 +99,8 @@
         failing: Returns the servers that failed this daemon lately.
         on_failing_servers: Called with the failing servers that the relay
             reports.
+        contact: Returns the query parameters that state where this daemon
+            takes forwarded calls.
         server_limits: Limits that servers name, or None if they are not
             tracked.
         peer_limits: Limits that the relay reported last.
@@ -123,6 +125,7 @@
         self.on_mark: Callable[[Peer, str], None] = lambda *_: None
         self.failing: Callable[[], list[str]] = list
         self.on_failing_servers: Callable[[list[str]], None] = lambda _: None
+        self.contact: Callable[[], str] = str
         self.server_limits: server_limits.ServerLimits | None = None
         self.peer_limits: list[server_limits.LimitFields] = []
 
@@ -138,6 +141,7 @@
         failing = self.failing()
         if failing:
             target += f"&failing={parse.quote(','.join(failing))}"
+        target += self.contact()
         target += self._limits_parameter()
         sent_at = _now()
         reply = await self._query(target, wait_s, peer_messages.ReplyFields)
--- a/banyantiller/gateway/progress.py
+++ b/banyantiller/gateway/progress.py
@@ -21,9 +21,12 @@
         sent_after_s: Time from its arrival to the last send, in seconds.
         usual_s: Usual duration of the route's requests at the last selection,
             in seconds; it limits how long the call waits for a server.
+        peers: Daemons that it was forwarded to, by address, in order.
         error: Kind of the failure that is reported to the caller, or None.
         reason: Why the last attempt failed, or why no server could be chosen;
             empty if neither happened.
+        retry_after_s: Time after which the caller may retry, in seconds, or
+            None.
     """
 
     sends: int = 0
@@ -34,5 +37,7 @@
     load_age_s: float = 0.0
     sent_after_s: float = 0.0
     usual_s: float = 0.0
+    peers: list[str] = dataclasses.field(default_factory=list)
     error: ErrorKind | None = None
     reason: str = ""
+    retry_after_s: float | None = None
--- a/banyantiller/gateway/protocols.py
+++ b/banyantiller/gateway/protocols.py
@@ -15,6 +15,7 @@
     pool,
     probing,
     progress,
+    reachability,
     requests,
     server_choice,
     server_responses,
@@ -39,6 +40,8 @@
     response_recorders: server_responses.Recorders
     prober: probing.LoadProber
     chooser: server_choice.ServerChooser
+    reachability: reachability.Reachability
+    forwarder: Any
     durations: durations.Durations
     default_timeout_s: float
     max_response_bytes: int
@@ -77,6 +80,10 @@
     request: requests.Request
     outgoing: exchange.OutgoingRequest
     progress: progress.Progress
+    attempted: set[str]
+    forwarded_by: str
+    urgent: bool
+    version: int
     route: types.Route | None
     service: str
     deadline: float
--- a/banyantiller/gateway/server_choice.py
+++ b/banyantiller/gateway/server_choice.py
@@ -24,8 +24,8 @@
 
     Attributes:
         NOT_REGISTERED: No server of the service may get requests.
-        UNRESPONSIVE: None of them responded to its last probe.
-        BUSY: Some responded, and had no free slot.
+        UNRESPONSIVE: None of those that were probed responded.
+        BUSY: Some responded, and none was ready in time.
     """
 
     NOT_REGISTERED = "servers_not_registered"
@@ -88,16 +88,18 @@
 
     async def choose(
         self, request: SelectionRequest
-    ) -> probing.Candidate | None:
-        """Returns the best ready server, or None if none is ready in time.
+    ) -> probing.Candidate | Shortage:
+        """Returns the best ready server, or why none is ready in time.
 
         The candidate's connection belongs to the calling function.
         """
+        shortage = Shortage.NOT_REGISTERED
         while True:
             usable = self.usable(request)
             if not usable and self._none_in_time(request):
-                return None
+                return shortage
             found = await self._probe(request, usable)
+            shortage = self._shortage(shortage, usable, found)
             now = self.loop.time()
             reprobe_at = now + waiting.REPROBE_PAUSE_S
             keep_last_slot = (
@@ -115,7 +117,7 @@
                 self.server_limits.record_send(best.entry.server, now)
                 return best
             if reprobe_at > request.wait_limits.any_server_until:
-                return None
+                return shortage
             await asyncio.sleep(waiting.REPROBE_PAUSE_S)
 
     def usable(self, request: SelectionRequest) -> list[servers.ServerEntry]:
@@ -248,14 +250,25 @@
             if entry.server.instance not in attempted
         )
 
-    def shortage(self, service: str) -> Shortage:
-        """Returns why no server of a service could be chosen."""
-        entries = self.table.usable(service, self.loop.time())
-        if not entries:
-            return Shortage.NOT_REGISTERED
-        if all(entry.health.missed_responses for entry in entries):
+    def _shortage(
+        self,
+        before: Shortage,
+        usable: list[servers.ServerEntry],
+        found: list[probing.Candidate],
+    ) -> Shortage:
+        """Returns the shortage after a round of probes.
+
+        Args:
+            before: Shortage after the rounds before.
+            usable: Servers that could be probed.
+            found: Servers that responded.
+        """
+        silent = any(entry.health.missed_responses for entry in usable)
+        if found or (usable and not silent):
+            return Shortage.BUSY
+        if silent and before is not Shortage.BUSY:
             return Shortage.UNRESPONSIVE
-        return Shortage.BUSY
+        return before
 
     def _none_in_time(self, request: SelectionRequest) -> bool:
         """Returns whether no server can be available in time."""
--- a/banyantiller/gateway/tallies.py
+++ b/banyantiller/gateway/tallies.py
@@ -21,6 +21,9 @@
         latency: Calls by service and upper bound of the latency bucket.
         total_duration_s: Total duration of calls by service, in seconds.
         failed_attempts: Failed attempts by service and kind.
+        forwarded: Calls forwarded to other daemons by service and outcome:
+            "answered", "refused" or "broken".
+        received: Calls of other daemons' callers by service and status.
         opened: New connections to servers by reason.
         documents: Documents by outcome: "in_force" or "unreadable".
         registrations: Registrations by outcome: "read" or "unreadable".
@@ -41,6 +44,12 @@
         self.failed_attempts: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
+        self.forwarded: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self.received: collections.Counter[tuple[str, int]] = (
+            collections.Counter()
+        )
         self.opened: collections.Counter[str] = collections.Counter()
         self.documents: collections.Counter[str] = collections.Counter()
         self.registrations: collections.Counter[str] = collections.Counter()
--- a/banyantiller/http/client.py
+++ b/banyantiller/http/client.py
@@ -150,13 +150,14 @@
         return outcomes.Answered(response, body)
 
     async def _open(self) -> connection.ClientConnection:
-        link = await connection.ClientConnection.open(
-            self.address,
-            self.port,
-            self.limits.head_bytes,
-            self.tls,
-            self.server_name,
-        )
+        async with asyncio.timeout(self.limits.connect_s or None):
+            link = await connection.ClientConnection.open(
+                self.address,
+                self.port,
+                self.limits.head_bytes,
+                self.tls,
+                self.server_name,
+            )
         if self.limits.silence_s:
             link.abort_when_unresponsive(self.limits.silence_s)
         return link
--- a/banyantiller/http/messages.py
+++ b/banyantiller/http/messages.py
@@ -71,6 +71,8 @@
         connections: Maximum number of open connections.
         proven_s: Maximum age of the last response, in seconds, at which a
             client reuses a connection.
+        connect_s: Timeout of a client's new connection in seconds; 0 for
+            none of its own.
         silence_s: Time in seconds without an acknowledgement by the remote
             system after which a client's connection is aborted; 0 for the
             system's default, which is hours.
@@ -83,6 +85,7 @@
     idle_s: float = 60.0
     connections: int = 256
     proven_s: float = 1.0
+    connect_s: float = 0.0
     silence_s: int = 0
 
 
--- a/banyantiller/tests/explain/test_explanation.py
+++ b/banyantiller/tests/explain/test_explanation.py
@@ -54,6 +54,17 @@
         self.assertEqual("no", found.ran)
         self.assertIn("no server became available", found.sentences[0])
 
+    def test_forwarded_request_is_followed_to_the_server(self):
+        found = self.explain(
+            line("no server of a service responds.", service="x", servers=3),
+            ended(daemon="d2", service="x", forwarded_by="d1"),
+            ended(service="x", peers=["10.0.0.2:7000"], load=None),
+        )
+        self.assertEqual("yes", found.ran)
+        self.assertIn("service x", found.sentences[0])
+        self.assertIn("forwarded by d1", found.sentences[1])
+        self.assertIn("forwarded to 10.0.0.2:7000", found.sentences[2])
+
     def test_request_whose_connection_was_lost_may_have_run(self):
         found = self.explain(
             line("a try failed.", id="a", instance="s1", kind="x", load=None),
--- a/banyantiller/tests/gateway/test_events.py
+++ b/banyantiller/tests/gateway/test_events.py
@@ -128,13 +128,19 @@
     await env.request("a")
 
 
-@shows(events.ServerUnresponsive, events.ServerResponsive)
+@shows(
+    events.ServerUnresponsive,
+    events.ServerResponsive,
+    events.ServersUnreachable,
+    events.ServersReachable,
+)
 async def server_is_unresponsive_for_a_while(env):
     env.fault(silent=True)
     await env.request("a")
     await asyncio.sleep(5)
     for one in list(env.servers.values()):
         one.faults.silent = False
+    await asyncio.sleep(1)
     await env.request("b")
 
 
--- a/banyantiller/tests/gateway/test_servers_out_of_reach.py
+++ b/banyantiller/tests/gateway/test_servers_out_of_reach.py
@@ -6,7 +6,10 @@
 """
 
 import asyncio
+import collections
 
+from banyantiller.gateway import forwarding, routes
+from banyantiller.http import messages
 from banyantiller.tests import base
 from banyantiller.tests.gateway import harness, partition_harness
 
@@ -15,6 +18,10 @@
 # Interval of calls at each daemon.
 CALL_INTERVAL_S = 0.1
 PLAY_S = 6.0
+# Time after which a daemon uses its own links again.
+REDISCOVERY_S = 0.5
+# A call that can't be served is refused within this time.
+IMMEDIATE_S = 0.02
 MAX_FAILED_SHARE = 1 / 50
 # Daemons that lose their links, two relays among them.
 CUT_DAEMONS = (0, 1, 4, 5)
@@ -80,3 +87,189 @@
 
     def test_links_on_which_open_connections_live_on(self):
         self.check_served(partition_harness.Cut.HALF)
+
+
+class ForwardingTest(PartitionTest):
+    """A forwarded call keeps every promise of a call."""
+
+    async def cut_first(self, fleet, how=partition_harness.Cut.SILENT):
+        """Cuts the links of one daemon and waits until it knows."""
+        cut = fleet.daemons[0]
+        await fleet.cut([cut], how)
+        await self.call(fleet, [cut], for_s=1.0)
+        self.assertEqual([harness.SERVICE], cut.reachability.lost_services())
+        return cut
+
+    def count_runs(self, fleet):
+        """Counts how often servers executed each request."""
+        runs = collections.Counter()
+        for server in fleet.harness.servers.values():
+            runs.update(server.ran)
+        return runs
+
+    def test_forwarding_ends_soon_after_the_links_are_back(self):
+        async def body(fleet):
+            cut = await self.cut_first(fleet)
+            await fleet.restore([cut])
+            await asyncio.sleep(REDISCOVERY_S)
+            before = cut.tallies.forwarded.total()
+            answers = await self.call(fleet, [cut], for_s=2.0)
+            return answers, cut.tallies.forwarded.total() - before
+
+        answers, forwarded = self.play(body)
+        self.assertEqual({200}, {answer.status for answer in answers})
+        self.assertEqual(0, forwarded)
+
+    def test_requests_run_at_most_once_while_links_come_and_go(self):
+        async def body(fleet):
+            cut = self.cut_daemons(fleet)
+            calls = fleet.start_task(
+                self.call(fleet, cut, "/file/x", "POST", for_s=10.0)
+            )
+            for how in (*partition_harness.Cut, *partition_harness.Cut):
+                await fleet.cut(cut, how)
+                await asyncio.sleep(1.0)
+                await fleet.restore(cut)
+                await asyncio.sleep(0.5)
+            return await calls, self.count_runs(fleet)
+
+        answers, runs = self.play(body)
+        self.assertEqual(1, max(runs.values()))
+        served = [one for one in answers if one.status == 200]
+        not_run = [one for one in answers if one.status == 503]
+        self.assertLessEqual(len(served), len(runs))
+        # None of those that were told 503 ran.
+        self.assertLessEqual(len(runs), len(answers) - len(not_run))
+        self.assertGreater(len(served), len(answers) / 2)
+
+    def test_call_is_refused_at_once_if_no_daemon_reaches_servers(self):
+        async def body(fleet):
+            await fleet.cut(fleet.daemons, partition_harness.Cut.SILENT)
+            await self.call(fleet, fleet.daemons, for_s=CONTACT_S)
+            before = self.count_runs(fleet)
+            answers = await self.call(fleet, fleet.daemons, for_s=2.0)
+            return answers, self.count_runs(fleet) - before
+
+        answers, runs = self.play(body)
+        for answer in answers:
+            self.assertEqual(503, answer.status)
+            self.assertEqual("no", answer.headers["request-ran"])
+            self.assertGreater(float(answer.headers["retry-after"]), 0)
+            self.assertLess(answer.took_s, IMMEDIATE_S)
+        self.assertEqual({}, runs)
+
+    def test_daemon_that_shuts_down_completes_forwarded_calls(self):
+        async def body(fleet):
+            cut = await self.cut_first(fleet)
+            for server in fleet.running_servers():
+                server.work_s = 0.5
+            calls = [
+                fleet.start_task(fleet.send_request(cut, "/file/x", "POST"))
+                for _ in range(5)
+            ]
+            await asyncio.sleep(0.1)
+            others = fleet.daemons[1:]
+            running = sum(one.forwarded_calls.running for one in others)
+            drains = [fleet.start_task(one.drain(6.0)) for one in others]
+            answers = await asyncio.gather(*calls)
+            return running, answers, await asyncio.gather(*drains)
+
+        running, answers, cut_calls = self.play(body)
+        self.assertEqual(5, running)
+        self.assertEqual({200}, {answer.status for answer in answers})
+        self.assertEqual([0] * 5, cut_calls)
+
+    def test_daemon_that_shuts_down_gets_no_more_calls(self):
+        async def body(fleet):
+            cut = await self.cut_first(fleet)
+            for one in fleet.daemons[1:5]:
+                fleet.start_task(one.drain(6.0))
+            received = [one.tallies.received.copy() for one in fleet.daemons]
+            answers = await self.call(fleet, [cut], for_s=2.0)
+            more = [
+                (one.tallies.received - before).total()
+                for one, before in zip(fleet.daemons, received, strict=True)
+            ]
+            return answers, more
+
+        answers, more = self.play(body)
+        self.assertEqual({200}, {answer.status for answer in answers})
+        self.assertEqual([0, 0, 0, 0, 0, 20], more)
+
+    def test_server_stops_working_for_a_caller_that_left(self):
+        async def body(fleet):
+            cut = await self.cut_first(fleet)
+            for server in fleet.running_servers():
+                server.work_s = 0.5
+            caller = await fleet.connect(cut)
+            caller.send("left")
+            await asyncio.sleep(0.1)
+            caller.close()
+            await asyncio.sleep(0.1)
+            return [
+                (server.dropped, server.running)
+                for server in fleet.running_servers()
+                if server.ran["left"]
+            ]
+
+        self.assertEqual([(1, 0)], self.play(body))
+
+    async def lose_peer(self, fleet, *arguments):
+        """Loses the daemon to which a call was forwarded; returns its reply."""
+        cut = await self.cut_first(fleet)
+        for server in fleet.running_servers():
+            server.work_s = 0.3
+        call = fleet.start_task(fleet.send_request(cut, *arguments))
+        await asyncio.sleep(0.1)
+        controls = fleet.harness.controls[1:]
+        for one, control in zip(fleet.daemons, controls, strict=True):
+            if one.forwarded_calls.running:
+                await control.close()
+        return await call, max(self.count_runs(fleet).values())
+
+    def test_idempotent_call_is_repeated_if_its_peer_is_lost(self):
+        async def body(fleet):
+            return await self.lose_peer(fleet, "/read/x")
+
+        answer, runs = self.play(body)
+        self.assertEqual((200, 2), (answer.status, runs))
+
+    def test_other_call_is_not_repeated_if_its_peer_is_lost(self):
+        async def body(fleet):
+            return await self.lose_peer(fleet, "/file/x", "POST")
+
+        answer, runs = self.play(body)
+        self.assertEqual((502, 1), (answer.status, runs))
+        self.assertEqual("unknown", answer.headers["request-ran"])
+
+    def test_request_reaches_no_more_servers_than_the_route_allows(self):
+        async def body(fleet):
+            cut = await self.cut_first(fleet)
+            fleet.harness.fault(fail=True)
+            answers = await self.call(fleet, [cut], for_s=1.0)
+            return answers, self.count_runs(fleet)
+
+        answers, runs = self.play(body)
+        self.assertEqual({500}, {answer.status for answer in answers})
+        # The route allows two servers.
+        self.assertEqual(2, max(runs.values()))
+
+    def test_forwarded_call_uses_the_document_of_its_own_daemon(self):
+        async def body(fleet):
+            cut = await self.cut_first(fleet)
+            # No other daemon knows this route.
+            document = cut.store_view.routes.document
+            added = document.routes[0]._replace(name="new", prefix="/new/")
+            routed = document._replace(routes=(added,))
+            cut.store_view.routes = routes.RouteTable(routed, cut.random)
+            return await fleet.send_request(cut, "/new/x")
+
+        self.assertEqual(200, self.play(body).status)
+
+    def test_malformed_message_is_rejected(self):
+        async def body(fleet):
+            request = messages.Request("POST", forwarding.PATH, (), b"spoilt")
+            response = await fleet.daemons[0].handle_peer(request)
+            return response.status
+
+        self.assertEqual(400, self.play(body))
