Tell lost links from crashed servers by trying other servers

What callers could see: a request that was on servers when a daemon's links to them were reset counted as crashing each of them, since the links then refuse connections. From the third such server on, all daemons refuse the request for minutes unless a server has answered it since.

A refused connection now counts only if one of three other servers, or fewer where there are fewer, accepts a connection; otherwise the requests that were left unanswered are forgotten. If no other server is registered, a refusal counts as before.

A scenario of the log's events gets a fourth server, since the third of three crashes had no running server beside it. The last server of a fleet that crashes is no longer found crashed until another one runs again.

--- a/banyantiller/gateway/crash_detection.py
+++ b/banyantiller/gateway/crash_detection.py
@@ -1,11 +1,15 @@
 """Checks whether servers that broke a connection are still running."""
 
 import asyncio
+import random
 from collections.abc import Callable, Iterable
 
-from banyantiller.gateway import call_events, events, pool, types
+from banyantiller.gateway import call_events, events, pool, servers, types
 from banyantiller.quarantine import crash_table, crash_tracker
 
+# Other servers that are tried when one refuses connections. If these refuse
+# as well, the fault is more likely at this daemon's links.
+MAX_COMPARED = 3
 # Time that the cancellation of a request takes to reach the server, and the
 # server's crash to become visible here.
 CHECK_DELAY_S = 0.01
@@ -17,27 +21,32 @@
     Attributes:
         tracker: Records which requests were running on servers that crashed.
         pool_of: Returns the connection pool of a server.
-        is_staying: Returns whether a server is registered and not shutting
-            down.
+        table: Registered servers.
         on_change: Called with the fingerprints of requests about which this
             daemon observed something new.
+        random: Source of the choice of servers to compare with.
         checks: Running checks of servers, by incarnation id.
+        comparisons: Running comparisons with other servers, by incarnation id
+            of the server that refused.
     """
 
     def __init__(
         self,
         table: crash_table.CrashTable,
         pool_of: Callable[[types.Server], pool.Pool],
-        is_staying: Callable[[types.Server], bool],
+        registered: servers.ServerTable,
+        rng: random.Random,
     ) -> None:
         callbacks = crash_tracker.Callbacks(
             self._publish, self._log_crash, self._log_quarantine_change
         )
         self.tracker = crash_tracker.CrashTracker(table, callbacks)
         self.pool_of = pool_of
-        self.is_staying = is_staying
+        self.table = registered
+        self.random = rng
         self.on_change: Callable[[Iterable[str]], None] = lambda _: None
         self.checks: dict[str, asyncio.Task[None]] = {}
+        self.comparisons: dict[str, asyncio.Task[None]] = {}
         self.loop = asyncio.get_running_loop()
 
     def record_no_response(
@@ -56,7 +65,7 @@
             request: The request.
             connection_lost: Whether the server's side broke the connection.
         """
-        if not self.is_staying(server):
+        if not self.table.is_staying(server):
             return
         incarnation = incarnation_id(server)
         self.tracker.record_unanswered(incarnation, request)
@@ -72,12 +81,50 @@
             )
 
     def record_refused_connection(self, server: types.Server) -> None:
-        """Records that a server's machine refuses connections to it."""
-        if self.is_staying(server):
-            self.tracker.record_refused_connection(
-                incarnation_id(server), self.loop.time()
+        """Records that connections to a server are refused.
+
+        If the server left requests unanswered, other servers are tried first:
+        lost links may refuse connections to every server, and the requests
+        would be taken for the cause of crashes.
+        """
+        if not self.table.is_staying(server):
+            return
+        incarnation = incarnation_id(server)
+        now = self.loop.time()
+        if not self.tracker.has_unanswered(incarnation, now):
+            return
+        if incarnation not in self.comparisons:
+            comparison = self.loop.create_task(self._compare(server, now))
+            self.comparisons[incarnation] = comparison
+            comparison.add_done_callback(
+                lambda _: self.comparisons.pop(incarnation, None)
             )
 
+    async def _compare(self, server: types.Server, refused_at: float) -> None:
+        """Counts a server as crashed if another one accepts a connection."""
+        others = [
+            other
+            for other in self.table.servers()
+            if other.instance != server.instance
+            and self.table.is_staying(other)
+        ]
+        compared = self.random.sample(others, min(MAX_COMPARED, len(others)))
+        accepted = await asyncio.gather(*map(self._accepts, compared))
+        incarnation = incarnation_id(server)
+        if any(accepted) or not others:
+            self.tracker.record_refused_connection(incarnation, refused_at)
+        else:
+            self.tracker.forget_unanswered(incarnation)
+
+    async def _accepts(self, server: types.Server) -> bool:
+        """Returns whether a server accepts a new connection."""
+        server_pool = self.pool_of(server)
+        try:
+            server_pool.put_idle(await server_pool.acquire(fresh=True))
+        except (OSError, pool.PoolFullError):
+            return False
+        return True
+
     async def _check(self, server: types.Server, delay_s: float) -> None:
         """Opens a connection to a server to see whether it still runs."""
         await asyncio.sleep(delay_s)
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -109,7 +109,8 @@
         self.crash_detector = crash_detection.CrashDetector(
             crash_table.CrashTable(settings.quarantine_s, rng),
             self.pool_of,
-            self.store_view.table.is_staying,
+            self.store_view.table,
+            rng,
         )
         self.quarantine_sync = quarantine_sync.QuarantineSync(
             self.crash_detector,
--- a/banyantiller/quarantine/crash_tracker.py
+++ b/banyantiller/quarantine/crash_tracker.py
@@ -1,9 +1,9 @@
 """Relates requests without a response to servers that crashed.
 
 A server counts as crashed while it ran a request if the request got no
-response and the server's machine refuses new connections. A broken link doesn't
-refuse connections, and a server that resets one connection accepts the next
-one. Callers of this module leave out servers that are shutting down.
+response and the server's machine refuses new connections. A server that resets
+one connection accepts the next one. Callers of this module leave out servers
+that are shutting down, and refusals on links that refuse every server.
 """
 
 import collections
@@ -118,6 +118,10 @@
         if recent:
             self.callbacks.publish({request.fingerprint for request in recent})
 
+    def forget_unanswered(self, server: str) -> None:
+        """Forgets requests that a server left unanswered for another reason."""
+        self.unanswered.pop(server, None)
+
     def receive_records(
         self, records: list[crash_table.RecordFields], now: float
     ) -> bool:
@@ -163,6 +167,13 @@
         """Returns whether a server crashed since the last response."""
         return bool(self.table.crashed_servers(fingerprint))
 
+    def has_unanswered(self, server: str, now: float) -> bool:
+        """Returns whether a server left a request unanswered lately."""
+        return any(
+            request.failed_at >= now - MAX_FAILURE_AGE_S
+            for request in self.unanswered.get(server, ())
+        )
+
     def count_crashes(self, fingerprint: str, lost_server: str) -> int:
         """Counts the servers that crashed while they ran a request.
 
--- a/banyantiller/tests/gateway/test_events.py
+++ b/banyantiller/tests/gateway/test_events.py
@@ -70,6 +70,9 @@
     call_events.QuarantineLifted,
 )
 async def servers_crash_during_a_request(env):
+    # The last crash shows only beside a server that runs.
+    await env.add_server("s3")
+    await asyncio.sleep(0.1)
     for one in env.servers.values():
         one.faults.ended_by = "/file/deadly"
     for _ in env.servers.copy():
--- a/banyantiller/tests/gateway/test_quarantine_sync.py
+++ b/banyantiller/tests/gateway/test_quarantine_sync.py
@@ -7,7 +7,13 @@
 import msgspec
 
 from banyantiller.config.defaults import Endpoint
-from banyantiller.gateway import crash_detection, mirror, peers, quarantine_sync
+from banyantiller.gateway import (
+    crash_detection,
+    mirror,
+    peers,
+    quarantine_sync,
+    servers,
+)
 from banyantiller.http import messages, server
 from banyantiller.quarantine import crash_table
 from banyantiller.tests import base
@@ -28,7 +34,8 @@
     detector = crash_detection.CrashDetector(
         crash_table.CrashTable(100.0, rng),
         lambda server: None,
-        lambda server: True,
+        servers.ServerTable(),
+        rng,
     )
     sync = quarantine_sync.QuarantineSync(detector, list(relays), is_relay, rng)
     return Daemon(detector, sync)
--- a/banyantiller/tests/gateway/test_servers_out_of_reach.py
+++ b/banyantiller/tests/gateway/test_servers_out_of_reach.py
@@ -273,3 +273,37 @@
             return response.status
 
         self.assertEqual(400, self.play(body))
+
+
+class CrashDetectionTest(PartitionTest):
+    """Lost links are not taken for crashes of servers.
+
+    A request that is on servers when the links to them are reset was counted as
+    crashing them, as these refuse connections afterwards. After three such
+    servers, all daemons refused the request for minutes.
+    """
+
+    def crashes(self, fleet):
+        """Returns the servers that daemons count as crashed."""
+        return {
+            server
+            for one in fleet.daemons
+            for record in one.crash_detector.tracker.table.records.values()
+            for server in record.crashes
+        }
+
+    def test_reset_links_quarantine_no_request(self):
+        async def body(fleet):
+            cut = self.cut_daemons(fleet)
+            for server in fleet.running_servers():
+                server.work_s = 0.3
+            calls = fleet.start_task(self.call(fleet, cut, for_s=4.0))
+            for _ in range(3):
+                await asyncio.sleep(0.5)
+                await fleet.cut(cut, partition_harness.Cut.RESET)
+                await asyncio.sleep(0.5)
+                await fleet.restore(cut)
+            await calls
+            return self.crashes(fleet)
+
+        self.assertEqual(set(), self.play(body))
