Notice lost links to servers that report no load

A daemon that shuts down lets its control listener finish the responses of forwarded calls, which end the drain while larger ones are still being written. Lists of daemons are used for 1 s, which halves the queries of a fleet in which many daemons lost their links. The route of a forwarded call is set in one place.

--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -79,15 +79,6 @@
         self.by_peer: exchange.RefusedByPeer | None = None
         self.forwarded_by = ""
 
-    def accept_forwarded(self, forwarded: types.ForwardedRoute) -> None:
-        """Sets the route that another daemon has chosen."""
-        self.forwarded_by = forwarded.daemon
-        self.route = forwarded.route
-        self.service = forwarded.service
-        self.version = forwarded.version
-        self.urgent = forwarded.urgent
-        self.deadline = forwarded.deadline
-
     def look_up_route(self) -> None:
         """Sets the route and the deadline from the document in force.
 
@@ -323,6 +314,8 @@
                     attempt, outcome
                 ):
                     return self._fail(Failure(outcome.kind))
+            elif outcome == exchange.NotRun(ErrorKind.CONNECT_FAILED):
+                self.gateway.reachability.check(self.service)
             elif isinstance(outcome, exchange.RefusedByPeer):
                 self.by_peer = outcome
                 if forwarding.is_final(outcome):
--- a/banyantiller/gateway/crash_detection.py
+++ b/banyantiller/gateway/crash_detection.py
@@ -109,22 +109,15 @@
             and self.table.is_staying(other)
         ]
         compared = self.random.sample(others, min(MAX_COMPARED, len(others)))
-        accepted = await asyncio.gather(*map(self._accepts, compared))
+        accepted = await asyncio.gather(
+            *(self.pool_of(other).accepts() for other in compared)
+        )
         incarnation = incarnation_id(server)
         if any(accepted) or not others:
             self.tracker.record_refused_connection(incarnation, refused_at)
         else:
             self.tracker.forget_unanswered(incarnation)
 
-    async def _accepts(self, server: types.Server) -> bool:
-        """Returns whether a server accepts a new connection."""
-        server_pool = self.pool_of(server)
-        try:
-            server_pool.put_idle(await server_pool.acquire(fresh=True))
-        except (OSError, pool.PoolFullError):
-            return False
-        return True
-
     async def _check(self, server: types.Server, delay_s: float) -> None:
         """Opens a connection to a server to see whether it still runs."""
         await asyncio.sleep(delay_s)
--- a/banyantiller/gateway/daemon_list.py
+++ b/banyantiller/gateway/daemon_list.py
@@ -24,7 +24,7 @@
 # A relay that responds does so within 10 ms. Calls wait for the first list.
 QUERY_TIMEOUT_S = 0.1
 # How long a list is used before the relays are queried again.
-REFRESH_S = 0.5
+REFRESH_S = 1.0
 
 
 class DaemonFields(TypedDict):
--- a/banyantiller/gateway/forwarded_calls.py
+++ b/banyantiller/gateway/forwarded_calls.py
@@ -87,16 +87,12 @@
             weighted_services=(types.WeightedService(fields["service"], 1),),
         )
         forwarded = call.Call(self.gateway, request)
-        forwarded.accept_forwarded(
-            types.ForwardedRoute(
-                fields["daemon"],
-                route,
-                fields["service"],
-                fields["version"],
-                fields["urgent"],
-                now + remaining_s,
-            )
-        )
+        forwarded.forwarded_by = fields["daemon"]
+        forwarded.route = route
+        forwarded.service = fields["service"]
+        forwarded.version = fields["version"]
+        forwarded.urgent = fields["urgent"]
+        forwarded.deadline = now + remaining_s
         forwarded.attempted.update(fields["attempted"])
         return forwarded
 
--- a/banyantiller/gateway/pool.py
+++ b/banyantiller/gateway/pool.py
@@ -120,6 +120,14 @@
             raise
         return Link(opened)
 
+    async def accepts(self) -> bool:
+        """Returns whether the server accepts a new connection, and keeps it."""
+        try:
+            self.put_idle(await self.acquire(fresh=True))
+        except (OSError, PoolFullError):
+            return False
+        return True
+
     def has_idle(self) -> bool:
         """Returns whether an idle connection can be used."""
         now = self.loop.time()
--- a/banyantiller/gateway/probing.py
+++ b/banyantiller/gateway/probing.py
@@ -148,7 +148,7 @@
         Connections of the candidates belong to the calling function, which
         returns them with `release`.
         """
-        unprobed = [one for one in entries if self._is_without_load(one)]
+        unprobed = [one for one in entries if self.is_without_load(one)]
         if entries and len(unprobed) == len(entries):
             return self._rank_unprobed(unprobed)
         probe_round = ProbeRound()
@@ -190,13 +190,14 @@
         requests can show that they do report it. A single response may have
         lacked the load, or the service may have been upgraded.
         """
-        if not self._is_without_load(entry):
+        if not self.is_without_load(entry):
             return
         field = messages.find_header(headers, self.wire.load.decode())
         if field and self.read_load(field.encode("latin-1")) is not None:
             self._record_load(entry)
 
-    def _is_without_load(self, entry: servers.ServerEntry) -> bool:
+    def is_without_load(self, entry: servers.ServerEntry) -> bool:
+        """Returns whether a server is not probed, as it reports no load."""
         return (
             entry.without_load
             or entry.server.service in self.services_without_load
--- a/banyantiller/gateway/reachability.py
+++ b/banyantiller/gateway/reachability.py
@@ -77,10 +77,22 @@
         entries = self._sample(service)
         if definition is None or not entries:
             return True
+        unprobed = [one for one in entries if self.prober.is_without_load(one)]
+        if unprobed:
+            return await self._any_accepts(unprobed)
         found = await self.prober.probe(entries, definition.health_path)
         self.prober.release(found)
         return any(not entry.health.missed_responses for entry in entries)
 
+    async def _any_accepts(self, entries: list[servers.ServerEntry]) -> bool:
+        """Returns whether one of some servers accepts a connection.
+
+        The response of a server that reports no load may wait for a slot, so a
+        missing one shows nothing.
+        """
+        pools = [self.prober.pools(entry.server) for entry in entries]
+        return any(await asyncio.gather(*(one.accepts() for one in pools)))
+
     def _sample(self, service: str) -> list[servers.ServerEntry]:
         """Returns the servers to probe, those that missed fewest first."""
         entries = self.table.usable(service, self.loop.time())
--- a/banyantiller/gateway/run.py
+++ b/banyantiller/gateway/run.py
@@ -21,6 +21,8 @@
 EXIT_CALLS_CUT = 1
 METRICS_PATH = "/metrics"
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+# Time to write the responses of forwarded calls, which ends the drain.
+RESPONSE_GRACE_S = 0.2
 # Interval at which the settings file is checked for changes without a SIGHUP.
 SETTINGS_PERIOD_S = 1.0
 STATUS_LIMITS = messages.Limits(head_s=2.0, idle_s=10.0, connections=64)
@@ -90,7 +92,7 @@
         await self.gateway.close()
         await self.ready.close()
         await self.metrics.close()
-        await self.control.close()
+        await self.control.close(RESPONSE_GRACE_S)
         events.emit(events.Stopped(cut))
         return cut
 
--- a/banyantiller/gateway/types.py
+++ b/banyantiller/gateway/types.py
@@ -45,26 +45,6 @@
     weighted_services: tuple[WeightedService, ...]
 
 
-class ForwardedRoute(NamedTuple):
-    """Route of a call that another daemon forwarded.
-
-    Attributes:
-        daemon: Name of that daemon.
-        route: The route that it chose.
-        service: The service that it chose.
-        version: Version of the document that applied there.
-        urgent: Whether the route is among the most urgent of the service.
-        deadline: Loop time at which the call fails for lack of a response.
-    """
-
-    daemon: str
-    route: Route
-    service: str
-    version: int
-    urgent: bool
-    deadline: float
-
-
 class Service(NamedTuple):
     """A group of interchangeable servers.
 
--- a/banyantiller/tests/gateway/test_servers_out_of_reach.py
+++ b/banyantiller/tests/gateway/test_servers_out_of_reach.py
@@ -8,7 +8,7 @@
 import asyncio
 import collections
 
-from banyantiller.gateway import forwarding, routes
+from banyantiller.gateway import forwarding, routes, run
 from banyantiller.http import messages
 from banyantiller.tests import base
 from banyantiller.tests.gateway import harness, partition_harness
@@ -85,6 +85,20 @@
     def test_links_that_are_reset(self):
         self.check_served(partition_harness.Cut.RESET)
 
+    def test_servers_that_report_no_load(self):
+        async def body(fleet):
+            for server in fleet.running_servers():
+                server.tells_load = False
+            cut = self.cut_daemons(fleet)
+            await self.call(fleet, fleet.daemons, for_s=1.0)
+            await fleet.cut(cut, partition_harness.Cut.RESET)
+            await self.call(fleet, cut, for_s=CONTACT_S)
+            return await self.call(fleet, cut)
+
+        answers = self.play(body)
+        failed = [one for one in answers if one.status != 200]
+        self.assertLessEqual(len(failed), MAX_FAILED_SHARE * len(answers))
+
     def test_links_on_which_open_connections_live_on(self):
         self.check_served(partition_harness.Cut.HALF)
 
@@ -158,19 +172,38 @@
             self.assertLess(answer.took_s, IMMEDIATE_S)
         self.assertEqual({}, runs)
 
+    async def shut_down(self, daemon, control):
+        """Shuts a daemon down as its process does; returns the calls cut."""
+        cut = await daemon.drain(6.0)
+        await daemon.close()
+        await control.close(run.RESPONSE_GRACE_S)
+        return cut
+
     def test_daemon_that_shuts_down_completes_forwarded_calls(self):
         async def body(fleet):
+            fleet.harness.put_document(
+                [
+                    harness.route("read", "safe", "/read/"),
+                    harness.route("file", "unsafe", "/file/", timeoutS=5.0),
+                ]
+            )
             cut = await self.cut_first(fleet)
             for server in fleet.running_servers():
-                server.work_s = 0.5
+                # Beyond the time for which a daemon that drains listens.
+                server.work_s = 3.5
             calls = [
-                fleet.start_task(fleet.send_request(cut, "/file/x", "POST"))
+                fleet.start_task(
+                    fleet.send_request(cut, "/file/x", "POST", deadline_ms=5000)
+                )
                 for _ in range(5)
             ]
             await asyncio.sleep(0.1)
             others = fleet.daemons[1:]
             running = sum(one.forwarded_calls.running for one in others)
-            drains = [fleet.start_task(one.drain(6.0)) for one in others]
+            drains = [
+                fleet.start_task(self.shut_down(*both))
+                for both in zip(others, fleet.harness.controls[2:], strict=True)
+            ]
             answers = await asyncio.gather(*calls)
             return running, answers, await asyncio.gather(*drains)
 
