Reset connections to servers with requests that are given up

Bytes that a lost link holds up arrive when the link is back, also if the connection was closed meanwhile: a request that its caller was told to have an unknown outcome could run many seconds later, and a server that has begun to leave would still get it. With SO_LINGER of zero the system discards what was not received. Idle connections are closed as before.

The keep-alive options of connections between daemons are checked too: on Linux TCP_USER_TIMEOUT decides when probes give up, whatever their count. No other connection sets either option, and neither do the libraries in use.

--- a/banyantiller/gateway/pool.py
+++ b/banyantiller/gateway/pool.py
@@ -157,7 +157,10 @@
         """Closes a connection that was acquired."""
         self.last_close_reason = reason
         self.busy -= 1
-        link.connection.close()
+        if reason is OpenReason.GIVEN_UP:
+            link.connection.reset()
+        else:
+            link.connection.close()
 
     def drop_idle(self) -> None:
         """Closes idle connections, for example after one was found broken."""
--- a/banyantiller/http/connection.py
+++ b/banyantiller/http/connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 from typing import TYPE_CHECKING
 
 import h11
@@ -12,6 +13,10 @@
     import ssl
 
 
+# Linger time of zero, with which closing a socket resets its connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
 class ConnectionLostError(Exception):
     """The remote side closed the connection early or broke the protocol."""
 
@@ -68,6 +73,10 @@
     def abort_when_unresponsive(self, silence_s: int) -> None:
         """Makes the system abort a connection whose remote side is gone.
 
+        `TCP_USER_TIMEOUT` limits unacknowledged data. On Linux it also decides
+        when keep-alive probes give up, whatever their count, so that both are
+        set to the same time.
+
         Args:
             silence_s: Time without an acknowledgement, in seconds; at least 2.
         """
@@ -206,6 +215,17 @@
         self.last_response_at = asyncio.get_running_loop().time()
         return True
 
+    def reset(self) -> None:
+        """Aborts the connection and discards the bytes that were not received.
+
+        On a link that passes nothing, a request would otherwise arrive when
+        the link is back, long after it was given up.
+        """
+        raw = self.writer.get_extra_info("socket")
+        if raw is not None and not self.writer.is_closing():
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.close()
+
     def close(self) -> None:
         """Aborts the connection."""
         if self.idle_read is not None:
