Evaluate forwarded responses, and connect to servers from a set address

A response that another daemon got for a call stated a shutdown or a limit of its server, which only that daemon read. The daemon that passes it on now reads it as well, if the start of the server is the one that it knows; the new test changes what the server states while the request runs, and failed before.

The setting server_source names the address from which connections to servers are opened. VMs with several addresses need it, and links can tell daemons apart by it, which the soak needs to partition a daemon from all servers.

--- a/banyantiller/gateway/forwarded_calls.py
+++ b/banyantiller/gateway/forwarded_calls.py
@@ -8,6 +8,7 @@
 from banyantiller.errors import ErrorKind
 from banyantiller.gateway import (
     call,
+    crash_detection,
     forwarding,
     protocols,
     replies,
@@ -111,5 +112,15 @@
         reason=progress.reason,
         maybe_ran=progress.maybe_ran,
         instances=progress.instances,
+        incarnation=_last_incarnation(forwarded),
         retry_after_s=progress.retry_after_s,
     )
+
+
+def _last_incarnation(forwarded: call.Call) -> str:
+    """Returns the incarnation of the last server; empty for none."""
+    if not forwarded.progress.instances:
+        return ""
+    entries = forwarded.gateway.store_view.table.entries
+    entry = entries.get(forwarded.progress.instances[-1])
+    return crash_detection.incarnation_id(entry.server) if entry else ""
--- a/banyantiller/gateway/forwarding.py
+++ b/banyantiller/gateway/forwarding.py
@@ -16,6 +16,7 @@
 from banyantiller.errors import ErrorKind
 from banyantiller.gateway import (
     attempts,
+    crash_detection,
     daemon_list,
     events,
     exchange,
@@ -75,7 +76,8 @@
     """The result of a forwarded call.
 
     `error` is the kind of the failure, or null for the response of a server.
-    `instances` names the servers that the request was sent to.
+    `instances` names the servers that the request was sent to, and
+    `incarnation` identifies the last of them.
     """
 
     status: int
@@ -86,6 +88,7 @@
     reason: str
     maybe_ran: bool
     instances: list[str]
+    incarnation: str
     retry_after_s: float | None
 
 
@@ -228,7 +231,27 @@
             reason = f"{self.address}: status {status}, {error}"
             return exchange.BrokenResponse(ErrorKind.INTERNAL, reason)
         self.instances = reply["instances"]
-        return _read_outcome(reply)
+        result = _read_outcome(reply)
+        if isinstance(result, exchange.CompleteResponse):
+            self._record_head(reply)
+        return result
+
+    def _record_head(self, reply: ForwardedReply) -> None:
+        """Evaluates what the server states in its response.
+
+        It may shut down, or name a limit, which concerns this daemon as soon as
+        it reaches servers again.
+        """
+        entries = self.gateway.store_view.table.entries
+        entry = entries.get(reply["instances"][-1])
+        if entry is None:
+            return
+        if crash_detection.incarnation_id(entry.server) != reply["incarnation"]:
+            return
+        head = messages.Response(reply["status"], tuple(reply["headers"]))
+        self.gateway.response_recorders.to_request(
+            entry.server, head, self.sent_at
+        )
 
     def _build_request(self) -> ForwardedRequest:
         call = self.call
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -279,8 +279,9 @@
             return closed
         server_pool = self.pools.get(server.instance)
         if server_pool is None:
+            source = self.settings.server_source
             server_pool = pool.Pool(
-                server, MIN_CONNECTIONS, self.tallies.opened
+                server, MIN_CONNECTIONS, self.tallies.opened, source
             )
             self.pools[server.instance] = server_pool
         server_pool.max_size = self._max_connections(server.service)
--- a/banyantiller/gateway/pool.py
+++ b/banyantiller/gateway/pool.py
@@ -65,6 +65,8 @@
     Attributes:
         server: The server.
         max_size: Maximum number of connections.
+        source: IP address from which connections are opened; empty for the
+            system's choice.
         idle: Idle connections, the most recently used one last.
         busy: Number of connections in use or being opened.
         closed: Whether the pool is closed; it keeps no connection then.
@@ -77,8 +79,10 @@
         server: types.Server,
         max_size: int,
         opened: collections.Counter[str],
+        source: str = "",
     ) -> None:
         self.server = server
+        self.source = source
         self.max_size = max_size
         self.opened = opened
         self.last_close_reason = OpenReason.FIRST
@@ -113,7 +117,10 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 opened = await connection.ClientConnection.open(
-                    self.server.host, self.server.port, MAX_HEAD_BYTES, None, ""
+                    self.server.host,
+                    self.server.port,
+                    MAX_HEAD_BYTES,
+                    source=self.source,
                 )
         except BaseException:
             self.busy -= 1
--- a/banyantiller/gateway/settings.py
+++ b/banyantiller/gateway/settings.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from typing import Annotated, NamedTuple
 
-from banyantiller.config import documents, loading
+from banyantiller.config import checks, documents, loading
 from banyantiller.config.defaults import Endpoint, LogSettings
 from banyantiller.config.options import Option
 
@@ -19,6 +19,13 @@
     control: Annotated[
         str, Option("IP address and port for peers; empty for none.")
     ] = ""
+    server_source: Annotated[
+        str,
+        Option(
+            "IP address from which connections to servers are opened; empty"
+            " for the system's choice."
+        ),
+    ] = ""
     seeds: Annotated[
         tuple[str, ...],
         Option("IP addresses and ports of the relays.", most=16),
@@ -98,6 +105,10 @@
                 parse_endpoint(text)
             except ValueError as error:
                 problems.error(name, f"{error}.")
+        source = settings.server_source
+        error = checks.ip_address(source) if source else ""
+        if error:
+            problems.error("server_source", f"'{source}' {error}.")
     problems.raise_errors()
     return settings
 
--- a/banyantiller/http/connection.py
+++ b/banyantiller/http/connection.py
@@ -56,17 +56,31 @@
         address: str,
         port: int,
         head_bytes: int,
-        tls: "ssl.SSLContext | None",
-        server_name: str,
+        tls: "ssl.SSLContext | None" = None,
+        server_name: str = "",
+        source: str = "",
     ) -> "ClientConnection":
         """Opens a connection.
 
+        Args:
+            address: IP number of the remote side.
+            port: Its port.
+            head_bytes: Maximum size of a response head, in bytes.
+            tls: TLS context, or None for no TLS.
+            server_name: Name that the certificate must have; empty for the
+                address.
+            source: IP number to connect from; empty for the system's choice.
+
         Raises:
             OSError: The connection or its TLS handshake failed.
         """
         name = (server_name or address) if tls else None
         reader, writer = await asyncio.open_connection(
-            address, port, ssl=tls, server_hostname=name
+            address,
+            port,
+            ssl=tls,
+            server_hostname=name,
+            local_addr=(source, 0) if source else None,
         )
         return cls(reader, writer, head_bytes)
 
--- a/banyantiller/tests/gateway/test_servers_out_of_reach.py
+++ b/banyantiller/tests/gateway/test_servers_out_of_reach.py
@@ -314,6 +314,20 @@
 
         self.assertEqual(200, self.play(body).status)
 
+    def test_leaving_that_a_server_states_counts_here_too(self):
+        async def body(fleet):
+            cut = await self.cut_first(fleet)
+            for server in fleet.running_servers():
+                server.work_s = 0.3
+            call = fleet.start_task(fleet.send_request(cut, "/file/x", "POST"))
+            await asyncio.sleep(0.1)
+            (leaving,) = [one for one in fleet.running_servers() if one.running]
+            leaving.leaving = True
+            await call
+            return cut.store_view.table.entries[leaving.instance].server
+
+        self.assertTrue(self.play(body).leaving)
+
     def test_malformed_message_is_rejected(self):
         async def body(fleet):
             request = messages.Request("POST", forwarding.PATH, (), b"spoilt")
--- a/banyantiller/tests/http/test_connection.py
+++ b/banyantiller/tests/http/test_connection.py
@@ -12,7 +12,7 @@
 
 
 class ConnectionTest(base.TestCase):
-    def use(self, body):
+    def use(self, body, source=""):
         """Runs `body(client, reader)` with both ends of a connection."""
 
         async def whole():
@@ -22,7 +22,7 @@
             )
             port = listener.sockets[0].getsockname()[1]
             link = await connection.ClientConnection.open(
-                ADDRESS, port, 65536, None, ""
+                ADDRESS, port, 65536, source=source
             )
             reader = await accepted.get()
             try:
@@ -51,6 +51,12 @@
         self.assertEqual(SILENCE_S * 1000, timeout_ms)
         self.assertEqual(SILENCE_S, idle_s + count * interval_s)
 
+    def test_connection_comes_from_the_source_address(self):
+        async def body(link, _):
+            return link.writer.get_extra_info("sockname")[0]
+
+        self.assertEqual("127.0.0.9", self.use(body, "127.0.0.9"))
+
     def test_request_that_is_given_up_is_reset(self):
         async def body(link, reader):
             link.write(REQUEST)
