Partition daemons from all servers in the soak

Connections are silent, are reset, or live on while new ones are refused. Links tell daemons apart by the address from which they connect.

New promise: from 3 s after the start of a partition, first tries at these daemons are served at least two thirds as often as at the others, unless no more than 10 and one in 50 of all fail.

--- a/banyantiller/tests/soak/test_checks.py
+++ b/banyantiller/tests/soak/test_checks.py
@@ -369,3 +369,22 @@
         self.assert_broken("nobody else refused", seen)
         seen = record([attempt(kind=records.ENDING, **changes)])
         self.assert_kept("nobody else refused", seen)
+
+    def test_callers_of_partitioned_daemons_are_served(self):
+        def play(status, **more):
+            inside = [
+                attempt(f"i{n}", daemon=1, at=14.0, status=status)
+                for n in range(30)
+            ]
+            outside = [attempt(f"o{n}", at=14.0) for n in range(30)]
+            cut = Disturbance(10.0, 20.0, records.PARTITION, 1)
+            seen = record(inside + outside, disturbances=[cut], **more)
+            return seen, cut
+
+        seen, cut = play(503)
+        self.assert_broken("served in partitions", seen)
+        seen.disturbances.append(Disturbance(9.0, 15.0, records.PROCESS, 1))
+        self.assert_kept("served in partitions", seen)
+        seen.disturbances = [cut._replace(began=12.0)]
+        self.assert_kept("served in partitions", seen)
+        self.assert_kept("served in partitions", play(200)[0])
--- a/banyantiller/tests/soak/test_links.py
+++ b/banyantiller/tests/soak/test_links.py
@@ -4,6 +4,7 @@
 import socket
 
 from banyantiller.tests import base
+from soak import partitions
 from soak.links import Link, Trouble
 
 ADDRESS = "127.0.0.1"
@@ -85,6 +86,40 @@
 
         self.assertEqual((b"", b""), self.play(body))
 
+    def test_partition_holds_one_address_and_ends(self):
+        async def body(link, seen):
+            reader, writer = await asyncio.open_connection(ADDRESS, link.port)
+            source = writer.get_extra_info("sockname")[0]
+            link.partition("127.0.0.9", partitions.SILENT)
+            writer.write(b"a")
+            first = await reader.read(10)
+            link.partition(source, partitions.SILENT)
+            writer.write(b"b")
+            await asyncio.sleep(1)
+            held = list(seen)
+            link.end_partition(source)
+            return first, held, await reader.read(10)
+
+        self.assertEqual((b"a", [b"a"], b"b"), self.play(body))
+
+    def test_partition_may_leave_open_connections(self):
+        async def body(link, choice):
+            reader, writer = await asyncio.open_connection(ADDRESS, link.port)
+            writer.write(b"a")
+            await reader.read(10)
+            link.partition(writer.get_extra_info("sockname")[0], choice)
+            writer.write(b"b")
+            first = await _end_of(reader)
+            reader, _ = await asyncio.open_connection(ADDRESS, link.port)
+            return first, await _end_of(reader)
+
+        for choice, first in (
+            (partitions.HALF, b"b"),
+            (partitions.RESET, b""),
+        ):
+            found = self.play(lambda link, _, how=choice: body(link, how))
+            self.assertEqual((first, b""), found)
+
     def test_connection_waits_until_its_target_listens(self):
         async def body(link, seen):
             link.set(Trouble(waiting=True))
--- a/banyantiller/tests/soak/test_plan.py
+++ b/banyantiller/tests/soak/test_plan.py
@@ -20,7 +20,7 @@
         )
 
     def test_every_kind_can_be_carried_out(self):
-        self.assertEqual(set(plan.BACKOFF_KINDS), set(faults.ACTIONS))
+        self.assertEqual(set(plan.PARTITION_KINDS), set(faults.ACTIONS))
 
     def test_hundred_seeds_have_every_kind_and_choice(self):
         for kinds, first in (
@@ -31,6 +31,7 @@
             (plan.EVACUATION_KINDS, plan.FIRST_EVACUATION_SEED),
             (plan.LIMIT_KINDS, plan.FIRST_LIMIT_SEED),
             (plan.BACKOFF_KINDS, plan.FIRST_BACKOFF_SEED),
+            (plan.PARTITION_KINDS, plan.FIRST_PARTITION_SEED),
         ):
             wanted = {(name, choice) for name, kind in kinds.items()
                       for choice in kind.choices}  # fmt: skip
--- a/banyantiller/tests/soak/test_run.py
+++ b/banyantiller/tests/soak/test_run.py
@@ -40,6 +40,14 @@
         )
         self.play(plan.Plan(plan.FIRST_BACKOFF_SEED, SIZES, steps))
 
+    def test_daemons_are_partitioned_from_all_servers(self):
+        steps = (
+            plan.Step(0.5, 4.4, "daemons partitioned", 0, 0.0, "silent"),
+            plan.Step(1.5, 2.0, "document", 0, 0.0, "one"),
+            plan.Step(2.0, 1.0, "restart daemon", 1, 0.0, ""),
+        )
+        self.play(plan.Plan(plan.FIRST_PARTITION_SEED, SIZES, steps))
+
     def test_callers_wait_while_all_daemons_start(self):
         # The store answers within the time that a request waits for it.
         steps = (
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -19,6 +19,11 @@
 # Least part of the requests that is served once all faults are over.
 SERVED_AGAIN = 0.9
 LEAST_REQUESTS = 20
+# Callers of daemons that are partitioned from all servers are served at least
+# this often, compared with those of the others, if more than so many fail.
+LEAST_PARTITION_SHARE = 2 / 3
+PARTITION_FAILURES = 10
+PARTITION_FAILED_SHARE = 1 / 50
 # Greatest part of a run in which the soak itself may lag: lag excuses much.
 MOST_LAG = 0.1
 SHOWN_IDS = 5
@@ -262,6 +267,66 @@
         yield Finding("logs", line)
 
 
+def served_in_partitions(seen: Record) -> Iterator[Finding]:
+    """Yields partitions from all servers in which callers got no service.
+
+    First tries at the daemons in question are compared with those at the
+    others, since servers and the store may fail at the same time.
+    """
+    partitions = [d for d in seen.disturbances if d.what == records.PARTITION]
+    ends: dict[float, float] = {}
+    for one in partitions:
+        ends[one.began] = min(one.ended, ends.get(one.began, one.ended))
+    for began, ended in ends.items():
+        cut = {d.daemon for d in partitions if d.began == began}
+        also_cut = {
+            d.daemon
+            for d in partitions
+            if d.began <= ended and d.ended >= began
+        }
+        since = began + seen.bounds.contact_s
+        tries = [
+            attempt
+            for attempt in seen.attempts
+            if since <= attempt.sent_at
+            and attempt.ended_at <= ended
+            and _counts_in_partition(seen, attempt)
+        ]
+        inside = [a for a in tries if a.daemon in cut]
+        outside = [a for a in tries if a.daemon not in also_cut]
+        if not inside or not outside:
+            continue
+        failed = [a for a in inside if a.status != records.OK]
+        most = PARTITION_FAILURES + PARTITION_FAILED_SHARE * len(tries)
+        share = 1 - len(failed) / len(inside)
+        others = sum(a.status == records.OK for a in outside) / len(outside)
+        if share < LEAST_PARTITION_SHARE * others and len(failed) > most:
+            text = (
+                f"daemons {sorted(cut)} served {len(inside) - len(failed)} of"
+                f" {len(inside)}, the others {others:.0%}"
+            )
+            ids = tuple(attempt.request_id for attempt in failed)
+            yield Finding("served in partitions", text, ids[:SHOWN_IDS])
+
+
+def _counts_in_partition(seen: Record, attempt: records.Attempt) -> bool:
+    """Tells whether nothing but the partition explains a failed try."""
+    excused = (
+        records.PROCESS,
+        records.CALLER_LINK,
+        records.CONTROL_LINK,
+        records.LAG,
+    )
+    return (
+        not attempt.version
+        and attempt.kind != records.ENDING
+        and attempt.end != records.LEFT
+        and excuses.calm(
+            seen, attempt.daemon, attempt.sent_at, attempt.ended_at, excused
+        )
+    )
+
+
 def kept_up(seen: Record) -> Iterator[Finding]:
     """Yields a run in which the soak itself was too slow to judge service."""
     sent = [a.sent_at for a in seen.attempts]
@@ -306,6 +371,7 @@
     Promise("servers that end", False, servers_that_end),
     Promise("nobody else refused", False, nobody_else_refused),
     Promise("retry budget", False, retry_budget),
+    Promise("served in partitions", False, served_in_partitions),
     Promise("logs", False, logs),
     Promise("ends", True, ends),
     Promise("in time", True, in_time),
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,11 +1,12 @@
 """Carries out the steps of a plan on the world."""
 
 import asyncio
+import itertools
 import random
 import signal
 from collections.abc import Awaitable, Callable
 
-from soak import callers, server_faults
+from soak import callers, partitions, server_faults
 from soak import plan as plans
 from soak import record as records
 from soak.gateways import Daemon
@@ -224,6 +225,22 @@
     link.set(Trouble())
 
 
+async def partition_daemons(world: World, step: plans.Step) -> None:
+    """Partitions some daemons from all servers, all but one of them at most."""
+    began = world.loop.time()
+    count = 1 + int(step.x * (len(world.daemons) - 1))
+    first = step.target % len(world.daemons)
+    turned = world.daemons[first:] + world.daemons[:first]
+    sources = [partitions.source_of(one.number) for one in turned[:count]]
+    for place, source in itertools.product(world.places, sources):
+        place.link.partition(source, step.choice)
+    await asyncio.sleep(step.for_s)
+    for place, source in itertools.product(world.places, sources):
+        place.link.end_partition(source)
+    for daemon in turned[:count]:
+        _note(world, began, records.PARTITION, daemon.number)
+
+
 # The store.
 
 
@@ -268,6 +285,7 @@
     "store link": trouble_store,
     "control link": trouble_control,
     "server link": trouble_server,
+    "daemons partitioned": partition_daemons,
     "server fault": server_faults.fail_server,
     "server crash": server_faults.crash_server,
     "request ends servers": server_faults.end_servers,
--- a/soak/links.py
+++ b/soak/links.py
@@ -5,6 +5,8 @@
 import socket
 import struct
 
+from soak import partitions
+
 BLOCK_BYTES = 65536
 # How often a waiting connection tries its target: a daemon that listens before
 # it loads does so for 0.3 s.
@@ -42,6 +44,8 @@
         trouble: What it does to them.
         changed: Set when the trouble changes; replaced after it.
         tasks: Connections that pass through it.
+        sources: Address of the other side by connection.
+        partitioned: One of `partitions.CHOICES` by address of the other side.
     """
 
     def __init__(self, address: str) -> None:
@@ -52,6 +56,8 @@
         self.changed = asyncio.Event()
         self.server: asyncio.Server | None = None
         self.tasks: set[asyncio.Task[None]] = set()
+        self.sources: dict[asyncio.Task[None], str] = {}
+        self.partitioned: dict[str, str] = {}
 
     @classmethod
     async def to(cls, address: str, target: int) -> "Link":
@@ -73,6 +79,19 @@
         for task in list(self.tasks):
             task.cancel()
 
+    def partition(self, source: str, choice: str) -> None:
+        """Partitions the connections from an address, open and new ones."""
+        self.partitioned[source] = choice
+        if choice == partitions.RESET:
+            for task, other in list(self.sources.items()):
+                if other == source:
+                    task.cancel()
+
+    def end_partition(self, source: str) -> None:
+        """Ends the partition of the connections from an address."""
+        self.partitioned.pop(source, None)
+        self.set(self.trouble)
+
     def shut(self) -> None:
         """Refuses new connections, as a machine without a server does."""
         if self.server is not None:
@@ -98,19 +117,23 @@
     ) -> None:
         task = asyncio.current_task()
         self.tasks.add(task)
+        source = writer.get_extra_info("peername")[0]
+        self.sources[task] = source
         far = None
         try:
-            if self.trouble.refused or not self.target:
+            refused = self.partitioned.get(source) in partitions.REFUSING
+            if refused or self.trouble.refused or not self.target:
                 _reset(writer)
                 return
             far_reader, far = await self._connect()
-            await self._relay(reader, writer, far_reader, far)
+            await self._relay(reader, writer, far_reader, far, source)
         except (OSError, asyncio.CancelledError):
             _reset(writer)
             if far is not None:
                 _reset(far)
         finally:
             self.tasks.discard(task)
+            del self.sources[task]
             writer.transport.abort()
             if far is not None:
                 far.transport.abort()
@@ -132,10 +155,13 @@
         writer: asyncio.StreamWriter,
         far_reader: asyncio.StreamReader,
         far: asyncio.StreamWriter,
+        source: str,
     ) -> None:
         """Passes bytes both ways until one side is gone."""
-        inward = asyncio.ensure_future(self._pump(reader, far, True))
-        outward = asyncio.ensure_future(self._pump(far_reader, writer, False))
+        inward = asyncio.ensure_future(self._pump(reader, far, True, source))
+        outward = asyncio.ensure_future(
+            self._pump(far_reader, writer, False, source)
+        )
         both = {inward, outward}
         try:
             await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
@@ -153,15 +179,18 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         inward: bool,
+        source: str,
     ) -> None:
         while data := await reader.read(BLOCK_BYTES):
             await asyncio.sleep(self.trouble.delay_s)
-            while self._is_held(inward):
+            while self._is_held(inward, source):
                 await self.changed.wait()
             writer.write(data)
             await writer.drain()
 
-    def _is_held(self, inward: bool) -> bool:
+    def _is_held(self, inward: bool, source: str) -> bool:
+        if self.partitioned.get(source) == partitions.SILENT:
+            return True
         return self.trouble.held_in if inward else self.trouble.held_out
 
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from soak import partitions
+
 # Nothing happens before callers are served.
 FIRST_S = 1.0
 # Quiet end of a run, in which the system must serve again.
@@ -117,12 +119,17 @@
 LIMIT_KINDS = EVACUATION_KINDS | {
     "server names a limit": Kind(4, 20.0, ("one", "all"))
 }
+FIRST_PARTITION_SEED = 7000
 FIRST_BACKOFF_SEED = 6000
 BACKOFF_KINDS = LIMIT_KINDS | {
     "server asks for a backoff": Kind(4, 8.0, ("one", "all")),
     "server states its leaving": Kind(4),
 }
 
+PARTITION_KINDS = BACKOFF_KINDS | {
+    "daemons partitioned": Kind(4, 9.0, partitions.CHOICES)
+}
+
 
 def kinds_of(seed: int) -> dict[str, Kind]:
     """Returns the kinds of trouble that the plan of a seed is drawn from."""
@@ -138,7 +145,9 @@
         return EVACUATION_KINDS
     if seed < FIRST_BACKOFF_SEED:
         return LIMIT_KINDS
-    return BACKOFF_KINDS
+    if seed < FIRST_PARTITION_SEED:
+        return BACKOFF_KINDS
+    return PARTITION_KINDS
 
 
 def draw(seed: int, sizes: Sizes) -> Plan:
--- a/soak/record.py
+++ b/soak/record.py
@@ -21,6 +21,7 @@
 STORE_LINK = "store link"
 CONTROL_LINK = "control link"
 SERVER_LINK = "server link"
+PARTITION = "links to all servers"
 STORE = "store"
 LAG = "lag of the soak itself"
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -12,7 +12,7 @@
 
 from banyantiller.gateway import early_listening
 from banyantiller.http import client, outcomes, server
-from soak import contents, gateways
+from soak import contents, gateways, partitions
 from soak import plan as plans
 from soak import record as records
 from soak.links import Link
@@ -281,6 +281,7 @@
             "ready": f"{address}:{daemon.ready_port}",
             "store": f"{address}:{daemon.store.port}",
             "control": f"{address}:{daemon.control_port}",
+            "server_source": partitions.source_of(daemon.number),
             "seeds": [f"{address}:{port}" for port in seeds],
             "drain_s": self.seen.bounds.grace_s,
             "retry_ratio": self.seen.bounds.retry_ratio,
