Don't end a call that runs when a daemon refuses its hedge

The request ran at a server of its own daemon, whose link had gone silent; the hedge over another daemon found all servers busy there, and that refusal ended the call. Only a call without running attempts is ended by a refusal now; the other one gets its response, or 502 or 504 in the end. The test plays the same on the paused clock and got 503 before, 504 now, one run.

--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -306,7 +306,8 @@
                 self.gateway.reachability.check(self.service)
             elif isinstance(outcome, exchange.RefusedByPeer):
                 self.by_peer = outcome
-                if forwarding.is_final(outcome):
+                # Another attempt may still be running at a server.
+                if forwarding.is_final(outcome) and not self.attempts:
                     return self._end_without_server()
         return None
 
--- a/banyantiller/tests/gateway/test_servers_out_of_reach.py
+++ b/banyantiller/tests/gateway/test_servers_out_of_reach.py
@@ -328,6 +328,22 @@
 
         self.assertTrue(self.play(body).leaving)
 
+    def test_refused_hedge_does_not_end_a_call_that_runs(self):
+        async def body(fleet):
+            cut = fleet.daemons[0]
+            for server in fleet.running_servers():
+                server.work_s = 2.0
+            call = fleet.start_task(fleet.send_request(cut, "/read/x"))
+            await asyncio.sleep(0.05)
+            await fleet.cut([cut], partition_harness.Cut.SILENT)
+            for server in fleet.running_servers():
+                server.running = server.slots
+            return await call, max(self.count_runs(fleet).values())
+
+        answer, runs = self.play(body)
+        # 503 would say that it did not run.
+        self.assertEqual((504, 1), (answer.status, runs))
+
     def test_malformed_message_is_rejected(self):
         async def body(fleet):
             request = messages.Request("POST", forwarding.PATH, (), b"spoilt")
