Reject malformed messages about forwarded calls

A control address that can't be read got into the list of daemons, and the call that was forwarded there ended with an internal error; an unknown kind of error in a reply, as a later build may send, or a response of no server, did so too. A contact with such an address is not listed, and such a reply leaves open whether the call ran. New tests; replies gave a traceback before.

--- a/banyantiller/gateway/forwarding.py
+++ b/banyantiller/gateway/forwarding.py
@@ -227,11 +227,11 @@
             return exchange.RefusedByPeer(ErrorKind.NO_SERVER, PEER_GONE)
         try:
             reply = msgspec.msgpack.decode(outcome.body, type=ForwardedReply)
-        except msgspec.DecodeError as error:
+            result = _read_outcome(reply)
+        except (msgspec.DecodeError, ValueError) as error:
             reason = f"{self.address}: status {status}, {error}"
             return exchange.BrokenResponse(ErrorKind.INTERNAL, reason)
         self.instances = reply["instances"]
-        result = _read_outcome(reply)
         if isinstance(result, exchange.CompleteResponse):
             self._record_head(reply)
         return result
@@ -296,8 +296,15 @@
 
 
 def _read_outcome(reply: ForwardedReply) -> exchange.Outcome:
-    """Returns the outcome that a reply stands for."""
+    """Returns the outcome that a reply stands for.
+
+    Raises:
+        ValueError: The reply has an unknown kind of error, or a response of no
+            server.
+    """
     if reply["error"] is None:
+        if not reply["instances"]:
+            raise ValueError("the response names no server")
         return exchange.CompleteResponse(
             reply["status"],
             tuple(reply["headers"]),
--- a/banyantiller/gateway/mirror.py
+++ b/banyantiller/gateway/mirror.py
@@ -18,6 +18,7 @@
     peer_messages,
     server_limits,
 )
+from banyantiller.gateway import settings as options
 from banyantiller.gateway.decisions import failure_reports
 from banyantiller.http import messages
 from banyantiller.store import interface
@@ -61,7 +62,9 @@
     def from_query(cls, query: dict[str, str]) -> "Contact | None":
         """Returns the contact that a subscriber states, or None."""
         address = query.get("control", "")
-        if not address:
+        try:
+            options.parse_endpoint(address)
+        except ValueError:
             return None
         unreachable = frozenset(query.get("unreachable", "").split(","))
         return cls(address, query.get("zone", ""), unreachable)
--- a/banyantiller/tests/gateway/test_servers_out_of_reach.py
+++ b/banyantiller/tests/gateway/test_servers_out_of_reach.py
@@ -8,6 +8,8 @@
 import asyncio
 import collections
 
+import msgspec
+
 from banyantiller.gateway import forwarding, routes, run
 from banyantiller.http import messages
 from banyantiller.tests import base
@@ -352,6 +354,46 @@
 
         self.assertEqual(400, self.play(body))
 
+    def test_malformed_reply_leaves_open_whether_the_call_ran(self):
+        unsigned = forwarding.ForwardedReply(
+            status=200,
+            headers=[],
+            body=b"",
+            length=None,
+            error=None,
+            reason="",
+            maybe_ran=False,
+            instances=[],
+            incarnation="",
+            retry_after_s=None,
+        )
+        unknown = unsigned | {"error": "of a later build"}
+
+        async def body(fleet, reply):
+            cut = await self.cut_first(fleet)
+
+            async def respond(request):
+                return messages.Response(200, (), reply)
+
+            for control in fleet.harness.controls[2:]:
+                control.handler = respond
+            return await fleet.send_request(cut, "/file/x", "POST")
+
+        for fields in (b"spoilt", unsigned, unknown):
+            reply = msgspec.msgpack.encode(fields)
+            answer = self.play(lambda fleet, sent=reply: body(fleet, sent))
+            self.assertEqual(500, answer.status)
+            self.assertEqual("unknown", answer.headers["request-ran"])
+
+    def test_malformed_control_address_is_not_listed(self):
+        async def body(fleet):
+            relay = fleet.daemons[0]
+            target = "/mirror/config?since=0&wait_ms=0&name=x&control=spoilt"
+            await relay.handle_peer(messages.Request("GET", target))
+            return {one.address for one in relay.store_view.mirror.contacts()}
+
+        self.assertNotIn("spoilt", self.play(body))
+
 
 class CrashDetectionTest(PartitionTest):
     """Lost links are not taken for crashes of servers.
