Skip a daemon only if it reaches no server or is gone

That round says something about the servers that were probed; a reply now says apart from it whether the daemon reaches any server of the service, and only such a daemon, or one that is gone or shuts down, is skipped. The new test got 503 for the second call before, 200 now.

--- a/banyantiller/gateway/forwarded_calls.py
+++ b/banyantiller/gateway/forwarded_calls.py
@@ -113,6 +113,7 @@
         maybe_ran=progress.maybe_ran,
         instances=progress.instances,
         incarnation=_last_incarnation(forwarded),
+        unreachable=forwarded.gateway.reachability.is_lost(forwarded.service),
         retry_after_s=progress.retry_after_s,
     )
 
--- a/banyantiller/gateway/forwarding.py
+++ b/banyantiller/gateway/forwarding.py
@@ -36,8 +36,9 @@
 SKIP_S = 1.0
 # Daemons to which one call is offered at most.
 MAX_OFFERS = 3
-# Reasons for which a call is offered to another daemon.
+# Reason of a refusal by a daemon that is gone or shuts down.
 PEER_GONE = "peer_gone"
+# Reasons for which a call is offered to another daemon.
 OFFER_AGAIN = (PEER_GONE, server_choice.Shortage.UNRESPONSIVE.value)
 # Statuses with which a peer rejects a message before it handles the call: a
 # body that is too large, and a daemon that starts, shuts down or doesn't
@@ -77,7 +78,8 @@
 
     `error` is the kind of the failure, or null for the response of a server.
     `instances` names the servers that the request was sent to, and
-    `incarnation` identifies the last of them.
+    `incarnation` identifies the last of them. `unreachable` says that no server
+    of the service responds to the daemon.
     """
 
     status: int
@@ -89,6 +91,7 @@
     maybe_ran: bool
     instances: list[str]
     incarnation: str
+    unreachable: bool
     retry_after_s: float | None
 
 
@@ -196,8 +199,6 @@
         if isinstance(outcome, exchange.RefusedByPeer):
             progress.sends += len(self.instances) - 1
             progress.reason = outcome.reason
-            if outcome.reason in OFFER_AGAIN:
-                self.gateway.forwarder.skip(self.address)
         elif isinstance(outcome, exchange.BrokenResponse):
             progress.reason = outcome.reason
         label = _OUTCOME_LABELS[type(outcome)]
@@ -216,7 +217,7 @@
             body,
         )
         if isinstance(outcome, outcomes.NotSent):
-            return exchange.RefusedByPeer(ErrorKind.NO_SERVER, PEER_GONE)
+            return self._refused_by_lost_peer()
         if isinstance(outcome, outcomes.Lost):
             self.gateway.forwarder.skip(self.address)
             return exchange.BrokenResponse(
@@ -224,7 +225,7 @@
             )
         status = outcome.response.status
         if status in REJECTED_STATUSES:
-            return exchange.RefusedByPeer(ErrorKind.NO_SERVER, PEER_GONE)
+            return self._refused_by_lost_peer()
         try:
             reply = msgspec.msgpack.decode(outcome.body, type=ForwardedReply)
             result = _read_outcome(reply)
@@ -232,10 +233,16 @@
             reason = f"{self.address}: status {status}, {error}"
             return exchange.BrokenResponse(ErrorKind.INTERNAL, reason)
         self.instances = reply["instances"]
+        if reply["unreachable"]:
+            self.gateway.forwarder.skip(self.address)
         if isinstance(result, exchange.CompleteResponse):
             self._record_head(reply)
         return result
 
+    def _refused_by_lost_peer(self) -> exchange.RefusedByPeer:
+        self.gateway.forwarder.skip(self.address)
+        return exchange.RefusedByPeer(ErrorKind.NO_SERVER, PEER_GONE)
+
     def _record_head(self, reply: ForwardedReply) -> None:
         """Evaluates what the server states in its response.
 
--- a/banyantiller/tests/gateway/test_servers_out_of_reach.py
+++ b/banyantiller/tests/gateway/test_servers_out_of_reach.py
@@ -292,6 +292,23 @@
         # It is tried again each second; calls come at ten a second.
         self.assertLessEqual(len(late), 8)
 
+    def test_daemon_whose_probes_were_in_vain_once_is_not_skipped(self):
+        async def body(fleet):
+            cut = fleet.daemons[:5]
+            await fleet.cut(cut, partition_harness.Cut.SILENT)
+            await self.call(fleet, cut, for_s=CONTACT_S)
+            for server in fleet.running_servers():
+                server.faults.silent = True
+            first = fleet.start_task(fleet.send_request(cut[0], "/read/x"))
+            await asyncio.sleep(0.05)
+            for server in fleet.running_servers():
+                server.faults.silent = False
+            await first
+            return await fleet.send_request(cut[0], "/read/x")
+
+        # It is the last one that reaches servers.
+        self.assertEqual(200, self.play(body).status)
+
     def test_request_reaches_no_more_servers_than_the_route_allows(self):
         async def body(fleet):
             cut = await self.cut_first(fleet)
@@ -365,6 +382,7 @@
             maybe_ran=False,
             instances=[],
             incarnation="",
+            unreachable=False,
             retry_after_s=None,
         )
         unknown = unsigned | {"error": "of a later build"}
