--- a/soak/checks.py
+++ b/soak/checks.py
@@ -24,6 +24,14 @@
 LEAST_PARTITION_SHARE = 2 / 3
 PARTITION_FAILURES = 10
 PARTITION_FAILED_SHARE = 1 / 50
+# What excuses a daemon in a partition: its callers can't be served, or those of
+# others can't be served through it.
+PARTITION_EXCUSES = (
+    records.PROCESS,
+    records.CALLER_LINK,
+    records.CONTROL_LINK,
+    records.LAG,
+)
 # Greatest part of a run in which the soak itself may lag: lag excuses much.
 MOST_LAG = 0.1
 SHOWN_IDS = 5
@@ -271,7 +279,8 @@
     """Yields partitions from all servers in which callers got no service.
 
     First tries at the daemons in question are compared with those at the
-    others, since servers and the store may fail at the same time.
+    others, since servers and the store may fail at the same time. Others count
+    only if nothing else happens to them, as calls are served through them.
     """
     partitions = [d for d in seen.disturbances if d.what == records.PARTITION]
     ends: dict[float, float] = {}
@@ -293,7 +302,12 @@
             and _counts_in_partition(seen, attempt)
         ]
         inside = [a for a in tries if a.daemon in cut]
-        outside = [a for a in tries if a.daemon not in also_cut]
+        helpers = {
+            daemon
+            for daemon in {a.daemon for a in tries} - also_cut
+            if excuses.calm(seen, daemon, since, ended, PARTITION_EXCUSES)
+        }
+        outside = [a for a in tries if a.daemon in helpers]
         if not inside or not outside:
             continue
         failed = [a for a in inside if a.status != records.OK]
@@ -311,18 +325,16 @@
 
 def _counts_in_partition(seen: Record, attempt: records.Attempt) -> bool:
     """Tells whether nothing but the partition explains a failed try."""
-    excused = (
-        records.PROCESS,
-        records.CALLER_LINK,
-        records.CONTROL_LINK,
-        records.LAG,
-    )
     return (
         not attempt.version
         and attempt.kind != records.ENDING
         and attempt.end != records.LEFT
         and excuses.calm(
-            seen, attempt.daemon, attempt.sent_at, attempt.ended_at, excused
+            seen,
+            attempt.daemon,
+            attempt.sent_at,
+            attempt.ended_at,
+            PARTITION_EXCUSES,
         )
     )
 
