Close idle connections of forwarded calls when links are back

The client of another daemon closes connections only when it opens the next one, so those of forwarded calls stayed open, closed by the other side, until links were lost again. The test counts them after the links are back.

--- a/banyantiller/gateway/forwarding.py
+++ b/banyantiller/gateway/forwarding.py
@@ -159,6 +159,21 @@
             self.clients[address] = found
         return found
 
+    async def expire(self, now: float) -> None:
+        """Closes idle connections once this daemon reaches all services.
+
+        Nothing else would close them before the next call is forwarded.
+        """
+        if self.daemons.contact.unreachable():
+            return
+        for found in self.clients.values():
+            await found.close()
+        self.skipped_until = {
+            address: until
+            for address, until in self.skipped_until.items()
+            if until > now
+        }
+
     async def close(self) -> None:
         """Closes all connections."""
         self.daemons.close()
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -245,6 +245,7 @@
             self.min_recent_share()
             for server_pool in self.pools.values():
                 server_pool.expire(now)
+            await self.forwarder.expire(now)
             if self.store_view.routes is not None:
                 self.durations.retain_routes(self.store_view.routes.names)
 
--- a/banyantiller/tests/gateway/test_servers_out_of_reach.py
+++ b/banyantiller/tests/gateway/test_servers_out_of_reach.py
@@ -132,11 +132,13 @@
             await asyncio.sleep(REDISCOVERY_S)
             before = cut.tallies.forwarded.total()
             answers = await self.call(fleet, [cut], for_s=2.0)
-            return answers, cut.tallies.forwarded.total() - before
+            clients = cut.forwarder.clients.values()
+            idle = sum(len(client.idle) for client in clients)
+            return answers, cut.tallies.forwarded.total() - before, idle
 
-        answers, forwarded = self.play(body)
+        answers, forwarded, idle = self.play(body)
         self.assertEqual({200}, {answer.status for answer in answers})
-        self.assertEqual(0, forwarded)
+        self.assertEqual((0, 0), (forwarded, idle))
 
     def test_requests_run_at_most_once_while_links_come_and_go(self):
         async def body(fleet):
