--- a/banyantiller/tests/gateway/crash_harness.py
+++ b/banyantiller/tests/gateway/crash_harness.py
@@ -4,6 +4,7 @@
 import itertools
 from typing import NamedTuple
 
+from banyantiller.tests import base
 from banyantiller.tests.gateway import harness
 
 RELAY_PORTS = (7001, 7002, 7003)
@@ -152,3 +153,25 @@
         await self._start_server(server.port)
         await asyncio.sleep(REGISTRATION_TTL_S - DOWN_S)
         self.harness.store.remove("servers", server.instance)
+
+
+def play(body, make_fleet):
+    """Runs `body(fleet)` with a new fleet, on a paused clock.
+
+    Args:
+        body: Coroutine function.
+        make_fleet: Returns the fleet for a harness.
+    """
+
+    async def whole():
+        async with harness.GatewayHarness() as env:
+            first_gateway = env.gateway
+            fleet = make_fleet(env)
+            try:
+                await fleet.start()
+                return await body(fleet)
+            finally:
+                await fleet.close()
+                env.gateway = first_gateway
+
+    return base.run_paused(whole())
--- a/banyantiller/tests/gateway/partition_harness.py
+++ b/banyantiller/tests/gateway/partition_harness.py
@@ -1,13 +1,22 @@
 """A fleet of which some daemons lose their links to all servers."""
 
+import asyncio
 import enum
 
 from banyantiller.gateway import gateway as gateways
+from banyantiller.tests import base
 from banyantiller.tests.gateway import crash_harness
 from soak import links
 
 # Control ports of the daemons; the first three are relays.
 DAEMON_PORTS = (*crash_harness.RELAY_PORTS, 7004, 7005, 7006)
+# Time after which callers of a daemon without links are served as others are.
+CONTACT_S = 3.0
+# Interval of calls at each daemon.
+CALL_INTERVAL_S = 0.1
+PLAY_S = 6.0
+# Daemons that lose their links, two relays among them.
+CUT_DAEMONS = (0, 1, 4, 5)
 
 
 class Cut(enum.Enum):
@@ -86,3 +95,27 @@
 
     def _links_of(self, daemons):
         return [link for one in daemons for link in one.links.values()]
+
+
+class PartitionTest(base.TestCase):
+    """Base of tests with a fleet whose links to servers are cut."""
+
+    def play(self, body):
+        """Runs `body(fleet)` with a new fleet."""
+        return crash_harness.play(body, Fleet)
+
+    async def call(self, fleet, daemons, *arguments, for_s=PLAY_S, **more):
+        """Calls daemons at intervals; returns all responses."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + for_s
+        calls = []
+        while loop.time() < until:
+            for daemon in daemons:
+                call = fleet.send_request(daemon, *arguments, **more)
+                calls.append(fleet.start_task(call))
+            await asyncio.sleep(CALL_INTERVAL_S)
+        return await asyncio.gather(*calls)
+
+    def cut_daemons(self, fleet):
+        """Returns the daemons that lose their links."""
+        return [fleet.daemons[number] for number in CUT_DAEMONS]
--- a/banyantiller/tests/gateway/test_crash_detection.py
+++ b/banyantiller/tests/gateway/test_crash_detection.py
@@ -17,7 +17,7 @@
 from banyantiller.http import messages
 from banyantiller.quarantine import crash_table
 from banyantiller.tests import base
-from banyantiller.tests.gateway import crash_harness, harness
+from banyantiller.tests.gateway import crash_harness
 
 # All daemons know the request within this time of the third crash.
 PROPAGATION_S = 3.0
@@ -38,19 +38,9 @@
 
     def play(self, body, crashing_path=crash_harness.CRASHING_PATH):
         """Runs `body(fleet)` with a new fleet."""
-
-        async def whole():
-            async with harness.GatewayHarness() as env:
-                first_gateway = env.gateway
-                fleet = crash_harness.Fleet(env, crashing_path)
-                try:
-                    await fleet.start()
-                    return await body(fleet)
-                finally:
-                    await fleet.close()
-                    env.gateway = first_gateway
-
-        return self.run_paused(whole())
+        return crash_harness.play(
+            body, lambda env: crash_harness.Fleet(env, crashing_path)
+        )
 
     async def repeat(
         self, fleet, *arguments, duration_s=PLAY_S, interval_s=REPEAT_INTERVAL_S
