Name the tests of lost links after the failure

Callers were refused behind lost links; the class of the regression tests says so now, as their names stand in reports without the text beside them.

--- a/banyantiller/tests/gateway/test_servers_out_of_reach.py
+++ b/banyantiller/tests/gateway/test_servers_out_of_reach.py
@@ -12,8 +12,8 @@
 MAX_FAILED_SHARE = 1 / 50
 
 
-class ServedTest(partition_harness.PartitionTest):
-    """Callers of daemons without links to servers are served."""
+class CallersRefusedBehindLostLinksTest(partition_harness.PartitionTest):
+    """Callers of a daemon without links were refused, and are served."""
 
     def check_served(self, how):
         async def body(fleet):
