--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -54,4 +54,34 @@
         for seed in (2000, 2001, 2100, 2102, 2103, 2104, 2105)
     ),
     *(Regression(seed, SIZES, DENIED) for seed in (2106, 2108, 2109, 2110)),
+    Regression(
+        7001,
+        SIZES,
+        "A daemon refused the hedge of a call that still ran at a server, and"
+        " the caller was told that it had not run. Mended.",
+    ),
+    Regression(
+        7021,
+        SIZES,
+        "The last daemon that reached servers was skipped for a second after"
+        " one round of its probes was in vain. Mended.",
+    ),
+    Regression(
+        7023,
+        SIZES,
+        "SIGHUP before the interpreter runs the program ended the process:"
+        " open.",
+    ),
+    *(
+        Regression(
+            seed,
+            SIZES,
+            "Daemons without links to servers served too few first tries: open.",
+        )
+        for seed in (7020, 7059)
+    ),
+    *(
+        Regression(seed, SIZES, "A daemon stood still for 3 s: open.")
+        for seed in (7017, 7058)
+    ),
 )
