--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -76,7 +76,7 @@
         Regression(
             seed,
             SIZES,
-            "Daemons without links to servers served too few first tries: open.",
+            "Daemons without links to servers served too few calls: open.",
         )
         for seed in (7020, 7059)
     ),
