Admit callers by the keys of organisations, and keep the keys in the daemon

What callers saw: requests with no key, an unknown one or one taken away were served, and servers got every caller's key and claimed organisation.

Cause: the document's organisations, their keys and public routes, and routes of type download, were read nowhere; header fields of callers were forwarded as they came.

Change: keys become digests where the document leaves the store's client and where a request head is parsed, so nothing behind these places can pass a key on: not to servers, peers or logs. A request without a key of the newest document is refused with 401; by one that may be outdated it is refused as not run, as for unknown routes. Servers get the organisation's name on each path. The priority of an organisation replaces that of the route. Downloads are idempotent.

--- a/banyantiller/errors.py
+++ b/banyantiller/errors.py
@@ -34,6 +34,7 @@
     METHOD_UNSUPPORTED = "method_unsupported"
     VERSION_UNSUPPORTED = "version_unsupported"
     UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_KEY = "unknown_key"
     NO_BUNDLE = "no_bundle"
     FENCED = "fenced"
     DRAINING = "draining"
@@ -115,6 +116,9 @@
     ErrorKind.UNKNOWN_SERVICE: ErrorResponse(
         404, "destination_not_found", Ran.NO, False
     ),
+    ErrorKind.UNKNOWN_KEY: ErrorResponse(
+        401, "http_request_denied", Ran.NO, False
+    ),
     ErrorKind.NO_BUNDLE: ErrorResponse(
         503, "proxy_configuration_error", Ran.NO, True
     ),
--- a/banyantiller/explain/explanation.py
+++ b/banyantiller/explain/explanation.py
@@ -55,9 +55,11 @@
     "no_bundle": "the daemon had just started and had no routes yet",
     "unknown_service": "no route of the version in force matches its host"
     " and path",
-    "fenced": "the document in force does not allow it (route or size), but a"
-    " newer one may: the store is lost or unresponsive, or the newest document"
-    " can't be read",
+    "unknown_key": "no organisation of the version in force holds the caller's"
+    " key",
+    "fenced": "the document in force does not allow it (route, key or size),"
+    " but a newer one may: the store is lost or unresponsive, or the newest"
+    " document can't be read",
     "caller_gone": "the caller disconnected before the response",
     "internal": "an internal error of the daemon",
 }
@@ -212,6 +214,8 @@
     error = fields.get("error")
     where = f"route {fields.get('route') or 'none'}"
     where += f", document version {fields.get('version')}"
+    if fields.get("organisation"):
+        where += f", organisation {fields['organisation']}"
     if fields.get("forwarded_by"):
         where += f", forwarded by {fields['forwarded_by']}"
     if fields.get("peers"):
--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -38,7 +38,8 @@
         route: Its route, or None.
         service: Name of the service that it is routed to.
         route_table: Routes that apply, or None before the first document.
-        urgent: Whether its route is among the most urgent of the service.
+        organisation: Organisation that holds the caller's key, or None.
+        urgent: Whether its priority is the most urgent of the service.
         deadline: Loop time at which it fails for lack of a response.
         progress: State that is logged when the call ends.
         attempted: Instances of the servers that were tried so far.
@@ -74,13 +75,14 @@
         self.route_table: routes.RouteTable | None = None
         self.version = 0
         self.route: types.Route | None = None
+        self.organisation: types.Organisation | None = None
         self.urgent = False
         self.shortage = server_choice.Shortage.NOT_REGISTERED
         self.by_peer: exchange.RefusedByPeer | None = None
         self.forwarded_by = ""
 
     def look_up_route(self) -> None:
-        """Sets the route and the deadline from the document in force.
+        """Sets route, organisation and deadline from the document in force.
 
         Called again until the call runs: a call that waits behind another on
         its connection uses the document that is in force when it starts. If
@@ -93,8 +95,16 @@
             return
         self.version = self.route_table.document.version
         self.route = self.route_table.find(request.host, request.target)
+        self.organisation = self.route_table.organisations.get(
+            request.key_digest
+        )
+        self.outgoing = request.outgoing(
+            self.gateway.adapter.wire, self.organisation
+        )
         if self.route is not None:
-            self.urgent = self.route.name in self.route_table.urgent
+            self.urgent = self.route_table.is_urgent(
+                self.route, self.organisation
+            )
             timeout_s = self.route.timeout_s
             if request.remaining_s is not None:
                 timeout_s = min(timeout_s, request.remaining_s)
@@ -129,6 +139,10 @@
                 self.gateway.store_view.refusal_of(ErrorKind.UNKNOWN_SERVICE)
             )
         if not self.forwarded_by:
+            if not self.route_table.admits(self.route, self.organisation):
+                return self._fail(
+                    self.gateway.store_view.refusal_of(ErrorKind.UNKNOWN_KEY)
+                )
             self.service = self.route_table.choose_service(self.route)
             now = self.loop.time()
             self.gateway.budget_of(self.service).record_request(now)
--- a/banyantiller/gateway/call_events.py
+++ b/banyantiller/gateway/call_events.py
@@ -126,6 +126,9 @@
     id: events.Id
     route: Annotated[str, "Route of the call; empty if there is none."]
     service: Annotated[str, "Service that handled the call."]
+    organisation: Annotated[
+        str, "Organisation that holds the caller's key; empty for none."
+    ]
     version: Annotated[int, "Version of the document that applied."]
     known_ms: Annotated[
         float | None,
--- a/banyantiller/gateway/call_log.py
+++ b/banyantiller/gateway/call_log.py
@@ -30,6 +30,7 @@
         id=call.request.request_id,
         route=route.name if route is not None else "",
         service=call.service,
+        organisation=call.organisation.name if call.organisation else "",
         version=call.version,
         known_ms=_rounded_ms(document_age_s),
         status=status,
--- a/banyantiller/gateway/caller.py
+++ b/banyantiller/gateway/caller.py
@@ -206,9 +206,7 @@
         self.pipeline.append(pending)
         now = self.loop.time()
         pending.request = requests.parse(event, self.gateway.adapter.wire, now)
-        pending.fingerprint = requests.start_fingerprint(
-            pending.request, self.gateway.adapter.wire
-        )
+        pending.fingerprint = requests.start_fingerprint(pending.request)
         self.waiting_since = now
         self._set_timer()
         if self.codec.they_are_waiting_for_100_continue:
--- a/banyantiller/gateway/replies.py
+++ b/banyantiller/gateway/replies.py
@@ -1,11 +1,14 @@
 """Replies to callers."""
 
+import http
 from typing import NamedTuple
 
 from banyantiller.errors import Failure, Ran
 from banyantiller.http import messages
 
 MIN_RETRY_AFTER_S = 0.001
+# A response with status 401 has to name a scheme; RFC 9110, section 15.5.2.
+CHALLENGE = ("www-authenticate", 'ApiKey realm="gateway"')
 
 
 class Reply(NamedTuple):
@@ -44,6 +47,8 @@
         ("proxy-status", status),
         ("request-ran", ran.value),
     ]
+    if row.status == http.HTTPStatus.UNAUTHORIZED:
+        headers.append(CHALLENGE)
     if failure.retry_after is not None:
         seconds = max(MIN_RETRY_AFTER_S, failure.retry_after)
         headers.append(("retry-after", f"{seconds:.3f}"))
--- a/banyantiller/gateway/requests.py
+++ b/banyantiller/gateway/requests.py
@@ -4,7 +4,7 @@
 
 import h11
 
-from banyantiller.gateway import exchange, types
+from banyantiller.gateway import access_keys, exchange, types
 from banyantiller.http import messages
 from banyantiller.quarantine import fingerprint
 
@@ -22,7 +22,8 @@
         method: HTTP method.
         target: Path and query.
         host: Value of the Host header.
-        headers: Header fields to forward, names in lower case.
+        headers: Header fields to forward, names in lower case; without the
+            caller's key and its own claim of an organisation.
         body: The complete body.
         has_body: Whether the head announces a body.
         request_id: ID that the caller gave this attempt, or empty.
@@ -30,6 +31,7 @@
         received: Loop time of the end of the head, or of the whole request once
             it was read.
         fingerprint: Digest that is the same for each repetition of a request.
+        key_digest: Digest of the caller's key, or empty; see `access_keys`.
     """
 
     method: str
@@ -42,14 +44,27 @@
     remaining_s: float | None
     received: float
     fingerprint: str = ""
-
-    def outgoing(self, wire: types.WireNames) -> exchange.OutgoingRequest:
-        """Returns the request as it is sent to servers."""
+    key_digest: str = ""
+
+    def outgoing(
+        self,
+        wire: types.WireNames,
+        organisation: types.Organisation | None = None,
+    ) -> exchange.OutgoingRequest:
+        """Returns the request as it is sent to servers.
+
+        Args:
+            wire: Names of header fields.
+            organisation: Organisation that holds the caller's key, or None.
+        """
         replaced = {wire.deadline_ms.decode(), wire.expected_instance.decode()}
+        headers = [item for item in self.headers if item[0] not in replaced]
+        if organisation is not None:
+            headers.append((wire.organisation.decode(), organisation.name))
         return exchange.OutgoingRequest(
             self.method,
             self.target,
-            tuple(item for item in self.headers if item[0] not in replaced),
+            tuple(headers),
             self.body,
             self.has_body,
             self.request_id,
@@ -70,29 +85,34 @@
     if chunked and "content-length" in names:
         raise AmbiguousLengthError
     deadline = messages.find_header(headers, wire.deadline_ms.decode())
+    key_field = wire.caller.decode()
+    keys = [value for name, value in headers if name == key_field]
+    replaced = {key_field, wire.organisation.decode()}
     return Request(
         method=event.method.decode("ascii"),
         target=event.target.decode("latin-1"),
         host=messages.find_header(headers, "host"),
-        headers=exchange.forwardable_headers(headers),
+        headers=tuple(
+            item
+            for item in exchange.forwardable_headers(headers)
+            if item[0] not in replaced
+        ),
         body=b"",
         has_body=chunked or "content-length" in names,
         request_id=messages.find_header(headers, wire.request_id.decode()),
         remaining_s=_remaining_s(deadline),
         received=received,
+        key_digest=access_keys.digest_of_field(keys),
     )
 
 
-def start_fingerprint(
-    request: Request, wire: types.WireNames
-) -> fingerprint.Fingerprint:
+def start_fingerprint(request: Request) -> fingerprint.Fingerprint:
     """Returns the fingerprint of a request before its body was added."""
-    caller = messages.find_header(request.headers, wire.caller.decode())
     return fingerprint.Fingerprint(
         request.method.encode("ascii"),
         request.host.encode("latin-1"),
         request.target.encode("latin-1"),
-        caller.encode("latin-1"),
+        request.key_digest.encode("ascii"),
     )
 
 
--- a/banyantiller/gateway/routes.py
+++ b/banyantiller/gateway/routes.py
@@ -1,4 +1,4 @@
-"""Finds the route of a request and selects its service."""
+"""Finds the route of a request, who may use it, and selects its service."""
 
 import math
 import random
@@ -17,8 +17,8 @@
         by_host: Routes of each host, longest prefix first.
         split_points: Position of the next request of each split route, from 0
             to 1; the weights divide this range between the services.
-        urgent: Names of the routes with the most urgent priority of their
-            services, for services whose routes differ in priority.
+        organisations: Organisations by the digests of their keys.
+        priorities: Priorities of the requests for each service.
         names: Names of all routes.
     """
 
@@ -33,7 +33,12 @@
             self.by_host.setdefault(route.host, []).append(route)
         for routes in self.by_host.values():
             routes.sort(key=lambda route: -len(route.prefix))
-        self.urgent = _most_urgent(document.routes)
+        self.organisations = {
+            key_digest: organisation
+            for organisation in document.organisations or ()
+            for key_digest in organisation.key_digests
+        }
+        self.priorities = _priorities_by_service(document)
         self.names = frozenset(route.name for route in document.routes)
 
     def find(self, host: str, target: str) -> types.Route | None:
@@ -50,6 +55,38 @@
                 return route
         return None
 
+    def admits(
+        self, route: types.Route, organisation: types.Organisation | None
+    ) -> bool:
+        """Returns whether a caller may use a route.
+
+        Args:
+            route: The route.
+            organisation: Organisation that holds the caller's key, or None.
+        """
+        if self.document.organisations is None or route.public:
+            return True
+        return organisation is not None
+
+    def is_urgent(
+        self, route: types.Route, organisation: types.Organisation | None
+    ) -> bool:
+        """Returns whether requests have the most urgent priority.
+
+        They have it if their priority comes first at each service of the route,
+        and if the requests for these services differ in priority.
+
+        Args:
+            route: The route.
+            organisation: Organisation that holds the caller's key, or None.
+        """
+        priority = _priority(route, organisation)
+        return all(
+            len(self.priorities[part.service]) > 1
+            and priority == min(self.priorities[part.service])
+            for part in route.weighted_services
+        )
+
     def choose_service(self, route: types.Route) -> str:
         """Returns the service for the next request of a route.
 
@@ -74,17 +111,23 @@
         return weighted[-1].service
 
 
-def _most_urgent(routes: tuple[types.Route, ...]) -> frozenset[str]:
-    ranks: dict[str, set[int]] = {}
-    for route in routes:
+def _priority(
+    route: types.Route, organisation: types.Organisation | None
+) -> int:
+    if organisation is None or organisation.priority is None:
+        return route.priority
+    return organisation.priority
+
+
+def _priorities_by_service(document: types.Document) -> dict[str, set[int]]:
+    found: dict[str, set[int]] = {}
+    for route in document.routes:
+        callers: list[types.Organisation | None] = [
+            *(document.organisations or ())
+        ]
+        if document.organisations is None or route.public:
+            callers.append(None)
+        priorities = {_priority(route, caller) for caller in callers}
         for part in route.weighted_services:
-            ranks.setdefault(part.service, set()).add(route.priority)
-    return frozenset(
-        route.name
-        for route in routes
-        if all(
-            len(ranks[part.service]) > 1
-            and route.priority == min(ranks[part.service])
-            for part in route.weighted_services
-        )
-    )
+            found.setdefault(part.service, set()).update(priorities)
+    return found
--- a/banyantiller/gateway/types.py
+++ b/banyantiller/gateway/types.py
@@ -32,6 +32,7 @@
         priority: Priority; 0 is the most urgent.
         max_attempts: Maximum number of attempts of one request.
         weighted_services: Services and their shares; at least one.
+        public: Whether callers need no key.
     """
 
     name: str
@@ -43,6 +44,22 @@
     priority: int
     max_attempts: int
     weighted_services: tuple[WeightedService, ...]
+    public: bool = False
+
+
+class Organisation(NamedTuple):
+    """An organisation whose callers identify themselves by keys.
+
+    Attributes:
+        name: Name, which servers are told.
+        key_digests: Digests of its keys; see `access_keys`.
+        priority: Priority of its requests, which replaces that of the route,
+            or None; 0 is the most urgent.
+    """
+
+    name: str
+    key_digests: tuple[str, ...]
+    priority: int | None = None
 
 
 class Service(NamedTuple):
@@ -86,12 +103,15 @@
         routes: All routes.
         services: Services by name.
         limits: Limits for callers.
+        organisations: Organisations that may call routes which are not public,
+            or None if callers need no key.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: CallerLimits = CallerLimits()
+    organisations: tuple[Organisation, ...] | None = None
 
 
 class Server(NamedTuple):
@@ -154,7 +174,8 @@
         limit: Requests a second that an overloaded server takes from all
             daemons.
         leaving: Present in each response of a server that shuts down.
-        caller: Identifies the caller, the same with each sending.
+        caller: Key that identifies the caller, the same with each sending.
+        organisation: Name of the caller's organisation, for servers.
     """
 
     request_id: bytes
@@ -168,6 +189,7 @@
     limit: bytes
     leaving: bytes
     caller: bytes = b"authorization"
+    organisation: bytes = b"organisation"
 
 
 class Adapter(NamedTuple):
--- a/banyantiller/platform/documents.py
+++ b/banyantiller/platform/documents.py
@@ -5,10 +5,11 @@
 
 import msgspec
 
-from banyantiller.gateway import types
+from banyantiller.gateway import access_keys, types
 
-# Type of a route whose requests may be retried; any other type forbids it.
-REPEATABLE = "safe"
+# Types of a route whose requests may be retried; any other type forbids it.
+# Responses to downloads are large.
+REPEATABLE = frozenset(("safe", "download"))
 
 
 class PartFields(TypedDict):
@@ -34,6 +35,8 @@
     maxAttempts: int
     service: str
     trafficSplit: list[PartFields]
+    # Whether requests need no key; nothing else is public about the route.
+    public: bool
 
 
 class ServiceFields(TypedDict):
@@ -56,6 +59,15 @@
     idleTimeoutS: float
 
 
+class OrganisationFields(TypedDict):
+    """One organisation, without its keys; see `hide_keys`."""
+
+    name: str
+    keyDigests: list[str]
+    # Takes precedence over the priority of the route.
+    priority: NotRequired[int]
+
+
 class DocumentFields(TypedDict):
     """The document."""
 
@@ -63,6 +75,42 @@
     routes: list[RouteFields]
     services: list[ServiceFields]
     limits: LimitFields
+    # Without this field callers need no keys; an empty list admits nobody.
+    tenants: NotRequired[list[OrganisationFields]]
+
+
+def hide_keys(value: Any) -> Any:
+    """Replaces the keys in a document by their digests.
+
+    A document whose keys are hidden already is returned as it is. A malformed
+    part is dropped instead of copied, since it may contain keys;
+    `read_document` then rejects the document.
+    """
+    if not isinstance(value, dict) or "tenants" not in value:
+        return value
+    organisations = value["tenants"]
+    if isinstance(organisations, list):
+        organisations = [_hide_keys_of(one) for one in organisations]
+    else:
+        organisations = None
+    return value | {"tenants": organisations}
+
+
+def _hide_keys_of(fields: Any) -> Any:
+    if not isinstance(fields, dict):
+        return None
+    shown = {name: value for name, value in fields.items() if name != "apiKeys"}
+    if "apiKeys" not in fields and "keyDigests" in fields:
+        return fields
+    keys = fields.get("apiKeys", [])
+    readable = isinstance(keys, list) and all(
+        isinstance(key, str) for key in keys
+    )
+    if not readable:
+        return shown | {"keyDigests": None}
+    return shown | {
+        "keyDigests": [access_keys.digest(key.encode()) for key in keys]
+    }
 
 
 def read_document(value: dict[str, Any]) -> types.Document:
@@ -71,7 +119,7 @@
     Raises:
         ValueError: It is malformed; the message names the place.
     """
-    fields = msgspec.convert(value, DocumentFields)
+    fields = msgspec.convert(hide_keys(value), DocumentFields)
     services = {
         item["name"]: _read_service(item) for item in fields["services"]
     }
@@ -90,6 +138,42 @@
             limits["headerTimeoutS"],
             limits["idleTimeoutS"],
         ),
+        _read_organisations(fields),
+    )
+
+
+def _read_organisations(
+    fields: DocumentFields,
+) -> tuple[types.Organisation, ...] | None:
+    """Returns the organisations, or None if callers need no keys.
+
+    Raises:
+        ValueError: Two organisations have the same name or share a key, which
+            would make a request belong to either.
+    """
+    if "tenants" not in fields:
+        return None
+    holders: dict[str, int] = {}
+    names: set[str] = set()
+    found = []
+    for index, item in enumerate(fields["tenants"]):
+        place = f"tenants[{index}]"
+        if not item["name"].isascii() or not item["name"].isprintable():
+            raise ValueError(f"{place}: the name can't be sent in a header")
+        if not item["name"] or item["name"] in names:
+            raise ValueError(f"{place}: the name is empty or used twice")
+        names.add(item["name"])
+        for key_digest in item["keyDigests"]:
+            other = holders.setdefault(key_digest, index)
+            if other != index:
+                raise ValueError(f"{place}: it shares a key with [{other}]")
+        found.append(_read_organisation(item))
+    return tuple(found)
+
+
+def _read_organisation(fields: OrganisationFields) -> types.Organisation:
+    return types.Organisation(
+        fields["name"], tuple(fields["keyDigests"]), fields.get("priority")
     )
 
 
@@ -110,12 +194,13 @@
             fields["name"],
             fields["hostname"].lower(),
             fields["pathPrefix"],
-            fields["routeType"] == REPEATABLE,
+            fields["routeType"] in REPEATABLE,
             fields["timeoutS"],
             fields["targetLatencyS"],
             fields["priority"],
             fields["maxAttempts"],
             _read_parts(fields),
+            fields.get("public", False),
         )
     except KeyError as error:
         raise ValueError(f"{place}: {error} is missing") from error
--- a/banyantiller/platform/headers.py
+++ b/banyantiller/platform/headers.py
@@ -24,6 +24,8 @@
     leaving=b"server-leaving",
     # Key of the caller's organisation, instead of the standard field.
     caller=b"credential",
+    # Only towards servers; a caller's own value is not forwarded.
+    organisation=b"tenant",
 )
 
 # In refusals of servers. A standard field, which the gateway sends to callers
--- a/banyantiller/platform/plugin.py
+++ b/banyantiller/platform/plugin.py
@@ -20,7 +20,11 @@
 def create(endpoint: defaults.Endpoint) -> types.Adapter:
     """Builds the adapter for the store at an endpoint."""
     return types.Adapter(
-        store=store.PlatformStore.from_address(endpoint.address, endpoint.port),
+        store=store.PlatformStore.from_address(
+            endpoint.address,
+            endpoint.port,
+            {DOCUMENT_KIND: documents.hide_keys},
+        ),
         document_kind=DOCUMENT_KIND,
         document_name=DOCUMENT_NAME,
         server_kind=SERVER_KIND,
--- a/banyantiller/platform/store.py
+++ b/banyantiller/platform/store.py
@@ -2,6 +2,8 @@
 
 import collections
 import re
+import types
+from collections.abc import Callable, Mapping
 from typing import Any, NotRequired, TypedDict
 from urllib import parse
 
@@ -10,6 +12,7 @@
 from banyantiller.http import client, messages, outcomes
 from banyantiller.store import interface
 
+NO_FILTERS: Mapping[str, Callable[[Any], Any]] = types.MappingProxyType({})
 # The store responds within milliseconds, in the slowest case within 0.4 s. A
 # call that exceeds the requested wait by this timeout has failed. Together with
 # the pause between calls, it bounds the delay until a recovery is noticed.
@@ -65,17 +68,29 @@
 
     Attributes:
         http_client: HTTP client of the store.
+        filters: Applied to the content of objects of some kinds before
+            anything else sees it.
         calls: Calls so far by verb; each call is charged for.
     """
 
-    def __init__(self, http_client: client.HttpClient) -> None:
+    def __init__(
+        self,
+        http_client: client.HttpClient,
+        filters: Mapping[str, Callable[[Any], Any]] = NO_FILTERS,
+    ) -> None:
         self.http_client = http_client
+        self.filters = filters
         self.calls: collections.Counter[str] = collections.Counter()
 
     @classmethod
-    def from_address(cls, address: str, port: int) -> "PlatformStore":
+    def from_address(
+        cls,
+        address: str,
+        port: int,
+        filters: Mapping[str, Callable[[Any], Any]] = NO_FILTERS,
+    ) -> "PlatformStore":
         """Builds a store; it connects on the first call."""
-        return cls(client.HttpClient(address, port, LIMITS))
+        return cls(client.HttpClient(address, port, LIMITS), filters)
 
     async def list(
         self, kind: str, labels: dict[str, str] | None = None
@@ -98,7 +113,7 @@
             # A watch from the first page's revision repeats later changes.
             first_revision = first_revision or str(page["currentRev"])
             items.extend(
-                _to_stored_object(kind, item) for item in page["items"]
+                self._to_stored_object(kind, item) for item in page["items"]
             )
             if not page["more"] or not page["items"]:
                 return interface.Listed(tuple(items), first_revision)
@@ -118,13 +133,32 @@
         found = await self._read(target, wait_s + TIMEOUT_S, Events)
         if isinstance(found, interface.Gone | interface.Unavailable):
             return found
-        events = tuple(_to_event(kind, event) for event in found["events"])
+        events = tuple(self._to_event(kind, event) for event in found["events"])
         return interface.Changes(events, str(found["currentRev"]))
 
     async def close(self) -> None:
         """Closes all idle connections."""
         await self.http_client.close()
 
+    def _to_event(
+        self, kind: str, event: Event
+    ) -> interface.Changed | interface.Deleted:
+        item = self._to_stored_object(kind, event["object"])
+        if event["removed"]:
+            return interface.Deleted(item)
+        return interface.Changed(item)
+
+    def _to_stored_object(
+        self, kind: str, item: Item
+    ) -> interface.StoredObject:
+        meta = item["metadata"]
+        content = _decode_spec(item)
+        if kind in self.filters:
+            content = self.filters[kind](content)
+        return interface.StoredObject(
+            kind, meta["name"], str(meta["revision"]), content
+        )
+
     async def _read(
         self, target: str, timeout_s: float, kind: Any
     ) -> Any | interface.Gone | interface.Unavailable:
@@ -161,20 +195,6 @@
     return f"/api/objects/{kind}" + (f"?{text}" if text else "")
 
 
-def _to_event(kind: str, event: Event) -> interface.Changed | interface.Deleted:
-    item = _to_stored_object(kind, event["object"])
-    if event["removed"]:
-        return interface.Deleted(item)
-    return interface.Changed(item)
-
-
-def _to_stored_object(kind: str, item: Item) -> interface.StoredObject:
-    meta = item["metadata"]
-    return interface.StoredObject(
-        kind, meta["name"], str(meta["revision"]), _decode_spec(item)
-    )
-
-
 def _decode_spec(item: Item) -> Any:
     """Decodes the content of an object; returns None if it is malformed.
 
--- a/banyantiller/tests/gateway/harness.py
+++ b/banyantiller/tests/gateway/harness.py
@@ -195,9 +195,14 @@
         routes=None,
         services=(SERVICE, "other"),
         cold_per_s=None,
+        organisations=None,
         **limits,
     ):
-        """Writes a new version of the document to the store."""
+        """Writes a new version of the document to the store.
+
+        Callers need keys if `organisations` is a list.
+        """
+        tenants = {} if organisations is None else {"tenants": organisations}
         cold = {} if cold_per_s is None else {"warmupPerS": cold_per_s}
         self.version += 2
         routes = routes or [
@@ -222,7 +227,8 @@
                     for name in services
                 ],
                 "limits": allowed | limits,
-            },
+            }
+            | tenants,
         )
 
     async def add_server(self, instance, service=SERVICE, port=0, **more):
--- a/banyantiller/tests/gateway/test_routes.py
+++ b/banyantiller/tests/gateway/test_routes.py
@@ -14,11 +14,19 @@
     return types.Route(name, host, prefix, True, 1.0, 0.5, 1, 2, split)
 
 
-def table(*items, seed=1):
-    document = types.Document(1, items, {})
+def table(*items, seed=1, organisations=None):
+    document = types.Document(1, items, {}, organisations=organisations)
     return routes.RouteTable(document, random.Random(seed))
 
 
+def urgent_routes(found, organisation=None):
+    return {
+        one.name
+        for one in found.document.routes
+        if found.is_urgent(one, organisation)
+    }
+
+
 class RoutesTest(base.TestCase):
     def test_longest_matching_prefix_wins(self):
         found = table(route("short"), route("long", "/a/b/"))
@@ -72,4 +80,26 @@
             route("alone", parts=(("two", 1.0),)),
             route("both", parts=(("one", 1.0), ("two", 1.0))),
         )
-        self.assertEqual({"file"}, found.urgent)
+        self.assertEqual({"file"}, urgent_routes(found))
+
+    def test_priority_of_the_organisation_replaces_that_of_the_route(self):
+        first = types.Organisation("first", (), 0)
+        last = types.Organisation("last", (), 5)
+        plain = types.Organisation("plain", ())
+        found = table(
+            route("read")._replace(priority=2),
+            route("file")._replace(priority=1),
+            organisations=(first, last, plain),
+        )
+        self.assertEqual({"read", "file"}, urgent_routes(found, first))
+        self.assertEqual(set(), urgent_routes(found, last))
+        self.assertEqual(set(), urgent_routes(found, plain))
+
+    def test_urgent_requests_without_differing_organisations(self):
+        same = types.Organisation("same", (), 0)
+        found = table(
+            route("read")._replace(priority=2),
+            route("file")._replace(priority=1),
+            organisations=(same,),
+        )
+        self.assertEqual(set(), urgent_routes(found, same))
--- a/banyantiller/tests/platform/test_decoding.py
+++ b/banyantiller/tests/platform/test_decoding.py
@@ -1,5 +1,7 @@
 """Tests of decoding documents, registrations and loads of the platform."""
 
+import hashlib
+
 import hypothesis
 from hypothesis import strategies
 
@@ -68,6 +70,70 @@
                 self.read(routeType=route_type).routes[0].idempotent
             )
 
+    def test_downloads_are_idempotent(self):
+        self.assertTrue(self.read(routeType="download").routes[0].idempotent)
+
+    def read_organisations(self, *items):
+        value = documents.hide_keys(DOCUMENT | {"tenants": list(items)})
+        return documents.read_document(value).organisations
+
+    def test_organisations_hold_digests_of_their_keys(self):
+        keyed = {"name": "a", "apiKeys": ["k", "\u00e9"], "priority": 1}
+        found = self.read_organisations(keyed, {"name": "b"})
+        digests = tuple(
+            hashlib.sha256(key).hexdigest() for key in (b"k", b"\xc3\xa9")
+        )
+        self.assertEqual(
+            (
+                types.Organisation("a", digests, 1),
+                types.Organisation("b", (), None),
+            ),
+            found,
+        )
+
+    def test_document_without_organisations_needs_no_keys(self):
+        self.assertIsNone(documents.read_document(DOCUMENT).organisations)
+        self.assertEqual((), self.read_organisations())
+
+    def test_malformed_organisations_are_rejected_without_their_keys(self):
+        for wrong in (
+            {"name": "a", "apiKeys": "secret"},
+            {"name": "a", "apiKeys": [["secret"]]},
+            {"name": 7, "apiKeys": ["secret"]},
+            {"name": "", "apiKeys": ["secret"]},
+            {"name": "a\nb", "apiKeys": ["secret"]},
+            {"name": "a", "apiKeys": ["secret"], "priority": "secret"},
+            ["secret"],
+            "secret",
+        ):
+            hidden = documents.hide_keys(DOCUMENT | {"tenants": [wrong]})
+            self.assertNotIn(
+                "secret",
+                repr(hidden["tenants"]).replace("'priority': 'secret'", ""),
+            )
+            error = self.assertRaises(
+                ValueError, documents.read_document, hidden
+            )
+            self.assertNotIn("secret", str(error))
+        hidden = documents.hide_keys(DOCUMENT | {"tenants": "secret"})
+        self.assertRaises(ValueError, documents.read_document, hidden)
+        self.assertNotIn("secret", repr(hidden))
+
+    def test_key_or_name_of_two_organisations_is_rejected(self):
+        for first, second in (
+            ({"name": "a", "apiKeys": ["k"]}, {"name": "b", "apiKeys": ["k"]}),
+            ({"name": "a"}, {"name": "a"}),
+        ):
+            self.assertRaises(
+                ValueError, self.read_organisations, first, second
+            )
+
+    def test_hiding_keys_twice_changes_nothing(self):
+        once = documents.hide_keys(
+            DOCUMENT | {"tenants": [{"name": "a", "apiKeys": ["k"]}]}
+        )
+        self.assertEqual(once, documents.hide_keys(once))
+
     def test_traffic_split_takes_precedence_over_the_service(self):
         split = [{"service": "one", "weight": 90}]
         parts = self.read(trafficSplit=split).routes[0].weighted_services
--- a/banyantiller/tests/proxy/test_error_kinds.py
+++ b/banyantiller/tests/proxy/test_error_kinds.py
@@ -171,9 +171,10 @@
     K.CLAIM_UNAVAILABLE,
     K.INTERNAL,
 }
-# In test_tls, test_at_most_once, daemon/test_whole_path and
-# daemon/test_crashing_servers.
+# In test_tls, test_at_most_once, daemon/test_whole_path,
+# daemon/test_crashing_servers and gateway/test_access_keys.
 TESTED_ELSEWHERE = {
+    K.UNKNOWN_KEY,
     K.QUARANTINED,
     K.TLS_FAILED,
     K.KEY_ALREADY_RUN,
