Keep organisations within their allowances over all daemons

What callers saw: an organisation got more than its allowance. On the paused clock 30 of 30 requests ran where 12 are allowed.

Cause: ratePerS and burst of the document were read nowhere, and no daemon sees what an organisation sends to the others.

Change: each relay owns a part of every allowance and grants it request by request; daemons ask before they admit, and share a message among requests that come together. Exact whatever daemons believe of the fleet; a relay that starts takes its part for spent, as the process before it may have granted it.

--- a/banyantiller/errors.py
+++ b/banyantiller/errors.py
@@ -35,6 +35,8 @@
     VERSION_UNSUPPORTED = "version_unsupported"
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_KEY = "unknown_key"
+    ALLOWANCE_SPENT = "allowance_spent"
+    ALLOWANCE_UNKNOWN = "allowance_unknown"
     NO_BUNDLE = "no_bundle"
     FENCED = "fenced"
     DRAINING = "draining"
@@ -119,6 +121,12 @@
     ErrorKind.UNKNOWN_KEY: ErrorResponse(
         401, "http_request_denied", Ran.NO, False
     ),
+    ErrorKind.ALLOWANCE_SPENT: ErrorResponse(
+        429, "http_request_denied", Ran.NO, True
+    ),
+    ErrorKind.ALLOWANCE_UNKNOWN: ErrorResponse(
+        503, "proxy_internal_error", Ran.NO, True
+    ),
     ErrorKind.NO_BUNDLE: ErrorResponse(
         503, "proxy_configuration_error", Ran.NO, True
     ),
--- a/banyantiller/explain/explanation.py
+++ b/banyantiller/explain/explanation.py
@@ -57,6 +57,10 @@
     " and path",
     "unknown_key": "no organisation of the version in force holds the caller's"
     " key",
+    "allowance_spent": "its organisation had used its allowance in the last"
+    " window",
+    "allowance_unknown": "no relay responded that grants its organisation"
+    " requests",
     "fenced": "the document in force does not allow it (route, key or size),"
     " but a newer one may: the store is lost or unresponsive, or the newest"
     " document can't be read",
--- /dev/null
+++ b/banyantiller/gateway/allowance_grants.py
@@ -0,0 +1,143 @@
+"""Grants other daemons the requests of organisations with an allowance."""
+
+import asyncio
+import math
+from collections.abc import Callable
+from typing import Annotated, TypedDict
+
+import msgspec
+
+from banyantiller.gateway import events, store_view, types
+from banyantiller.gateway import settings as options
+from banyantiller.gateway.decisions import allowances, turns
+from banyantiller.http import messages
+
+PATH = "/allowances"
+NOT_READY_STATUS = 503
+
+Number = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class AskFields(TypedDict):
+    """A daemon's message to a relay, with numbers by organisation.
+
+    `asked` are requests to grant, and `unused` grants whose requests were not
+    sent to any server.
+    """
+
+    asked: dict[str, Number]
+    unused: dict[str, Number]
+
+
+class GrantFields(TypedDict):
+    """Reply to `AskFields`.
+
+    `granted` has the number of granted requests of each organisation that the
+    relay's document names. `wait_ms` tells how long not to ask again for those
+    of which some were refused.
+    """
+
+    granted: dict[str, Number]
+    wait_ms: dict[str, Number]
+
+
+class RelayGrants:
+    """Grants this relay's parts of the allowances.
+
+    Attributes:
+        view: The document in force.
+        settings: Returns the settings in force.
+        by_organisation: Allowances by the name of the organisation.
+        limited: Organisations that were refused requests lately.
+        count: Number of relays.
+        index: Index of this relay.
+        started_at: Loop time at which this relay started.
+    """
+
+    def __init__(
+        self,
+        view: store_view.StoreView,
+        settings: Callable[[], options.Settings],
+    ) -> None:
+        self.view = view
+        self.settings = settings
+        self.loop = asyncio.get_running_loop()
+        self.by_organisation: dict[str, allowances.RelayAllowance] = {}
+        self.limited: set[str] = set()
+        self.started_at = self.loop.time()
+        seeds = sorted(settings().seeds)
+        own = settings().control
+        # Without relays, daemons can't count each other.
+        self.count = len(seeds) or turns.UNCOUNTED_FLEET
+        self.index = seeds.index(own) if own in seeds else 0
+
+    def handle(self, request: messages.Request) -> messages.Response:
+        """Answers the message of another daemon."""
+        if self.view.routes is None:
+            return messages.Response(NOT_READY_STATUS)
+        try:
+            fields = msgspec.msgpack.decode(request.body, type=AskFields)
+        except (msgspec.DecodeError, RecursionError):
+            return messages.Response(400)
+        body = msgspec.msgpack.encode(self.grant(fields))
+        return messages.Response(200, (), body)
+
+    def grant(self, fields: AskFields) -> GrantFields:
+        """Returns the reply to a daemon's message."""
+        now = self.loop.time()
+        for name, number in fields["unused"].items():
+            if name in self.by_organisation:
+                self.by_organisation[name].grants.take_back(number)
+        reply = GrantFields(granted={}, wait_ms={})
+        for name, asked in fields["asked"].items():
+            organisation = self._organisation(name)
+            if organisation is None:
+                continue
+            granted, wait_s = self._grant(organisation, asked, now)
+            reply["granted"][name] = granted
+            if granted < asked:
+                reply["wait_ms"][name] = math.ceil(wait_s * 1000)
+        return reply
+
+    def expire(self, now: float) -> None:
+        """Drops unused state, and reports organisations within their limits."""
+        for name, allowance in list(self.by_organisation.items()):
+            allowance.grants.expire(now)
+            window_s = allowance.grants.window_s
+            if allowance.refused_at + window_s > now:
+                continue
+            if name in self.limited:
+                self.limited.discard(name)
+                events.emit(events.OrganisationWithinAllowance(name))
+            if not allowance.grants.count:
+                del self.by_organisation[name]
+
+    def _organisation(self, name: str) -> types.Organisation | None:
+        if self.view.routes is None:
+            return None
+        return self.view.routes.organisations_by_name.get(name)
+
+    def _grant(
+        self, organisation: types.Organisation, asked: int, now: float
+    ) -> tuple[int, float]:
+        if organisation.per_s is None:
+            return asked, 0.0
+        settings = self.settings()
+        window_s = settings.allowance_window_s
+        name = organisation.name
+        allowance = self.by_organisation.get(name)
+        if allowance is None:
+            allowance = allowances.RelayAllowance(window_s)
+            self.by_organisation[name] = allowance
+        total = allowances.allowed_requests(
+            organisation.per_s, organisation.burst, window_s
+        )
+        part = allowances.relay_part(total, name, self.index, self.count)
+        slack = settings.allowance_slack * allowances.RESTART_SLACK_SHARE
+        granted = allowance.grant(
+            asked, part, slack / self.count, now - self.started_at, now
+        )
+        if granted < asked and name not in self.limited:
+            self.limited.add(name)
+            events.emit(events.OrganisationLimited(name, total))
+        return granted, allowance.wait_s(now)
--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -4,6 +4,7 @@
 
 from banyantiller.errors import ErrorKind, Failure, Ran
 from banyantiller.gateway import (
+    allowances,
     attempts,
     call_events,
     crash_detection,
@@ -39,6 +40,7 @@
         service: Name of the service that it is routed to.
         route_table: Routes that apply, or None before the first document.
         organisation: Organisation that holds the caller's key, or None.
+        admission: Grant within the allowance of that organisation.
         urgent: Whether its priority is the most urgent of the service.
         deadline: Loop time at which it fails for lack of a response.
         progress: State that is logged when the call ends.
@@ -76,6 +78,7 @@
         self.version = 0
         self.route: types.Route | None = None
         self.organisation: types.Organisation | None = None
+        self.admission = allowances.UNLIMITED
         self.urgent = False
         self.shortage = server_choice.Shortage.NOT_REGISTERED
         self.by_peer: exchange.RefusedByPeer | None = None
@@ -143,6 +146,9 @@
                 return self._fail(
                     self.gateway.store_view.refusal_of(ErrorKind.UNKNOWN_KEY)
                 )
+            refusal = await self._claim_allowance()
+            if refusal is not None:
+                return self._fail(refusal)
             self.service = self.route_table.choose_service(self.route)
             now = self.loop.time()
             self.gateway.budget_of(self.service).record_request(now)
@@ -160,6 +166,15 @@
             kind = ErrorKind.DEADLINE_UNREACHABLE
             return self._fail(refusals.with_retry_after(self, kind))
 
+    async def _claim_allowance(self) -> Failure | None:
+        """Returns the failure of a call beyond its organisation's allowance."""
+        self.admission = await self.gateway.allowances.admit(self.organisation)
+        if self.admission.error_kind is None:
+            return None
+        return Failure(
+            self.admission.error_kind, retry_after=self.admission.retry_after_s
+        )
+
     async def _run_attempts(self, service: types.Service) -> replies.Reply:
         """Sends to servers until one responds, with one hedge at most."""
         try:
@@ -393,4 +408,6 @@
         return replies.from_failure(failure, ran, self.gateway.settings.daemon)
 
     def _record_end(self, status: int, error: ErrorKind | None) -> None:
+        if error is not None and not self.progress.maybe_ran:
+            self.gateway.allowances.give_back(self.organisation, self.admission)
         self.gateway.record_call(self, status, error)
--- a/banyantiller/gateway/decisions/retry_after.py
+++ b/banyantiller/gateway/decisions/retry_after.py
@@ -46,6 +46,21 @@
     return min(bounded_s, MAX_AVAILABLE_RETRY_AFTER_S)
 
 
+def spread_retry_after_s(wait_s: float, rng: random.Random) -> float:
+    """Returns when a caller beyond its organisation's allowance may retry.
+
+    Args:
+        wait_s: Time until the allowance may permit a request, in seconds.
+        rng: Source of the random variation, so that the callers of an
+            organisation don't come back together.
+
+    Returns:
+        The time in seconds.
+    """
+    bounded_s = max(MIN_AVAILABLE_RETRY_AFTER_S, wait_s)
+    return bounded_s * rng.uniform(1.0, 2.0)
+
+
 def retry_after_s(rng: random.Random, by_servers: bool = False) -> float:
     """Returns the time after which a rejected caller may retry, in seconds.
 
--- a/banyantiller/gateway/events.py
+++ b/banyantiller/gateway/events.py
@@ -41,6 +41,25 @@
 # Lifecycle of the daemon.
 
 
+@event("gateway: organisation is beyond its allowance.", "warning")
+class OrganisationLimited(NamedTuple):
+    """This relay refuses requests of an organisation from now on.
+
+    It grants a part of what the fleet is allowed; the other parts are granted
+    by the other relays.
+    """
+
+    organisation: Annotated[str, "Name of the organisation."]
+    allowed: Annotated[int, "Requests that the fleet may run in a window."]
+
+
+@event("gateway: organisation is within its allowance.")
+class OrganisationWithinAllowance(NamedTuple):
+    """This relay refused no request of an organisation for a whole window."""
+
+    organisation: Annotated[str, "Name of the organisation."]
+
+
 @event("gateway: started.")
 class Started(NamedTuple):
     """The daemon listens for callers."""
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -6,8 +6,9 @@
 
 from banyantiller.config.defaults import Endpoint
 from banyantiller.errors import ErrorKind
-from banyantiller.gateway import call as calls
 from banyantiller.gateway import (
+    allowance_grants,
+    allowances,
     call_events,
     call_log,
     caller,
@@ -30,6 +31,7 @@
     tallies,
     types,
 )
+from banyantiller.gateway import call as calls
 from banyantiller.gateway import settings as options
 from banyantiller.gateway.decisions import budget, durations, selection, turns
 from banyantiller.http import messages
@@ -79,6 +81,7 @@
         reachability: Services of which no server responds to this daemon.
         forwarder: Forwards calls to daemons that reach servers.
         forwarded_calls: Runs calls that other daemons forward.
+        allowances: Admits the requests of organisations with an allowance.
     """
 
     def __init__(
@@ -161,6 +164,9 @@
         )
         self.forwarder = forwarding.Forwarder(daemons, rng)
         self.forwarded_calls = forwarded_calls.ForwardedCalls(self)
+        self.allowances = allowances.Allowances(
+            self.store_view, lambda: self.settings, rng
+        )
         self.all_closed = asyncio.Event()
         self.listener: asyncio.Server | None = None
 
@@ -242,6 +248,7 @@
                 self.settings.quarantine_s
             )
             self.crash_detector.tracker.expire(now)
+            self.allowances.expire(now)
             self.min_recent_share()
             for server_pool in self.pools.values():
                 server_pool.expire(now)
@@ -256,6 +263,7 @@
             server_pool.close()
         self.reachability.close()
         await self.forwarder.close()
+        await self.allowances.close()
         await self.store_view.reader.close()
 
     async def handle_peer(self, request: messages.Request) -> messages.Response:
@@ -264,6 +272,8 @@
             return self.quarantine_sync.handle(request)
         if request.path == daemon_list.PATH:
             return self.forwarder.daemons.handle(request)
+        if request.path == allowance_grants.PATH:
+            return self.allowances.relay_grants.handle(request)
         if request.path == forwarding.PATH:
             return await self.forwarded_calls.handle(request)
         return await self.store_view.mirror.handle(request)
--- a/banyantiller/gateway/metrics.py
+++ b/banyantiller/gateway/metrics.py
@@ -60,6 +60,8 @@
             ("registrations", "Registrations by outcome.",
              counts.registrations, ("outcome",)),
             ("store_calls", "Requests to the store.", store.calls, ("verb",)),
+            ("allowance_decisions", "Requests of organisations with an"
+             " allowance.", self.gateway.allowances.outcomes, ("outcome",)),
             ("peer_questions", "Queries to peers for changes.",
              self.gateway.store_view.reader.query_outcomes, ("outcome",)),
         )  # fmt: skip
@@ -120,6 +122,9 @@
              lambda: len(gateway.reachability.lost_at)),
             ("limited_servers", "Servers that name a rate limit.",
              gateway.server_limits.count_limited),
+            ("limited_organisations", "Organisations that this relay refused"
+             " requests lately.",
+             lambda: len(gateway.allowances.relay_grants.limited)),
             ("backed_off_servers", "Servers that asked this daemon for a"
              " backoff by Retry-After.",
              gateway.server_backoffs.count_active),
--- a/banyantiller/gateway/protocols.py
+++ b/banyantiller/gateway/protocols.py
@@ -10,6 +10,7 @@
 
 from banyantiller.errors import ErrorKind
 from banyantiller.gateway import (
+    allowances,
     crash_detection,
     exchange,
     pool,
@@ -59,6 +60,7 @@
     chooser: server_choice.ServerChooser
     reachability: reachability.Reachability
     forwarder: CallForwarder
+    allowances: allowances.Allowances
     durations: durations.Durations
     default_timeout_s: float
     max_response_bytes: int
--- a/banyantiller/gateway/routes.py
+++ b/banyantiller/gateway/routes.py
@@ -18,6 +18,7 @@
         split_points: Position of the next request of each split route, from 0
             to 1; the weights divide this range between the services.
         organisations: Organisations by the digests of their keys.
+        organisations_by_name: Organisations by their names.
         priorities: Priorities of the requests for each service.
         names: Names of all routes.
     """
@@ -38,6 +39,9 @@
             for organisation in document.organisations or ()
             for key_digest in organisation.key_digests
         }
+        self.organisations_by_name = {
+            one.name: one for one in document.organisations or ()
+        }
         self.priorities = _priorities_by_service(document)
         self.names = frozenset(route.name for route in document.routes)
 
--- a/banyantiller/gateway/settings.py
+++ b/banyantiller/gateway/settings.py
@@ -72,6 +72,22 @@
             low=0.1,
         ),
     ] = 1.0
+    allowance_window_s: Annotated[
+        float,
+        Option(
+            "Window in which the requests of an organisation are counted.",
+            unit="s",
+            low=1,
+        ),
+    ] = 5.0
+    allowance_slack: Annotated[
+        float,
+        Option(
+            "Requests in a window by which an allowance may be exceeded after"
+            " relays restarted.",
+            low=0,
+        ),
+    ] = 0.0
     quarantine_s: Annotated[
         float,
         Option(
--- a/banyantiller/gateway/types.py
+++ b/banyantiller/gateway/types.py
@@ -55,11 +55,16 @@
         key_digests: Digests of its keys; see `access_keys`.
         priority: Priority of its requests, which replaces that of the route,
             or None; 0 is the most urgent.
+        per_s: Requests a second that all daemons together run for it, or None
+            if they are not limited.
+        burst: Requests beyond that rate in any window of time.
     """
 
     name: str
     key_digests: tuple[str, ...]
     priority: int | None = None
+    per_s: float | None = None
+    burst: float = 0.0
 
 
 class Service(NamedTuple):
--- a/banyantiller/platform/documents.py
+++ b/banyantiller/platform/documents.py
@@ -66,6 +66,10 @@
     keyDigests: list[str]
     # Takes precedence over the priority of the route.
     priority: NotRequired[int]
+    # Over all daemons; 0 is no limit.
+    ratePerS: NotRequired[float]
+    # Requests beyond the rate, not a rate of its own.
+    burst: NotRequired[float]
 
 
 class DocumentFields(TypedDict):
@@ -167,13 +171,23 @@
             other = holders.setdefault(key_digest, index)
             if other != index:
                 raise ValueError(f"{place}: it shares a key with [{other}]")
-        found.append(_read_organisation(item))
+        found.append(_read_organisation(item, place))
     return tuple(found)
 
 
-def _read_organisation(fields: OrganisationFields) -> types.Organisation:
+def _read_organisation(
+    fields: OrganisationFields, place: str
+) -> types.Organisation:
+    per_s = fields.get("ratePerS", 0.0)
+    burst = fields.get("burst", 0.0)
+    if not 0 <= per_s < math.inf or not 0 <= burst < math.inf:
+        raise ValueError(f"{place}: an allowance is negative or infinite")
     return types.Organisation(
-        fields["name"], tuple(fields["keyDigests"]), fields.get("priority")
+        fields["name"],
+        tuple(fields["keyDigests"]),
+        fields.get("priority"),
+        per_s or None,
+        burst,
     )
 
 
--- a/banyantiller/tests/gateway/event_scenarios.py
+++ b/banyantiller/tests/gateway/event_scenarios.py
@@ -44,6 +44,16 @@
             await asyncio.sleep(0.2)
 
 
+@shows(events.OrganisationLimited, events.OrganisationWithinAllowance)
+async def organisation_exceeds_its_allowance(env):
+    organisation = {"name": "north", "apiKeys": ["k"], "ratePerS": 1}
+    env.put_document(organisations=[organisation])
+    await asyncio.sleep(6.0)
+    for number in range(8):
+        await env.request(f"a{number}", credential="k")
+    await asyncio.sleep(12.0)
+
+
 @shows(events.BackoffRequested, events.RetryAfterUnreadable)
 async def servers_refuse_requests_with_retry_after(env):
     env.fault(shed=True)
--- a/banyantiller/tests/proxy/test_error_kinds.py
+++ b/banyantiller/tests/proxy/test_error_kinds.py
@@ -172,8 +172,11 @@
     K.INTERNAL,
 }
 # In test_tls, test_at_most_once, daemon/test_whole_path,
-# daemon/test_crashing_servers and gateway/test_access_keys.
+# daemon/test_crashing_servers, gateway/test_access_keys and
+# gateway/test_allowances.
 TESTED_ELSEWHERE = {
+    K.ALLOWANCE_SPENT,
+    K.ALLOWANCE_UNKNOWN,
     K.UNKNOWN_KEY,
     K.QUARANTINED,
     K.TLS_FAILED,
