Read the store's other objects if one is nested too deep

Cause: msgspec raises RecursionError for deep JSON, also where it only skips it; it was caught nowhere on the way, left the watcher of servers, and the kernel restarted the watcher into the same entry.

Change: content deeper than 64 levels is unreadable by itself; a page that can't be decoded for its depth is decoded without the deep values; any exception of one object concerns that object. Why a bound of our own and not the decoder's error: a value read at one daemon could fail at the next, within a message. One function decodes what peers send, with RecursionError as malformed; the same fault stood in eight more places, load reports and the list of VMs included.

--- a/banyantiller/gateway/allowance_grants.py
+++ b/banyantiller/gateway/allowance_grants.py
@@ -11,6 +11,7 @@
 from banyantiller.gateway import settings as options
 from banyantiller.gateway.decisions import allowances, turns
 from banyantiller.http import messages
+from banyantiller.utils import decoding
 
 PATH = "/allowances"
 NOT_READY_STATUS = 503
@@ -76,8 +77,8 @@
         if self.view.routes is None:
             return messages.Response(NOT_READY_STATUS)
         try:
-            fields = msgspec.msgpack.decode(request.body, type=AskFields)
-        except (msgspec.DecodeError, RecursionError):
+            fields = decoding.from_msgpack(request.body, AskFields)
+        except decoding.UnreadableError:
             return messages.Response(400)
         body = msgspec.msgpack.encode(self.grant(fields))
         return messages.Response(200, (), body)
--- a/banyantiller/gateway/allowances.py
+++ b/banyantiller/gateway/allowances.py
@@ -21,6 +21,7 @@
 from banyantiller.gateway import settings as options
 from banyantiller.gateway.decisions import allowances, retry_after
 from banyantiller.http import client, messages, outcomes
+from banyantiller.utils import decoding
 
 # A relay responds within 10 ms. Requests wait for the response.
 ASK_TIMEOUT_S = 0.1
@@ -312,10 +313,8 @@
     if outcome.response.status != 200:
         return None
     try:
-        return msgspec.msgpack.decode(
-            outcome.body, type=allowance_grants.GrantFields
-        )
-    except (msgspec.DecodeError, RecursionError) as error:
+        return decoding.from_msgpack(outcome.body, allowance_grants.GrantFields)
+    except decoding.UnreadableError as error:
         address = f"{relay.address}:{relay.port}"
         events.emit(events.PeerMessageUnreadable(address, str(error)))
         return None
--- a/banyantiller/gateway/daemon_list.py
+++ b/banyantiller/gateway/daemon_list.py
@@ -16,6 +16,7 @@
 
 from banyantiller.gateway import events, mirror, peers
 from banyantiller.http import messages, outcomes
+from banyantiller.utils import decoding
 
 PATH = "/daemons"
 # Maximum number of daemons in one reply: enough to spread calls over, also if
@@ -172,8 +173,8 @@
         if outcome.response.status != 200:
             return []
         try:
-            reply = msgspec.json.decode(outcome.body, type=ListFields)
-        except msgspec.DecodeError as error:
+            reply = decoding.from_json(outcome.body, ListFields)
+        except decoding.UnreadableError as error:
             events.emit(events.PeerMessageUnreadable(peer.address, str(error)))
             return []
         return reply["daemons"]
--- a/banyantiller/gateway/forwarded_calls.py
+++ b/banyantiller/gateway/forwarded_calls.py
@@ -16,6 +16,7 @@
     types,
 )
 from banyantiller.http import messages
+from banyantiller.utils import decoding
 
 
 class DaemonContext(protocols.CallContext, Protocol):
@@ -45,10 +46,10 @@
         if self.gateway.not_ready_reason():
             return messages.Response(503)
         try:
-            fields = msgspec.msgpack.decode(
-                request.body, type=forwarding.ForwardedRequest
+            fields = decoding.from_msgpack(
+                request.body, forwarding.ForwardedRequest
             )
-        except msgspec.DecodeError:
+        except decoding.UnreadableError:
             return messages.Response(400)
         forwarded = self._build_call(fields)
         self.running += 1
--- a/banyantiller/gateway/forwarding.py
+++ b/banyantiller/gateway/forwarding.py
@@ -26,6 +26,7 @@
 )
 from banyantiller.gateway import settings as options
 from banyantiller.http import client, messages, outcomes
+from banyantiller.utils import decoding
 
 PATH = "/forward"
 # A peer accepts a connection within 4 ms.
@@ -242,9 +243,9 @@
         if status in REJECTED_STATUSES:
             return self._refused_by_lost_peer()
         try:
-            reply = msgspec.msgpack.decode(outcome.body, type=ForwardedReply)
+            reply = decoding.from_msgpack(outcome.body, ForwardedReply)
             result = _read_outcome(reply)
-        except (msgspec.DecodeError, ValueError) as error:
+        except ValueError as error:
             reason = f"{self.address}: status {status}, {error}"
             return exchange.BrokenResponse(ErrorKind.INTERNAL, reason)
         self.instances = reply["instances"]
--- a/banyantiller/gateway/mirror.py
+++ b/banyantiller/gateway/mirror.py
@@ -10,8 +10,6 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-import msgspec
-
 from banyantiller.gateway import (
     change_history,
     events,
@@ -22,6 +20,7 @@
 from banyantiller.gateway.decisions import failure_reports
 from banyantiller.http import messages
 from banyantiller.store import interface
+from banyantiller.utils import decoding
 
 PATH = "/mirror/"
 # Value of the query parameter `shares` of a daemon that shares the budget of
@@ -213,10 +212,10 @@
             shares = request.query.get("shares", SHARES) == SHARES
             mark = request.query.get("mark", self.mark())
             limits_text = request.query.get("limits", "[]")
-            named_limits = msgspec.json.decode(
-                limits_text, type=list[server_limits.LimitFields]
+            named_limits = decoding.from_json(
+                limits_text, list[server_limits.LimitFields]
             )
-        except (KeyError, ValueError, msgspec.DecodeError):
+        except (KeyError, ValueError):
             return messages.Response(400)
         is_first = not self.has_subscribers()
         now = self.loop.time()
--- a/banyantiller/gateway/peers.py
+++ b/banyantiller/gateway/peers.py
@@ -16,6 +16,7 @@
 from banyantiller.gateway.decisions import turns
 from banyantiller.http import client, messages, outcomes
 from banyantiller.store import interface
+from banyantiller.utils import decoding
 
 # Time that a relay may take beyond the requested wait.
 QUERY_MARGIN_S = 0.4
@@ -237,9 +238,9 @@
             body = outcome.body
             if outcome.response.header("content-encoding"):
                 body = zlib.decompress(body)
-            fields = msgspec.json.decode(body, type=body_type)
+            fields = decoding.from_json(body, body_type)
             int(fields["version"])
-        except (ValueError, msgspec.DecodeError, zlib.error) as error:
+        except (ValueError, zlib.error) as error:
             events.emit(events.PeerMessageUnreadable(self.address, str(error)))
             return PeerRefusal(RefusalKind.UNRESPONSIVE)
         return PeerReply(outcome.response, fields)
--- a/banyantiller/gateway/quarantine_sync.py
+++ b/banyantiller/gateway/quarantine_sync.py
@@ -23,6 +23,7 @@
 from banyantiller.gateway import crash_detection, events, peers
 from banyantiller.http import messages, outcomes
 from banyantiller.quarantine import crash_table
+from banyantiller.utils import decoding
 
 PATH = "/quarantine/"
 LIFT = PATH + "lift"
@@ -162,8 +163,8 @@
 
     def _receive(self, request: messages.Request) -> messages.Response:
         try:
-            message = msgspec.json.decode(request.body, type=Message)
-        except msgspec.DecodeError:
+            message = decoding.from_json(request.body, Message)
+        except decoding.UnreadableError:
             return messages.Response(400)
         self._merge_records(message["records"])
         return messages.Response(204)
@@ -267,8 +268,8 @@
         if outcome.response.status != 200:
             return
         try:
-            message = msgspec.json.decode(outcome.body, type=Message)
-        except msgspec.DecodeError as error:
+            message = decoding.from_json(outcome.body, Message)
+        except decoding.UnreadableError as error:
             events.emit(events.PeerMessageUnreadable(peer.address, str(error)))
             return
         self.fetched_marks[peer.address] = message["mark"]
--- a/banyantiller/gateway/store_view.py
+++ b/banyantiller/gateway/store_view.py
@@ -249,10 +249,10 @@
             return
         try:
             document = self.adapter.read_document(item.value)
-        except ValueError as error:
+        except Exception as error:  # One object must not stop the watcher.
             self.newest_unreadable = True
             self.tallies.documents["unreadable"] += 1
-            events.emit(events.DocumentUnreadable(str(error)))
+            events.emit(events.DocumentUnreadable(_describe(error)))
             return
         self.newest_unreadable = False
         previous_version = self.version
@@ -294,8 +294,8 @@
     def _server_changed(self, item: interface.StoredObject) -> None:
         try:
             server = self.adapter.read_server(item.name, item.value)
-        except ValueError as error:
-            self._reject_registration(item.name, str(error))
+        except Exception as error:  # One object must not stop the watcher.
+            self._reject_registration(item.name, _describe(error))
             return
         self.unreadable_registrations.pop(item.name, None)
         self.tallies.registrations["read"] += 1
@@ -384,3 +384,8 @@
         for text in settings.seeds
         if text != settings.control
     ]
+
+
+def _describe(error: Exception) -> str:
+    """Returns the message of a decoding error for the log."""
+    return str(error) or type(error).__name__
--- a/banyantiller/platform/store.py
+++ b/banyantiller/platform/store.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from banyantiller.http import client, messages, outcomes
+from banyantiller.platform import nesting
 from banyantiller.store import interface
 
 NO_FILTERS: Mapping[str, Callable[[Any], Any]] = types.MappingProxyType({})
@@ -24,6 +25,10 @@
 # page.
 SURROGATE = re.compile(rb"\\u[dD][89a-fA-F][0-9a-fA-F]{2}")
 REPLACEMENT = rb"\\ufffd"
+# Number of arrays and objects around the content of an object: in a page, and
+# in a response with events.
+ITEM_LEVEL = 3
+EVENT_LEVEL = 4
 
 
 class ObjectFields(TypedDict):
@@ -103,9 +108,8 @@
         while True:
             query = {"after": after} if after else {}
             self.calls["list"] += 1
-            page = await self._read(
-                _build_target(kind, **query), TIMEOUT_S, Page
-            )
+            target = _build_target(kind, **query)
+            page = await self._read(target, TIMEOUT_S, Page, ITEM_LEVEL)
             if isinstance(page, interface.Gone):
                 return interface.Unavailable("status 410")
             if isinstance(page, interface.Unavailable):
@@ -130,7 +134,9 @@
         wait_ms = str(int(wait_s * 1000))
         target = _build_target(kind, watch=version, waitMs=wait_ms)
         self.calls["watch"] += 1
-        found = await self._read(target, wait_s + TIMEOUT_S, Events)
+        found = await self._read(
+            target, wait_s + TIMEOUT_S, Events, EVENT_LEVEL
+        )
         if isinstance(found, interface.Gone | interface.Unavailable):
             return found
         events = tuple(self._to_event(kind, event) for event in found["events"])
@@ -160,7 +166,7 @@
         )
 
     async def _read(
-        self, target: str, timeout_s: float, kind: Any
+        self, target: str, timeout_s: float, kind: Any, level: int
     ) -> Any | interface.Gone | interface.Unavailable:
         outcome = await self.http_client.request("GET", target, timeout_s)
         if not isinstance(outcome, outcomes.Answered):
@@ -170,23 +176,30 @@
         if outcome.response.status != 200:
             return interface.Unavailable(f"status {outcome.response.status}")
         try:
-            return _decode(outcome.body, kind)
-        except msgspec.DecodeError as error:
+            return _decode(outcome.body, kind, level)
+        except (msgspec.DecodeError, RecursionError) as error:
             return interface.Unavailable(
                 f"a response can't be decoded: {error}"
             )
 
 
-def _decode(body: bytes, kind: Any) -> Any:
+def _decode(body: bytes, kind: Any, level: int) -> Any:
     """Decodes a response in which single objects may be malformed.
 
+    Args:
+        body: The response.
+        kind: Its type.
+        level: Number of arrays and objects around the content of an object.
+
     Raises:
         DecodeError: The response itself is malformed.
+        RecursionError: It is nested too deep outside of its objects.
     """
     try:
         return msgspec.json.decode(body, type=kind)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         clean = SURROGATE.sub(REPLACEMENT, body)
+        clean = nesting.drop_deep_values(clean, level)
         return msgspec.json.decode(clean, type=kind)
 
 
@@ -201,6 +214,9 @@
     The decoder of the object's kind reports None with the name of the object.
     """
     try:
-        return msgspec.json.decode(item["spec"])
+        content = bytes(item["spec"])
+        if nesting.is_too_deep(content):
+            return None
+        return msgspec.json.decode(content)
     except (KeyError, msgspec.DecodeError, UnicodeDecodeError):
         return None
--- a/banyantiller/proxy/load.py
+++ b/banyantiller/proxy/load.py
@@ -49,7 +49,7 @@
             metrics = decode_json(text).named_metrics
         else:
             return None
-    except (msgspec.MsgspecError, ValueError):
+    except (msgspec.MsgspecError, ValueError, RecursionError):
         return None
     return _to_report(metrics, source)
 
--- /dev/null
+++ b/banyantiller/tests/platform/test_nesting.py
@@ -0,0 +1,187 @@
+"""Tests of objects in the store that are nested too deep to be decoded.
+
+Guards against one object that stops what reads all of them: deep JSON in one
+registration raised RecursionError, no daemon listed the servers any more, and
+after a restart of all daemons none got ready.
+"""
+
+import asyncio
+import json
+
+import hypothesis
+import msgspec
+from hypothesis import strategies
+
+from banyantiller.platform import documents, nesting, registrations, store
+from banyantiller.proxy import load
+from banyantiller.tests import base
+from banyantiller.tests.gateway import harness
+from banyantiller.utils import decoding
+
+DEPTHS = (nesting.MAX_DEPTH + 1, 900, 1200, 200_000)
+SCALARS = strategies.one_of(
+    strategies.none(),
+    strategies.booleans(),
+    strategies.integers(),
+    strategies.floats(allow_nan=False),
+    strategies.text(),
+)
+VALUES = strategies.recursive(
+    SCALARS,
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(strategies.text(), inner, max_size=4)
+    ),
+)
+FIELD_NAMES = (
+    "service", "address", "zone", "maxConcurrency", "state", "warmupLeftS",
+    "born", "version", "routes", "services", "limits", "tenants",
+)  # fmt: skip
+
+
+def deep(depth, opening="[", closing="]"):
+    """Returns JSON text with nested arrays."""
+    return opening * depth + closing * depth
+
+
+def depth_of(value):
+    """Returns the depth of a value that is not deep."""
+    if isinstance(value, list | dict):
+        items = value.values() if isinstance(value, dict) else value
+        return 1 + max(map(depth_of, items), default=0)
+    return 0
+
+
+class NestingTest(base.TestCase):
+    @hypothesis.given(VALUES, strategies.integers(0, 120))
+    def test_depth_is_found_whatever_strings_contain(self, value, around):
+        for _ in range(around):
+            value = {'[{"\\': [value]}
+        text = json.dumps(value).encode()
+        too_deep = depth_of(value) > nesting.MAX_DEPTH
+        self.assertEqual(too_deep, nesting.is_too_deep(text))
+
+    @hypothesis.given(strategies.lists(VALUES, max_size=6))
+    def test_values_that_are_not_deep_are_kept(self, values):
+        text = json.dumps({"items": values}).encode()
+        self.assertEqual(text, nesting.drop_deep_values(text, 2))
+
+    def test_only_deep_values_are_replaced(self):
+        for depth in DEPTHS:
+            text = f'{{"a":[[1],{deep(depth)},{{"b":"]"}}]}}'.encode()
+            kept = json.loads(nesting.drop_deep_values(text, 2))
+            self.assertEqual({"a": [[1], None, {"b": "]"}]}, kept)
+
+
+class DecodersTest(base.TestCase):
+    """Each decoder reports what it can't read, whatever that is."""
+
+    @hypothesis.given(
+        strategies.dictionaries(strategies.sampled_from(FIELD_NAMES), VALUES)
+    )
+    def test_decoders_of_objects_raise_nothing_but_value_errors(self, value):
+        for read in (
+            documents.read_document,
+            lambda value: registrations.read_server("i", value),
+        ):
+            try:
+                read(value)
+            except ValueError:
+                continue
+
+    def test_deep_messages_are_unreadable(self):
+        for depth in DEPTHS[1:]:
+            self.assertRaises(
+                decoding.UnreadableError,
+                decoding.from_json,
+                deep(depth),
+                msgspec.Raw if depth > 900 else dict[str, int],
+            )
+            packed = b"\x91" * depth + b"\x01"
+            self.assertRaises(
+                decoding.UnreadableError, decoding.from_msgpack, packed, int
+            )
+
+    def test_deep_load_report_is_ignored(self):
+        text = '{"named_metrics":{},"x":' + deep(1200) + "}"
+        self.assertIsNone(load.read_header(f"JSON {text}".encode()))
+
+
+class DeepObjectTest(harness.TestCase):
+    """A fleet with one deep object in the store serves, also after a start."""
+
+    def put_raw(self, env, kind, name, text):
+        """Writes an object of which the store keeps the text."""
+        env.store.put(kind, name, {"raw": "here"})
+        before = env.store.handle
+
+        async def handle(request):
+            response = await before(request)
+            body = response.body.replace(
+                b'{"raw":"here"}', text.encode()
+            ).replace(b'{"raw": "here"}', text.encode())
+            return response._replace(body=body)
+
+        env.http.handler = handle
+
+    def play_start(self, kind, name, text):
+        """Returns the status at a daemon that ran, and at a new one."""
+
+        async def body(env):
+            self.put_raw(env, kind, name, text)
+            await asyncio.sleep(1.0)
+            await env.add_server("later")
+            await asyncio.sleep(1.0)
+            first = (await env.request("a")).status
+            known = "later" in env.gateway.store_view.table.entries
+            await env.start_gateway(name="d2")
+            await asyncio.sleep(0.2)
+            ready = not env.gateway.not_ready_reason()
+            return first, known, ready, (await env.request("b")).status
+
+        return self.play(body)
+
+    def test_deep_registration_leaves_the_others(self):
+        for depth in DEPTHS:
+            for text in (deep(depth), f'{{"service":{deep(depth)}}}'):
+                self.assertEqual(
+                    (200, True, True, 200),
+                    self.play_start("servers", "other", text),
+                )
+
+    def test_deep_document_keeps_the_one_in_force(self):
+        async def body(env):
+            text = '{"version":' + deep(1200) + "}"
+            self.put_raw(env, "config", "main", text)
+            await asyncio.sleep(1.0)
+            return (await env.request("a")).status
+
+        self.assertEqual(200, self.play(body))
+
+    def test_object_whose_decoder_fails_leaves_the_others(self):
+        async def body(env):
+            view = env.gateway.store_view
+            read_server = view.adapter.read_server
+
+            def fail(name, value):
+                if name == "other":
+                    raise RecursionError
+                return read_server(name, value)
+
+            view.adapter = view.adapter._replace(read_server=fail)
+            env.store.put("servers", "other", {})
+            await asyncio.sleep(1.0)
+            await env.add_server("later")
+            await asyncio.sleep(1.0)
+            return "later" in view.table.entries
+
+        self.assertTrue(self.play(body))
+
+
+class DecodeTest(base.TestCase):
+    def test_page_that_is_deep_outside_of_its_objects_is_an_error(self):
+        text = f'{{"items":{deep(1200)}}}'.encode()
+        self.assertRaises(
+            (msgspec.DecodeError, RecursionError),
+            store._decode, text, store.Page, store.ITEM_LEVEL,
+        )  # fmt: skip
--- /dev/null
+++ b/banyantiller/utils/decoding.py
@@ -0,0 +1,33 @@
+"""Decodes messages that another process sent."""
+
+from typing import Any
+
+import msgspec
+
+
+class UnreadableError(ValueError):
+    """A message can't be decoded."""
+
+
+def from_json(data: bytes | str, message_type: Any) -> Any:
+    """Decodes JSON.
+
+    Raises:
+        UnreadableError: It is malformed, of another type, or nested too deep.
+    """
+    try:
+        return msgspec.json.decode(data, type=message_type)
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+        raise UnreadableError(str(error)) from error
+
+
+def from_msgpack(data: bytes, message_type: Any) -> Any:
+    """Decodes MessagePack.
+
+    Raises:
+        UnreadableError: It is malformed, of another type, or nested too deep.
+    """
+    try:
+        return msgspec.msgpack.decode(data, type=message_type)
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+        raise UnreadableError(str(error)) from error
--- a/banyantiller/vmlist/http.py
+++ b/banyantiller/vmlist/http.py
@@ -68,7 +68,7 @@
             )
         try:
             return _decode(outcome.body)
-        except (msgspec.MsgspecError, ValueError) as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             return interface.VmListUnavailable(f"not a VM list: {error}")
 
     async def close(self) -> None:
