Close pipelined connections during a drain

Cause: a reply closed its connection only with nothing pending behind it, and the end of listening closed idle connections only; a caller that always has a further request in flight was never told to close.

Change: while shutting down, the first reply, or the end of listening, ends the reading of a connection; requests behind the last started one are dropped and the last reply says close. The connection is then closed for sending first, as a reset could overtake that reply.

--- a/banyantiller/gateway/caller.py
+++ b/banyantiller/gateway/caller.py
@@ -61,6 +61,11 @@
         self.task: asyncio.Task[None] | None = None
         self.reply: replies.Reply | None = None
 
+    @property
+    def started(self) -> bool:
+        """Whether the request was passed on, or has a reply."""
+        return self.task is not None or self.reply is not None
+
 
 class CallerConnection(asyncio.Protocol):
     """Reads pipelined requests and writes their replies in order.
@@ -75,7 +80,10 @@
         request_started: Whether bytes of the next request were received.
         waiting_since: Loop time from which the current timeout counts.
         reading_ended: Whether no further request is read.
-        rejected: Whether a request was rejected before its end was read.
+        draining: Whether the connection is to be closed as soon as possible.
+        lingers: Whether the caller may still be sending when the connection is
+            closed: a request was rejected before its end was read, or further
+            requests are not read.
     """
 
     def __init__(self, gateway: protocols.ConnectionContext) -> None:
@@ -89,7 +97,8 @@
         self.waiting_since = self.loop.time()
         self.reading_ended = False
         self.closed = False
-        self.rejected = False
+        self.draining = False
+        self.lingers = False
         self.timer: asyncio.TimerHandle | None = None
         self.parsing = False
 
@@ -140,8 +149,15 @@
     # Called by the gateway.
 
     def drain(self) -> None:
-        """Closes the connection if it is idle."""
-        if not self.pipeline and not self.request_started:
+        """Closes the connection, or makes its last reply close it.
+
+        A caller that always has a further request on the connection would
+        otherwise keep it open until the process ends and cuts its calls.
+        """
+        self.draining = True
+        if any(pending.started for pending in self.pipeline):
+            self._stop_reading()
+        elif not self.pipeline and not self.request_started:
             self._close()
 
     def run_waiting_calls(self) -> None:
@@ -154,6 +170,20 @@
             h11.SERVER, max_incomplete_event_size=CODEC_LIMIT_BYTES
         )
 
+    def _stop_reading(self) -> None:
+        """Ends reading and drops the requests behind the last started call.
+
+        Callers take requests behind a reply that closes the connection for
+        unread, and send them again.
+        """
+        self.reading_ended = True
+        self.lingers = self.lingers or self.request_started
+        self.incoming = None
+        while self.pipeline and not self.pipeline[-1].started:
+            dropped = self.pipeline.pop()
+            self.gateway.buffered_body_bytes -= dropped.size
+            self.lingers = True
+
     def _parse_requests(self) -> None:
         if self.parsing:
             return
@@ -278,7 +308,7 @@
             self.pipeline.append(pending)
         self.incoming = None
         self.reading_ended = True
-        self.rejected = True
+        self.lingers = True
         pending.body.clear()
         pending.reply = replies.from_failure(
             failure, failure.response.ran, self.gateway.settings.daemon
@@ -317,8 +347,9 @@
     def _write_reply(self, pending: PipelinedRequest) -> bool:
         """Writes a reply; returns whether the connection stays open."""
         reply = pending.reply
-        draining = self.gateway.draining and not self.request_started
-        closing = not self.pipeline and (self.reading_ended or draining)
+        if self.gateway.draining and self._may_stop_reading():
+            self._stop_reading()
+        closing = not self.pipeline and self.reading_ended
         headers = list(reply.headers)
         no_body = reply.status in (204, 304)
         if not no_body:
@@ -347,12 +378,23 @@
             return False
         return True
 
+    def _may_stop_reading(self) -> bool:
+        """Returns whether no further request should be read.
+
+        While the daemon still accepts connections, a request of which a part
+        was received, and which no other call is ahead of, is served as well.
+        """
+        started = any(one.started for one in self.pipeline)
+        return self.draining or started or not self.request_started
+
     def _close(self) -> None:
         self.reading_ended = True
         self._stop_timer()
         if self.closed:
             return
-        if self.rejected and self.transport.can_write_eof():
+        if self.lingers and self.transport.can_write_eof():
+            # Unread bytes would reset the connection.
+            self.transport.resume_reading()
             self.transport.write_eof()
             self.timer = self.loop.call_later(LINGER_S, self.transport.abort)
         else:
--- a/banyantiller/tests/gateway/test_draining.py
+++ b/banyantiller/tests/gateway/test_draining.py
@@ -6,6 +6,7 @@
 from banyantiller.tests.gateway import harness
 
 DRAIN_S = 6.0
+WORK_S = 0.24
 
 
 class DrainingTest(harness.TestCase):
@@ -63,3 +64,96 @@
             return await env.gateway.drain(DRAIN_S)
 
         self.assertEqual(1, self.play(body))
+
+
+class PipelinedDrainTest(harness.TestCase):
+    """Guards against calls that are cut at the end of a drain.
+
+    A caller that sent each request before the reply to the one before was never
+    told to close its connection: requests sent over 3 s after the shutdown
+    began were passed on, and cut when the process ended.
+    """
+
+    async def send_always_ahead(self, caller, in_flight, method, state):
+        """Keeps requests in flight until the connection closes."""
+        path = "/read/x" if method == "GET" else "/file/x"
+        waiting = []
+        number = 0
+        while True:
+            while len(waiting) < in_flight:
+                name = f"{id(caller)}-{number}"
+                number += 1
+                caller.send(name, path, method, b"x" * (method == "POST"))
+                waiting.append(name)
+                # The requests of a caller don't come at one moment.
+                await asyncio.sleep(WORK_S / in_flight)
+            answer = await caller.read()
+            if answer is None:
+                break
+            state["answered"].append(waiting.pop(0))
+            state["statuses"].add(answer.status)
+            if answer.headers.get("connection") == "close":
+                state["closed"] += 1
+                break
+        state["unanswered"] += waiting
+
+    def play_drain(self, in_flight, method="GET"):
+        """Returns the calls cut, what callers saw, and what servers ran."""
+
+        async def body(env):
+            for server in env.servers.values():
+                server.work_s = WORK_S
+            state = {
+                "answered": [], "unanswered": [], "statuses": set(),
+                "closed": 0,
+            }  # fmt: skip
+            callers = [await harness.Caller.connect(env) for _ in range(2)]
+            tasks = [
+                asyncio.ensure_future(
+                    self.send_always_ahead(caller, in_flight, method, state)
+                )
+                for caller in callers
+            ]
+            await asyncio.sleep(1.0)
+            cut = await env.gateway.drain(DRAIN_S)
+            await asyncio.wait(tasks, timeout=2.0)
+            ran = [name for name in state["unanswered"] if env.ran(name)]
+            twice = [name for name in state["answered"] if env.ran(name) > 1]
+            return cut, state, ran, twice
+
+        return self.play(body)
+
+    def check_drain(self, in_flight, method="GET"):
+        cut, state, ran, twice = self.play_drain(in_flight, method)
+        self.assertEqual(0, cut)
+        self.assertEqual(2, state["closed"])
+        # Callers send what was not answered again, of any method.
+        self.assertEqual([], ran)
+        if method == "POST":
+            self.assertEqual([], twice)
+
+    def test_caller_with_a_further_read_in_flight_is_told_to_close(self):
+        self.check_drain(2)
+
+    def test_caller_with_a_full_pipeline_is_told_to_close(self):
+        self.check_drain(20)
+
+    def test_requests_that_are_not_idempotent_are_not_run_behind_a_close(self):
+        self.check_drain(4, "POST")
+
+    def test_caller_whose_next_request_is_never_complete_is_told_to_close(self):
+        async def body(env):
+            caller = await harness.Caller.connect(env)
+            for server in env.servers.values():
+                server.work_s = 0.5
+            drain = asyncio.ensure_future(env.gateway.drain(DRAIN_S))
+            await asyncio.sleep(gateways.DRAIN_LISTEN_S - 0.1)
+            caller.send("a")
+            caller.writer.write(b"GET /read/x HTTP/1.1\r\nhost:")
+            answer = await caller.read()
+            return answer, await drain
+
+        answer, cut = self.play(body)
+        self.assertEqual(200, answer.status)
+        self.assertEqual("close", answer.headers["connection"])
+        self.assertEqual(0, cut)
