Notice callers that disconnect with a full pipeline

Cause: reading paused at 16 pipelined requests, and a paused transport does not see the close of its connection.

Change: beyond a full pipeline, up to 64 KB of requests are read and buffered.

--- a/banyantiller/gateway/caller.py
+++ b/banyantiller/gateway/caller.py
@@ -20,6 +20,8 @@
 
 # Maximum number of pipelined requests on one connection.
 MAX_PIPELINED = 16
+# Size of received requests beyond these at which reading pauses.
+MAX_READ_AHEAD_BYTES = 65536
 # Maximum time from a request head to the end of its body, as for any response.
 BODY_TIMEOUT_S = 30.0
 # Maximum size of the request bodies in memory over all connections. A body of
@@ -118,7 +120,7 @@
             self._set_timer()
         self.codec.receive_data(data)
         self._parse_requests()
-        if len(self.pipeline) >= MAX_PIPELINED and not self.closed:
+        if self._is_buffer_full() and not self.closed:
             self.transport.pause_reading()
 
     def eof_received(self) -> bool:
@@ -341,9 +343,19 @@
             return
         if self.codec.trailing_data[0]:
             self._parse_requests()
-        if len(self.pipeline) < MAX_PIPELINED:
+        if not self._is_buffer_full():
             self.transport.resume_reading()
 
+    def _is_buffer_full(self) -> bool:
+        """Returns whether reading has to wait for replies.
+
+        Requests beyond a full pipeline are buffered up to a size, so that a
+        caller that disconnects is noticed and its calls are cancelled.
+        """
+        if len(self.pipeline) < MAX_PIPELINED:
+            return False
+        return len(self.codec.trailing_data[0]) > MAX_READ_AHEAD_BYTES
+
     def _write_reply(self, pending: PipelinedRequest) -> bool:
         """Writes a reply; returns whether the connection stays open."""
         reply = pending.reply
--- a/banyantiller/tests/gateway/test_callers.py
+++ b/banyantiller/tests/gateway/test_callers.py
@@ -160,3 +160,25 @@
         status, closed, idle_s = self.play(body)
         self.assertEqual((200, None), (status, closed))
         self.assertLess(abs(idle_s - 15), 0.5)
+
+
+class FullPipelineTest(harness.TestCase):
+    """Guards against work for callers that left a full pipeline behind.
+
+    Reading paused when the pipeline was full, so that the close of the
+    connection was not seen and servers worked on.
+    """
+
+    def test_calls_are_cancelled_when_the_caller_disconnects(self):
+        async def body(env):
+            for server in env.servers.values():
+                server.work_s = 0.7
+            caller = await harness.Caller.connect(env)
+            for number in range(40):
+                caller.send(f"a{number}")
+            await asyncio.sleep(0.2)
+            caller.close()
+            await asyncio.sleep(0.1)
+            return [server.running for server in env.servers.values()]
+
+        self.assertEqual([0, 0, 0], self.play(body))
