--- a/banyantiller/tests/gateway/test_program.py
+++ b/banyantiller/tests/gateway/test_program.py
@@ -45,6 +45,22 @@
 sys.modules[run.__name__] = banyantiller.gateway.run = run
 runpy.run_module("banyantiller.gateway", run_name="__main__")
 """
+# Sends SIGHUP whenever a module of the program is imported.
+SIGHUP_AT_EACH_IMPORT = """
+import os, runpy, signal, sys, types
+import {package}
+run = types.ModuleType("{package}.run")
+run.run = lambda *arguments: 0
+sys.modules[run.__name__] = {package}.run = run
+
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if name.startswith("banyantiller.") and "__main__" not in name:
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, Finder())
+runpy.run_module("{package}", run_name="__main__")
+"""
 
 
 class ProgramTest(base.TestCase):
@@ -99,6 +115,13 @@
         process = subprocess.run([sys.executable, "-c", code], check=False)
         self.assertEqual(0, process.returncode)
 
+    def test_sighup_at_any_import_of_a_program_does_not_end_it(self):
+        """Guards against a daemon that a reload ends while it starts."""
+        for package in ("banyantiller.gateway", "banyantiller.daemon"):
+            code = SIGHUP_AT_EACH_IMPORT.format(package=package)
+            process = subprocess.run([sys.executable, "-c", code], check=False)
+            self.assertEqual(0, process.returncode, package)
+
 
 def normalize(distribution):
     """Returns the name of a distribution as package indexes compare it."""
