Keep one version of each object for daemons that read through a relay

Cause: the history of changes kept 100 batches of each kind with the decoded content of each version, 2.4 MB; the bound was in batches. The same document without changes takes 22 MB at most.

Change: of each object only the last change is kept, and no content of a deleted one. A reader gets the state that it lacks, once. Ruled out: a bound in bytes, which would make late readers list everything, though they need one version.

--- a/banyantiller/gateway/change_history.py
+++ b/banyantiller/gateway/change_history.py
@@ -1,4 +1,10 @@
-"""Recent changes of one kind of objects, kept for late queries."""
+"""Recent changes of one kind of objects, kept for late queries.
+
+Of each object only the last change is kept, and nothing of the content of a
+deleted one, so that the memory is bounded by the objects that exist. Otherwise
+each change of a document of 2,000 routes, 0.5 MB, would take 2.4 MB, and half a
+minute of changes would exceed the 200 MB of the smallest VM.
+"""
 
 import asyncio
 import collections
@@ -8,8 +14,8 @@
 from banyantiller.http import messages
 from banyantiller.store import interface
 
-# Number of batches that are kept for late queries; the store itself keeps some
-# 20 s, in which no more than 40 come.
+# Number of batches whose changes are kept for late queries; the store itself
+# keeps some 20 s, in which no more than 40 come.
 MAX_BATCHES = 100
 
 
@@ -18,16 +24,26 @@
 
     Attributes:
         version: Version of the store after them.
-        events: The changes.
         compared_with: Version before them, if they are the difference of two
             lists; objects that were created and removed in between are missing.
     """
 
     version: int
-    events: tuple[interface.Changed | interface.Deleted, ...]
     compared_with: int | None = None
 
 
+class LastChange(NamedTuple):
+    """The last change of an object.
+
+    Attributes:
+        version: Version of the store after its batch.
+        event: The change.
+    """
+
+    version: int
+    event: interface.Changed | interface.Deleted
+
+
 class ChangeHistory:
     """Changes of one kind since some version.
 
@@ -35,7 +51,9 @@
         items: All objects by name.
         oldest_version: Version from which changes are known.
         version: Version up to which they are known.
-        batches: The changes.
+        batches: The batches in which changes were read.
+        last_changes: Changes in these batches by the name of the object, those
+            of the oldest batch first.
         changed: Set at each change, then replaced by a new event.
         cached_list: Response with all objects, or None after a change.
     """
@@ -46,11 +64,12 @@
         self.oldest_version = int(listed.version)
         self.version = self.oldest_version
         self.batches: collections.deque[Batch] = collections.deque()
+        self.last_changes: dict[str, LastChange] = {}
         self.changed = asyncio.Event()
 
     def add_changes(self, changes: interface.Changes) -> None:
         """Appends changes that were read."""
-        self._append_batch(Batch(int(changes.version), changes.events))
+        self._append_batch(Batch(int(changes.version)), changes.events)
 
     def apply_list(self, listed: interface.Listed) -> None:
         """Appends the difference between a newer list and the known objects.
@@ -70,7 +89,8 @@
             if self.items.get(name) != item
         ]
         version = int(listed.version)
-        self._append_batch(Batch(version, (*deleted, *changed), self.version))
+        batch = Batch(version, self.version)
+        self._append_batch(batch, (*deleted, *changed))
 
     def is_complete_since(self, version: int) -> bool:
         """Returns whether all changes after a version are known."""
@@ -82,21 +102,43 @@
             for batch in self.batches
         )
 
-    def _append_batch(self, batch: Batch) -> None:
+    def _append_batch(
+        self,
+        batch: Batch,
+        events: tuple[interface.Changed | interface.Deleted, ...],
+    ) -> None:
         self.version = max(self.version, batch.version)
         self.cached_list = None
-        if not batch.events and batch.compared_with is None:
+        if not events and batch.compared_with is None:
             return
-        for event in batch.events:
-            if isinstance(event, interface.Deleted):
-                self.items.pop(event.item.name, None)
-            else:
-                self.items[event.item.name] = event.item
+        for event in events:
+            self._record_change(event)
         self.batches.append(batch._replace(version=self.version))
         if len(self.batches) > MAX_BATCHES:
             self.oldest_version = self.batches.popleft().version
+            self._drop_changes_until(self.oldest_version)
         self.wake()
 
+    def _record_change(
+        self, event: interface.Changed | interface.Deleted
+    ) -> None:
+        name = event.item.name
+        if isinstance(event, interface.Deleted):
+            self.items.pop(name, None)
+            event = interface.Deleted(event.item._replace(value={}))
+        else:
+            self.items[name] = event.item
+        # Inserted again, so that the order is that of the batches.
+        self.last_changes.pop(name, None)
+        self.last_changes[name] = LastChange(self.version, event)
+
+    def _drop_changes_until(self, version: int) -> None:
+        while self.last_changes:
+            name = next(iter(self.last_changes))
+            if self.last_changes[name].version > version:
+                return
+            del self.last_changes[name]
+
     def list_response(self) -> messages.Response:
         """Returns a response with all objects."""
         if self.cached_list is None:
@@ -113,12 +155,14 @@
     def changes_after(
         self, version: int
     ) -> list[interface.Changed | interface.Deleted]:
-        """Returns the changes after a version."""
+        """Returns the last change of each object that changed after a version.
+
+        Changes that were replaced by later ones are left out.
+        """
         return [
-            event
-            for batch in self.batches
-            if batch.version > version
-            for event in batch.events
+            change.event
+            for change in self.last_changes.values()
+            if change.version > version
         ]
 
     def wake(self) -> None:
--- a/banyantiller/tests/gateway/test_change_history.py
+++ b/banyantiller/tests/gateway/test_change_history.py
@@ -130,6 +130,61 @@
         )
 
 
+class MemoryTest(base.TestCase):
+    """Guards against a history that outgrows the memory of its VM.
+
+    The last 100 versions of a document were kept, 2.4 MB each.
+    """
+
+    def kept_values(self, events):
+        """Returns the contents that a history keeps after changes."""
+
+        async def body():
+            empty = interface.Listed((), "0")
+            history = change_history.ChangeHistory(empty)
+            for version, event in enumerate(events, 1):
+                changes = interface.Changes((event,), str(version))
+                history.add_changes(changes)
+            kept = [item.value for item in history.items.values()]
+            kept += [
+                change.event.item.value
+                for change in history.last_changes.values()
+            ]
+            return {id(value): value for value in kept if value}
+
+        return self.run_paused(body())
+
+    def test_one_version_of_a_document_is_kept(self):
+        changed = [
+            interface.Changed(stored_object("main", revision))
+            for revision in range(1, change_history.MAX_BATCHES)
+        ]
+        kept = self.kept_values(changed)
+        self.assertEqual(
+            [{"r": change_history.MAX_BATCHES - 1}], list(kept.values())
+        )
+
+    def test_nothing_is_kept_of_a_deleted_object(self):
+        item = stored_object("main", 1)
+        kept = self.kept_values(
+            [interface.Changed(item), interface.Deleted(item)]
+        )
+        self.assertEqual({}, kept)
+
+    def test_changes_of_dropped_batches_are_dropped(self):
+        async def body():
+            empty = interface.Listed((), "0")
+            history = change_history.ChangeHistory(empty)
+            for version in range(1, 3 * change_history.MAX_BATCHES):
+                item = stored_object(f"s{version}", version)
+                event = interface.Deleted(item)
+                changes = interface.Changes((event,), str(version))
+                history.add_changes(changes)
+            return len(history.last_changes)
+
+        self.assertEqual(change_history.MAX_BATCHES, self.run_paused(body()))
+
+
 class SimulatedDaemon:
     """A daemon that watches a kind in the store or through a relay.
 
