--- a/banyantiller/tests/gateway/test_store_watching.py
+++ b/banyantiller/tests/gateway/test_store_watching.py
@@ -172,3 +172,56 @@
         status, ran, reason = self.play(body)
         self.assertEqual((503, "no"), (status, ran))
         self.assertEqual("no document is in force", reason)
+
+
+class LostAnswerTest(harness.TestCase):
+    """Guards against a daemon that hears of no servers for ten seconds.
+
+    The store lost the answer to one call for servers. Calls for documents were
+    answered, so the store did not count as lost, and the daemon waited for the
+    end of the call while all its servers were replaced.
+    """
+
+    # The store counts as undisturbed again this long after a fault, and a
+    # server that leaves may get requests for a while.
+    CONTACT_S = 3.0
+    LEAVE_S = 2.0
+
+    def play_lost_call(self, put, is_known):
+        """Returns whether a change is known in time after a lost call.
+
+        Args:
+            put: Writes a change of the kind whose call is lost.
+            is_known: Returns whether a daemon knows the last change.
+        """
+
+        async def body(env):
+            put(env, "first")
+            # The next call for this kind begins while answers are lost.
+            env.store.faults.lost = True
+            await asyncio.sleep(1.0)
+            env.store.faults.lost = False
+            await asyncio.sleep(self.CONTACT_S)
+            put(env, "second")
+            await asyncio.sleep(self.LEAVE_S)
+            return is_known(env)
+
+        return self.play(body)
+
+    def test_lost_call_for_servers(self):
+        def put(env, name):
+            env.register("s0", zone=name)
+
+        def is_known(env):
+            return env.gateway.store_view.table.entries["s0"].server.zone
+
+        self.assertEqual("second", self.play_lost_call(put, is_known))
+
+    def test_lost_call_for_evacuated_zones(self):
+        def put(env, name):
+            env.store.put("evacuations", name, {})
+
+        def is_known(env):
+            return "second" in env.gateway.store_view.evacuations.evacuated
+
+        self.assertTrue(self.play_lost_call(put, is_known))
