Judge backoffs in the soak by the daemon that sent the request

The promise is one of the daemon that was asked, so the case is allowed.

As strict: servers now record from which daemon's address a request came, and each arrival counts for its sender, also those of unknown attempts, which were left out before. A unit test holds the sender of forwarded requests to its backoff.

--- a/banyantiller/tests/soak/test_checks.py
+++ b/banyantiller/tests/soak/test_checks.py
@@ -234,8 +234,10 @@
                 )
             ]
             arrivals = [
-                arrival(f"r{number}", at=at)._replace(start=start)
-                for number, at in enumerate(times)
+                arrival(f"r{number}", at=at)._replace(start=start, sender=by)
+                for number, (at, by) in enumerate(
+                    zip(times, daemons, strict=True)
+                )
             ]
             arrivals[0] = arrivals[0]._replace(retry_after_s=3.0, start=0)
             return record(attempts, arrivals, **more)
@@ -251,6 +253,28 @@
             disturbed = [Disturbance(10.0, 10.5, what, None)]
             self.assert_kept("backoffs", seen(3, disturbances=disturbed))
 
+    def test_sender_of_a_forwarded_request_is_held_to_its_backoff(self):
+        """Guards against blaming the daemon of the caller instead."""
+
+        def seen(*senders):
+            times = [10.0, 11.0, 11.1, 11.2]
+            attempts = [
+                attempt(f"r{number}", at=at, daemon=0)
+                for number, at in enumerate(times)
+            ]
+            arrivals = [
+                arrival(f"r{number}", at=at)._replace(sender=sender)
+                for number, (at, sender) in enumerate(
+                    zip(times, senders, strict=True)
+                )
+            ]
+            arrivals[0] = arrivals[0]._replace(retry_after_s=3.0)
+            return record(attempts, arrivals)
+
+        self.assert_broken("backoffs", seen(1, 1, 1, 1))
+        self.assert_kept("backoffs", seen(1, 0, 0, 0))
+        self.assert_kept("backoffs", seen(1, 0, 2, 3))
+
     def test_requests_after_a_stated_leaving_was_passed_on(self):
         def seen(at, daemon=0, life=1, **more):
             attempts = [
--- a/soak/links.py
+++ b/soak/links.py
@@ -125,7 +125,7 @@
             if refused or self.trouble.refused or not self.target:
                 _reset(writer)
                 return
-            far_reader, far = await self._connect()
+            far_reader, far = await self._connect(source)
             await self._relay(reader, writer, far_reader, far, source)
         except (OSError, asyncio.CancelledError):
             _reset(writer)
@@ -139,11 +139,15 @@
                 far.transport.abort()
 
     async def _connect(
-        self,
+        self, source: str
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Connects on from the same address, by which servers tell senders."""
+        local = {} if source == self.address else {"local_addr": (source, 0)}
         while True:
             try:
-                return await asyncio.open_connection(self.address, self.target)
+                return await asyncio.open_connection(
+                    self.address, self.target, **local
+                )
             except OSError:
                 if not self.trouble.waiting:
                     raise
--- a/soak/partitions.py
+++ b/soak/partitions.py
@@ -19,3 +19,9 @@
     """Returns the address from which a daemon connects to servers."""
     network, host = divmod(daemon, PER_NETWORK)
     return f"127.0.{FIRST_NETWORK + network}.{1 + host}"
+
+
+def daemon_at(source: str) -> int:
+    """Returns the daemon that connects to servers from an address."""
+    network, host = (int(part) for part in source.split(".")[2:])
+    return (network - FIRST_NETWORK) * PER_NETWORK + host - 1
--- a/soak/record.py
+++ b/soak/record.py
@@ -72,6 +72,8 @@
         retry_after_s: `Retry-After` of its refusal, in seconds; 0 for none.
         start: Number of the server's start; another start may have the same
             identity.
+        sender: Number of the daemon that sent it, which need not be the one
+            that the caller sent it to.
     """
 
     at: float
@@ -82,6 +84,7 @@
     target: str = ""
     retry_after_s: float = 0.0
     start: int = 0
+    sender: int = 0
 
 
 class ServerEnd(NamedTuple):
--- a/soak/response_checks.py
+++ b/soak/response_checks.py
@@ -13,13 +13,15 @@
 
 
 def backoffs(seen: Record) -> Iterator[Finding]:
-    """Yields servers that got requests in a backoff that they asked for."""
-    attempts = {a.request_id: a for a in seen.attempts}
+    """Yields servers that got requests in a backoff that they asked for.
+
+    A backoff concerns the daemon that sent the refused request: a call may be
+    forwarded, and then another daemon than the caller's sends it.
+    """
     arrivals = collections.defaultdict(list)
     for arrival in sorted(seen.arrivals):
-        attempt = attempts.get(arrival.request_id)
-        if attempt is not None and not arrival.misdirected:
-            arrivals[attempt.daemon, arrival.start].append(arrival)
+        if not arrival.misdirected:
+            arrivals[arrival.sender, arrival.start].append(arrival)
     for (daemon, _), found in arrivals.items():
         for refusal in found:
             ends_at = refusal.at + refusal.retry_after_s
--- a/soak/world.py
+++ b/soak/world.py
@@ -358,6 +358,7 @@
                     arrival.target,
                     float(arrival.retry_after or 0),
                     start,
+                    partitions.daemon_at(arrival.source),
                 )
                 for arrival in one.arrivals
             )
--- a/standins/registered_server.py
+++ b/standins/registered_server.py
@@ -69,6 +69,7 @@
         refusal: Status with which it was turned away, or 0.
         target: Its path and query.
         retry_after: `Retry-After` of the refusal; empty for none.
+        source: IP number from which it came.
     """
 
     at: float
@@ -76,6 +77,7 @@
     refusal: int
     target: str
     retry_after: str = ""
+    source: str = ""
 
 
 class RegisteredServer:
@@ -197,7 +199,14 @@
         target = head.target.decode()
         retry_after = refusal[1].get("retry-after", "") if refusal else ""
         self.arrivals.append(
-            Arrival(now, own["attempt-id"], status, target, retry_after)
+            Arrival(
+                now,
+                own["attempt-id"],
+                status,
+                target,
+                retry_after,
+                writer.get_extra_info("peername")[0],
+            )
         )
         if refusal:
             data = self._answer(codec, refusal[0], own | refusal[1], b"refused")
