Skip a daemon for the service that it doesn't reach only

Calls for a service whose servers were well were refused there, 105 in 2 s, while the daemons beside served all.

Cause: a daemon that replied to a forwarded call that it reaches no server of that service was skipped for 1 s for calls of every service. Evidence, from the kept log: the refused calls have no peers, of the service archive alone at the partitioned daemons; the other daemons refused none of it. Ruled out: servers taken for out of reach for moments (the others would have refused as well).

Change: such a skip is kept by address and service; a daemon that is gone is skipped for all.

Test: test_service_without_servers_leaves_calls_of_others failed before.

--- a/banyantiller/gateway/forwarding.py
+++ b/banyantiller/gateway/forwarding.py
@@ -102,7 +102,8 @@
     Attributes:
         daemons: Lists the daemons that reach a service.
         clients: HTTP clients by address of the daemon.
-        skipped_until: Loop time until which a daemon is skipped, by address.
+        skipped_until: Loop time until which a daemon is skipped, by address and
+            service; the service is empty for calls of all services.
         random: Source of the choice among daemons.
     """
 
@@ -112,7 +113,7 @@
         self.daemons = daemons
         self.random = rng
         self.clients: dict[str, client.HttpClient] = {}
-        self.skipped_until: dict[str, float] = {}
+        self.skipped_until: dict[tuple[str, str], float] = {}
 
     async def choose(self, service: str, tried: list[str]) -> str | None:
         """Returns the address of a daemon for a call, or None.
@@ -127,12 +128,11 @@
         if len(tried) >= MAX_OFFERS:
             return None
         listed = await self.daemons.find(service)
-        now = self.daemons.loop.time()
         found = [
             one
             for one in listed
             if one["address"] not in tried
-            and self.skipped_until.get(one["address"], now) <= now
+            and not self._is_skipped(one["address"], service)
         ]
         return self.random.choice(found)["address"] if found else None
 
@@ -145,9 +145,24 @@
         )
         return isinstance(outcome, outcomes.Answered)
 
-    def skip(self, address: str) -> None:
-        """Skips a daemon for a while."""
-        self.skipped_until[address] = self.daemons.loop.time() + SKIP_S
+    def skip(self, address: str, service: str = "") -> None:
+        """Skips a daemon for a while.
+
+        Args:
+            address: Its address.
+            service: Service that it doesn't reach, or empty to skip it for all
+                services. A daemon that lost the servers of one service takes
+                calls of the others.
+        """
+        until = self.daemons.loop.time() + SKIP_S
+        self.skipped_until[address, service] = until
+
+    def _is_skipped(self, address: str, service: str) -> bool:
+        now = self.daemons.loop.time()
+        return any(
+            self.skipped_until.get((address, skipped), now) > now
+            for skipped in ("", service)
+        )
 
     def client_of(self, address: str) -> client.HttpClient:
         """Returns the HTTP client of a daemon."""
@@ -170,8 +185,8 @@
         for found in self.clients.values():
             await found.close()
         self.skipped_until = {
-            address: until
-            for address, until in self.skipped_until.items()
+            skipped: until
+            for skipped, until in self.skipped_until.items()
             if until > now
         }
 
@@ -250,7 +265,7 @@
             return exchange.BrokenResponse(ErrorKind.INTERNAL, reason)
         self.instances = reply["instances"]
         if reply["unreachable"]:
-            self.gateway.forwarder.skip(self.address)
+            self.gateway.forwarder.skip(self.address, self.call.service)
         if isinstance(result, exchange.CompleteResponse):
             self._record_head(reply)
         return result
--- a/banyantiller/gateway/protocols.py
+++ b/banyantiller/gateway/protocols.py
@@ -38,7 +38,7 @@
     async def is_responsive(self, address: str, service: str) -> bool:
         """Returns whether a daemon responds to a query in time."""
 
-    def skip(self, address: str) -> None:
+    def skip(self, address: str, service: str = "") -> None:
         """Skips a daemon for a while."""
 
     def client_of(self, address: str) -> client.HttpClient:
--- a/banyantiller/tests/gateway/test_forwarding.py
+++ b/banyantiller/tests/gateway/test_forwarding.py
@@ -8,6 +8,7 @@
 from banyantiller.gateway import forwarding, routes, run
 from banyantiller.http import messages
 from banyantiller.tests.gateway import harness, partition_harness
+from soak import links
 
 # Time after which a daemon uses its own links again.
 REDISCOVERY_S = 0.5
@@ -91,6 +92,35 @@
             self.assertLess(answer.took_s, IMMEDIATE_S)
         self.assertEqual({}, runs)
 
+    def test_service_without_servers_leaves_calls_of_others(self):
+        """Guards against daemons that are skipped for all services.
+
+        A daemon that reaches no server of one service was skipped for calls of
+        every other service as well, so that these were refused.
+        """
+
+        async def body(fleet):
+            look = harness.route("look", "safe", "/look/", "other")
+            fleet.harness.put_document(
+                [harness.route("read", "safe", "/read/"), look]
+            )
+            other = await fleet.harness.add_server("o1", "other")
+            for daemon in fleet.daemons:
+                link = await links.Link.to(harness.ADDRESS, other.port)
+                daemon.links[other.port] = link
+            await asyncio.sleep(1.0)
+            cut = await self.cut_first(fleet)
+            await self.call(fleet, [cut], "/look/x", for_s=1.0)
+            for server in fleet.running_servers():
+                server.stop()
+            reads = fleet.start_task(self.call(fleet, [cut], for_s=4.0))
+            looks = await self.call(fleet, [cut], "/look/x", for_s=4.0)
+            return await reads, looks
+
+        reads, looks = self.play(body)
+        self.assertNotIn(200, {answer.status for answer in reads[10:]})
+        self.assertEqual({200}, {answer.status for answer in looks})
+
     async def shut_down(self, daemon, control):
         """Shuts a daemon down as its process does; returns the calls cut."""
         cut = await daemon.drain(6.0)
