Log why a process stood still

Each check of the housekeeping now compares processor time, time spent waiting for a core, preemptions and major faults; a gap of half a second or more has a line with the four figures.

--- a/banyantiller/gateway/events.py
+++ b/banyantiller/gateway/events.py
@@ -41,6 +41,25 @@
 # Lifecycle of the daemon.
 
 
+@event("gateway: the process stood still.", "warning")
+class ProcessStalled(NamedTuple):
+    """The event loop ran nothing for at least half a second.
+
+    The cause is a long step of the program if `cpu_ms` is as long as the gap,
+    a machine without a free core if `waited_ms` is, and otherwise a process
+    that was stopped, suspended or blocked.
+    """
+
+    gap_ms: Annotated[float, "Length of the gap, in ms."]
+    cpu_ms: Annotated[float, "Processor time of the process in it, in ms."]
+    waited_ms: Annotated[
+        float | None,
+        "Time for which it waited for a core, in ms; null if unknown.",
+    ]
+    preempted: Annotated[int, "Number of times that it lost its core."]
+    major_faults: Annotated[int, "Page faults that read from a device."]
+
+
 @event("gateway: organisation is beyond its allowance.", "warning")
 class OrganisationLimited(NamedTuple):
     """This relay refuses requests of an organisation from now on.
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -27,6 +27,7 @@
     server_limits,
     server_responses,
     servers,
+    stalls,
     store_view,
     tallies,
     types,
@@ -82,6 +83,7 @@
         forwarder: Forwards calls to daemons that reach servers.
         forwarded_calls: Runs calls that other daemons forward.
         allowances: Admits the requests of organisations with an allowance.
+        stalls: Reports moments in which the process ran nothing.
     """
 
     def __init__(
@@ -167,6 +169,7 @@
         self.allowances = allowances.Allowances(
             self.store_view, lambda: self.settings, rng
         )
+        self.stalls = stalls.StallDetector()
         self.all_closed = asyncio.Event()
         self.listener: asyncio.Server | None = None
 
@@ -237,9 +240,12 @@
 
     async def run_housekeeping(self) -> None:
         """Removes expired state periodically until it is cancelled."""
+        due = self.loop.time()
         while True:
-            await asyncio.sleep(HOUSEKEEPING_S)
+            due = max(due, self.loop.time()) + HOUSEKEEPING_S
+            await asyncio.sleep(due - self.loop.time())
             now = self.loop.time()
+            self.stalls.check(now - due)
             self.store_view.expire(now)
             registered = self.store_view.table.servers()
             self.server_limits.expire(registered, now)
@@ -264,6 +270,7 @@
         self.reachability.close()
         await self.forwarder.close()
         await self.allowances.close()
+        self.stalls.close()
         await self.store_view.reader.close()
 
     async def handle_peer(self, request: messages.Request) -> messages.Response:
--- a/banyantiller/tests/gateway/event_scenarios.py
+++ b/banyantiller/tests/gateway/event_scenarios.py
@@ -4,6 +4,7 @@
 import json
 import pathlib
 import tempfile
+import time
 
 from banyantiller.gateway import call_events, events, run
 from banyantiller.gateway import settings as options
@@ -44,6 +45,14 @@
             await asyncio.sleep(0.2)
 
 
+@shows(events.ProcessStalled)
+async def long_step_of_the_program(env):
+    ends_at = time.monotonic() + 0.6
+    while time.monotonic() < ends_at:
+        pass
+    env.gateway.stalls.check(0.6)
+
+
 @shows(events.OrganisationLimited, events.OrganisationWithinAllowance)
 async def organisation_exceeds_its_allowance(env):
     organisation = {"name": "north", "apiKeys": ["k"], "ratePerS": 1}
