Play organisations in the soak, and describe their failures for operators

New promises: no server gets a key or another organisation than the caller's; in no 5 s more than the allowance, a tenth and 20; nothing runs for a key 2 s after it was taken away.

Each new check has a unit test with records that break it.

--- a/banyantiller/tests/soak/test_checks.py
+++ b/banyantiller/tests/soak/test_checks.py
@@ -1,7 +1,7 @@
 """Tests that each check of the soak finds what it is there for."""
 
 from banyantiller.tests import base
-from soak import checks
+from soak import checks, organisations
 from soak import record as records
 from soak.record import (
     Acceptance,
@@ -275,6 +275,49 @@
         self.assert_kept("backoffs", seen(1, 0, 0, 0))
         self.assert_kept("backoffs", seen(1, 0, 2, 3))
 
+    def test_requests_for_another_organisation(self):
+        own = attempt("a")
+        own.organisation = "callers"
+        for organisation, shows_key, kept in (
+            ("callers", False, True),
+            ("other", False, False),
+            ("", False, False),
+            ("callers", True, False),
+        ):
+            found = arrival("a")._replace(
+                organisation=organisation, shows_key=shows_key
+            )
+            check = self.assert_kept if kept else self.assert_broken
+            check("own organisation", record([own], [found]))
+
+    def test_requests_beyond_an_allowance(self):
+        def seen(count, gap_s, organisation=organisations.LIMITED):
+            return record(
+                (),
+                [
+                    arrival(f"r{n}", at=10 + n * gap_s)._replace(
+                        organisation=organisation
+                    )
+                    for n in range(count)
+                ],
+            )
+
+        self.assert_broken("allowances", seen(47, 0.1))
+        self.assert_kept("allowances", seen(46, 0.1))
+        self.assert_kept("allowances", seen(200, 0.12))
+        self.assert_kept("allowances", seen(99, 0.01, "callers"))
+
+    def test_requests_with_a_removed_key(self):
+        def seen(sent_at, **more):
+            keyed = records.KeyedAttempt("a", "", "k", 10.0, sent_at)
+            found = [arrival("a", at=sent_at + 0.1)]
+            return record((), found, keyed_attempts=[keyed], **more)
+
+        self.assert_broken("removed keys", seen(12.1))
+        self.assert_kept("removed keys", seen(11.9))
+        lost = [Disturbance(11.0, 11.5, records.STORE, None)]
+        self.assert_kept("removed keys", seen(12.1, disturbances=lost))
+
     def test_requests_after_a_stated_leaving_was_passed_on(self):
         def seen(at, daemon=0, life=1, **more):
             attempts = [
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -6,6 +6,7 @@
 
 import h11
 
+from soak import contents
 from soak import record as records
 from soak.contents import HOST, TIMEOUT_S
 from soak.gateways import Daemon
@@ -129,16 +130,30 @@
         now = self.world.loop.time()
         attempt = Attempt(request_id, kind, version, self.daemon.number,
                           self.life, now, TIMEOUT_S)  # fmt: skip
+        key = ""
+        if self.world.organisations is not None:
+            attempt.organisation = contents.CALLER_ORGANISATION
+            key = contents.CALLER_KEY
         self.world.seen.attempts.append(attempt)
+        self._write(request_id, kind, path, key)
+        return attempt
+
+    def send_with_key(self, attempt: records.KeyedAttempt, path: str) -> None:
+        """Sends a request with a key, and notes it."""
+        self.world.seen.keyed_attempts.append(attempt)
+        self._write(attempt.request_id, records.READ, path, attempt.key)
+
+    def _write(self, request_id: str, kind: str, path: str, key: str) -> None:
         codec = h11.Connection(h11.CLIENT)
         self.codecs[request_id] = codec
         headers = [("host", HOST), ("attempt-id", request_id),
                    ("deadline-ms", f"{TIMEOUT_S * 1000:.0f}"),
                    ("content-length", "0")]  # fmt: skip
+        if key:
+            headers.append(("credential", key))
         method = "POST" if kind == records.FILE else "GET"
         request = h11.Request(method=method, target=path, headers=headers)
         self.writer.write(codec.send(request) + codec.send(h11.EndOfMessage()))
-        return attempt
 
     def leave(self, attempts: list[Attempt]) -> None:
         """Gives requests up and closes."""
@@ -247,6 +262,25 @@
         await asyncio.sleep(REPEAT_S)
 
 
+async def send_with_key(
+    world: World, attempt: records.KeyedAttempt, path: str, daemon: Daemon
+) -> None:
+    """Sends a request with a key on a new connection and waits a while."""
+    try:
+        async with asyncio.timeout(CONNECT_S):
+            connection = await Connection.to(world, daemon)
+    except (OSError, TimeoutError):
+        return
+    try:
+        connection.send_with_key(attempt, path)
+        async with asyncio.timeout(TIMEOUT_S):
+            await connection.reader.read(READ_BYTES)
+    except (OSError, TimeoutError):
+        return
+    finally:
+        connection.close()
+
+
 async def _send_once(
     world: World, name: str, path: str, daemon: Daemon
 ) -> None:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,7 +5,13 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
-from soak import excuses, limit_checks, response_checks, store_checks
+from soak import (
+    excuses,
+    limit_checks,
+    organisations,
+    response_checks,
+    store_checks,
+)
 from soak import record as records
 from soak.record import Finding, Record
 
@@ -130,7 +136,7 @@
 
 def nothing_invented(seen: Record) -> Iterator[Finding]:
     """Yields requests at servers that no caller sent."""
-    sent = {a.request_id for a in seen.attempts}
+    sent = {a.request_id for a in (*seen.attempts, *seen.keyed_attempts)}
     for arrival in seen.arrivals:
         if arrival.request_id not in sent:
             text = f"{arrival.instance} got a request that nobody sent"
@@ -390,6 +396,9 @@
     Promise("leaving servers", True, store_checks.leaving_servers),
     Promise("evacuated zones", True, store_checks.evacuated_zones),
     Promise("named limits", True, limit_checks.named_limits),
+    Promise("own organisation", False, organisations.own_organisation),
+    Promise("allowances", False, organisations.allowances),
+    Promise("removed keys", True, organisations.removed_keys),
     Promise("backoffs", True, response_checks.backoffs),
     Promise("stated leaving", True, response_checks.stated_leaving),
     Promise("in force", True, store_checks.in_force),
--- a/soak/contents.py
+++ b/soak/contents.py
@@ -4,6 +4,9 @@
 SERVICES = ("desk", "archive")
 # Requests below it end each server that runs them.
 ENDING_PREFIX = "/read/ends-"
+# Organisation of the callers that keep connections open, and its key.
+CALLER_ORGANISATION = "callers"
+CALLER_KEY = "key-callers"
 TIMEOUT_S = 2.0
 OBJECTIVE_S = 0.4
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,7 +6,7 @@
 import signal
 from collections.abc import Awaitable, Callable
 
-from soak import callers, partitions, server_faults
+from soak import callers, organisations, partitions, server_faults
 from soak import plan as plans
 from soak import record as records
 from soak.gateways import Daemon
@@ -300,4 +300,6 @@
     "store": fail_store,
     "store forgets": forget_history,
     "document": change_document,
+    "key removed": organisations.remove_key,
+    "allowance exceeded": organisations.exceed_allowance,
 }
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -129,6 +129,16 @@
 PARTITION_KINDS = BACKOFF_KINDS | {
     "daemons partitioned": Kind(4, 9.0, partitions.CHOICES)
 }
+FIRST_ORGANISATION_SEED = 50_000
+ORGANISATION_KINDS = PARTITION_KINDS | {
+    "key removed": Kind(4, 6.0),
+    "allowance exceeded": Kind(4, 8.0),
+}
+
+
+def has_organisations(seed: int) -> bool:
+    """Returns whether the callers of a seed need keys."""
+    return seed >= FIRST_ORGANISATION_SEED
 
 
 def kinds_of(seed: int) -> dict[str, Kind]:
@@ -147,7 +157,9 @@
         return LIMIT_KINDS
     if seed < FIRST_PARTITION_SEED:
         return BACKOFF_KINDS
-    return PARTITION_KINDS
+    if not has_organisations(seed):
+        return PARTITION_KINDS
+    return ORGANISATION_KINDS
 
 
 def draw(seed: int, sizes: Sizes) -> Plan:
--- a/soak/record.py
+++ b/soak/record.py
@@ -43,6 +43,7 @@
         signature: Mark of the server on the answer, or empty.
         ended_at: When it ended.
         end: How it ended.
+        organisation: Organisation whose key it showed; empty for none.
     """
 
     request_id: str
@@ -57,6 +58,25 @@
     signature: str = ""
     ended_at: float = 0.0
     end: str = UNANSWERED
+    organisation: str = ""
+
+
+class KeyedAttempt(NamedTuple):
+    """A request with a key that was taken away, or of a limited organisation.
+
+    Attributes:
+        request_id: Its identity.
+        organisation: Organisation that it may run for; empty for none.
+        key: The key that it shows.
+        removed_at: When the store acknowledged that the key is gone, or 0.
+        sent_at: When it was sent.
+    """
+
+    request_id: str
+    organisation: str
+    key: str
+    removed_at: float
+    sent_at: float
 
 
 class Arrival(NamedTuple):
@@ -74,6 +94,8 @@
             identity.
         sender: Number of the daemon that sent it, which need not be the one
             that the caller sent it to.
+        organisation: Organisation that the server was told.
+        shows_key: Whether the server got a key.
     """
 
     at: float
@@ -85,6 +107,8 @@
     retry_after_s: float = 0.0
     start: int = 0
     sender: int = 0
+    organisation: str = ""
+    shows_key: bool = False
 
 
 class ServerEnd(NamedTuple):
@@ -243,6 +267,7 @@
 
     bounds: Bounds = dataclasses.field(default_factory=Bounds)
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
+    keyed_attempts: list[KeyedAttempt] = dataclasses.field(default_factory=list)
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
     leavings: list[Leaving] = dataclasses.field(default_factory=list)
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -72,13 +72,31 @@
         "SIGHUP before the interpreter runs the program ended the process:"
         " open.",
     ),
+    Regression(
+        7020,
+        SIZES,
+        "A daemon that reached no server of one service was skipped for calls"
+        " of all others. Mended.",
+    ),
+    Regression(
+        7059,
+        SIZES,
+        "Daemons without links to servers served too few calls: open.",
+    ),
+    Regression(
+        46004,
+        SIZES,
+        "The answer to one call for servers was lost, and the call waited for"
+        " ten seconds. Mended.",
+    ),
     *(
         Regression(
             seed,
             SIZES,
-            "Daemons without links to servers served too few calls: open.",
+            "The check of backoffs took the caller's daemon for the sender of"
+            " a request. Mended.",
         )
-        for seed in (7020, 7059)
+        for seed in (46003, 46005)
     ),
     *(
         Regression(seed, SIZES, "A daemon stood still for 3 s: open.")
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,7 +5,7 @@
 import signal
 from typing import NamedTuple
 
-from soak import callers, checks, faults
+from soak import callers, checks, faults, organisations
 from soak import plan as plans
 from soak import record as records
 from soak.world import World
@@ -42,6 +42,8 @@
         timed: Whether promises with a time limit are checked as well.
     """
     world = World(folder, plan.sizes)
+    if plans.has_organisations(plan.seed):
+        world.organisations = organisations.content
     task = asyncio.current_task()
     assert task is not None
     # Else its processes would outlive it.
--- a/soak/world.py
+++ b/soak/world.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
 
 from banyantiller.gateway import early_listening
 from banyantiller.http import client, outcomes, server
@@ -51,6 +52,9 @@
         self.started_ms = 0
 
 
+OrganisationsOf = Callable[[int], list[dict[str, object]]]
+
+
 class World:
     """The system of one run.
 
@@ -62,6 +66,9 @@
         places: Servers that callers' requests reach.
         all_servers: Every start of a server.
         version: Newest version of the document.
+        organisations: Returns the organisations of a document by the number of
+            keys that were taken away, or None if callers need no keys.
+        removed_keys: Number of keys that were taken away.
         tasks: Work that goes on by itself.
         all_ready: Set once every daemon was ready at the same time.
         ports: Ports of the daemons, once they are taken.
@@ -85,6 +92,8 @@
         self.places: list[Place] = []
         self.all_servers: list[registered_server.RegisteredServer] = []
         self.version = 0
+        self.organisations: OrganisationsOf | None = None
+        self.removed_keys = 0
         self.tasks: set[asyncio.Task[None]] = set()
         self.all_ready = asyncio.Event()
         self.ports: gateways.Ports | None = None
@@ -155,6 +164,8 @@
         """Puts the next version in force; it has a route of its own."""
         self.version += 1
         content = contents.document(self.version, self.sizes.routes)
+        if self.organisations is not None:
+            content["tenants"] = self.organisations(self.removed_keys)
         self.store.put("config", "main", content)
         self.seen.acceptances.append(
             records.Acceptance(self.loop.time(), self.version)
@@ -359,6 +370,8 @@
                     float(arrival.retry_after or 0),
                     start,
                     partitions.daemon_at(arrival.source),
+                    arrival.organisation,
+                    arrival.shows_key,
                 )
                 for arrival in one.arrivals
             )
--- a/standins/registered_server.py
+++ b/standins/registered_server.py
@@ -70,6 +70,8 @@
         target: Its path and query.
         retry_after: `Retry-After` of the refusal; empty for none.
         source: IP number from which it came.
+        organisation: Organisation of its caller, as it says.
+        shows_key: Whether it shows the caller's key.
     """
 
     at: float
@@ -78,6 +80,8 @@
     target: str
     retry_after: str = ""
     source: str = ""
+    organisation: str = ""
+    shows_key: bool = False
 
 
 class RegisteredServer:
@@ -206,6 +210,8 @@
                 target,
                 retry_after,
                 writer.get_extra_info("peername")[0],
+                fields.get("tenant", ""),
+                "credential" in fields,
             )
         )
         if refusal:
