Grant requests of organisations at relays only

A daemon that outdated settings of another name as a relay granted the part of the first relay once more. Found by reading; it grants nothing now, and the asking daemon goes to the next relay.

Test: test_daemon_that_is_no_relay_grants_nothing.

--- a/banyantiller/gateway/allowance_grants.py
+++ b/banyantiller/gateway/allowance_grants.py
@@ -51,7 +51,7 @@
         by_organisation: Allowances by the name of the organisation.
         limited: Organisations that were refused requests lately.
         count: Number of relays.
-        index: Index of this relay.
+        index: Index of this relay, or None if this daemon is none.
         started_at: Loop time at which this relay started.
     """
 
@@ -70,11 +70,17 @@
         own = settings().control
         # Without relays, daemons can't count each other.
         self.count = len(seeds) or turns.UNCOUNTED_FLEET
-        self.index = seeds.index(own) if own in seeds else 0
+        self.index: int | None = 0
+        if seeds:
+            self.index = seeds.index(own) if own in seeds else None
 
     def handle(self, request: messages.Request) -> messages.Response:
-        """Answers the message of another daemon."""
-        if self.view.routes is None:
+        """Answers the message of another daemon.
+
+        A daemon that only outdated settings name as a relay grants nothing, as
+        its part belongs to another one.
+        """
+        if self.view.routes is None or self.index is None:
             return messages.Response(NOT_READY_STATUS)
         try:
             fields = decoding.from_msgpack(request.body, AskFields)
--- a/banyantiller/tests/gateway/test_allowances.py
+++ b/banyantiller/tests/gateway/test_allowances.py
@@ -4,9 +4,12 @@
 import random
 from types import SimpleNamespace
 
+from msgspec import msgpack
+
 from banyantiller.errors import ErrorKind
 from banyantiller.gateway import allowance_grants, allowances, routes, types
 from banyantiller.gateway import settings as options
+from banyantiller.http import messages
 from banyantiller.tests import base
 from banyantiller.tests.gateway import (
     crash_harness,
@@ -319,6 +322,21 @@
             self.assertGreater(float(reply.headers["retry-after"]), 0)
             self.assertLess(reply.took_s, 0.05)
 
+    def test_daemon_that_is_no_relay_grants_nothing(self):
+        """Outdated settings of another daemon may name it."""
+
+        async def body(fleet):
+            ask = allowance_grants.AskFields(asked={"north": 1}, unused={})
+            request = messages.Request(
+                "POST", allowance_grants.PATH, (), msgpack.encode(ask)
+            )
+            return [
+                (await one.handle_peer(request)).status for one in fleet.daemons
+            ]
+
+        statuses = self.play(body, ratePerS=9, burst=9)
+        self.assertEqual([200, 200, 200, 503, 503, 503], statuses)
+
     def test_organisation_without_a_rate_is_not_limited(self):
         for allowance in ({}, {"ratePerS": 0, "burst": 3}):
             replies = self.play(lambda f: self.call_all(f, 12), **allowance)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -266,10 +266,8 @@
     world: World, attempt: records.KeyedAttempt, path: str, daemon: Daemon
 ) -> None:
     """Sends a request with a key on a new connection and waits a while."""
-    try:
-        async with asyncio.timeout(CONNECT_S):
-            connection = await Connection.to(world, daemon)
-    except (OSError, TimeoutError):
+    connection = await _connect(world, daemon)
+    if connection is None:
         return
     try:
         connection.send_with_key(attempt, path)
@@ -284,10 +282,8 @@
 async def _send_once(
     world: World, name: str, path: str, daemon: Daemon
 ) -> None:
-    try:
-        async with asyncio.timeout(CONNECT_S):
-            connection = await Connection.to(world, daemon)
-    except (OSError, TimeoutError):
+    connection = await _connect(world, daemon)
+    if connection is None:
         return
     try:
         await connection.read([connection.send(name, records.ENDING, path)])
@@ -302,10 +298,8 @@
         await asyncio.sleep(PROBE_S)
         for version in {world.version, max(1, world.version - 1)}:
             name = f"p{daemon.number}-{next(numbers)}"
-            try:
-                async with asyncio.timeout(CONNECT_S):
-                    connection = await Connection.to(world, daemon)
-            except (OSError, TimeoutError):
+            connection = await _connect(world, daemon)
+            if connection is None:
                 continue
             try:
                 path = f"/version-{version}/x"
@@ -313,3 +307,12 @@
                 await connection.read([sent])
             finally:
                 connection.close()
+
+
+async def _connect(world: World, daemon: Daemon) -> Connection | None:
+    """Returns a new connection, or None if the daemon takes none in time."""
+    try:
+        async with asyncio.timeout(CONNECT_S):
+            return await Connection.to(world, daemon)
+    except (OSError, TimeoutError):
+        return None
