End the timeout of a request that is not read during a drain

Found by reading the mend of pipelined drains: if the reply ahead took longer than the limit for a head, the part of a request that the daemon no longer read got a 408 of its own behind that reply, which did not say close. A connection on which bytes come after the end of reading is closed in the sending direction first.

--- a/banyantiller/gateway/caller.py
+++ b/banyantiller/gateway/caller.py
@@ -113,6 +113,7 @@
     def data_received(self, data: bytes) -> None:
         """Parses received data into requests."""
         if self.reading_ended:
+            self.lingers = True
             return
         if not self.request_started:
             self.request_started = True
@@ -180,6 +181,8 @@
         """
         self.reading_ended = True
         self.lingers = self.lingers or self.request_started
+        # No timeout applies to a request that is not read any more.
+        self.request_started = False
         self.incoming = None
         while self.pipeline and not self.pipeline[-1].started:
             dropped = self.pipeline.pop()
--- a/banyantiller/tests/gateway/test_draining.py
+++ b/banyantiller/tests/gateway/test_draining.py
@@ -157,3 +157,29 @@
         self.assertEqual(200, answer.status)
         self.assertEqual("close", answer.headers["connection"])
         self.assertEqual(0, cut)
+
+    def test_part_of_a_request_that_is_not_read_gets_no_reply(self):
+        """Guards against a second reply, for a timeout of the unread head."""
+
+        async def body(env):
+            env.put_document(
+                [harness.route("read", "safe", "/read/", timeoutS=9)],
+                headerTimeoutS=0.3,
+            )
+            await asyncio.sleep(0.1)
+            for server in env.servers.values():
+                server.work_s = 1.0
+            caller = await harness.Caller.connect(env)
+            drain = asyncio.ensure_future(env.gateway.drain(DRAIN_S))
+            await asyncio.sleep(gateways.DRAIN_LISTEN_S - 0.1)
+            caller.send("a", deadline_ms=5000)
+            caller.writer.write(b"GET /read/x HTTP/1.1\r\nhost:")
+            replies = [await caller.read(), await caller.read()]
+            return replies, await drain
+
+        (first, second), cut = self.play(body)
+        self.assertEqual(
+            (200, "close"), (first.status, first.headers.get("connection"))
+        )
+        self.assertIsNone(second)
+        self.assertEqual(0, cut)
