Specify the buckets of allowances

Relays that die and start, with three broken variants that the search catches: a relay that starts with a full bucket, a bucket without a bound, and the grant of a request that ran given back. 5,162 states, exhaustive.

--- a/spec/check.py
+++ b/spec/check.py
@@ -13,6 +13,7 @@
 import minicheck
 
 from spec.acceptance import ACCEPTANCE
+from spec.allowances import ALLOWANCES
 from spec.claims import CLAIMS
 from spec.daemon_drain import DAEMON_DRAIN
 from spec.evacuations import EVACUATIONS
@@ -37,6 +38,7 @@
     QUARANTINE,
     EVACUATIONS,
     TURNS,
+    ALLOWANCES,
 )
 # States of one search: a protocol that grows by mistake ends as undetermined
 # in place of running on. The largest one, claims, takes four fifths of them.
