Find the priorities of a document in one pass over its routes

A document of 1,400 routes and 84 organisations took 30 ms to come into force, as each route was paired with each organisation, on VMs with half a core; 6 ms without organisations. Found by reading. Both take about the same now. Equal to the former function on 3,000 random documents.

--- a/banyantiller/gateway/routes.py
+++ b/banyantiller/gateway/routes.py
@@ -124,14 +124,16 @@
 
 
 def _priorities_by_service(document: types.Document) -> dict[str, set[int]]:
+    organisations = document.organisations or ()
+    replacing = {one.priority for one in organisations} - {None}
+    # Whether the priorities of all routes apply to some callers.
+    routes_apply = document.organisations is None or any(
+        one.priority is None for one in organisations
+    )
     found: dict[str, set[int]] = {}
     for route in document.routes:
-        callers: list[types.Organisation | None] = [
-            *(document.organisations or ())
-        ]
-        if document.organisations is None or route.public:
-            callers.append(None)
-        priorities = {_priority(route, caller) for caller in callers}
         for part in route.weighted_services:
-            found.setdefault(part.service, set()).update(priorities)
+            priorities = found.setdefault(part.service, set(replacing))
+            if routes_apply or route.public:
+                priorities.add(route.priority)
     return found
