Refuse calls that a draining daemon has no time for

Callers saw a closed connection, with no reply, for a request that a draining daemon had passed on just before its exit, or that waited for a server then. A consent that was cut so can't be retried.

Cause: the end of the drain was known only to the wait for connections; neither the decision to send nor the wait for a server asked for it.

Ruled out by runs on the paused clock: half-sent bodies and Expect that are complete in time, callers that read slowly, a signal before the start is over.

Change: the end of the drain bounds the wait for a server, and a request that was not sent is refused as not run if less than its usual duration is left.

--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -204,7 +204,10 @@
         """
         is_hedge = bool(self.attempts)
         sends_left = self.progress.sends < self.route.max_attempts
-        if self._is_quarantined() or not sends_left:
+        too_late = not self.progress.sends and refusals.is_too_late_to_start(
+            self
+        )
+        if self._is_quarantined() or not sends_left or too_late:
             self.hedging_stopped = True
             return None if is_hedge else self._end_without_server()
         target = await self._choose_target(service, is_hedge)
@@ -236,7 +239,7 @@
 
     def _can_send(self, is_hedge: bool) -> bool:
         if self.progress.sends == 0:
-            return True
+            return not refusals.is_too_late_to_start(self)
         if self.progress.sends >= self.route.max_attempts:
             return False
         budget = self.gateway.budget_of(self.service)
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -222,6 +222,7 @@
         self.draining = True
         self.store_view.begin_shutdown()
         deadline = self.loop.time() + limit_s - SHUTDOWN_RESERVE_S
+        self.chooser.drain_ends_at = deadline
         await asyncio.sleep(min(DRAIN_LISTEN_S, limit_s / 2))
         if self.listener is not None:
             self.listener.close()
--- a/banyantiller/gateway/refusals.py
+++ b/banyantiller/gateway/refusals.py
@@ -23,6 +23,8 @@
     """
     gateway = call.gateway
     now = call.loop.time()
+    if not call.progress.sends and is_too_late_to_start(call):
+        return with_retry_after(call, ErrorKind.DRAINING)
     if gateway.store_view.table.all_evacuated(call.service, now):
         call.progress.reason = "zone_evacuated"
         return Failure(
@@ -61,10 +63,23 @@
         shortage: Why this daemon found no server, or None.
     """
     # Waiting gains nothing if servers with free slots rejected the call, or if
-    # other daemons reach servers, as the caller retries at another one.
+    # other daemons reach servers, as the caller retries at another one. It
+    # gains nothing either while this daemon shuts down.
     unreached_here = shortage is server_choice.Shortage.UNRESPONSIVE and bool(
         call.progress.peers
     )
-    soon = kind is ErrorKind.BACKEND_SHED or unreached_here
+    at_another_daemon = kind in (ErrorKind.BACKEND_SHED, ErrorKind.DRAINING)
+    soon = at_another_daemon or unreached_here
     retry_after_s = retry_after.retry_after_s(call.gateway.random, soon)
     return Failure(kind, retry_after=retry_after_s)
+
+
+def is_too_late_to_start(call: protocols.RunningCall) -> bool:
+    """Returns whether this daemon exits before a call is usually done.
+
+    Its connection would be cut while a server executes it, and the caller of a
+    request that is not idempotent could not retry it.
+    """
+    route = call.route
+    usual_s = call.gateway.durations.usual_s(route.name, route.objective_s)
+    return call.loop.time() + usual_s > call.gateway.chooser.drain_ends_at
--- a/banyantiller/gateway/server_choice.py
+++ b/banyantiller/gateway/server_choice.py
@@ -42,6 +42,7 @@
         wait_limits: Until when it waits for a server.
         attempted: Instances that are not chosen again.
         max_score: Maximum score to accept.
+        usual_s: Usual duration of the route's requests, in seconds.
     """
 
     route: types.Route
@@ -49,6 +50,7 @@
     wait_limits: waiting.WaitLimits
     attempted: frozenset[str]
     max_score: float = math.inf
+    usual_s: float = 0.0
 
 
 class ServerChooser:
@@ -63,6 +65,8 @@
             states, 0 to 1.
         server_limits: Limits that servers name.
         server_backoffs: Times for which servers want no requests.
+        drain_ends_at: Loop time at which a daemon that shuts down cuts its
+            calls; infinite until then.
     """
 
     def __init__(
@@ -84,6 +88,7 @@
         self.cold_share = cold_share
         self.server_limits = limits
         self.server_backoffs = backoffs
+        self.drain_ends_at = math.inf
         self.loop = asyncio.get_running_loop()
 
     async def choose(
@@ -116,7 +121,7 @@
                 best.entry.record_cold_send(now)
                 self.server_limits.record_send(best.entry.server, now)
                 return best
-            if reprobe_at > request.wait_limits.any_server_until:
+            if reprobe_at > self._waits_until(request):
                 return shortage
             await asyncio.sleep(waiting.REPROBE_PAUSE_S)
 
@@ -278,9 +283,18 @@
             return True
         wait_s = self.seconds_until_available(name, request.attempted)
         # If there is no server at all, one may still register.
-        return (
-            math.isfinite(wait_s)
-            and now + wait_s > request.wait_limits.any_server_until
+        return math.isfinite(wait_s) and now + wait_s > self._waits_until(
+            request
+        )
+
+    def _waits_until(self, request: SelectionRequest) -> float:
+        """Returns the loop time until which a request waits for a server.
+
+        It does not wait for one that could not respond before the daemon exits.
+        """
+        return min(
+            request.wait_limits.any_server_until,
+            self.drain_ends_at - request.usual_s,
         )
 
     async def _probe(
--- a/banyantiller/gateway/target_choice.py
+++ b/banyantiller/gateway/target_choice.py
@@ -34,6 +34,7 @@
         waiting.no_wait(now) if is_hedge else limits,
         frozenset(call.attempted),
         hedging.MAX_SCORE if is_hedge and in_time else math.inf,
+        usual_s,
     )
     choice = await gateway.chooser.choose(selection_request)
     if choice is server_choice.Shortage.UNRESPONSIVE:
--- a/banyantiller/tests/gateway/test_draining.py
+++ b/banyantiller/tests/gateway/test_draining.py
@@ -183,3 +183,109 @@
         )
         self.assertIsNone(second)
         self.assertEqual(0, cut)
+
+
+class LateStartTest(harness.TestCase):
+    """Guards against calls that are cut since they start too late in a drain.
+
+    A request that was complete just before the exit was passed on and cut, and
+    one that waited for a server then ended with a closed connection. Neither
+    caller knew that a retry elsewhere was safe or useful.
+    """
+
+    def play_drain(self, send, document=None, before=None):
+        """Returns the reply, the calls cut, and how often the request ran.
+
+        Args:
+            send: Sends a request on a connection; its begin was sent already.
+            document: Routes of the document, or None for the usual ones.
+            before: Begin of the request, sent before the shutdown.
+        """
+
+        async def body(env):
+            if document is not None:
+                env.put_document(document)
+                await asyncio.sleep(0.1)
+            for server in env.servers.values():
+                server.work_s = WORK_S
+            self.assertEqual(200, (await env.request("b", "/file/")).status)
+            caller = await harness.Caller.connect(env)
+            if before is not None:
+                caller.writer.write(before)
+            drain = asyncio.ensure_future(env.gateway.drain(DRAIN_S))
+            await send(caller)
+            answer = asyncio.ensure_future(caller.read())
+            cut = await drain
+            # The process exits.
+            for connection in list(env.gateway.connections):
+                connection.transport.abort()
+            return await answer, cut, env.ran("a")
+
+        return self.play(body)
+
+    def check_refused(self, answer, cut, ran):
+        self.assertEqual(0, cut)
+        self.assertEqual(0, ran)
+        self.assertIsNotNone(answer)
+        self.assertEqual(503, answer.status)
+        self.assertEqual("no", answer.headers["request-ran"])
+        self.assertEqual("close", answer.headers["connection"])
+        self.assertLess(float(answer.headers["retry-after"]), 0.1)
+
+    def play_body_that_ends(self, at_s):
+        async def send(caller):
+            await asyncio.sleep(at_s)
+            caller.writer.write(b"67890")
+
+        head = (
+            "POST /file/x HTTP/1.1",
+            f"host: {harness.HOST}",
+            "attempt-id: a",
+            "deadline-ms: 9000",
+            "content-length: 10",
+        )
+        begin = "\r\n".join(head) + "\r\n\r\n12345"
+        return self.play_drain(send, before=begin.encode())
+
+    def test_request_that_is_complete_too_late_is_refused_as_not_run(self):
+        limit_s = DRAIN_S - gateways.SHUTDOWN_RESERVE_S
+        for left_s in (0.01, 0.05, WORK_S / 2):
+            self.check_refused(*self.play_body_that_ends(limit_s - left_s))
+
+    def test_request_that_is_complete_in_time_is_served(self):
+        limit_s = DRAIN_S - gateways.SHUTDOWN_RESERVE_S
+        answer, cut, ran = self.play_body_that_ends(limit_s - 2 * WORK_S)
+        self.assertEqual((200, 0, 1), (answer.status, cut, ran))
+
+    def test_call_that_waits_for_a_server_is_refused_before_the_exit(self):
+        slow = {"timeoutS": 60, "targetLatencyS": 40}
+        document = [
+            harness.route("read", "safe", "/read/", "other", **slow),
+            harness.route("file", "unsafe", "/file/"),
+        ]
+        for send_at_s in (0.0, gateways.DRAIN_LISTEN_S - 0.1):
+
+            async def send(caller, send_at_s=send_at_s):
+                await asyncio.sleep(send_at_s)
+                caller.send("a", deadline_ms=60000)
+
+            self.check_refused(*self.play_drain(send, document))
+
+    def test_call_that_waited_before_the_shutdown_is_refused_as_well(self):
+        slow = {"timeoutS": 60, "targetLatencyS": 40}
+        document = [
+            harness.route("read", "safe", "/read/", "other", **slow),
+            harness.route("file", "unsafe", "/file/"),
+        ]
+
+        async def body(env):
+            env.put_document(document)
+            caller = await harness.Caller.connect(env)
+            await asyncio.sleep(0.1)
+            caller.send("a", deadline_ms=60000)
+            await asyncio.sleep(0.5)
+            drain = asyncio.ensure_future(env.gateway.drain(DRAIN_S))
+            answer = await caller.read()
+            return answer, await drain, env.ran("a")
+
+        self.check_refused(*self.play(body))
