Offer calls again soon to daemons that lost their servers

Cause: a daemon that lost the servers of a service for 0.3 s was skipped for 1 s, stated its return up to half a second later, and an empty list was used for 1 s.

Ruled out: refusals by the other daemons; the calls name no peers.

Change: skipped for 0.25 s, the pause of its own checks; a change of what it reaches is stated to the relays at once; an empty list is renewed after 0.25 s.

All tests of the gateway pass.

--- a/banyantiller/gateway/daemon_list.py
+++ b/banyantiller/gateway/daemon_list.py
@@ -2,8 +2,9 @@
 
 Every daemon queries a relay for changes and states in each query where it takes
 forwarded calls and which services it doesn't reach, so the relays together
-know the fleet. Nothing is stored or agreed: a list is a hint, and a daemon
-on it may reject a call.
+know the fleet. It states so too when it loses a service or reaches it again.
+Nothing is stored or agreed: a list is a hint, and a daemon on it may reject a
+call.
 """
 
 import asyncio
@@ -26,6 +27,8 @@
 QUERY_TIMEOUT_S = 0.1
 # How long a list is used before the relays are queried again.
 REFRESH_S = 1.0
+# The same for an empty list, with which every call is refused.
+EMPTY_REFRESH_S = 0.25
 
 
 class DaemonFields(TypedDict):
@@ -102,18 +105,26 @@
         is outdated.
         """
         now = self.loop.time()
-        due = now >= self.queried_at.get(service, -REFRESH_S) + REFRESH_S
+        refresh_s = REFRESH_S if self.listed.get(service) else EMPTY_REFRESH_S
+        due = now >= self.queried_at.get(service, -REFRESH_S) + refresh_s
         if due and service not in self.queries:
-            self.queried_at[service] = now
-            query = self.loop.create_task(self._query(service))
-            self.queries[service] = query
-            query.add_done_callback(lambda _: self.queries.pop(service, None))
+            self.refresh(service)
         if not self.listed.get(service) and service in self.queries:
             await asyncio.wait([self.queries[service]])
         return self.listed.get(service, [])
 
+    def refresh(self, service: str) -> None:
+        """Queries the relays, and states to them what this daemon reaches."""
+        self.queried_at[service] = self.loop.time()
+        query = self.loop.create_task(self._query(service))
+        self.queries[service] = query
+        query.add_done_callback(lambda _: self._remove_query(service, query))
+
     def handle(self, request: messages.Request) -> messages.Response:
         """Answers the query of another daemon."""
+        self.local_mirror.update_contact(
+            mirror.Contact.from_query(request.query)
+        )
         service = request.query.get("service", "")
         zone = request.query.get("zone", "")
         known = self._known_here(service)
@@ -124,9 +135,13 @@
 
     def close(self) -> None:
         """Cancels running queries."""
-        for query in self.queries.values():
+        for query in list(self.queries.values()):
             query.cancel()
 
+    def _remove_query(self, service: str, query: asyncio.Task[None]) -> None:
+        if self.queries.get(service) is query:
+            del self.queries[service]
+
     def _local_fields(self) -> DaemonFields:
         return DaemonFields(
             address=self.contact.address, zone=self.contact.zone
@@ -166,7 +181,9 @@
     ) -> list[DaemonFields]:
         query = parse.urlencode({"service": service, "zone": self.contact.zone})
         outcome = await peer.client.request(
-            "GET", f"{PATH}?{query}", QUERY_TIMEOUT_S
+            "GET",
+            f"{PATH}?{query}{self.contact.to_query()}",
+            QUERY_TIMEOUT_S,
         )
         if not isinstance(outcome, outcomes.Answered):
             return []
--- a/banyantiller/gateway/forwarding.py
+++ b/banyantiller/gateway/forwarding.py
@@ -21,6 +21,7 @@
     events,
     exchange,
     protocols,
+    reachability,
     server_choice,
     types,
 )
@@ -33,8 +34,12 @@
 HTTP_LIMITS = messages.Limits(connect_s=0.1, silence_s=3)
 # A larger request is not forwarded: peers read no larger body.
 MAX_BODY_BYTES = HTTP_LIMITS.body_bytes - HTTP_LIMITS.head_bytes
-# How long a daemon is skipped that is gone, shuts down or reaches no server.
+# How long a daemon is skipped that is gone or shuts down.
 SKIP_S = 1.0
+# How long a daemon is skipped that reaches no server of a service: it checks
+# them again after this time. While servers crash and start again, the few
+# daemons that reach them lose them for moments.
+UNREACHED_SKIP_S = reachability.CHECK_PAUSE_S
 # Daemons to which one call is offered at most.
 MAX_OFFERS = 3
 # Reason of a refusal by a daemon that is gone or shuts down.
@@ -154,7 +159,8 @@
                 services. A daemon that lost the servers of one service takes
                 calls of the others.
         """
-        until = self.daemons.loop.time() + SKIP_S
+        skip_s = UNREACHED_SKIP_S if service else SKIP_S
+        until = self.daemons.loop.time() + skip_s
         self.skipped_until[address, service] = until
 
     def _is_skipped(self, address: str, service: str) -> bool:
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -165,6 +165,7 @@
             self.store_view.reader.relays, self.store_view.mirror, contact, rng
         )
         self.forwarder = forwarding.Forwarder(daemons, rng)
+        self.reachability.on_change = daemons.refresh
         self.forwarded_calls = forwarded_calls.ForwardedCalls(self)
         self.allowances = allowances.Allowances(
             self.store_view, lambda: self.settings, rng
--- a/banyantiller/gateway/mirror.py
+++ b/banyantiller/gateway/mirror.py
@@ -154,6 +154,13 @@
         found = [one.contact for one in self._active_subscribers()]
         return [contact for contact in found if contact is not None]
 
+    def update_contact(self, contact: Contact | None) -> None:
+        """Records what a subscriber states outside of its queries."""
+        for name, subscriber in self.subscribers.items():
+            known = subscriber.contact
+            if contact and known and known.address == contact.address:
+                self.subscribers[name] = subscriber._replace(contact=contact)
+
     def count_sharers(self) -> int:
         """Counts the daemons that share the group's budget, with itself."""
         return (
--- a/banyantiller/gateway/reachability.py
+++ b/banyantiller/gateway/reachability.py
@@ -27,6 +27,8 @@
         service: Returns the definition of a service, or None.
         lost_at: Loop time since which a service is not reached, by its name.
         checks: Running checks by service.
+        on_change: Called with the name of a service that was lost or is reached
+            again.
     """
 
     def __init__(
@@ -42,6 +44,7 @@
         self.random = rng
         self.lost_at: dict[str, float] = {}
         self.checks: dict[str, asyncio.Task[None]] = {}
+        self.on_change: Callable[[str], None] = lambda _: None
         self.loop = asyncio.get_running_loop()
 
     def is_lost(self, service: str) -> bool:
@@ -107,6 +110,7 @@
         self.lost_at[service] = now
         count = len(self.table.usable(service, now))
         events.emit(events.ServersUnreachable(service, count))
+        self.on_change(service)
 
     def _record_reached(self, service: str) -> None:
         lost_at = self.lost_at.pop(service, None)
@@ -118,3 +122,4 @@
         for entry in entries:
             entry.health.end_pause()
         events.emit(events.ServersReachable(service, round(now - lost_at, 3)))
+        self.on_change(service)
--- a/banyantiller/tests/gateway/test_forwarding.py
+++ b/banyantiller/tests/gateway/test_forwarding.py
@@ -121,6 +121,42 @@
         self.assertNotIn(200, {answer.status for answer in reads[10:]})
         self.assertEqual({200}, {answer.status for answer in looks})
 
+    def test_daemon_that_reaches_servers_at_times_takes_calls_then(self):
+        """Guards against calls refused since a daemon lost its servers before.
+
+        A daemon that lost its servers for a moment got no calls of others for
+        1 s and more: once it was skipped, and then it was not listed.
+        """
+
+        async def lose_servers_at_times(fleet, daemon, reached_s):
+            while True:
+                await asyncio.sleep(reached_s)
+                await fleet.cut([daemon], partition_harness.Cut.SILENT)
+                await asyncio.sleep(0.3)
+                await fleet.restore([daemon])
+
+        async def body(fleet, reached_s):
+            *cut, helper = fleet.daemons
+            await fleet.cut(cut, partition_harness.Cut.SILENT)
+            await self.call(fleet, cut, for_s=partition_harness.CONTACT_S)
+            losses = fleet.start_task(
+                lose_servers_at_times(fleet, helper, reached_s)
+            )
+            calls = [
+                fleet.start_task(self.call(fleet, [one], for_s=9.0))
+                for one in (cut[-1], helper)
+            ]
+            answers = await asyncio.gather(*calls)
+            losses.cancel()
+            return [sum(one.status == 200 for one in some) for some in answers]
+
+        for reached_s in (0.7, 1.5):
+            at_cut, at_helper = self.play(
+                lambda fleet, reached_s=reached_s: body(fleet, reached_s)
+            )
+            self.assertGreater(at_helper, 0)
+            self.assertGreaterEqual(at_cut, at_helper * 2 / 3)
+
     async def shut_down(self, daemon, control):
         """Shuts a daemon down as its process does; returns the calls cut."""
         cut = await daemon.drain(6.0)
