Offer calls to another daemon if one refuses them in its drain

A caller of a partitioned daemon got 503 when the daemon that its call waited at shut down, although a third one could have served it.

The wait for a server ended one probe before the moment from which a call is too late to start, so the refusal said that all servers are busy, which ends the call everywhere; and a refusal because of a drain counted as final as well.

Change: both use the same moment; a refusal because of a drain is not final.

Test: test_call_that_waits_at_a_daemon_that_shuts_down_goes_to_another; with either half missing it got 503, now 200. Tests of drains and forwarding pass.

--- a/banyantiller/gateway/forwarding.py
+++ b/banyantiller/gateway/forwarding.py
@@ -331,10 +331,11 @@
 def is_final(refusal: exchange.RefusedByPeer) -> bool:
     """Returns whether other daemons would refuse the call as well.
 
-    They would if all servers are busy. They need not if the daemon is gone or
-    reaches no server either, or if one server rejected the request.
+    They would if all servers are busy. They need not if the daemon is gone,
+    shuts down or reaches no server either, or if one server rejected the
+    request.
     """
-    if refusal.kind is ErrorKind.BACKEND_SHED:
+    if refusal.kind in (ErrorKind.BACKEND_SHED, ErrorKind.DRAINING):
         return False
     return refusal.reason not in OFFER_AGAIN
 
--- a/banyantiller/gateway/refusals.py
+++ b/banyantiller/gateway/refusals.py
@@ -4,7 +4,7 @@
 
 from banyantiller.errors import ErrorKind, Failure
 from banyantiller.gateway import exchange, protocols, server_choice
-from banyantiller.gateway.decisions import retry_after
+from banyantiller.gateway.decisions import retry_after, waiting
 
 
 def failure_without_server(
@@ -78,8 +78,10 @@
     """Returns whether this daemon exits before a call is usually done.
 
     Its connection would be cut while a server executes it, and the caller of a
-    request that is not idempotent could not retry it.
+    request that is not idempotent could not retry it. A wait for a server ends
+    at the same moment.
     """
     route = call.route
     usual_s = call.gateway.durations.usual_s(route.name, route.objective_s)
-    return call.loop.time() + usual_s > call.gateway.chooser.drain_ends_at
+    latest_start = call.gateway.chooser.drain_ends_at - usual_s
+    return call.loop.time() + waiting.REPROBE_PAUSE_S > latest_start
--- a/banyantiller/tests/gateway/test_forwarding.py
+++ b/banyantiller/tests/gateway/test_forwarding.py
@@ -197,6 +197,34 @@
         self.assertEqual({200}, {answer.status for answer in answers})
         self.assertEqual([0] * 5, cut_calls)
 
+    def test_call_that_waits_at_a_daemon_that_shuts_down_goes_to_another(self):
+        """Guards against a refusal by one daemon that counts for all."""
+
+        async def body(fleet):
+            cut = await self.cut_first(fleet)
+            slow = {"timeoutS": 60.0, "targetLatencyS": 40.0}
+            fleet.harness.put_document(
+                [harness.route("read", "safe", "/read/", **slow)]
+            )
+            await asyncio.sleep(1.0)
+            for server in fleet.running_servers():
+                server.running = server.slots
+            call = fleet.start_task(
+                fleet.send_request(cut, "/read/x", deadline_ms=60000)
+            )
+            await asyncio.sleep(0.5)
+            others = fleet.daemons[1:]
+            waits_at = [one for one in others if one.forwarded_calls.running]
+            for one in waits_at:
+                fleet.start_task(one.drain(6.0))
+            await asyncio.sleep(6.5)
+            for server in fleet.running_servers():
+                server.running = 0
+            return len(waits_at), await call
+
+        count, answer = self.play(body)
+        self.assertEqual((1, 200), (count, answer.status))
+
     def test_daemon_that_shuts_down_gets_no_more_calls(self):
         async def body(fleet):
             cut = await self.cut_first(fleet)
