Move the decoding of the store's responses to a module of its own

store.py had both the calls and the forms of responses, 336 lines. Nothing else changes; tests name the functions instead of private ones of store.py.

--- a/banyantiller/platform/store.py
+++ b/banyantiller/platform/store.py
@@ -1,16 +1,13 @@
 """Reads the platform's store by paged lists and long polls."""
 
 import collections
-import re
 import types
 from collections.abc import Callable, Mapping
-from typing import Any, NamedTuple, NotRequired, TypedDict
+from typing import Any
 from urllib import parse
 
-import msgspec
-
 from banyantiller.http import client, messages, outcomes
-from banyantiller.platform import elements, nesting
+from banyantiller.platform import responses
 from banyantiller.store import interface
 
 NO_FILTERS: Mapping[str, Callable[[Any], Any]] = types.MappingProxyType({})
@@ -21,10 +18,6 @@
 # A connection whose peer has vanished is detected after 3 s, which is also the
 # time for which a daemon then counts as disturbed.
 LIMITS = messages.Limits(connections=8, silence_s=3)
-# JSON escapes of surrogates. An unpaired one makes the decoder reject the whole
-# page.
-SURROGATE = re.compile(rb"\\u[dD][89a-fA-F][0-9a-fA-F]{2}")
-REPLACEMENT = rb"\\ufffd"
 # Sorts behind the names of all objects.
 LAST_NAME = "~"
 # Maximum number of calls for one list or one read of changes. A malformed
@@ -32,98 +25,6 @@
 MAX_PARTS = 200
 
 
-class ObjectFields(TypedDict):
-    """Metadata of an object; `revision` is of its last change."""
-
-    name: str
-    revision: int
-
-
-class Item(TypedDict):
-    """One object."""
-
-    metadata: ObjectFields
-    # Decoded separately, so that a malformed object does not affect others.
-    spec: NotRequired[msgspec.Raw]
-
-
-class Page(TypedDict):
-    """A page of a list; `currentRev` is the revision of the store."""
-
-    items: list[Item]
-    more: bool
-    currentRev: int
-
-
-class Event(TypedDict):
-    """One change; of a removed object, `object` is its last state."""
-
-    removed: bool
-    object: Item
-
-
-class Events(TypedDict):
-    """Changes, and the revision from which to continue."""
-
-    events: list[Event]
-    currentRev: int
-
-
-class Part(NamedTuple):
-    """What one response tells of a list or of changes.
-
-    Attributes:
-        elements: Items or events.
-        revision: Revision of the store; empty if the last element is malformed
-            and hides what comes after it.
-        more: Whether the list continues.
-    """
-
-    elements: list[Any]
-    revision: str
-    more: bool
-
-
-class Form(NamedTuple):
-    """Form of a response with a list.
-
-    Attributes:
-        field: Name of the list.
-        response_type: Type of the response.
-        element_type: Type of an element.
-        level: Number of arrays and objects around the content of an object.
-        replacement: Returns an element without content, from the first object
-            in a malformed one, which is the metadata; None if it is not.
-    """
-
-    field: str
-    response_type: Any
-    element_type: Any
-    level: int
-    replacement: Callable[[dict[str, Any]], dict[str, Any] | None]
-
-
-def _item_without_content(fields: dict[str, Any]) -> dict[str, Any] | None:
-    """Returns an item with some metadata, or None if it is none."""
-    try:
-        return {"metadata": msgspec.convert(fields, ObjectFields)}
-    except msgspec.ValidationError:
-        return None
-
-
-def _event_without_content(fields: dict[str, Any]) -> dict[str, Any] | None:
-    """Returns an event of an object with some metadata, or None.
-
-    Whether the object was removed is not known. It is unusable either way.
-    """
-    item = _item_without_content(fields)
-    return item and {"removed": False, "object": item}
-
-
-LIST_FORM = Form("items", Page, Item, 3, _item_without_content)
-CHANGES_FORM = Form("events", Events, Event, 4, _event_without_content)
-
-
 class PlatformStore:
     """Lists and watches objects; see `store.interface.ObjectReader`.
 
@@ -202,7 +103,7 @@
         changes = interface.Changes((), version)
         for _ in range(MAX_PARTS):
             part = await self._read_changes(kind, changes.version, wait_s)
-            if not isinstance(part, Part):
+            if not isinstance(part, responses.Part):
                 return changes if changes.events else part
             events = changes.events + tuple(
                 self._to_event(kind, event) for event in part.elements
@@ -221,7 +122,7 @@
         await self.http_client.close()
 
     def _to_event(
-        self, kind: str, event: Event
+        self, kind: str, event: responses.Event
     ) -> interface.Changed | interface.Deleted:
         item = self._to_stored_object(kind, event["object"])
         if event["removed"]:
@@ -229,10 +130,10 @@
         return interface.Changed(item)
 
     def _to_stored_object(
-        self, kind: str, item: Item
+        self, kind: str, item: responses.Item
     ) -> interface.StoredObject:
         meta = item["metadata"]
-        content = _decode_content(item)
+        content = responses.decode_content(item)
         if kind in self.filters:
             content = self.filters[kind](content)
         return interface.StoredObject(
@@ -241,10 +142,10 @@
 
     async def _read_page(
         self, kind: str, after: str
-    ) -> Part | interface.Unavailable:
+    ) -> responses.Part | interface.Unavailable:
         self.calls["list"] += 1
         target = _build_target(kind, **({"after": after} if after else {}))
-        part = await self._read(target, TIMEOUT_S, LIST_FORM)
+        part = await self._read(target, TIMEOUT_S, responses.LIST_FORM)
         if isinstance(part, interface.Gone):
             return interface.Unavailable("status 410")
         return part
@@ -252,19 +153,21 @@
     async def _current_revision(self, kind: str) -> str:
         """Returns the store's revision, or an empty text if it is not known."""
         part = await self._read_page(kind, LAST_NAME)
-        return part.revision if isinstance(part, Part) else ""
+        return part.revision if isinstance(part, responses.Part) else ""
 
     async def _read_changes(
         self, kind: str, version: str, wait_s: float
-    ) -> Part | interface.Gone | interface.Unavailable:
+    ) -> responses.Part | interface.Gone | interface.Unavailable:
         self.calls["watch"] += 1
         wait_ms = str(int(wait_s * 1000))
         target = _build_target(kind, watch=version, waitMs=wait_ms)
-        return await self._read(target, wait_s + TIMEOUT_S, CHANGES_FORM)
+        return await self._read(
+            target, wait_s + TIMEOUT_S, responses.CHANGES_FORM
+        )
 
     async def _read(
-        self, target: str, timeout_s: float, form: Form
-    ) -> Part | interface.Gone | interface.Unavailable:
+        self, target: str, timeout_s: float, form: responses.Form
+    ) -> responses.Part | interface.Gone | interface.Unavailable:
         outcome = await self.http_client.request("GET", target, timeout_s)
         if not isinstance(outcome, outcomes.Answered):
             return interface.Unavailable(outcome.reason)
@@ -273,64 +176,13 @@
         if outcome.response.status != 200:
             return interface.Unavailable(f"status {outcome.response.status}")
         try:
-            return _decode(outcome.body, form)
+            return responses.decode(outcome.body, form)
         except ValueError as error:
             return interface.Unavailable(
                 f"a response can't be decoded: {error}"
             )
 
 
-def _decode(body: bytes, form: Form) -> Part:
-    """Decodes a response in which single objects may be malformed.
-
-    Raises:
-        ValueError: The response itself is malformed.
-    """
-    try:
-        response = msgspec.json.decode(body, type=form.response_type)
-    except (msgspec.DecodeError, RecursionError):
-        return _decode_elements(body, form)
-    return _to_part(response, response[form.field], form)
-
-
-def _decode_elements(body: bytes, form: Form) -> Part:
-    """Decodes a response as far as its elements can be told apart."""
-    clean = nesting.cut_deep_text(SURROGATE.sub(REPLACEMENT, body), form.level)
-    text = clean.decode("utf-8", "replace")
-    found = elements.read(text, form.field, form.replacement)
-    values = [
-        msgspec.json.decode(element, type=form.element_type)
-        for element in found.texts
-    ]
-    try:
-        response = msgspec.json.decode(found.frame, type=form.response_type)
-    except msgspec.DecodeError:
-        if not values:
-            raise
-        return Part(values, "", more=True)
-    return _to_part(response, values, form)
-
-
-def _to_part(response: Any, values: list[Any], form: Form) -> Part:
-    more = form is LIST_FORM and response["more"]
-    return Part(values, str(response["currentRev"]), more)
-
-
 def _build_target(kind: str, **query: str) -> str:
     text = parse.urlencode(query)
     return f"/api/objects/{kind}" + (f"?{text}" if text else "")
-
-
-def _decode_content(item: Item) -> Any:
-    """Decodes the content of an object; returns None if it is malformed.
-
-    The decoder of the object's kind reports None with the name of the object.
-    """
-    try:
-        text = bytes(item["spec"])
-        try:
-            return nesting.cut_deep_values(msgspec.json.decode(text))
-        except RecursionError:
-            return msgspec.json.decode(nesting.cut_deep_text(text, level=0))
-    except (KeyError, msgspec.DecodeError, UnicodeDecodeError):
-        return None
--- a/banyantiller/tests/platform/test_malformed_objects.py
+++ b/banyantiller/tests/platform/test_malformed_objects.py
@@ -12,7 +12,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from banyantiller.platform import store
+from banyantiller.platform import responses, store
 from banyantiller.store import interface
 from banyantiller.tests import base
 from banyantiller.tests.gateway import harness
@@ -241,8 +241,8 @@
     )
     def test_objects_before_a_malformed_one_are_read(self, contents):
         good = b'{"service":"orders"}'
-        part = store._decode(
-            self.page([good, *contents, good]), store.LIST_FORM
+        part = responses.decode(
+            self.page([good, *contents, good]), responses.LIST_FORM
         )
         names = [item["metadata"]["name"] for item in part.elements]
         self.assertEqual("n0", names[0])
@@ -256,8 +256,8 @@
         for _ in range(rng.randint(1, 4)):
             whole[rng.randrange(len(whole))] = rng.randrange(256)
         del whole[rng.randrange(len(whole)) :]
-        for form in (store.LIST_FORM, store.CHANGES_FORM):
+        for form in (responses.LIST_FORM, responses.CHANGES_FORM):
             try:
-                store._decode(bytes(whole), form)
+                responses.decode(bytes(whole), form)
             except ValueError:
                 continue
--- a/banyantiller/tests/platform/test_nesting.py
+++ b/banyantiller/tests/platform/test_nesting.py
@@ -13,7 +13,7 @@
 import msgspec
 from hypothesis import strategies
 
-from banyantiller.platform import documents, nesting, registrations, store
+from banyantiller.platform import documents, nesting, registrations, responses
 from banyantiller.proxy import load
 from banyantiller.tests import base
 from banyantiller.tests.gateway import harness
@@ -198,5 +198,5 @@
     def test_page_that_is_deep_outside_of_its_objects_is_an_error(self):
         for text in (f'{{"items":{deep(1200)}}}', deep(1200)):
             self.assertRaises(
-                ValueError, store._decode, text.encode(), store.LIST_FORM
+                ValueError, responses.decode, text.encode(), responses.LIST_FORM
             )
