--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -78,10 +78,25 @@
         "A daemon that reached no server of one service was skipped for calls"
         " of all others. Mended.",
     ),
+    *(
+        Regression(
+            seed,
+            SIZES,
+            "Daemons without links to servers served too few calls: open.",
+        )
+        for seed in (7059, 50304)
+    ),
+    Regression(
+        50303,
+        SIZES,
+        "A daemon that lost its servers for moments got no calls of daemons"
+        " without links to servers. Mended.",
+    ),
     Regression(
-        7059,
+        7403,
         SIZES,
-        "Daemons without links to servers served too few calls: open.",
+        "The only daemon that reached servers shut down and refused the calls"
+        " of others: open.",
     ),
     Regression(
         46004,
