Test that a document is in force after an outage although relays are cut off

Callers of a daemon that has to read the store itself after an outage are served by an older document for up to 4 s: the pause between its retries. Bounds hold again 3 s after the outage.

Found by reading what else assumes that the time after a disruption and the time of a change add up.

--- a/banyantiller/tests/gateway/test_short_silence.py
+++ b/banyantiller/tests/gateway/test_short_silence.py
@@ -10,6 +10,10 @@
 
 # The store gives no response for so long, which is shorter than a call waits.
 SILENCE_S = 0.8
+# Relays lose the store for so long beyond an outage of it.
+RELAYS_CUT_S = 8.0
+# Lengths of outages, of which some end just after a daemon's retry.
+OUTAGES_S = (3.0, 4.5, 6.0, 6.5, 8.0)
 # Time after the silence from which bounds hold again.
 CONTACT_S = 3.0
 CHANGE_GAP_S = 0.3
@@ -115,3 +119,38 @@
             if (found := self.play_silence(offset_s))
         }
         self.assertEqual({}, late)
+
+
+class LongOutageTest(harness.TestCase):
+    """Guards against retries that are too rare after an outage.
+
+    All daemons lost the store. When it was back, the relays were still cut off
+    from it, and the others tried it again seconds later.
+    """
+
+    def play_outage(self, outage_s):
+        async def play(env, relays, subscribers):
+            loop = asyncio.get_running_loop()
+            observer = Observer(env, subscribers)
+            until = loop.time() + outage_s + CONTACT_S
+            env.store.faults.down = True
+            disturb(relays, "rejected_by_store", until + RELAYS_CUT_S)
+            await asyncio.sleep(outage_s)
+            env.store.faults.down = False
+            changing = asyncio.ensure_future(
+                observer.change_documents(until + OBSERVED_S)
+            )
+            await asyncio.sleep(until - loop.time())
+            await observer.observe(until + OBSERVED_S)
+            await changing
+            return observer.late
+
+        return self.run_paused(run_fleet(play))
+
+    def test_document_is_in_force_although_relays_stay_cut_off(self):
+        late = {
+            outage_s: found
+            for outage_s in OUTAGES_S
+            if (found := self.play_outage(outage_s))
+        }
+        self.assertEqual({}, late)
