Bound the wait of calls for documents by the time to recover

Callers of a daemon that reads the store itself were served by an older document, or told 404, more than 3 s after a short silence of the store, or seconds after an outage while its relays were still cut off.

Cause: two limits took the time after a disruption (3 s) and the time of a change (2 s) to add up. A call for documents waited for 3.0 s and timed out 0.8 s later, so that a call which lost its response hid a change for 3.9 s; a lost store was tried every 4 s. Both times run at once: a change has to be known 3 s after the disruption, however early it was accepted.

Both limits now follow from the new setting recovery_s (3 s): the wait is 1.8 s, the pause 2.4 s. A document counts as the newest for 4.5 s in place of 7.0, which follows from the wait: 404 is told by it.

A start without relays takes one call for documents more within 5 s, as the wait is 1.8 s.

--- a/banyantiller/gateway/decisions/store_reads.py
+++ b/banyantiller/gateway/decisions/store_reads.py
@@ -24,13 +24,17 @@
 # Time reserved for a read of the store at its usual speed, after everything
 # else failed.
 LAST_STORE_READ_S = 0.25
+# Time from the end of a call's wait until a change is known if the response was
+# lost: the call times out after 0.8 s, and the next one follows a pause of 0.1
+# s and a query of relays of 0.1 s.
+LOST_RESPONSE_S = 1.2
 # First pause between retries of a lost store. The relays see within a second
 # that a store is back, so retries of other daemons matter only if all relays
 # are cut off.
 FIRST_RETRY_PAUSE_S = 1.5
-# Maximum pause between them: after an outage a change must be known within its
-# usual time limit plus 3 s, in which no daemon may have reached the store yet.
-MAX_RETRY_PAUSE_S = 4.0
+# Time from a retry that is due until a change is known: a query of a relay that
+# is unresponsive takes 0.4 s, and the read itself 0.2 s.
+RETRY_DELAY_S = 0.6
 # How long after its start a daemon waits for peers to listen or to list the
 # store: if a whole fleet starts at once, relays need up to 1 s on a busy
 # machine.
@@ -40,6 +44,19 @@
 LISTED_SETTLE_S = 3.0
 
 
+def max_wait_s(recovery_s: float) -> float:
+    """Returns the maximum wait of a call for changes, in seconds.
+
+    A disruption may end just after it lost the response to a call. What the
+    response contained has to be known `recovery_s` later.
+
+    Args:
+        recovery_s: Time after a disruption from which changes are in force in
+            time again, in seconds.
+    """
+    return recovery_s - LOST_RESPONSE_S
+
+
 class StoreReadPolicy:
     """How long a daemon relies on peers before it reads the store.
 
@@ -50,15 +67,22 @@
         listed_settling_until: The same once everything is listed.
         next_retry_at: Loop time from which a lost store is tried again.
         retry_pause_s: Pause after the next retry of a lost store, in seconds.
+        max_retry_pause_s: Maximum of that pause: a change must be known
+            `recovery_s` after an outage, which may end just after a retry.
+        first_retry_pause_s: First such pause.
     """
 
-    def __init__(self, bound_s: float, now: float) -> None:
+    def __init__(self, bound_s: float, recovery_s: float, now: float) -> None:
         self.bound_s = bound_s
+        self.max_retry_pause_s = recovery_s - RETRY_DELAY_S
+        self.first_retry_pause_s = min(
+            FIRST_RETRY_PAUSE_S, self.max_retry_pause_s
+        )
         self.fresh_at = now
         self.settling_until = now + SETTLE_S
         self.listed_settling_until = now + LISTED_SETTLE_S
         self.next_retry_at = 0.0
-        self.retry_pause_s = FIRST_RETRY_PAUSE_S
+        self.retry_pause_s = self.first_retry_pause_s
 
     @property
     def max_peer_age_s(self) -> float:
@@ -80,7 +104,7 @@
         if fresh_at > self.fresh_at:
             self.fresh_at = fresh_at
             self.next_retry_at = 0.0
-            self.retry_pause_s = FIRST_RETRY_PAUSE_S
+            self.retry_pause_s = self.first_retry_pause_s
 
     def end_settling(self) -> None:
         """Ends the wait for peers that are still starting."""
@@ -107,5 +131,5 @@
         if now < self.next_store_retry:
             return False
         self.next_retry_at = now + self.retry_pause_s
-        self.retry_pause_s = min(2 * self.retry_pause_s, MAX_RETRY_PAUSE_S)
+        self.retry_pause_s = min(2 * self.retry_pause_s, self.max_retry_pause_s)
         return True
--- a/banyantiller/gateway/settings.py
+++ b/banyantiller/gateway/settings.py
@@ -46,6 +46,15 @@
             low=1,
         ),
     ] = 2.0
+    recovery_s: Annotated[
+        float,
+        Option(
+            "Time after a disruption of the store from which changes are in"
+            " force in time again.",
+            unit="s",
+            low=2,
+        ),
+    ] = 3.0
     drain_s: Annotated[
         float,
         Option(
--- a/banyantiller/gateway/store_view.py
+++ b/banyantiller/gateway/store_view.py
@@ -30,11 +30,11 @@
 # of servers: both are read within 0.02 s if the store or a relay responds, and
 # ten times as long is within the objective of a short request.
 FIRST_READ_S = 0.2
-# Age up to which a document counts as the newest, in seconds: 3 s for a call to
-# the store that ended with a change, 0.1 s for relays, 3 s for the next call,
-# and 0.8 s for its response. With less, callers of routes that do not exist are
+# A document counts as the newest for two waits of calls to the store, of which
+# the first may end with a change, and this time, in seconds: 0.1 s for relays
+# and 0.8 s for a response. With less, callers of routes that do not exist are
 # told to retry although the store responds.
-MAX_CURRENT_AGE_S = 7.0
+CURRENT_MARGIN_S = 0.9
 # Name of this daemon among the reporters of failing servers.
 LOCAL_REPORTER = ""
 
@@ -62,6 +62,7 @@
         local_failures: Servers that failed requests of this daemon.
         unreadable_registrations: Errors of registrations that can't be read, by
             instance.
+        document_timing: How often documents are read.
     """
 
     def __init__(
@@ -87,6 +88,9 @@
         self.evacuations = evacuations.Evacuations(
             self.table, self._update_complete
         )
+        self.document_timing = store_watching.WatchTiming(
+            wait_s=store_reads.max_wait_s(settings.recovery_s), period_s=0.0
+        )
         self.servers_listed = False
         self.complete = asyncio.Event()
         self.started_at = self.loop.time()
@@ -96,7 +100,9 @@
         self.store_health.on_lost = self.mirror.wake
         self.mirror.on_first_subscriber = self._restart_watchers
         read_policy = store_reads.StoreReadPolicy(
-            min(settings.apply_s, settings.leave_s), self.loop.time()
+            min(settings.apply_s, settings.leave_s),
+            settings.recovery_s,
+            self.loop.time(),
         )
         self.reader = shared_reading.SharedReader(
             adapter.store,
@@ -134,7 +140,8 @@
         """Returns whether the document counts as the newest."""
         if self.store_health.lost_at is not None or self.newest_unreadable:
             return False
-        return self.document_age_s() <= MAX_CURRENT_AGE_S
+        max_age_s = 2 * self.document_timing.wait_s + CURRENT_MARGIN_S
+        return self.document_age_s() <= max_age_s
 
     def refusal_of(self, error_kind: ErrorKind) -> Failure:
         """Returns the failure for a request that the document does not allow.
@@ -176,7 +183,7 @@
             (
                 adapter.document_kind,
                 document_handlers,
-                store_watching.DOCUMENT_TIMING,
+                self.document_timing,
             ),
             (
                 adapter.server_kind,
--- a/banyantiller/gateway/store_watching.py
+++ b/banyantiller/gateway/store_watching.py
@@ -33,9 +33,8 @@
 
 # An unresponsive connection to the store, or the lost response to one call,
 # hides a change for as long as a call waits, whatever calls for other kinds
-# show. A document must be in force 2 s after its acceptance, provided that the
-# store was undisturbed for 3 s before.
-DOCUMENT_TIMING = WatchTiming(wait_s=3.0, period_s=0.0)
+# show.
+#
 # Registrations change in series, and a draining server may get requests for 2
 # s, so one call collects the changes of 0.8 s. The watcher of the documents
 # notices a lost store. A call whose response was lost ends 4.3 s after it
