List no version whose changes a relay said are gone

A subscriber was told by one relay that the changes after its version are gone, took a list of that very version from another relay, was told so again, and so on without a pause: it missed changes and kept two relays busy until that list was too old, 1.4 s later. Only an answer of the store raised the lowest version of a list; now an answer of a relay does as well.

Cause: a relay that keeps the difference of two lists, after a lost history, serves no version in between, and a relay that is behind may be at one.

The test failed before with a relayed list after Gone, and passes now.

--- a/banyantiller/gateway/shared_reading.py
+++ b/banyantiller/gateway/shared_reading.py
@@ -157,6 +157,9 @@
         if isinstance(outcome, interface.Changes):
             self.mirror.record_changes(kind, outcome)
             self.min_versions[kind] = self.mirror.histories[kind].version
+        if isinstance(outcome, interface.Gone):
+            # An older list would lead to `Gone` again.
+            self.min_versions[kind] = int(version) + 1
         return outcome
 
     async def close(self) -> None:
@@ -252,9 +255,6 @@
                 self._earliest_response_time(outcome, sent_at, wait_s),
             )
         self.reaches_store = not isinstance(outcome, interface.Unavailable)
-        if isinstance(outcome, interface.Gone):
-            # An older list would lead to `Gone` again.
-            self.min_versions[object_kind] = int(version) + 1
         return outcome
 
     def _earliest_response_time(
--- a/banyantiller/tests/gateway/test_store_calls.py
+++ b/banyantiller/tests/gateway/test_store_calls.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from banyantiller.gateway import peers
+from banyantiller.gateway import mirror, peers
+from banyantiller.http import messages
 from banyantiller.store import interface
 from banyantiller.tests import base
 from banyantiller.tests.gateway import harness
@@ -300,6 +301,35 @@
 
         self.assertEqual((False, 1), self.play(body))
 
+    def test_list_that_ends_where_changes_are_gone_is_not_used(self):
+        """Otherwise the daemon lists again and again at the same version.
+
+        A relay that kept the difference of two lists can't serve versions in
+        between, and another relay's list may end at one of them.
+        """
+
+        async def body(env, relays, subscribers):
+            reader = subscribers[0].store_view.reader
+            listed = await reader.list("config")
+
+            def serve_lists_only(relay):
+                handle = relay.store_view.mirror.handle
+
+                async def serve(request):
+                    if "since" in request.query:
+                        return messages.Response(mirror.GONE_STATUS)
+                    return await handle(request)
+
+                relay.store_view.mirror.handle = serve
+
+            for relay in relays:
+                serve_lists_only(relay)
+            outcome = await reader.changes("config", listed.version, 1.0)
+            relisted = await reader.list("config")
+            return outcome, relisted.relayed
+
+        self.assertEqual((interface.Gone(), False), self.play(body))
+
     def test_stale_list_is_used_only_if_the_store_is_down(self):
         async def body(env, relays, subscribers):
             reader = subscribers[0].store_view.reader
