Bound the wait of calls for servers and zones as well

One daemon reads servers and evacuated zones for the fleet. A response that was lost in a silence of 0.2 s hid a leaving server from all daemons for up to 4.3 s, and an evacuated zone for up to 6.8 s: the wait of these calls was 3.5 and 6.0 s, reckoned as if the time after a disruption and the time of a change added up. The same cause as for documents; all calls for changes now wait for 1.8 s at most.

The stand-in's silence took all waiting calls with it, so that the call for documents noticed it; now it takes those that would be answered in it.

Test of a start without relays: observed for 3.51 s in place of 5 s, up to which one call of each kind lists and one waits; a third begins after that, as a call waits for 1.8 s. Any call more within that time still fails.

--- a/banyantiller/gateway/store_view.py
+++ b/banyantiller/gateway/store_view.py
@@ -62,7 +62,7 @@
         local_failures: Servers that failed requests of this daemon.
         unreadable_registrations: Errors of registrations that can't be read, by
             instance.
-        document_timing: How often documents are read.
+        max_wait_s: Maximum wait of a call for changes, in seconds.
     """
 
     def __init__(
@@ -88,9 +88,7 @@
         self.evacuations = evacuations.Evacuations(
             self.table, self._update_complete
         )
-        self.document_timing = store_watching.WatchTiming(
-            wait_s=store_reads.max_wait_s(settings.recovery_s), period_s=0.0
-        )
+        self.max_wait_s = store_reads.max_wait_s(settings.recovery_s)
         self.servers_listed = False
         self.complete = asyncio.Event()
         self.started_at = self.loop.time()
@@ -140,7 +138,7 @@
         """Returns whether the document counts as the newest."""
         if self.store_health.lost_at is not None or self.newest_unreadable:
             return False
-        max_age_s = 2 * self.document_timing.wait_s + CURRENT_MARGIN_S
+        max_age_s = 2 * self.max_wait_s + CURRENT_MARGIN_S
         return self.document_age_s() <= max_age_s
 
     def refusal_of(self, error_kind: ErrorKind) -> Failure:
@@ -179,22 +177,14 @@
             self._servers_listed, self._server_changed, self._server_deleted
         )
         adapter = self.adapter
+        at_once = store_watching.WatchTiming(self.max_wait_s, period_s=0.0)
+        in_series = store_watching.WatchTiming(
+            self.max_wait_s, store_watching.SERVER_PERIOD_S
+        )
         watched_kinds = (
-            (
-                adapter.document_kind,
-                document_handlers,
-                self.document_timing,
-            ),
-            (
-                adapter.server_kind,
-                server_handlers,
-                store_watching.SERVER_TIMING,
-            ),
-            (
-                adapter.evacuation_kind,
-                self.evacuations.handlers(),
-                store_watching.EVACUATION_TIMING,
-            ),
+            (adapter.document_kind, document_handlers, at_once),
+            (adapter.server_kind, server_handlers, in_series),
+            (adapter.evacuation_kind, self.evacuations.handlers(), at_once),
         )
         return [
             store_watching.StoreWatcher(
--- a/banyantiller/gateway/store_watching.py
+++ b/banyantiller/gateway/store_watching.py
@@ -31,18 +31,9 @@
     period_s: float
 
 
-# An unresponsive connection to the store, or the lost response to one call,
-# hides a change for as long as a call waits, whatever calls for other kinds
-# show.
-#
 # Registrations change in series, and a draining server may get requests for 2
-# s, so one call collects the changes of 0.8 s. The watcher of the documents
-# notices a lost store. A call whose response was lost ends 4.3 s after it
-# began; a leaving server has to be known within 5 s after a disturbance.
-SERVER_TIMING = WatchTiming(wait_s=3.5, period_s=0.8)
-# Evacuations are rare, and each one has to be known at once, and within 8 s
-# after a disturbance.
-EVACUATION_TIMING = WatchTiming(wait_s=6.0, period_s=0.0)
+# s, so one call collects the changes of 0.8 s.
+SERVER_PERIOD_S = 0.8
 
 
 class Handlers(NamedTuple):
--- a/banyantiller/tests/gateway/test_read_order.py
+++ b/banyantiller/tests/gateway/test_read_order.py
@@ -126,19 +126,17 @@
 
         self.assertEqual(({}, True), self.play(body))
 
-    def test_start_without_relays_takes_few_calls(self):
-        """One call lists each kind, and one waits for changes.
-
-        Documents are read once more, as a call for them waits for 1.8 s.
-        """
+    def test_start_without_relays_takes_two_calls_of_each_kind(self):
+        """One call lists, and one waits for changes."""
 
         async def body(env, daemons):
             absent_seeds = tuple(
                 f"{harness.ADDRESS}:{port}" for port in (7101, 7102)
             )
             await env.start_gateway(absent_seeds, "early")
-            # Zones are read again when their state is 3.5 s old.
-            await asyncio.sleep(5)
+            # Zones are read again when their state is 3.5 s old. A call for
+            # changes waits for 1.8 s, so a third one of a kind begins later.
+            await asyncio.sleep(3.51)
             early = env.gateway
             env.gateway = daemons[-1]
             calls = dict(early.store_view.reader.calls)
@@ -146,7 +144,7 @@
             await early.close()
             return calls
 
-        self.assertEqual({"list": 3, "watch": 4}, self.play(body))
+        self.assertEqual({"list": 3, "watch": 3}, self.play(body))
 
     def test_change_is_in_force_although_relays_query_in_a_circle(self):
         """Each relay has the other listed with an address before its own."""
--- a/banyantiller/tests/gateway/test_short_silence.py
+++ b/banyantiller/tests/gateway/test_short_silence.py
@@ -10,6 +10,11 @@
 
 # The store gives no response for so long, which is shorter than a call waits.
 SILENCE_S = 0.8
+# A silence in which the calls of one kind lose a response, and others none.
+SHORT_SILENCE_S = 0.2
+# Time within which a zone is evacuated, and a leaving server gets no requests.
+EVACUATE_S = 5.0
+LEAVE_S = 2.0
 # Relays lose the store for so long beyond an outage of it.
 RELAYS_CUT_S = 8.0
 # Lengths of outages, of which some end just after a daemon's retry.
@@ -22,6 +27,8 @@
 OBSERVED_S = 3.0
 # Begins of the silence, relative to calls that take turns within seconds.
 OFFSETS_S = tuple(tenths / 10 for tenths in range(0, 36, 3))
+# The same for a call for a kind that changes rarely.
+RARE_OFFSETS_S = tuple(quarters / 4 for quarters in range(16))
 
 
 class Observer:
@@ -120,6 +127,49 @@
         }
         self.assertEqual({}, late)
 
+    def play_single_change(self, put, is_known, bound_s):
+        """Returns the offsets at which a change in a silence is late.
+
+        Args:
+            put: Writes the change.
+            is_known: Returns whether a daemon knows of it.
+            bound_s: Time within which it has to be known, in seconds.
+        """
+
+        async def play(env, relays, subscribers):
+            await asyncio.sleep(offset_s)
+            env.store.faults.silent = True
+            await asyncio.sleep(SHORT_SILENCE_S / 2)
+            put(env)
+            await asyncio.sleep(SHORT_SILENCE_S / 2)
+            env.store.faults.silent = False
+            await asyncio.sleep(max(CONTACT_S, bound_s - SHORT_SILENCE_S / 2))
+            fleet = relays + subscribers
+            return [one.settings.daemon for one in fleet if not is_known(one)]
+
+        found = {}
+        for offset_s in RARE_OFFSETS_S:
+            late = self.run_paused(run_fleet(play))
+            if late:
+                found[offset_s] = late
+        return found
+
+    def test_zone_is_evacuated_although_a_response_was_lost(self):
+        late = self.play_single_change(
+            lambda env: env.store.put("evacuations", "zone-a", {}),
+            lambda one: "zone-a" in one.store_view.evacuations.evacuated,
+            EVACUATE_S,
+        )
+        self.assertEqual({}, late)
+
+    def test_leaving_server_is_known_although_a_response_was_lost(self):
+        late = self.play_single_change(
+            lambda env: env.register("s0", state="draining"),
+            lambda one: one.store_view.table.entries["s0"].server.leaving,
+            LEAVE_S,
+        )
+        self.assertEqual({}, late)
+
 
 class LongOutageTest(harness.TestCase):
     """Guards against retries that are too rare after an outage.
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -251,6 +251,8 @@
             ]
             left = until - loop.time()
             if events or left <= 0:
+                if self.faults.silent:
+                    await asyncio.sleep(FOREVER_S)
                 body = {"events": events, "currentRev": self.revision}
                 return answers.to_json(200, body)
             try:
@@ -258,8 +260,6 @@
                     await self.changed.wait()
             except TimeoutError:
                 pass
-            if self.faults.silent:
-                await asyncio.sleep(FOREVER_S)
 
     def _note(self, kind: str, item: dict[str, Any], removed: bool) -> None:
         self.history.append((self.revision, kind, item, removed))
