Log from which version of the store a daemon reads

Now each list, each lost history and each document in force names the version of the store, and an older document that is ignored has a line and a count of its own. No decision changes.

--- a/banyantiller/gateway/events.py
+++ b/banyantiller/gateway/events.py
@@ -136,6 +136,7 @@
 
     version: Annotated[int, "Version of the document."]
     before: Annotated[int, "Version that was in force before; 0 for none."]
+    store_version: Annotated[str, "Version of the object in the store."]
     routes: Annotated[int, "Number of routes of the document."]
     through: Annotated[
         str, "`store`, or IP address and port of the peer that sent it."
@@ -146,6 +147,14 @@
     ]
 
 
+@event("gateway: document is older than the one in force.", "warning")
+class DocumentOutdated(NamedTuple):
+    """The store holds an older document, which is ignored."""
+
+    version: Annotated[int, "Version of the document in the store."]
+    in_force: Annotated[int, "Version in force, which stays in force."]
+
+
 @event("gateway: document is unreadable.", "error")
 class DocumentUnreadable(NamedTuple):
     """A document can't be decoded; the previous one stays in force."""
@@ -183,6 +192,17 @@
     """
 
     kind: Annotated[str, "Kind of the objects."]
+    version: Annotated[str, "Version up to which changes were read."]
+
+
+@event("gateway: objects are listed.")
+class ObjectsListed(NamedTuple):
+    """All objects of a kind were read."""
+
+    kind: Annotated[str, "Kind of the objects."]
+    version: Annotated[str, "Version of the store that the list belongs to."]
+    objects: Annotated[int, "Number of objects."]
+    relayed: Annotated[bool, "Whether a peer sent the list."]
 
 
 # Availability zones.
--- a/banyantiller/gateway/store_view.py
+++ b/banyantiller/gateway/store_view.py
@@ -253,6 +253,11 @@
             return
         self.newest_unreadable = False
         previous_version = self.version
+        if document.version < previous_version:
+            self.tallies.documents["outdated"] += 1
+            events.emit(
+                events.DocumentOutdated(document.version, previous_version)
+            )
         if document.version <= previous_version:
             return
         self.routes = routes.RouteTable(document, self.random)
@@ -263,6 +268,7 @@
             events.DocumentInForce(
                 version=document.version,
                 before=previous_version,
+                store_version=item.version,
                 routes=len(document.routes),
                 through=self.reader.confirmed_by,
                 unconfirmed_ms=round(self.reader.unconfirmed_s * 1000, 1),
--- a/banyantiller/gateway/store_watching.py
+++ b/banyantiller/gateway/store_watching.py
@@ -177,7 +177,9 @@
                 return
             self._record_response()
             if isinstance(outcome, interface.Gone):
-                events.emit(events.ChangeHistoryLost(self.object_kind))
+                events.emit(
+                    events.ChangeHistoryLost(self.object_kind, self.version)
+                )
                 lost_after, self.version = self.version, ""
                 self.store_health.record_history_loss(lost_after)
                 return
@@ -196,6 +198,14 @@
             return False
         if not outcome.relayed:
             self._record_response()
+        events.emit(
+            events.ObjectsListed(
+                self.object_kind,
+                outcome.version,
+                len(outcome.items),
+                outcome.relayed,
+            )
+        )
         self.handlers.on_listed(outcome.items)
         self.version = outcome.version
         return True
--- a/banyantiller/gateway/tallies.py
+++ b/banyantiller/gateway/tallies.py
@@ -25,7 +25,8 @@
             "answered", "refused" or "broken".
         received: Calls of other daemons' callers by service and status.
         opened: New connections to servers by reason.
-        documents: Documents by outcome: "in_force" or "unreadable".
+        documents: Documents by outcome: "in_force", "outdated" or
+            "unreadable".
         registrations: Registrations by outcome: "read" or "unreadable".
     """
 
--- a/banyantiller/tests/gateway/event_scenarios.py
+++ b/banyantiller/tests/gateway/event_scenarios.py
@@ -200,7 +200,7 @@
     await asyncio.sleep(2)
 
 
-@shows(events.ChangeHistoryLost)
+@shows(events.ChangeHistoryLost, events.ObjectsListed)
 async def change_history_is_lost(env):
     env.store.faults.down = True
     await asyncio.sleep(2)
@@ -210,6 +210,13 @@
     await asyncio.sleep(4)
 
 
+@shows(events.DocumentOutdated)
+async def document_is_older(env):
+    env.version = -2
+    env.put_document()
+    await asyncio.sleep(1)
+
+
 @shows(events.DocumentUnreadable, events.RegistrationUnreadable)
 async def objects_are_unreadable(env):
     env.store.put("config", "main", {"version": "seven"})
