Test that changes reach all daemons after a copy of the store

The stand-in can come back from a copy: revisions go back and are given out again, a watch from one that it does not have gets 410, and Store-Era rises. All five tests fail on this code: of a relay and its four followers only the first relay knows of a document, a leaving server or an evacuated zone.

--- /dev/null
+++ b/banyantiller/tests/gateway/test_store_restored.py
@@ -0,0 +1,131 @@
+"""Tests of a store that comes back from a copy some seconds old."""
+
+import asyncio
+
+from banyantiller.tests.gateway import (
+    change_harness,
+    harness,
+    test_short_silence,
+)
+
+# Changes that the copy lacks; each raises the revision of the store by one.
+LOST_CHANGES = 40
+OUTAGE_S = 2.6
+# A restored store answers calls that began before it was lost.
+RESTORE_DELAYS_S = (0.0, 0.5, 1.0, 1.5)
+MAX_LAG_S = 2.0
+CHANGE_GAP_S = 0.4
+CHANGES = 8
+
+
+async def raise_revision(env, count):
+    """Makes changes that no daemon reads."""
+    for number in range(count):
+        env.store.put("other", "unrelated", {"number": number})
+
+
+async def lose_changes(env, outage_s=OUTAGE_S):
+    """Brings the store back from a copy that lacks the last changes."""
+    env.store.save_copy()
+    await raise_revision(env, LOST_CHANGES)
+    await asyncio.sleep(1.0)
+    env.store.faults.reset = True
+    await asyncio.sleep(outage_s)
+    env.store.faults.reset = False
+    env.store.restore()
+
+
+class RestoredStoreTest(harness.TestCase):
+    """Guards against comparing revisions from before a copy with later ones.
+
+    The first relay listed the restored store at a lower revision than its
+    subscribers knew, and sent them no change until it had grown beyond that.
+    """
+
+    def play_fleet(self, play):
+        """Runs `play(env, fleet)` on relays and subscribers."""
+
+        async def start(env, relays, subscribers):
+            return await play(env, relays + subscribers)
+
+        return self.run_paused(test_short_silence.run_fleet(start))
+
+    def test_document_reaches_all_daemons_after_the_restore(self):
+        async def play(env, fleet):
+            await lose_changes(env)
+            await asyncio.sleep(change_harness.SETTLE_S)
+            late = []
+            for _ in range(CHANGES):
+                env.put_document()
+                await asyncio.sleep(CHANGE_GAP_S)
+                late += [
+                    (one.settings.daemon, env.version)
+                    for one in fleet
+                    if one.store_view.version < env.version
+                ]
+            return late
+
+        self.assertEqual([], self.play_fleet(play))
+
+    def test_document_reaches_daemons_whose_revision_is_given_out_again(self):
+        """The store does not tell them that their history is gone."""
+
+        async def play(env, fleet):
+            late = {}
+            for delay_s in RESTORE_DELAYS_S:
+                await lose_changes(env, OUTAGE_S + delay_s)
+                env.put_document()
+                await raise_revision(env, 2 * LOST_CHANGES)
+                await asyncio.sleep(change_harness.SETTLE_S)
+                late[delay_s] = [
+                    one.settings.daemon
+                    for one in fleet
+                    if one.store_view.version < env.version
+                ]
+            return late
+
+        expected = {delay_s: [] for delay_s in RESTORE_DELAYS_S}
+        self.assertEqual(expected, self.play_fleet(play))
+
+    def test_new_route_is_served_after_the_restore(self):
+        async def play(env, fleet):
+            await lose_changes(env)
+            await asyncio.sleep(change_harness.SETTLE_S)
+            env.put_document([harness.route("new", "safe", "/new/")])
+            await asyncio.sleep(MAX_LAG_S)
+            statuses = []
+            for number, one in enumerate(fleet):
+                env.port = one.listener.sockets[0].getsockname()[1]
+                answer = await env.request(f"r{number}", "/new/x")
+                statuses.append(answer.status)
+            return statuses
+
+        self.assertEqual({200}, set(self.play_fleet(play)))
+
+    def test_leaving_server_is_known_after_the_restore(self):
+        async def play(env, fleet):
+            await lose_changes(env)
+            await asyncio.sleep(change_harness.SETTLE_S)
+            env.register("s0", state="draining")
+            await asyncio.sleep(MAX_LAG_S)
+            return [
+                one.settings.daemon
+                for one in fleet
+                if not one.store_view.table.entries["s0"].server.leaving
+            ]
+
+        self.assertEqual([], self.play_fleet(play))
+
+    def test_evacuated_zone_is_known_after_the_restore(self):
+        async def play(env, fleet):
+            await lose_changes(env)
+            await asyncio.sleep(change_harness.SETTLE_S)
+            env.store.put("evacuations", "zone-a", {})
+            await asyncio.sleep(MAX_LAG_S)
+            return [
+                one.settings.daemon
+                for one in fleet
+                if "zone-a" not in one.store_view.evacuations.evacuated
+            ]
+
+        self.assertEqual([], self.play_fleet(play))
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -8,6 +8,8 @@
 PUT /standin/objects/KIND/NAME  writes the content of an object
 DELETE /standin/objects/KIND/NAME
 PUT /standin/faults             sets fields of `Faults`
+PUT /standin/copy               saves a copy
+PUT /standin/restore            comes back from the last copy
 
 Writes may carry a `revision` that the object must have. Reads with `staleOk`
 may be as old as `Faults.stale` says.
@@ -74,6 +76,8 @@
         changed: Set at each change; replaced after it.
         calls: Calls so far.
         texts: Contents that are no JSON, by the bytes that stand for them.
+        era: How often the store came back from a copy.
+        copy: Objects and revision of the last copy, or None.
     """
 
     def __init__(self) -> None:
@@ -87,6 +91,28 @@
         self.calls = 0
         self.past: list[tuple[float, dict[str, dict[str, Any]], int]] = []
         self.late: set[asyncio.Task[None]] = set()
+        self.era = 1
+        self.copy: tuple[dict[str, dict[str, dict[str, Any]]], int] | None = (
+            None
+        )
+
+    def save_copy(self) -> None:
+        """Saves a copy from which the store can come back."""
+        objects = {name: dict(items) for name, items in self.objects.items()}
+        self.copy = objects, self.revision
+
+    def restore(self) -> None:
+        """Comes back from the last copy, without history.
+
+        Waiting watches are cut. Revisions are given out again.
+        """
+        if self.copy is None:
+            raise ValueError("no copy was saved")
+        objects, self.revision = self.copy
+        self.objects = {name: dict(items) for name, items in objects.items()}
+        self.era += 1
+        self.forget()
+        self._wake()
 
     def put(self, kind: str, name: str, spec: dict[str, Any]) -> None:
         """Creates an object or replaces its content."""
@@ -158,6 +184,8 @@
             answer = self._write(request)
         if self.faults.lost:
             await asyncio.sleep(FOREVER_S)
+        headers = (*answer.headers, ("store-era", str(self.era)))
+        answer = answer._replace(headers=headers)
         body = answer.body
         for mark, text in self.texts.items():
             body = body.replace(mark, text)
@@ -237,12 +265,15 @@
         self, kind: str, query: dict[str, str]
     ) -> messages.Response:
         since = int(query["watch"])
+        era = self.era
         loop = asyncio.get_running_loop()
         until = loop.time() + int(query["waitMs"]) / 1000
         if self.faults.deaf:
             await asyncio.sleep(until - loop.time())
         while True:
-            if since + 1 < self.oldest:
+            if self.era != era:
+                raise connections.CutError
+            if since + 1 < self.oldest or since > self.revision:
                 return answers.to_json(410, {})
             events = [
                 {"object": item, "removed": removed}
@@ -266,6 +297,9 @@
         held = {name: dict(items) for name, items in self.objects.items()}
         now = asyncio.get_running_loop().time()
         self.past.append((now, held, self.revision))
+        self._wake()
+
+    def _wake(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -273,6 +307,12 @@
         if request.path == "/standin/faults":
             answers.apply_fields(self.faults, request.body)
             return answers.to_json(200, dataclasses.asdict(self.faults))
+        if request.path == "/standin/copy":
+            self.save_copy()
+            return answers.to_json(200, {"revision": self.revision})
+        if request.path == "/standin/restore":
+            self.restore()
+            return answers.to_json(200, {"era": self.era})
         kind, _, name = request.path.removeprefix(OBJECTS).partition("/")
         if request.method == "DELETE":
             self.remove(kind, name)
