Serve the newest document to daemons that start after a copy

A store that came back from a copy may hold an older document than the one in force. Running daemons kept theirs, but passed the older one on, so that a daemon that started then took it and told callers of newer routes 404: an accepted document was reverted there.

A daemon now serves the document that it has in force in place of an older one of the store. A daemon that starts while it reaches no other daemon still takes what the store holds.

Evidence: the test failed before with 404 and an older version, and passes.

--- a/banyantiller/gateway/change_history.py
+++ b/banyantiller/gateway/change_history.py
@@ -132,6 +132,18 @@
         self.last_changes.pop(name, None)
         self.last_changes[name] = LastChange(self.version, event)
 
+    def replace(self, item: interface.StoredObject) -> None:
+        """Replaces the content of an object, and of its last change."""
+        name = item.name
+        if name not in self.items:
+            return
+        self.items[name] = item
+        self.cached_list = None
+        if name in self.last_changes:
+            self.last_changes[name] = self.last_changes[name]._replace(
+                event=interface.Changed(item)
+            )
+
     def _drop_changes_until(self, version: int) -> None:
         while self.last_changes:
             name = next(iter(self.last_changes))
--- a/banyantiller/gateway/mirror.py
+++ b/banyantiller/gateway/mirror.py
@@ -194,6 +194,10 @@
         """Records changes of a kind."""
         self.histories[object_kind].add_changes(changes)
 
+    def replace(self, item: interface.StoredObject) -> None:
+        """Serves other content of an object than the store holds."""
+        self.histories[item.kind].replace(item)
+
     def wake(self) -> None:
         """Makes waiting queries check this daemon's status again."""
         for history in self.histories.values():
--- a/banyantiller/gateway/store_view.py
+++ b/banyantiller/gateway/store_view.py
@@ -62,6 +62,7 @@
         local_failures: Servers that failed requests of this daemon.
         unreadable_registrations: Errors of registrations that can't be read, by
             instance.
+        document_object: Object of the document in force, or None.
         max_wait_s: Maximum wait of a call for changes, in seconds.
     """
 
@@ -88,6 +89,7 @@
         self.evacuations = evacuations.Evacuations(
             self.table, self._update_complete
         )
+        self.document_object: interface.StoredObject | None = None
         self.max_wait_s = store_reads.max_wait_s(settings.recovery_s)
         self.servers_listed = False
         self.complete = asyncio.Event()
@@ -254,12 +256,10 @@
         self.newest_unreadable = False
         previous_version = self.version
         if document.version < previous_version:
-            self.tallies.documents["outdated"] += 1
-            events.emit(
-                events.DocumentOutdated(document.version, previous_version)
-            )
+            self._keep_document(document.version, item)
         if document.version <= previous_version:
             return
+        self.document_object = item
         self.routes = routes.RouteTable(document, self.random)
         self.caller_limits = document.limits
         self._update_complete()
@@ -277,6 +277,20 @@
         if not previous_version:
             self.on_first_document()
 
+    def _keep_document(
+        self, stored_version: int, stored: interface.StoredObject
+    ) -> None:
+        """Keeps the document in force although the store holds an older one.
+
+        A store that came back from a copy does. Daemons that start and read
+        through this one would fall back to the older document.
+        """
+        self.tallies.documents["outdated"] += 1
+        events.emit(events.DocumentOutdated(stored_version, self.version))
+        newest = self.document_object
+        if newest is not None and stored.kind in self.mirror.histories:
+            self.mirror.replace(newest._replace(version=stored.version))
+
     def _servers_listed(
         self, items: tuple[interface.StoredObject, ...]
     ) -> None:
--- a/banyantiller/tests/gateway/test_store_restored.py
+++ b/banyantiller/tests/gateway/test_store_restored.py
@@ -129,3 +129,49 @@
             ]
 
         self.assertEqual([], self.play_fleet(play))
+
+
+class OlderCopyTest(harness.TestCase):
+    """Guards against a fleet that goes back to what a copy holds.
+
+    A copy may hold an older document than the one in force, until operators'
+    changes are written again. A daemon that started then took the older one,
+    and told callers of newer routes 404.
+    """
+
+    def play_restore(self, change, play):
+        """Runs `play(env, fleet)` after a restore that lost a change.
+
+        Args:
+            change: Makes the change that the copy lacks.
+            play: Runs after the restore.
+        """
+
+        async def start(env, relays, subscribers):
+            env.store.save_copy()
+            change(env)
+            await asyncio.sleep(1.0)
+            env.store.faults.reset = True
+            await asyncio.sleep(OUTAGE_S)
+            env.store.faults.reset = False
+            env.store.restore()
+            await asyncio.sleep(1.0)
+            return await play(env, relays + subscribers)
+
+        return self.run_paused(test_short_silence.run_fleet(start))
+
+    def test_daemon_that_starts_has_the_newest_document(self):
+        async def play(env, fleet):
+            env.seed += 1
+            await env.start_gateway(change_harness.SEEDS, "late")
+            fleet.append(env.gateway)
+            await asyncio.sleep(1.0)
+            answer = await env.request("a", "/new/x")
+            versions = {one.store_view.version for one in fleet}
+            await env.gateway.close()
+            return answer.status, versions == {env.version}
+
+        def change(env):
+            env.put_document([harness.route("new", "safe", "/new/")])
+
+        self.assertEqual((200, True), self.play_restore(change, play))
