Keep a zone evacuated while a restored store lacks its entry

A copy of the store may lack the entry of a zone that was evacuated after it was made. The zone's servers got requests again until the entry was written again.

Evidence: the test failed before (no zone evacuated after the restore) and passes; a second test shows that the zone is given back at last.

--- a/banyantiller/gateway/evacuations.py
+++ b/banyantiller/gateway/evacuations.py
@@ -1,5 +1,6 @@
 """Availability zones whose servers operators want to get no requests."""
 
+import asyncio
 from collections.abc import Callable
 
 from banyantiller.gateway import events, servers, store_watching
@@ -11,7 +12,8 @@
 
     Only the name of an entry matters: an entry with unreadable content counts
     as well, so that no operator's evacuation is missed. The known entries stay
-    in force while the store is unavailable.
+    in force while the store is unavailable, and until an entry that a copy of
+    the store lacks had time to be written again.
 
     Attributes:
         table: Registered servers.
@@ -19,14 +21,23 @@
         entries: Version of the entry of each evacuated zone.
         removed: Version at which each entry was removed. Late reads of an
             earlier version are ignored.
+        store_health: Whether the store came back from a copy lately.
+        missing: Zones whose entry a restored store lacks, with the loop time
+            from which it counts as removed.
         listed: Whether the entries were listed at least once.
     """
 
     def __init__(
-        self, table: servers.ServerTable, on_listed: Callable[[], None]
+        self,
+        table: servers.ServerTable,
+        on_listed: Callable[[], None],
+        store_health: store_watching.StoreHealth,
     ) -> None:
         self.table = table
         self.on_listed = on_listed
+        self.store_health = store_health
+        self.missing: dict[str, float] = {}
+        self.loop = asyncio.get_running_loop()
         self.entries: dict[str, int] = {}
         self.removed: dict[str, int] = {}
         self.listed = False
@@ -47,7 +58,7 @@
             self._add(item)
         present = {item.name for item in items}
         for zone in sorted(set(self.entries) - present):
-            self._remove(zone, self.entries[zone])
+            self._remove_unless_missing(zone, self.entries[zone])
         self.listed = True
         self.table.set_evacuated_zones(self.evacuated)
         self.on_listed()
@@ -59,13 +70,14 @@
     def _on_remove(self, item: interface.StoredObject) -> None:
         version = int(item.version)
         if self.entries.get(item.name, version + 1) <= version:
-            self._remove(item.name, version)
+            self._remove_unless_missing(item.name, version)
             self.table.set_evacuated_zones(self.evacuated)
 
     def _add(self, item: interface.StoredObject) -> None:
         version = int(item.version)
         if version <= self.removed.get(item.name, -1):
             return
+        self.missing.pop(item.name, None)
         known = item.name in self.entries
         self.entries[item.name] = max(version, self.entries.get(item.name, 0))
         if not known:
@@ -75,8 +87,24 @@
                 events.ZoneEvacuated(item.name, described, server_count)
             )
 
+    def expire(self, now: float) -> None:
+        """Gives zones back whose missing entry was not written again."""
+        due = [zone for zone, until in self.missing.items() if until <= now]
+        for zone in due:
+            self._remove(zone, self.entries[zone])
+        if due:
+            self.table.set_evacuated_zones(self.evacuated)
+
+    def _remove_unless_missing(self, zone: str, version: int) -> None:
+        restored_until = self.store_health.restored_until
+        if self.loop.time() < restored_until:
+            self.missing[zone] = restored_until
+        else:
+            self._remove(zone, version)
+
     def _remove(self, zone: str, version: int) -> None:
         del self.entries[zone]
+        self.missing.pop(zone, None)
         self.removed[zone] = version
         server_count = self.table.count_in_zone(zone)
         described = versions.describe(str(version))
--- a/banyantiller/gateway/store_view.py
+++ b/banyantiller/gateway/store_view.py
@@ -86,8 +86,9 @@
         self.loop = asyncio.get_running_loop()
         self.routes: routes.RouteTable | None = None
         self.table = servers.ServerTable()
+        self.store_health = store_watching.StoreHealth()
         self.evacuations = evacuations.Evacuations(
-            self.table, self._update_complete
+            self.table, self._update_complete, self.store_health
         )
         self.document_object: interface.StoredObject | None = None
         self.max_wait_s = store_reads.max_wait_s(settings.recovery_s)
@@ -95,7 +96,6 @@
         self.complete = asyncio.Event()
         self.started_at = self.loop.time()
         self.caller_limits = types.CallerLimits()
-        self.store_health = store_watching.StoreHealth()
         self.mirror = mirror.Mirror(self._status, adapter.document_kind)
         self.store_health.on_lost = self.mirror.wake
         self.mirror.on_first_subscriber = self._restart_watchers
@@ -231,7 +231,8 @@
             self.on_server_removed(server)
 
     def expire(self, now: float) -> None:
-        """Removes servers whose lapsed registration did not come back."""
+        """Removes servers and evacuations whose object did not come back."""
+        self.evacuations.expire(now)
         for server in self.table.expire(now):
             self.on_server_removed(server)
 
--- a/banyantiller/gateway/store_watching.py
+++ b/banyantiller/gateway/store_watching.py
@@ -56,6 +56,8 @@
     Attributes:
         lost_at: Loop time since which it is unresponsive, or None.
         lapsed_until: Loop time until which missing objects may come back.
+        restored_until: Loop time until which objects may be missing, or may be
+            back that were removed, because the store came back from a copy.
         generation: Generation of the store that was read last, or None.
         watchers: Watchers that restart when the store is lost.
         on_lost: Called when the store is lost.
@@ -65,6 +67,7 @@
     def __init__(self) -> None:
         self.lost_at: float | None = None
         self.lapsed_until = 0.0
+        self.restored_until = 0.0
         self.generation: int | None = None
         self.watchers: list[StoreWatcher] = []
         self.on_lost: Callable[[], None] = lambda: None
@@ -121,6 +124,7 @@
             return
         events.emit(events.StoreRestored(generation, previous))
         self.lapsed_until = now + RETURN_GRACE_S
+        self.restored_until = now + RETURN_GRACE_S
         for watcher in self.watchers:
             if watcher.version and watcher.generation < generation:
                 watcher.restart.set()
--- a/banyantiller/tests/gateway/test_store_restored.py
+++ b/banyantiller/tests/gateway/test_store_restored.py
@@ -14,6 +14,8 @@
 # A restored store answers calls that began before it was lost.
 RESTORE_DELAYS_S = (0.0, 0.5, 1.0, 1.5)
 MAX_LAG_S = 2.0
+# Time after which what the copy lacks or holds in excess is taken for true.
+SETTLE_S = 4.0
 CHANGE_GAP_S = 0.4
 CHANGES = 8
 
@@ -175,3 +177,27 @@
             env.put_document([harness.route("new", "safe", "/new/")])
 
         self.assertEqual((200, True), self.play_restore(change, play))
+
+    def test_zone_stays_evacuated_until_its_entry_is_written_again(self):
+        async def play(env, fleet):
+            kept = [one.store_view.evacuations.evacuated for one in fleet]
+            env.store.put("evacuations", "zone-a", {})
+            await asyncio.sleep(SETTLE_S)
+            later = [one.store_view.evacuations.evacuated for one in fleet]
+            return {*kept, *later}
+
+        def change(env):
+            env.store.put("evacuations", "zone-a", {})
+
+        found = self.play_restore(change, play)
+        self.assertEqual({frozenset({"zone-a"})}, found)
+
+    def test_zone_is_given_back_if_its_entry_is_not_written_again(self):
+        async def play(env, fleet):
+            await asyncio.sleep(SETTLE_S)
+            return {one.store_view.evacuations.evacuated for one in fleet}
+
+        def change(env):
+            env.store.put("evacuations", "zone-a", {})
+
+        self.assertEqual({frozenset()}, self.play_restore(change, play))
