Send nothing to a removed server that a restored store brings back

A copy of the store may hold the registration of a server that was removed after it was made. A server that leaves without an announcement serves on for a while, so that it got new requests seconds after it was gone, until the removal was repeated.

--- a/banyantiller/gateway/servers.py
+++ b/banyantiller/gateway/servers.py
@@ -104,6 +104,10 @@
             for the lifetime of this process.
         evacuated: Availability zones whose servers get no requests, or None
             while they are unknown; no server gets requests then.
+        removed_incarnations: Incarnation of each instance whose registration
+            was removed.
+        suspended: Registrations that were removed, and are back in a restored
+            store.
     """
 
     def __init__(self) -> None:
@@ -112,6 +116,8 @@
         self.latest_start_ms: dict[str, int] = {}
         self.left_incarnations: dict[str, Incarnation] = {}
         self.evacuated: frozenset[str] | None = None
+        self.removed_incarnations: dict[str, Incarnation] = {}
+        self.suspended: dict[str, types.Server] = {}
 
     def put(self, server: types.Server, now: float) -> types.Server | None:
         """Adds or changes a registration.
@@ -125,6 +131,7 @@
             return None
         self.latest_start_ms[server.instance] = server.started_ms
         replaced = None
+        self.removed_incarnations.pop(server.instance, None)
         incarnation = Incarnation.of(server)
         entry = self.entries.get(server.instance)
         if entry is not None and Incarnation.of(entry.server) != incarnation:
@@ -244,8 +251,38 @@
         events.emit(events.ServerRemoved(instance, reason))
         return entry.server
 
+    def remove_registration(self, instance: str) -> types.Server | None:
+        """Removes a server whose registration was removed."""
+        self.suspended.pop(instance, None)
+        server = self.remove(instance, "registration_removed")
+        if server is not None:
+            self.removed_incarnations[instance] = Incarnation.of(server)
+        return server
+
+    def suspend_if_removed(self, server: types.Server) -> bool:
+        """Holds back a registration that was removed before.
+
+        It may be back because the store came back from a copy; its removal is
+        repeated soon then. Otherwise `resume` adds it.
+
+        Returns:
+            Whether it is held back.
+        """
+        removed = self.removed_incarnations.get(server.instance)
+        if removed != Incarnation.of(server):
+            return False
+        self.suspended[server.instance] = server
+        return True
+
+    def resume(self, now: float) -> None:
+        """Adds the registrations whose removal was not repeated."""
+        suspended, self.suspended = self.suspended, {}
+        for server in suspended.values():
+            self.put(server, now)
+
     def lapse(self, instance: str, now: float) -> None:
         """Marks a registration as lapsed; it has a short time to reappear."""
+        self.suspended.pop(instance, None)
         entry = self.entries.get(instance)
         if entry is not None and entry.lapses_at is None:
             entry.lapses_at = now + LAPSED_GRACE_S
--- a/banyantiller/gateway/store_view.py
+++ b/banyantiller/gateway/store_view.py
@@ -231,8 +231,14 @@
             self.on_server_removed(server)
 
     def expire(self, now: float) -> None:
-        """Removes servers and evacuations whose object did not come back."""
+        """Takes what a lost or restored store lacks or holds for true.
+
+        Removes servers and evacuations whose object did not come back, and adds
+        servers whose removal was not repeated.
+        """
         self.evacuations.expire(now)
+        if now >= self.store_health.restored_until:
+            self.table.resume(now)
         for server in self.table.expire(now):
             self.on_server_removed(server)
 
@@ -317,7 +323,11 @@
             return
         self.unreadable_registrations.pop(item.name, None)
         self.tallies.registrations["read"] += 1
-        replaced = self.table.put(server, self.loop.time())
+        now = self.loop.time()
+        restored = now < self.store_health.restored_until
+        if restored and self.table.suspend_if_removed(server):
+            return
+        replaced = self.table.put(server, now)
         if replaced is not None:
             self.on_server_removed(replaced)
 
@@ -343,7 +353,7 @@
         if self.store_health.may_have_lapsed(now):
             self.table.lapse(instance, now)
             return
-        server = self.table.remove(instance, "registration_removed")
+        server = self.table.remove_registration(instance)
         if server is not None:
             self.on_server_removed(server)
 
--- a/banyantiller/tests/gateway/test_store_restored.py
+++ b/banyantiller/tests/gateway/test_store_restored.py
@@ -201,3 +201,46 @@
             env.store.put("evacuations", "zone-a", {})
 
         self.assertEqual({frozenset()}, self.play_restore(change, play))
+
+    def test_server_that_left_gets_nothing_until_its_removal_is_repeated(self):
+        """It does not announce its leaving; its entry is removed."""
+
+        async def play(env, fleet):
+            found = set(self.usable(fleet))
+            env.store.remove("servers", "s0")
+            await asyncio.sleep(SETTLE_S)
+            return found | set(self.usable(fleet))
+
+        def change(env):
+            env.store.remove("servers", "s0")
+
+        self.assertEqual({("s1", "s2")}, self.play_restore(change, play))
+
+    def test_server_whose_removal_is_not_repeated_is_used_again(self):
+        async def play(env, fleet):
+            await asyncio.sleep(SETTLE_S)
+            return set(self.usable(fleet))
+
+        def change(env):
+            env.store.remove("servers", "s0")
+
+        self.assertEqual({("s0", "s1", "s2")}, self.play_restore(change, play))
+
+    def test_server_that_joined_is_used_until_it_registers_again(self):
+        async def play(env, fleet):
+            found = set(self.usable(fleet))
+            env.register("s0", service="orders", zone="zone-b")
+            await asyncio.sleep(SETTLE_S)
+            return found | set(self.usable(fleet))
+
+        def change(env):
+            env.store.copy[0]["servers"].pop("s0")
+
+        self.assertEqual({("s0", "s1", "s2")}, self.play_restore(change, play))
+
+    def usable(self, fleet):
+        """Returns the servers that may get requests, for each daemon."""
+        now = asyncio.get_running_loop().time()
+        for one in fleet:
+            entries = one.store_view.table.usable(harness.SERVICE, now)
+            yield tuple(sorted(entry.server.instance for entry in entries))
