Bring the store back from a copy in the soak

No run of real processes had a store that comes back from a copy, loses what was written since and gives revisions out again. Seeds from 60000 on draw it; what the copy lacks is written again 0.3 s after. It excuses what an outage of the store excuses. Earlier seeds keep their plans, and all checks are as they were.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -24,6 +24,10 @@
 STORM_PAUSE_S = 0.15
 # Connections that wait at each daemon while all start.
 WAITING = 12
+# Longest age of a copy from which the store comes back, and how soon after that
+# what it lacks is written again.
+MOST_COPY_AGE_S = 3.0
+WRITE_AGAIN_S = 0.3
 # How long callers and the store's way are troubled after a loss of power: a
 # daemon loads in 0.3 s, and in a second beside three others that load.
 START_S = 1.5
@@ -266,6 +270,24 @@
     _note(world, began, records.STORE, None)
 
 
+async def restore_store(world: World, step: plans.Step) -> None:
+    """Lets the store go away and come back from a copy.
+
+    What operators and servers wrote since the copy is written again.
+    """
+    world.store.save_copy()
+    await asyncio.sleep(MOST_COPY_AGE_S * step.x)
+    began = world.loop.time()
+    world.store.faults.reset = True
+    await asyncio.sleep(step.for_s)
+    newest = world.store.objects
+    world.store.restore()
+    world.store.faults.reset = False
+    await asyncio.sleep(WRITE_AGAIN_S)
+    world.store.write_again(newest)
+    _note(world, began, records.STORE, None)
+
+
 async def change_document(world: World, step: plans.Step) -> None:
     """Puts one new version in force, or several in quick succession."""
     count = STORM if step.choice == "storm" else 1
@@ -299,6 +321,7 @@
     "zone evacuated": server_faults.evacuate_zone,
     "store": fail_store,
     "store forgets": forget_history,
+    "store restored": restore_store,
     "document": change_document,
     "key removed": organisations.remove_key,
     "allowance exceeded": organisations.exceed_allowance,
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -134,6 +134,8 @@
     "key removed": Kind(4, 6.0),
     "allowance exceeded": Kind(4, 8.0),
 }
+FIRST_RESTORE_SEED = 60_000
+RESTORE_KINDS = ORGANISATION_KINDS | {"store restored": Kind(4, 3.0)}
 
 
 def has_organisations(seed: int) -> bool:
@@ -159,7 +161,9 @@
         return BACKOFF_KINDS
     if not has_organisations(seed):
         return PARTITION_KINDS
-    return ORGANISATION_KINDS
+    if seed < FIRST_RESTORE_SEED:
+        return ORGANISATION_KINDS
+    return RESTORE_KINDS
 
 
 def draw(seed: int, sizes: Sizes) -> Plan:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -114,6 +114,26 @@
         self.forget()
         self._wake()
 
+    def write_again(self, objects: dict[str, dict[str, Any]]) -> None:
+        """Repeats the changes that a restored store lacks.
+
+        What was written since the restore stays.
+
+        Args:
+            objects: What the store held before, by kind and name.
+        """
+        copied = self.copy[0] if self.copy else {}
+        for kind in objects.keys() | copied.keys():
+            wanted = objects.get(kind, {})
+            for name in wanted.keys() | copied.get(kind, {}).keys():
+                held = self.objects.get(kind, {}).get(name)
+                if held is not copied.get(kind, {}).get(name):
+                    continue
+                if name in wanted:
+                    self.put(kind, name, wanted[name]["spec"])
+                else:
+                    self.remove(kind, name)
+
     def put(self, kind: str, name: str, spec: dict[str, Any]) -> None:
         """Creates an object or replaces its content."""
         before = self.objects.get(kind, {}).get(name)
