Specify what daemons know after the store came back from a copy

The specification of reading through another daemon had one history of the store, so that no search could find versions that are given out again.

--- a/banyantiller/tests/spec/test_check.py
+++ b/banyantiller/tests/spec/test_check.py
@@ -21,7 +21,7 @@
         code, text = run()
         last = json.loads(text.splitlines()[-1])
         self.assertEqual((0, check.HOLDS), (code, last["verdict"]))
-        self.assertEqual(12, len(last["protocols"]))
+        self.assertEqual(13, len(last["protocols"]))
         for found in last["protocols"].values():
             self.assertTrue(found["exhaustive"])
             self.assertEqual({check.HOLDS}, set(found["properties"].values()))
--- a/spec/check.py
+++ b/spec/check.py
@@ -20,6 +20,7 @@
 from spec.measuring import MEASURING
 from spec.mirror import MIRROR
 from spec.quarantine import QUARANTINE
+from spec.restored import RESTORED
 from spec.server_drain import SERVER_DRAIN
 from spec.sharing import SHARING
 from spec.specification import Broken, Specification, protocol
@@ -34,6 +35,7 @@
     DAEMON_DRAIN,
     MEASURING,
     MIRROR,
+    RESTORED,
     SHARING,
     QUARANTINE,
     EVACUATIONS,
