Refuse no request for good right after a copy of the store

A store that comes back from a copy may have lost a document that was accepted and that a daemon had not read yet. Callers of its routes were told 404, which is final for them, until it was written again.

--- a/banyantiller/gateway/store_view.py
+++ b/banyantiller/gateway/store_view.py
@@ -140,6 +140,9 @@
         """Returns whether the document counts as the newest."""
         if self.store_health.lost_at is not None or self.newest_unreadable:
             return False
+        if self.loop.time() < self.store_health.restored_until:
+            # The store may have lost a newer document.
+            return False
         max_age_s = 2 * self.max_wait_s + CURRENT_MARGIN_S
         return self.document_age_s() <= max_age_s
 
--- a/banyantiller/tests/gateway/test_store_restored.py
+++ b/banyantiller/tests/gateway/test_store_restored.py
@@ -178,6 +178,19 @@
 
         self.assertEqual((200, True), self.play_restore(change, play))
 
+    def test_missing_route_is_not_final_until_documents_are_written_again(self):
+        """The store may have lost a document that no daemon had read."""
+
+        async def play(env, fleet):
+            env.port = fleet[-1].listener.sockets[0].getsockname()[1]
+            early = await env.request("a", "/new/x")
+            await asyncio.sleep(SETTLE_S)
+            late = await env.request("b", "/new/x")
+            return early.status, early.headers["request-ran"], late.status
+
+        found = self.play_restore(lambda env: None, play)
+        self.assertEqual((503, "no", 404), found)
+
     def test_zone_stays_evacuated_until_its_entry_is_written_again(self):
         async def play(env, fleet):
             kept = [one.store_view.evacuations.evacuated for one in fleet]
