--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -205,7 +205,7 @@
             return "the daemon is shutting down"
         if self.store_view.routes is None:
             return "no document is in force"
-        if not self.store_view.servers_listed:
+        if not self.store_view.registrations.listed:
             return "the list of servers was not read yet"
         if not self.store_view.evacuations.listed:
             return "the evacuated zones are not known"
--- a/banyantiller/gateway/store_view.py
+++ b/banyantiller/gateway/store_view.py
@@ -11,6 +11,7 @@
     events,
     mirror,
     peers,
+    registered_servers,
     routes,
     servers,
     shared_reading,
@@ -25,6 +26,7 @@
     store_reads,
 )
 from banyantiller.store import interface, versions
+from banyantiller.utils import decoding
 
 # How long callers of a daemon that starts wait for the first document and list
 # of servers: both are read within 0.02 s if the store or a relay responds, and
@@ -47,7 +49,7 @@
         routes: Routes of the document in force, or None before the first.
         table: Servers that registered.
         evacuations: Availability zones that are evacuated.
-        servers_listed: Whether the registered servers were read once.
+        registrations: Follows the registrations of servers.
         complete: Set once a document is in force, and the servers and the
             evacuated zones are listed.
         started_at: Loop time at which reading began.
@@ -60,8 +62,6 @@
         shutting_down: Whether this daemon is shutting down.
         newest_unreadable: Whether the newest document can't be read.
         local_failures: Servers that failed requests of this daemon.
-        unreadable_registrations: Errors of registrations that can't be read, by
-            instance.
         document_object: Object of the document in force, or None.
         max_wait_s: Maximum wait of a call for changes, in seconds.
     """
@@ -81,7 +81,6 @@
         self.on_first_document: Callable[[], None] = lambda: None
         self.shutting_down = False
         self.newest_unreadable = False
-        self.unreadable_registrations: dict[str, str] = {}
         self.local_failures = failure_reports.LocalFailures()
         self.loop = asyncio.get_running_loop()
         self.routes: routes.RouteTable | None = None
@@ -92,7 +91,14 @@
         )
         self.document_object: interface.StoredObject | None = None
         self.max_wait_s = store_reads.max_wait_s(settings.recovery_s)
-        self.servers_listed = False
+        self.registrations = registered_servers.RegisteredServers(
+            adapter,
+            self.table,
+            self.store_health,
+            counts,
+            on_server_removed,
+            self._update_complete,
+        )
         self.complete = asyncio.Event()
         self.started_at = self.loop.time()
         self.caller_limits = types.CallerLimits()
@@ -178,9 +184,7 @@
             self._document_changed,
             self._document_deleted,
         )
-        server_handlers = store_watching.Handlers(
-            self._servers_listed, self._server_changed, self._server_deleted
-        )
+        server_handlers = self.registrations.handlers()
         adapter = self.adapter
         at_once = store_watching.WatchTiming(self.max_wait_s, period_s=0.0)
         in_series = store_watching.WatchTiming(
@@ -240,10 +244,7 @@
         servers whose removal was not repeated.
         """
         self.evacuations.expire(now)
-        if now >= self.store_health.restored_until:
-            self.table.resume(now)
-        for server in self.table.expire(now):
-            self.on_server_removed(server)
+        self.registrations.expire(now)
 
     # Handlers of the store watchers.
 
@@ -261,7 +262,9 @@
         except Exception as error:  # One object must not stop the watcher.
             self.newest_unreadable = True
             self.tallies.documents["unreadable"] += 1
-            events.emit(events.DocumentUnreadable(_describe(error)))
+            events.emit(
+                events.DocumentUnreadable(decoding.describe_error(error))
+            )
             return
         self.newest_unreadable = False
         previous_version = self.version
@@ -301,65 +304,11 @@
         if newest is not None and stored.kind in self.mirror.histories:
             self.mirror.replace(newest._replace(version=stored.version))
 
-    def _servers_listed(
-        self, items: tuple[interface.StoredObject, ...]
-    ) -> None:
-        for item in items:
-            self._server_changed(item)
-        for instance in self.table.instances_missing_from(
-            item.name for item in items
-        ):
-            self._remove_registration(instance)
-        self.servers_listed = True
-        self._update_complete()
-
     def _update_complete(self) -> None:
-        lists_read = self.servers_listed and self.evacuations.listed
+        lists_read = self.registrations.listed and self.evacuations.listed
         if lists_read and self.routes is not None:
             self.complete.set()
 
-    def _server_changed(self, item: interface.StoredObject) -> None:
-        try:
-            server = self.adapter.read_server(item.name, item.value)
-        except Exception as error:  # One object must not stop the watcher.
-            self._reject_registration(item.name, _describe(error))
-            return
-        self.unreadable_registrations.pop(item.name, None)
-        self.tallies.registrations["read"] += 1
-        now = self.loop.time()
-        restored = now < self.store_health.restored_until
-        if restored and self.table.suspend_if_removed(server):
-            return
-        replaced = self.table.put(server, now)
-        if replaced is not None:
-            self.on_server_removed(replaced)
-
-    def _reject_registration(self, instance: str, error: str) -> None:
-        """Removes a server whose registration was overwritten with bad data.
-
-        Each error of a registration is logged once until it changes.
-        """
-        self.tallies.registrations["unreadable"] += 1
-        if self.unreadable_registrations.get(instance) != error:
-            self.unreadable_registrations[instance] = error
-            events.emit(events.RegistrationUnreadable(instance, error))
-        server = self.table.remove(instance, "registration_unreadable")
-        if server is not None:
-            self.on_server_removed(server)
-
-    def _server_deleted(self, item: interface.StoredObject) -> None:
-        self._remove_registration(item.name)
-
-    def _remove_registration(self, instance: str) -> None:
-        now = self.loop.time()
-        self.unreadable_registrations.pop(instance, None)
-        if self.store_health.may_have_lapsed(now):
-            self.table.lapse(instance, now)
-            return
-        server = self.table.remove_registration(instance)
-        if server is not None:
-            self.on_server_removed(server)
-
     # Failing servers.
 
     def _servers_to_report(self) -> list[str]:
@@ -415,8 +364,3 @@
         for text in settings.seeds
         if text != settings.control
     ]
-
-
-def _describe(error: Exception) -> str:
-    """Returns the message of a decoding error for the log."""
-    return str(error) or type(error).__name__
--- a/banyantiller/tests/gateway/test_unknown_routes.py
+++ b/banyantiller/tests/gateway/test_unknown_routes.py
@@ -66,7 +66,8 @@
             (connection,) = env.gateway.connections
             head = f"GET /read/x HTTP/1.1\r\nhost: {harness.HOST}\r\n\r\n"
             connection.data_received(head.encode())
-            env.gateway.store_view._servers_listed(listed.items)
+            registrations = env.gateway.store_view.registrations
+            registrations.handlers().on_listed(listed.items)
             env.gateway.store_view._documents_listed(documents.items)
             return (await caller.read()).status
 
--- a/banyantiller/tests/platform/test_malformed_objects.py
+++ b/banyantiller/tests/platform/test_malformed_objects.py
@@ -60,7 +60,7 @@
                 {n for n in view.table.entries if "other" not in n}
                 for view in views
             ]
-            return known, views[1].servers_listed, await env.request("b")
+            return known, views[1].registrations.listed, await env.request("b")
 
         return self.play(body)
 
--- a/banyantiller/utils/decoding.py
+++ b/banyantiller/utils/decoding.py
@@ -31,3 +31,8 @@
         return msgspec.msgpack.decode(data, type=message_type)
     except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
         raise UnreadableError(str(error)) from error
+
+
+def describe_error(error: Exception) -> str:
+    """Returns the message of a decoding error for the log."""
+    return str(error) or type(error).__name__
