Tell subscribers only what differs after a copy of the store

A list of a new generation has new versions for all objects, so that a relay passed all of them on as changed, once for each subscriber. The difference of two lists compares contents now.

Evidence: the test failed before with an unchanged object among the changes.

--- a/banyantiller/gateway/change_history.py
+++ b/banyantiller/gateway/change_history.py
@@ -83,14 +83,16 @@
             for name, item in self.items.items()
             if name not in new_items
         ]
+        # A store that came back from a copy has new versions for all objects.
         changed = [
             interface.Changed(item)
             for name, item in new_items.items()
-            if self.items.get(name) != item
+            if name not in self.items or self.items[name].value != item.value
         ]
         version = int(listed.version)
         batch = Batch(version, self.version)
         self._append_batch(batch, (*deleted, *changed))
+        self.items.update(new_items)
 
     def is_complete_since(self, version: int) -> bool:
         """Returns whether all changes after a version are known."""
--- a/banyantiller/tests/gateway/test_change_history.py
+++ b/banyantiller/tests/gateway/test_change_history.py
@@ -116,6 +116,25 @@
         expected = ([True, False, False, True, True], True)
         self.assertEqual(expected, self.run_paused(body()))
 
+    def test_difference_holds_only_objects_whose_content_differs(self):
+        """Guards against sending all objects after a copy of the store."""
+
+        def listed(revision, **contents):
+            items = [
+                interface.StoredObject("kind", name, revision, {"r": content})
+                for name, content in contents.items()
+            ]
+            return interface.Listed(tuple(items), revision)
+
+        async def body():
+            history = change_history.ChangeHistory(listed("5", a=1, b=1))
+            history.apply_list(listed("9", a=1, b=2))
+            changes = history.changes_after(5)
+            versions = [item.version for item in history.items.values()]
+            return [change.item.name for change in changes], versions
+
+        self.assertEqual((["b"], ["9", "9"]), self.run_paused(body()))
+
     def test_dropped_batches_raise_the_oldest_version(self):
         async def body():
             store = FakeStore(random.Random(1))
