--- a/banyantiller/gateway/settings.py
+++ b/banyantiller/gateway/settings.py
@@ -52,7 +52,7 @@
             "Time after a disruption of the store from which changes are in"
             " force in time again.",
             unit="s",
-            low=2,
+            low=1.5,
         ),
     ] = 3.0
     drain_s: Annotated[
