--- a/banyantiller/gateway/store_watching.py
+++ b/banyantiller/gateway/store_watching.py
@@ -14,7 +14,8 @@
 MAX_PAUSE_S = 0.8
 # Registrations lapse after three heartbeats; a shorter outage loses none.
 LAPSE_OUTAGE_S = 1.0
-# How long after its return the store may still lack registrations.
+# How long after its return the store may still lack registrations, or what was
+# written after the copy from which it came back.
 RETURN_GRACE_S = 2.5
 
 
