--- a/banyantiller/gateway/evacuations.py
+++ b/banyantiller/gateway/evacuations.py
@@ -58,7 +58,7 @@
             self._add(item)
         present = {item.name for item in items}
         for zone in sorted(set(self.entries) - present):
-            self._remove_unless_missing(zone, self.entries[zone])
+            self._remove_or_keep(zone, self.entries[zone])
         self.listed = True
         self.table.set_evacuated_zones(self.evacuated)
         self.on_listed()
@@ -70,7 +70,7 @@
     def _on_remove(self, item: interface.StoredObject) -> None:
         version = int(item.version)
         if self.entries.get(item.name, version + 1) <= version:
-            self._remove_unless_missing(item.name, version)
+            self._remove_or_keep(item.name, version)
             self.table.set_evacuated_zones(self.evacuated)
 
     def _add(self, item: interface.StoredObject) -> None:
@@ -95,7 +95,8 @@
         if due:
             self.table.set_evacuated_zones(self.evacuated)
 
-    def _remove_unless_missing(self, zone: str, version: int) -> None:
+    def _remove_or_keep(self, zone: str, version: int) -> None:
+        """Keeps a zone evacuated while its entry may be written again."""
         restored_until = self.store_health.restored_until
         if self.loop.time() < restored_until:
             self.missing[zone] = restored_until
--- a/banyantiller/tests/gateway/change_harness.py
+++ b/banyantiller/tests/gateway/change_harness.py
@@ -10,6 +10,8 @@
 PORTS = (7001, 7002, 7003)
 SEEDS = tuple(f"{harness.ADDRESS}:{port}" for port in PORTS)
 SUBSCRIBERS = 4
+# Subscribers of the small fleet of `run_fleet`.
+SMALL_FLEET_SUBSCRIBERS = 2
 SETTLE_S = 4.0
 # Time between changes, and number of changes in a run.
 CHANGE_GAP_S = 0.25
@@ -186,3 +188,31 @@
                 )
         await asyncio.sleep(STEP_S)
     return longest
+
+
+async def start_fleet(env):
+    """Starts relays and subscribers, and returns their gateways."""
+    fleet = []
+    for number in range(len(PORTS) + SMALL_FLEET_SUBSCRIBERS):
+        is_relay = number < len(PORTS)
+        port = PORTS[number] if is_relay else 0
+        env.seed += 1
+        await env.start_gateway(SEEDS, f"d{number}", port)
+        fleet.append(env.gateway)
+    return fleet
+
+
+async def run_fleet(play):
+    """Returns what `play(env, relays, subscribers)` returns."""
+    async with harness.GatewayHarness() as env:
+        first = env.gateway
+        fleet = await start_fleet(env)
+        await asyncio.sleep(SETTLE_S)
+        relay_count = len(PORTS)
+        try:
+            return await play(env, fleet[:relay_count], fleet[relay_count:])
+        finally:
+            env.gateway = first
+            for one in fleet:
+                one.listener.close()
+                await one.close()
--- a/banyantiller/tests/gateway/test_short_silence.py
+++ b/banyantiller/tests/gateway/test_short_silence.py
@@ -2,11 +2,7 @@
 
 import asyncio
 
-from banyantiller.tests.gateway import (
-    change_harness,
-    harness,
-    test_silent_outage,
-)
+from banyantiller.tests.gateway import change_harness, harness
 
 # The store gives no response for so long, which is shorter than a call waits.
 SILENCE_S = 0.8
@@ -21,6 +17,8 @@
 OUTAGES_S = (3.0, 4.5, 6.0, 6.5, 8.0)
 # Time after the silence from which bounds hold again.
 CONTACT_S = 3.0
+# Time in which a change has to be in force, in seconds.
+MAX_LAG_S = 2.0
 CHANGE_GAP_S = 0.3
 STEP_S = 0.05
 # For how long daemons are observed after `CONTACT_S`.
@@ -58,7 +56,7 @@
     async def observe(self, until):
         """Checks the documents of all daemons until a loop time."""
         while self.loop.time() < until:
-            settled_at = self.loop.time() - test_silent_outage.MAX_LAG_S
+            settled_at = self.loop.time() - MAX_LAG_S
             due = max(v for at, v in self.changes if at <= settled_at)
             self.late |= {
                 one.settings.daemon
@@ -68,22 +66,6 @@
             await asyncio.sleep(STEP_S)
 
 
-async def run_fleet(play):
-    """Returns what `play(env, relays, subscribers)` returns."""
-    async with harness.GatewayHarness() as env:
-        first = env.gateway
-        fleet = await test_silent_outage.start_fleet(env)
-        await asyncio.sleep(change_harness.SETTLE_S)
-        relay_count = len(change_harness.PORTS)
-        try:
-            return await play(env, fleet[:relay_count], fleet[relay_count:])
-        finally:
-            env.gateway = first
-            for one in fleet:
-                one.listener.close()
-                await one.close()
-
-
 def disturb(relays, fault, until):
     """Injects a fault into relays until a loop time."""
     for relay in relays:
@@ -117,7 +99,7 @@
             await changing
             return observer.late
 
-        return self.run_paused(run_fleet(play))
+        return self.run_paused(change_harness.run_fleet(play))
 
     def test_document_is_in_force_although_a_response_was_lost(self):
         late = {
@@ -149,7 +131,7 @@
 
         found = {}
         for offset_s in RARE_OFFSETS_S:
-            late = self.run_paused(run_fleet(play))
+            late = self.run_paused(change_harness.run_fleet(play))
             if late:
                 found[offset_s] = late
         return found
@@ -195,7 +177,7 @@
             await changing
             return observer.late
 
-        return self.run_paused(run_fleet(play))
+        return self.run_paused(change_harness.run_fleet(play))
 
     def test_document_is_in_force_although_relays_stay_cut_off(self):
         late = {
--- a/banyantiller/tests/gateway/test_silent_outage.py
+++ b/banyantiller/tests/gateway/test_silent_outage.py
@@ -11,26 +11,13 @@
 # Begins of the outage relative to the daemons' calls, which take turns within
 # seconds.
 OFFSETS_S = (0.0, 0.4, 0.8, 1.2, 1.6, 2.0, 2.4, 2.8)
-SUBSCRIBERS = 2
-
-
-async def start_fleet(env):
-    """Starts relays and subscribers, and returns their gateways."""
-    fleet = []
-    for number in range(len(change_harness.PORTS) + SUBSCRIBERS):
-        is_relay = number < len(change_harness.PORTS)
-        port = change_harness.PORTS[number] if is_relay else 0
-        env.seed += 1
-        await env.start_gateway(change_harness.SEEDS, f"d{number}", port)
-        fleet.append(env.gateway)
-    return fleet
 
 
 async def play(offset_s):
     """Plays an outage and returns what differs at daemons after the bound."""
     async with harness.GatewayHarness() as env:
         first = env.gateway
-        fleet = await start_fleet(env)
+        fleet = await change_harness.start_fleet(env)
         await asyncio.sleep(change_harness.SETTLE_S + offset_s)
         env.store.faults.silent = True
         await asyncio.sleep(OUTAGE_S)
--- a/banyantiller/tests/gateway/test_store_restored.py
+++ b/banyantiller/tests/gateway/test_store_restored.py
@@ -2,11 +2,7 @@
 
 import asyncio
 
-from banyantiller.tests.gateway import (
-    change_harness,
-    harness,
-    test_short_silence,
-)
+from banyantiller.tests.gateway import change_harness, harness
 
 # Changes that the copy lacks; each raises the revision of the store by one.
 LOST_CHANGES = 40
@@ -50,7 +46,7 @@
         async def start(env, relays, subscribers):
             return await play(env, relays + subscribers)
 
-        return self.run_paused(test_short_silence.run_fleet(start))
+        return self.run_paused(change_harness.run_fleet(start))
 
     def test_document_reaches_all_daemons_after_the_restore(self):
         async def play(env, fleet):
@@ -160,7 +156,7 @@
             await asyncio.sleep(1.0)
             return await play(env, relays + subscribers)
 
-        return self.run_paused(test_short_silence.run_fleet(start))
+        return self.run_paused(change_harness.run_fleet(start))
 
     def test_daemon_that_starts_has_the_newest_document(self):
         async def play(env, fleet):
