--- /dev/null
+++ b/banyantiller/tests/gateway/test_endless_bytes.py
@@ -0,0 +1,138 @@
+"""Tests of servers and callers that send bytes without end."""
+
+import asyncio
+
+from banyantiller.gateway import exchange
+from banyantiller.http import connection
+from banyantiller.tests.gateway import harness
+from standins import endless_server
+
+# Bytes that a request may have beyond its content: its head and framing, and
+# what the sockets buffer.
+MAX_SENT_BYTES = 1 << 18
+CHUNKED_HEAD = (
+    b"POST /file/x HTTP/1.1\r\nhost: desk.example\r\nattempt-id: a\r\n"
+    b"transfer-encoding: chunked\r\n\r\n"
+)
+ENDLESS_REQUESTS = {
+    "head": (b"GET / HTTP/1.1\r\nx: ", b"a"),
+    "head fields": (b"GET / HTTP/1.1\r\n", b"x: y\r\n"),
+    "tiny chunks": (CHUNKED_HEAD, b"1\r\nx\r\n"),
+    "chunk extension": (CHUNKED_HEAD + b"1;", b"e"),
+    "chunk extensions": (CHUNKED_HEAD, b"1;" + b"e" * 8000 + b"\r\nx\r\n"),
+    "trailers": (CHUNKED_HEAD + b"0\r\n", b"x: y\r\n"),
+}
+
+
+class EndlessProbeTest(harness.TestCase):
+    def probe(self, pattern):
+        """Probes a server that answers with a pattern.
+
+        Returns:
+            The candidates, the probes counted as missed, and the connections
+            that are still open.
+        """
+
+        async def body(env):
+            server = endless_server.EndlessServer(pattern)
+            port = await server.start(harness.ADDRESS)
+            env.servers["bad"] = server
+            env.register("bad", port=port)
+            await asyncio.sleep(0.5)
+            entry = env.gateway.store_view.table.entries["bad"]
+            found = await env.gateway.prober.probe([entry], "/health")
+            await asyncio.sleep(0.2)
+            return found, entry.health.missed_responses, server.open
+
+        return self.play(body)
+
+    def test_endless_answer_to_a_probe_counts_as_no_response(self):
+        """A body without end ended the probe with an unhandled exception.
+
+        The server never counted as unresponsive and was probed for each call.
+        """
+        for name, pattern in endless_server.NO_ANSWER.items():
+            self.assertEqual(([], 1, 0), self.probe(pattern), name)
+
+    def test_endless_other_answers_to_a_probe_are_given_up(self):
+        """Answers to other requests were skipped without a limit."""
+        other = (
+            endless_server.OK + b"attempt-id: b\r\ncontent-length: 0\r\n\r\n"
+        )
+        pattern = endless_server.Pattern(b"", endless_server.repeated(other))
+        limit = exchange.MAX_STRAY_RESPONSES
+        read = []
+
+        def read_head(link):
+            read.append(link)
+            return original(link)
+
+        original = connection.ClientConnection.read_head
+        self.patch(connection.ClientConnection, "read_head", read_head)
+        self.assertEqual(([], 1, 0), self.probe(pattern))
+        self.assertLessEqual(len(read), limit)
+
+
+class EndlessRequestTest(harness.TestCase):
+    def test_endless_request_is_rejected_by_size(self):
+        """Tiny chunks were read until the body's timeout, 30 s."""
+
+        async def body(env, begin, part):
+            caller = await harness.Caller.connect(env)
+            caller.writer.write(begin)
+            sent = 0
+            part = endless_server.repeated(part)
+            reading = asyncio.ensure_future(caller.read())
+            while not reading.done() and sent < 2 * MAX_SENT_BYTES:
+                caller.writer.write(part)
+                sent += len(part)
+                await asyncio.sleep(endless_server.PART_S)
+            answer = await reading if reading.done() else None
+            reading.cancel()
+            caller.close()
+            await asyncio.sleep(1.5)
+            left = len(env.gateway.connections)
+            memory = env.gateway.buffered_body_bytes
+            return answer and answer.status, sent, left, memory
+
+        for name, (begin, part) in ENDLESS_REQUESTS.items():
+            status, sent, left, memory = self.play(
+                lambda env, begin=begin, part=part: body(env, begin, part)
+            )
+            self.assertIn(status, (400, 431), name)
+            self.assertLess(sent, MAX_SENT_BYTES, name)
+            self.assertEqual((0, 0), (left, memory), name)
+
+    def test_other_tasks_run_while_small_chunks_are_parsed(self):
+        """All chunks of one read were parsed in one step of the loop."""
+        chunks = 3000
+        data = b"10\r\n0123456789abcdef\r\n" * chunks + b"0\r\n\r\n"
+
+        async def body(env):
+            steps = 0
+
+            async def count():
+                nonlocal steps
+                while True:
+                    steps += 1
+                    await asyncio.sleep(0)
+
+            caller = await harness.Caller.connect(env)
+            caller.writer.write(CHUNKED_HEAD)
+            await asyncio.sleep(0.1)
+            (accepted,) = env.gateway.connections
+            counting = asyncio.ensure_future(count())
+            accepted.data_received(data)
+            for _ in range(chunks):
+                if accepted.pipeline[0].call is not None:
+                    break
+                await asyncio.sleep(0)
+            counting.cancel()
+            answer = await caller.read()
+            caller.close()
+            bodies = [b for s in env.servers.values() for b in s.bodies]
+            return steps, answer.status, [len(one) for one in bodies]
+
+        steps, status, lengths = self.play(body)
+        self.assertGreaterEqual(steps, chunks // 100)
+        self.assertEqual((200, [16 * chunks]), (status, lengths))
