Parse the parts of a message in steps

What callers saw: while one server or caller sends tiny parts without end, no other call of the daemon is served; the store counts as lost, and no server of a service seems to respond.

Cause: all that one read brought, up to 256 KiB, was parsed in one step of the loop. Ruled out: limits of sizes, as nothing else runs also while a message within all limits is parsed (chunks of 16 bytes).

Change: 64 parts of a connection are parsed before other tasks run. The three readers of messages, for responses, for requests of callers and for requests of peers, do so alike. A caller's connection isn't read meanwhile.

--- a/banyantiller/gateway/caller.py
+++ b/banyantiller/gateway/caller.py
@@ -16,6 +16,7 @@
     replies,
     requests,
 )
+from banyantiller.http import framing
 from banyantiller.quarantine import fingerprint
 
 # Maximum number of pipelined requests on one connection.
@@ -86,6 +87,7 @@
         lingers: Whether the caller may still be sending when the connection is
             closed: a request was rejected before its end was read, or further
             requests are not read.
+        step_due: Whether received data waits until other tasks have run.
     """
 
     def __init__(self, gateway: protocols.ConnectionContext) -> None:
@@ -103,6 +105,7 @@
         self.lingers = False
         self.timer: asyncio.TimerHandle | None = None
         self.parsing = False
+        self.step_due = False
 
     def connection_made(self, transport: Any) -> None:
         """Registers the connection and starts the idle timeout."""
@@ -146,7 +149,7 @@
 
     def resume_writing(self) -> None:
         """Reads requests again."""
-        if not self.closed:
+        if not self.closed and not self.step_due:
             self.transport.resume_reading()
 
     # Called by the gateway.
@@ -193,8 +196,13 @@
         if self.parsing:
             return
         self.parsing = True
+        parts = 0
         try:
             while not self.reading_ended and len(self.pipeline) < MAX_PIPELINED:
+                if parts == framing.PARTS_PER_STEP:
+                    self._parse_later()
+                    break
+                parts += 1
                 event = self.codec.next_event()
                 if not self._handle_event(event):
                     break
@@ -340,13 +348,21 @@
         if idle and len(self.pipeline) < before:
             self.loop.call_soon(self._resume_parsing)
 
+    def _parse_later(self) -> None:
+        """Lets other tasks run before the rest of the data is parsed."""
+        if not self.step_due:
+            self.step_due = True
+            self.transport.pause_reading()
+            self.loop.call_soon(self._resume_parsing)
+
     def _resume_parsing(self) -> None:
-        # Requests may be buffered since the pipeline was full.
-        if self.reading_ended or self.closed:
+        # Data may be buffered since the pipeline was full or a step ended.
+        if self.closed:
             return
-        if self.codec.trailing_data[0]:
+        self.step_due = False
+        if not self.reading_ended and self.codec.trailing_data[0]:
             self._parse_requests()
-        if not self._is_buffer_full():
+        if not self.step_due and not self._is_buffer_full():
             self.transport.resume_reading()
 
     def _is_buffer_full(self) -> bool:
--- a/banyantiller/http/connection.py
+++ b/banyantiller/http/connection.py
@@ -7,7 +7,7 @@
 
 import h11
 
-from banyantiller.http import messages
+from banyantiller.http import framing, messages
 
 if TYPE_CHECKING:
     import ssl
@@ -32,6 +32,7 @@
         last_response_at: Loop time of the end of the last response, or None.
         idle_read: Read between exchanges that detects unsolicited bytes.
         has_unmatched_response: Whether a response to another request was read.
+        parts: Parts parsed since other tasks could run.
     """
 
     def __init__(
@@ -49,6 +50,7 @@
         self.has_unmatched_response = False
         self.last_response_at: float | None = None
         self.idle_read: asyncio.Task[bytes] | None = None
+        self.parts = 0
 
     @classmethod
     async def open(
@@ -261,6 +263,7 @@
 
     async def _next_event(self) -> h11.Event:
         while True:
+            await self._count_part()
             try:
                 event = self.codec.next_event()
             except h11.RemoteProtocolError as error:
@@ -272,6 +275,13 @@
                 raise ConnectionLostError("the connection was closed")
             return event
 
+    async def _count_part(self) -> None:
+        """Lets other tasks run after each step of parts."""
+        self.parts += 1
+        if self.parts == framing.PARTS_PER_STEP:
+            self.parts = 0
+            await asyncio.sleep(0)
+
     async def _read(self) -> bytes:
         try:
             data = await self.reader.read(messages.READ_BYTES)
--- a/banyantiller/http/server_connection.py
+++ b/banyantiller/http/server_connection.py
@@ -7,7 +7,7 @@
 import h11
 import structlog
 
-from banyantiller.http import messages
+from banyantiller.http import framing, messages
 
 log = structlog.get_logger("banyantiller.http")
 
@@ -46,6 +46,7 @@
         received_early: Bytes that arrived while a request was being answered.
         stopping: Whether the connection closes after its next response.
         idle: Task that waits for the first byte of a request, or None.
+        parts: Parts parsed since other tasks could run.
     """
 
     def __init__(
@@ -65,6 +66,7 @@
         self.received_early = b""
         self.stopping = False
         self.idle: asyncio.Task[h11.Event | None] | None = None
+        self.parts = 0
 
     async def run(self) -> None:
         """Answers requests in order."""
@@ -146,6 +148,7 @@
     async def _next_event(self) -> h11.Event | None:
         """Returns the next event, or None if the caller has closed."""
         while True:
+            await self._count_part()
             try:
                 event = self.codec.next_event()
             except h11.RemoteProtocolError as error:
@@ -163,6 +166,13 @@
             self.received_early = b""
             self.codec.receive_data(data)
 
+    async def _count_part(self) -> None:
+        """Lets other tasks run after each step of parts."""
+        self.parts += 1
+        if self.parts == framing.PARTS_PER_STEP:
+            self.parts = 0
+            await asyncio.sleep(0)
+
     async def _answer(self, request: messages.Request) -> bool:
         """Answers a request unless the caller disconnects meanwhile.
 
