Give up messages with more framing than content

What callers saw: a server that sends informational heads, chunks of a byte or extensions of chunks without end took the processor until the call's time-out, and a caller that sends such a request for 30 s.

Cause: limits count single heads and content, so that a message of many tiny parts has no limit but time.

Change: the bytes of a body beside its content may be 16 KiB and as much as its content, for responses, for requests of callers and for requests of peers; a response may have 64 informational heads before it. Chunks of five bytes and more stay within that. The request is told 400 and not run, the response counts as broken off by its server.

--- a/banyantiller/gateway/caller.py
+++ b/banyantiller/gateway/caller.py
@@ -47,7 +47,7 @@
         codec: h11 connection of this exchange.
         request: The request, or None if its head could not be parsed.
         body: Chunks of the body that were received so far.
-        size: Bytes of the body that were received so far.
+        meter: Content and framing of the body that were received so far.
         fingerprint: Digest of the request as far as it was read, or None.
         call: The call, once the request was read completely.
         task: Task that runs the call.
@@ -58,7 +58,7 @@
         self.codec = codec
         self.request: requests.Request | None = None
         self.body: list[bytes] = []
-        self.size = 0
+        self.meter = framing.FramingMeter()
         self.fingerprint: fingerprint.Fingerprint | None = None
         self.call: calls.Call | None = None
         self.task: asyncio.Task[None] | None = None
@@ -122,6 +122,8 @@
             self.request_started = True
             self.waiting_since = self.loop.time()
             self._set_timer()
+        if self.incoming is not None:
+            self.incoming.meter.received += len(data)
         self.codec.receive_data(data)
         self._parse_requests()
         if self._is_buffer_full() and not self.closed:
@@ -137,7 +139,7 @@
         self.reading_ended = True
         self._stop_timer()
         for pending in self.pipeline:
-            self.gateway.buffered_body_bytes -= pending.size
+            self.gateway.buffered_body_bytes -= pending.meter.content
             if pending.task is not None:
                 pending.task.cancel()
         self.pipeline.clear()
@@ -189,7 +191,7 @@
         self.incoming = None
         while self.pipeline and not self.pipeline[-1].started:
             dropped = self.pipeline.pop()
-            self.gateway.buffered_body_bytes -= dropped.size
+            self.gateway.buffered_body_bytes -= dropped.meter.content
             self.lingers = True
 
     def _parse_requests(self) -> None:
@@ -200,6 +202,7 @@
         try:
             while not self.reading_ended and len(self.pipeline) < MAX_PIPELINED:
                 if parts == framing.PARTS_PER_STEP:
+                    self._check_framing()
                     self._parse_later()
                     break
                 parts += 1
@@ -229,6 +232,7 @@
         else:
             if event is h11.NEED_DATA:
                 self._check_incomplete_size()
+                self._check_framing()
             return False
         return True
 
@@ -243,8 +247,17 @@
         if len(incomplete) > view.caller_limits.head_bytes:
             self._reject(view.refusal_of(ErrorKind.HEAD_TOO_LARGE))
 
+    def _check_framing(self) -> None:
+        pending = self.incoming
+        if pending is None:
+            return
+        if pending.meter.is_excessive(len(self.codec.trailing_data[0])):
+            reason = "a body has too much framing"
+            self._reject(Failure(ErrorKind.MALFORMED_REQUEST, reason))
+
     def _handle_head(self, event: h11.Request) -> None:
         pending = PipelinedRequest(self.codec)
+        pending.meter.received = len(self.codec.trailing_data[0])
         self.incoming = pending
         self.pipeline.append(pending)
         now = self.loop.time()
@@ -258,10 +271,10 @@
 
     def _handle_body_data(self, data: bytes) -> None:
         pending = self.incoming
-        pending.size += len(data)
+        pending.meter.content += len(data)
         self.gateway.buffered_body_bytes += len(data)
         view = self.gateway.store_view
-        if pending.size > view.caller_limits.body_bytes:
+        if pending.meter.content > view.caller_limits.body_bytes:
             self._reject(view.refusal_of(ErrorKind.BODY_TOO_LARGE))
         elif self.gateway.buffered_body_bytes > MAX_BODY_BYTES:
             self._reject(
@@ -336,7 +349,7 @@
             if self.closed:
                 return
             pending = self.pipeline.popleft()
-            self.gateway.buffered_body_bytes -= pending.size
+            self.gateway.buffered_body_bytes -= pending.meter.content
             if not self._write_reply(pending):
                 return
         if self.pipeline:
--- a/banyantiller/http/connection.py
+++ b/banyantiller/http/connection.py
@@ -32,6 +32,7 @@
         last_response_at: Loop time of the end of the last response, or None.
         idle_read: Read between exchanges that detects unsolicited bytes.
         has_unmatched_response: Whether a response to another request was read.
+        meter: Framing of the response body that is being read, or None.
         parts: Parts parsed since other tasks could run.
     """
 
@@ -50,6 +51,7 @@
         self.has_unmatched_response = False
         self.last_response_at: float | None = None
         self.idle_read: asyncio.Task[bytes] | None = None
+        self.meter: framing.FramingMeter | None = None
         self.parts = 0
 
     @classmethod
@@ -166,12 +168,15 @@
         Raises:
             ConnectionLostError: The connection closed or sent invalid HTTP.
         """
-        while True:
+        self.meter = None
+        for _ in range(framing.MAX_INFORMATIONAL + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                self.meter = framing.FramingMeter(self._unparsed_bytes())
                 return messages.Response(
                     event.status_code, messages.decode_headers(event.headers)
                 )
+        raise ConnectionLostError("too many informational responses")
 
     async def read_chunk(self) -> bytes:
         """Reads a chunk of the response body; empty at its end.
@@ -184,6 +189,7 @@
             if isinstance(event, h11.EndOfMessage):
                 return b""
             if isinstance(event, h11.Data) and event.data:
+                self.meter.content += len(event.data)
                 return bytes(event.data)
 
     async def read_body(self, max_bytes: int) -> bytes:
@@ -269,7 +275,11 @@
             except h11.RemoteProtocolError as error:
                 raise ConnectionLostError(f"not valid HTTP: {error}") from error
             if event is h11.NEED_DATA:
-                self.codec.receive_data(await self._read())
+                self._check_framing()
+                data = await self._read()
+                if self.meter is not None:
+                    self.meter.received += len(data)
+                self.codec.receive_data(data)
                 continue
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 raise ConnectionLostError("the connection was closed")
@@ -280,8 +290,18 @@
         self.parts += 1
         if self.parts == framing.PARTS_PER_STEP:
             self.parts = 0
+            self._check_framing()
             await asyncio.sleep(0)
 
+    def _check_framing(self) -> None:
+        if self.meter is None:
+            return
+        if self.meter.is_excessive(self._unparsed_bytes()):
+            raise ConnectionLostError("a body has too much framing")
+
+    def _unparsed_bytes(self) -> int:
+        return len(self.codec.trailing_data[0])
+
     async def _read(self) -> bytes:
         try:
             data = await self.reader.read(messages.READ_BYTES)
--- a/banyantiller/http/server_connection.py
+++ b/banyantiller/http/server_connection.py
@@ -47,6 +47,7 @@
         stopping: Whether the connection closes after its next response.
         idle: Task that waits for the first byte of a request, or None.
         parts: Parts parsed since other tasks could run.
+        meter: Framing of the request body that is being read, or None.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         self.stopping = False
         self.idle: asyncio.Task[h11.Event | None] | None = None
         self.parts = 0
+        self.meter: framing.FramingMeter | None = None
 
     async def run(self) -> None:
         """Answers requests in order."""
@@ -132,17 +134,18 @@
 
     async def _read_body(self) -> bytes:
         parts = []
-        size = 0
+        self.meter = framing.FramingMeter(self._unparsed_bytes())
         if self.codec.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(
                 status_code=100, headers=[]
             )
             self.writer.write(self.codec.send(continue_response))
         while isinstance(event := await self._next_event(), h11.Data):
-            size += len(event.data)
-            if size > self.limits.body_bytes:
+            self.meter.content += len(event.data)
+            if self.meter.content > self.limits.body_bytes:
                 raise RequestRefusedError(413, "the body is too large")
             parts.append(bytes(event.data))
+        self.meter = None
         return b"".join(parts)
 
     async def _next_event(self) -> h11.Event | None:
@@ -164,6 +167,9 @@
                 messages.READ_BYTES
             )
             self.received_early = b""
+            self._check_framing()
+            if self.meter is not None:
+                self.meter.received += len(data)
             self.codec.receive_data(data)
 
     async def _count_part(self) -> None:
@@ -171,8 +177,18 @@
         self.parts += 1
         if self.parts == framing.PARTS_PER_STEP:
             self.parts = 0
+            self._check_framing()
             await asyncio.sleep(0)
 
+    def _check_framing(self) -> None:
+        if self.meter is None:
+            return
+        if self.meter.is_excessive(self._unparsed_bytes()):
+            raise RequestRefusedError(400, "the body has too much framing")
+
+    def _unparsed_bytes(self) -> int:
+        return len(self.codec.trailing_data[0])
+
     async def _answer(self, request: messages.Request) -> bool:
         """Answers a request unless the caller disconnects meanwhile.
 
--- a/banyantiller/tests/http/test_endless_responses.py
+++ b/banyantiller/tests/http/test_endless_responses.py
@@ -123,9 +123,10 @@
             loop = asyncio.get_running_loop()
             started_at = loop.time()
             outcome = await http_client.request("GET", "/", TIMEOUT_S)
+            took_s = loop.time() - started_at
             await http_client.close()
             await asyncio.sleep(0.1)
-            return outcome, loop.time() - started_at, server.open
+            return outcome, took_s, server.open
 
         pattern = endless_server.NO_ANSWER["informational"]
         outcome, took_s, still_open = self.use(pattern, body)
--- a/banyantiller/tests/http/test_exchange.py
+++ b/banyantiller/tests/http/test_exchange.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from banyantiller.http import client, messages, outcomes, server
+from banyantiller.http import client, framing, messages, outcomes, server
 from banyantiller.http import server_connection as connections
 from banyantiller.tests import base
 
@@ -39,6 +39,14 @@
         self.assertEqual(b"GET / ", second.body)
         self.assertEqual(1, open_links)
 
+    def test_head_is_no_framing_of_the_body_before_it(self):
+        async def use(http_client, listener):
+            large = (("note", "x" * (2 * framing.MAX_FRAMING_BYTES)),)
+            await http_client.request("POST", "/a", 1, body=b"x")
+            return await http_client.request("GET", "/b", 1, large)
+
+        self.assertEqual(b"GET /b ", self.exchange(echo, use).body)
+
     def test_old_idle_connection_is_not_reused(self):
         async def use(http_client, listener):
             await http_client.request("GET", "/", 1)
