Close an idle connection at its first byte

What happened: a server that sends bytes on an idle connection filled its buffers, up to 384 KiB each, and the connection counted as usable until it was taken or expired, up to 8 s later.

Cause: the end of the read that watches an idle connection was looked at only when the connection was taken again.

Change: the connection is closed and leaves its pool at the first byte, or at its end. The metric of new connections has a reason of its own for it, so that records tell it from a server that closes.

--- a/banyantiller/gateway/pool.py
+++ b/banyantiller/gateway/pool.py
@@ -26,6 +26,7 @@
         IN_USE: Requests or probes are using other connections.
         IDLE_TOO_LONG: The last one was closed after it was idle for too long.
         CLOSED: The server closed the last one, or announced that it would.
+        UNSOLICITED: The server sent bytes on the last one while it was idle.
         GIVEN_UP: The last one was closed during a request or probe.
         WANTED_NEW: The sender required a new connection.
     """
@@ -34,6 +35,7 @@
     IN_USE = "in_use"
     IDLE_TOO_LONG = "idle_too_long"
     CLOSED = "closed"
+    UNSOLICITED = "unsolicited"
     GIVEN_UP = "given_up"
     WANTED_NEW = "wanted_new"
 
@@ -152,7 +154,9 @@
         if self.closed:
             self.discard(link)
             return
-        link.connection.watch_idle()
+        link.connection.watch_idle(
+            lambda has_received: self._remove_idle(link, has_received)
+        )
         self.busy -= 1
         link.reused = True
         link.expires = self.loop.time() + link.idle_s
@@ -190,6 +194,14 @@
         self.closed = True
         self.drop_idle()
 
+    def _remove_idle(self, link: Link, has_received: bool) -> None:
+        """Removes a connection that the server made unusable."""
+        if link in self.idle:
+            self.idle.remove(link)
+            self.last_close_reason = (
+                OpenReason.UNSOLICITED if has_received else OpenReason.CLOSED
+            )
+
     def _reason(self, fresh: bool) -> OpenReason:
         """Returns the reason for which a connection is opened now."""
         if fresh:
--- a/banyantiller/http/connection.py
+++ b/banyantiller/http/connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import h11
@@ -219,10 +220,30 @@
         self.watch_idle()
         return True
 
-    def watch_idle(self) -> None:
-        """Starts to watch for unsolicited bytes until `resume` is called."""
+    def watch_idle(
+        self, on_unusable: Callable[[bool], None] | None = None
+    ) -> None:
+        """Starts to watch for unsolicited bytes until `resume` is called.
+
+        The connection is closed at the first one: more may follow without end,
+        and would be buffered.
+
+        Args:
+            on_unusable: Called once the connection was closed, with whether
+                the remote side sent bytes.
+        """
         self.idle_read = asyncio.ensure_future(self.reader.read(1))
 
+        def close(read: asyncio.Task[bytes]) -> None:
+            if read.cancelled():
+                return
+            self.close()
+            has_received = read.exception() is None and bool(read.result())
+            if on_unusable is not None:
+                on_unusable(has_received)
+
+        self.idle_read.add_done_callback(close)
+
     def ready_again(self) -> bool:
         """Ends an exchange; returns whether the connection can be reused."""
         if self.has_unmatched_response or self.codec.trailing_data[0]:
