Limit the answers that a probe skips

What happened: a server that answers a probe with answers to other requests was read until the probe's time-out; 30,908 answers were skipped in the test, each with a new codec and a copy of what was left of the read.

Cause: attempts skip three such answers, probes had no limit.

Change: the same limit for both.

--- a/banyantiller/gateway/exchange.py
+++ b/banyantiller/gateway/exchange.py
@@ -27,6 +27,7 @@
 IMPLIED_NOT_RUN_STATUSES = frozenset({408, 429, 503})
 # Responses of other requests that are skipped before the attempt fails.
 MAX_STRAY_RESPONSES = 3
+ONLY_STRAY_RESPONSES = "received only responses of other requests"
 SUCCESS_STATUSES = range(200, 300)
 
 
@@ -217,9 +218,7 @@
         if matches:
             return response, body
         link.connection.expect_again(request)
-    raise connection.ConnectionLostError(
-        "received only responses of other requests"
-    )
+    raise connection.ConnectionLostError(ONLY_STRAY_RESPONSES)
 
 
 def _build_request(
--- a/banyantiller/gateway/probing.py
+++ b/banyantiller/gateway/probing.py
@@ -7,6 +7,7 @@
 
 from banyantiller.gateway import (
     events,
+    exchange,
     pool,
     server_responses,
     servers,
@@ -331,14 +332,7 @@
         sent_at = self.loop.time()
         try:
             link.connection.write(request)
-            while True:
-                response = await link.connection.read_head()
-                await link.connection.read_body(MAX_HEALTH_BYTES)
-                if not response.header(self.wire.request_id.decode()):
-                    break
-                # This is a repeated answer to an earlier request; the answer
-                # to the probe is still to come.
-                link.connection.expect_again(request)
+            response = await self._read_own_response(link, request)
         except BaseException:
             server_pool.discard(link)
             raise
@@ -352,6 +346,18 @@
             self._warmup_s(response),
         )
 
+    async def _read_own_response(
+        self, link: pool.Link, request: messages.Request
+    ) -> messages.Response:
+        """Reads responses until one is not a repeated answer to a request."""
+        for _ in range(exchange.MAX_STRAY_RESPONSES):
+            response = await link.connection.read_head()
+            await link.connection.read_body(MAX_HEALTH_BYTES)
+            if not response.header(self.wire.request_id.decode()):
+                return response
+            link.connection.expect_again(request)
+        raise connection.ConnectionLostError(exchange.ONLY_STRAY_RESPONSES)
+
     def _warmup_s(self, response: messages.Response) -> float:
         field = response.header(self.wire.warmup_ms.decode())
         return int(field) / 1000 if field.isdigit() else 0.0
