Read a limited number of bytes after a rejection

Cause: what comes after a rejection is read, so that closing doesn't reset the connection before the caller has the reply, with a limit of time alone.

Change: 1 MiB is read, then nothing until the close. By then the reply has been on its way for as long as before. Requests of peers alike.

--- a/banyantiller/gateway/caller.py
+++ b/banyantiller/gateway/caller.py
@@ -87,6 +87,7 @@
         lingers: Whether the caller may still be sending when the connection is
             closed: a request was rejected before its end was read, or further
             requests are not read.
+        discarded: Bytes received after reading ended.
         step_due: Whether received data waits until other tasks have run.
     """
 
@@ -106,6 +107,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.parsing = False
         self.step_due = False
+        self.discarded = 0
 
     def connection_made(self, transport: Any) -> None:
         """Registers the connection and starts the idle timeout."""
@@ -116,7 +118,7 @@
     def data_received(self, data: bytes) -> None:
         """Parses received data into requests."""
         if self.reading_ended:
-            self.lingers = True
+            self._discard(data)
             return
         if not self.request_started:
             self.request_started = True
@@ -173,6 +175,13 @@
         for pending in tuple(self.pipeline):
             self._start_call(pending)
 
+    def _discard(self, data: bytes) -> None:
+        """Discards what the caller sends although no request is read."""
+        self.lingers = True
+        self.discarded += len(data)
+        if self.discarded > framing.MAX_DISCARDED_BYTES and not self.closed:
+            self.transport.pause_reading()
+
     def _new_codec(self) -> h11.Connection:
         return h11.Connection(
             h11.SERVER, max_incomplete_event_size=CODEC_LIMIT_BYTES
--- a/banyantiller/http/framing.py
+++ b/banyantiller/http/framing.py
@@ -14,6 +14,11 @@
 PARTS_PER_STEP = 64
 
 
+# Bytes read from a caller after its request was rejected; reading then stops
+# until the connection is closed.
+MAX_DISCARDED_BYTES = 1 << 20
+
+
 class FramingMeter:
     """Tells the framing of one body from its content.
 
--- a/banyantiller/http/server_connection.py
+++ b/banyantiller/http/server_connection.py
@@ -275,14 +275,18 @@
     async def _linger(self) -> None:
         """Discards what the caller still sends, so that it reads the response.
 
-        Closing with unread bytes would reset the connection.
+        Closing with unread bytes would reset the connection. What is over the
+        limit stays unread: by then the caller has had time for the response.
         """
+        discarded = 0
         if self.writer.can_write_eof():
             self.writer.write_eof()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(LINGER_S):
-                while await self.reader.read(messages.READ_BYTES):
-                    pass
+                while data := await self.reader.read(messages.READ_BYTES):
+                    discarded += len(data)
+                    if discarded > framing.MAX_DISCARDED_BYTES:
+                        await asyncio.sleep(LINGER_S)
 
     async def _close(self) -> None:
         """Closes the connection after the written bytes have been sent."""
--- a/banyantiller/tests/gateway/test_endless_bytes.py
+++ b/banyantiller/tests/gateway/test_endless_bytes.py
@@ -3,10 +3,12 @@
 import asyncio
 
 from banyantiller.gateway import exchange
-from banyantiller.http import connection
+from banyantiller.http import connection, framing
 from banyantiller.tests.gateway import harness
 from standins import endless_server
 
+# Longer than a rejected connection stays open.
+SEND_S = 1.5
 # Bytes that a request may have beyond its content: its head and framing, and
 # what the sockets buffer.
 MAX_SENT_BYTES = 1 << 18
@@ -135,3 +137,17 @@
         steps, status, lengths = self.play(body)
         self.assertGreaterEqual(steps, chunks // 100)
         self.assertEqual((200, [16 * chunks]), (status, lengths))
+
+    def test_bytes_after_a_rejection_are_read_up_to_a_limit(self):
+        """Gigabytes were read within the second before the close."""
+
+        async def body(env):
+            caller = await harness.Caller.connect(env)
+            caller.writer.write(b"no request\r\n\r\n")
+            answer = await caller.read()
+            sent = await endless_server.send(caller.writer, b"z", SEND_S)
+            return answer.status, sent
+
+        status, sent = self.play(body)
+        self.assertEqual(400, status)
+        self.assertLess(sent, framing.MAX_DISCARDED_BYTES + MAX_SENT_BYTES)
--- a/banyantiller/tests/http/test_exchange.py
+++ b/banyantiller/tests/http/test_exchange.py
@@ -5,8 +5,11 @@
 from banyantiller.http import client, framing, messages, outcomes, server
 from banyantiller.http import server_connection as connections
 from banyantiller.tests import base
+from standins import endless_server
 
 ADDRESS = "127.0.0.1"
+# What the streams and sockets of both ends may buffer.
+BUFFERED_BYTES = 1 << 19
 LIMITS = messages.Limits(body_bytes=1000, head_s=2, body_s=3, idle_s=5)
 
 
@@ -47,6 +50,22 @@
 
         self.assertEqual(b"GET /b ", self.exchange(echo, use).body)
 
+    def test_bytes_after_a_rejection_are_read_up_to_a_limit(self):
+        async def use(http_client, _):
+            reader, writer = await asyncio.open_connection(
+                ADDRESS, http_client.port
+            )
+            writer.write(b"no request\r\n\r\n")
+            status_line = await reader.readline()
+            sent = await endless_server.send(writer, b"z", 1.5)
+            writer.transport.abort()
+            return status_line, sent
+
+        status_line, sent = self.exchange(echo, use)
+        self.assertIn(b"400", status_line)
+        limit = framing.MAX_DISCARDED_BYTES + BUFFERED_BYTES
+        self.assertLess(sent, limit)
+
     def test_old_idle_connection_is_not_reused(self):
         async def use(http_client, listener):
             await http_client.request("GET", "/", 1)
--- a/standins/endless_server.py
+++ b/standins/endless_server.py
@@ -33,6 +33,22 @@
     return part * max(1, PART_BYTES // len(part))
 
 
+async def send(writer: asyncio.StreamWriter, part: bytes, for_s: float) -> int:
+    """Sends a part over and over; returns the bytes that left."""
+    data = repeated(part)
+    sent = 0
+    try:
+        async with asyncio.timeout(for_s):
+            while not writer.is_closing():
+                writer.write(data)
+                await writer.drain()
+                sent += len(data)
+                await asyncio.sleep(PART_S)
+    except (OSError, TimeoutError):
+        pass
+    return sent
+
+
 # Bytes that are no answer, by what they look like.
 NO_ANSWER = {
     "head line": Pattern(OK + b"x: ", repeated(b"a")),
