Share the memory for responses by what is free

What happened: each response could take 16 MiB, however many there were. Ten servers that send bodies without end took 151 MB of a daemon, of which the smallest VM has 152; the process ends when it has no more. Small chunks were kept as objects of 38 bytes and more each.

Cause: the limit was one of each response alone.

Change: all bodies that are being read share 48 MiB, and one may be as large as what is free. A few bodies without end are given up at 16 MiB as before; many are given up earlier, and always leave room to others. Chunks are appended to one buffer.

--- a/banyantiller/gateway/attempts.py
+++ b/banyantiller/gateway/attempts.py
@@ -173,7 +173,7 @@
                 server.instance,
                 self.call.deadline - self.loop.time(),
                 self.gateway.adapter.wire,
-                self.gateway.max_response_bytes,
+                self.gateway.response_memory,
                 self._record_head,
             )
         finally:
--- a/banyantiller/gateway/exchange.py
+++ b/banyantiller/gateway/exchange.py
@@ -6,7 +6,7 @@
 
 from banyantiller.errors import ErrorKind
 from banyantiller.gateway import pool, types
-from banyantiller.http import connection, messages
+from banyantiller.http import body_memory, connection, messages
 
 HOP_BY_HOP = frozenset(
     (
@@ -51,6 +51,18 @@
     request_id: str
 
 
+class ResponseMemory(NamedTuple):
+    """Memory for response bodies.
+
+    Attributes:
+        max_body_bytes: Maximum size of one body.
+        shared: Memory of all bodies that are being read.
+    """
+
+    max_body_bytes: int
+    shared: body_memory.BodyMemory
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CompleteResponse:
     """A complete response of the server to this request.
@@ -119,7 +131,7 @@
     instance: str,
     remaining_s: float,
     wire: types.WireNames,
-    body_bytes: int,
+    memory: ResponseMemory,
     on_head: Callable[[messages.Response], None],
 ) -> Outcome:
     """Sends a request and reads its complete response.
@@ -133,7 +145,7 @@
         instance: Instance that the request is addressed to.
         remaining_s: Time until the deadline, in seconds.
         wire: Names of header fields.
-        body_bytes: Maximum size of the response body, in bytes.
+        memory: Memory for response bodies.
         on_head: Called with the head of the response, also if its body is
             broken.
     """
@@ -141,7 +153,7 @@
     try:
         link.connection.write(request)
         response, body = await _read_matching_response(
-            link, request, wire, body_bytes, on_head
+            link, request, wire, memory, on_head
         )
     except connection.BodyTooLargeError as error:
         return BrokenResponse(ErrorKind.BACKEND_MALFORMED, str(error))
@@ -199,7 +211,7 @@
     link: pool.Link,
     request: messages.Request,
     wire: types.WireNames,
-    body_bytes: int,
+    memory: ResponseMemory,
     on_head: Callable[[messages.Response], None],
 ) -> tuple[messages.Response, bytes]:
     """Reads responses until one belongs to the request.
@@ -214,7 +226,9 @@
         matches = not echoed or not expected_id or echoed == expected_id
         if matches:
             on_head(response)
-        body = await link.connection.read_body(body_bytes)
+        body = await link.connection.read_body(
+            memory.max_body_bytes, memory.shared
+        )
         if matches:
             return response, body
         link.connection.expect_again(request)
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -15,6 +15,7 @@
     crash_detection,
     daemon_list,
     events,
+    exchange,
     forwarded_calls,
     forwarding,
     pool,
@@ -35,7 +36,7 @@
 from banyantiller.gateway import call as calls
 from banyantiller.gateway import settings as options
 from banyantiller.gateway.decisions import budget, durations, selection, turns
-from banyantiller.http import messages
+from banyantiller.http import body_memory, messages
 from banyantiller.quarantine import crash_table
 
 BACKLOG = 1024
@@ -52,6 +53,8 @@
 # Maximum time for a call without a route.
 DEFAULT_TIMEOUT_S = 5.0
 MAX_RESPONSE_BYTES = 16 << 20
+# Maximum size of the response bodies that are being read, over all connections.
+MAX_RESPONSE_MEMORY_BYTES = 48 << 20
 HOUSEKEEPING_S = 0.25
 # How long a draining daemon accepts connections and requests, so that the
 # platform, which checks readiness each second, notices: it acts on two misses.
@@ -103,7 +106,10 @@
         self.store_view.on_first_document = self._run_waiting_calls
         self.draining = False
         self.default_timeout_s = DEFAULT_TIMEOUT_S
-        self.max_response_bytes = MAX_RESPONSE_BYTES
+        self.response_memory = exchange.ResponseMemory(
+            MAX_RESPONSE_BYTES,
+            body_memory.BodyMemory(MAX_RESPONSE_MEMORY_BYTES),
+        )
         self.connections: set[caller.CallerConnection] = set()
         self.buffered_body_bytes = 0
         self.pools: dict[str, pool.Pool] = {}
--- a/banyantiller/gateway/protocols.py
+++ b/banyantiller/gateway/protocols.py
@@ -63,7 +63,7 @@
     allowances: allowances.Allowances
     durations: durations.Durations
     default_timeout_s: float
-    max_response_bytes: int
+    response_memory: exchange.ResponseMemory
 
     def pool_of(self, server: types.Server) -> pool.Pool:
         """Returns the connection pool of a server."""
--- a/banyantiller/http/connection.py
+++ b/banyantiller/http/connection.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from banyantiller.http import framing, messages
+from banyantiller.http import body_memory, framing, messages
 
 if TYPE_CHECKING:
     import ssl
@@ -193,21 +193,33 @@
                 self.meter.content += len(event.data)
                 return bytes(event.data)
 
-    async def read_body(self, max_bytes: int) -> bytes:
+    async def read_body(
+        self, max_bytes: int, memory: body_memory.BodyMemory | None = None
+    ) -> bytes:
         """Reads the rest of the response body.
 
+        Args:
+            max_bytes: Maximum size.
+            memory: Memory that it shares with other bodies, or None.
+
         Raises:
             ConnectionLostError: The connection closed or sent invalid HTTP.
-            BodyTooLargeError: The body is longer than `max_bytes` bytes.
+            BodyTooLargeError: The body is longer than `max_bytes` bytes, or
+                too large for the memory that is free.
         """
-        parts = []
-        size = 0
-        while chunk := await self.read_chunk():
-            size += len(chunk)
-            if size > max_bytes:
-                raise BodyTooLargeError(f"a body is over {max_bytes} bytes")
-            parts.append(chunk)
-        return b"".join(parts)
+        memory = memory or body_memory.BodyMemory(2 * max_bytes)
+        body = bytearray()
+        try:
+            while chunk := await self.read_chunk():
+                body += chunk
+                memory.used += len(chunk)
+                if len(body) > max_bytes:
+                    raise BodyTooLargeError(f"a body is over {max_bytes} bytes")
+                if not memory.allows(len(body)):
+                    raise BodyTooLargeError("no memory is free for a body")
+            return bytes(body)
+        finally:
+            memory.used -= len(body)
 
     def finish(self) -> bool:
         """Ends an exchange and watches the idle connection.
--- a/banyantiller/tests/gateway/test_endless_bytes.py
+++ b/banyantiller/tests/gateway/test_endless_bytes.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from banyantiller.gateway import exchange
+from banyantiller.gateway import exchange, gateway
 from banyantiller.http import connection, framing
 from banyantiller.tests.gateway import harness
 from standins import endless_server
@@ -44,7 +44,7 @@
             entry = env.gateway.store_view.table.entries["bad"]
             found = await env.gateway.prober.probe([entry], "/health")
             await asyncio.sleep(0.2)
-            return found, entry.health.missed_responses, server.open
+            return found, entry.health.missed_responses, len(server.open)
 
         return self.play(body)
 
@@ -74,6 +74,49 @@
         self.assertLessEqual(len(skipped), exchange.MAX_STRAY_RESPONSES)
 
 
+class EndlessBodiesTest(harness.TestCase):
+    def test_endless_responses_leave_memory_to_others(self):
+        """Each response could take 16 MiB, however many there were."""
+        pattern = endless_server.NO_ANSWER["body without length"]
+        count = 10
+
+        async def body(env):
+            bad = []
+            for number in range(count):
+                server = endless_server.EndlessServer(pattern, healthy=True)
+                port = await server.start(harness.ADDRESS)
+                bad.append(server)
+                env.servers[f"bad{number}"] = server
+                env.register(f"bad{number}", "other", port=port)
+            routes = [
+                harness.route("read", "safe", "/read/"),
+                harness.route("bad", "unsafe", "/bad/", "other", timeoutS=3),
+            ]
+            env.put_document(routes)
+            await asyncio.sleep(0.5)
+            endless = [
+                asyncio.ensure_future(
+                    env.request(f"b{number}", "/bad/x", deadline_ms=3000)
+                )
+                for number in range(count)
+            ]
+            good = []
+            peak = 0
+            while not all(one.done() for one in endless):
+                good.append((await env.request(f"g{len(good)}")).status)
+                sent = [sum(server.open.values()) for server in bad]
+                peak = max(peak, sum(sent))
+            statuses = {(await one).status for one in endless}
+            return statuses, set(good), peak
+
+        statuses, good, peak = self.play(body)
+        # A server may be found failing before its call is sent.
+        self.assertLessEqual(statuses, {502, 503})
+        self.assertEqual({200}, good)
+        limit = gateway.MAX_RESPONSE_MEMORY_BYTES + count * MAX_SENT_BYTES
+        self.assertLess(peak, limit)
+
+
 class EndlessRequestTest(harness.TestCase):
     def test_endless_request_is_rejected_by_size(self):
         """Tiny chunks were read until the body's timeout, 30 s."""
--- a/banyantiller/tests/http/test_endless_responses.py
+++ b/banyantiller/tests/http/test_endless_responses.py
@@ -111,7 +111,11 @@
             connections.put_idle(link)
             link.connection.writer.write(b"GET / HTTP/1.1\r\n\r\n")
             await asyncio.sleep(0.1)
-            return server.open, connections.has_idle(), len(connections.idle)
+            return (
+                len(server.open),
+                connections.has_idle(),
+                len(connections.idle),
+            )
 
         self.assertEqual((0, False, 0), self.use(pattern, body))
 
@@ -126,7 +130,7 @@
             took_s = loop.time() - started_at
             await http_client.close()
             await asyncio.sleep(0.1)
-            return outcome, took_s, server.open
+            return outcome, took_s, len(server.open)
 
         pattern = endless_server.NO_ANSWER["informational"]
         outcome, took_s, still_open = self.use(pattern, body)
--- a/standins/endless_server.py
+++ b/standins/endless_server.py
@@ -11,6 +11,7 @@
 CHUNKED = OK + b"transfer-encoding: chunked\r\n\r\n"
 # Begin of an answer with the mark by which a gateway knows it for its own.
 SIGNED = OK + b"upstream-signature: s\r\nattempt-id: %(id)s\r\n"
+HEALTHY = OK + b"upstream-load: 0,0,2,100\r\ncontent-length: 0\r\n\r\n"
 PART_BYTES = 16384
 # Time of one part, in seconds: 16 MB a second.
 PART_S = 0.001
@@ -75,19 +76,21 @@
     Attributes:
         pattern: The pattern of all answers.
         port: Port on which it listens.
+        healthy: Whether it answers probes as a server without load does.
         slots: Requests that it registers to work on at once.
         requests: Heads of the requests that it read.
         sent: Bytes sent on all connections.
-        open: Connections that are still open.
+        open: Bytes sent on each connection that is still open.
     """
 
-    def __init__(self, pattern: Pattern) -> None:
+    def __init__(self, pattern: Pattern, healthy: bool = False) -> None:
         self.pattern = pattern
+        self.healthy = healthy
         self.port = 0
         self.slots = 2
         self.requests: list[bytes] = []
         self.sent = 0
-        self.open = 0
+        self.open: dict[asyncio.StreamWriter, int] = {}
         self.server: asyncio.Server | None = None
 
     async def start(self, address: str) -> int:
@@ -104,9 +107,12 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self.open += 1
+        self.open[writer] = 0
         try:
             head = await reader.readuntil(b"\r\n\r\n")
+            while self.healthy and b" /health " in head:
+                writer.write(HEALTHY)
+                head = await reader.readuntil(b"\r\n\r\n")
             self.requests.append(head)
             pattern = self._pattern_for(head)
             writer.write(pattern.begin)
@@ -114,11 +120,12 @@
                 writer.write(pattern.part)
                 await writer.drain()
                 self.sent += len(pattern.part)
+                self.open[writer] += len(pattern.part)
                 await asyncio.sleep(PART_S)
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
-            self.open -= 1
+            del self.open[writer]
             writer.transport.abort()
 
     def _pattern_for(self, head: bytes) -> Pattern:
