Limit endless messages in the proxy as in the gateway

What callers saw: banyantillerd relayed informational heads without end, and parsed chunks of a byte and extensions of chunks until a time-out or the caller's close; the body of an answer to a probe was read for 2 s, and what a rejected caller sends for 2 s more, at any speed.

Cause: the same as in the gateway, in the proxy's own readers of messages: limits count heads and content, and one read is handled in one step.

Change: the same limits from the same module: 64 parts a step, 64 informational heads, 16 KiB of framing and as much as the content, 64 KiB of a probe's body, 1 MiB after a rejection. Bodies of any size are relayed as before: the caller decides when to close, and one that reads slowly stops the server.

--- a/banyantiller/proxy/backend.py
+++ b/banyantiller/proxy/backend.py
@@ -8,6 +8,7 @@
 import structlog
 
 from banyantiller.errors import ErrorKind
+from banyantiller.http import framing
 from banyantiller.proxy import buffers, codec, guard, timers
 
 log = structlog.get_logger("banyantiller.proxy")
@@ -64,6 +65,10 @@
         has_written: Whether any byte was written since the exchange began.
         write_paused: Whether the transport's write buffer is full.
         closed: Whether the connection is closed.
+        reading_paused: Whether the exchange has paused reading.
+        step_due: Whether received data waits until other tasks have run.
+        informational: Informational responses of the exchange.
+        meter: Framing of the response body that is being read, or None.
         timer: Fires when the server sends nothing for too long.
     """
 
@@ -92,6 +97,10 @@
         self.closed = False
         self.processing = False
         self.head_bytes = 0
+        self.reading_paused = False
+        self.step_due = False
+        self.informational = 0
+        self.meter: framing.FramingMeter | None = None
         self.timer = timers.LazyTimer(loop, self._on_inactivity)
 
     # Called by the transport.
@@ -111,6 +120,8 @@
         """Parses what was read and handles the events."""
         self.has_received = True
         self.head_bytes += nbytes
+        if self.meter is not None:
+            self.meter.received += nbytes
         self.http.receive_data(buffers.SHARED[:nbytes])
         self.process_events()
 
@@ -145,6 +156,8 @@
         self.exchange = exchange
         self.has_received = False
         self.head_bytes = 0
+        self.informational = 0
+        self.meter = None
         self.has_written = False
         self.pending_writes.append(self.http.send(request))
         self.timer.set_lazily(self.loop.time() + self.inactivity_timeout_s)
@@ -174,13 +187,16 @@
     def pause_reading(self) -> None:
         """Pauses reading the response; the inactivity timer stops meanwhile."""
         if not self.closed:
+            self.reading_paused = True
             self.transport.pause_reading()
             self.timer.due = timers.NEVER
 
     def resume_reading(self) -> None:
         """Resumes reading."""
         if not self.closed:
-            self.transport.resume_reading()
+            self.reading_paused = False
+            if not self.step_due:
+                self.transport.resume_reading()
             self.timer.set_lazily(self.loop.time() + self.inactivity_timeout_s)
 
     def abort(self) -> None:
@@ -216,15 +232,21 @@
             exchange.flush()
 
     def _handle_events(self) -> None:
+        parts = 0
         while not self.closed:
             if self.exchange is None:
                 # An idle server may only close the connection; anything else
                 # leaves it unusable.
                 self.abort()
                 return
+            if parts == framing.PARTS_PER_STEP:
+                self._handle_later()
+                return
+            parts += 1
             event = self.http.next_event()
             event_type = type(event)
             if event_type is h11.Data:
+                self.meter.content += len(event.data)
                 self.exchange.data_received(event.data)
             elif event_type is h11.EndOfMessage:
                 self._handle_end(event)
@@ -232,12 +254,45 @@
             elif event_type is h11.Response:
                 self._handle_head(event)
             elif event_type is h11.InformationalResponse:
-                self.exchange.informational_received(event)
-                self.head_bytes = 0
+                self._handle_informational(event)
             else:
                 self._handle_need_data()
                 return
 
+    def _handle_later(self) -> None:
+        """Lets other tasks run before the rest of the data is handled."""
+        if self._is_framing_excessive():
+            self._fail_malformed()
+        elif not self.step_due:
+            self.step_due = True
+            self.transport.pause_reading()
+            self.loop.call_soon(self._resume_events)
+
+    def _resume_events(self) -> None:
+        self.step_due = False
+        if self.closed:
+            return
+        self.process_events()
+        if not (self.closed or self.step_due or self.reading_paused):
+            self.transport.resume_reading()
+
+    def _is_framing_excessive(self) -> bool:
+        if self.meter is None:
+            return False
+        return self.meter.is_excessive(len(self.http.trailing_data[0]))
+
+    def _fail_malformed(self) -> None:
+        self._fail_exchange(ErrorKind.BACKEND_MALFORMED)
+        self.abort()
+
+    def _handle_informational(self, event: h11.InformationalResponse) -> None:
+        self.informational += 1
+        if self.informational > framing.MAX_INFORMATIONAL:
+            self._fail_malformed()
+            return
+        self.exchange.informational_received(event)
+        self.head_bytes = 0
+
     def _handle_head(self, event: h11.Response) -> None:
         if self.head_bytes > self.max_head_bytes:
             size = sum(
@@ -247,10 +302,13 @@
                 self._fail_exchange(ErrorKind.BACKEND_HEAD_TOO_LARGE)
                 self.abort()
                 return
+        self.meter = framing.FramingMeter(len(self.http.trailing_data[0]))
         self.exchange.head_received(event)
 
     def _handle_need_data(self) -> None:
-        if self.http.their_state is h11.CLOSED:
+        if self._is_framing_excessive():
+            self._fail_malformed()
+        elif self.http.their_state is h11.CLOSED:
             self._fail_exchange(ErrorKind.CONNECTION_LOST)
             self.abort()
         elif self.timer.due != timers.NEVER:
--- a/banyantiller/proxy/caller.py
+++ b/banyantiller/proxy/caller.py
@@ -9,6 +9,7 @@
 import structlog
 
 from banyantiller.errors import ErrorKind, Failure
+from banyantiller.http import framing
 from banyantiller.proxy import buffers, caller_timer, codec, headers, responses
 
 if TYPE_CHECKING:
@@ -32,6 +33,9 @@
         write_paused: Whether the transport's write buffer is full.
         processing: Whether events are being processed; writes are queued
             until the end.
+        step_due: Whether received data waits until other tasks have run.
+        meter: Framing of the request body that is being read.
+        discarded: Bytes received after the last response.
         closing: Whether no further response is sent.
         closed: Whether the connection is closed.
     """
@@ -53,6 +57,9 @@
         self.reading_paused = False
         self.body_paused = False
         self.pipeline_paused = False
+        self.step_due = False
+        self.discarded = 0
+        self.meter = framing.FramingMeter()
         self.processing = False
         self.closing = False
         self.closed = False
@@ -79,6 +86,7 @@
     def buffer_updated(self, nbytes: int) -> None:
         """Parses what was read and handles the events."""
         if self.closing:
+            self._discard(nbytes)
             return
         if self.call is None:
             if self.head_bytes == 0:
@@ -88,6 +96,7 @@
                 self._pause_pipeline(True)
         elif self.http.their_state is h11.DONE:
             self._count_pipelined(nbytes)
+        self.meter.received += nbytes
         self.http.receive_data(buffers.SHARED[:nbytes])
         self.process_events()
 
@@ -277,12 +286,18 @@
 
     def _handle_events(self) -> None:
         next_event = self.http.next_event
+        parts = 0
         while not self.closing:
+            if parts == framing.PARTS_PER_STEP:
+                self._handle_later()
+                return
+            parts += 1
             event = next_event()
             event_type = type(event)
             if event_type is h11.Request:
                 self._handle_request(event)
             elif event_type is h11.Data:
+                self.meter.content += len(event.data)
                 if self.call is not None:
                     self.call.body_data(event.data)
             elif event_type is h11.EndOfMessage:
@@ -291,9 +306,37 @@
                 if self.call is not None:
                     return
             else:
+                self._check_framing()
                 return
 
+    def _discard(self, nbytes: int) -> None:
+        """Counts what the caller sends after the last response."""
+        self.discarded += nbytes
+        if self.discarded > framing.MAX_DISCARDED_BYTES and not self.closed:
+            self.transport.pause_reading()
+
+    def _handle_later(self) -> None:
+        """Lets other tasks run before the rest of the data is handled."""
+        self._check_framing()
+        if not self.step_due and not self.closing:
+            self.step_due = True
+            self._update_reading()
+            self.loop.call_soon(self._resume_events)
+
+    def _resume_events(self) -> None:
+        self.step_due = False
+        self.process_events()
+        self._update_reading()
+
+    def _check_framing(self) -> None:
+        if self.call is None or self.http.their_state is not h11.SEND_BODY:
+            return
+        if self.meter.is_excessive(len(self.http.trailing_data[0])):
+            detail = "The body has too much framing."
+            self.call.fail(Failure(ErrorKind.BODY_MALFORMED, detail))
+
     def _handle_request(self, event: h11.Request) -> None:
+        self.meter = framing.FramingMeter(len(self.http.trailing_data[0]))
         limit = self.limits.max_head_bytes
         if self.head_bytes > limit:
             size = sum(
@@ -345,7 +388,7 @@
         self._update_reading()
 
     def _update_reading(self) -> None:
-        paused = self.body_paused or self.pipeline_paused
+        paused = self.body_paused or self.pipeline_paused or self.step_due
         if paused == self.reading_paused or self.closed or self.closing:
             return
         self.reading_paused = paused
--- a/banyantiller/proxy/probe.py
+++ b/banyantiller/proxy/probe.py
@@ -13,6 +13,7 @@
     from banyantiller.proxy import driver as drivers
 
 PROBE_TIMEOUT_S = 2.0
+MAX_BODY_BYTES = 65536
 USER_AGENT = (b"User-Agent", b"banyantiller-probe")
 
 
@@ -21,6 +22,7 @@
 
     Attributes:
         report: Load reported by the response, or None.
+        body_bytes: Bytes of the response body so far.
     """
 
     def __init__(
@@ -33,6 +35,7 @@
         self.is_waiting = True
         self.connection: backend.BackendConnection | None = None
         self.report: LoadReport | None = None
+        self.body_bytes = 0
         self.timer = timers.LazyTimer(driver.loop, self._expired)
 
     def start(self) -> None:
@@ -71,7 +74,10 @@
             self.report = load_reader.read(value, "probe")
 
     def data_received(self, data: bytes) -> None:
-        """Discards the response body."""
+        """Discards the response body, which may not be large."""
+        self.body_bytes += len(data)
+        if self.body_bytes > MAX_BODY_BYTES:
+            self._expired()
 
     def end_received(self, event: h11.EndOfMessage) -> None:  # noqa: ARG002
         """Reports the load to the driver."""
