--- a/banyantiller/gateway/caller.py
+++ b/banyantiller/gateway/caller.py
@@ -12,12 +12,12 @@
 from banyantiller.gateway import (
     call_events,
     events,
+    pipeline,
     protocols,
     replies,
     requests,
 )
-from banyantiller.http import framing
-from banyantiller.quarantine import fingerprint
+from banyantiller.utils import framing
 
 # Maximum number of pipelined requests on one connection.
 MAX_PIPELINED = 16
@@ -40,36 +40,6 @@
 NOT_IMPLEMENTED_HINT = 501
 
 
-class PipelinedRequest:
-    """One request on a connection, and its reply.
-
-    Attributes:
-        codec: h11 connection of this exchange.
-        request: The request, or None if its head could not be parsed.
-        body: Chunks of the body that were received so far.
-        meter: Content and framing of the body that were received so far.
-        fingerprint: Digest of the request as far as it was read, or None.
-        call: The call, once the request was read completely.
-        task: Task that runs the call.
-        reply: The reply, once there is one.
-    """
-
-    def __init__(self, codec: h11.Connection) -> None:
-        self.codec = codec
-        self.request: requests.Request | None = None
-        self.body: list[bytes] = []
-        self.meter = framing.FramingMeter()
-        self.fingerprint: fingerprint.Fingerprint | None = None
-        self.call: calls.Call | None = None
-        self.task: asyncio.Task[None] | None = None
-        self.reply: replies.Reply | None = None
-
-    @property
-    def started(self) -> bool:
-        """Whether the request was passed on, or has a reply."""
-        return self.task is not None or self.reply is not None
-
-
 class CallerConnection(asyncio.Protocol):
     """Reads pipelined requests and writes their replies in order.
 
@@ -95,8 +65,10 @@
         self.gateway = gateway
         self.loop = gateway.loop
         self.transport: Any = None
-        self.pipeline: collections.deque[PipelinedRequest] = collections.deque()
-        self.incoming: PipelinedRequest | None = None
+        self.pipeline: collections.deque[pipeline.PipelinedRequest] = (
+            collections.deque()
+        )
+        self.incoming: pipeline.PipelinedRequest | None = None
         self.codec = self._new_codec()
         self.request_started = False
         self.waiting_since = self.loop.time()
@@ -257,16 +229,12 @@
             self._reject(view.refusal_of(ErrorKind.HEAD_TOO_LARGE))
 
     def _check_framing(self) -> None:
-        pending = self.incoming
-        if pending is None:
-            return
-        if pending.meter.is_excessive(len(self.codec.trailing_data[0])):
+        if self.incoming is not None and self.incoming.meter.is_excessive():
             reason = "a body has too much framing"
             self._reject(Failure(ErrorKind.MALFORMED_REQUEST, reason))
 
     def _handle_head(self, event: h11.Request) -> None:
-        pending = PipelinedRequest(self.codec)
-        pending.meter.received = len(self.codec.trailing_data[0])
+        pending = pipeline.PipelinedRequest(self.codec)
         self.incoming = pending
         self.pipeline.append(pending)
         now = self.loop.time()
@@ -318,7 +286,7 @@
         self._set_timer()
         self._start_call(pending)
 
-    def _start_call(self, pending: PipelinedRequest) -> None:
+    def _start_call(self, pending: pipeline.PipelinedRequest) -> None:
         """Starts a call unless it has to wait for those before it.
 
         A request that is not idempotent waits: an earlier reply may close the
@@ -331,7 +299,7 @@
         if pending is self.pipeline[0] or pending.call.idempotent:
             pending.task = self.loop.create_task(self._run_call(pending))
 
-    async def _run_call(self, pending: PipelinedRequest) -> None:
+    async def _run_call(self, pending: pipeline.PipelinedRequest) -> None:
         pending.reply = await pending.call.run()
         self._write_due_replies()
 
@@ -339,7 +307,7 @@
         """Replies with an error and closes the connection after it."""
         pending = self.incoming
         if pending is None:
-            pending = PipelinedRequest(self.codec)
+            pending = pipeline.PipelinedRequest(self.codec)
             self.pipeline.append(pending)
         self.incoming = None
         self.reading_ended = True
@@ -372,10 +340,11 @@
 
     def _parse_later(self) -> None:
         """Lets other tasks run before the rest of the data is parsed."""
-        if not self.step_due:
-            self.step_due = True
-            self.transport.pause_reading()
-            self.loop.call_soon(self._resume_parsing)
+        if self.step_due or self.reading_ended:
+            return
+        self.step_due = True
+        self.transport.pause_reading()
+        self.loop.call_soon(self._resume_parsing)
 
     def _resume_parsing(self) -> None:
         # Data may be buffered since the pipeline was full or a step ended.
@@ -397,36 +366,13 @@
             return False
         return len(self.codec.trailing_data[0]) > MAX_READ_AHEAD_BYTES
 
-    def _write_reply(self, pending: PipelinedRequest) -> bool:
+    def _write_reply(self, pending: pipeline.PipelinedRequest) -> bool:
         """Writes a reply; returns whether the connection stays open."""
-        reply = pending.reply
         if self.gateway.draining and self._may_stop_reading():
             self._stop_reading()
         closing = not self.pipeline and self.reading_ended
-        headers = list(reply.headers)
-        no_body = reply.status in (204, 304)
-        if not no_body:
-            length = len(reply.body) if reply.length is None else reply.length
-            headers.append(("content-length", str(length)))
-        if closing:
-            headers.append(("connection", "close"))
-        codec = pending.codec
-        head = h11.Response(
-            status_code=reply.status,
-            headers=[
-                (name.encode("latin-1"), value.encode("latin-1"))
-                for name, value in headers
-            ],
-        )
-        data = codec.send(head)
-        is_head = (
-            pending.request is not None and pending.request.method == "HEAD"
-        )
-        if reply.body and not is_head and not no_body:
-            data += codec.send(h11.Data(data=reply.body))
-        data += codec.send(h11.EndOfMessage())
-        self.transport.write(data)
-        if closing or codec.our_state is not h11.DONE:
+        self.transport.write(pending.encode_reply(closing))
+        if closing or pending.codec.our_state is not h11.DONE:
             self._close()
             return False
         return True
--- a/banyantiller/http/connection.py
+++ b/banyantiller/http/connection.py
@@ -8,7 +8,8 @@
 
 import h11
 
-from banyantiller.http import body_memory, framing, messages
+from banyantiller.http import body_memory, messages
+from banyantiller.utils import framing
 
 if TYPE_CHECKING:
     import ssl
@@ -34,7 +35,7 @@
         idle_read: Read between exchanges that detects unsolicited bytes.
         has_unmatched_response: Whether a response to another request was read.
         meter: Framing of the response body that is being read, or None.
-        parts: Parts parsed since other tasks could run.
+        steps: Counts the parts that are parsed.
     """
 
     def __init__(
@@ -53,7 +54,7 @@
         self.last_response_at: float | None = None
         self.idle_read: asyncio.Task[bytes] | None = None
         self.meter: framing.FramingMeter | None = None
-        self.parts = 0
+        self.steps = framing.StepCounter()
 
     @classmethod
     async def open(
@@ -173,7 +174,7 @@
         for _ in range(framing.MAX_INFORMATIONAL + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                self.meter = framing.FramingMeter(self._unparsed_bytes())
+                self.meter = framing.FramingMeter(self.codec)
                 return messages.Response(
                     event.status_code, messages.decode_headers(event.headers)
                 )
@@ -207,6 +208,7 @@
             BodyTooLargeError: The body is longer than `max_bytes` bytes, or
                 too large for the memory that is free.
         """
+        # A memory of its own allows a body half of it, which is its limit.
         memory = memory or body_memory.BodyMemory(2 * max_bytes)
         body = bytearray()
         try:
@@ -302,7 +304,9 @@
 
     async def _next_event(self) -> h11.Event:
         while True:
-            await self._count_part()
+            if self.steps.ends_step():
+                self._check_framing()
+                await asyncio.sleep(0)
             try:
                 event = self.codec.next_event()
             except h11.RemoteProtocolError as error:
@@ -318,23 +322,10 @@
                 raise ConnectionLostError("the connection was closed")
             return event
 
-    async def _count_part(self) -> None:
-        """Lets other tasks run after each step of parts."""
-        self.parts += 1
-        if self.parts == framing.PARTS_PER_STEP:
-            self.parts = 0
-            self._check_framing()
-            await asyncio.sleep(0)
-
     def _check_framing(self) -> None:
-        if self.meter is None:
-            return
-        if self.meter.is_excessive(self._unparsed_bytes()):
+        if self.meter is not None and self.meter.is_excessive():
             raise ConnectionLostError("a body has too much framing")
 
-    def _unparsed_bytes(self) -> int:
-        return len(self.codec.trailing_data[0])
-
     async def _read(self) -> bytes:
         try:
             data = await self.reader.read(messages.READ_BYTES)
--- a/banyantiller/http/server_connection.py
+++ b/banyantiller/http/server_connection.py
@@ -7,7 +7,8 @@
 import h11
 import structlog
 
-from banyantiller.http import framing, messages
+from banyantiller.http import messages
+from banyantiller.utils import framing
 
 log = structlog.get_logger("banyantiller.http")
 
@@ -46,7 +47,7 @@
         received_early: Bytes that arrived while a request was being answered.
         stopping: Whether the connection closes after its next response.
         idle: Task that waits for the first byte of a request, or None.
-        parts: Parts parsed since other tasks could run.
+        steps: Counts the parts that are parsed.
         meter: Framing of the request body that is being read, or None.
     """
 
@@ -67,7 +68,7 @@
         self.received_early = b""
         self.stopping = False
         self.idle: asyncio.Task[h11.Event | None] | None = None
-        self.parts = 0
+        self.steps = framing.StepCounter()
         self.meter: framing.FramingMeter | None = None
 
     async def run(self) -> None:
@@ -134,7 +135,7 @@
 
     async def _read_body(self) -> bytes:
         parts = []
-        self.meter = framing.FramingMeter(self._unparsed_bytes())
+        self.meter = framing.FramingMeter(self.codec)
         if self.codec.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(
                 status_code=100, headers=[]
@@ -151,7 +152,9 @@
     async def _next_event(self) -> h11.Event | None:
         """Returns the next event, or None if the caller has closed."""
         while True:
-            await self._count_part()
+            if self.steps.ends_step():
+                self._check_framing()
+                await asyncio.sleep(0)
             try:
                 event = self.codec.next_event()
             except h11.RemoteProtocolError as error:
@@ -172,23 +175,10 @@
                 self.meter.received += len(data)
             self.codec.receive_data(data)
 
-    async def _count_part(self) -> None:
-        """Lets other tasks run after each step of parts."""
-        self.parts += 1
-        if self.parts == framing.PARTS_PER_STEP:
-            self.parts = 0
-            self._check_framing()
-            await asyncio.sleep(0)
-
     def _check_framing(self) -> None:
-        if self.meter is None:
-            return
-        if self.meter.is_excessive(self._unparsed_bytes()):
+        if self.meter is not None and self.meter.is_excessive():
             raise RequestRefusedError(400, "the body has too much framing")
 
-    def _unparsed_bytes(self) -> int:
-        return len(self.codec.trailing_data[0])
-
     async def _answer(self, request: messages.Request) -> bool:
         """Answers a request unless the caller disconnects meanwhile.
 
--- a/banyantiller/proxy/backend.py
+++ b/banyantiller/proxy/backend.py
@@ -8,8 +8,8 @@
 import structlog
 
 from banyantiller.errors import ErrorKind
-from banyantiller.http import framing
 from banyantiller.proxy import buffers, codec, guard, timers
+from banyantiller.utils import framing
 
 log = structlog.get_logger("banyantiller.proxy")
 
@@ -277,9 +277,7 @@
             self.transport.resume_reading()
 
     def _is_framing_excessive(self) -> bool:
-        if self.meter is None:
-            return False
-        return self.meter.is_excessive(len(self.http.trailing_data[0]))
+        return self.meter is not None and self.meter.is_excessive()
 
     def _fail_malformed(self) -> None:
         self._fail_exchange(ErrorKind.BACKEND_MALFORMED)
@@ -302,7 +300,7 @@
                 self._fail_exchange(ErrorKind.BACKEND_HEAD_TOO_LARGE)
                 self.abort()
                 return
-        self.meter = framing.FramingMeter(len(self.http.trailing_data[0]))
+        self.meter = framing.FramingMeter(self.http)
         self.exchange.head_received(event)
 
     def _handle_need_data(self) -> None:
--- a/banyantiller/proxy/caller.py
+++ b/banyantiller/proxy/caller.py
@@ -9,8 +9,8 @@
 import structlog
 
 from banyantiller.errors import ErrorKind, Failure
-from banyantiller.http import framing
 from banyantiller.proxy import buffers, caller_timer, codec, headers, responses
+from banyantiller.utils import framing
 
 if TYPE_CHECKING:
     from banyantiller.proxy import call as calls
@@ -59,7 +59,7 @@
         self.pipeline_paused = False
         self.step_due = False
         self.discarded = 0
-        self.meter = framing.FramingMeter()
+        self.meter = framing.FramingMeter(self.http)
         self.processing = False
         self.closing = False
         self.closed = False
@@ -331,12 +331,12 @@
     def _check_framing(self) -> None:
         if self.call is None or self.http.their_state is not h11.SEND_BODY:
             return
-        if self.meter.is_excessive(len(self.http.trailing_data[0])):
+        if self.meter.is_excessive():
             detail = "The body has too much framing."
             self.call.fail(Failure(ErrorKind.BODY_MALFORMED, detail))
 
     def _handle_request(self, event: h11.Request) -> None:
-        self.meter = framing.FramingMeter(len(self.http.trailing_data[0]))
+        self.meter = framing.FramingMeter(self.http)
         limit = self.limits.max_head_bytes
         if self.head_bytes > limit:
             size = sum(
--- a/banyantiller/tests/gateway/test_endless_bytes.py
+++ b/banyantiller/tests/gateway/test_endless_bytes.py
@@ -3,8 +3,9 @@
 import asyncio
 
 from banyantiller.gateway import exchange, gateway
-from banyantiller.http import connection, framing
+from banyantiller.http import connection
 from banyantiller.tests.gateway import harness
+from banyantiller.utils import framing
 from standins import endless_server
 
 # Longer than a rejected connection stays open.
--- a/banyantiller/tests/http/test_exchange.py
+++ b/banyantiller/tests/http/test_exchange.py
@@ -2,9 +2,10 @@
 
 import asyncio
 
-from banyantiller.http import client, framing, messages, outcomes, server
+from banyantiller.http import client, messages, outcomes, server
 from banyantiller.http import server_connection as connections
 from banyantiller.tests import base
+from banyantiller.utils import framing
 from standins import endless_server
 
 ADDRESS = "127.0.0.1"
