--- a/banyantiller/tests/base.py
+++ b/banyantiller/tests/base.py
@@ -21,6 +21,28 @@
         return runner.run(body)
 
 
+class LoopSteps:
+    """Counts the steps of the loop, in each of which other tasks can run.
+
+    Attributes:
+        count: Steps so far.
+    """
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.task = asyncio.ensure_future(self._run())
+
+    def stop(self) -> int:
+        """Ends the count and returns it."""
+        self.task.cancel()
+        return self.count
+
+    async def _run(self) -> None:
+        while True:
+            self.count += 1
+            await asyncio.sleep(0)
+
+
 class TestCase(testtools.TestCase):
     """A test case whose coroutines run on a paused clock."""
 
--- a/banyantiller/tests/gateway/test_endless_bytes.py
+++ b/banyantiller/tests/gateway/test_endless_bytes.py
@@ -4,6 +4,7 @@
 
 from banyantiller.gateway import exchange, gateway
 from banyantiller.http import connection
+from banyantiller.tests import base
 from banyantiller.tests.gateway import harness
 from banyantiller.utils import framing
 from standins import endless_server
@@ -154,29 +155,21 @@
         data = b"10\r\n0123456789abcdef\r\n" * chunks + b"0\r\n\r\n"
 
         async def body(env):
-            steps = 0
-
-            async def count():
-                nonlocal steps
-                while True:
-                    steps += 1
-                    await asyncio.sleep(0)
-
             caller = await harness.Caller.connect(env)
             caller.writer.write(CHUNKED_HEAD)
             await asyncio.sleep(0.1)
             (accepted,) = env.gateway.connections
-            counting = asyncio.ensure_future(count())
+            steps = base.LoopSteps()
             accepted.data_received(data)
             for _ in range(chunks):
                 if accepted.pipeline[0].call is not None:
                     break
                 await asyncio.sleep(0)
-            counting.cancel()
+            count = steps.stop()
             answer = await caller.read()
             caller.close()
             bodies = [b for s in env.servers.values() for b in s.bodies]
-            return steps, answer.status, [len(one) for one in bodies]
+            return count, answer.status, [len(one) for one in bodies]
 
         steps, status, lengths = self.play(body)
         self.assertGreaterEqual(steps, chunks // 100)
--- a/banyantiller/tests/http/test_endless_responses.py
+++ b/banyantiller/tests/http/test_endless_responses.py
@@ -71,26 +71,17 @@
         chunks = part.count(b"0123456789abcdef")
 
         async def body(server):
-            steps = 0
-
-            async def count():
-                nonlocal steps
-                while True:
-                    steps += 1
-                    await asyncio.sleep(0)
-
             link = await connection.ClientConnection.open(
                 ADDRESS, server.port, HEAD_BYTES
             )
             link.write(REQUEST)
             await link.read_head()
             await asyncio.sleep(10 * endless_server.PART_S)
-            counting = asyncio.ensure_future(count())
+            steps = base.LoopSteps()
             for _ in range(chunks):
                 await link.read_chunk()
-            counting.cancel()
             link.reset()
-            return steps
+            return steps.stop()
 
         # A chunk takes about 10 us, so that others wait for 1 ms at most.
         self.assertGreaterEqual(self.use(pattern, body), chunks // 100)
--- a/banyantiller/tests/proxy/test_endless_bytes.py
+++ b/banyantiller/tests/proxy/test_endless_bytes.py
@@ -24,6 +24,18 @@
 MAX_CHUNKS_PER_STEP = 100
 
 
+def endless(pattern: endless_server.Pattern, sent: list[int]) -> fakes.Script:
+    """Returns a script that sends a pattern and adds the bytes to `sent`."""
+
+    async def script(connection: fakes.FakeConnection) -> None:
+        await connection.head()
+        writer = connection.writer
+        writer.write(pattern.begin)
+        sent.append(await endless_server.send(writer, pattern.part, SEND_S))
+
+    return script
+
+
 async def read_only(connection: fakes.FakeConnection) -> None:
     """Reads a request without an end."""
     while await connection.reader.read(buffers.READ_BYTES):
@@ -37,15 +49,7 @@
         The second result is whether the call has ended.
         """
         sent = []
-
-        async def script(connection: fakes.FakeConnection) -> None:
-            await connection.head()
-            connection.writer.write(pattern.begin)
-            sent.append(
-                await endless_server.send(
-                    connection.writer, pattern.part, SEND_S
-                )
-            )
+        script = endless(pattern, sent)
 
         async def body() -> bool:
             bench = await fakes.Bench.start(script)
@@ -141,15 +145,7 @@
         """The body of the answer to a probe was read until its timeout."""
         pattern = endless_server.NO_ANSWER["body without length"]
         sent = []
-
-        async def script(connection: fakes.FakeConnection) -> None:
-            await connection.head()
-            connection.writer.write(pattern.begin)
-            sent.append(
-                await endless_server.send(
-                    connection.writer, pattern.part, SEND_S
-                )
-            )
+        script = endless(pattern, sent)
 
         async def body() -> list[str]:
             bench = await fakes.Bench.start(script)
