--- a/banyantiller/tests/gateway/test_endless_bytes.py
+++ b/banyantiller/tests/gateway/test_endless_bytes.py
@@ -14,18 +14,6 @@
 # Bytes that a request may have beyond its content: its head and framing, and
 # what the sockets buffer.
 MAX_SENT_BYTES = 1 << 18
-CHUNKED_HEAD = (
-    b"POST /file/x HTTP/1.1\r\nhost: desk.example\r\nattempt-id: a\r\n"
-    b"transfer-encoding: chunked\r\n\r\n"
-)
-ENDLESS_REQUESTS = {
-    "head": (b"GET / HTTP/1.1\r\nx: ", b"a"),
-    "head fields": (b"GET / HTTP/1.1\r\n", b"x: y\r\n"),
-    "tiny chunks": (CHUNKED_HEAD, b"1\r\nx\r\n"),
-    "chunk extension": (CHUNKED_HEAD + b"1;", b"e"),
-    "chunk extensions": (CHUNKED_HEAD, b"1;" + b"e" * 8000 + b"\r\nx\r\n"),
-    "trailers": (CHUNKED_HEAD + b"0\r\n", b"x: y\r\n"),
-}
 
 
 class EndlessProbeTest(harness.TestCase):
@@ -123,15 +111,14 @@
     def test_endless_request_is_rejected_by_size(self):
         """Tiny chunks were read until the body's timeout, 30 s."""
 
-        async def body(env, begin, part):
+        async def body(env, pattern):
             caller = await harness.Caller.connect(env)
-            caller.writer.write(begin)
+            caller.writer.write(pattern.begin)
             sent = 0
-            part = endless_server.repeated(part)
             reading = asyncio.ensure_future(caller.read())
             while not reading.done() and sent < 2 * MAX_SENT_BYTES:
-                caller.writer.write(part)
-                sent += len(part)
+                caller.writer.write(pattern.part)
+                sent += len(pattern.part)
                 await asyncio.sleep(endless_server.PART_S)
             answer = await reading if reading.done() else None
             reading.cancel()
@@ -141,9 +128,9 @@
             memory = env.gateway.buffered_body_bytes
             return answer and answer.status, sent, left, memory
 
-        for name, (begin, part) in ENDLESS_REQUESTS.items():
+        for name, pattern in endless_server.NO_REQUEST.items():
             status, sent, left, memory = self.play(
-                lambda env, begin=begin, part=part: body(env, begin, part)
+                lambda env, pattern=pattern: body(env, pattern)
             )
             self.assertIn(status, (400, 431), name)
             self.assertLess(sent, MAX_SENT_BYTES, name)
@@ -156,7 +143,7 @@
 
         async def body(env):
             caller = await harness.Caller.connect(env)
-            caller.writer.write(CHUNKED_HEAD)
+            caller.writer.write(endless_server.CHUNKED_POST)
             await asyncio.sleep(0.1)
             (accepted,) = env.gateway.connections
             steps = base.LoopSteps()
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -12,7 +12,7 @@
 from soak.gateways import Daemon
 from soak.record import Attempt
 from soak.world import World
-from standins import runner
+from standins import endless_server, runner
 
 CONNECT_S = 1.0
 # Time between the requests of one connection.
@@ -279,6 +279,23 @@
         connection.close()
 
 
+async def send_without_end(
+    world: World, daemon: Daemon, pattern: endless_server.Pattern, for_s: float
+) -> None:
+    """Sends a request without an end, on new connections for a while."""
+    until = world.loop.time() + for_s
+    while world.loop.time() < until:
+        connection = await _connect(world, daemon)
+        if connection is None:
+            return
+        connection.writer.write(pattern.begin)
+        await endless_server.send(
+            connection.writer, pattern.part, until - world.loop.time()
+        )
+        connection.close()
+        await asyncio.sleep(REPEAT_S)
+
+
 async def _send_once(
     world: World, name: str, path: str, daemon: Daemon
 ) -> None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,7 +15,7 @@
     STORE_CALL_S,
     World,
 )
-from standins import platform_store
+from standins import endless_server, platform_store
 
 # Strongest of what varies with `Step.x`.
 MOST_DELAY_S = 0.3
@@ -273,6 +273,13 @@
     _note(world, began, records.STORE, None)
 
 
+async def caller_sends_without_end(world: World, step: plans.Step) -> None:
+    """Lets a caller send a request without an end; excuses none."""
+    pattern = endless_server.NO_REQUEST[step.choice]
+    daemon = _daemon(world, step)
+    await callers.send_without_end(world, daemon, pattern, step.for_s)
+
+
 async def restore_store(world: World, step: plans.Step) -> None:
     """Lets the store go away and come back from a copy.
 
@@ -312,6 +319,8 @@
     "server link": trouble_server,
     "daemons partitioned": partition_daemons,
     "server fault": server_faults.fail_server,
+    "server sends without end": server_faults.send_without_end,
+    "caller sends without end": caller_sends_without_end,
     "server crash": server_faults.crash_server,
     "request ends servers": server_faults.end_servers,
     "server leaves": server_faults.server_leaves,
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from soak import partitions
+from standins import endless_server
 
 # Nothing happens before callers are served.
 FIRST_S = 1.0
@@ -136,6 +137,11 @@
 }
 FIRST_RESTORE_SEED = 60_000
 RESTORE_KINDS = ORGANISATION_KINDS | {"store restored": Kind(4, 3.0)}
+FIRST_ENDLESS_SEED = 70_000
+ENDLESS_KINDS = RESTORE_KINDS | {
+    "server sends without end": Kind(6, 4.0, tuple(endless_server.NO_ANSWER)),
+    "caller sends without end": Kind(4, 3.0, tuple(endless_server.NO_REQUEST)),
+}
 
 
 def has_organisations(seed: int) -> bool:
@@ -163,7 +169,9 @@
         return PARTITION_KINDS
     if seed < FIRST_RESTORE_SEED:
         return ORGANISATION_KINDS
-    return RESTORE_KINDS
+    if seed < FIRST_ENDLESS_SEED:
+        return RESTORE_KINDS
+    return ENDLESS_KINDS
 
 
 def draw(seed: int, sizes: Sizes) -> Plan:
--- a/soak/server_faults.py
+++ b/soak/server_faults.py
@@ -41,6 +41,16 @@
         setattr(server.faults, step.choice, False)
 
 
+async def send_without_end(world: World, step: plans.Step) -> None:
+    """Lets a server send bytes without end in place of answers."""
+    server = world.places[step.target % len(world.places)].server
+    if server is None:
+        return
+    server.faults.endless = step.choice
+    await asyncio.sleep(step.for_s)
+    server.faults.endless = ""
+
+
 async def crash_server(world: World, step: plans.Step) -> None:
     """Ends a server without notice; another start takes its place."""
     number = step.target % len(world.places)
--- a/standins/endless_server.py
+++ b/standins/endless_server.py
@@ -28,6 +28,11 @@
     begin: bytes
     part: bytes
 
+    def answering(self, identity: bytes) -> "Pattern":
+        """Returns the pattern as the answer to a request with an identity."""
+        signed = SIGNED.replace(b"%(id)s", identity)
+        return self._replace(begin=self.begin.replace(OK, signed))
+
 
 def repeated(part: bytes) -> bytes:
     """Returns a part over and over, of about `PART_BYTES`."""
@@ -70,6 +75,23 @@
 }
 
 
+# The same from a caller.
+CHUNKED_POST = (
+    b"POST /file/x HTTP/1.1\r\nhost: desk.example\r\n"
+    b"transfer-encoding: chunked\r\n\r\n"
+)
+NO_REQUEST = {
+    "head line": Pattern(b"GET / HTTP/1.1\r\nx: ", repeated(b"a")),
+    "head fields": Pattern(b"GET / HTTP/1.1\r\n", repeated(b"x: y\r\n")),
+    "tiny chunks": Pattern(CHUNKED_POST, repeated(b"1\r\nx\r\n")),
+    "chunk extension": Pattern(CHUNKED_POST + b"1;", repeated(b"e")),
+    "chunk extensions": Pattern(
+        CHUNKED_POST, repeated(b"1;" + b"e" * 8000 + b"\r\nx\r\n")
+    ),
+    "trailers": Pattern(CHUNKED_POST + b"0\r\n", repeated(b"x: y\r\n")),
+}
+
+
 class EndlessServer:
     """Answers with a pattern until the connection is closed.
 
@@ -130,11 +152,7 @@
 
     def _pattern_for(self, head: bytes) -> Pattern:
         """Returns the pattern of the answer to a request."""
-        identity = b""
         for line in head.lower().split(b"\r\n"):
             if line.startswith(b"attempt-id:"):
-                identity = line.partition(b":")[2].strip()
-        begin = self.pattern.begin
-        if identity:
-            begin = begin.replace(OK, SIGNED.replace(b"%(id)s", identity))
-        return self.pattern._replace(begin=begin)
+                return self.pattern.answering(line.partition(b":")[2].strip())
+        return self.pattern
--- a/standins/registered_server.py
+++ b/standins/registered_server.py
@@ -13,9 +13,13 @@
 
 import h11
 
+from standins import endless_server
+
 STANDARD_MS = 60.0
 # Work is done when less than this is left of it, in seconds.
 LEAST_WORK_S = 1e-9
+# Longer than any caller waits.
+ENDLESS_S = 60.0
 
 
 @dataclasses.dataclass
@@ -38,6 +42,8 @@
         ill: Calls itself unfit.
         unframed: Answers without a length and closes.
         other_id: Echoes another identity.
+        endless: Pattern of bytes that it sends without end in place of an
+            answer, by its name; empty for none.
         ended_by: Begin of the targets of requests that end it once it has
             worked on them; empty for none.
     """
@@ -57,6 +63,7 @@
     ill: bool = False
     unframed: bool = False
     other_id: bool = False
+    endless: str = ""
     ended_by: str = ""
 
 
@@ -308,6 +315,12 @@
             await asyncio.sleep(3600)
         if faults.reset:
             return False
+        if faults.endless:
+            pattern = endless_server.NO_ANSWER[faults.endless]
+            pattern = pattern.answering(own["attempt-id"].encode())
+            writer.write(pattern.begin)
+            await endless_server.send(writer, pattern.part, ENDLESS_S)
+            return False
         status = 500 if faults.fail else 200
         if faults.silent_503:
             status = 503
