Keep the body of a request in one buffer while it is read

What happened: a caller that sends chunks of 5 bytes, which are no excess of framing, took 748,256 bytes of memory for 80,000 of content.

Cause: each chunk was kept as an object of its own, as in responses before.

Change: one buffer, for requests of callers and of peers. The test failed before with the figure above; it allows three times the content.

--- a/banyantiller/gateway/caller.py
+++ b/banyantiller/gateway/caller.py
@@ -258,7 +258,7 @@
                 Failure(ErrorKind.QUEUE_FULL, retry_after=FULL_RETRY_AFTER_S)
             )
         else:
-            pending.body.append(bytes(data))
+            pending.body += data
             pending.fingerprint.update(data)
 
     def _handle_end(self) -> None:
@@ -266,7 +266,7 @@
         pending = self.incoming
         self.incoming = None
         pending.request = pending.request._replace(
-            body=b"".join(pending.body),
+            body=bytes(pending.body),
             received=self.loop.time(),
             fingerprint=pending.fingerprint.hexdigest(),
         )
--- a/banyantiller/gateway/pipeline.py
+++ b/banyantiller/gateway/pipeline.py
@@ -19,7 +19,7 @@
     Attributes:
         codec: h11 connection of this exchange.
         request: The request, or None if its head could not be parsed.
-        body: Chunks of the body that were received so far.
+        body: What was received of the body so far.
         meter: Content and framing of the body that were received so far.
         fingerprint: Digest of the request as far as it was read, or None.
         call: The call, once the request was read completely.
@@ -30,7 +30,7 @@
     def __init__(self, codec: h11.Connection) -> None:
         self.codec = codec
         self.request: requests.Request | None = None
-        self.body: list[bytes] = []
+        self.body = bytearray()
         self.meter = framing.FramingMeter(codec)
         self.fingerprint: fingerprint.Fingerprint | None = None
         self.call: calls.Call | None = None
--- a/banyantiller/http/server_connection.py
+++ b/banyantiller/http/server_connection.py
@@ -134,7 +134,7 @@
             self.idle = None
 
     async def _read_body(self) -> bytes:
-        parts = []
+        body = bytearray()
         self.meter = framing.FramingMeter(self.codec)
         if self.codec.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(
@@ -145,9 +145,9 @@
             self.meter.content += len(event.data)
             if self.meter.content > self.limits.body_bytes:
                 raise RequestRefusedError(413, "the body is too large")
-            parts.append(bytes(event.data))
+            body += event.data
         self.meter = None
-        return b"".join(parts)
+        return bytes(body)
 
     async def _next_event(self) -> h11.Event | None:
         """Returns the next event, or None if the caller has closed."""
--- a/banyantiller/tests/gateway/test_endless_bytes.py
+++ b/banyantiller/tests/gateway/test_endless_bytes.py
@@ -1,6 +1,7 @@
 """Tests of servers and callers that send bytes without end."""
 
 import asyncio
+import tracemalloc
 
 from banyantiller.gateway import exchange, gateway
 from banyantiller.http import connection
@@ -11,6 +12,8 @@
 
 # Longer than a rejected connection stays open.
 SEND_S = 1.5
+# The smallest chunk of which any number may follow.
+SMALL_CHUNK = b"5\r\nabcde\r\n"
 # Bytes that a request may have beyond its content: its head and framing, and
 # what the sockets buffer.
 MAX_SENT_BYTES = 1 << 18
@@ -136,6 +139,29 @@
             self.assertLess(sent, MAX_SENT_BYTES, name)
             self.assertEqual((0, 0), (left, memory), name)
 
+    def test_small_chunks_take_no_more_memory_than_their_content(self):
+        """Each chunk was kept as an object of 38 bytes and more."""
+        chunks = 16000
+
+        async def body(env):
+            caller = await harness.Caller.connect(env)
+            caller.writer.write(endless_server.CHUNKED_POST)
+            await asyncio.sleep(0.1)
+            (accepted,) = env.gateway.connections
+            tracemalloc.start()
+            for _ in range(chunks // framing.PARTS_PER_STEP):
+                accepted.data_received(SMALL_CHUNK * framing.PARTS_PER_STEP)
+                await asyncio.sleep(0.001)
+            taken, _ = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            content = accepted.incoming.meter.content
+            caller.close()
+            return content, taken
+
+        content, taken = self.play(body)
+        self.assertEqual(5 * chunks, content)
+        self.assertLess(taken, 3 * content)
+
     def test_other_tasks_run_while_small_chunks_are_parsed(self):
         """All chunks of one read were parsed in one step of the loop."""
         chunks = 3000
