--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -328,6 +328,13 @@
         )
         return service_budget
 
+    def shares_load(self) -> bool:
+        """Returns whether daemons share what they know of the load."""
+        if self.settings.load_sharing != "auto":
+            return self.settings.load_sharing == "on"
+        routes = self.store_view.routes
+        return routes is not None and routes.calls_for_load_sharing
+
     def min_recent_share(self) -> float:
         """Returns the smallest share during the last retry window."""
         if not self.settings.seeds:
--- a/banyantiller/gateway/protocols.py
+++ b/banyantiller/gateway/protocols.py
@@ -74,6 +74,9 @@
     def share(self) -> float:
         """Returns this daemon's share of the fleet's budgets."""
 
+    def shares_load(self) -> bool:
+        """Returns whether daemons share what they know of the load."""
+
     def record_call(
         self, call: Any, status: int, error: ErrorKind | None
     ) -> None:
--- a/banyantiller/gateway/routes.py
+++ b/banyantiller/gateway/routes.py
@@ -21,6 +21,8 @@
         organisations_by_name: Organisations by their names.
         priorities: Priorities of the requests for each service.
         names: Names of all routes.
+        calls_for_load_sharing: Whether the document calls for load sharing;
+            see `calls_for_load_sharing`.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         }
         self.priorities = _priorities_by_service(document)
         self.names = frozenset(route.name for route in document.routes)
+        self.calls_for_load_sharing = calls_for_load_sharing(document)
 
     def find(self, host: str, target: str) -> types.Route | None:
         """Returns the route with the longest matching path prefix, or None.
@@ -115,6 +118,20 @@
         return weighted[-1].service
 
 
+def calls_for_load_sharing(document: types.Document) -> bool:
+    """Returns whether daemons share what they know of the load.
+
+    Callers of organisations with an allowance compete for the same servers,
+    and large responses compete with small ones. Other deployments are spared
+    the messages.
+    """
+    limited = any(
+        organisation.per_s is not None
+        for organisation in document.organisations or ()
+    )
+    return limited or any(route.large_responses for route in document.routes)
+
+
 def _priority(
     route: types.Route, organisation: types.Organisation | None
 ) -> int:
--- a/banyantiller/gateway/settings.py
+++ b/banyantiller/gateway/settings.py
@@ -97,6 +97,14 @@
             low=0,
         ),
     ] = 0.0
+    load_sharing: Annotated[
+        str,
+        Option(
+            "Whether daemons share what they know of the load and decide by it"
+            " who is served first: auto follows the document.",
+            choices=("auto", "on", "off"),
+        ),
+    ] = "auto"
     quarantine_s: Annotated[
         float,
         Option(
--- a/banyantiller/gateway/types.py
+++ b/banyantiller/gateway/types.py
@@ -33,6 +33,7 @@
         max_attempts: Maximum number of attempts of one request.
         weighted_services: Services and their shares; at least one.
         public: Whether callers need no key.
+        large_responses: Whether the operators state that responses are large.
     """
 
     name: str
@@ -45,6 +46,7 @@
     max_attempts: int
     weighted_services: tuple[WeightedService, ...]
     public: bool = False
+    large_responses: bool = False
 
 
 class Organisation(NamedTuple):
--- a/banyantiller/platform/documents.py
+++ b/banyantiller/platform/documents.py
@@ -8,8 +8,9 @@
 from banyantiller.gateway import access_keys, types
 
 # Types of a route whose requests may be retried; any other type forbids it.
-# Responses to downloads are large.
 REPEATABLE = frozenset(("safe", "download"))
+# Type of a route whose responses are large.
+LARGE_RESPONSES = "download"
 
 
 class PartFields(TypedDict):
@@ -215,6 +216,7 @@
             fields["maxAttempts"],
             _read_parts(fields),
             fields.get("public", False),
+            fields["routeType"] == LARGE_RESPONSES,
         )
     except KeyError as error:
         raise ValueError(f"{place}: {error} is missing") from error
--- a/banyantiller/tests/gateway/test_routes.py
+++ b/banyantiller/tests/gateway/test_routes.py
@@ -103,3 +103,27 @@
             organisations=(same,),
         )
         self.assertEqual(set(), urgent_routes(found, same))
+
+
+class LoadSharingTest(base.TestCase):
+    """A document that doesn't call for load sharing must not switch it on."""
+
+    def calls(self, **changed):
+        ordinary = route()
+        document = types.Document(1, (ordinary,), {})._replace(**changed)
+        return routes.calls_for_load_sharing(document)
+
+    def test_ordinary_document_does_not_call_for_it(self):
+        self.assertFalse(self.calls())
+
+    def test_organisations_without_an_allowance_do_not_call_for_it(self):
+        one = types.Organisation("a", ())
+        self.assertFalse(self.calls(organisations=(one,)))
+
+    def test_allowances_call_for_it(self):
+        one = types.Organisation("a", (), per_s=2.0)
+        self.assertTrue(self.calls(organisations=(one,)))
+
+    def test_large_responses_call_for_it(self):
+        large = route()._replace(large_responses=True)
+        self.assertTrue(self.calls(routes=(large,)))
--- a/banyantiller/tests/platform/test_decoding.py
+++ b/banyantiller/tests/platform/test_decoding.py
@@ -71,7 +71,9 @@
             )
 
     def test_downloads_are_idempotent(self):
-        self.assertTrue(self.read(routeType="download").routes[0].idempotent)
+        route = self.read(routeType="download").routes[0]
+        self.assertTrue(route.idempotent)
+        self.assertTrue(route.large_responses)
 
     def read_organisations(self, *items):
         value = documents.hide_keys(DOCUMENT | {"tenants": list(items)})
