Add the interface of the service loads

Cause: several parts of load sharing decide by the loads that the fleet knows, and are built side by side. Change: types only; every load is unknown for now, which is today's behaviour.

--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -35,7 +35,13 @@
 )
 from banyantiller.gateway import call as calls
 from banyantiller.gateway import settings as options
-from banyantiller.gateway.decisions import budget, durations, selection, turns
+from banyantiller.gateway.decisions import (
+    budget,
+    durations,
+    selection,
+    service_load,
+    turns,
+)
 from banyantiller.http import body_memory, messages
 from banyantiller.quarantine import crash_table
 
@@ -77,6 +83,7 @@
         connections: Open connections of callers.
         buffered_body_bytes: Bytes of request bodies in memory.
         durations: Usual durations of requests.
+        service_loads: Loads of the servers by service and zone.
         crash_detector: Finds requests that were on servers that crashed.
         quarantine_sync: Exchanges quarantined requests with peers.
         server_limits: Rate limits that servers name.
@@ -116,6 +123,7 @@
         self.budgets: dict[str, budget.RetryBudget] = {}
         self.shares = budget.MinShare(settings.retry_window_s, self.loop.time())
         self.durations = durations.Durations()
+        self.service_loads = service_load.ServiceLoads()
         self.sampler = sampling.CallSampler()
         self.crash_detector = crash_detection.CrashDetector(
             crash_table.CrashTable(settings.quarantine_s, rng),
--- a/banyantiller/gateway/protocols.py
+++ b/banyantiller/gateway/protocols.py
@@ -25,7 +25,7 @@
     types,
 )
 from banyantiller.gateway import settings as options
-from banyantiller.gateway.decisions import budget, durations
+from banyantiller.gateway.decisions import budget, durations, service_load
 from banyantiller.http import client
 
 
@@ -62,6 +62,7 @@
     forwarder: CallForwarder
     allowances: allowances.Allowances
     durations: durations.Durations
+    service_loads: service_load.ServiceLoads
     default_timeout_s: float
     response_memory: exchange.ResponseMemory
 
