Limit large responses to what a daemon's link carries

Cause: nothing counted a daemon's link. Off unless load sharing is on and the route has large responses.

--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -159,6 +159,8 @@
             return self._end_without_server()
         try:
             async with asyncio.timeout_at(self.deadline):
+                if self.route.large_responses and self.gateway.shares_load():
+                    return await self._run_large(service)
                 return await self._run_attempts(service)
         except TimeoutError:
             if self.progress.maybe_ran:
@@ -175,6 +177,26 @@
             self.admission.error_kind, retry_after=self.admission.retry_after_s
         )
 
+    async def _run_large(self, service: types.Service) -> replies.Reply:
+        """Runs a call with a large response once the link has room for it."""
+        usual_s = self.gateway.durations.usual_s(
+            self.route.name, self.route.objective_s
+        )
+        transfer = await self.gateway.transfers.admit(
+            self.route, usual_s, self.deadline
+        )
+        if isinstance(transfer, Failure):
+            self.progress.reason = transfer.detail
+            return self._fail(transfer)
+        size, successful = 0, False
+        try:
+            reply = await self._run_attempts(service)
+            size = len(reply.body)
+            successful = self.progress.error is None and reply.status < 300
+        finally:
+            transfer.end(size, successful)
+        return reply
+
     async def _run_attempts(self, service: types.Service) -> replies.Reply:
         """Sends to servers until one responds, with one hedge at most."""
         try:
--- a/banyantiller/gateway/call_events.py
+++ b/banyantiller/gateway/call_events.py
@@ -92,6 +92,14 @@
     ]
 
 
+@event("gateway: link is busy with large responses.")
+class LinkBusy(NamedTuple):
+    """Calls with large responses are rejected, or accepted again."""
+
+    busy: Annotated[bool, "Whether calls are rejected."]
+    bytes: Annotated[int, "Bytes of large responses that were taken on."]
+
+
 @event("gateway: request rejected.")
 class RequestRejected(NamedTuple):
     """A request is malformed, or larger than allowed."""
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -31,6 +31,7 @@
     stalls,
     store_view,
     tallies,
+    transfers,
     types,
 )
 from banyantiller.gateway import call as calls
@@ -93,6 +94,7 @@
         forwarder: Forwards calls to daemons that reach servers.
         forwarded_calls: Runs calls that other daemons forward.
         allowances: Admits the requests of organisations with an allowance.
+        transfers: Admits calls with large responses.
         stalls: Reports moments in which the process ran nothing.
     """
 
@@ -184,6 +186,9 @@
         self.allowances = allowances.Allowances(
             self.store_view, lambda: self.settings, rng
         )
+        self.transfers = transfers.Transfers(
+            lambda: self.settings, self.response_memory.shared
+        )
         self.stalls = stalls.StallDetector()
         self.all_closed = asyncio.Event()
         self.listener: asyncio.Server | None = None
@@ -277,6 +282,7 @@
             await self.forwarder.expire(now)
             if self.store_view.routes is not None:
                 self.durations.retain_routes(self.store_view.routes.names)
+                self.transfers.retain_routes(self.store_view.routes.names)
 
     async def close(self) -> None:
         """Closes every connection to servers and peers."""
--- a/banyantiller/gateway/metrics.py
+++ b/banyantiller/gateway/metrics.py
@@ -62,6 +62,8 @@
             ("store_calls", "Requests to the store.", store.calls, ("verb",)),
             ("allowance_decisions", "Requests of organisations with an"
              " allowance.", self.gateway.allowances.outcomes, ("outcome",)),
+            ("large_responses", "Calls with large responses by what the link"
+             " allowed.", self.gateway.transfers.outcomes, ("outcome",)),
             ("peer_questions", "Queries to peers for changes.",
              self.gateway.store_view.reader.query_outcomes, ("outcome",)),
         )  # fmt: skip
@@ -130,6 +132,8 @@
             ("backed_off_servers", "Servers that asked this daemon for a"
              " backoff by Retry-After.",
              gateway.server_backoffs.count_active),
+            ("large_response_bytes", "Bytes of large responses that were taken"
+             " on and not yet transferred.", gateway.transfers.bytes_taken_on),
             ("connections", "Open connections of callers.",
              lambda: len(gateway.connections)),
             ("quarantined_requests", "Requests that are rejected since they"
--- a/banyantiller/gateway/protocols.py
+++ b/banyantiller/gateway/protocols.py
@@ -22,6 +22,7 @@
     server_responses,
     store_view,
     tallies,
+    transfers,
     types,
 )
 from banyantiller.gateway import settings as options
@@ -63,6 +64,7 @@
     allowances: allowances.Allowances
     durations: durations.Durations
     service_loads: service_load.ServiceLoads
+    transfers: transfers.Transfers
     default_timeout_s: float
     response_memory: exchange.ResponseMemory
 
--- a/banyantiller/gateway/settings.py
+++ b/banyantiller/gateway/settings.py
@@ -105,6 +105,13 @@
             choices=("auto", "on", "off"),
         ),
     ] = "auto"
+    link_mbps: Annotated[
+        float,
+        Option(
+            "Rate of this machine's link in Mbit/s; 0 if it is no limit.",
+            low=0,
+        ),
+    ] = 0.0
     quarantine_s: Annotated[
         float,
         Option(
