--- a/banyantiller/tests/gateway/event_scenarios.py
+++ b/banyantiller/tests/gateway/event_scenarios.py
@@ -140,6 +140,18 @@
     await env.request("a")
 
 
+@shows(call_events.LinkBusy)
+async def link_is_busy(env):
+    env.gateway.settings = env.gateway.settings._replace(
+        link_mbps=0.5, load_sharing="on"
+    )
+    env.put_document([harness.route("large", "download", "/large/")])
+    await asyncio.sleep(0.1)
+    await asyncio.gather(
+        *(env.request(f"a{number}", "/large/x") for number in range(4))
+    )
+
+
 @shows(
     events.ServerUnresponsive,
     events.ServerResponsive,
