Estimate the load of services over the fleet

No daemon probes enough servers to notice a burst. Each daemon now keeps the last load of each server that it observed, and exchanges weighted sums with its relay in the messages about documents. Off while load sharing is off.

--- a/banyantiller/gateway/decisions/service_load.py
+++ b/banyantiller/gateway/decisions/service_load.py
@@ -3,18 +3,93 @@
 Load pattern: over a hundred daemons send two requests a second each, and the
 demand for a service doubles within a second. No daemon probes enough servers to
 notice it alone.
+
+Each daemon keeps the last load that it observed of each server. It reports
+sums over these, which its relay adds to those of other daemons. Everything
+that is estimated is a quotient of two sums, so that an observation which is
+counted twice for a moment, as while a daemon changes its relay, shifts weights
+but no totals.
 """
 
-from typing import NamedTuple
+import math
+import zlib
+from collections.abc import Iterable
+from typing import Annotated, NamedTuple
+
+import msgspec
 
 from banyantiller.gateway import types
+from banyantiller.gateway.decisions import selection
+
+# Half-life of an observation's weight, in seconds.
+HALF_LIFE_S = 0.2
+# Age at which observations and reports are dropped, in seconds.
+MAX_AGE_S = 2.0
+# Weight below which a load is not known: that of two observations which are a
+# half-life old.
+MIN_WEIGHT = 1.0
+# Maximum number of pairs of service and zone in one message.
+MAX_REPORTED = 32
+# Sums are reported in hundredths.
+SCALE = 100
+# Distinct servers of a zone are counted by linear counting: each sets one of
+# these bits. The count of 54 servers is off by a tenth.
+SERVER_BITS = 64
+# How often a relay adds up the reports of its group anew, in seconds. In
+# between it replaces single reports in the sums.
+REBUILD_S = 0.5
+# Weight of one request in the usual duration at a service, which is used while
+# no daemon reports durations.
+USUAL_WEIGHT = 0.1
+
+Count = Annotated[int, msgspec.Meta(ge=0, lt=1 << 64)]
+# Service and zone.
+Key = tuple[str, str]
+
+
+class LoadFields(NamedTuple):
+    """Observations of a service in a zone, in a message between daemons.
+
+    All numbers except `servers` are weighted sums in hundredths.
+
+    Attributes:
+        service: Name of the service.
+        zone: Availability zone of the servers.
+        servers: Bits of the observed servers; see `SERVER_BITS`.
+        weight: Observed servers.
+        age: Their ages, in seconds.
+        slots: Their slots.
+        free: Their free slots.
+        idle: Servers without a request.
+        slow: Servers that are too slow for a request.
+        waiting: Their queued requests.
+        sends: Requests that were sent to servers.
+        rejected: Those that a server with a free slot rejected.
+        completed: Requests to which a server responded.
+        took: Their durations, in seconds.
+    """
+
+    service: str
+    zone: str
+    servers: Count
+    weight: Count
+    age: Count
+    slots: Count
+    free: Count
+    idle: Count
+    slow: Count
+    waiting: Count
+    sends: Count
+    rejected: Count
+    completed: Count
+    took: Count
 
 
 class ZoneLoad(NamedTuple):
     """What the fleet knows of the servers of a service in a zone.
 
     Attributes:
-        servers: Distinct servers that were observed.
+        servers: Distinct servers that were observed, estimated.
         free_share: Free slots as a share of all slots, 0 to 1.
         idle_share: Share of the servers without a request.
         slow_share: Share of the servers that are too slow for a request; see
@@ -22,7 +97,10 @@
         waiting: Queued requests per server.
         rejected_share: Share of the sent requests that a server with a free
             slot rejected.
-        freed_per_s: Estimated number of slots that become free per second.
+        freed_per_s: Estimated number of slots that become free per second: the
+            busy slots of the observed servers, divided by the mean duration of
+            the requests that completed lately (Little's law). It is 0 before
+            the first request of the service completed.
         age_s: Mean age of the observations, in seconds.
     """
 
@@ -36,8 +114,147 @@
     age_s: float
 
 
+class Sums(NamedTuple):
+    """Weighted sums over observations; see `LoadFields`.
+
+    Attributes:
+        servers: Bits of the observed servers.
+        values: The other numbers in the order of `LoadFields`.
+    """
+
+    servers: int
+    values: list[float]
+
+
+# Positions in `Sums.values`.
+WEIGHT, AGE, SLOTS, FREE, IDLE, SLOW, WAITING = range(7)
+SENDS, REJECTED, COMPLETED, TOOK = range(7, 11)
+VALUE_COUNT = 11
+
+
+class OwnZone:
+    """What this daemon observed of a service in a zone.
+
+    Attributes:
+        loads: Last load of each server and the loop time of it, by instance.
+        sends: Requests sent, weighted.
+        rejected: Those that a server with a free slot rejected.
+        completed: Requests to which a server responded, weighted.
+        took_s: Their durations.
+        at: Loop time to which the weights refer.
+    """
+
+    __slots__ = ("at", "completed", "loads", "rejected", "sends", "took_s")
+
+    def __init__(self, now: float) -> None:
+        self.loads: dict[str, tuple[types.Load, float]] = {}
+        self.sends = 0.0
+        self.rejected = 0.0
+        self.completed = 0.0
+        self.took_s = 0.0
+        self.at = now
+
+    def decay(self, now: float) -> None:
+        """Lowers the weights of requests to those at a loop time."""
+        factor = decay_factor(now - self.at)
+        self.sends *= factor
+        self.rejected *= factor
+        self.completed *= factor
+        self.took_s *= factor
+        self.at = now
+
+    def sums(self, now: float) -> Sums:
+        """Returns the sums at a loop time, and drops what is too old."""
+        self.decay(now)
+        bits = 0
+        values = [0.0] * VALUE_COUNT
+        for instance, (load, at) in list(self.loads.items()):
+            age_s = now - at
+            if age_s > MAX_AGE_S:
+                del self.loads[instance]
+                continue
+            weight = decay_factor(age_s)
+            slots = max(1, load.slots)
+            taken = load.running + load.waiting
+            bits |= 1 << (zlib.crc32(instance.encode()) % SERVER_BITS)
+            values[WEIGHT] += weight
+            values[AGE] += weight * age_s
+            values[SLOTS] += weight * slots
+            values[FREE] += weight * max(0, slots - taken)
+            values[IDLE] += weight * (taken == 0)
+            values[SLOW] += weight * (load.slowness > selection.MAX_SLOWNESS)
+            values[WAITING] += weight * load.waiting
+        values[SENDS:] = self.sends, self.rejected, self.completed, self.took_s
+        return Sums(bits, values)
+
+
+class Report(NamedTuple):
+    """What another daemon reported.
+
+    Attributes:
+        by_key: Its sums by service and zone.
+        composed_at: Loop time at which it composed the report.
+    """
+
+    by_key: dict[Key, Sums]
+    composed_at: float
+
+
+class GroupSums:
+    """Sums over the reports of a relay's group.
+
+    Attributes:
+        reports: Last report by daemon.
+        by_key: Sums by service and zone, weighted as at `at`.
+        at: Loop time at which the sums were added up.
+    """
+
+    def __init__(self) -> None:
+        self.reports: dict[str, Report] = {}
+        self.by_key: dict[Key, Sums] = {}
+        self.at = 0.0
+
+    def replace(self, source: str, report: Report, now: float) -> None:
+        """Puts a daemon's report into the place of its earlier one."""
+        self.rebuild_if_due(now)
+        earlier = self.reports.get(source)
+        if earlier is not None:
+            add_report(self.by_key, earlier, self.at, -1.0)
+        add_report(self.by_key, report, self.at)
+        self.reports[source] = report
+
+    def rebuild_if_due(self, now: float) -> None:
+        """Drops old reports and adds up the others from time to time.
+
+        This also removes the bits of servers that are observed no more, and
+        the rounding errors of replacements.
+        """
+        if now - self.at < REBUILD_S:
+            return
+        self.at = now
+        self.by_key = {}
+        for source, report in list(self.reports.items()):
+            if now - report.composed_at > MAX_AGE_S:
+                del self.reports[source]
+            else:
+                add_report(self.by_key, report, now)
+
+
 class ServiceLoads:
-    """Observed loads by service and zone."""
+    """Observed loads by service and zone.
+
+    Attributes:
+        own: What this daemon observed.
+        group: What daemons reported that query this one.
+        upstream: What the relay replied that this daemon queries.
+        usual_s: Usual duration of requests by service, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self.own: dict[Key, OwnZone] = {}
+        self.group = GroupSums()
+        self.upstream = Report({}, -math.inf)
+        self.usual_s: dict[str, float] = {}
 
     def record_load(
         self,
@@ -48,14 +265,234 @@
         now: float,
     ) -> None:
         """Records the load that a server reported, at a loop time."""
+        self._own_zone(service, zone, now).loads[instance] = (load, now)
 
     def record_send(
         self, service: str, zone: str, rejected: bool, now: float
     ) -> None:
         """Records whether a server with a free slot rejected a request."""
+        own = self._own_zone(service, zone, now)
+        own.decay(now)
+        own.sends += 1
+        own.rejected += rejected
+
+    def record_duration(
+        self, service: str, zone: str, took_s: float, now: float
+    ) -> None:
+        """Records for how long a request was at a server, in seconds."""
+        own = self._own_zone(service, zone, now)
+        own.decay(now)
+        own.completed += 1
+        own.took_s += took_s
+        usual_s = self.usual_s.get(service, took_s)
+        self.usual_s[service] = usual_s + USUAL_WEIGHT * (took_s - usual_s)
 
     def zone_load(self, service: str, zone: str, now: float) -> ZoneLoad | None:
         """Returns the load of a service in a zone, or None if unknown."""
+        sums = self._sums((service, zone), now)
+        if sums.values[WEIGHT] < MIN_WEIGHT:
+            return None
+        return self._to_load(service, count_bits(sums.servers), sums.values)
 
     def service_load(self, service: str, now: float) -> ZoneLoad | None:
-        """Returns the load of a service in all zones, or None if unknown."""
+        """Returns the load of a service in all zones, or None if unknown.
+
+        Zones count by their servers and not by their observations, since
+        servers of a zone with more callers are observed more often.
+        """
+        total_weight = 0.0
+        total = [0.0] * VALUE_COUNT
+        for key in self._keys():
+            if key[0] != service:
+                continue
+            sums = self._sums(key, now)
+            weight = sums.values[WEIGHT]
+            if weight <= 0:
+                continue
+            total_weight += weight
+            factor = count_bits(sums.servers) / weight
+            for index, value in enumerate(sums.values):
+                per_server = index < SENDS
+                total[index] += value * factor if per_server else value
+        if total_weight < MIN_WEIGHT:
+            return None
+        return self._to_load(service, total[WEIGHT], total)
+
+    def known_loads(self, now: float) -> dict[Key, ZoneLoad]:
+        """Returns the known loads by service and zone."""
+        found = {key: self.zone_load(*key, now) for key in self._keys()}
+        return {key: load for key, load in found.items() if load is not None}
+
+    def expire(self, now: float) -> None:
+        """Drops what is too old to be used."""
+        self.group.rebuild_if_due(now)
+        if now - self.upstream.composed_at > MAX_AGE_S:
+            self.upstream = Report({}, -math.inf)
+        for key, own in list(self.own.items()):
+            newest = max([own.at, *(at for _, at in own.loads.values())])
+            if now - newest > MAX_AGE_S:
+                del self.own[key]
+
+    def clear(self) -> None:
+        """Forgets everything."""
+        self.own.clear()
+        self.group = GroupSums()
+        self.upstream = Report({}, -math.inf)
+
+    # Messages between daemons.
+
+    def to_report(self, now: float) -> list[LoadFields]:
+        """Returns what this daemon and its group observed, for its relay."""
+        total = self._own_and_group(now)
+        return to_fields(total)
+
+    def to_reply(self, source: str, now: float) -> list[LoadFields]:
+        """Returns what is known here, except what a daemon reported itself."""
+        total = self._own_and_group(now)
+        report = self.group.reports.get(source)
+        if report is not None:
+            add_report(total, report, now, -1.0)
+        if now - self.upstream.composed_at <= MAX_AGE_S:
+            add_report(total, self.upstream, now)
+        return to_fields(total)
+
+    def merge(
+        self,
+        source: str,
+        report: Iterable[LoadFields],
+        composed_at: float,
+        now: float | None = None,
+    ) -> None:
+        """Replaces the report of a daemon that queries this one.
+
+        Args:
+            source: Name of the daemon.
+            report: What it observed.
+            composed_at: Loop time at which it composed the report.
+            now: Current loop time, if the report was composed earlier.
+        """
+        now = composed_at if now is None else now
+        self.group.replace(source, from_fields(report, composed_at), now)
+
+    def merge_reply(
+        self, report: Iterable[LoadFields], composed_at: float
+    ) -> None:
+        """Replaces what a relay replied, also if it was another relay."""
+        self.upstream = from_fields(report, composed_at)
+
+    # Internal state.
+
+    def _own_zone(self, service: str, zone: str, now: float) -> OwnZone:
+        own = self.own.get((service, zone))
+        if own is None:
+            own = self.own[service, zone] = OwnZone(now)
+        return own
+
+    def _keys(self) -> list[Key]:
+        return list(self.own.keys() | self.group.by_key | self.upstream.by_key)
+
+    def _own_and_group(self, now: float) -> dict[Key, Sums]:
+        self.group.rebuild_if_due(now)
+        own = {key: zone.sums(now) for key, zone in self.own.items()}
+        add_report(own, Report(self.group.by_key, self.group.at), now)
+        return own
+
+    def _sums(self, key: Key, now: float) -> Sums:
+        """Returns the sums of one service and zone at a loop time."""
+        self.group.rebuild_if_due(now)
+        own = self.own.get(key)
+        total = Sums(0, [0.0] * VALUE_COUNT) if own is None else own.sums(now)
+        found = self.group.by_key.get(key)
+        if found is not None:
+            total = add_sums(total, found, now - self.group.at)
+        age_s = now - self.upstream.composed_at
+        found = self.upstream.by_key.get(key)
+        if found is not None and age_s <= MAX_AGE_S:
+            total = add_sums(total, found, age_s)
+        return total
+
+    def _to_load(
+        self, service: str, servers: float, values: list[float]
+    ) -> ZoneLoad:
+        weight = values[WEIGHT]
+        slots = max(values[SLOTS], weight)
+        busy_slots = servers * max(0.0, values[SLOTS] - values[FREE]) / weight
+        took_s = self.usual_s.get(service, math.inf)
+        if values[COMPLETED] >= MIN_WEIGHT:
+            took_s = values[TOOK] / values[COMPLETED]
+        return ZoneLoad(
+            servers=round(servers),
+            free_share=_share(values[FREE], slots),
+            idle_share=_share(values[IDLE], weight),
+            slow_share=_share(values[SLOW], weight),
+            waiting=max(0.0, values[WAITING]) / weight,
+            rejected_share=_share(values[REJECTED], values[SENDS]),
+            freed_per_s=busy_slots / max(took_s, 1e-3),
+            age_s=max(0.0, values[AGE] / weight),
+        )
+
+
+def decay_factor(age_s: float) -> float:
+    """Returns the weight of an observation of this age."""
+    return 0.5 ** (age_s / HALF_LIFE_S)
+
+
+def count_bits(bits: int) -> float:
+    """Returns the number of servers that set these bits, estimated."""
+    unset = SERVER_BITS - bits.bit_count()
+    return SERVER_BITS * math.log(SERVER_BITS / max(0.5, unset))
+
+
+def add_sums(total: Sums, more: Sums, age_s: float, sign: float = 1.0) -> Sums:
+    """Returns the total of sums and of others that are `age_s` older."""
+    factor = sign * decay_factor(age_s)
+    values = [
+        a + factor * b for a, b in zip(total.values, more.values, strict=True)
+    ]
+    values[AGE] += factor * age_s * more.values[WEIGHT]
+    return Sums(total.servers | more.servers, values)
+
+
+def add_report(
+    total: dict[Key, Sums], report: Report, at: float, sign: float = 1.0
+) -> None:
+    """Adds a report to sums that refer to a loop time, or subtracts it."""
+    age_s = at - report.composed_at
+    for key, sums in report.by_key.items():
+        known = total.get(key) or Sums(0, [0.0] * VALUE_COUNT)
+        total[key] = add_sums(known, sums, age_s, sign)
+
+
+def to_fields(by_key: dict[Key, Sums]) -> list[LoadFields]:
+    """Returns the sums of the most observed zones for a message."""
+    least = 1 / SCALE
+    known = [
+        (key, sums)
+        for key, sums in by_key.items()
+        if max(sums.values[WEIGHT], sums.values[SENDS]) >= least
+    ]
+    if len(known) > MAX_REPORTED:
+        known.sort(key=lambda item: -item[1].values[WEIGHT])
+    return [
+        LoadFields(
+            *key,
+            sums.servers,
+            *[max(0, round(value * SCALE)) for value in sums.values],
+        )
+        for key, sums in known[:MAX_REPORTED]
+    ]
+
+
+def from_fields(fields: Iterable[LoadFields], composed_at: float) -> Report:
+    """Returns the report that a message contains."""
+    by_key = {
+        (one.service, one.zone): Sums(
+            one.servers, [value / SCALE for value in one[3:]]
+        )
+        for one in list(fields)[:MAX_REPORTED]
+    }
+    return Report(by_key, composed_at)
+
+
+def _share(part: float, whole: float) -> float:
+    return min(1.0, max(0.0, part / whole)) if whole > 0 else 0.0
--- a/banyantiller/gateway/events.py
+++ b/banyantiller/gateway/events.py
@@ -457,6 +457,25 @@
     error: Annotated[str, "How the connection broke."]
 
 
+@event("gateway: load of a service is unknown.", "warning")
+class ServiceLoadUnknown(NamedTuple):
+    """Nothing is known of the load of a service for some seconds.
+
+    Neither this daemon nor those that it exchanges loads with sent probes to
+    its servers. Requests are placed by the probes of this daemon alone.
+    """
+
+    service: Annotated[str, "Name of the service."]
+
+
+@event("gateway: load of a service is known again.")
+class ServiceLoadKnown(NamedTuple):
+    """The load of a service is known that was unknown."""
+
+    service: Annotated[str, "Name of the service."]
+    unknown_s: Annotated[float, "For how long it was unknown, in seconds."]
+
+
 @event("gateway: servers report no load.")
 class ServiceWithoutLoad(NamedTuple):
     """The servers of a service report no load.
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -18,6 +18,7 @@
     exchange,
     forwarded_calls,
     forwarding,
+    load_reports,
     pool,
     probing,
     quarantine_sync,
@@ -84,6 +85,7 @@
         buffered_body_bytes: Bytes of request bodies in memory.
         durations: Usual durations of requests.
         service_loads: Loads of the servers by service and zone.
+        load_reports: Exchanges these loads with peers.
         crash_detector: Finds requests that were on servers that crashed.
         quarantine_sync: Exchanges quarantined requests with peers.
         server_limits: Rate limits that servers name.
@@ -143,6 +145,12 @@
         self.store_view.mirror.server_limits = self.server_limits
         for peer in self.store_view.reader.relays:
             peer.server_limits = self.server_limits
+        self.load_reports = load_reports.LoadReports(
+            self.service_loads, self.shares_load, adapter.document_kind
+        )
+        self.store_view.mirror.load_reports = self.load_reports
+        for peer in self.store_view.reader.upstream_relays:
+            peer.load_reports = self.load_reports
         self.server_backoffs = server_backoffs.ServerBackoffs(adapter)
         self.response_recorders = server_responses.recorders(
             adapter.wire,
@@ -157,6 +165,7 @@
                 self.store_view.remove_moved,
                 self.crash_detector.record_refused_connection,
                 self.response_recorders.to_probe,
+                self.record_load,
             ),
             settings.zone,
         )
@@ -271,6 +280,7 @@
             )
             self.crash_detector.tracker.expire(now)
             self.allowances.expire(now)
+            self.load_reports.check(self.store_view.table.by_service, now)
             self.min_recent_share()
             for server_pool in self.pools.values():
                 server_pool.expire(now)
@@ -343,6 +353,17 @@
         routes = self.store_view.routes
         return routes is not None and routes.calls_for_load_sharing
 
+    def record_load(self, server: types.Server, load: types.Load) -> None:
+        """Records the load of a server, for this daemon and the others."""
+        if self.shares_load():
+            self.service_loads.record_load(
+                server.service,
+                server.zone,
+                server.instance,
+                load,
+                self.loop.time(),
+            )
+
     def min_recent_share(self) -> float:
         """Returns the smallest share during the last retry window."""
         if not self.settings.seeds:
--- a/banyantiller/gateway/metrics.py
+++ b/banyantiller/gateway/metrics.py
@@ -146,6 +146,37 @@
                 lambda read=read: [metrics.Reading(float(read()))],
             )
         self._add_server_gauges()
+        self._add_load_gauges()
+
+    def _add_load_gauges(self) -> None:
+        """Adds the gauges of the known load of each service and zone."""
+        loads = self.gateway.service_loads
+        loop = self.gateway.loop
+
+        def read(field: str) -> list[metrics.Reading]:
+            known = loads.known_loads(loop.time())
+            return [
+                metrics.Reading(
+                    getattr(load, field), {"service": service, "zone": zone}
+                )
+                for (service, zone), load in known.items()
+            ]
+
+        rows = (
+            ("zone_free_share", "Free slots of a service in a zone as a share"
+             " of all slots, as far as known.", "free_share"),
+            ("zone_slow_share", "Share of the servers of a service in a zone"
+             " that are too slow for a request.", "slow_share"),
+            ("zone_load_age_seconds", "Mean age of the observations of a"
+             " service in a zone.", "age_s"),
+        )  # fmt: skip
+        for name, doc, field in rows:
+            self.instruments.gauge(
+                f"banyantiller_gateway_{name}",
+                "",
+                doc,
+                lambda field=field: read(field),
+            )
 
     def _add_server_gauges(self) -> None:
         """Adds the gauges that count the servers of each service."""
--- a/banyantiller/gateway/mirror.py
+++ b/banyantiller/gateway/mirror.py
@@ -13,6 +13,7 @@
 from banyantiller.gateway import (
     change_history,
     events,
+    load_reports,
     peer_messages,
     server_limits,
 )
@@ -133,6 +134,7 @@
         failing_servers: Returns the failing servers to report to subscribers.
         server_limits: Limits that servers name, or None if they are not
             tracked.
+        load_reports: Loads that daemons exchange, or None.
     """
 
     def __init__(self, status: Callable[[], int], sentinel: str) -> None:
@@ -145,6 +147,7 @@
         self.failure_reports = failure_reports.FailureReports()
         self.failing_servers: Callable[[], list[str]] = self._reported_failing
         self.server_limits: server_limits.ServerLimits | None = None
+        self.load_reports: load_reports.LoadReports | None = None
         self.loop = asyncio.get_running_loop()
 
     def has_subscribers(self) -> bool:
@@ -242,12 +245,15 @@
         )
         if self.server_limits is not None:
             self.server_limits.merge_report(named_limits, now)
+        load_text = request.query.get("load", "")
+        if self.load_reports is not None:
+            self.load_reports.receive_query(name, load_text, now)
         if is_first:
             events.emit(events.ReadsForSubscribers(name))
             self.on_first_subscriber()
         wait_s = min(wait_s, MAX_WAIT_S)
         return await self._wait_for_changes(
-            object_kind, since, wait_s, mark, name
+            object_kind, since, wait_s, mark, name, bool(load_text)
         )
 
     def _list_response(self, object_kind: str) -> messages.Response:
@@ -260,7 +266,13 @@
         return response._replace(headers=(*response.headers, age))
 
     async def _wait_for_changes(
-        self, object_kind: str, since: int, wait_s: float, mark: str, name: str
+        self,
+        object_kind: str,
+        since: int,
+        wait_s: float,
+        mark: str,
+        name: str,
+        reports_load: bool,
     ) -> messages.Response:
         """Responds once there are changes, a new mark, or the wait is over."""
         received_at = self.loop.time()
@@ -288,6 +300,8 @@
                     fields["doubted"] = failing_servers
                 if object_kind == self.freshness.sentinel:
                     self._add_turn_fields(fields, name)
+                if reports_load and self.load_reports is not None:
+                    self._add_load_field(fields, name)
                 return peer_messages.build_response(fields)
             try:
                 async with asyncio.timeout(remaining_s):
@@ -304,6 +318,14 @@
         if self.server_limits is not None and self.server_limits.by_incarnation:
             fields["limits"] = self.server_limits.to_report()
 
+    def _add_load_field(
+        self, fields: peer_messages.ReplyFields, name: str
+    ) -> None:
+        """Adds the known loads, for a daemon that reported its own."""
+        load = self.load_reports.reply_field(name, self.loop.time())
+        if load:
+            fields["load"] = load
+
     def rank(self, name: str) -> int:
         """Returns a daemon's position among those that share the budget.
 
--- a/banyantiller/gateway/peer_messages.py
+++ b/banyantiller/gateway/peer_messages.py
@@ -35,7 +35,8 @@
     when it sent the query, but not how long the reply was under way. `doubted`
     names servers that several daemons reported failing. Replies about documents
     also carry the subscriber's `rank` among the sharers, the relay's clock, and
-    the limits that servers name.
+    the limits that servers name. Those to a daemon that reported loads carry
+    the `load` that other daemons observed; see `load_reports`.
     """
 
     events: list[EventFields]
@@ -47,6 +48,7 @@
     rank: NotRequired[int]
     clock_ms: NotRequired[int]
     limits: NotRequired[list[server_limits.LimitFields]]
+    load: NotRequired[str]
 
 
 class ListFields(TypedDict):
--- a/banyantiller/gateway/peers.py
+++ b/banyantiller/gateway/peers.py
@@ -12,7 +12,13 @@
 import msgspec
 
 from banyantiller.config.defaults import Endpoint
-from banyantiller.gateway import events, mirror, peer_messages, server_limits
+from banyantiller.gateway import (
+    events,
+    load_reports,
+    mirror,
+    peer_messages,
+    server_limits,
+)
 from banyantiller.gateway.decisions import turns
 from banyantiller.http import client, messages, outcomes
 from banyantiller.store import interface
@@ -105,6 +111,7 @@
         server_limits: Limits that servers name, or None if they are not
             tracked.
         peer_limits: Limits that the relay reported last.
+        load_reports: Loads that daemons exchange, or None.
     """
 
     def __init__(
@@ -129,6 +136,7 @@
         self.contact: Callable[[], str] = str
         self.server_limits: server_limits.ServerLimits | None = None
         self.peer_limits: list[server_limits.LimitFields] = []
+        self.load_reports: load_reports.LoadReports | None = None
 
     async def changes(
         self, object_kind: str, version: str, wait_s: float
@@ -145,6 +153,10 @@
         target += self.contact()
         target += self._limits_parameter()
         sent_at = _now()
+        if self.load_reports is not None:
+            target += self.load_reports.query_parameter(
+                object_kind, sent_at, self.ahead_s
+            )
         reply = await self._query(target, wait_s, peer_messages.ReplyFields)
         if isinstance(reply, interface.Gone | PeerRefusal):
             return reply
@@ -184,7 +196,7 @@
     def _record_turn_info(
         self, fields: peer_messages.ReplyFields, composed_at: float
     ) -> None:
-        """Records the size of the relay's group and the reported limits.
+        """Records the size of the relay's group and what the relay reported.
 
         Replies about other kinds than documents carry the number of sharers
         only.
@@ -197,6 +209,10 @@
         self.peer_limits = fields.get("limits", [])
         if self.server_limits is not None:
             self.server_limits.merge_report(self.peer_limits, composed_at)
+        if self.load_reports is not None:
+            self.load_reports.receive_reply(
+                self.address, fields.get("load", ""), composed_at
+            )
 
     async def list(self, object_kind: str) -> PeerList | PeerRefusal:
         """Queries all objects of a kind, however old the relay's state is."""
--- a/banyantiller/gateway/probing.py
+++ b/banyantiller/gateway/probing.py
@@ -102,11 +102,13 @@
             connections to it.
         on_response: Called with the head of its answer and the loop time at
             which the probe was sent.
+        on_load: Called with the load that a healthy server reports.
     """
 
     on_moved: Callable[[types.Server], None]
     on_refused_connection: Callable[[types.Server], None]
     on_response: server_responses.Recorder
+    on_load: Callable[[types.Server, types.Load], None]
 
 
 class LoadProber:
@@ -287,6 +289,8 @@
         entry.record_warmup(result.warmup_s, self.loop.time())
         if result.load is not None:
             self._record_load(entry)
+            if result.healthy:
+                self.callbacks.on_load(entry.server, result.load)
         elif result.healthy:
             self._record_missing_load(entry)
         if not link.connection.ready_again():
