--- a/banyantiller/gateway/decisions/service_load.py
+++ b/banyantiller/gateway/decisions/service_load.py
@@ -25,12 +25,12 @@
 # observation by 0.5 s on average: with a half-life of 0.5 s, the free share is
 # off by 0.25 to 0.36 one second into a burst of three times the load. The
 # newest observations of a hundred daemons are enough.
-HALF_LIFE_S = 0.1
+HALF_LIFE_S = 0.075
 # Age at which observations and reports are dropped, in seconds.
 MAX_AGE_S = 2.0
-# Weight below which a load is not known. One observation is enough for 0.3 s,
-# and a hundred for a second: the fewer there are, the newer they must be.
-MIN_WEIGHT = 0.1
+# Weight below which a load is not known. One observation is enough for 0.4 s,
+# and a hundred for 0.9 s: the fewer there are, the newer they must be.
+MIN_WEIGHT = 0.03
 # Maximum number of pairs of service and zone in one message.
 MAX_REPORTED = 32
 # Sums are reported in hundredths.
