Average the outcomes of requests over a longer time than loads

There are fewer requests than probes, and servers that reject requests do so for seconds. With the half-life of loads, a tenth of the daemons saw less than a quarter rejected where servers rejected 0.55.

--- a/banyantiller/gateway/decisions/service_load.py
+++ b/banyantiller/gateway/decisions/service_load.py
@@ -26,6 +26,9 @@
 # off by 0.25 to 0.36 one second into a burst of three times the load. The
 # newest observations of a hundred daemons are enough.
 HALF_LIFE_S = 0.075
+# The same for requests that were sent. There are fewer of them than probes, and
+# servers that reject requests do so for seconds.
+SEND_HALF_LIFE_S = 0.3
 # Age at which observations and reports are dropped, in seconds.
 MAX_AGE_S = 2.0
 # Weight below which a load is not known. One observation is enough for 0.4 s,
@@ -159,7 +162,7 @@
 
     def decay(self, now: float) -> None:
         """Lowers the weights of requests to those at a loop time."""
-        factor = decay_factor(now - self.at)
+        factor = decay_factor(now - self.at, SEND_HALF_LIFE_S)
         self.sends *= factor
         self.rejected *= factor
         self.completed *= factor
@@ -176,7 +179,7 @@
             if age_s > MAX_AGE_S:
                 del self.loads[instance]
                 continue
-            weight = decay_factor(age_s)
+            weight = decay_factor(age_s, HALF_LIFE_S)
             slots = max(1, load.slots)
             taken = load.running + load.waiting
             bits |= 1 << (zlib.crc32(instance.encode()) % SERVER_BITS)
@@ -435,9 +438,9 @@
         )
 
 
-def decay_factor(age_s: float) -> float:
+def decay_factor(age_s: float, half_life_s: float) -> float:
     """Returns the weight of an observation of this age."""
-    return 0.5 ** (age_s / HALF_LIFE_S)
+    return 0.5 ** (age_s / half_life_s)
 
 
 def count_bits(bits: int) -> float:
@@ -448,9 +451,12 @@
 
 def add_sums(total: Sums, more: Sums, age_s: float, sign: float = 1.0) -> Sums:
     """Returns the total of sums and of others that are `age_s` older."""
-    factor = sign * decay_factor(age_s)
+    factor = sign * decay_factor(age_s, HALF_LIFE_S)
+    send_factor = sign * decay_factor(age_s, SEND_HALF_LIFE_S)
+    factors = (factor,) * SENDS + (send_factor,) * (VALUE_COUNT - SENDS)
     values = [
-        a + factor * b for a, b in zip(total.values, more.values, strict=True)
+        a + b * c
+        for a, b, c in zip(total.values, more.values, factors, strict=True)
     ]
     values[AGE] += factor * age_s * more.values[WEIGHT]
     return Sums(total.servers | more.servers, values)
