--- a/banyantiller/gateway/attempts.py
+++ b/banyantiller/gateway/attempts.py
@@ -99,6 +99,7 @@
         outcome = self.task.result()
         entry = self.entry
         now = self.loop.time()
+        self._record_outcome(outcome, now)
         if isinstance(outcome, exchange.NotRun):
             self.call.progress.reason = outcome.kind.value
             if outcome.moved:
@@ -221,6 +222,24 @@
         self.sent = True
         self.sent_at = now
 
+    def _record_outcome(self, outcome: exchange.Outcome, now: float) -> None:
+        """Records the outcome in the load of the service, if that is shared."""
+        if not (self.sent and self.gateway.shares_load()):
+            return
+        server = self.entry.server
+        loads = self.gateway.service_loads
+        rejected = isinstance(outcome, exchange.NotRun)
+        if rejected and outcome.kind is not ErrorKind.BACKEND_SHED:
+            return
+        with_free_slot = self.candidate.ready(math.inf)
+        loads.record_send(
+            server.service, server.zone, rejected and with_free_slot, now
+        )
+        if isinstance(outcome, exchange.CompleteResponse):
+            loads.record_duration(
+                server.service, server.zone, now - self.sent_at, now
+            )
+
     def _log_failure(self, kind: str, reason: str) -> None:
         load = self.candidate.load
         self.gateway.tallies.failed_attempts[self.call.service, kind] += 1
