Add the first version of precedence

A kind of request that is alone on its service was rejected after 36 ms, and retries went to whoever asked first. Waits, retries, hedges and early rejections now follow the rank, the slack and earlier tries of a request while loads are shared.

--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -22,7 +22,7 @@
     target_choice,
     types,
 )
-from banyantiller.gateway.decisions import hedging
+from banyantiller.gateway.decisions import budget, hedging, precedence
 
 # With less time left, a server could not execute the request.
 MIN_REMAINING_S = 0.01
@@ -42,11 +42,17 @@
         organisation: Organisation that holds the caller's key, or None.
         admission: Grant within the allowance of that organisation.
         urgent: Whether its priority is the most urgent of the service.
+        rank: Rank of its priority among those of the document.
+        elapsed_s: Time from the caller's first try to the arrival of this one,
+            in seconds; 0 if unknown.
+        returned: Whether the caller came back after a rejection.
         deadline: Loop time at which it fails for lack of a response.
         progress: State that is logged when the call ends.
         attempted: Instances of the servers that were tried so far.
         attempts: Attempts that are running.
         hedging_stopped: Whether no hedge may be started any more.
+        hedging_early: Whether the next hedge is started before the first
+            attempt is late.
         next_hedge_at: Loop time before which no hedge is started.
         server_suspected: Whether the server or daemon of the running attempt
             did not respond to a probe.
@@ -70,6 +76,7 @@
         self.attempted: set[str] = set()
         self.attempts: list[attempts.RunningAttempt] = []
         self.hedging_stopped = False
+        self.hedging_early = False
         self.next_hedge_at = 0.0
         self.server_suspected = False
         self.failed_response: exchange.CompleteResponse | None = None
@@ -80,6 +87,9 @@
         self.organisation: types.Organisation | None = None
         self.admission = allowances.UNLIMITED
         self.urgent = False
+        self.rank = precedence.ONLY_RANK
+        self.elapsed_s = 0.0
+        self.returned = False
         self.shortage = server_choice.Shortage.NOT_REGISTERED
         self.by_peer: exchange.RefusedByPeer | None = None
         self.forwarded_by = ""
@@ -108,6 +118,7 @@
             self.urgent = self.route_table.is_urgent(
                 self.route, self.organisation
             )
+            self.rank = self.route_table.rank(self.route, self.organisation)
             timeout_s = self.route.timeout_s
             if request.remaining_s is not None:
                 timeout_s = min(timeout_s, request.remaining_s)
@@ -152,6 +163,7 @@
             self.service = self.route_table.choose_service(self.route)
             now = self.loop.time()
             self.gateway.budget_of(self.service).record_request(now)
+            self._note_elapsed(now)
             service = self.route_table.document.services[self.service]
         else:
             service = self.gateway.store_view.service(self.service)
@@ -166,6 +178,18 @@
             kind = ErrorKind.DEADLINE_UNREACHABLE
             return self._fail(refusals.with_retry_after(self, kind))
 
+    def _note_elapsed(self, now: float) -> None:
+        """Notes what the caller's stated time tells about earlier tries."""
+        if not self.gateway.shares_load():
+            return
+        found = self.gateway.caller_budgets.record(
+            self.route.name, self.request.remaining_s, self.route.timeout_s, now
+        )
+        self.elapsed_s = found.before_s
+        self.returned |= found.returned
+        if self.returned:
+            self.gateway.return_watches[self.service].record_returned()
+
     async def _claim_allowance(self) -> Failure | None:
         """Returns the failure of a call beyond its organisation's allowance."""
         self.admission = await self.gateway.allowances.admit(self.organisation)
@@ -210,6 +234,8 @@
         if self._is_quarantined() or not sends_left or too_late:
             self.hedging_stopped = True
             return None if is_hedge else self._end_without_server()
+        if not is_hedge and target_choice.is_hopeless(self):
+            return self._reject_hopeless()
         target = await self._choose_target(service, is_hedge)
         if target is None:
             self.next_hedge_at = self.loop.time() + hedging.RECHECK_PAUSE_S
@@ -217,7 +243,8 @@
         if self._is_quarantined() or not self._can_send(is_hedge):
             if isinstance(target, probing.Candidate):
                 self.gateway.prober.release([target])
-            self.hedging_stopped = True
+            # A late request may still be hedged.
+            self.hedging_stopped = not self.hedging_early
             return None if is_hedge else self._end_without_server()
         if isinstance(target, probing.Candidate):
             self.attempted.add(target.entry.server.instance)
@@ -242,22 +269,53 @@
             return not refusals.is_too_late_to_start(self)
         if self.progress.sends >= self.route.max_attempts:
             return False
-        budget = self.gateway.budget_of(self.service)
-        share = hedging.BUDGET_SHARE if is_hedge else 1.0
-        if budget.try_spend(self.loop.time(), share):
+        retries = self.gateway.budget_of(self.service)
+        share = self._hedge_share() if is_hedge else self._retry_share(retries)
+        if retries.try_spend(self.loop.time(), share):
+            if is_hedge and self.hedging_early:
+                self._count_decision("hedged_early", "slow_server")
             return True
-        if not is_hedge and budget.should_report_spent(self.loop.time()):
+        if share < 1 and not is_hedge:
+            if retries.may_spend(self.loop.time()):
+                self.gateway.return_watches[self.service].record_refused()
+                self._count_decision("retry_reserved", "service_rejects")
+        elif not is_hedge and retries.should_report_spent(self.loop.time()):
             events.emit(
                 call_events.BudgetSpent(
                     id=self.request.request_id,
                     service=self.service,
-                    used=len(budget.retries),
-                    most=round(budget.max_retries, 1),
+                    used=len(retries.retries),
+                    most=round(retries.max_retries, 1),
                     share=round(self.gateway.share(), 4),
                 )
             )
         return False
 
+    def _hedge_share(self) -> float:
+        """Returns the share of the retry budget that a hedge may use up."""
+        if self.hedging_early:
+            return precedence.EARLY_HEDGE_BUDGET_SHARE
+        return hedging.BUDGET_SHARE
+
+    def _retry_share(self, retries: budget.RetryBudget) -> float:
+        """Returns the share of the retry budget that a retry may use up."""
+        now = self.loop.time()
+        load = target_choice.known_load(self, now)
+        if load is None:
+            return 1.0
+        if not self.gateway.return_watches[self.service].may_reserve:
+            return 1.0
+        return precedence.retry_share(
+            target_choice.cost_of(self, now),
+            load,
+            retries.retries_per_request,
+            self.route.max_attempts,
+        )
+
+    def _count_decision(self, decision: str, reason: str) -> None:
+        self.progress.decision = decision
+        self.gateway.tallies.record_precedence(self.service, decision, reason)
+
     def _hedge_is_due(self) -> bool:
         """Returns whether the running attempt is slow enough for a hedge.
 
@@ -276,8 +334,26 @@
             return False
         if self.progress.sends >= self.route.max_attempts:
             return False
-        late = hedging.should_hedge(self._first_attempt())
-        return late and self.loop.time() >= self.next_hedge_at
+        if self.loop.time() < self.next_hedge_at:
+            return False
+        first = self._first_attempt()
+        self.hedging_early = False
+        if hedging.should_hedge(first):
+            return True
+        self.hedging_early = self._may_hedge_early(first.waited_s)
+        return self.hedging_early
+
+    def _may_hedge_early(self, waited_s: float) -> bool:
+        """Returns whether a slow attempt may be hedged before it is late."""
+        now = self.loop.time()
+        load = target_choice.known_load(self, now)
+        if load is None or self.attempts[0].entry is None:
+            return False
+        retries = self.gateway.budget_of(self.service)
+        cost = target_choice.cost_of(self, now)
+        return precedence.may_hedge(cost, load, waited_s) and retries.may_spend(
+            now, precedence.EARLY_HEDGE_BUDGET_SHARE
+        )
 
     def _first_attempt(self) -> hedging.FirstAttempt:
         waited_s = self.loop.time() - self.attempts[0].started_at
@@ -292,15 +368,31 @@
         tasks = {attempt.task for attempt in self.attempts}
         if not tasks:
             return []
-        recheck_s = hedging.recheck_after_s(self._first_attempt())
+        wake_s, check = self._next_wake(self._first_attempt())
         await asyncio.wait(
-            tasks, timeout=recheck_s, return_when=asyncio.FIRST_COMPLETED
+            tasks, timeout=wake_s, return_when=asyncio.FIRST_COMPLETED
         )
         finished = [attempt for attempt in self.attempts if attempt.task.done()]
-        if not finished:
+        if not finished and check:
             await self._check_slow_attempt(service)
         return finished
 
+    def _next_wake(self, first: hedging.FirstAttempt) -> tuple[float, bool]:
+        """Returns the time until a hedge is considered, in seconds.
+
+        The second value says whether the attempt is checked then.
+        """
+        hedgeable = self.idempotent and not self.hedging_stopped
+        now = self.loop.time()
+        if (
+            not hedgeable
+            or len(self.attempts) > 1
+            or hedging.should_hedge(first)
+            or target_choice.known_load(self, now) is None
+        ):
+            return hedging.recheck_after_s(first), True
+        return precedence.next_wake(first, target_choice.cost_of(self, now))
+
     async def _check_slow_attempt(self, service: types.Service) -> None:
         """Checks whether the only attempt waits for something that is gone.
 
@@ -391,6 +483,16 @@
             response.status, response.headers, response.body, response.length
         )
 
+    def _reject_hopeless(self) -> replies.Reply:
+        """Returns the reply to a call that can't be served in time."""
+        if self.failed_response is not None or self.progress.maybe_ran:
+            return self._end_without_server()
+        self._count_decision("rejected_early", "deadline")
+        self.progress.reason = "too_late"
+        return self._fail(
+            refusals.with_retry_after(self, ErrorKind.DEADLINE_UNREACHABLE)
+        )
+
     def _end_without_server(self) -> replies.Reply:
         """Returns the reply when no further attempt can be started."""
         if self.failed_response is not None:
--- a/banyantiller/gateway/call_events.py
+++ b/banyantiller/gateway/call_events.py
@@ -92,6 +92,29 @@
     ]
 
 
+@event("gateway: retries are reserved.")
+class RetriesReserved(NamedTuple):
+    """The servers of a service reject many requests despite free slots.
+
+    Retries are reserved for callers that came back from now on.
+    """
+
+    service: Annotated[str, "Service that the budget belongs to."]
+    rejected: Annotated[
+        float, "Share of the requests that the servers reject, from 0 to 1."
+    ]
+
+
+@event("gateway: retries are not reserved any more.")
+class RetriesUnreserved(NamedTuple):
+    """The servers of a service don't reject many requests any more.
+
+    The line is also written if it is no longer known whether they do.
+    """
+
+    service: Annotated[str, "Service that the budget belongs to."]
+
+
 @event("gateway: request rejected.")
 class RequestRejected(NamedTuple):
     """A request is malformed, or larger than allowed."""
@@ -139,6 +162,15 @@
         int, "Status of the response; 0 if the caller had disconnected."
     ]
     error: Annotated[str | None, "Kind of the error, or null."]
+    decision: Annotated[
+        str,
+        "How the call was treated differently for what its caller loses, while"
+        " loads are shared: `waited`, `rejected_early`, `retry_reserved` or"
+        " `hedged_early`; empty if it was not.",
+    ]
+    returned: Annotated[
+        bool, "Whether the caller is known to have been rejected before."
+    ]
     reason: Annotated[
         str,
         "Why the last attempt failed, or why no server could be chosen;"
--- a/banyantiller/gateway/call_log.py
+++ b/banyantiller/gateway/call_log.py
@@ -35,6 +35,8 @@
         known_ms=_rounded_ms(document_age_s),
         status=status,
         error=error,
+        decision=progress.decision,
+        returned=call.returned,
         reason=progress.reason,
         maybe_ran=progress.maybe_ran,
         sends=progress.sends,
--- a/banyantiller/gateway/decisions/budget.py
+++ b/banyantiller/gateway/decisions/budget.py
@@ -112,15 +112,22 @@
             budget_share: Share of the budget that this kind of retry may use
                 up. The rest is reserved for more important retries.
         """
-        self._expire(now)
-        if (
-            len(self.retries) + 1
-            > self.max_retries * budget_share + self.rounding
-        ):
+        if not self.may_spend(now, budget_share):
             return False
         self.retries.append(now)
         return True
 
+    def may_spend(self, now: float, budget_share: float = 1.0) -> bool:
+        """Returns whether a retry may be spent; see `try_spend`."""
+        self._expire(now)
+        allowed = self.max_retries * budget_share + self.rounding
+        return len(self.retries) + 1 <= allowed
+
+    @property
+    def retries_per_request(self) -> float:
+        """Number of retries that the window allows for each request."""
+        return self.max_retries / max(1, len(self.requests))
+
     @property
     def max_retries(self) -> float:
         """Number of retries that the window allows."""
--- a/banyantiller/gateway/decisions/durations.py
+++ b/banyantiller/gateway/decisions/durations.py
@@ -46,6 +46,10 @@
         mean = self.mean_logs.get(route)
         return INITIAL_SHARE * objective_s if mean is None else math.exp(mean)
 
+    def is_known(self, route: str) -> bool:
+        """Returns whether a request of a route was successful so far."""
+        return route in self.mean_logs
+
     def retain_routes(self, routes: frozenset[str]) -> None:
         """Removes routes that are no longer in force."""
         for route in set(self.mean_logs) - routes:
--- a/banyantiller/gateway/decisions/waiting.py
+++ b/banyantiller/gateway/decisions/waiting.py
@@ -45,10 +45,15 @@
         keep_last_slot_until: Loop time until which the last slots of servers
             are kept free.
         any_server_until: Loop time until which it waits for any free slot.
+        reprobe_pause_s: Pause before servers are probed again, in seconds.
+        max_more_probes: Maximum number of servers in the second part of a round
+            of probes, mostly of other zones; None for the usual number.
     """
 
     keep_last_slot_until: float
     any_server_until: float
+    reprobe_pause_s: float = REPROBE_PAUSE_S
+    max_more_probes: int | None = None
 
 
 def wait_limits(
--- a/banyantiller/gateway/forwarded_calls.py
+++ b/banyantiller/gateway/forwarded_calls.py
@@ -15,6 +15,7 @@
     requests,
     types,
 )
+from banyantiller.gateway.decisions import precedence
 from banyantiller.http import messages
 from banyantiller.utils import decoding
 
@@ -94,6 +95,10 @@
         forwarded.service = fields["service"]
         forwarded.version = fields["version"]
         forwarded.urgent = fields["urgent"]
+        unstated = 0.0 if forwarded.urgent else precedence.ONLY_RANK
+        forwarded.rank = fields.get("rank", unstated)
+        forwarded.elapsed_s = fields.get("elapsed_ms", 0.0) / 1000
+        forwarded.returned = fields.get("returned", False)
         forwarded.deadline = now + remaining_s
         forwarded.attempted.update(fields["attempted"])
         return forwarded
--- a/banyantiller/gateway/forwarding.py
+++ b/banyantiller/gateway/forwarding.py
@@ -8,7 +8,7 @@
 """
 
 import random
-from typing import TypedDict
+from typing import NotRequired, TypedDict
 from urllib import parse
 
 import msgspec
@@ -57,6 +57,9 @@
 
     `waited_ms` is the time since the caller sent it, `remaining_ms` the time
     until its deadline, and `attempted` names servers that it was sent to.
+    `rank`, `elapsed_ms` (from the caller's first try to its arrival) and
+    `returned` are sent only by daemons that share loads; see
+    `precedence.RequestCost`.
     """
 
     daemon: str
@@ -77,6 +80,9 @@
     objective_ms: float
     attempted: list[str]
     urgent: bool
+    rank: NotRequired[float]
+    elapsed_ms: NotRequired[float]
+    returned: NotRequired[bool]
 
 
 class ForwardedReply(TypedDict):
@@ -301,7 +307,7 @@
         call = self.call
         now = self.loop.time()
         outgoing = call.outgoing
-        return ForwardedRequest(
+        fields = ForwardedRequest(
             daemon=self.gateway.settings.daemon,
             method=outgoing.method,
             target=outgoing.target,
@@ -321,6 +327,11 @@
             attempted=sorted(call.attempted),
             urgent=call.urgent,
         )
+        if self.gateway.shares_load():
+            fields["rank"] = call.rank
+            fields["elapsed_ms"] = call.elapsed_s * 1000
+            fields["returned"] = call.returned
+        return fields
 
 
 def may_forward(request: exchange.OutgoingRequest) -> bool:
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -1,6 +1,7 @@
 """The gateway of one daemon: its shared state and its life cycle."""
 
 import asyncio
+import collections
 import random
 import socket
 
@@ -37,7 +38,9 @@
 from banyantiller.gateway import settings as options
 from banyantiller.gateway.decisions import (
     budget,
+    caller_budgets,
     durations,
+    precedence,
     selection,
     service_load,
     turns,
@@ -84,6 +87,8 @@
         buffered_body_bytes: Bytes of request bodies in memory.
         durations: Usual durations of requests.
         service_loads: Loads of the servers by service and zone.
+        caller_budgets: How long the callers of each route wait in total.
+        return_watches: Whether rejected callers come back, by service.
         crash_detector: Finds requests that were on servers that crashed.
         quarantine_sync: Exchanges quarantined requests with peers.
         server_limits: Rate limits that servers name.
@@ -124,6 +129,10 @@
         self.shares = budget.MinShare(settings.retry_window_s, self.loop.time())
         self.durations = durations.Durations()
         self.service_loads = service_load.ServiceLoads()
+        self.caller_budgets = caller_budgets.CallerBudgets()
+        self.return_watches: collections.defaultdict[
+            str, precedence.ReturnWatch
+        ] = collections.defaultdict(precedence.ReturnWatch)
         self.sampler = sampling.CallSampler()
         self.crash_detector = crash_detection.CrashDetector(
             crash_table.CrashTable(settings.quarantine_s, rng),
@@ -276,7 +285,9 @@
                 server_pool.expire(now)
             await self.forwarder.expire(now)
             if self.store_view.routes is not None:
-                self.durations.retain_routes(self.store_view.routes.names)
+                names = self.store_view.routes.names
+                self.durations.retain_routes(names)
+                self.caller_budgets.retain_routes(names)
 
     async def close(self) -> None:
         """Closes every connection to servers and peers."""
--- a/banyantiller/gateway/metrics.py
+++ b/banyantiller/gateway/metrics.py
@@ -59,6 +59,9 @@
              ("outcome",)),
             ("registrations", "Registrations by outcome.",
              counts.registrations, ("outcome",)),
+            ("precedence_decisions", "Requests that were treated"
+             " differently for what their callers lose.", counts.precedence,
+             ("service", "decision", "reason")),
             ("store_calls", "Requests to the store.", store.calls, ("verb",)),
             ("allowance_decisions", "Requests of organisations with an"
              " allowance.", self.gateway.allowances.outcomes, ("outcome",)),
--- a/banyantiller/gateway/progress.py
+++ b/banyantiller/gateway/progress.py
@@ -22,6 +22,8 @@
         usual_s: Usual duration of the route's requests at the last selection,
             in seconds; it limits how long the call waits for a server.
         peers: Daemons that it was forwarded to, by address, in order.
+        decision: How it was treated differently for its cost; see
+            `tallies.Tallies.record_precedence`. Empty if it was not.
         error: Kind of the failure that is reported to the caller, or None.
         reason: Why the last attempt failed, or why no server could be chosen;
             empty if neither happened.
@@ -38,6 +40,7 @@
     sent_after_s: float = 0.0
     usual_s: float = 0.0
     peers: list[str] = dataclasses.field(default_factory=list)
+    decision: str = ""
     error: ErrorKind | None = None
     reason: str = ""
     retry_after_s: float | None = None
--- a/banyantiller/gateway/protocols.py
+++ b/banyantiller/gateway/protocols.py
@@ -25,7 +25,13 @@
     types,
 )
 from banyantiller.gateway import settings as options
-from banyantiller.gateway.decisions import budget, durations, service_load
+from banyantiller.gateway.decisions import (
+    budget,
+    caller_budgets,
+    durations,
+    precedence,
+    service_load,
+)
 from banyantiller.http import client
 
 
@@ -63,6 +69,8 @@
     allowances: allowances.Allowances
     durations: durations.Durations
     service_loads: service_load.ServiceLoads
+    caller_budgets: caller_budgets.CallerBudgets
+    return_watches: dict[str, precedence.ReturnWatch]
     default_timeout_s: float
     response_memory: exchange.ResponseMemory
 
@@ -106,6 +114,9 @@
     attempted: set[str]
     forwarded_by: str
     urgent: bool
+    rank: float
+    elapsed_s: float
+    returned: bool
     version: int
     route: types.Route | None
     service: str
--- a/banyantiller/gateway/routes.py
+++ b/banyantiller/gateway/routes.py
@@ -4,6 +4,7 @@
 import random
 
 from banyantiller.gateway import types
+from banyantiller.gateway.decisions import precedence
 
 # Repeated steps of this size, modulo 1, spread evenly over the unit interval.
 GOLDEN_RATIO_STEP = (math.sqrt(5) - 1) / 2
@@ -20,6 +21,8 @@
         organisations: Organisations by the digests of their keys.
         organisations_by_name: Organisations by their names.
         priorities: Priorities of the requests for each service.
+        ranks: Rank of each priority that requests can have, from 0 for the most
+            urgent to 1 for the least urgent.
         names: Names of all routes.
         calls_for_load_sharing: Whether the document calls for load sharing;
             see `calls_for_load_sharing`.
@@ -45,6 +48,7 @@
             one.name: one for one in document.organisations or ()
         }
         self.priorities = _priorities_by_service(document)
+        self.ranks = _ranks(set().union(*self.priorities.values()))
         self.names = frozenset(route.name for route in document.routes)
         self.calls_for_load_sharing = calls_for_load_sharing(document)
 
@@ -94,6 +98,18 @@
             for part in route.weighted_services
         )
 
+    def rank(
+        self, route: types.Route, organisation: types.Organisation | None
+    ) -> float:
+        """Returns the rank of requests among all priorities of the document.
+
+        Args:
+            route: The route.
+            organisation: Organisation that holds the caller's key, or None.
+        """
+        priority = _priority(route, organisation)
+        return self.ranks.get(priority, precedence.ONLY_RANK)
+
     def choose_service(self, route: types.Route) -> str:
         """Returns the service for the next request of a route.
 
@@ -140,6 +156,17 @@
     return organisation.priority
 
 
+def _ranks(priorities: set[int]) -> dict[int, float]:
+    """Returns the rank of each priority; a single one has no precedence."""
+    if len(priorities) < 2:
+        return {}
+    last = len(priorities) - 1
+    return {
+        priority: position / last
+        for position, priority in enumerate(sorted(priorities))
+    }
+
+
 def _priorities_by_service(document: types.Document) -> dict[str, set[int]]:
     organisations = document.organisations or ()
     replacing = {one.priority for one in organisations} - {None}
--- a/banyantiller/gateway/server_choice.py
+++ b/banyantiller/gateway/server_choice.py
@@ -106,7 +106,7 @@
             found = await self._probe(request, usable)
             shortage = self._shortage(shortage, usable, found)
             now = self.loop.time()
-            reprobe_at = now + waiting.REPROBE_PAUSE_S
+            reprobe_at = now + request.wait_limits.reprobe_pause_s
             keep_last_slot = (
                 reprobe_at <= request.wait_limits.keep_last_slot_until
             )
@@ -123,7 +123,7 @@
                 return best
             if reprobe_at > self._waits_until(request):
                 return shortage
-            await asyncio.sleep(waiting.REPROBE_PAUSE_S)
+            await asyncio.sleep(request.wait_limits.reprobe_pause_s)
 
     def usable(self, request: SelectionRequest) -> list[servers.ServerEntry]:
         """Returns the servers that may be probed, except unresponsive ones."""
@@ -307,6 +307,7 @@
         scarce = self._scarce_probes(usable, first.probed)
         found = await self.prober.probe(first.probed + scarce, path)
         more = self.selector.more_probes(name, usable, first, found)
+        more = more[: request.wait_limits.max_more_probes]
         if not more:
             return found
         try:
--- a/banyantiller/gateway/tallies.py
+++ b/banyantiller/gateway/tallies.py
@@ -28,6 +28,8 @@
         documents: Documents by outcome: "in_force", "outdated" or
             "unreadable".
         registrations: Registrations by outcome: "read" or "unreadable".
+        precedence: Requests that were treated differently for their cost, by
+            service, decision and reason.
     """
 
     def __init__(self) -> None:
@@ -54,6 +56,22 @@
         self.opened: collections.Counter[str] = collections.Counter()
         self.documents: collections.Counter[str] = collections.Counter()
         self.registrations: collections.Counter[str] = collections.Counter()
+        self.precedence: collections.Counter[tuple[str, str, str]] = (
+            collections.Counter()
+        )
+
+    def record_precedence(
+        self, service: str, decision: str, reason: str
+    ) -> None:
+        """Counts a request that was treated differently for its cost.
+
+        Args:
+            service: Service of the request.
+            decision: "waited", "rejected_early", "retry_reserved" or
+                "hedged_early".
+            reason: What the decision followed from.
+        """
+        self.precedence[service, decision, reason] += 1
 
     def record_call(
         self,
