Let returning callers go first and tolerant requests give way

In trials of a burst, waits beyond the objective and long waits of returning callers made other requests late, and retries reserved for a whole window were left unused at its end. Waits beyond the objective are limited to services that are not short, and the reserve shrinks as the window passes.

--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -303,13 +303,15 @@
         load = target_choice.known_load(self, now)
         if load is None:
             return 1.0
-        if not self.gateway.return_watches[self.service].may_reserve:
+        watch = self.gateway.return_watches[self.service]
+        if not watch.may_reserve:
             return 1.0
         return precedence.retry_share(
             target_choice.cost_of(self, now),
             load,
             retries.retries_per_request,
             self.route.max_attempts,
+            watch.window_left(retries.window_s, now),
         )
 
     def _count_decision(self, decision: str, reason: str) -> None:
--- a/banyantiller/gateway/decisions/precedence.py
+++ b/banyantiller/gateway/decisions/precedence.py
@@ -34,18 +34,23 @@
 # that is due to the pause between probes, and half to the servers in a round.
 YIELD_PAUSE_S = 2 * waiting.REPROBE_PAUSE_S
 YIELD_MORE_PROBES = 2
+# Part of its slack that a request which gives way may lose between two probes.
+YIELD_SLACK_SHARE = 1 / 32
+# Rounds of probes within the usual wait for an idle server; see
+# `waiting.LAST_SLOT_SHARE`.
+LAST_SLOT_ROUNDS = 3
 # Minimum part of the usual wait that the least urgent requests keep, for the
 # same reason.
 MIN_WAIT_SHARE = 0.25
 # Part of its slack that a tolerant request waits at most, so that a retry
 # elsewhere can still be in time.
 TOLERANT_WAIT_SHARE = 0.5
-# Part of the time until the deadline for which the most urgent requests wait
-# beyond the objective, if their caller can still retry.
-LATE_WAIT_SHARE = 0.5
 # A request that has less than this share of its usual duration left is not
 # served in time: a server is hardly ever twice as fast as usual.
 HOPELESS_SHARE = 0.5
+# Minimum part of the window for which retries are reserved, so that returning
+# callers find some while servers reject requests for longer than a window.
+MIN_WINDOW_LEFT = 0.5
 # Part of the retry budget beyond the expected need of returning callers that
 # first tries of the most urgent rank may use.
 URGENT_RETRY_SHARE = 0.5
@@ -107,15 +112,18 @@
     pause_s, more_probes = waiting.REPROBE_PAUSE_S, None
     if cost.rank == 0:
         wait_s = max(usual_s, cost.slack_s)
-        if is_likely_free(load, cost.usual_s):
-            wait_s = max(wait_s, _late_wait_s(cost))
+        if cost.returned and is_likely_free(load, cost.usual_s):
+            wait_s = max(wait_s, cost.usual_s)
     elif load is None or not is_short(load):
         wait_s = usual_s
     elif cost.returned:
-        wait_s = max(usual_s, cost.slack_s)
+        # In trials of a burst, a longer wait took slots from requests that
+        # would have been in time, and was mostly late itself.
+        wait_s = usual_s
     elif cost.tolerant:
         wait_s = max(usual_s, TOLERANT_WAIT_SHARE * cost.slack_s)
-        pause_s, more_probes = YIELD_PAUSE_S, YIELD_MORE_PROBES
+        pause_s = max(pause_s, YIELD_SLACK_SHARE * cost.slack_s)
+        pause_s, more_probes = min(pause_s, YIELD_PAUSE_S), YIELD_MORE_PROBES
     else:
         wait_s = usual_s * (1 - cost.rank * (1 - MIN_WAIT_SHARE))
         wait_s = max(wait_s, waiting.MIN_WAIT_S)
@@ -132,14 +140,14 @@
 ) -> bool:
     """Returns whether a request takes the last slot of a server at once.
 
-    It does if a round of probes mostly finds no idle server, or if it is
-    tolerant and idle servers are scarce: other requests run alone then.
+    It does if the usual wait for an idle server mostly ends without one, or if
+    it is tolerant and idle servers are scarce: other requests run alone then.
     """
     if load is None:
         return False
     if cost.tolerant and load.idle_share < 0.5:
         return True
-    return _missed_share(load.idle_share) > 0.5
+    return _missed_share(load.idle_share) ** LAST_SLOT_ROUNDS > 0.5
 
 
 def retry_share(
@@ -147,6 +155,7 @@
     load: service_load.ZoneLoad | None,
     retries_per_request: float,
     max_attempts: int,
+    window_left: float = 1.0,
 ) -> float:
     """Returns the share of the retry budget that a request may use up.
 
@@ -161,13 +170,16 @@
         load: Load of the service, or None if unknown.
         retries_per_request: Retries that the budget allows per request.
         max_attempts: Maximum number of attempts of one request.
+        window_left: Part of the budget's window that is left since the servers
+            began to reject requests. Retries needed after it are not paid from
+            what the window allows.
     """
     if cost.returned or not is_rejecting(load):
         return 1.0
     rejected = load.rejected_share
     needed = sum(rejected**power for power in range(2, max_attempts + 1))
     # Retries of callers count as requests too.
-    needed /= 1 + rejected
+    needed *= max(MIN_WINDOW_LEFT, window_left) / (1 + rejected)
     left = 0.0
     if retries_per_request > 0:
         left = max(0.0, 1 - needed / retries_per_request)
@@ -238,8 +250,14 @@
 
 
 def is_likely_free(load: service_load.ZoneLoad | None, usual_s: float) -> bool:
-    """Returns whether a slot is known to become free within one request."""
-    return load is not None and load.freed_per_s * usual_s >= 1
+    """Returns whether a slot is known to become free within one request.
+
+    While the service is short, others wait for the slot as well: in trials of a
+    burst, requests that waited beyond their objective made others late.
+    """
+    if load is None or is_short(load):
+        return False
+    return load.freed_per_s * usual_s >= 1
 
 
 class ReturnWatch:
@@ -251,18 +269,28 @@
         unreturned: First tries that were refused a retry since the last caller
             came back.
         rejecting: Whether servers rejected many requests at the last update.
+        began_at: Loop time at which they began to.
     """
 
     def __init__(self) -> None:
         self.unreturned = 0
         self.rejecting = False
+        self.began_at = 0.0
 
-    def update(self, load: service_load.ZoneLoad | None) -> bool:
+    def update(self, load: service_load.ZoneLoad | None, now: float) -> bool:
         """Returns whether the servers began or ended to reject requests."""
         before = self.rejecting
         self.rejecting = is_rejecting(load)
+        if self.rejecting and not before:
+            self.began_at = now
         return before != self.rejecting
 
+    def window_left(self, window_s: float, now: float) -> float:
+        """Returns the part of a window left since the servers rejected."""
+        if not self.rejecting or window_s <= 0:
+            return 1.0
+        return max(0.0, 1 - (now - self.began_at) / window_s)
+
     def record_returned(self) -> None:
         """Records that a caller came back."""
         self.unreturned = 0
@@ -277,12 +305,6 @@
         return self.unreturned < MAX_UNRETURNED
 
 
-def _late_wait_s(cost: RequestCost) -> float:
-    """Returns how long a most urgent request waits beyond its objective."""
-    left_s = cost.remaining_s - cost.usual_s
-    return left_s if cost.returned else LATE_WAIT_SHARE * left_s
-
-
 def _usable_share(load: service_load.ZoneLoad) -> float:
     return load.free_share * (1 - load.slow_share)
 
--- a/banyantiller/gateway/target_choice.py
+++ b/banyantiller/gateway/target_choice.py
@@ -97,7 +97,7 @@
     call: protocols.RunningCall, load: service_load.ZoneLoad | None
 ) -> None:
     watch = call.gateway.return_watches[call.service]
-    if not watch.update(load):
+    if not watch.update(load, call.loop.time()):
         return
     if not watch.rejecting:
         events.emit(call_events.RetriesUnreserved(call.service))
--- a/banyantiller/tests/gateway/decisions/load_simulation.py
+++ b/banyantiller/tests/gateway/decisions/load_simulation.py
@@ -21,11 +21,10 @@
 CALLER_RETRY_S = (0.1, 0.2)
 # How old the fleet's knowledge is.
 LOAD_AGE_S = 0.25
-BEGIN_S, END_S, LAST_S = 3.0, 9.0, 10.0
 
 
 class Kind(NamedTuple):
-    """A kind of request; `surge` multiplies its rate from BEGIN_S to END_S."""
+    """A kind of request; `surge` multiplies its rate from begin_s to end_s."""
 
     name: str
     per_s: float
@@ -59,23 +58,26 @@
         load_of: Returns the load that daemons know at a time; None for today's
             behaviour, without precedence.
         ends: Times at which the slots of each server become free.
-        rejected: Share of requests that servers reject from BEGIN_S to END_S.
+        rejected: Share of requests that servers reject from begin_s to end_s.
         budgets: Retry budgets of the daemons.
     """
 
     def __init__(self, servers, slots, seed, load_of, **more):
         self.random = random.Random(seed)
         self.slots, self.load_of = slots, load_of
+        self.begin_s = more.get("begin_s", 3.0)
+        self.end_s = self.begin_s + more.get("length_s", 6.0)
         self.rejected = more.get("rejected", 0.0)
         self.recognised = more.get("recognised", True)
         self.ends = [[] for _ in range(servers)]
         self.phases = [
             self.random.uniform(0, SLOW_CYCLE_S) for _ in range(servers)
         ]
+        daemons = more.get("daemons", 135)
         per_daemon = more.get("extra", 208.0) / 135
         self.budgets = [
             budget.RetryBudget(10.0, 0.18, 0.8 * per_daemon, rounding)
-            for rounding in (self.random.random() for _ in range(135))
+            for rounding in (self.random.random() for _ in range(daemons))
         ]
         self.watches = [precedence.ReturnWatch() for _ in self.budgets]
         self.known = None
@@ -87,8 +89,8 @@
         queue, number = [], 0
         for kind in kinds:
             at = 0.0
-            while at < LAST_S:
-                surge = kind.surge if BEGIN_S <= at < END_S else 1.0
+            while at < self.end_s + 1:
+                surge = kind.surge if self.begin_s <= at < self.end_s else 1.0
                 at += self.random.expovariate(kind.per_s * surge)
                 number += 1
                 queue.append(Try(at, number, kind, at, False, at))
@@ -109,14 +111,14 @@
     def _handle(self, one):
         """Returns the next step of a try, or None."""
         kind, now = one.kind, one.at
-        counted = BEGIN_S <= one.first_at < END_S
+        counted = self.begin_s <= one.first_at < self.end_s
         daemon = one.number % len(self.budgets)
         if one.at == one.began_at:
             daemon_budget = self.budgets[daemon]
             daemon_budget.record_request(now)
             if not one.returned and counted:
                 self.sent[kind.name] = self.sent.get(kind.name, 0) + 1
-            if one.returned:
+            if one.returned and self.recognised:
                 # Retries go to another daemon.
                 self.watches[(daemon * 7) % len(self.watches)].record_returned()
         cost = precedence.RequestCost(
@@ -135,7 +137,10 @@
             if now + limits.reprobe_pause_s > limits.any_server_until:
                 return self._reject(one)
             return one._replace(at=now + limits.reprobe_pause_s, reprobe=True)
-        if BEGIN_S <= now < END_S and self.random.random() < self.rejected:
+        if (
+            self.begin_s <= now < self.end_s
+            and self.random.random() < self.rejected
+        ):
             return self._retry(one._replace(sends=one.sends + 1), cost, load)
         self._serve(one, chosen, counted)
         return None
@@ -158,9 +163,14 @@
         if one.sends >= 3:
             return self._reject(one)
         share = 1.0
+        watch.update(load, one.at)
         if load is not None and watch.may_reserve:
             share = precedence.retry_share(
-                cost, load, retries.retries_per_request, 3
+                cost,
+                load,
+                retries.retries_per_request,
+                3,
+                watch.window_left(10.0, one.at),
             )
         if retries.try_spend(one.at, share):
             return one._replace(at=one.at + 0.003)
@@ -239,7 +249,9 @@
             idle_share=running.count(0) / count,
             slow_share=slow / count,
             waiting=0.0,
-            rejected_share=self.rejected if BEGIN_S <= now < END_S else 0.0,
+            rejected_share=self.rejected
+            if self.begin_s <= now < self.end_s
+            else 0.0,
             freed_per_s=sum(running) / 0.25,
             age_s=0.1,
         )
