--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -275,11 +275,12 @@
             if is_hedge and self.hedging_early:
                 self._count_decision("hedged_early", "slow_server")
             return True
-        if share < 1 and not is_hedge:
-            if retries.may_spend(self.loop.time()):
-                self.gateway.return_watches[self.service].record_refused()
-                self._count_decision("retry_reserved", "service_rejects")
-        elif not is_hedge and retries.should_report_spent(self.loop.time()):
+        if is_hedge:
+            return False
+        if retries.may_spend(self.loop.time()):
+            self.gateway.return_watches[self.service].record_refused()
+            self._count_decision("retry_reserved", "service_rejects")
+        elif retries.should_report_spent(self.loop.time()):
             events.emit(
                 call_events.BudgetSpent(
                     id=self.request.request_id,
@@ -304,6 +305,8 @@
         if load is None:
             return 1.0
         watch = self.gateway.return_watches[self.service]
+        if self.returned:
+            watch.record_returned()
         if not watch.may_reserve:
             return 1.0
         return precedence.retry_share(
--- a/banyantiller/tests/gateway/event_scenarios.py
+++ b/banyantiller/tests/gateway/event_scenarios.py
@@ -10,6 +10,7 @@
 from banyantiller.gateway import settings as options
 from banyantiller.http import messages
 from banyantiller.tests.gateway import harness
+from banyantiller.tests.gateway.decisions import test_precedence
 
 SCENARIOS = []
 
@@ -140,6 +141,14 @@
     await env.request("a")
 
 
+@shows(call_events.RetriesReserved, call_events.RetriesUnreserved)
+async def servers_are_known_to_reject_requests(env):
+    env.gateway.settings = env.gateway.settings._replace(load_sharing="on")
+    for load in (test_precedence.REJECTING, None):
+        env.gateway.service_loads.service_load = lambda *_, load=load: load
+        await env.request("a")
+
+
 @shows(
     events.ServerUnresponsive,
     events.ServerResponsive,
