--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -1,6 +1,7 @@
 """The gateway of one daemon: its shared state and its life cycle."""
 
 import asyncio
+import collections
 import random
 import socket
 
@@ -39,7 +40,9 @@
 from banyantiller.gateway import settings as options
 from banyantiller.gateway.decisions import (
     budget,
+    caller_budgets,
     durations,
+    precedence,
     selection,
     service_load,
     turns,
@@ -87,6 +90,8 @@
         durations: Usual durations of requests.
         service_loads: Loads of the servers by service and zone.
         load_reports: Exchanges these loads with peers.
+        caller_budgets: How long the callers of each route wait in total.
+        return_watches: Whether rejected callers come back, by service.
         crash_detector: Finds requests that were on servers that crashed.
         quarantine_sync: Exchanges quarantined requests with peers.
         server_limits: Rate limits that servers name.
@@ -128,6 +133,10 @@
         self.shares = budget.MinShare(settings.retry_window_s, self.loop.time())
         self.durations = durations.Durations()
         self.service_loads = service_load.ServiceLoads()
+        self.caller_budgets = caller_budgets.CallerBudgets()
+        self.return_watches: collections.defaultdict[
+            str, precedence.ReturnWatch
+        ] = collections.defaultdict(precedence.ReturnWatch)
         self.sampler = sampling.CallSampler()
         self.crash_detector = crash_detection.CrashDetector(
             crash_table.CrashTable(settings.quarantine_s, rng),
@@ -293,6 +302,9 @@
             if self.store_view.routes is not None:
                 self.durations.retain_routes(self.store_view.routes.names)
                 self.transfers.retain_routes(self.store_view.routes.names)
+                names = self.store_view.routes.names
+                self.durations.retain_routes(names)
+                self.caller_budgets.retain_routes(names)
 
     async def close(self) -> None:
         """Closes every connection to servers and peers."""
--- a/banyantiller/tests/gateway/event_scenarios.py
+++ b/banyantiller/tests/gateway/event_scenarios.py
@@ -10,6 +10,7 @@
 from banyantiller.gateway import settings as options
 from banyantiller.http import messages
 from banyantiller.tests.gateway import harness
+from banyantiller.tests.gateway.decisions import test_precedence
 
 SCENARIOS = []
 
@@ -150,6 +151,12 @@
     await asyncio.gather(
         *(env.request(f"a{number}", "/large/x") for number in range(4))
     )
+@shows(call_events.RetriesReserved, call_events.RetriesUnreserved)
+async def servers_are_known_to_reject_requests(env):
+    env.gateway.settings = env.gateway.settings._replace(load_sharing="on")
+    for load in (test_precedence.REJECTING, None):
+        env.gateway.service_loads.service_load = lambda *_, load=load: load
+        await env.request("a")
 
 
 @shows(
