Place requests in zones by the known loads

Daemons counted their own misses to notice a full zone, which takes 4 to 30 s at two requests a second. While loads are shared, the share that leaves a zone follows the known loads of all zones; kinds of requests that tolerate another one on their server are told from those that don't.

Without known loads the random draws are the same as before.

--- a/banyantiller/gateway/attempts.py
+++ b/banyantiller/gateway/attempts.py
@@ -112,6 +112,14 @@
         elif isinstance(outcome, exchange.BrokenResponse):
             self.call.progress.reason = outcome.reason
             entry.health.record_result(False, now)
+            if outcome.kind is ErrorKind.CONNECTION_LOST:
+                self.gateway.chooser.full_resets.record_reset(
+                    self.call.service,
+                    self.candidate.load,
+                    now - self.sent_at,
+                    self.call.progress.usual_s,
+                    now,
+                )
             self._log_failure(outcome.kind.value, outcome.reason)
         else:
             entry.health.record_result(outcome.status < 500, now)
--- a/banyantiller/gateway/decisions/selection.py
+++ b/banyantiller/gateway/decisions/selection.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from banyantiller.gateway import probing, servers
+from banyantiller.gateway.decisions import placement, request_kinds
 
 # Maximum number of servers probed for each request.
 MAX_PROBED = 5
@@ -71,6 +72,18 @@
         )
 
 
+class KnownPlacement(NamedTuple):
+    """Where a request is placed by the known loads of the zones.
+
+    Attributes:
+        zone: Zone that is probed first.
+        zones: Zones with more room than the local one.
+    """
+
+    zone: str
+    zones: placement.RemoteZones
+
+
 class ProbePlan(NamedTuple):
     """Servers that are probed at the same time.
 
@@ -80,12 +93,16 @@
             good enough.
         mixed: Whether the service has servers in the local zone and in others.
         connected: Servers to which there were connections.
+        kind: Kind of the request.
+        known: Placement by known loads, or None if they are not known.
     """
 
     probed: list[servers.ServerEntry]
     local_only: bool
     mixed: bool
     connected: ConnectedServers = NO_CONNECTIONS
+    kind: request_kinds.RequestKind = request_kinds.ANY_KIND
+    known: KnownPlacement | None = None
 
 
 class ServerSelector:
@@ -96,19 +113,31 @@
         zone: Its availability zone.
         local_zone_success: Share of recent requests for which the local zone
             had a good server, by service.
+        zone_load: Returns the known load of a service in a zone.
+        spills: Spills from the local zone, by service.
     """
 
-    def __init__(self, daemon: str, zone: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        daemon: str,
+        zone: str,
+        rng: random.Random,
+        zone_load: placement.LoadLookup = placement.no_load,
+    ) -> None:
         self.daemon = daemon
         self.zone = zone
         self.random = rng
         self.local_zone_success: dict[str, float] = {}
+        self.zone_load = zone_load
+        self.spills: dict[str, placement.Spill] = {}
 
     def first_probes(
         self,
         service: str,
         usable: list[servers.ServerEntry],
         connected: ConnectedServers = NO_CONNECTIONS,
+        kind: request_kinds.RequestKind = request_kinds.ANY_KIND,
+        now: float = 0.0,
     ) -> ProbePlan:
         """Returns the servers to probe first.
 
@@ -116,11 +145,21 @@
             service: Name of the service.
             usable: Its servers that may be probed.
             connected: Servers to which there are connections.
+            kind: Kind of the request.
+            now: Loop time.
         """
         local = [entry for entry in usable if self._is_local(entry)]
         if not local or len(local) == len(usable):
-            drawn = self._draw(self._preferred(usable), MAX_PROBED, connected)
-            return ProbePlan(drawn, False, False, connected)
+            self._end_spill(service)
+            eligible = self._preferred(_own_part(usable, kind))
+            drawn = self._draw(eligible, MAX_PROBED, connected)
+            return ProbePlan(drawn, False, False, connected, kind)
+        known = self._place(service, usable, now)
+        if known is not None:
+            inside = [one for one in usable if one.server.zone == known.zone]
+            eligible = self._preferred(_own_part(inside, kind))
+            drawn = self._draw(eligible, MAX_PROBED_LOCAL, connected)
+            return ProbePlan(drawn, True, True, connected, kind, known)
         preferred = self._preferred(local)
         if self.local_zone_success.get(service, 1.0) < MIN_LOCAL_ZONE_SUCCESS:
             preferred = preferred.merged_with(
@@ -146,6 +185,8 @@
             before: Servers that were probed first.
             found: Candidates among them.
         """
+        if before.known is not None:
+            return self._more_known(service, usable, before, found)
         enough = any(map(self._is_good_local, found))
         if before.mixed:
             self._record_local_success(service, enough)
@@ -168,6 +209,7 @@
         max_score: float,
         now: float,
         keep_last_slot: bool = False,
+        kind: request_kinds.RequestKind = request_kinds.ANY_KIND,
     ) -> probing.Candidate | None:
         """Returns the best candidate that is ready, or None.
 
@@ -180,7 +222,10 @@
             max_score: Maximum score to accept.
             now: Loop time.
             keep_last_slot: Whether the last slots of servers are kept free.
+            kind: Kind of the request.
         """
+        if kind.tolerant is not None:
+            found = sorted(found, key=lambda one: _kind_score(one, kind))
         any_healthy = any(one.healthy for one in found)
         return next(
             (
@@ -188,13 +233,87 @@
                 for one in found
                 if one.healthy == any_healthy
                 and one.ready(MAX_SLOWNESS)
-                and not (keep_last_slot and one.takes_last_slot())
+                and not (
+                    keep_last_slot
+                    and one.takes_last_slot()
+                    and not kind.may_take_last_slot(one.entry.server)
+                )
                 and one.score <= max_score
                 and one.entry.usable(now)
             ),
             None,
         )
 
+    def spills_from_zone(self, service: str) -> bool:
+        """Returns whether requests leave the local zone by known loads."""
+        spill = self.spills.get(service)
+        return spill is not None and spill.active
+
+    def _place(
+        self, service: str, usable: list[servers.ServerEntry], now: float
+    ) -> KnownPlacement | None:
+        """Returns where a request is placed; None if the loads are unknown."""
+        zones = sorted({entry.server.zone for entry in usable} - {self.zone})
+        slots = round(sum(entry.server.slots for entry in usable) / len(usable))
+        remote = placement.remote_zones(
+            self.zone_load(service, self.zone, now),
+            {zone: self.zone_load(service, zone, now) for zone in zones},
+            slots,
+        )
+        if remote is None:
+            self._end_spill(service)
+            return None
+        spill = self.spills.setdefault(service, placement.Spill())
+        spill.follow(remote.share, now)
+        zone = spill.choose_zone(remote, self.random)
+        return KnownPlacement(zone or self.zone, remote)
+
+    def _end_spill(self, service: str) -> None:
+        if service in self.spills:
+            self.spills[service].end()
+
+    def _more_known(
+        self,
+        service: str,
+        usable: list[servers.ServerEntry],
+        before: ProbePlan,
+        found: list[probing.Candidate],
+    ) -> list[servers.ServerEntry]:
+        """Returns the servers to probe after a zone of known load.
+
+        Other servers of the local zone are probed first of all, since it may
+        have good ones left. One server of a zone with more room is probed as
+        well, and more of them the more requests leave.
+        """
+        known = before.known
+        spill = self.spills[service]
+        enough = any(
+            one.healthy and _kind_score(one, before.kind) <= GOOD_SCORE
+            for one in found
+        )
+        if known.zone == self.zone:
+            self._record_local_success(service, enough)
+        else:
+            spill.record_probes(known.zone, enough)
+        if enough:
+            return []
+        left = [entry for entry in usable if entry not in before.probed]
+        remote_count = 0
+        remote: list[servers.ServerEntry] = []
+        if known.zones.weights:
+            zone = spill.draw_zone(known.zones, self.random)
+            inside = [one for one in left if one.server.zone == zone]
+            remote_count = 1 + round((MAX_PROBED - 2) * spill.share)
+            remote = self._draw(
+                self._preferred(inside), remote_count, before.connected
+            )
+        local = [entry for entry in left if self._is_local(entry)]
+        return remote + self._draw(
+            self._preferred(local),
+            MAX_PROBED - 1 - len(remote),
+            before.connected,
+        )
+
     def _remote(
         self, usable: list[servers.ServerEntry]
     ) -> list[servers.ServerEntry]:
@@ -274,3 +393,25 @@
                 chosen[chosen.index(new)] = other
                 idle.remove(other)
                 return
+
+
+def _own_part(
+    entries: list[servers.ServerEntry], kind: request_kinds.RequestKind
+) -> list[servers.ServerEntry]:
+    """Returns the servers that a kind of request uses first."""
+    if kind.tolerant is None:
+        return entries
+    own = [
+        one
+        for one in entries
+        if request_kinds.is_in_shared_part(one.server) == kind.tolerant
+    ]
+    return own or entries
+
+
+def _kind_score(
+    candidate: probing.Candidate, kind: request_kinds.RequestKind
+) -> float:
+    return candidate.score * request_kinds.score_factor(
+        kind, candidate.entry.server, candidate.load
+    )
--- a/banyantiller/gateway/events.py
+++ b/banyantiller/gateway/events.py
@@ -465,3 +465,20 @@
     """
 
     service: Annotated[str, "Name of the service."]
+
+
+@event("gateway: requests leave the zone.")
+class SpillBegan(NamedTuple):
+    """Other zones are known to have more room for a service than this one."""
+
+    service: Annotated[str, "Name of the service."]
+    share: Annotated[
+        float, "Share of the requests that leave the zone, from 0 to 1."
+    ]
+
+
+@event("gateway: requests stay in the zone again.")
+class SpillEnded(NamedTuple):
+    """This zone has enough room again, or the loads are no longer known."""
+
+    service: Annotated[str, "Name of the service."]
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -163,11 +163,14 @@
         self.chooser = server_choice.ServerChooser(
             self.store_view.table,
             self.prober,
-            selection.ServerSelector(settings.daemon, settings.zone, rng),
+            selection.ServerSelector(
+                settings.daemon, settings.zone, rng, self._zone_load
+            ),
             self._find_connected,
             lambda: self.min_recent_share() * self.settings.cold_tolerance,
             self.server_limits,
             self.server_backoffs,
+            self.shares_load,
         )
         self.reachability = reachability.Reachability(
             self.store_view.table, self.prober, self.store_view.service, rng
@@ -421,6 +424,14 @@
         busy = frozenset(name for name, held in open_pools if held.busy)
         return selection.ConnectedServers(idle, busy - idle)
 
+    def _zone_load(
+        self, service: str, zone: str, now: float
+    ) -> service_load.ZoneLoad | None:
+        """Returns the load of a service in a zone; None if not shared."""
+        if not self.shares_load():
+            return None
+        return self.service_loads.zone_load(service, zone, now)
+
     def _max_connections(self, service: str) -> int:
         definition = self.store_view.service(service)
         if definition is None:
--- a/banyantiller/gateway/metrics.py
+++ b/banyantiller/gateway/metrics.py
@@ -62,6 +62,9 @@
             ("store_calls", "Requests to the store.", store.calls, ("verb",)),
             ("allowance_decisions", "Requests of organisations with an"
              " allowance.", self.gateway.allowances.outcomes, ("outcome",)),
+            ("zone_sends", "Requests by the zone of their server, while"
+             " loads are shared.", self.gateway.chooser.zone_sends,
+             ("service", "reason")),
             ("peer_questions", "Queries to peers for changes.",
              self.gateway.store_view.reader.query_outcomes, ("outcome",)),
         )  # fmt: skip
@@ -173,6 +176,16 @@
                     for service in table.by_service
                 ],
             )
+        spills = gateway.chooser.selector.spills
+        self.instruments.gauge(
+            "banyantiller_gateway_remote_share",
+            "",
+            "Share of the requests that leave the local zone by known loads.",
+            lambda: [
+                metrics.Reading(spill.share, {"service": service})
+                for service, spill in spills.items()
+            ],
+        )
 
 
 class LatencyCollector(registry.Collector):
--- a/banyantiller/gateway/server_choice.py
+++ b/banyantiller/gateway/server_choice.py
@@ -1,19 +1,26 @@
 """Chooses a server for a request, or finds that none is available in time."""
 
 import asyncio
+import collections
 import enum
 import math
 from collections.abc import Callable, Collection
 from typing import NamedTuple
 
 from banyantiller.gateway import (
+    events,
     probing,
     server_backoffs,
     server_limits,
     servers,
     types,
 )
-from banyantiller.gateway.decisions import cold_start, selection, waiting
+from banyantiller.gateway.decisions import (
+    cold_start,
+    request_kinds,
+    selection,
+    waiting,
+)
 
 # Maximum number of cold or limited servers that are probed besides the others.
 MAX_SCARCE_PROBED = 1
@@ -65,6 +72,11 @@
             states, 0 to 1.
         server_limits: Limits that servers name.
         server_backoffs: Times for which servers want no requests.
+        shares_load: Returns whether daemons share what they know of the load.
+        kinds: Kinds of the requests for each service.
+        full_resets: Services whose servers reset connections when full.
+        zone_sends: Chosen servers by service and reason: "local", "spilled" or
+            "no_local_server". Counted while loads are shared.
         drain_ends_at: Loop time at which a daemon that shuts down cuts its
             calls; infinite until then.
     """
@@ -80,6 +92,7 @@
         cold_share: Callable[[], float],
         limits: server_limits.ServerLimits,
         backoffs: server_backoffs.ServerBackoffs,
+        shares_load: Callable[[], bool] = lambda: False,
     ) -> None:
         self.table = table
         self.prober = prober
@@ -88,6 +101,12 @@
         self.cold_share = cold_share
         self.server_limits = limits
         self.server_backoffs = backoffs
+        self.shares_load = shares_load
+        self.kinds = request_kinds.RequestKinds()
+        self.full_resets = request_kinds.FullResets()
+        self.zone_sends: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         self.drain_ends_at = math.inf
         self.loop = asyncio.get_running_loop()
 
@@ -99,27 +118,27 @@
         The candidate's connection belongs to the calling function.
         """
         shortage = Shortage.NOT_REGISTERED
+        kind = self._kind(request)
         while True:
             usable = self.usable(request)
             if not usable and self._none_in_time(request):
                 return shortage
-            found = await self._probe(request, usable)
+            found = await self._probe(request, usable, kind)
             shortage = self._shortage(shortage, usable, found)
             now = self.loop.time()
             reprobe_at = now + waiting.REPROBE_PAUSE_S
-            keep_last_slot = (
-                reprobe_at <= request.wait_limits.keep_last_slot_until
-            )
+            keep_last_slot = reprobe_at <= self._keeps_until(request, kind)
             sendable = [
                 one for one in found if self._may_send(one.entry, request)
             ]
             best = self.selector.pick_candidate(
-                sendable, request.max_score, now, keep_last_slot
+                sendable, request.max_score, now, keep_last_slot, kind
             )
             self.prober.release([one for one in found if one is not best])
             if best is not None:
                 best.entry.record_cold_send(now)
                 self.server_limits.record_send(best.entry.server, now)
+                self._count_send(best.entry.server, usable)
                 return best
             if reprobe_at > self._waits_until(request):
                 return shortage
@@ -297,13 +316,71 @@
             self.drain_ends_at - request.usual_s,
         )
 
+    def _kind(self, request: SelectionRequest) -> request_kinds.RequestKind:
+        """Returns the kind of a request, which decides where it is placed."""
+        if not self.shares_load():
+            return request_kinds.ANY_KIND
+        now = self.loop.time()
+        route = request.route
+        name = request.service.name
+        tolerant = self.kinds.record(
+            name, route.name, route.objective_s, request.usual_s, now
+        )
+        load = self.selector.zone_load(name, self.selector.zone, now)
+        avoids = not route.idempotent and self.full_resets.resets_when_full(
+            name, now
+        )
+        scarce = request_kinds.is_scarce(load)
+        return request_kinds.RequestKind(tolerant if scarce else None, avoids)
+
+    def _keeps_until(
+        self, request: SelectionRequest, kind: request_kinds.RequestKind
+    ) -> float:
+        """Returns the loop time until which last slots are kept free.
+
+        Where a full server resets connections, a request that may not run twice
+        takes a last slot only instead of being rejected.
+        """
+        if kind.avoids_last_slots:
+            return self._waits_until(request) - waiting.REPROBE_PAUSE_S
+        return request.wait_limits.keep_last_slot_until
+
+    def _count_send(
+        self, chosen: types.Server, usable: list[servers.ServerEntry]
+    ) -> None:
+        """Counts a chosen server by its zone while loads are shared."""
+        if not self.shares_load():
+            return
+        zone = self.selector.zone
+        reason = "local"
+        if chosen.zone != zone:
+            any_local = any(one.server.zone == zone for one in usable)
+            reason = "spilled" if any_local else "no_local_server"
+        self.zone_sends[chosen.service, reason] += 1
+
+    def _log_spill(self, service: str, was_active: bool) -> None:
+        """Logs that requests begin or cease to leave the local zone."""
+        active = self.selector.spills_from_zone(service)
+        if active and not was_active:
+            share = self.selector.spills[service].share
+            events.emit(events.SpillBegan(service, round(share, 3)))
+        elif was_active and not active:
+            events.emit(events.SpillEnded(service))
+
     async def _probe(
-        self, request: SelectionRequest, usable: list[servers.ServerEntry]
+        self,
+        request: SelectionRequest,
+        usable: list[servers.ServerEntry],
+        kind: request_kinds.RequestKind,
     ) -> list[probing.Candidate]:
         """Probes some servers, and more if none of them is good enough."""
         name = request.service.name
         path = request.service.health_path
-        first = self.selector.first_probes(name, usable, self.connected(usable))
+        was_active = self.selector.spills_from_zone(name)
+        first = self.selector.first_probes(
+            name, usable, self.connected(usable), kind, self.loop.time()
+        )
+        self._log_spill(name, was_active)
         scarce = self._scarce_probes(usable, first.probed)
         found = await self.prober.probe(first.probed + scarce, path)
         more = self.selector.more_probes(name, usable, first, found)
--- a/banyantiller/replay/selector_inputs.py
+++ b/banyantiller/replay/selector_inputs.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from banyantiller.gateway import probing, servers, types
-from banyantiller.gateway.decisions import selection
+from banyantiller.gateway.decisions import request_kinds, selection
 from banyantiller.replay import recording, traces
 
 
@@ -146,9 +146,13 @@
         service: str,
         usable: list[servers.ServerEntry],
         connected: selection.ConnectedServers = selection.NO_CONNECTIONS,
+        kind: request_kinds.RequestKind = request_kinds.ANY_KIND,
+        now: float = 0.0,
     ) -> selection.ProbePlan:
         """See `ServerSelector.first_probes`."""
-        found = self.selector.first_probes(service, usable, connected)
+        found = self.selector.first_probes(
+            service, usable, connected, kind, now
+        )
         self.count += 1
         self.rounds.append((found, self.count))
         asked = _names(found.probed)
@@ -178,10 +182,11 @@
         max_score: float,
         now: float,
         keep_last_slot: bool = False,
+        kind: request_kinds.RequestKind = request_kinds.ANY_KIND,
     ) -> probing.Candidate | None:
         """See `ServerSelector.pick_candidate`."""
         best = self.selector.pick_candidate(
-            found, max_score, now, keep_last_slot
+            found, max_score, now, keep_last_slot, kind
         )
         chosen = best.entry.server.instance if best else ""
         limit = 0.0 if max_score == ANY_SCORE else max_score
--- a/banyantiller/tests/gateway/event_scenarios.py
+++ b/banyantiller/tests/gateway/event_scenarios.py
@@ -8,6 +8,7 @@
 
 from banyantiller.gateway import call_events, events, run
 from banyantiller.gateway import settings as options
+from banyantiller.gateway.decisions import service_load
 from banyantiller.http import messages
 from banyantiller.tests.gateway import harness
 
@@ -176,6 +177,23 @@
     await env.request("a")
 
 
+@shows(events.SpillBegan, events.SpillEnded)
+async def another_zone_has_more_room(env):
+    env.register("s1", zone="zone-b")
+    await asyncio.sleep(2)
+    env.gateway.settings = env.gateway.settings._replace(load_sharing="on")
+    full = service_load.ZoneLoad(9, 0.0, 0.0, 0.0, 0.0, 0.0, 1.0, 0.1)
+    idle = full._replace(free_share=1.0, idle_share=1.0)
+    for local in (full, idle):
+        loads = {"zone-a": local, "zone-b": idle}
+        env.gateway.service_loads.zone_load = (
+            lambda service, zone, now, loads=loads: loads[zone]
+        )
+        for _ in range(4):
+            await env.request("a")
+            await asyncio.sleep(1)
+
+
 @shows(events.ServerLeaving, events.ServerRemoved)
 async def server_shuts_down(env):
     env.register("s0", state="draining")
