--- a/banyantiller/gateway/attempts.py
+++ b/banyantiller/gateway/attempts.py
@@ -133,6 +133,12 @@
                 self.gateway.durations.record_duration(
                     self.call.route.name, took_s
                 )
+                self.gateway.chooser.record_duration(
+                    entry.server,
+                    self.candidate.load,
+                    took_s,
+                    self.call.progress.usual_s,
+                )
             if outcome.status in SERVER_FAULT_STATUSES:
                 instance = entry.server.instance
                 self.gateway.store_view.local_failures.record_failure(
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -269,6 +269,7 @@
             registered = self.store_view.table.servers()
             self.server_limits.expire(registered, now)
             self.server_backoffs.expire(registered, now)
+            self.chooser.speeds.retain(registered)
             self.crash_detector.tracker.table.period_s = (
                 self.settings.quarantine_s
             )
--- a/banyantiller/gateway/server_choice.py
+++ b/banyantiller/gateway/server_choice.py
@@ -19,6 +19,7 @@
     cold_start,
     request_kinds,
     selection,
+    server_speeds,
     waiting,
 )
 
@@ -75,6 +76,7 @@
         shares_load: Returns whether daemons share what they know of the load.
         kinds: Kinds of the requests for each service.
         full_resets: Services whose servers reset connections when full.
+        speeds: Speeds of servers relative to others of their service.
         zone_sends: Chosen servers by service and reason: "local", "spilled" or
             "no_local_server". Counted while loads are shared.
         drain_ends_at: Loop time at which a daemon that shuts down cuts its
@@ -104,6 +106,7 @@
         self.shares_load = shares_load
         self.kinds = request_kinds.RequestKinds()
         self.full_resets = request_kinds.FullResets()
+        self.speeds = server_speeds.ServerSpeeds()
         self.zone_sends: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
@@ -369,6 +372,34 @@
         elif was_active and not active:
             events.emit(events.SpillEnded(service))
 
+    def record_duration(
+        self,
+        server: types.Server,
+        load: types.Load | None,
+        took_s: float,
+        usual_s: float,
+    ) -> None:
+        """Records how long a server took for a request, in seconds.
+
+        Args:
+            server: The server.
+            load: Load that it reported before.
+            took_s: Duration, in seconds.
+            usual_s: Usual duration of such requests, in seconds.
+        """
+        if self.shares_load():
+            self.speeds.record_duration(server, load, took_s, usual_s)
+
+    def _with_speeds(
+        self, found: list[probing.Candidate]
+    ) -> list[probing.Candidate]:
+        """Returns candidates whose scores include their speeds, best first."""
+        if not self.shares_load():
+            return found
+        for one in found:
+            one.score *= self.speeds.factor(one.entry.server)
+        return sorted(found, key=lambda candidate: candidate.score)
+
     async def _probe(
         self,
         request: SelectionRequest,
@@ -384,12 +415,14 @@
         )
         self._log_spill(name, was_active)
         scarce = self._scarce_probes(usable, first.probed)
-        found = await self.prober.probe(first.probed + scarce, path)
+        found = self._with_speeds(
+            await self.prober.probe(first.probed + scarce, path)
+        )
         more = self.selector.more_probes(name, usable, first, found)
         if not more:
             return found
         try:
-            found += await self.prober.probe(more, path)
+            found += self._with_speeds(await self.prober.probe(more, path))
         except BaseException:
             self.prober.release(found)
             raise
