--- a/banyantiller/gateway/attempts.py
+++ b/banyantiller/gateway/attempts.py
@@ -113,6 +113,14 @@
         elif isinstance(outcome, exchange.BrokenResponse):
             self.call.progress.reason = outcome.reason
             entry.health.record_result(False, now)
+            if outcome.kind is ErrorKind.CONNECTION_LOST:
+                self.gateway.chooser.full_resets.record_reset(
+                    self.call.service,
+                    self.candidate.load,
+                    now - self.sent_at,
+                    self.call.progress.usual_s,
+                    now,
+                )
             self._log_failure(outcome.kind.value, outcome.reason)
         else:
             entry.health.record_result(outcome.status < 500, now)
@@ -126,6 +134,12 @@
                 self.gateway.durations.record_duration(
                     self.call.route.name, took_s
                 )
+                self.gateway.chooser.record_duration(
+                    entry.server,
+                    self.candidate.load,
+                    took_s,
+                    self.call.progress.usual_s,
+                )
             if outcome.status in SERVER_FAULT_STATUSES:
                 instance = entry.server.instance
                 self.gateway.store_view.local_failures.record_failure(
--- a/banyantiller/gateway/metrics.py
+++ b/banyantiller/gateway/metrics.py
@@ -67,6 +67,9 @@
              " allowance.", self.gateway.allowances.outcomes, ("outcome",)),
             ("large_responses", "Calls with large responses by what the link"
              " allowed.", self.gateway.transfers.outcomes, ("outcome",)),
+            ("zone_sends", "Requests by the zone of their server, while"
+             " loads are shared.", self.gateway.chooser.zone_sends,
+             ("service", "reason")),
             ("peer_questions", "Queries to peers for changes.",
              self.gateway.store_view.reader.query_outcomes, ("outcome",)),
         )  # fmt: skip
@@ -211,6 +214,16 @@
                     for service in table.by_service
                 ],
             )
+        spills = gateway.chooser.selector.spills
+        self.instruments.gauge(
+            "banyantiller_gateway_remote_share",
+            "",
+            "Share of the requests that leave the local zone by known loads.",
+            lambda: [
+                metrics.Reading(spill.share, {"service": service})
+                for service, spill in spills.items()
+            ],
+        )
 
 
 class LatencyCollector(registry.Collector):
