Share a service that is short among organisations

Cause: while servers have no free slots, a surge of one organisation below its allowance took their slots from all others.

Change: relays find the weighted max-min fair shares of the organisations for each service that is known to be short, and refuse what is beyond them with 503, reason fair_share. Daemons name the service of each request in an optional field, only while load sharing is on; requests without it are not limited, as the previous build takes refusals for a spent allowance.

--- a/banyantiller/gateway/allowance_grants.py
+++ b/banyantiller/gateway/allowance_grants.py
@@ -3,13 +3,18 @@
 import asyncio
 import math
 from collections.abc import Callable
-from typing import Annotated, TypedDict
+from typing import Annotated, NamedTuple, NotRequired, TypedDict
 
 import msgspec
 
-from banyantiller.gateway import events, store_view, types
+from banyantiller.gateway import (
+    events,
+    organisation_shares,
+    store_view,
+    types,
+)
 from banyantiller.gateway import settings as options
-from banyantiller.gateway.decisions import allowances, turns
+from banyantiller.gateway.decisions import allowances, service_load, turns
 from banyantiller.http import messages
 from banyantiller.utils import decoding
 
@@ -19,15 +24,55 @@
 Number = Annotated[int, msgspec.Meta(ge=0)]
 
 
+class ServiceRequests(NamedTuple):
+    """Requests of an organisation for one service.
+
+    Attributes:
+        organisation: Name of the organisation.
+        service: Service that most requests of their routes are sent to.
+        asked: Requests to grant.
+        new: How many of them no other relay was asked for.
+        unused: Grants whose requests were not executed by any server.
+    """
+
+    organisation: str
+    service: str
+    asked: Number
+    new: Number
+    unused: Number
+
+
 class AskFields(TypedDict):
     """A daemon's message to a relay, with numbers by organisation.
 
     `asked` are requests to grant, and `unused` grants whose requests were not
-    sent to any server.
+    sent to any server. `services` divides them by service. It is sent only
+    while daemons share what they know of the load; requests without it are not
+    limited to a fair share, as daemons of earlier builds take any refusal for a
+    spent allowance.
     """
 
     asked: dict[str, Number]
     unused: dict[str, Number]
+    services: NotRequired[list[ServiceRequests]]
+
+
+class ShortShare(NamedTuple):
+    """Requests beyond the fair share of their organisation.
+
+    Attributes:
+        organisation: Name of the organisation.
+        service: Service that is short of capacity.
+        refused: Number of refused requests.
+        retry_ms: Time after which the share may permit them.
+        final: Whether no other relay needs to be asked for them.
+    """
+
+    organisation: str
+    service: str
+    refused: Number
+    retry_ms: Number
+    final: bool
 
 
 class GrantFields(TypedDict):
@@ -35,11 +80,17 @@
 
     `granted` has the number of granted requests of each organisation that the
     relay's document names. `wait_ms` tells how long not to ask again for those
-    of which some were refused.
+    of which some were refused. `short` has the requests that were refused
+    although they are within the allowance.
     """
 
     granted: dict[str, Number]
     wait_ms: dict[str, Number]
+    short: NotRequired[list[ShortShare]]
+
+
+def load_not_shared(service: str, now: float) -> None:
+    """Returns no load, as daemons don't share what they know of it."""
 
 
 class RelayGrants:
@@ -50,6 +101,7 @@
         settings: Returns the settings in force.
         by_organisation: Allowances by the name of the organisation.
         limited: Organisations that were refused requests lately.
+        shares: Fair shares of the organisations.
         count: Number of relays.
         index: Index of this relay, or None if this daemon is none.
         started_at: Loop time at which this relay started.
@@ -59,12 +111,16 @@
         self,
         view: store_view.StoreView,
         settings: Callable[[], options.Settings],
+        service_load_of: Callable[
+            [str, float], service_load.ZoneLoad | None
+        ] = load_not_shared,
     ) -> None:
         self.view = view
         self.settings = settings
         self.loop = asyncio.get_running_loop()
         self.by_organisation: dict[str, allowances.RelayAllowance] = {}
         self.limited: set[str] = set()
+        self.shares = organisation_shares.OrganisationShares(service_load_of)
         self.started_at = self.loop.time()
         seeds = sorted(settings().seeds)
         own = settings().control
@@ -104,10 +160,41 @@
             reply["granted"][name] = granted
             if granted < asked:
                 reply["wait_ms"][name] = math.ceil(wait_s * 1000)
+        if "services" in fields:
+            self._limit_to_shares(fields["services"], reply)
         return reply
 
+    def _limit_to_shares(
+        self, services: list[ServiceRequests], reply: GrantFields
+    ) -> None:
+        """Withdraws the grants beyond the fair shares of organisations."""
+        undecided = dict(reply["granted"])
+        for one in services:
+            name = one.organisation
+            self.shares.take_back(name, one.service, one.unused)
+            within = min(one.asked, undecided.get(name, 0))
+            organisation = self._organisation(name)
+            if not within or organisation is None or organisation.per_s is None:
+                continue
+            undecided[name] -= within
+            weight = self._limits_of(organisation).per_s
+            new = min(one.new, one.asked)
+            granted, refusal = self.shares.grant(
+                name, one.service, weight, within, new
+            )
+            if refusal is None:
+                continue
+            refused = within - granted
+            reply["granted"][name] -= refused
+            self.by_organisation[name].take_back(refused)
+            retry_ms = math.ceil(refusal.retry_s * 1000)
+            reply.setdefault("short", []).append(
+                ShortShare(name, one.service, refused, retry_ms, refusal.final)
+            )
+
     def expire(self, now: float) -> None:
         """Drops unused state, and reports organisations within their limits."""
+        self.shares.expire(now)
         window_s = self.settings().allowance_window_s
         for name, allowance in list(self.by_organisation.items()):
             if allowance.refused_at + window_s > now:
--- a/banyantiller/gateway/allowances.py
+++ b/banyantiller/gateway/allowances.py
@@ -19,7 +19,11 @@
 from banyantiller.errors import ErrorKind
 from banyantiller.gateway import allowance_grants, events, store_view, types
 from banyantiller.gateway import settings as options
-from banyantiller.gateway.decisions import allowances, retry_after
+from banyantiller.gateway.decisions import (
+    allowances,
+    retry_after,
+    service_load,
+)
 from banyantiller.http import client, messages, outcomes
 from banyantiller.utils import decoding
 
@@ -30,6 +34,8 @@
 # Grants that were not used are given back with the next message, within this
 # time.
 GIVE_BACK_S = 0.5
+# Reason in the log of calls beyond the fair share of their organisation.
+OVER_SHARE_REASON = "fair_share"
 # A relay closes connections that are idle for 10 s.
 HTTP_LIMITS = messages.Limits(
     connections=2, proven_s=5.0, connect_s=0.1, silence_s=3
@@ -42,10 +48,29 @@
     Attributes:
         granted: Whether the request was granted.
         wait_s: How long not to ask the relay again if it was not, in seconds.
+        short: Whether it is within the allowance, but beyond the fair share of
+            a service that is short of capacity.
+        final: Whether no other relay needs to be asked.
     """
 
     granted: bool
     wait_s: float = 0.0
+    short: bool = False
+    final: bool = False
+
+
+class Question(NamedTuple):
+    """A request that waits for the answer of a relay.
+
+    Attributes:
+        answer: Receives the answer, or None if the relay gives none.
+        service: Service of the request; empty if the load is not shared.
+        new: Whether no other relay was asked for it.
+    """
+
+    answer: asyncio.Future[Answer | None]
+    service: str
+    new: bool
 
 
 class RelayLink:
@@ -54,7 +79,7 @@
     Attributes:
         send: Sends a message; returns the reply, or None if there is none.
         waiting: Requests that wait for the next message, by organisation.
-        unused: Grants to give back, by organisation.
+        unused: Grants to give back, by organisation and service.
         skipped_until: Loop time until which the relay is not asked.
         exhausted_until: Loop time until which the relay is not asked for an
             organisation, by its name.
@@ -69,23 +94,34 @@
     ) -> None:
         self.send = send
         self.loop = asyncio.get_running_loop()
-        self.waiting: dict[str, list[asyncio.Future[Answer | None]]] = {}
-        self.unused: collections.Counter[str] = collections.Counter()
+        self.waiting: dict[str, list[Question]] = {}
+        self.unused: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         self.skipped_until = -math.inf
         self.exhausted_until: dict[str, float] = {}
         self.exchange: asyncio.Task[None] | None = None
         self.give_back_timer: asyncio.TimerHandle | None = None
 
-    def ask(self, name: str) -> asyncio.Future[Answer | None]:
-        """Asks for one request; the answer is None if the relay gives none."""
+    def ask(
+        self, name: str, service: str = "", new: bool = True
+    ) -> asyncio.Future[Answer | None]:
+        """Asks for one request; the answer is None if the relay gives none.
+
+        Args:
+            name: Name of the organisation.
+            service: Service of the request; empty if the load is not shared.
+            new: Whether no other relay was asked for it.
+        """
         answer: asyncio.Future[Answer | None] = self.loop.create_future()
-        self.waiting.setdefault(name, []).append(answer)
+        question = Question(answer, service, new)
+        self.waiting.setdefault(name, []).append(question)
         self._start()
         return answer
 
-    def give_back(self, name: str) -> None:
+    def give_back(self, name: str, service: str = "") -> None:
         """Returns a grant, with the next message or soon."""
-        self.unused[name] += 1
+        self.unused[name, service] += 1
         if self.give_back_timer is None:
             self.give_back_timer = self.loop.call_later(
                 GIVE_BACK_S, self._start
@@ -113,40 +149,98 @@
 
     async def _exchange_message(self) -> None:
         waiting, self.waiting = self.waiting, {}
-        unused, self.unused = dict(self.unused), collections.Counter()
+        unused, self.unused = self.unused, collections.Counter()
         if self.give_back_timer is not None:
             self.give_back_timer.cancel()
             self.give_back_timer = None
-        asked = {name: len(answers) for name, answers in waiting.items()}
         reply = None
         try:
-            reply = await self.send(
-                allowance_grants.AskFields(asked=asked, unused=unused)
-            )
+            reply = await self.send(ask_fields(waiting, unused))
         finally:
-            for name, answers in waiting.items():
-                self._resolve(name, answers, reply)
+            for name, questions in waiting.items():
+                self._resolve(name, questions, reply)
         if reply is None:
             self.skipped_until = self.loop.time() + SKIP_S
 
     def _resolve(
         self,
         name: str,
-        answers: list[asyncio.Future[Answer | None]],
+        questions: list[Question],
         reply: allowance_grants.GrantFields | None,
     ) -> None:
+        if reply is not None:
+            questions = _resolve_short(name, questions, reply)
         # Callers may have disconnected in the meantime.
-        pending = [answer for answer in answers if not answer.done()]
+        pending = [one for one in questions if not one.answer.done()]
         if reply is None or name not in reply["granted"]:
-            for answer in pending:
-                answer.set_result(None)
+            for question in pending:
+                question.answer.set_result(None)
             return
         granted = reply["granted"][name]
         wait_s = reply["wait_ms"].get(name, 0) / 1000
-        for number, answer in enumerate(pending):
-            answer.set_result(Answer(number < granted, wait_s))
-        for _ in range(granted - len(pending)):
-            self.give_back(name)
+        gone = [one for one in questions if one.answer.done()]
+        for number, question in enumerate(pending):
+            question.answer.set_result(Answer(number < granted, wait_s))
+        for question in gone[: max(0, granted - len(pending))]:
+            self.give_back(name, question.service)
+
+
+def ask_fields(
+    waiting: dict[str, list[Question]],
+    unused: collections.Counter[tuple[str, str]],
+) -> allowance_grants.AskFields:
+    """Returns the message that asks a relay.
+
+    Args:
+        waiting: Requests to grant, by organisation.
+        unused: Grants to give back, by organisation and service.
+    """
+    asked = {name: len(questions) for name, questions in waiting.items()}
+    unused_by_name: collections.Counter[str] = collections.Counter()
+    for (name, _), number in unused.items():
+        unused_by_name[name] += number
+    fields = allowance_grants.AskFields(
+        asked=asked, unused=dict(unused_by_name)
+    )
+    counts = collections.Counter(
+        (name, one.service) for name, found in waiting.items() for one in found
+    )
+    new = collections.Counter(
+        (name, one.service)
+        for name, found in waiting.items()
+        for one in found
+        if one.new
+    )
+    services = [
+        allowance_grants.ServiceRequests(
+            *key, counts[key], new[key], unused[key]
+        )
+        for key in counts | unused
+        if key[1]
+    ]
+    if services:
+        fields["services"] = services
+    return fields
+
+
+def _resolve_short(
+    name: str,
+    questions: list[Question],
+    reply: allowance_grants.GrantFields,
+) -> list[Question]:
+    """Answers requests beyond their fair share; returns the other ones."""
+    left = list(questions)
+    for short in reply.get("short", ()):
+        if short.organisation != name:
+            continue
+        of_service = [one for one in left if one.service == short.service]
+        refused = of_service[max(0, len(of_service) - short.refused) :]
+        answer = Answer(False, short.retry_ms / 1000, True, short.final)
+        for question in refused:
+            left.remove(question)
+            if not question.answer.done():
+                question.answer.set_result(answer)
+    return left
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -157,11 +251,17 @@
         error_kind: Why it is refused, or None.
         retry_after_s: Time after which a refused caller may retry, in seconds.
         link: Relay that granted it, or None.
+        service: Service that it was granted for; empty if the load is not
+            shared.
+        reason: Reason of the refusal for the log; empty if the kind of the
+            error says it.
     """
 
     error_kind: ErrorKind | None = None
     retry_after_s: float = 0.0
     link: RelayLink | None = None
+    service: str = ""
+    reason: str = ""
 
 
 UNLIMITED = Admission()
@@ -177,8 +277,8 @@
         recent: Requests that this daemon admitted lately, by organisation.
         without_relays: Requests in a window that are admitted while no relay
             responds, by organisation; as many as in the window before.
-        outcomes: Number of decisions by outcome: "granted", "refused", or
-            "unconfirmed" if no relay responded.
+        outcomes: Number of decisions by outcome: "granted", "refused",
+            "over_share", or "unconfirmed" if no relay responded.
     """
 
     def __init__(
@@ -186,11 +286,16 @@
         view: store_view.StoreView,
         settings: Callable[[], options.Settings],
         rng: random.Random,
+        service_load_of: Callable[
+            [str, float], service_load.ZoneLoad | None
+        ] = allowance_grants.load_not_shared,
     ) -> None:
         self.settings = settings
         self.random = rng
         self.loop = asyncio.get_running_loop()
-        self.relay_grants = allowance_grants.RelayGrants(view, settings)
+        self.relay_grants = allowance_grants.RelayGrants(
+            view, settings, service_load_of
+        )
         self.clients: list[client.HttpClient] = []
         self.links = [self._link_to(text) for text in settings().seeds]
         if not self.links:
@@ -199,25 +304,42 @@
         self.without_relays: dict[str, int] = {}
         self.outcomes: collections.Counter[str] = collections.Counter()
 
-    async def admit(self, organisation: types.Organisation | None) -> Admission:
-        """Decides whether one more request of an organisation may run."""
+    async def admit(
+        self, organisation: types.Organisation | None, service: str = ""
+    ) -> Admission:
+        """Decides whether one more request of an organisation may run.
+
+        Args:
+            organisation: The organisation, or None.
+            service: Service of the request; empty if the load is not shared.
+        """
         if organisation is None or organisation.per_s is None:
             return UNLIMITED
         name = organisation.name
         waits_s = []
+        short_waits_s = []
+        new = True
         for link in self._links_to_ask():
             left_s = link.exhausted_until.get(name, 0.0) - self.loop.time()
             if left_s > 0:
                 waits_s.append(left_s)
                 continue
-            answer = await link.ask(name)
+            answer = await link.ask(name, service, new)
             if answer is None:
                 continue
+            new = False
             self.without_relays.clear()
             if answer.granted:
-                return self._admit(name, link)
+                return self._admit(name, link, service)
+            if answer.short:
+                short_waits_s.append(answer.wait_s)
+                if answer.final:
+                    break
+                continue
             link.exhausted_until[name] = self.loop.time() + answer.wait_s
             waits_s.append(answer.wait_s)
+        if short_waits_s:
+            return self._refuse_over_share(min(short_waits_s))
         if not waits_s:
             return self._decide_alone(name)
         self.outcomes["refused"] += 1
@@ -229,7 +351,7 @@
     ) -> None:
         """Returns the grant of a request that no server has executed."""
         if admission.link is not None:
-            admission.link.give_back(organisation.name)
+            admission.link.give_back(organisation.name, admission.service)
 
     def expire(self, now: float) -> None:
         """Drops outdated state."""
@@ -258,7 +380,9 @@
         self.random.shuffle(found)
         return found
 
-    def _admit(self, name: str, link: RelayLink | None) -> Admission:
+    def _admit(
+        self, name: str, link: RelayLink | None, service: str = ""
+    ) -> Admission:
         window = self.recent.get(name)
         if window is None:
             window_s = self.settings().allowance_window_s
@@ -266,7 +390,14 @@
             self.recent[name] = window
         window.add(self.loop.time())
         self.outcomes["granted" if link else "unconfirmed"] += 1
-        return Admission(link=link)
+        return Admission(link=link, service=service)
+
+    def _refuse_over_share(self, wait_s: float) -> Admission:
+        self.outcomes["over_share"] += 1
+        spread_s = retry_after.spread_retry_after_s(wait_s, self.random)
+        return Admission(
+            ErrorKind.NO_SERVER, spread_s, reason=OVER_SHARE_REASON
+        )
 
     def _decide_alone(self, name: str) -> Admission:
         """Decides without a relay.
--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -168,9 +168,15 @@
 
     async def _claim_allowance(self) -> Failure | None:
         """Returns the failure of a call beyond its organisation's allowance."""
-        self.admission = await self.gateway.allowances.admit(self.organisation)
+        service = ""
+        if self.gateway.shares_load():
+            service = routes.main_service(self.route)
+        self.admission = await self.gateway.allowances.admit(
+            self.organisation, service
+        )
         if self.admission.error_kind is None:
             return None
+        self.progress.reason = self.admission.reason
         return Failure(
             self.admission.error_kind, retry_after=self.admission.retry_after_s
         )
--- a/banyantiller/gateway/events.py
+++ b/banyantiller/gateway/events.py
@@ -79,6 +79,32 @@
     organisation: Annotated[str, "Name of the organisation."]
 
 
+@event("gateway: organisation is beyond its fair share.", "warning")
+class OrganisationOverShare(NamedTuple):
+    """A service is short of capacity, and this relay refuses requests.
+
+    The organisation is within its allowance, but uses more than its fair share
+    of the service.
+    """
+
+    organisation: Annotated[str, "Name of the organisation."]
+    service: Annotated[str, "Service that is short of capacity."]
+    per_s: Annotated[
+        float, "Requests a second that this relay grants at present."
+    ]
+    allowed_per_s: Annotated[
+        float, "Requests a second that this relay grants without a shortage."
+    ]
+
+
+@event("gateway: organisation is within its fair share.")
+class OrganisationWithinShare(NamedTuple):
+    """This relay refused no request of an organisation for some seconds."""
+
+    organisation: Annotated[str, "Name of the organisation."]
+    service: Annotated[str, "Service that was short of capacity."]
+
+
 @event("gateway: started.")
 class Started(NamedTuple):
     """The daemon listens for callers."""
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -182,7 +182,10 @@
         self.reachability.on_change = daemons.refresh
         self.forwarded_calls = forwarded_calls.ForwardedCalls(self)
         self.allowances = allowances.Allowances(
-            self.store_view, lambda: self.settings, rng
+            self.store_view,
+            lambda: self.settings,
+            rng,
+            self._shared_service_load,
         )
         self.stalls = stalls.StallDetector()
         self.all_closed = asyncio.Event()
@@ -343,6 +346,14 @@
         routes = self.store_view.routes
         return routes is not None and routes.calls_for_load_sharing
 
+    def _shared_service_load(
+        self, service: str, now: float
+    ) -> service_load.ZoneLoad | None:
+        """Returns the load of a service, or None if it isn't shared."""
+        if not self.shares_load():
+            return None
+        return self.service_loads.service_load(service, now)
+
     def min_recent_share(self) -> float:
         """Returns the smallest share during the last retry window."""
         if not self.settings.seeds:
--- a/banyantiller/gateway/metrics.py
+++ b/banyantiller/gateway/metrics.py
@@ -127,6 +127,10 @@
             ("limited_organisations", "Organisations that this relay refused"
              " requests lately.",
              lambda: len(gateway.allowances.relay_grants.limited)),
+            ("organisations_over_share", "Organisations that this relay refused"
+             " requests lately, as they used more than their fair share of a"
+             " service.",
+             gateway.allowances.relay_grants.shares.count_over_share),
             ("backed_off_servers", "Servers that asked this daemon for a"
              " backoff by Retry-After.",
              gateway.server_backoffs.count_active),
--- a/banyantiller/gateway/routes.py
+++ b/banyantiller/gateway/routes.py
@@ -118,6 +118,11 @@
         return weighted[-1].service
 
 
+def main_service(route: types.Route) -> str:
+    """Returns the service that most requests of a route are sent to."""
+    return max(route.weighted_services, key=lambda part: part.weight).service
+
+
 def calls_for_load_sharing(document: types.Document) -> bool:
     """Returns whether daemons share what they know of the load.
 
--- a/banyantiller/tests/gateway/event_scenarios.py
+++ b/banyantiller/tests/gateway/event_scenarios.py
@@ -8,6 +8,7 @@
 
 from banyantiller.gateway import call_events, events, run
 from banyantiller.gateway import settings as options
+from banyantiller.gateway.decisions import service_load
 from banyantiller.http import messages
 from banyantiller.tests.gateway import harness
 
@@ -63,6 +64,24 @@
     await asyncio.sleep(12.0)
 
 
+@shows(events.OrganisationOverShare, events.OrganisationWithinShare)
+async def organisation_exceeds_its_share(env):
+    env.put_document(
+        organisations=[
+            {"name": "north", "apiKeys": ["k"], "ratePerS": 300, "burst": 60},
+            {"name": "south", "apiKeys": ["s"], "ratePerS": 900, "burst": 9},
+        ]
+    )
+    full = service_load.ZoneLoad(4, 0.0, 0.0, 0.0, 0.0, 0.0, 9.0, 0.1)
+    env.gateway.service_loads.service_load = lambda service, now: full
+    await asyncio.sleep(3.0)
+    await env.request("a", credential="s")
+    for number in range(60):
+        await env.request(f"b{number}", credential="k")
+        await asyncio.sleep(0.03)
+    await asyncio.sleep(6.0)
+
+
 @shows(events.BackoffRequested, events.RetryAfterUnreadable)
 async def servers_refuse_requests_with_retry_after(env):
     env.fault(shed=True)
