--- a/banyantiller/tests/gateway/test_fair_shares.py
+++ b/banyantiller/tests/gateway/test_fair_shares.py
@@ -12,10 +12,12 @@
 from typing import TypedDict
 
 import msgspec
+import structlog
 
 from banyantiller.gateway import allowance_grants, allowances
+from banyantiller.gateway.decisions import service_load
 from banyantiller.tests import base
-from banyantiller.tests.gateway import shares_harness
+from banyantiller.tests.gateway import crash_harness, shares_harness
 from banyantiller.utils import decoding
 
 USUAL_S = 6
@@ -199,6 +201,58 @@
         self.assertEqual(0, fleet.total("over_share", fleet.usual, SURGE))
 
 
+class SharesOfCallersTest(base.TestCase):
+    """Callers of a fleet whose servers are all full."""
+
+    def play(self, free_share, **settings):
+        """Returns the replies to a surge, the log, and the sent requests."""
+        organisations = [
+            {"name": "north", "apiKeys": ["n"], "ratePerS": 90, "burst": 90},
+            {"name": "south", "apiKeys": ["s"], "ratePerS": 900, "burst": 9},
+        ]
+
+        async def body(fleet):
+            fleet.harness.put_document(organisations=organisations)
+            full = service_load.ZoneLoad(4, free_share, *[0.0] * 5, 0.1)
+            for one in fleet.daemons:
+                one.settings = one.settings._replace(**settings)
+                one.service_loads.service_load = lambda service, now: full
+            await asyncio.sleep(1.0)
+            replies = []
+            for number in range(200):
+                daemon = fleet.daemons[number % len(fleet.daemons)]
+                key = "n" if number % 9 else "s"
+                replies.append(await fleet.send_request(daemon, credential=key))
+            servers = fleet.harness.servers.values()
+            return replies, sum(one.ran.total() for one in servers)
+
+        with structlog.testing.capture_logs() as lines:
+            replies, runs = crash_harness.play(
+                body, lambda env: crash_harness.Fleet(env, "/read/deadly")
+            )
+        return replies, lines, runs
+
+    def test_requests_beyond_the_share_are_refused_and_not_run(self):
+        replies, lines, runs = self.play(0.0)
+        refused = [one for one in replies if one.status == 503]
+        self.assertNotEqual([], refused)
+        self.assertEqual({200, 503}, {one.status for one in replies})
+        self.assertEqual(len(replies) - runs, len(refused))
+        for reply in refused:
+            self.assertEqual("no", reply.headers["request-ran"])
+            self.assertGreater(float(reply.headers["retry-after"]), 0)
+        reasons = [one for one in lines if one.get("reason") == "fair_share"]
+        self.assertEqual({"no_server"}, {one["error"] for one in reasons})
+
+    def test_nobody_is_refused_while_slots_are_free(self):
+        replies, _, _ = self.play(0.6)
+        self.assertEqual({200}, {one.status for one in replies})
+
+    def test_nobody_is_refused_while_load_sharing_is_off(self):
+        replies, _, _ = self.play(0.0, load_sharing="off")
+        self.assertEqual({200}, {one.status for one in replies})
+
+
 class MessageTest(base.TestCase):
     """Guards against messages that the previous build can't read."""
 
