Integrate the parts of load sharing

Cause: the parts were built side by side; two modules imported each other. Change: the limit of slowness stands with the scores.

--- a/banyantiller/gateway/decisions/scoring.py
+++ b/banyantiller/gateway/decisions/scoring.py
@@ -15,6 +15,10 @@
 # Cost of the failure rate: a server that fails half of its requests is as bad
 # as one whose requests take five times as long.
 FAILURE_COST = 8.0
+# A server that is slower than usual by more than this factor gets no request:
+# noisy neighbours slow a server for tenths of a second only, and a request sent
+# meanwhile would be late.
+MAX_SLOWNESS = 2.0
 
 
 def duration_factor(load: types.Load) -> float:
--- a/banyantiller/gateway/decisions/selection.py
+++ b/banyantiller/gateway/decisions/selection.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from banyantiller.gateway import probing, servers
-from banyantiller.gateway.decisions import placement, request_kinds
+from banyantiller.gateway.decisions import placement, request_kinds, scoring
 
 # Maximum number of servers probed for each request.
 MAX_PROBED = 5
@@ -33,10 +33,6 @@
 MIN_LOCAL_ZONE_SUCCESS = 0.5
 # Weight of one request in that share: it follows a burst within a second.
 LOCAL_ZONE_WEIGHT = 0.1
-# A server that is slower than usual by more than this factor gets no request:
-# noisy neighbours slow a server for tenths of a second only, and a request sent
-# meanwhile would be late.
-MAX_SLOWNESS = 2.0
 
 
 class ConnectedServers(NamedTuple):
@@ -232,7 +228,7 @@
                 one
                 for one in found
                 if one.healthy == any_healthy
-                and one.ready(MAX_SLOWNESS)
+                and one.ready(scoring.MAX_SLOWNESS)
                 and not (
                     keep_last_slot
                     and one.takes_last_slot()
--- a/banyantiller/gateway/decisions/service_load.py
+++ b/banyantiller/gateway/decisions/service_load.py
@@ -19,7 +19,7 @@
 import msgspec
 
 from banyantiller.gateway import types
-from banyantiller.gateway.decisions import selection
+from banyantiller.gateway.decisions import scoring
 
 # Half-life of an observation's weight, in seconds. Messages already delay an
 # observation by 0.5 s on average: with a half-life of 0.5 s, the free share is
@@ -99,7 +99,7 @@
         free_share: Free slots as a share of all slots, 0 to 1.
         idle_share: Share of the servers without a request.
         slow_share: Share of the servers that are too slow for a request; see
-            `selection.MAX_SLOWNESS`.
+            `scoring.MAX_SLOWNESS`.
         waiting: Queued requests per server.
         rejected_share: Share of the sent requests that a server with a free
             slot rejected.
@@ -188,7 +188,7 @@
             values[SLOTS] += weight * slots
             values[FREE] += weight * max(0, slots - taken)
             values[IDLE] += weight * (taken == 0)
-            values[SLOW] += weight * (load.slowness > selection.MAX_SLOWNESS)
+            values[SLOW] += weight * (load.slowness > scoring.MAX_SLOWNESS)
             values[WAITING] += weight * load.waiting
         values[SENDS:] = self.sends, self.rejected, self.completed, self.took_s
         return Sums(bits, values)
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -307,10 +307,9 @@
                 server_pool.expire(now)
             await self.forwarder.expire(now)
             if self.store_view.routes is not None:
-                self.durations.retain_routes(self.store_view.routes.names)
-                self.transfers.retain_routes(self.store_view.routes.names)
                 names = self.store_view.routes.names
                 self.durations.retain_routes(names)
+                self.transfers.retain_routes(names)
                 self.caller_budgets.retain_routes(names)
 
     async def close(self) -> None:
@@ -388,6 +387,7 @@
                 load,
                 self.loop.time(),
             )
+
     def _shared_service_load(
         self, service: str, now: float
     ) -> service_load.ZoneLoad | None:
--- a/banyantiller/gateway/server_choice.py
+++ b/banyantiller/gateway/server_choice.py
@@ -130,10 +130,6 @@
             shortage = self._shortage(shortage, usable, found)
             now = self.loop.time()
             reprobe_at = now + request.wait_limits.reprobe_pause_s
-            keep_last_slot = (
-                reprobe_at <= request.wait_limits.keep_last_slot_until
-            )
-            reprobe_at = now + waiting.REPROBE_PAUSE_S
             keep_last_slot = reprobe_at <= self._keeps_until(request, kind)
             sendable = [
                 one for one in found if self._may_send(one.entry, request)
--- a/banyantiller/tests/gateway/event_scenarios.py
+++ b/banyantiller/tests/gateway/event_scenarios.py
@@ -170,6 +170,8 @@
     await asyncio.gather(
         *(env.request(f"a{number}", "/large/x") for number in range(4))
     )
+
+
 @shows(call_events.RetriesReserved, call_events.RetriesUnreserved)
 async def servers_are_known_to_reject_requests(env):
     env.gateway.settings = env.gateway.settings._replace(load_sharing="on")
