--- a/banyantiller/gateway/decisions/service_load.py
+++ b/banyantiller/gateway/decisions/service_load.py
@@ -25,15 +25,18 @@
 # observation by 0.5 s on average: with a half-life of 0.5 s, the free share is
 # off by 0.25 to 0.36 one second into a burst of three times the load. The
 # newest observations of a hundred daemons are enough.
-HALF_LIFE_S = 0.075
+HALF_LIFE_S = 0.065
 # The same for requests that were sent. There are fewer of them than probes, and
 # servers that reject requests do so for seconds.
 SEND_HALF_LIFE_S = 0.3
 # Age at which observations and reports are dropped, in seconds.
 MAX_AGE_S = 2.0
 # Weight below which a load is not known. One observation is enough for 0.4 s,
-# and a hundred for 0.9 s: the fewer there are, the newer they must be.
-MIN_WEIGHT = 0.03
+# and a hundred for 0.8 s: the fewer there are, the newer they must be.
+MIN_WEIGHT = 0.01
+# Weight below which a zone does not count in the load of a service: after sums
+# were subtracted, rounding errors of that size remain.
+MIN_ZONE_WEIGHT = MIN_WEIGHT / 10
 # Maximum number of pairs of service and zone in one message.
 MAX_REPORTED = 32
 # Sums are reported in hundredths.
@@ -337,7 +340,7 @@
                 continue
             sums = self._sums(key, now)
             weight = sums.values[WEIGHT]
-            if weight <= 0:
+            if weight < MIN_ZONE_WEIGHT:
                 continue
             total_weight += weight
             factor = count_bits(sums.servers) / weight
@@ -468,9 +471,7 @@
         weight = values[WEIGHT]
         slots = max(values[SLOTS], weight)
         busy_slots = servers * max(0.0, values[SLOTS] - values[FREE]) / weight
-        took_s = self.usual_s.get(service, math.inf)
-        if values[COMPLETED] >= MIN_WEIGHT:
-            took_s = values[TOOK] / values[COMPLETED]
+        took_s = self._mean_duration_s(service, values)
         return ZoneLoad(
             servers=round(servers),
             free_share=_share(values[FREE], slots),
@@ -482,6 +483,18 @@
             age_s=max(0.0, values[AGE] / weight),
         )
 
+    def _mean_duration_s(self, service: str, values: list[float]) -> float:
+        """Returns the mean duration of requests, or infinity if unknown.
+
+        What this daemon knows as usual counts as one more request, since few
+        requests may have completed lately.
+        """
+        completed, took_s = values[COMPLETED], values[TOOK]
+        usual_s = self.usual_s.get(service)
+        if usual_s is not None:
+            completed, took_s = completed + 1, took_s + usual_s
+        return took_s / completed if completed >= 1 else math.inf
+
 
 def decay_factor(age_s: float, half_life_s: float) -> float:
     """Returns the weight of an observation of this age."""
@@ -544,15 +557,19 @@
     if len(known) > MAX_REPORTED:
         known.sort(key=lambda item: -item[1].values[WEIGHT])
     return [
-        LoadFields(
-            *key,
-            sums.servers,
-            *[max(0, round(value * SCALE)) for value in sums.values],
-        )
+        LoadFields(*key, sums.servers, *_rounded(sums.values))
         for key, sums in known[:MAX_REPORTED]
     ]
 
 
+def _rounded(values: list[float]) -> list[int]:
+    """Returns sums in hundredths; without a weight, no slots are observed."""
+    rounded = [max(0, round(value * SCALE)) for value in values]
+    if rounded[WEIGHT] == 0:
+        rounded[:SENDS] = [0] * SENDS
+    return rounded
+
+
 def from_fields(fields: Iterable[LoadFields], composed_at: float) -> Report:
     """Returns the report that a message contains."""
     by_key = {
