--- a/banyantiller/tests/gateway/decisions/load_simulation.py
+++ b/banyantiller/tests/gateway/decisions/load_simulation.py
@@ -19,8 +19,6 @@
 SLOW_CYCLE_S, SLOW_S, SLOWNESS = 0.5, 0.15, 5.0
 FULL_SHARE, FULL_SLOWNESS = 0.8, 1.7
 CALLER_RETRY_S = (0.1, 0.2)
-# How old the fleet's knowledge is.
-LOAD_AGE_S = 0.25
 
 
 class Kind(NamedTuple):
@@ -80,6 +78,8 @@
             for rounding in (self.random.random() for _ in range(daemons))
         ]
         self.watches = [precedence.ReturnWatch() for _ in self.budgets]
+        # How often the fleet's knowledge is renewed.
+        self.load_age_s = more.get("load_age_s", 0.25)
         self.known = None
         self.known_at = -1.0
         self.served, self.in_time, self.sent = {}, {}, {}
@@ -232,7 +232,7 @@
             self.in_time[name] = self.in_time.get(name, 0) + in_time
 
     def _load(self, now):
-        if now >= self.known_at + LOAD_AGE_S:
+        if now >= self.known_at + self.load_age_s:
             self.known, self.known_at = self._observe(now), now
         return self.load_of(self.known)
 
--- a/banyantiller/tests/gateway/decisions/test_precedence.py
+++ b/banyantiller/tests/gateway/decisions/test_precedence.py
@@ -107,9 +107,10 @@
         self.assertGreater(now["catalogue"][0], before["catalogue"][0])
         self.check_nobody_starves(now)
 
-    def test_wrong_load_starves_nobody(self):
+    def test_wrong_or_old_load_starves_nobody(self):
         kinds = (READ._replace(surge=2.5), PUBLICATION, CHARGE)
         self.check_nobody_starves(shares(43, kinds, wrong))
+        self.check_nobody_starves(shares(43, kinds, known, load_age_s=2.0))
 
     def test_unknown_load_changes_nothing_but_for_the_most_urgent(self):
         kinds = (READ._replace(surge=2.5), PUBLICATION)
--- a/banyantiller/tests/gateway/test_routes.py
+++ b/banyantiller/tests/gateway/test_routes.py
@@ -95,6 +95,22 @@
         self.assertEqual(set(), urgent_routes(found, last))
         self.assertEqual(set(), urgent_routes(found, plain))
 
+    def test_rank_follows_all_priorities_of_the_document(self):
+        first = types.Organisation("first", (), 0)
+        plain = types.Organisation("plain", ())
+        read = route("read")._replace(priority=4)
+        alone = route("alone", parts=(("two", 1.0),))._replace(priority=1)
+        found = table(read, alone, organisations=(first, plain))
+        ranks = [
+            found.rank(one, organisation)
+            for one in (read, alone)
+            for organisation in (first, plain)
+        ]
+        self.assertEqual([0.0, 1.0, 0.0, 0.5], ranks)
+
+    def test_single_priority_has_no_precedence(self):
+        self.assertEqual(0.5, table(route("read")).rank(route("read"), None))
+
     def test_urgent_requests_without_differing_organisations(self):
         same = types.Organisation("same", (), 0)
         found = table(
