--- a/banyantiller/gateway/decisions/request_kinds.py
+++ b/banyantiller/gateway/decisions/request_kinds.py
@@ -124,21 +124,34 @@
     return MAX_SHARED_PART * max(0.0, scarcity)
 
 
+class SeenRoute(NamedTuple):
+    """The last request of a route at a service.
+
+    Attributes:
+        tolerance: Its objective, in usual durations.
+        idempotent: Whether it may run more than once.
+        at: Loop time.
+    """
+
+    tolerance: float
+    idempotent: bool
+    at: float
+
+
 class RequestKinds:
-    """Tolerances of the routes whose requests reach a service.
+    """Routes whose requests reached each service lately.
 
     Attributes:
-        seen: Tolerance and time of the last request, by service and route.
+        seen: Last requests, by service and route.
     """
 
     def __init__(self) -> None:
-        self.seen: dict[str, dict[str, tuple[float, float]]] = {}
+        self.seen: dict[str, dict[str, SeenRoute]] = {}
 
     def record(
         self,
         service: str,
-        route: str,
-        objective_s: float,
+        route: types.Route,
         usual_s: float,
         now: float,
     ) -> bool | None:
@@ -146,8 +159,7 @@
 
         Args:
             service: Name of the service.
-            route: Name of the route.
-            objective_s: Its latency objective, in seconds.
+            route: Its route.
             usual_s: Usual duration of its requests, in seconds.
             now: Loop time.
 
@@ -155,17 +167,26 @@
             None if the service has not had both kinds lately.
         """
         seen = self.seen.setdefault(service, {})
-        tolerance = objective_s / max(usual_s, 1e-6)
-        seen[route] = (tolerance, now)
-        for name, (_, at) in list(seen.items()):
-            if now - at > KIND_KEPT_S:
+        tolerance = route.objective_s / max(usual_s, 1e-6)
+        seen[route.name] = SeenRoute(tolerance, route.idempotent, now)
+        for name, one in list(seen.items()):
+            if now - one.at > KIND_KEPT_S:
                 del seen[name]
-        found = [value for value, _ in seen.values()]
+        found = [one.tolerance for one in seen.values()]
         limit = max(MIN_TOLERANCE, RELATIVE_TOLERANCE * min(found))
         if max(found) < limit or min(found) >= limit:
             return None
         return tolerance >= limit
 
+    def has_idempotent(self, service: str) -> bool:
+        """Returns whether requests that may run twice reach a service.
+
+        Without them nobody would use the last slots that others leave free.
+        """
+        return any(
+            one.idempotent for one in self.seen.get(service, {}).values()
+        )
+
 
 class FullResets:
     """Services whose servers reset connections when they are full.
--- a/banyantiller/gateway/server_choice.py
+++ b/banyantiller/gateway/server_choice.py
@@ -326,12 +326,12 @@
         now = self.loop.time()
         route = request.route
         name = request.service.name
-        tolerant = self.kinds.record(
-            name, route.name, route.objective_s, request.usual_s, now
-        )
+        tolerant = self.kinds.record(name, route, request.usual_s, now)
         load = self.selector.zone_load(name, self.selector.zone, now)
-        avoids = not route.idempotent and self.full_resets.resets_when_full(
-            name, now
+        avoids = (
+            not route.idempotent
+            and self.full_resets.resets_when_full(name, now)
+            and self.kinds.has_idempotent(name)
         )
         part = request_kinds.shared_part(load)
         return request_kinds.RequestKind(
--- a/banyantiller/tests/gateway/decisions/test_placement.py
+++ b/banyantiller/tests/gateway/decisions/test_placement.py
@@ -38,6 +38,12 @@
     return moving(zone, route, 10.0)
 
 
+def route(name, objective_s):
+    return types.Route(
+        name, "h", "/", name == "read", 5.0, objective_s, 0, 2, ()
+    )
+
+
 class RemoteZonesTest(base.TestCase):
     def share(self, local, **others):
         return placement.remote_zones(local, others, 2)
@@ -181,7 +187,7 @@
 class RequestKindsTest(base.TestCase):
     def record(self, kinds, now=0.0, slower=1.0):
         return [
-            kinds.record("s", name, objective_s, slower * usual_s, now)
+            kinds.record("s", route(name, objective_s), slower * usual_s, now)
             for name, objective_s, usual_s in (
                 ("read", 0.618, 0.22),
                 ("publication", 1.519, 0.29),
@@ -200,13 +206,23 @@
     def test_service_with_one_kind_keeps_nothing_apart(self):
         for tolerance in (2.8, 9.0):
             kinds = request_kinds.RequestKinds()
-            self.assertIsNone(kinds.record("s", "r", tolerance, 1.0, 0.0))
+            one = route("r", tolerance)
+            self.assertIsNone(kinds.record("s", one, 1.0, 0.0))
 
     def test_absent_kind_is_forgotten(self):
         kinds = request_kinds.RequestKinds()
         self.record(kinds)
         later = request_kinds.KIND_KEPT_S + 1
-        self.assertIsNone(kinds.record("s", "read", 0.618, 0.22, later))
+        read = route("read", 0.618)
+        self.assertIsNone(kinds.record("s", read, 0.22, later))
+
+    def test_last_slots_are_left_only_to_requests_that_may_run_twice(self):
+        """Guards against last slots that nobody uses."""
+        kinds = request_kinds.RequestKinds()
+        kinds.record("s", route("charge", 0.41), 0.15, 0.0)
+        self.assertFalse(kinds.has_idempotent("s"))
+        kinds.record("s", route("read", 0.618), 0.22, 0.0)
+        self.assertTrue(kinds.has_idempotent("s"))
 
     def test_shared_part_grows_with_the_scarcity_of_idle_servers(self):
         """Guards against pairs of requests while others find idle servers."""
