--- a/banyantiller/gateway/attempts.py
+++ b/banyantiller/gateway/attempts.py
@@ -113,7 +113,7 @@
             self.call.progress.reason = outcome.reason
             entry.health.record_result(False, now)
             if outcome.kind is ErrorKind.CONNECTION_LOST:
-                self.gateway.chooser.full_resets.record_reset(
+                self.gateway.chooser.placement.full_resets.record_reset(
                     self.call.service,
                     self.candidate.load,
                     now - self.sent_at,
@@ -133,7 +133,7 @@
                 self.gateway.durations.record_duration(
                     self.call.route.name, took_s
                 )
-                self.gateway.chooser.record_duration(
+                self.gateway.chooser.placement.record_duration(
                     entry.server,
                     self.candidate.load,
                     took_s,
--- a/banyantiller/gateway/decisions/server_speeds.py
+++ b/banyantiller/gateway/decisions/server_speeds.py
@@ -82,6 +82,8 @@
 
     def retain(self, registered: Iterable[types.Server]) -> None:
         """Removes incarnations that are not registered any more."""
+        if not self.counts:
+            return
         for key in set(self.counts) - set(map(_key, registered)):
             del self.mean_logs[key]
             del self.counts[key]
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -22,6 +22,7 @@
     probing,
     quarantine_sync,
     reachability,
+    request_placement,
     sampling,
     server_backoffs,
     server_choice,
@@ -163,14 +164,16 @@
         self.chooser = server_choice.ServerChooser(
             self.store_view.table,
             self.prober,
-            selection.ServerSelector(
-                settings.daemon, settings.zone, rng, self._zone_load
-            ),
             self._find_connected,
             lambda: self.min_recent_share() * self.settings.cold_tolerance,
             self.server_limits,
             self.server_backoffs,
-            self.shares_load,
+            request_placement.RequestPlacement(
+                selection.ServerSelector(
+                    settings.daemon, settings.zone, rng, self._zone_load
+                ),
+                self.shares_load,
+            ),
         )
         self.reachability = reachability.Reachability(
             self.store_view.table, self.prober, self.store_view.service, rng
@@ -269,7 +272,7 @@
             registered = self.store_view.table.servers()
             self.server_limits.expire(registered, now)
             self.server_backoffs.expire(registered, now)
-            self.chooser.speeds.retain(registered)
+            self.chooser.placement.speeds.retain(registered)
             self.crash_detector.tracker.table.period_s = (
                 self.settings.quarantine_s
             )
--- a/banyantiller/gateway/metrics.py
+++ b/banyantiller/gateway/metrics.py
@@ -63,7 +63,7 @@
             ("allowance_decisions", "Requests of organisations with an"
              " allowance.", self.gateway.allowances.outcomes, ("outcome",)),
             ("zone_sends", "Requests by the zone of their server, while"
-             " loads are shared.", self.gateway.chooser.zone_sends,
+             " loads are shared.", self.gateway.chooser.placement.zone_sends,
              ("service", "reason")),
             ("peer_questions", "Queries to peers for changes.",
              self.gateway.store_view.reader.query_outcomes, ("outcome",)),
--- a/banyantiller/gateway/server_choice.py
+++ b/banyantiller/gateway/server_choice.py
@@ -1,15 +1,14 @@
 """Chooses a server for a request, or finds that none is available in time."""
 
 import asyncio
-import collections
 import enum
 import math
 from collections.abc import Callable, Collection
 from typing import NamedTuple
 
 from banyantiller.gateway import (
-    events,
     probing,
+    request_placement,
     server_backoffs,
     server_limits,
     servers,
@@ -19,7 +18,6 @@
     cold_start,
     request_kinds,
     selection,
-    server_speeds,
     waiting,
 )
 
@@ -73,12 +71,7 @@
             states, 0 to 1.
         server_limits: Limits that servers name.
         server_backoffs: Times for which servers want no requests.
-        shares_load: Returns whether daemons share what they know of the load.
-        kinds: Kinds of the requests for each service.
-        full_resets: Services whose servers reset connections when full.
-        speeds: Speeds of servers relative to others of their service.
-        zone_sends: Chosen servers by service and reason: "local", "spilled" or
-            "no_local_server". Counted while loads are shared.
+        placement: Decides which servers a request prefers.
         drain_ends_at: Loop time at which a daemon that shuts down cuts its
             calls; infinite until then.
     """
@@ -87,29 +80,22 @@
         self,
         table: servers.ServerTable,
         prober: probing.LoadProber,
-        selector: selection.ServerSelector,
         connected: Callable[
             [list[servers.ServerEntry]], selection.ConnectedServers
         ],
         cold_share: Callable[[], float],
         limits: server_limits.ServerLimits,
         backoffs: server_backoffs.ServerBackoffs,
-        shares_load: Callable[[], bool] = lambda: False,
+        placement: request_placement.RequestPlacement,
     ) -> None:
         self.table = table
         self.prober = prober
-        self.selector = selector
+        self.selector = placement.selector
         self.connected = connected
         self.cold_share = cold_share
         self.server_limits = limits
         self.server_backoffs = backoffs
-        self.shares_load = shares_load
-        self.kinds = request_kinds.RequestKinds()
-        self.full_resets = request_kinds.FullResets()
-        self.speeds = server_speeds.ServerSpeeds()
-        self.zone_sends: collections.Counter[tuple[str, str]] = (
-            collections.Counter()
-        )
+        self.placement = placement
         self.drain_ends_at = math.inf
         self.loop = asyncio.get_running_loop()
 
@@ -121,7 +107,12 @@
         The candidate's connection belongs to the calling function.
         """
         shortage = Shortage.NOT_REGISTERED
-        kind = self._kind(request)
+        kind = self.placement.kind(
+            request.service.name,
+            request.route,
+            request.usual_s,
+            self.loop.time(),
+        )
         while True:
             usable = self.usable(request)
             if not usable and self._none_in_time(request):
@@ -141,7 +132,7 @@
             if best is not None:
                 best.entry.record_cold_send(now)
                 self.server_limits.record_send(best.entry.server, now)
-                self._count_send(best.entry.server, usable)
+                self.placement.record_send(best.entry.server, usable)
                 return best
             if reprobe_at > self._waits_until(request):
                 return shortage
@@ -319,25 +310,6 @@
             self.drain_ends_at - request.usual_s,
         )
 
-    def _kind(self, request: SelectionRequest) -> request_kinds.RequestKind:
-        """Returns the kind of a request, which decides where it is placed."""
-        if not self.shares_load():
-            return request_kinds.ANY_KIND
-        now = self.loop.time()
-        route = request.route
-        name = request.service.name
-        tolerant = self.kinds.record(name, route, request.usual_s, now)
-        load = self.selector.zone_load(name, self.selector.zone, now)
-        avoids = (
-            not route.idempotent
-            and self.full_resets.resets_when_full(name, now)
-            and self.kinds.has_idempotent(name)
-        )
-        part = request_kinds.shared_part(load)
-        return request_kinds.RequestKind(
-            tolerant if part else None, part, avoids
-        )
-
     def _keeps_until(
         self, request: SelectionRequest, kind: request_kinds.RequestKind
     ) -> float:
@@ -350,56 +322,6 @@
             return self._waits_until(request) - waiting.REPROBE_PAUSE_S
         return request.wait_limits.keep_last_slot_until
 
-    def _count_send(
-        self, chosen: types.Server, usable: list[servers.ServerEntry]
-    ) -> None:
-        """Counts a chosen server by its zone while loads are shared."""
-        if not self.shares_load():
-            return
-        zone = self.selector.zone
-        reason = "local"
-        if chosen.zone != zone:
-            any_local = any(one.server.zone == zone for one in usable)
-            reason = "spilled" if any_local else "no_local_server"
-        self.zone_sends[chosen.service, reason] += 1
-
-    def _log_spill(self, service: str, was_active: bool) -> None:
-        """Logs that requests begin or cease to leave the local zone."""
-        active = self.selector.spills_from_zone(service)
-        if active and not was_active:
-            share = self.selector.spills[service].share
-            events.emit(events.SpillBegan(service, round(share, 3)))
-        elif was_active and not active:
-            events.emit(events.SpillEnded(service))
-
-    def record_duration(
-        self,
-        server: types.Server,
-        load: types.Load | None,
-        took_s: float,
-        usual_s: float,
-    ) -> None:
-        """Records how long a server took for a request, in seconds.
-
-        Args:
-            server: The server.
-            load: Load that it reported before.
-            took_s: Duration, in seconds.
-            usual_s: Usual duration of such requests, in seconds.
-        """
-        if self.shares_load():
-            self.speeds.record_duration(server, load, took_s, usual_s)
-
-    def _with_speeds(
-        self, found: list[probing.Candidate]
-    ) -> list[probing.Candidate]:
-        """Returns candidates whose scores include their speeds, best first."""
-        if not self.shares_load():
-            return found
-        for one in found:
-            one.score *= self.speeds.factor(one.entry.server)
-        return sorted(found, key=lambda candidate: candidate.score)
-
     async def _probe(
         self,
         request: SelectionRequest,
@@ -413,16 +335,18 @@
         first = self.selector.first_probes(
             name, usable, self.connected(usable), kind, self.loop.time()
         )
-        self._log_spill(name, was_active)
+        self.placement.log_spill(name, was_active)
         scarce = self._scarce_probes(usable, first.probed)
-        found = self._with_speeds(
+        found = self.placement.with_speeds(
             await self.prober.probe(first.probed + scarce, path)
         )
         more = self.selector.more_probes(name, usable, first, found)
         if not more:
             return found
         try:
-            found += self._with_speeds(await self.prober.probe(more, path))
+            found += self.placement.with_speeds(
+                await self.prober.probe(more, path)
+            )
         except BaseException:
             self.prober.release(found)
             raise
--- a/banyantiller/tests/gateway/test_full_servers.py
+++ b/banyantiller/tests/gateway/test_full_servers.py
@@ -22,7 +22,7 @@
             )
             await env.request("r", "/read/x")
             now = env.gateway.loop.time()
-            env.gateway.chooser.full_resets.record_reset(
+            env.gateway.chooser.placement.full_resets.record_reset(
                 harness.SERVICE, LAST_SLOT, 0.001, 0.1, now
             )
             for one in env.servers.values():
@@ -31,7 +31,7 @@
             await asyncio.sleep(0.005)
             env.servers["s2"].running = 0
             reply = await sent
-            sends = dict(env.gateway.chooser.zone_sends)
+            sends = dict(env.gateway.chooser.placement.zone_sends)
             return reply.status, reply.body.decode().split()[-1], sends
 
         return {
