--- a/banyantiller/gateway/metrics.py
+++ b/banyantiller/gateway/metrics.py
@@ -68,7 +68,7 @@
             ("large_responses", "Calls with large responses by what the link"
              " allowed.", self.gateway.transfers.outcomes, ("outcome",)),
             ("zone_sends", "Requests by the zone of their server, while"
-             " loads are shared.", self.gateway.chooser.zone_sends,
+             " loads are shared.", self.gateway.chooser.placement.zone_sends,
              ("service", "reason")),
             ("peer_questions", "Queries to peers for changes.",
              self.gateway.store_view.reader.query_outcomes, ("outcome",)),
