--- a/banyantiller/gateway/metrics.py
+++ b/banyantiller/gateway/metrics.py
@@ -70,6 +70,12 @@
             ("zone_sends", "Requests by the zone of their server, while"
              " loads are shared.", self.gateway.chooser.placement.zone_sends,
              ("service", "reason")),
+            ("rejections", "Rejected requests by what a relay knows of them:"
+             " first, returned, repeated or unknown.",
+             self.gateway.returning_callers.outcomes, ("outcome",)),
+            ("rejection_messages", "Messages about rejected requests that were"
+             " sent to relays.",
+             self.gateway.returning_callers.message_results, ("result",)),
             ("peer_questions", "Queries to peers for changes.",
              self.gateway.store_view.reader.query_outcomes, ("outcome",)),
         )  # fmt: skip
@@ -139,6 +145,9 @@
              " requests lately, as they used more than their fair share of a"
              " service.",
              gateway.allowances.relay_grants.shares.count_over_share),
+            ("remembered_rejections", "Requests of which this relay remembers a"
+             " rejection.",
+             lambda: len(gateway.returning_callers.relay.table.entries)),
             ("backed_off_servers", "Servers that asked this daemon for a"
              " backoff by Retry-After.",
              gateway.server_backoffs.count_active),
