--- a/banyantiller/tests/gateway/event_scenarios.py
+++ b/banyantiller/tests/gateway/event_scenarios.py
@@ -231,6 +231,8 @@
         for _ in range(4):
             await env.request("a")
             await asyncio.sleep(1)
+
+
 @shows(events.ServiceLoadUnknown, events.ServiceLoadKnown)
 async def service_gets_no_requests_for_some_time(env):
     settings = env.gateway.settings._replace(load_sharing="on")
