--- a/banyantiller/gateway/decisions/service_load.py
+++ b/banyantiller/gateway/decisions/service_load.py
@@ -564,7 +564,9 @@
 
 def _rounded(values: list[float]) -> list[int]:
     """Returns sums in hundredths; without a weight, no slots are observed."""
-    rounded = [max(0, round(value * SCALE)) for value in values]
+    rounded = [round(value * SCALE) for value in values]
+    if min(rounded) < 0:
+        rounded = [max(0, value) for value in rounded]
     if rounded[WEIGHT] == 0:
         rounded[:SENDS] = [0] * SENDS
     return rounded
--- a/banyantiller/tests/gateway/test_load_reports.py
+++ b/banyantiller/tests/gateway/test_load_reports.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from banyantiller.gateway import metrics
 from banyantiller.tests import base
 from banyantiller.tests.gateway import harness, load_simulation
 
@@ -195,6 +196,30 @@
         self.assertEqual((harness.SERVICE, "zone-a"), next(iter(known[-1])))
         self.assertGreater(loads[-1].free_share, 0.5)
 
+    def test_metrics_show_the_known_loads(self):
+        async def body(env):
+            settings = env.gateway.settings._replace(load_sharing="on")
+            env.gateway.settings = settings
+            await env.request("a")
+            return metrics.MetricsPage(env.gateway).text().decode()
+
+        text = self.play(body)
+        for name in ("free_share", "slow_share", "load_age_seconds"):
+            labels = f'service="{harness.SERVICE}",zone="zone-a"'
+            wanted = f"banyantiller_gateway_zone_{name}{{{labels}}}"
+            self.assertIn(wanted, text)
+
+    def test_rejections_despite_free_slots_are_recorded(self):
+        async def body(env):
+            settings = env.gateway.settings._replace(load_sharing="on")
+            env.gateway.settings = settings
+            env.fault(shed=True)
+            await env.request("a")
+            now = asyncio.get_running_loop().time()
+            return env.gateway.service_loads.service_load(harness.SERVICE, now)
+
+        self.assertEqual(1.0, self.play(body).rejected_share)
+
     def test_messages_are_unchanged_while_it_is_off(self):
         for relay, subscriber in (("off", "off"), ("on", "off")):
             known, targets = self.known(relay, subscriber)
