Recognise callers that come back after a rejection

Cause: each caller retries once, at another daemon, which takes the retry for a new request. Retries of the daemons go to whoever asks first. All rejected callers are told to come back after 0.15 s, however many slots become free until then.

Change: before a second send or a rejection, a daemon asks the relay that the fingerprint selects whether the request was rejected in the last 5 s, and sets `Call.returned`. The relay has a bounded table, tells the share of callers that come back, and the caller's position among those expected back, from which `Retry-After` follows with the rate of freed slots. Without shared load nothing is asked, and /rejections responds 404 as before.

--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -56,6 +56,9 @@
         by_peer: Refusal by the last daemon that it was forwarded to, or None.
         forwarded_by: Name of the daemon that forwarded it here; empty for a
             call of a caller of this daemon.
+        returned: Whether its caller came back after a rejection and goes before
+            new ones.
+        rejection_reported: Whether a relay was asked about that.
     """
 
     def __init__(
@@ -83,6 +86,8 @@
         self.shortage = server_choice.Shortage.NOT_REGISTERED
         self.by_peer: exchange.RefusedByPeer | None = None
         self.forwarded_by = ""
+        self.returned = False
+        self.rejection_reported = False
 
     def look_up_route(self) -> None:
         """Sets route, organisation and deadline from the document in force.
@@ -203,6 +208,8 @@
             attempt is left, or None.
         """
         is_hedge = bool(self.attempts)
+        if self.progress.sends and not is_hedge:
+            await self._check_returned()
         sends_left = self.progress.sends < self.route.max_attempts
         too_late = not self.progress.sends and refusals.is_too_late_to_start(
             self
@@ -212,6 +219,8 @@
             return None if is_hedge else self._end_without_server()
         target = await self._choose_target(service, is_hedge)
         if target is None:
+            if not is_hedge:
+                await self._check_returned()
             self.next_hedge_at = self.loop.time() + hedging.RECHECK_PAUSE_S
             return None if is_hedge else self._end_without_server()
         if self._is_quarantined() or not self._can_send(is_hedge):
@@ -237,6 +246,21 @@
         self.shortage = choice
         return await target_choice.choose_peer(self, choice)
 
+    async def _check_returned(self) -> None:
+        """Asks once whether the caller of a rejected request came back.
+
+        The daemon that forwarded a call asks for it.
+        """
+        if self.rejection_reported or self.progress.maybe_ran:
+            return
+        if self.forwarded_by or not self.gateway.shares_load():
+            return
+        self.rejection_reported = True
+        remaining_s = self.deadline - self.loop.time() - MIN_REMAINING_S
+        self.returned = await self.gateway.returning_callers.seen_before(
+            self.request.fingerprint, self.service, remaining_s
+        )
+
     def _can_send(self, is_hedge: bool) -> bool:
         if self.progress.sends == 0:
             return not refusals.is_too_late_to_start(self)
@@ -413,4 +437,8 @@
     def _record_end(self, status: int, error: ErrorKind | None) -> None:
         if error is not None and not self.progress.maybe_ran:
             self.gateway.allowances.give_back(self.organisation, self.admission)
+        if self.rejection_reported and error is None and status < 500:
+            self.gateway.returning_callers.report_served(
+                self.request.fingerprint
+            )
         self.gateway.record_call(self, status, error)
--- a/banyantiller/gateway/decisions/retry_after.py
+++ b/banyantiller/gateway/decisions/retry_after.py
@@ -11,6 +11,8 @@
 
 import random
 
+from banyantiller.gateway.decisions import service_load
+
 # Time after which a caller may retry. A caller has at least 0.5 s left, and
 # accepts no time longer than a third of what it has left.
 RETRY_AFTER_S = 0.15
@@ -30,6 +32,14 @@
 # requests of this daemon again.
 MIN_AVAILABLE_RETRY_AFTER_S = 0.03
 MAX_AVAILABLE_RETRY_AFTER_S = 1.0
+# Minimum time given to a caller that is expected to find a free slot: time for
+# a new connection.
+MIN_FREED_RETRY_AFTER_S = 0.03
+# Callers wait no longer than this share of the time that they have left.
+MAX_REMAINING_SHARE = 1 / 3
+# Share of the requests rejected by servers with free slots above which waiting
+# for a slot gains nothing.
+REJECTING_SHARE = 0.25
 
 
 def available_retry_after_s(seconds_until_available: float) -> float:
@@ -46,6 +56,41 @@
     return min(bounded_s, MAX_AVAILABLE_RETRY_AFTER_S)
 
 
+def freed_retry_after_s(
+    load: service_load.ZoneLoad | None,
+    expected: float | None,
+    remaining_s: float,
+    rng: random.Random,
+) -> float | None:
+    """Returns when a slot is expected to be free for a rejected caller.
+
+    Load pattern: a burst fills all servers, and each of many daemons rejects a
+    few of the callers. Slots become free one after the other, so the callers
+    are told to come back one after the other: none earlier than its slot, as it
+    would take that of another one, and none together with all others.
+
+    Args:
+        load: Load of the service, or None if it is not known.
+        expected: Number of callers that are expected back, this one included,
+            or None if it is not known.
+        remaining_s: Time until the caller's deadline, in seconds.
+        rng: Source of the random variation.
+
+    Returns:
+        The time in seconds, or None if it is not known.
+    """
+    if load is None or expected is None or load.freed_per_s <= 0:
+        return None
+    if load.rejected_share > REJECTING_SHARE:
+        return None
+    longest_s = max(0.0, remaining_s) * MAX_REMAINING_SHARE
+    turn_s = max(MIN_FREED_RETRY_AFTER_S, expected / load.freed_per_s)
+    if turn_s > longest_s:
+        # No slot is free for it in time. Another caller may not come back.
+        return longest_s * (1 - rng.uniform(0, RETRY_SPREAD))
+    return min(longest_s, turn_s * (1 + rng.uniform(0, RETRY_SPREAD)))
+
+
 def spread_retry_after_s(wait_s: float, rng: random.Random) -> float:
     """Returns when a caller beyond its organisation's allowance may retry.
 
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import socket
+from collections.abc import Iterable
 
 from banyantiller.config.defaults import Endpoint
 from banyantiller.errors import ErrorKind
@@ -22,6 +23,8 @@
     probing,
     quarantine_sync,
     reachability,
+    rejection_relay,
+    returning_callers,
     sampling,
     server_backoffs,
     server_choice,
@@ -93,6 +96,7 @@
         forwarder: Forwards calls to daemons that reach servers.
         forwarded_calls: Runs calls that other daemons forward.
         allowances: Admits the requests of organisations with an allowance.
+        returning_callers: Recognises callers that come back after a rejection.
         stalls: Reports moments in which the process ran nothing.
     """
 
@@ -184,6 +188,9 @@
         self.allowances = allowances.Allowances(
             self.store_view, lambda: self.settings, rng
         )
+        self.returning_callers = returning_callers.ReturningCallers(
+            settings, self.service_loads.service_load, self._request_times
+        )
         self.stalls = stalls.StallDetector()
         self.all_closed = asyncio.Event()
         self.listener: asyncio.Server | None = None
@@ -271,6 +278,7 @@
             )
             self.crash_detector.tracker.expire(now)
             self.allowances.expire(now)
+            self.returning_callers.expire(now)
             self.min_recent_share()
             for server_pool in self.pools.values():
                 server_pool.expire(now)
@@ -286,6 +294,7 @@
         self.reachability.close()
         await self.forwarder.close()
         await self.allowances.close()
+        await self.returning_callers.close()
         self.stalls.close()
         await self.store_view.reader.close()
 
@@ -297,6 +306,8 @@
             return self.forwarder.daemons.handle(request)
         if request.path == allowance_grants.PATH:
             return self.allowances.relay_grants.handle(request)
+        if request.path == rejection_relay.PATH and self.shares_load():
+            return self.returning_callers.relay.handle(request)
         if request.path == forwarding.PATH:
             return await self.forwarded_calls.handle(request)
         return await self.store_view.mirror.handle(request)
@@ -402,6 +413,11 @@
         for connection in tuple(self.connections):
             connection.run_waiting_calls()
 
+    def _request_times(self, service: str) -> Iterable[float]:
+        """Returns the loop times of the recent requests of a service."""
+        found = self.budgets.get(service)
+        return () if found is None else found.requests
+
     def _position(self) -> turns.FleetPosition | None:
         """Returns this daemon's position among those that take turns."""
         if self.settings.seeds:
--- a/banyantiller/gateway/metrics.py
+++ b/banyantiller/gateway/metrics.py
@@ -62,6 +62,12 @@
             ("store_calls", "Requests to the store.", store.calls, ("verb",)),
             ("allowance_decisions", "Requests of organisations with an"
              " allowance.", self.gateway.allowances.outcomes, ("outcome",)),
+            ("rejections", "Rejected requests by what a relay knows of them:"
+             " first, returned, repeated or unknown.",
+             self.gateway.returning_callers.outcomes, ("outcome",)),
+            ("rejection_messages", "Messages about rejected requests that were"
+             " sent to relays.",
+             self.gateway.returning_callers.message_results, ("result",)),
             ("peer_questions", "Queries to peers for changes.",
              self.gateway.store_view.reader.query_outcomes, ("outcome",)),
         )  # fmt: skip
@@ -127,6 +133,9 @@
             ("limited_organisations", "Organisations that this relay refused"
              " requests lately.",
              lambda: len(gateway.allowances.relay_grants.limited)),
+            ("remembered_rejections", "Requests of which this relay remembers a"
+             " rejection.",
+             lambda: len(gateway.returning_callers.relay.table.entries)),
             ("backed_off_servers", "Servers that asked this daemon for a"
              " backoff by Retry-After.",
              gateway.server_backoffs.count_active),
--- a/banyantiller/gateway/protocols.py
+++ b/banyantiller/gateway/protocols.py
@@ -18,6 +18,7 @@
     progress,
     reachability,
     requests,
+    returning_callers,
     server_choice,
     server_responses,
     store_view,
@@ -61,6 +62,7 @@
     reachability: reachability.Reachability
     forwarder: CallForwarder
     allowances: allowances.Allowances
+    returning_callers: returning_callers.ReturningCallers
     durations: durations.Durations
     service_loads: service_load.ServiceLoads
     default_timeout_s: float
--- a/banyantiller/gateway/refusals.py
+++ b/banyantiller/gateway/refusals.py
@@ -70,10 +70,29 @@
     )
     at_another_daemon = kind in (ErrorKind.BACKEND_SHED, ErrorKind.DRAINING)
     soon = at_another_daemon or unreached_here
-    retry_after_s = retry_after.retry_after_s(call.gateway.random, soon)
+    retry_after_s = None
+    full = shortage is server_choice.Shortage.BUSY
+    if full or kind is ErrorKind.BACKEND_SHED:
+        retry_after_s = _freed_retry_after_s(call)
+    if retry_after_s is None:
+        retry_after_s = retry_after.retry_after_s(call.gateway.random, soon)
     return Failure(kind, retry_after=retry_after_s)
 
 
+def _freed_retry_after_s(call: protocols.RunningCall) -> float | None:
+    """Returns when a slot is free for a rejected call, or None if unknown."""
+    gateway = call.gateway
+    if not gateway.shares_load():
+        return None
+    now = call.loop.time()
+    return retry_after.freed_retry_after_s(
+        gateway.service_loads.service_load(call.service, now),
+        gateway.returning_callers.expected_callers(call.service),
+        call.deadline - now,
+        gateway.random,
+    )
+
+
 def is_too_late_to_start(call: protocols.RunningCall) -> bool:
     """Returns whether this daemon exits before a call is usually done.
 
