Check a document before it is sent

Cause: a document that daemons refuse was found out once it was in the store, one error at a time; entries that can never match were not found.

--- a/banyantiller/gateway/types.py
+++ b/banyantiller/gateway/types.py
@@ -121,6 +121,36 @@
     organisations: tuple[Organisation, ...] | None = None
 
 
+class DocumentProblem(NamedTuple):
+    """An error or a warning about a document as it was written.
+
+    Attributes:
+        path: Path of the value, with the platform's names.
+        message: One or more sentences.
+        warning: Whether daemons accept the document nonetheless.
+    """
+
+    path: str
+    message: str
+    warning: bool = False
+
+
+class DocumentFinding(NamedTuple):
+    """What is probably not meant in a decoded document.
+
+    Attributes:
+        part: Field of `Document` that holds the entry.
+        index: Index of the entry, or None if the part has no entries.
+        field: Field of the entry.
+        message: One or more sentences.
+    """
+
+    part: str
+    index: int | None
+    field: str
+    message: str
+
+
 class Server(NamedTuple):
     """One incarnation of a backend server, as it registered itself.
 
@@ -209,6 +239,10 @@
         server_kind: Kind of the objects that servers register.
         evacuation_kind: Kind of the objects that name evacuated zones.
         read_document: Decodes a document; raises `ValueError` with the place.
+        find_problems: Returns all errors of a document, and names of fields in
+            it that are probably misspelt.
+        field_name: Returns the platform's name of a part of a document, or of a
+            field of its entries.
         read_server: Decodes a registration; raises `ValueError`.
         read_load: Decodes the load header; None if it can't be read.
         read_limit: Decodes the values of the limit header; raises `ValueError`.
@@ -225,6 +259,8 @@
     server_kind: str
     evacuation_kind: str
     read_document: Callable[[dict[str, Any]], Document]
+    find_problems: Callable[[Any], list[DocumentProblem]]
+    field_name: Callable[[str, str], str]
     read_server: Callable[[str, dict[str, Any]], Server]
     read_load: Callable[[bytes], Load | None]
     read_limit: Callable[[Sequence[str]], float]
--- a/banyantiller/platform/plugin.py
+++ b/banyantiller/platform/plugin.py
@@ -3,7 +3,13 @@
 from banyantiller import plugins
 from banyantiller.config import defaults
 from banyantiller.gateway import types
-from banyantiller.platform import documents, headers, registrations, store
+from banyantiller.platform import (
+    document_errors,
+    documents,
+    headers,
+    registrations,
+    store,
+)
 
 DOCUMENT_KIND = "config"
 DOCUMENT_NAME = "main"
@@ -30,6 +36,8 @@
         server_kind=SERVER_KIND,
         evacuation_kind=EVACUATION_KIND,
         read_document=documents.read_document,
+        find_problems=document_errors.find_problems,
+        field_name=document_errors.field_name,
         read_server=registrations.read_server,
         read_load=headers.read_load,
         read_limit=headers.read_limit,
