Rank requests of equal organisations by the priority of their routes

Cause: an organisation's priority replaced that of the route. Change: the priority of an organisation goes first, that of the route decides between equals; the most urgent third of the priorities is urgent.

--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -96,7 +96,6 @@
         self.shortage = server_choice.Shortage.NOT_REGISTERED
         self.by_peer: exchange.RefusedByPeer | None = None
         self.forwarded_by = ""
-        self.returned = False
         self.rejection_reported = False
 
     def look_up_route(self) -> None:
--- a/banyantiller/gateway/decisions/precedence.py
+++ b/banyantiller/gateway/decisions/precedence.py
@@ -19,6 +19,9 @@
 
 # Rank of all requests if the document has only one priority.
 ONLY_RANK = 0.5
+# Requests up to this rank are urgent: a third of the priorities of a document.
+# Operators give the highest one also to routes that hardly get requests.
+URGENT_RANK = 1 / 3
 # Servers that one round of probes covers; see `selection.MAX_PROBED`.
 PROBES = 5
 # A service is short of capacity if a round of probes finds no usable server in
@@ -110,7 +113,7 @@
     """
     usual_s = usual.any_server_until - now
     pause_s, more_probes = waiting.REPROBE_PAUSE_S, None
-    if cost.rank == 0:
+    if cost.rank <= URGENT_RANK:
         wait_s = max(usual_s, cost.slack_s)
         if cost.returned and is_likely_free(load, cost.usual_s):
             wait_s = max(wait_s, cost.usual_s)
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -223,9 +223,6 @@
         self.returning_callers = returning_callers.ReturningCallers(
             settings, self.service_loads.service_load, self._request_times
         )
-        self.returning_callers = returning_callers.ReturningCallers(
-            settings, self.service_loads.service_load, self._request_times
-        )
         self.stalls = stalls.StallDetector()
         self.all_closed = asyncio.Event()
         self.listener: asyncio.Server | None = None
--- a/banyantiller/gateway/routes.py
+++ b/banyantiller/gateway/routes.py
@@ -6,6 +6,8 @@
 from banyantiller.gateway import types
 from banyantiller.gateway.decisions import precedence
 
+# Priority of a request, and that of its route.
+Priority = tuple[int, int]
 # Repeated steps of this size, modulo 1, spread evenly over the unit interval.
 GOLDEN_RATIO_STEP = (math.sqrt(5) - 1) / 2
 
@@ -21,8 +23,8 @@
         organisations: Organisations by the digests of their keys.
         organisations_by_name: Organisations by their names.
         priorities: Priorities of the requests for each service.
-        ranks: Rank of each priority that requests can have, from 0 for the most
-            urgent to 1 for the least urgent.
+        ranks: Rank of each `Priority` that requests can have, from 0 for the
+            most urgent to 1 for the least urgent.
         names: Names of all routes.
         calls_for_load_sharing: Whether the document calls for load sharing;
             see `calls_for_load_sharing`.
@@ -48,7 +50,7 @@
             one.name: one for one in document.organisations or ()
         }
         self.priorities = _priorities_by_service(document)
-        self.ranks = _ranks(set().union(*self.priorities.values()))
+        self.ranks = _ranks(document)
         self.names = frozenset(route.name for route in document.routes)
         self.calls_for_load_sharing = calls_for_load_sharing(document)
 
@@ -103,11 +105,14 @@
     ) -> float:
         """Returns the rank of requests among all priorities of the document.
 
+        The priority of an organisation goes first. Requests of organisations
+        with the same priority are ranked by the priority of their routes.
+
         Args:
             route: The route.
             organisation: Organisation that holds the caller's key, or None.
         """
-        priority = _priority(route, organisation)
+        priority = (_priority(route, organisation), route.priority)
         return self.ranks.get(priority, precedence.ONLY_RANK)
 
     def choose_service(self, route: types.Route) -> str:
@@ -161,14 +166,21 @@
     return organisation.priority
 
 
-def _ranks(priorities: set[int]) -> dict[int, float]:
+def _ranks(document: types.Document) -> dict[Priority, float]:
     """Returns the rank of each priority; a single one has no precedence."""
-    if len(priorities) < 2:
+    organisations = document.organisations
+    found: set[Priority] = set()
+    for route in document.routes:
+        callers = [] if organisations is None else list(organisations)
+        if organisations is None or route.public:
+            callers.append(None)
+        found.update((_priority(route, one), route.priority) for one in callers)
+    if len(found) < 2:
         return {}
-    last = len(priorities) - 1
+    last = len(found) - 1
     return {
         priority: position / last
-        for position, priority in enumerate(sorted(priorities))
+        for position, priority in enumerate(sorted(found))
     }
 
 
--- a/banyantiller/gateway/target_choice.py
+++ b/banyantiller/gateway/target_choice.py
@@ -116,7 +116,7 @@
     """Counts a call that waited longer, or shorter, than without precedence."""
     waited = call.loop.time() > usual.any_server_until
     if limits.any_server_until > usual.any_server_until and waited:
-        if call.rank == 0:
+        if call.rank <= precedence.URGENT_RANK:
             reason = "urgent"
         else:
             reason = "returned" if call.returned else "tolerant"
