--- a/banyantiller/tests/gateway/test_returning_callers.py
+++ b/banyantiller/tests/gateway/test_returning_callers.py
@@ -293,9 +293,8 @@
         async def body(fleet):
             known = service_load.ZoneLoad(6, 0, 0, 0, 1, 0.0, 10.0, 0.2)
             for daemon in fleet.daemons:
-                loads = SimpleNamespace(service_load=lambda *_: known)
-                daemon.service_loads = loads
-                daemon.returning_callers.relay.load = loads.service_load
+                daemon.service_loads.service_load = lambda *_: known
+                daemon.returning_callers.relay.load = lambda *_: known
             replies = [
                 await fleet.send_request(
                     fleet.daemons[number % 6],
--- a/banyantiller/tests/gateway/test_routes.py
+++ b/banyantiller/tests/gateway/test_routes.py
@@ -95,7 +95,8 @@
         self.assertEqual(set(), urgent_routes(found, last))
         self.assertEqual(set(), urgent_routes(found, plain))
 
-    def test_rank_follows_all_priorities_of_the_document(self):
+    def test_rank_follows_the_organisation_and_then_the_route(self):
+        """Requests of equal organisations must not all be ranked alike."""
         first = types.Organisation("first", (), 0)
         plain = types.Organisation("plain", ())
         read = route("read")._replace(priority=4)
@@ -106,7 +107,7 @@
             for one in (read, alone)
             for organisation in (first, plain)
         ]
-        self.assertEqual([0.0, 1.0, 0.0, 0.5], ranks)
+        self.assertEqual([1 / 3, 1.0, 0.0, 2 / 3], ranks)
 
     def test_single_priority_has_no_precedence(self):
         self.assertEqual(0.5, table(route("read")).rank(route("read"), None))
