--- a/banyantiller/gateway/allowance_grants.py
+++ b/banyantiller/gateway/allowance_grants.py
@@ -171,6 +171,10 @@
         undecided = dict(reply["granted"])
         for one in services:
             name = one.organisation
+            if self.view.routes is None or one.service not in (
+                self.view.routes.document.services
+            ):
+                continue
             self.shares.take_back(name, one.service, one.unused)
             within = min(one.asked, undecided.get(name, 0))
             organisation = self._organisation(name)
@@ -178,7 +182,8 @@
                 continue
             undecided[name] -= within
             weight = self._limits_of(organisation).per_s
-            new = min(one.new, one.asked)
+            # What is beyond the allowance is no demand for the service.
+            new = min(one.new, within)
             granted, refusal = self.shares.grant(
                 name, one.service, weight, within, new
             )
