Mend what the review of the call path found

Cause: a review by one who did not write these parts. Change: a server's slowness of 0 raised in the speeds; connections of candidates leaked if a decision raised; a call that waits for the link used the processor without pause and ignored the shutdown; the probe of a silent server was skipped beside an early hedge; precedence in the retry budget ignored callers that don't come back, and forgot what the stated time had shown; the least wait was cut below two rounds of probes; a usual duration without recent responses rejected calls; positions were computed once per caller; Retry-After of a busy link had no spread. One lookup of the shared load in place of three.

--- a/banyantiller/gateway/attempts.py
+++ b/banyantiller/gateway/attempts.py
@@ -30,6 +30,7 @@
         started_at: Loop time at which the attempt started.
         sent: Whether the request was sent, so that a server may execute it.
         sent_at: Loop time at which it was sent.
+        probed: Whether the server or daemon was probed since.
         task: Task of the attempt; its result is the outcome.
     """
 
@@ -45,6 +46,7 @@
         self.started_at = self.loop.time()
         self.sent = False
         self.sent_at = 0.0
+        self.probed = False
         self.task = self.loop.create_task(self._run())
 
     async def cancel(self) -> None:
@@ -132,7 +134,7 @@
                 )
                 took_s = now - self.started_at
                 self.gateway.durations.record_duration(
-                    self.call.route.name, took_s
+                    self.call.route.name, took_s, now
                 )
                 self.gateway.chooser.placement.record_duration(
                     entry.server,
--- a/banyantiller/gateway/call.py
+++ b/banyantiller/gateway/call.py
@@ -62,8 +62,6 @@
         by_peer: Refusal by the last daemon that it was forwarded to, or None.
         forwarded_by: Name of the daemon that forwarded it here; empty for a
             call of a caller of this daemon.
-        returned: Whether its caller came back after a rejection and goes before
-            new ones.
         rejection_reported: Whether a relay was asked about that.
     """
 
@@ -216,8 +214,11 @@
         usual_s = self.gateway.durations.usual_s(
             self.route.name, self.route.objective_s
         )
+        chooser = self.gateway.chooser
         transfer = await self.gateway.transfers.admit(
-            self.route, usual_s, self.deadline
+            self.route,
+            usual_s,
+            lambda: min(self.deadline, chooser.drain_ends_at),
         )
         if isinstance(transfer, Failure):
             self.progress.reason = transfer.detail
@@ -311,9 +312,11 @@
             return
         self.rejection_reported = True
         remaining_s = self.deadline - self.loop.time() - MIN_REMAINING_S
-        self.returned = await self.gateway.returning_callers.seen_before(
+        found = await self.gateway.returning_callers.seen_before(
             self.request.fingerprint, self.service, remaining_s
         )
+        if found is not None:
+            self.returned = found
 
     def _can_send(self, is_hedge: bool) -> bool:
         if self.progress.sends == 0:
@@ -328,7 +331,7 @@
             return True
         if is_hedge:
             return False
-        if retries.may_spend(self.loop.time()):
+        if share < 1 and retries.may_spend(self.loop.time()):
             self.gateway.return_watches[self.service].record_refused()
             self._count_decision("retry_reserved", "service_rejects")
         elif retries.should_report_spent(self.loop.time()):
@@ -352,13 +355,14 @@
     def _retry_share(self, retries: budget.RetryBudget) -> float:
         """Returns the share of the retry budget that a retry may use up."""
         now = self.loop.time()
-        load = target_choice.known_load(self, now)
+        load = self.gateway.shared_load(self.service, now)
         if load is None:
             return 1.0
         watch = self.gateway.return_watches[self.service]
         if self.returned:
             watch.record_returned()
-        if not watch.may_reserve:
+        callers_return = self.gateway.returning_callers.callers_return()
+        if not watch.may_reserve or not callers_return:
             return 1.0
         return precedence.retry_share(
             target_choice.cost_of(self, now),
@@ -402,7 +406,7 @@
     def _may_hedge_early(self, waited_s: float) -> bool:
         """Returns whether a slow attempt may be hedged before it is late."""
         now = self.loop.time()
-        load = target_choice.known_load(self, now)
+        load = self.gateway.shared_load(self.service, now)
         if load is None or self.attempts[0].entry is None:
             return False
         retries = self.gateway.budget_of(self.service)
@@ -412,9 +416,12 @@
         )
 
     def _first_attempt(self) -> hedging.FirstAttempt:
-        waited_s = self.loop.time() - self.attempts[0].started_at
+        first = self.attempts[0]
         return hedging.FirstAttempt(
-            waited_s, self.route.objective_s, self.server_suspected
+            self.loop.time() - first.started_at,
+            self.route.objective_s,
+            self.server_suspected,
+            first.probed,
         )
 
     async def _wait_for_attempts(
@@ -444,7 +451,7 @@
             not hedgeable
             or len(self.attempts) > 1
             or hedging.should_hedge(first)
-            or target_choice.known_load(self, now) is None
+            or self.gateway.shared_load(self.service, now) is None
         ):
             return hedging.recheck_after_s(first), True
         return precedence.next_wake(first, target_choice.cost_of(self, now))
@@ -458,6 +465,7 @@
         if self.server_suspected or len(self.attempts) != 1:
             return
         attempt = self.attempts[0]
+        attempt.probed = True
         # For a server, the result matters only to a hedge.
         hedgeable = self.idempotent and not self.hedging_stopped
         if attempt.entry is not None and not hedgeable:
--- a/banyantiller/gateway/decisions/durations.py
+++ b/banyantiller/gateway/decisions/durations.py
@@ -12,6 +12,9 @@
 INITIAL_SHARE = 0.4
 # Minimum weight of one response in the mean, which then covers some 20.
 MIN_WEIGHT = 0.05
+# Time after a response for which the duration is known. Calls that are rejected
+# for a duration which is too long could not correct it.
+KNOWN_S = 10.0
 
 
 class Durations:
@@ -20,14 +23,19 @@
     Attributes:
         mean_logs: Mean of the logarithms of a route's durations in seconds.
         counts: Number of responses of a route.
+        recorded_at: Loop time of the last response of a route.
     """
 
     def __init__(self) -> None:
         self.mean_logs: dict[str, float] = {}
         self.counts: dict[str, int] = {}
+        self.recorded_at: dict[str, float] = {}
 
-    def record_duration(self, route: str, took_s: float) -> None:
+    def record_duration(
+        self, route: str, took_s: float, now: float = 0.0
+    ) -> None:
         """Records the duration of a successful request, in seconds."""
+        self.recorded_at[route] = now
         count = self.counts.get(route, 0) + 1
         self.counts[route] = count
         weight = max(MIN_WEIGHT, 1 / count)
@@ -46,12 +54,13 @@
         mean = self.mean_logs.get(route)
         return INITIAL_SHARE * objective_s if mean is None else math.exp(mean)
 
-    def is_known(self, route: str) -> bool:
-        """Returns whether a request of a route was successful so far."""
-        return route in self.mean_logs
+    def is_known(self, route: str, now: float) -> bool:
+        """Returns whether a request of a route was successful lately."""
+        return now <= self.recorded_at.get(route, -math.inf) + KNOWN_S
 
     def retain_routes(self, routes: frozenset[str]) -> None:
         """Removes routes that are no longer in force."""
         for route in set(self.mean_logs) - routes:
             del self.mean_logs[route]
             del self.counts[route]
+            del self.recorded_at[route]
--- a/banyantiller/gateway/decisions/hedging.py
+++ b/banyantiller/gateway/decisions/hedging.py
@@ -30,11 +30,13 @@
         waited_s: Time since it was sent, in seconds.
         objective_s: Latency objective of the route, in seconds.
         unresponsive: Whether its server has not answered a probe since.
+        probed: Whether its server was probed since.
     """
 
     waited_s: float
     objective_s: float
     unresponsive: bool
+    probed: bool = False
 
 
 def should_hedge(first: FirstAttempt) -> bool:
--- a/banyantiller/gateway/decisions/placement.py
+++ b/banyantiller/gateway/decisions/placement.py
@@ -91,7 +91,7 @@
     weights = {
         zone: load.servers * (roomy_share(load, slots) - room)
         for zone, load in known.items()
-        if roomy_share(load, slots) > room
+        if load.servers and roomy_share(load, slots) > room
     }
     if not weights:
         return RemoteZones(0.0, {})
--- a/banyantiller/gateway/decisions/precedence.py
+++ b/banyantiller/gateway/decisions/precedence.py
@@ -131,7 +131,8 @@
         wait_s = usual_s * (1 - cost.rank * (1 - MIN_WAIT_SHARE))
         wait_s = max(wait_s, waiting.MIN_WAIT_S)
     # A server found later could not respond before the deadline.
-    wait_s = max(0.0, min(wait_s, cost.remaining_s - cost.usual_s))
+    latest_s = max(waiting.MIN_WAIT_S, cost.remaining_s - cost.usual_s)
+    wait_s = min(wait_s, latest_s)
     keep_until = usual.keep_last_slot_until
     if may_take_last_slot(cost, load):
         keep_until = now
@@ -220,14 +221,13 @@
     """
     probe_s = hedging.PROBE_SHARE * first.objective_s - first.waited_s
     late_s = hedging.LATE_SHARE * first.objective_s - first.waited_s
-    after_probe = probe_s < WAKE_LATER_S
-    wake_s = late_s if after_probe else probe_s
+    wake_s = late_s if first.probed else max(0.0, probe_s)
     if cost.slack_s > 0:
         slow_s = SLOW_DURATIONS * cost.usual_s - first.waited_s
         early_s = slow_s if slow_s > 0 else hedging.RECHECK_PAUSE_S
         if early_s < wake_s:
             return early_s + WAKE_LATER_S, False
-    return wake_s + WAKE_LATER_S, not after_probe
+    return wake_s + WAKE_LATER_S, not first.probed
 
 
 def is_hopeless(
--- a/banyantiller/gateway/decisions/server_speeds.py
+++ b/banyantiller/gateway/decisions/server_speeds.py
@@ -55,9 +55,10 @@
             took_s: Duration, in seconds.
             usual_s: Usual duration of such requests, in seconds.
         """
-        if usual_s <= 0 or took_s <= 0:
-            return
         explained = scoring.duration_factor(load) if load else 1.0
+        # A server may report a slowness of 0.
+        if usual_s <= 0 or took_s <= 0 or explained <= 0:
+            return
         key = _key(server)
         count = self.counts.get(key, 0) + 1
         self.counts[key] = count
@@ -74,9 +75,10 @@
         """Returns the duration of requests relative to other servers."""
         key = _key(server)
         count = self.counts.get(key, 0)
-        if not count:
+        usual = self.service_logs.get(server.service)
+        if not count or usual is None:
             return 1.0
-        relative = self.mean_logs[key] - self.service_logs[server.service]
+        relative = self.mean_logs[key] - usual
         factor = math.exp(relative * count / (count + PRIOR_RESPONSES))
         return min(MAX_FACTOR, max(MIN_FACTOR, factor))
 
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -215,10 +215,10 @@
             self.store_view,
             lambda: self.settings,
             rng,
-            self._shared_service_load,
+            self.shared_load,
         )
         self.transfers = transfers.Transfers(
-            lambda: self.settings, self.response_memory.shared
+            lambda: self.settings, self.response_memory.shared, rng
         )
         self.returning_callers = returning_callers.ReturningCallers(
             settings, self.service_loads.service_load, self._request_times
@@ -402,10 +402,10 @@
                 self.loop.time(),
             )
 
-    def _shared_service_load(
+    def shared_load(
         self, service: str, now: float
     ) -> service_load.ZoneLoad | None:
-        """Returns the load of a service, or None if it isn't shared."""
+        """Returns the load of a service; None if unknown or not shared."""
         if not self.shares_load():
             return None
         return self.service_loads.service_load(service, now)
--- a/banyantiller/gateway/protocols.py
+++ b/banyantiller/gateway/protocols.py
@@ -90,6 +90,11 @@
     def shares_load(self) -> bool:
         """Returns whether daemons share what they know of the load."""
 
+    def shared_load(
+        self, service: str, now: float
+    ) -> service_load.ZoneLoad | None:
+        """Returns the load of a service; None if unknown or not shared."""
+
     def record_call(
         self, call: Any, status: int, error: ErrorKind | None
     ) -> None:
--- a/banyantiller/gateway/refusals.py
+++ b/banyantiller/gateway/refusals.py
@@ -82,11 +82,12 @@
 def _freed_retry_after_s(call: protocols.RunningCall) -> float | None:
     """Returns when a slot is free for a rejected call, or None if unknown."""
     gateway = call.gateway
-    if not gateway.shares_load():
-        return None
     now = call.loop.time()
+    load = gateway.shared_load(call.service, now)
+    if load is None:
+        return None
     return retry_after.freed_retry_after_s(
-        gateway.service_loads.service_load(call.service, now),
+        load,
         gateway.returning_callers.expected_callers(call.service),
         call.deadline - now,
         gateway.random,
--- a/banyantiller/gateway/rejection_relay.py
+++ b/banyantiller/gateway/rejection_relay.py
@@ -130,9 +130,7 @@
             earlier = [
                 self.table.record(digest, now) for digest in rejected["digests"]
             ]
-            position = None
-            for _ in earlier:
-                position = self._join(service, now)
+            position = self._join(service, len(earlier), now)
             seen[service] = SeenFields(earlier=earlier, position=position)
         share = self.table.returned_share()
         return AnswerFields(
@@ -140,10 +138,14 @@
             returned_percent=None if share is None else round(share * 100),
         )
 
-    def _join(self, service: str, now: float) -> float | None:
+    def _join(self, service: str, count: int, now: float) -> float | None:
+        """Returns the position of the last of some callers, or None."""
         load = self.load(service, now)
         if load is None or load.freed_per_s <= 0:
             self.queues.pop(service, None)
             return None
         queue = self.queues.setdefault(service, returning_callers.ReturnQueue())
-        return queue.join(load.freed_per_s / self.relay_count, now)
+        position = None
+        for _ in range(count):
+            position = queue.join(load.freed_per_s / self.relay_count, now)
+        return position
--- a/banyantiller/gateway/returning_callers.py
+++ b/banyantiller/gateway/returning_callers.py
@@ -67,9 +67,11 @@
 
     async def seen_before(
         self, fingerprint: str, service: str = "", limit_s: float = math.inf
-    ) -> bool:
+    ) -> bool | None:
         """Records a rejection; returns whether the request has precedence.
 
+        The result is None if no relay answered.
+
         Args:
             fingerprint: Fingerprint of the request.
             service: Service that handles it.
@@ -148,12 +150,12 @@
 
     def _decide(
         self, address: str, service: str, answer: rejection_link.Answer | None
-    ) -> bool:
+    ) -> bool | None:
         if answer is None:
             self.outcomes["unknown"] += 1
             self.returned_percents.pop(address, None)
             self.positions.pop(service, None)
-            return False
+            return None
         self.returned_percents[address] = answer.returned_percent
         if answer.position is None:
             self.positions.pop(service, None)
--- a/banyantiller/gateway/routes.py
+++ b/banyantiller/gateway/routes.py
@@ -169,12 +169,15 @@
 def _ranks(document: types.Document) -> dict[Priority, float]:
     """Returns the rank of each priority; a single one has no precedence."""
     organisations = document.organisations
+    replacing = {one.priority for one in organisations or ()}
     found: set[Priority] = set()
     for route in document.routes:
-        callers = [] if organisations is None else list(organisations)
+        callers = set(replacing)
         if organisations is None or route.public:
-            callers.append(None)
-        found.update((_priority(route, one), route.priority) for one in callers)
+            callers.add(None)
+        for priority in callers:
+            own = route.priority if priority is None else priority
+            found.add((own, route.priority))
     if len(found) < 2:
         return {}
     last = len(found) - 1
--- a/banyantiller/gateway/server_choice.py
+++ b/banyantiller/gateway/server_choice.py
@@ -337,19 +337,17 @@
         )
         self.placement.log_spill(name, was_active)
         scarce = self._scarce_probes(usable, first.probed)
-        found = self.placement.with_speeds(
-            await self.prober.probe(first.probed + scarce, path)
-        )
-        more = self.selector.more_probes(name, usable, first, found)
-        more = more[: request.wait_limits.max_more_probes]
-        if not more:
-            return found
+        found = await self.prober.probe(first.probed + scarce, path)
         try:
-            found += self.placement.with_speeds(
-                await self.prober.probe(more, path)
-            )
+            found = self.placement.with_speeds(found)
+            more = self.selector.more_probes(name, usable, first, found)
+            more = more[: request.wait_limits.max_more_probes]
+            if not more:
+                return found
+            found += await self.prober.probe(more, path)
         except BaseException:
             self.prober.release(found)
             raise
+        found = self.placement.with_speeds(found)
         found.sort(key=lambda candidate: candidate.score)
         return found
--- a/banyantiller/gateway/target_choice.py
+++ b/banyantiller/gateway/target_choice.py
@@ -70,27 +70,19 @@
     )
 
 
-def known_load(
-    call: protocols.RunningCall, now: float
-) -> service_load.ZoneLoad | None:
-    """Returns the load of a call's service; None while loads aren't shared."""
-    if not call.gateway.shares_load():
-        return None
-    return call.gateway.service_loads.service_load(call.service, now)
-
-
 def is_hopeless(call: protocols.RunningCall) -> bool:
     """Returns whether a call can't be served before its deadline any more.
 
-    Before the first response of its route, the usual duration is only assumed;
+    Without a recent response of its route, the usual duration is only assumed;
     if calls were rejected for it, it would never be learned.
     """
     if not call.gateway.shares_load():
         return False
-    if not call.gateway.durations.is_known(call.route.name):
-        return False
     now = call.loop.time()
-    return precedence.is_hopeless(cost_of(call, now), known_load(call, now))
+    if not call.gateway.durations.is_known(call.route.name, now):
+        return False
+    load = call.gateway.shared_load(call.service, now)
+    return precedence.is_hopeless(cost_of(call, now), load)
 
 
 def _report_rejecting(
--- a/banyantiller/gateway/transfers.py
+++ b/banyantiller/gateway/transfers.py
@@ -1,7 +1,8 @@
-"""Limits the large responses that a daemon takes on to what its link takes."""
+"""Limits the large responses that a daemon admits to what its link carries."""
 
 import asyncio
 import collections
+import random
 from collections.abc import Callable
 
 from banyantiller.errors import ErrorKind, Failure
@@ -16,6 +17,13 @@
 # Time after which memory for a response may be free: a response is held for
 # some tenths of a second.
 MEMORY_RETRY_S = 0.15
+# Minimum pause before the link is checked again. Calls at servers don't free it
+# as time passes, so that a shorter pause would only use the processor.
+MIN_RECHECK_S = 0.01
+# A rejected caller is told to come back later by up to this share at random.
+RETRY_SPREAD = 0.5
+# Callers accept no time longer than this share of what they have left.
+MAX_REMAINING_SHARE = 1 / 3
 
 
 class Transfer:
@@ -50,9 +58,11 @@
         self,
         settings: Callable[[], options.Settings],
         memory: body_memory.BodyMemory,
+        rng: random.Random,
     ) -> None:
         self.settings = settings
         self.memory = memory
+        self.random = rng
         self.loop = asyncio.get_running_loop()
         self.sizes: dict[str, transfers.Sizes] = {}
         self.backlog = transfers.LinkBacklog(
@@ -63,14 +73,18 @@
         self.ended = asyncio.Event()
 
     async def admit(
-        self, route: types.Route, usual_s: float, deadline: float
+        self,
+        route: types.Route,
+        usual_s: float,
+        deadline: Callable[[], float],
     ) -> Transfer | Failure:
         """Waits until the link has room for a response.
 
         Args:
             route: Route of the call.
             usual_s: Usual duration of its requests, in seconds.
-            deadline: Loop time at which the caller leaves.
+            deadline: Returns the loop time at which the caller leaves or this
+                daemon exits.
 
         Returns:
             The transfer, whose end has to be recorded, or the failure if the
@@ -80,12 +94,12 @@
         expected = self._sizes(route.name).expected()
         outcome = "started"
         if not self.memory.allows(int(expected)):
-            return self._reject(MEMORY_BUSY, MEMORY_RETRY_S)
+            left_s = deadline() - self.loop.time()
+            return self._reject(MEMORY_BUSY, MEMORY_RETRY_S, left_s)
         while True:
             now = self.loop.time()
-            decision = self.backlog.decide(
-                expected, usual_s, deadline - now, now
-            )
+            left_s = deadline() - now
+            decision = self.backlog.decide(expected, usual_s, left_s, now)
             if decision.verdict is transfers.Verdict.START:
                 self._set_busy(False)
                 self.outcomes[outcome] += 1
@@ -93,9 +107,9 @@
                 return Transfer(self, route.name, expected)
             if decision.verdict is transfers.Verdict.REJECT:
                 self._set_busy(True)
-                return self._reject(LINK_BUSY, decision.retry_s)
+                return self._reject(LINK_BUSY, decision.retry_s, left_s)
             outcome = "waited"
-            await self._wait(decision.retry_s)
+            await self._wait(max(MIN_RECHECK_S, decision.retry_s))
 
     def end(self, transfer: Transfer, size: int, successful: bool) -> None:
         """Records the end of a call that was admitted."""
@@ -113,10 +127,15 @@
         for name in set(self.sizes) - names:
             del self.sizes[name]
 
-    def _reject(self, reason: str, retry_s: float) -> Failure:
+    def _reject(self, reason: str, retry_s: float, left_s: float) -> Failure:
         self.outcomes["rejected"] += 1
-        retry_after_s = retry_after.available_retry_after_s(retry_s)
-        return Failure(ErrorKind.NO_SERVER, reason, retry_after_s)
+        spread_s = retry_s * (1 + self.random.uniform(0, RETRY_SPREAD))
+        latest_s = left_s * MAX_REMAINING_SHARE
+        return Failure(
+            ErrorKind.NO_SERVER,
+            reason,
+            retry_after.available_retry_after_s(min(spread_s, latest_s)),
+        )
 
     def _sizes(self, route: str) -> transfers.Sizes:
         return self.sizes.setdefault(route, transfers.Sizes())
