Mend what the review of loads, shares and documents found

Cause: a review by one who did not write these parts. Change: absurd figures of one server or daemon raised, or outweighed all others; a row without servers divided by zero; a report from the future overflowed; loads of removed services were kept; the load was computed for each grant; a relay that just started limited organisations by a window that it had not yet covered; calls that wait for the link are started in order and count for later ones; the check of documents ended with a traceback for some YAML and JSON, and warned of priorities that have an effect.

--- a/banyantiller/commands/document_files.py
+++ b/banyantiller/commands/document_files.py
@@ -15,6 +15,15 @@
 STANDARD_INPUT_NAME = "standard input"
 JSON_TYPES = (str, int, float, bool, type(None))
 
+# Raised for text that does not suit its explicit tag, or is nested too deeply.
+CONSTRUCTION_ERRORS = (
+    yaml.YAMLError,
+    ValueError,
+    LookupError,
+    AttributeError,
+    RecursionError,
+)
+
 
 def read(file: str) -> tuple[Any, problems.Problems]:
     """Reads a document in JSON or YAML.
@@ -47,7 +56,7 @@
     found.raise_errors()
     try:
         value = yaml.constructor.SafeConstructor().construct_document(root)
-    except (yaml.YAMLError, ValueError, RecursionError) as error:
+    except CONSTRUCTION_ERRORS as error:
         raise _refusal(
             name, documents.START, f"is not YAML: {error}"
         ) from error
@@ -84,6 +93,9 @@
             message = located.msg
         except RecursionError:
             message = "it is nested too deeply"
+        except ValueError as failure:
+            # Integers of thousands of digits are not converted.
+            message = str(failure)
         raise _refusal(name, place, f"is not JSON: {message}") from error
 
 
--- a/banyantiller/gateway/decisions/fair_share.py
+++ b/banyantiller/gateway/decisions/fair_share.py
@@ -154,9 +154,13 @@
         self.updated_at = now
         self.limit = math.inf
 
-    def demand(self) -> Demand:
-        """Returns what it asked for a second."""
-        return Demand(self.asked.count / WINDOW_S, self.weight)
+    def demand(self, window_s: float = WINDOW_S) -> Demand:
+        """Returns what it asked for a second.
+
+        Args:
+            window_s: Time in which requests were counted, in seconds.
+        """
+        return Demand(self.asked.count / window_s, self.weight)
 
     def set_limit(self, limit: float, now: float) -> None:
         """Limits its requests a second; infinity removes the limit."""
@@ -212,9 +216,11 @@
         level: Share of its allowance that each organisation may use; infinite
             if none is limited.
         next_step_at: Loop time of the next adjustment.
+        began_at: Loop time of the first request.
     """
 
     def __init__(self, now: float) -> None:
+        self.began_at = now
         self.by_organisation: dict[str, OrganisationUse] = {}
         self.granted = allowances.RequestWindow(WINDOW_S + SETTLE_S)
         self.unused = allowances.RequestWindow(WINDOW_S)
@@ -252,6 +258,10 @@
         if name in self.by_organisation:
             self.by_organisation[name].take_back(number)
 
+    def is_step_due(self, now: float) -> bool:
+        """Returns whether it is time to adjust the level."""
+        return now >= self.next_step_at
+
     def adjust(self, load: service_load.ZoneLoad | None, now: float) -> None:
         """Adapts the level to what is known of the load, if it is time.
 
@@ -260,7 +270,7 @@
                 organisation is limited then.
             now: Loop time.
         """
-        if now < self.next_step_at:
+        if not self.is_step_due(now):
             return
         self.next_step_at = now + STEP_S
         self._expire(now)
@@ -276,7 +286,10 @@
         if not self.short and self.level == math.inf:
             self.run_per_s = 0.0
             return
-        demands = [use.demand() for use in self.by_organisation.values()]
+        if self._covered_s(now) < STEP_S:
+            # It is not known yet what servers execute.
+            return
+        demands = self._demands(now)
         self._count_executed(now)
         capacity = usable_capacity(self.run_per_s, load.free_share)
         level = max(fair_level(demands, capacity), median_use(demands))
@@ -292,13 +305,22 @@
             if use.refusals.count
         }
 
+    def _covered_s(self, now: float) -> float:
+        """Returns how much of the window has settled requests, in seconds."""
+        return min(WINDOW_S, now - self.began_at - SETTLE_S)
+
+    def _demands(self, now: float) -> list[Demand]:
+        window_s = min(WINDOW_S, now - self.began_at)
+        return [use.demand(window_s) for use in self.by_organisation.values()]
+
     def _count_executed(self, now: float) -> None:
         settled = sum(
             number
             for start, number in self.granted.slots
             if start <= now - SETTLE_S
         )
-        run_per_s = max(0, settled - self.unused.count) / WINDOW_S
+        executed = max(0, settled - self.unused.count)
+        run_per_s = executed / self._covered_s(now)
         if self.run_per_s:
             run_per_s += (self.run_per_s - run_per_s) * (1 - SMOOTHING)
         self.run_per_s = run_per_s
--- a/banyantiller/gateway/decisions/retry_after.py
+++ b/banyantiller/gateway/decisions/retry_after.py
@@ -83,7 +83,7 @@
         return None
     if load.rejected_share > REJECTING_SHARE:
         return None
-    longest_s = max(MIN_FREED_RETRY_AFTER_S, remaining_s * MAX_REMAINING_SHARE)
+    longest_s = max(0.0, remaining_s) * MAX_REMAINING_SHARE
     turn_s = max(MIN_FREED_RETRY_AFTER_S, expected / load.freed_per_s)
     if turn_s > longest_s:
         # No slot is free for it in time. Another caller may not come back.
--- a/banyantiller/gateway/decisions/service_load.py
+++ b/banyantiller/gateway/decisions/service_load.py
@@ -37,6 +37,12 @@
 # Weight below which a zone does not count in the load of a service: after sums
 # were subtracted, rounding errors of that size remain.
 MIN_ZONE_WEIGHT = MIN_WEIGHT / 10
+# Weighted requests below which their outcomes are forgotten.
+MIN_REQUESTS = 0.01
+# Larger figures are faults of a server or of a daemon; one of them must not
+# outweigh all others, and sums over all daemons must fit a message.
+MAX_SLOTS = 1000
+MAX_COUNT = 2**40
 # Maximum number of pairs of service and zone in one message.
 MAX_REPORTED = 32
 # Sums are reported in hundredths.
@@ -176,16 +182,20 @@
         self.took_s *= factor
         self.at = now
 
+    def drop_old(self, now: float) -> None:
+        """Drops the loads that are too old."""
+        for instance, (_, at) in list(self.loads.items()):
+            if now - at > MAX_AGE_S:
+                del self.loads[instance]
+
     def sums(self, now: float) -> Sums:
         """Returns the sums at a loop time, and drops what is too old."""
         self.decay(now)
+        self.drop_old(now)
         bits = 0
         values = [0.0] * VALUE_COUNT
-        for instance, (load, at) in list(self.loads.items()):
+        for instance, (load, at) in self.loads.items():
             age_s = now - at
-            if age_s > MAX_AGE_S:
-                del self.loads[instance]
-                continue
             weight = decay_factor(age_s, HALF_LIFE_S)
             slots = max(1, load.slots)
             taken = load.running + load.waiting
@@ -298,7 +308,12 @@
         now: float,
     ) -> None:
         """Records the load that a server reported, at a loop time."""
-        self._own_zone(service, zone, now).loads[instance] = (load, now)
+        bounded = load._replace(
+            running=min(load.running, MAX_SLOTS),
+            waiting=min(load.waiting, MAX_SLOTS),
+            slots=min(load.slots, MAX_SLOTS),
+        )
+        self._own_zone(service, zone, now).loads[instance] = (bounded, now)
 
     def record_send(
         self, service: str, zone: str, rejected: bool, now: float
@@ -347,7 +362,7 @@
             for index, value in enumerate(sums.values):
                 per_server = index < SENDS
                 total[index] += value * factor if per_server else value
-        if total_weight < MIN_WEIGHT:
+        if total_weight < MIN_WEIGHT or total[WEIGHT] <= 0:
             return None
         return self._to_load(service, total[WEIGHT], total)
 
@@ -362,13 +377,18 @@
         if now - self.upstream.composed_at > MAX_AGE_S:
             self.upstream = Report({}, -math.inf)
         for key, own in list(self.own.items()):
-            newest = max([own.at, *(at for _, at in own.loads.values())])
-            if now - newest > MAX_AGE_S:
+            own.decay(now)
+            own.drop_old(now)
+            if not own.loads and own.sends + own.completed < MIN_REQUESTS:
                 del self.own[key]
+        services = {service for service, _ in self._keys()}
+        for service in set(self.usual_s) - services:
+            del self.usual_s[service]
 
     def clear(self) -> None:
         """Forgets everything."""
         self.own.clear()
+        self.usual_s.clear()
         self.group = GroupSums()
         self.reply_total = Report({}, -math.inf)
         self.upstream = Report({}, -math.inf)
@@ -498,7 +518,8 @@
 
 def decay_factor(age_s: float, half_life_s: float) -> float:
     """Returns the weight of an observation of this age."""
-    return 0.5 ** (age_s / half_life_s)
+    # A report from the future must not outweigh all others.
+    return 0.5 ** (max(age_s, -REBUILD_S) / half_life_s)
 
 
 def count_bits(bits: int) -> float:
@@ -576,7 +597,7 @@
     """Returns the report that a message contains."""
     by_key = {
         (one.service, one.zone): Sums(
-            one.servers, [value / SCALE for value in one[3:]]
+            one.servers, [min(value, MAX_COUNT) / SCALE for value in one[3:]]
         )
         for one in list(fields)[:MAX_REPORTED]
     }
--- a/banyantiller/gateway/decisions/transfers.py
+++ b/banyantiller/gateway/decisions/transfers.py
@@ -112,6 +112,7 @@
         work_s: float,
         remaining_s: float,
         now: float,
+        waiting_bytes: float = 0.0,
     ) -> Decision:
         """Decides on a call.
 
@@ -123,8 +124,10 @@
             work_s: Time that its server needs, in seconds.
             remaining_s: Time until its deadline, in seconds.
             now: Loop time.
+            waiting_bytes: Expected bytes of the calls that wait before it.
         """
-        before_s = max(0.0, self.busy_s(now) - work_s)
+        waiting_s = waiting_bytes / self.bytes_per_s
+        before_s = max(0.0, self.busy_s(now) + waiting_s - work_s)
         own_s = expected_bytes / self.bytes_per_s
         if work_s + before_s + own_s > remaining_s:
             # A response that would be too late on an idle link as well may be
--- a/banyantiller/gateway/document_checks.py
+++ b/banyantiller/gateway/document_checks.py
@@ -29,7 +29,6 @@
         _times(document),
         _attempts(document, retry_ratio),
         _weights(document),
-        _replaced_priorities(document),
         _services(document),
         _organisations(document),
     )
@@ -161,22 +160,6 @@
             yield _route(index, "weighted_services", "A service occurs twice.")
 
 
-def _replaced_priorities(
-    document: types.Document,
-) -> Iterator[types.DocumentFinding]:
-    organisations = document.organisations
-    if not organisations or any(one.priority is None for one in organisations):
-        return
-    for index, route in enumerate(document.routes):
-        if not route.public:
-            yield _route(
-                index,
-                "priority",
-                "The priority has no effect: each organisation has its own,"
-                " which replaces it.",
-            )
-
-
 def _services(document: types.Document) -> Iterator[types.DocumentFinding]:
     used = {
         part.service
--- a/banyantiller/gateway/organisation_shares.py
+++ b/banyantiller/gateway/organisation_shares.py
@@ -54,7 +54,8 @@
         if shares is None:
             shares = fair_share.ServiceShares(now)
             self.by_service[service] = shares
-        shares.adjust(self.service_load(service, now), now)
+        if shares.is_step_due(now):
+            shares.adjust(self.service_load(service, now), now)
         granted = shares.grant(name, weight, asked, new, now)
         if granted == asked:
             return granted, None
--- a/banyantiller/gateway/transfers.py
+++ b/banyantiller/gateway/transfers.py
@@ -52,6 +52,7 @@
         sizes: Sizes of responses by route.
         outcomes: Calls by outcome: "started", "waited" or "rejected".
         busy: Whether responses were rejected since the link had room last.
+        waiting: Expected bytes of the calls that wait, in order of arrival.
     """
 
     def __init__(
@@ -70,6 +71,8 @@
         )
         self.outcomes: collections.Counter[str] = collections.Counter()
         self.busy = False
+        self.waiting: dict[int, float] = {}
+        self.arrivals = 0
         self.ended = asyncio.Event()
 
     async def admit(
@@ -92,14 +95,36 @@
         """
         self.backlog.bytes_per_s = transfers.rate_of(self.settings().link_mbps)
         expected = self._sizes(route.name).expected()
-        outcome = "started"
         if not self.memory.allows(int(expected)):
             left_s = deadline() - self.loop.time()
             return self._reject(MEMORY_BUSY, MEMORY_RETRY_S, left_s)
+        self.arrivals += 1
+        number = self.arrivals
+        self.waiting[number] = expected
+        try:
+            return await self._wait_for_turn(number, route, usual_s, deadline)
+        finally:
+            del self.waiting[number]
+            self.ended.set()
+
+    async def _wait_for_turn(
+        self,
+        number: int,
+        route: types.Route,
+        usual_s: float,
+        deadline: Callable[[], float],
+    ) -> Transfer | Failure:
+        outcome = "started"
         while True:
             now = self.loop.time()
             left_s = deadline() - now
-            decision = self.backlog.decide(expected, usual_s, left_s, now)
+            expected = self.waiting[number]
+            before = sum(
+                size for other, size in self.waiting.items() if other < number
+            )
+            decision = self.backlog.decide(
+                expected, usual_s, left_s, now, before
+            )
             if decision.verdict is transfers.Verdict.START:
                 self._set_busy(False)
                 self.outcomes[outcome] += 1
