--- a/banyantiller/gateway/load_reports.py
+++ b/banyantiller/gateway/load_reports.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from banyantiller.gateway import events
-from banyantiller.gateway.decisions import service_load
+from banyantiller.gateway.decisions import load_sums, service_load
 from banyantiller.utils import decoding
 
 # How long the load of a service is unknown before that is logged. Services
@@ -37,7 +37,7 @@
     """
 
     clock_ms: int
-    loads: list[service_load.LoadFields]
+    loads: list[load_sums.LoadFields]
 
 
 def encode(message: Message) -> str:
--- a/banyantiller/tests/gateway/decisions/test_service_load.py
+++ b/banyantiller/tests/gateway/decisions/test_service_load.py
@@ -3,7 +3,7 @@
 import base64
 
 from banyantiller.gateway import load_reports, types
-from banyantiller.gateway.decisions import service_load
+from banyantiller.gateway.decisions import load_sums, service_load
 from banyantiller.tests import base
 
 NOW = 1000.0
@@ -102,7 +102,7 @@
     def test_lost_daemon_is_dropped(self):
         relay = observer()
         relay.merge("d1", observer(FULL).to_report(NOW), NOW)
-        relay.expire(NOW + service_load.MAX_AGE_S + 0.1)
+        relay.expire(NOW + load_sums.MAX_AGE_S + 0.1)
         self.assertEqual({}, relay.group.reports)
         self.assertIsNone(relay.service_load("feed", NOW + 2.1))
 
@@ -116,7 +116,7 @@
                     one.record_duration("feed", f"zone-{zone}", 0.2, NOW)
                 relay.merge(f"{zone}-{number}", one.to_report(NOW), NOW)
         report = relay.to_report(NOW)
-        self.assertEqual(service_load.MAX_REPORTED, len(report))
+        self.assertEqual(load_sums.MAX_REPORTED, len(report))
         text = load_reports.encode(load_reports.Message(0, report))
         self.assertLessEqual(len(text), MAX_MESSAGE_BYTES)
         self.assertEqual(report, load_reports.decode(text).loads)
