--- a/banyantiller/gateway/call_events.py
+++ b/banyantiller/gateway/call_events.py
@@ -97,7 +97,7 @@
     """Calls with large responses are rejected, or accepted again."""
 
     busy: Annotated[bool, "Whether calls are rejected."]
-    bytes: Annotated[int, "Bytes of large responses that were taken on."]
+    bytes: Annotated[int, "Bytes of large responses that were admitted."]
 
 
 @event("gateway: retries are reserved.")
--- a/banyantiller/gateway/decisions/precedence.py
+++ b/banyantiller/gateway/decisions/precedence.py
@@ -264,7 +264,7 @@
 
 
 class ReturnWatch:
-    """Notices that callers of a service don't come back, or unnoticed.
+    """Notices that rejected callers of a service don't seem to come back.
 
     Retries that are reserved for them would be left unused then.
 
--- a/banyantiller/gateway/decisions/request_kinds.py
+++ b/banyantiller/gateway/decisions/request_kinds.py
@@ -27,8 +27,8 @@
 # A kind of request counts as present at a service for this time.
 KIND_KEPT_S = 10.0
 # Share of the servers that tolerant requests use first if none is idle.
-# Publications are 0.42
-# of the feed's work; two on a server, they need 0.27 of the servers.
+# Publications are 0.42 of the feed's work; two on a server, they need 0.27 of
+# the servers.
 MAX_SHARED_PART = 0.3
 # A tolerant request that joins another one in the shared part leaves an idle
 # server to others; an idle server outside it counts like one that is slow.
--- a/banyantiller/gateway/decisions/retry_after.py
+++ b/banyantiller/gateway/decisions/retry_after.py
@@ -11,7 +11,7 @@
 
 import random
 
-from banyantiller.gateway.decisions import service_load
+from banyantiller.gateway.decisions import precedence, service_load
 
 # Time after which a caller may retry. A caller has at least 0.5 s left, and
 # accepts no time longer than a third of what it has left.
@@ -37,9 +37,6 @@
 MIN_FREED_RETRY_AFTER_S = 0.03
 # Callers wait no longer than this share of the time that they have left.
 MAX_REMAINING_SHARE = 1 / 3
-# Share of the requests rejected by servers with free slots above which waiting
-# for a slot gains nothing.
-REJECTING_SHARE = 0.25
 
 
 def available_retry_after_s(seconds_until_available: float) -> float:
@@ -81,7 +78,8 @@
     """
     if load is None or expected is None or load.freed_per_s <= 0:
         return None
-    if load.rejected_share > REJECTING_SHARE:
+    if precedence.is_rejecting(load):
+        # Waiting for a slot gains nothing then.
         return None
     longest_s = max(0.0, remaining_s) * MAX_REMAINING_SHARE
     turn_s = max(MIN_FREED_RETRY_AFTER_S, expected / load.freed_per_s)
--- a/banyantiller/gateway/decisions/transfers.py
+++ b/banyantiller/gateway/decisions/transfers.py
@@ -5,7 +5,7 @@
 once for 90 kB fill a link of 10 Mbit/s for 0.7 s. All other replies of the
 daemon are stuck behind them, and the last large ones end too late anyway.
 
-A daemon therefore counts the bytes of the large responses that it has taken on.
+A daemon therefore counts the bytes of the large responses that it has admitted.
 A call whose response could not be transferred before its deadline is rejected
 before it is sent to a server, and one that would fill the link for too long
 waits until the responses before it are through.
@@ -88,7 +88,7 @@
 
 
 class LinkBacklog:
-    """Bytes of large responses that were taken on and not yet transferred.
+    """Bytes of large responses that were admitted and not yet transferred.
 
     The link is modelled as a queue that drains at its rate: a response that
     comes after an idle moment does not benefit from it.
@@ -116,7 +116,7 @@
     ) -> Decision:
         """Decides on a call.
 
-        The link transfers what was taken on before while a server works on the
+        The link transfers what was admitted before while a server works on the
         call, so only the rest is in the way of its response.
 
         Args:
@@ -140,7 +140,7 @@
         return Decision(Verdict.START)
 
     def busy_s(self, now: float) -> float:
-        """Returns how long the link is busy with what was taken on."""
+        """Returns how long the link is busy with what was admitted."""
         self._drain(now)
         return (self.running + self.queued) / self.bytes_per_s
 
@@ -155,8 +155,8 @@
         if not math.isinf(self.bytes_per_s):
             self.queued += size
 
-    def bytes_taken_on(self, now: float) -> float:
-        """Returns the bytes that were taken on and not yet transferred."""
+    def admitted_bytes(self, now: float) -> float:
+        """Returns the bytes that were admitted and not yet transferred."""
         self._drain(now)
         return self.running + self.queued
 
--- a/banyantiller/gateway/metrics.py
+++ b/banyantiller/gateway/metrics.py
@@ -151,8 +151,8 @@
             ("backed_off_servers", "Servers that asked this daemon for a"
              " backoff by Retry-After.",
              gateway.server_backoffs.count_active),
-            ("large_response_bytes", "Bytes of large responses that were taken"
-             " on and not yet transferred.", gateway.transfers.bytes_taken_on),
+            ("large_response_bytes", "Bytes of large responses that were"
+             " admitted and not yet transferred.", gateway.transfers.admitted_bytes),
             ("connections", "Open connections of callers.",
              lambda: len(gateway.connections)),
             ("quarantined_requests", "Requests that are rejected since they"
--- a/banyantiller/gateway/transfers.py
+++ b/banyantiller/gateway/transfers.py
@@ -27,7 +27,7 @@
 
 
 class Transfer:
-    """One call with a large response that was taken on.
+    """One call with a large response that was admitted.
 
     Attributes:
         expected_bytes: Size that was assumed for its response.
@@ -143,9 +143,9 @@
         self.backlog.finish(transfer.expected_bytes, size, self.loop.time())
         self.ended.set()
 
-    def bytes_taken_on(self) -> float:
+    def admitted_bytes(self) -> float:
         """Returns the bytes of responses that are not yet transferred."""
-        return self.backlog.bytes_taken_on(self.loop.time())
+        return self.backlog.admitted_bytes(self.loop.time())
 
     def retain_routes(self, names: frozenset[str]) -> None:
         """Removes routes that are no longer in force."""
@@ -178,4 +178,4 @@
         if busy == self.busy:
             return
         self.busy = busy
-        events.emit(call_events.LinkBusy(busy, round(self.bytes_taken_on())))
+        events.emit(call_events.LinkBusy(busy, round(self.admitted_bytes())))
--- a/banyantiller/tests/gateway/test_large_responses.py
+++ b/banyantiller/tests/gateway/test_large_responses.py
@@ -48,7 +48,7 @@
         """Small replies must not be counted as large ones."""
         statuses, gateway, _ = self.statuses("/read/x", 6, 1.0)
         self.assertNotIn("rejected", gateway.transfers.outcomes)
-        self.assertEqual(0, gateway.transfers.bytes_taken_on())
+        self.assertEqual(0, gateway.transfers.admitted_bytes())
         self.assertIn(200, statuses)
 
     def test_nothing_is_limited_if_load_sharing_is_off(self):
