--- a/banyantiller/gateway/metrics.py
+++ b/banyantiller/gateway/metrics.py
@@ -152,7 +152,8 @@
              " backoff by Retry-After.",
              gateway.server_backoffs.count_active),
             ("large_response_bytes", "Bytes of large responses that were"
-             " admitted and not yet transferred.", gateway.transfers.admitted_bytes),
+             " admitted and not yet transferred.",
+             gateway.transfers.admitted_bytes),
             ("connections", "Open connections of callers.",
              lambda: len(gateway.connections)),
             ("quarantined_requests", "Requests that are rejected since they"
