Let the scenario of fair shares have a surge

Cause: a relay limits nobody until it has counted 1.5 s of settled requests, and never below the median use; the scenario had one organisation that asked, for 1.8 s, and was limited by an incomplete count. Change: two more organisations ask, and the third surges after that. Measured: the test of events passes.

--- a/banyantiller/tests/gateway/event_scenarios.py
+++ b/banyantiller/tests/gateway/event_scenarios.py
@@ -71,15 +71,25 @@
         organisations=[
             {"name": "north", "apiKeys": ["k"], "ratePerS": 300, "burst": 60},
             {"name": "south", "apiKeys": ["s"], "ratePerS": 900, "burst": 9},
+            {"name": "west", "apiKeys": ["w"], "ratePerS": 900, "burst": 9},
         ]
     )
     full = service_load.ZoneLoad(4, 0.0, 0.0, 0.0, 0.0, 0.0, 9.0, 0.1)
     env.gateway.service_loads.service_load = lambda service, now: full
     await asyncio.sleep(3.0)
-    await env.request("a", credential="s")
-    for number in range(100):
+    # What servers execute is counted before the surge.
+    for number in range(60):
+        await env.request(f"a{number}", credential="sw"[number % 2])
         await env.request(f"b{number}", credential="k")
         await asyncio.sleep(0.03)
+    for number in range(20):
+        await asyncio.gather(
+            *(
+                env.request(f"c{number}-{other}", credential="k")
+                for other in range(8)
+            )
+        )
+        await asyncio.sleep(0.05)
     await asyncio.sleep(6.0)
 
 
