--- a/banyantiller/gateway/decisions/precedence.py
+++ b/banyantiller/gateway/decisions/precedence.py
@@ -120,8 +120,8 @@
     elif load is None or not is_short(load):
         wait_s = usual_s
     elif cost.returned:
-        # In trials of a burst, a longer wait took slots from requests that
-        # would have been in time, and was mostly late itself.
+        # A longer wait takes slots from requests that would be in time, and is
+        # mostly late itself.
         wait_s = usual_s
     elif cost.tolerant:
         wait_s = max(usual_s, TOLERANT_WAIT_SHARE * cost.slack_s)
