--- a/review/stage_2.py
+++ b/review/stage_2.py
@@ -464,7 +464,10 @@
         return "" if found is None else str(found)
 
     text = re.sub(
-        r"\{\{#([\w.]+)\}\}\n?(.*?)\{\{/\1\}\}\n?", section, template, flags=re.S
+        r"\{\{#([\w.]+)\}\}\n?(.*?)\{\{/\1\}\}\n?",
+        section,
+        template,
+        flags=re.S,
     )
     return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", value, text)
 
@@ -500,8 +503,7 @@
         """Starts the process."""
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         role = deploy["roles"]["gateway"]
-        template = (ROOT / role["template"]).read_text()
-        self.path.write_text(render(template, self.fields))
+        self.write_settings()
         env = {
             name: os.environ[name]
             for name in ("PATH", "HOME", "LANG")
@@ -522,6 +524,15 @@
         )
         self.stage.record.add(f"gateway {self.name} started")
 
+    def write_settings(self) -> None:
+        """Writes the settings file, filled in from the template."""
+        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+        template = ROOT / deploy["roles"]["gateway"]["template"]
+        text = render(template.read_text(), self.fields)
+        temporary = self.path.with_suffix(".new")
+        temporary.write_text(text)
+        temporary.replace(self.path)
+
     def send(self, number: signal.Signals) -> None:
         """Sends a signal to the process."""
         self.stage.record.add(f"gateway {self.name} gets {number.name}")
@@ -822,9 +833,7 @@
     raise CannotRunError("no free ports")
 
 
-def main(
-    script: str, case: Callable[[Stage], Awaitable[list[str]]]
-) -> None:
+def main(script: str, case: Callable[[Stage], Awaitable[list[str]]]) -> None:
     """Runs a case and exits with its result.
 
     Args:
@@ -832,8 +841,22 @@
         case: Plays the case; returns how the rule was broken.
     """
     record = Record(pathlib.Path(script).resolve().parent)
-    with tempfile.TemporaryDirectory() as folder:
-        sys.exit(asyncio.run(_play(record, pathlib.Path(folder), case)))
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        result = asyncio.run(_play(record, folder, case))
+        _keep_logs(record, folder, result)
+    sys.exit(result)
+
+
+def _keep_logs(record: Record, folder: pathlib.Path, result: int) -> None:
+    """Keeps the logs where asked, and records their ends if nothing ran."""
+    kept = os.environ.get("KEEP_LOGS")
+    for log in sorted(folder.glob("*.log")):
+        if kept:
+            pathlib.Path(kept, log.name).write_bytes(log.read_bytes())
+        if result == NOT_RUN:
+            text = log.read_text(errors="replace")
+            record.add(f"{log.name}: {text[-2000:]}")
 
 
 async def _play(
@@ -845,17 +868,11 @@
     try:
         async with asyncio.timeout(110):
             broken = await case(stage)
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except Exception as error:  # A fault of the script shows nothing.
         record.add(f"the case can't run: {error!r}")
-        for log in sorted(folder.glob("*.log")):
-            record.add(f"{log.name}: {log.read_text()[-2000:]}")
         return NOT_RUN
     finally:
-        keep = os.environ.get("KEEP_LOGS")
         stage.close()
-        if keep:
-            for log in folder.glob("*.log"):
-                pathlib.Path(keep, log.name).write_bytes(log.read_bytes())
     for line in broken:
         record.add(f"broken: {line}")
     record.add("the rule was broken" if broken else "the rule held")
