--- a/review/stage_2.py
+++ b/review/stage_2.py
@@ -865,12 +865,19 @@
     case: Callable[[Stage], Awaitable[list[str]]],
 ) -> int:
     stage = Stage(record, folder)
+    playing = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM, playing.cancel
+    )
     try:
         async with asyncio.timeout(110):
             broken = await case(stage)
     except Exception as error:  # A fault of the script shows nothing.
         record.add(f"the case can't run: {error!r}")
         return NOT_RUN
+    except asyncio.CancelledError:
+        record.add("the case was ended by SIGTERM")
+        return NOT_RUN
     finally:
         stage.close()
     for line in broken:
