Follow the relays that reloaded settings name

Cause: the settings were reloaded, but eight parts had taken the relays from those of the start: reading changes and lists, quarantines, the list of daemons for forwarded calls, loads, limits, returning callers, shares of budgets.

Change: `relays.Relays` alone knows the relays in force. A daemon sends a new relay all records of crashed servers that it has, as all relays may be new. Allowances still use the relays of the start.

--- a/banyantiller/gateway/daemon_list.py
+++ b/banyantiller/gateway/daemon_list.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from banyantiller.gateway import events, mirror, peers
+from banyantiller.gateway import events, mirror, peers, relays
 from banyantiller.http import messages, outcomes
 from banyantiller.utils import decoding
 
@@ -72,7 +72,7 @@
     """Daemons that reach a service, as relays list them.
 
     Attributes:
-        relays: The relays, without this daemon.
+        fleet_relays: The relays that the settings name.
         local_mirror: Knows the daemons that query this one.
         contact: What this daemon states about itself.
         listed: Daemons by service.
@@ -82,12 +82,12 @@
 
     def __init__(
         self,
-        relays: list[peers.Peer],
+        fleet_relays: relays.Relays,
         local_mirror: mirror.Mirror,
         contact: LocalContact,
         rng: random.Random,
     ) -> None:
-        self.relays = relays
+        self.fleet_relays = fleet_relays
         self.local_mirror = local_mirror
         self.contact = contact
         self.random = rng
@@ -95,8 +95,6 @@
         self.queried_at: dict[str, float] = {}
         self.queries: dict[str, asyncio.Task[None]] = {}
         self.loop = asyncio.get_running_loop()
-        for peer in relays:
-            peer.contact = contact.to_query
 
     async def find(self, service: str) -> list[DaemonFields]:
         """Returns daemons that reach a service, other than this one.
@@ -165,7 +163,10 @@
 
     async def _query(self, service: str) -> None:
         replies = await asyncio.gather(
-            *(self._query_relay(peer, service) for peer in self.relays)
+            *(
+                self._query_relay(peer, service)
+                for peer in self.fleet_relays.peers
+            )
         )
         found = self._known_here(service)
         for reply in replies:
--- a/banyantiller/gateway/decisions/store_reads.py
+++ b/banyantiller/gateway/decisions/store_reads.py
@@ -57,6 +57,15 @@
     return recovery_s - LOST_RESPONSE_S
 
 
+def max_peer_age_s(bound_s: float) -> float:
+    """Returns the maximum age of state that is accepted from peers.
+
+    Args:
+        bound_s: Time within which a change must be known, in seconds.
+    """
+    return bound_s - STORE_READ_S
+
+
 class StoreReadPolicy:
     """How long a daemon relies on peers before it reads the store.
 
@@ -87,7 +96,7 @@
     @property
     def max_peer_age_s(self) -> float:
         """Maximum age of state that is accepted from peers, in seconds."""
-        return self.bound_s - STORE_READ_S
+        return max_peer_age_s(self.bound_s)
 
     @property
     def max_age_s(self) -> float:
--- a/banyantiller/gateway/events.py
+++ b/banyantiller/gateway/events.py
@@ -145,6 +145,29 @@
     error: Annotated[str, "What is wrong, and where in the file."]
 
 
+@event("gateway: relays changed.")
+class RelaysChanged(NamedTuple):
+    """The settings name other relays, which are used from now on."""
+
+    relays: Annotated[list[str], "IP addresses and ports of the relays."]
+    before: Annotated[list[str], "The same before the change."]
+    is_relay: Annotated[bool, "Whether this daemon is a relay now."]
+
+
+@event("gateway: settings name no relays.", "warning")
+class RelaysMissing(NamedTuple):
+    """Reloaded settings name no relays; those of before stay in use."""
+
+    relays: Annotated[list[str], "IP addresses and ports of the relays."]
+
+
+@event("gateway: settings need a restart.", "warning")
+class SettingsNeedRestart(NamedTuple):
+    """Reloaded settings differ in some that apply at the next start only."""
+
+    names: Annotated[list[str], "Names of these settings."]
+
+
 @event("gateway: readiness changed.")
 class ReadinessChanged(NamedTuple):
     """The result of the readiness check changed."""
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -26,6 +26,7 @@
     quarantine_sync,
     reachability,
     rejection_relay,
+    relays,
     request_placement,
     returning_callers,
     sampling,
@@ -87,6 +88,7 @@
     Attributes:
         settings: Settings in force.
         adapter: Access to the store and the formats of the environment.
+        relays: The relays that the settings in force name.
         store_view: State read from the store: routes, limits and servers.
         draining: Whether the daemon is shutting down.
         connections: Open connections of callers.
@@ -121,8 +123,9 @@
         self.random = rng
         self.loop = asyncio.get_running_loop()
         self.tallies = tallies.Tallies()
+        self.relays = relays.Relays.from_settings(settings, rng)
         self.store_view = store_view.StoreView(
-            settings, adapter, self.tallies, rng, self._close_pool
+            settings, adapter, self.relays, self.tallies, rng, self._close_pool
         )
         self.store_view.on_first_document = self._run_waiting_calls
         self.draining = False
@@ -150,23 +153,16 @@
             rng,
         )
         self.quarantine_sync = quarantine_sync.QuarantineSync(
-            self.crash_detector,
-            self.store_view.reader.relays,
-            self.store_view.reader.is_relay,
-            rng,
+            self.crash_detector, self.relays, rng
         )
         self.store_view.mirror.mark = self.quarantine_sync.mark
         self.quarantine_sync.on_mark_change = self.store_view.mirror.wake
         self.server_limits = server_limits.ServerLimits(adapter, self._position)
         self.store_view.mirror.server_limits = self.server_limits
-        for peer in self.store_view.reader.relays:
-            peer.server_limits = self.server_limits
         self.load_reports = load_reports.LoadReports(
             self.service_loads, self.shares_load, adapter.document_kind
         )
         self.store_view.mirror.load_reports = self.load_reports
-        for peer in self.store_view.reader.upstream_relays:
-            peer.load_reports = self.load_reports
         self.server_backoffs = server_backoffs.ServerBackoffs(adapter)
         self.response_recorders = server_responses.recorders(
             adapter.wire,
@@ -206,7 +202,7 @@
             settings.control, settings.zone, self.reachability.lost_services
         )
         daemons = daemon_list.DaemonList(
-            self.store_view.reader.relays, self.store_view.mirror, contact, rng
+            self.relays, self.store_view.mirror, contact, rng
         )
         self.forwarder = forwarding.Forwarder(daemons, rng)
         self.reachability.on_change = daemons.refresh
@@ -221,9 +217,12 @@
             lambda: self.settings, self.response_memory.shared, rng
         )
         self.returning_callers = returning_callers.ReturningCallers(
-            settings, self.service_loads.service_load, self._request_times
+            self.relays, self.service_loads.service_load, self._request_times
         )
         self.stalls = stalls.StallDetector()
+        # Last, as it needs the relays that the reader queries after a change.
+        self.relays.on_change.append(self._connect_relays)
+        self._connect_relays()
         self.all_closed = asyncio.Event()
         self.listener: asyncio.Server | None = None
 
@@ -252,6 +251,14 @@
         bound = self.listener.sockets[0].getsockname()
         return Endpoint(bound[0], bound[1])
 
+    def reload(self, settings: options.Settings) -> None:
+        """Puts reloaded settings in force."""
+        changed = options.changed_start_settings(self.settings, settings)
+        if changed:
+            events.emit(events.SettingsNeedRestart(changed))
+        self.settings = settings
+        self.relays.update(settings.seeds)
+
     def not_ready_reason(self) -> str:
         """Returns why the daemon is not ready, or an empty text if it is."""
         if self.draining:
@@ -412,7 +419,7 @@
 
     def min_recent_share(self) -> float:
         """Returns the smallest share during the last retry window."""
-        if not self.settings.seeds:
+        if not self.relays.addresses:
             return UNCOUNTED_FLEET_SHARE
         now = self.loop.time()
         self.shares.window_s = self.settings.retry_window_s
@@ -424,7 +431,7 @@
 
         If the daemons can be counted, the share is 0 until they were.
         """
-        if not self.settings.seeds:
+        if not self.relays.addresses:
             return UNCOUNTED_FLEET_SHARE
         return (self.store_view.reader.budget_share or 0.0) * USABLE_SHARE_RATIO
 
@@ -460,6 +467,18 @@
             document_age_s = self.store_view.document_age_s()
             call_log.log_call(call, status, error, duration_s, document_age_s)
 
+    def _connect_relays(self, change: relays.RelayChange | None = None) -> None:
+        """Lets queries to relays carry what daemons tell each other."""
+        del change
+        for peer in self.relays.peers:
+            self.store_view.connect(peer)
+            peer.on_mark = self.quarantine_sync.receive_mark
+            peer.server_limits = self.server_limits
+            peer.load_reports = None
+            peer.contact = self.forwarder.daemons.contact.to_query
+        for peer in self.store_view.reader.upstream_relays:
+            peer.load_reports = self.load_reports
+
     def _run_waiting_calls(self) -> None:
         """Starts pipelined reads once the first document is in force.
 
@@ -476,7 +495,7 @@
 
     def _position(self) -> turns.FleetPosition | None:
         """Returns this daemon's position among those that take turns."""
-        if self.settings.seeds:
+        if self.relays.addresses:
             return self.store_view.reader.position
         return turns.uncounted_position(self.settings.daemon)
 
--- a/banyantiller/gateway/metrics.py
+++ b/banyantiller/gateway/metrics.py
@@ -132,6 +132,13 @@
              lambda: gateway.store_view.store_health.lost_at is not None),
             ("store_generation", "How often the store came back from a copy.",
              lambda: gateway.store_view.store_health.generation or 0),
+            ("relays", "Relays that the settings name.",
+             lambda: gateway.relays.count),
+            ("skipped_relays", "Relays that this daemon does not query for a"
+             " moment, as they did not respond.",
+             lambda: gateway.relays.count_skipped(gateway.loop.time())),
+            ("is_relay", "Whether this daemon is a relay.",
+             lambda: gateway.relays.is_relay),
             ("evacuated_zones", "Zones whose servers get no requests.",
              lambda: len(gateway.store_view.evacuations.evacuated)),
             ("unreachable_services", "Services of which no server responds.",
--- a/banyantiller/gateway/peer_lists.py
+++ b/banyantiller/gateway/peer_lists.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from banyantiller.gateway import events, peers
+from banyantiller.gateway import events, peers, relays
 from banyantiller.gateway.decisions import store_reads
 
 # Pause between queries of relays that are not ready at a start.
@@ -20,8 +20,7 @@
     """Queries relays for lists.
 
     Attributes:
-        relays: Relays to query, in this order.
-        is_relay: Whether this daemon is a relay.
+        fleet_relays: The relays that the settings name.
         read_policy: How long relays are relied on.
         min_versions: Minimum version of a list, by kind.
         start_pause_skipped: Set once a caller waits for the first read at the
@@ -30,13 +29,11 @@
 
     def __init__(
         self,
-        relays: list[peers.Peer],
-        is_relay: bool,
+        fleet_relays: relays.Relays,
         read_policy: store_reads.StoreReadPolicy,
         min_versions: dict[str, int],
     ) -> None:
-        self.relays = relays
-        self.is_relay = is_relay
+        self.fleet_relays = fleet_relays
         self.read_policy = read_policy
         self.min_versions = min_versions
         self.start_pause_skipped = asyncio.Event()
@@ -70,7 +67,7 @@
         if object_kind in self.min_versions:
             await asyncio.sleep(LIST_QUERY_S)
             return
-        if not self.is_relay:
+        if not self.fleet_relays.is_relay:
             await self.start_pause_skipped.wait()
         await asyncio.sleep(STARTUP_QUERY_S)
 
@@ -81,8 +78,11 @@
         while True:
             peer_list = await self._query_relays(object_kind)
             now = self.loop.time()
-            may_retry = not self.is_relay and self.read_policy.is_settling(now)
-            if peer_list is not None or not self.relays or not may_retry:
+            may_retry = (
+                not self.fleet_relays.is_relay
+                and self.read_policy.is_settling(now)
+            )
+            if peer_list or not self.fleet_relays.peers or not may_retry:
                 return peer_list
             await asyncio.sleep(START_PAUSE_S)
 
@@ -92,7 +92,7 @@
         Lists that are older than the cached state are passed over.
         """
         best = None
-        for peer in self.relays:
+        for peer in self.fleet_relays.peers:
             peer_list = await peer.list(object_kind)
             if isinstance(peer_list, peers.PeerRefusal):
                 continue
--- a/banyantiller/gateway/peers.py
+++ b/banyantiller/gateway/peers.py
@@ -92,8 +92,7 @@
     Attributes:
         client: HTTP client of the relay.
         name: Name of this daemon, by which the relay counts it.
-        shares: Query parameter: whether this daemon shares the budget of the
-            relay's group.
+        shares: Whether this daemon shares the budget of the relay's group.
         address: IP number and port of the relay.
         max_age_s: Age up to which the relay's state is relied on, in seconds.
         sharers: Daemons that share the relay's group, the relay included.
@@ -118,7 +117,7 @@
         self, endpoint: Endpoint, name: str, shares: bool, max_age_s: float
     ) -> None:
         self.name = parse.quote(name)
-        self.shares = mirror.SHARES if shares else "0"
+        self.shares = shares
         self.address = f"{endpoint.address}:{endpoint.port}"
         self.max_age_s = max_age_s
         self.sharers = 0
@@ -145,7 +144,8 @@
         target = (
             f"{mirror.PATH}{object_kind}?since={version}"
             f"&wait_ms={wait_s * 1000:.0f}&name={self.name}"
-            f"&shares={self.shares}&mark={self.mark}"
+            f"&shares={mirror.SHARES if self.shares else '0'}"
+            f"&mark={self.mark}"
         )
         failing = self.failing()
         if failing:
--- a/banyantiller/gateway/quarantine_sync.py
+++ b/banyantiller/gateway/quarantine_sync.py
@@ -20,7 +20,7 @@
 
 import msgspec
 
-from banyantiller.gateway import crash_detection, events, peers
+from banyantiller.gateway import crash_detection, events, peers, relays
 from banyantiller.http import messages, outcomes
 from banyantiller.quarantine import crash_table
 from banyantiller.utils import decoding
@@ -61,8 +61,7 @@
 
     Attributes:
         tracker: Records of this daemon.
-        relays: The relays, without this daemon.
-        is_relay: Whether this daemon is a relay.
+        fleet_relays: The relays that the settings name.
         incarnation: Distinguishes this process from earlier ones of the daemon.
         shown_revision: Revision of the table that the mark stands for.
         on_mark_change: Called when the mark has changed.
@@ -78,13 +77,11 @@
     def __init__(
         self,
         crash_detector: crash_detection.CrashDetector,
-        relays: list[peers.Peer],
-        is_relay: bool,
+        fleet_relays: relays.Relays,
         rng: random.Random,
     ) -> None:
         self.tracker = crash_detector.tracker
-        self.relays = relays
-        self.is_relay = is_relay
+        self.fleet_relays = fleet_relays
         self.random = rng
         self.incarnation = f"{rng.getrandbits(32):08x}"
         self.shown_revision = 0
@@ -95,14 +92,14 @@
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.loop = asyncio.get_running_loop()
         crash_detector.on_change = self.publish
-        for peer in relays:
-            peer.on_mark = self.receive_mark
+        fleet_relays.on_change.append(self._change_relays)
 
     async def run(self) -> None:
-        """Fetches from the other relays until cancelled, if this is a relay."""
-        while self.is_relay:
-            for peer in self.relays:
-                self._start_task(f"fetch {peer.address}", self._fetch(peer))
+        """Fetches from the other relays while this is one, until cancelled."""
+        while True:
+            if self.fleet_relays.is_relay:
+                for peer in self.fleet_relays.peers:
+                    self._start_task(f"fetch {peer.address}", self._fetch(peer))
             await asyncio.sleep(FETCH_INTERVAL_S)
 
     def close(self) -> None:
@@ -113,7 +110,7 @@
     def publish(self, fingerprints: Iterable[str]) -> None:
         """Sends the records of some requests to the relays."""
         self._schedule_announcement()
-        for peer in self.relays:
+        for peer in self.fleet_relays.peers:
             self._schedule_send(peer, fingerprints, BATCH_S)
 
     def receive_mark(self, peer: peers.Peer, mark: str) -> None:
@@ -205,12 +202,27 @@
 
     # Messages to relays.
 
-    def _resend(self, peer: peers.Peer) -> None:
-        """Sends a restarted relay the records that concern the fleet."""
+    def _change_relays(self, change: relays.RelayChange) -> None:
+        """Sends what is known to relays that were added.
+
+        All relays may have been replaced at once, so that no other daemon knows
+        of the single crashes that this one observed.
+        """
+        for address in change.removed:
+            self.fetched_marks.pop(address, None)
+            self.incarnations.pop(address, None)
+        for peer in self.fleet_relays.peers:
+            if peer.address in change.added:
+                self._resend(peer, min_crashes=1)
+
+    def _resend(
+        self, peer: peers.Peer, min_crashes: int = MIN_SHARED_CRASHES
+    ) -> None:
+        """Sends a relay the records with some crashes or more."""
         fingerprints = [
             record.fingerprint
             for record in self.tracker.table.records.values()
-            if len(record.crashes) >= MIN_SHARED_CRASHES
+            if len(record.crashes) >= min_crashes
         ]
         if fingerprints:
             pause_s = BATCH_S + self.random.random() * RESEND_SPREAD_S
@@ -259,7 +271,7 @@
     async def _fetch(self, peer: peers.Peer) -> None:
         """Fetches the records that changed at a relay since the last fetch."""
         query = {"since": self.fetched_marks.get(peer.address, "")}
-        if self.is_relay:
+        if self.fleet_relays.is_relay:
             query["all"] = ALL
         target = f"{PATH}?{parse.urlencode(query)}"
         outcome = await peer.client.request("GET", target, REQUEST_TIMEOUT_S)
--- a/banyantiller/gateway/rejection_link.py
+++ b/banyantiller/gateway/rejection_link.py
@@ -101,11 +101,15 @@
 
     async def close(self) -> None:
         """Stops asking."""
+        self.begin_close()
+
+    def begin_close(self) -> None:
+        """Does what `close` does, for callers that are no coroutines."""
         if self.served_timer is not None:
             self.served_timer.cancel()
         if self.exchange is not None:
             self.exchange.cancel()
-        await self.client.close()
+        self.client.begin_close()
 
     def _start(self) -> None:
         if self.exchange is None:
--- a/banyantiller/gateway/rejection_relay.py
+++ b/banyantiller/gateway/rejection_relay.py
@@ -1,11 +1,12 @@
 """Counts the rejections that daemons report to a relay, and their messages."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from typing import Annotated, TypedDict
 
 import msgspec
 
+from banyantiller.gateway import relays
 from banyantiller.gateway.decisions import returning_callers, service_load
 from banyantiller.http import messages
 from banyantiller.utils import decoding
@@ -77,23 +78,20 @@
     """Counts the rejections that daemons report to this relay.
 
     Attributes:
-        is_relay: Whether the settings name this daemon as a relay.
+        fleet_relays: The relays that the settings name. Each has an equal part
+            of the callers.
         table: Rejected requests.
         queues: Callers that are expected back, by service; only of services
             whose load is known.
-        relay_count: Number of relays, each of which has an equal part of the
-            callers.
         load: Returns the load of a service at a loop time, or None.
     """
 
     def __init__(
         self,
-        seeds: Sequence[str],
-        own_address: str,
+        fleet_relays: relays.Relays,
         load: Callable[[str, float], service_load.ZoneLoad | None],
     ) -> None:
-        self.relay_count = len(seeds) or 1
-        self.is_relay = own_address in seeds
+        self.fleet_relays = fleet_relays
         self.load = load
         self.loop = asyncio.get_running_loop()
         self.table = returning_callers.RejectionTable()
@@ -105,7 +103,7 @@
         A daemon that only outdated settings name as a relay answers none, as
         the others ask another one.
         """
-        if not self.is_relay:
+        if not self.fleet_relays.is_relay:
             return messages.Response(NOT_READY_STATUS)
         try:
             fields = decoding.from_msgpack(request.body, AskFields)
@@ -138,6 +136,10 @@
             returned_percent=None if share is None else round(share * 100),
         )
 
+    def count_relays(self) -> int:
+        """Returns the number of relays; without any, this daemon is one."""
+        return max(1, self.fleet_relays.count)
+
     def _join(self, service: str, count: int, now: float) -> float | None:
         """Returns the position of the last of some callers, or None."""
         load = self.load(service, now)
@@ -147,5 +149,5 @@
         queue = self.queues.setdefault(service, returning_callers.ReturnQueue())
         position = None
         for _ in range(count):
-            position = queue.join(load.freed_per_s / self.relay_count, now)
+            position = queue.join(load.freed_per_s / self.count_relays(), now)
         return position
--- a/banyantiller/gateway/returning_callers.py
+++ b/banyantiller/gateway/returning_callers.py
@@ -9,8 +9,7 @@
 import math
 from collections.abc import Callable, Iterable
 
-from banyantiller.gateway import rejection_link, rejection_relay
-from banyantiller.gateway import settings as options
+from banyantiller.gateway import rejection_link, rejection_relay, relays
 from banyantiller.gateway.decisions import (
     allowances,
     returning_callers,
@@ -41,24 +40,19 @@
 
     def __init__(
         self,
-        settings: options.Settings,
+        fleet_relays: relays.Relays,
         load: Callable[[str, float], service_load.ZoneLoad | None],
         request_times: Callable[[str], Iterable[float]],
     ) -> None:
-        self.seeds = tuple(settings.seeds)
-        self.own_address = settings.control
+        self.fleet_relays = fleet_relays
+        fleet_relays.on_change.append(self._change_relays)
         self.request_times = request_times
         self.loop = asyncio.get_running_loop()
-        self.relay = rejection_relay.RejectionRelay(
-            self.seeds, self.own_address, load
-        )
+        self.relay = rejection_relay.RejectionRelay(fleet_relays, load)
         self.message_results: collections.Counter[str] = collections.Counter()
         self.links = {
-            address: rejection_link.RelayLink(
-                address, self._fields, self.message_results
-            )
-            for address in self.seeds
-            if address != self.own_address
+            peer.address: self._link_to(peer.address)
+            for peer in fleet_relays.peers
         }
         self.outcomes: collections.Counter[str] = collections.Counter()
         self.returned_percents: dict[str, int | None] = {}
@@ -123,7 +117,7 @@
         if self.loop.time() - at > POSITION_S:
             return None
         # The callers are spread evenly over the relays.
-        return position * self.relay.relay_count
+        return position * self.relay.count_relays()
 
     def expire(self, now: float) -> None:
         """Drops outdated state."""
@@ -144,9 +138,27 @@
             await link.close()
 
     def _relay_of(self, digest: bytes) -> str:
-        if not self.seeds:
-            return self.own_address
-        return returning_callers.choose_relay(digest, self.seeds)
+        addresses = self.fleet_relays.addresses
+        if not addresses:
+            return self.fleet_relays.own_address
+        return returning_callers.choose_relay(digest, addresses)
+
+    def _link_to(self, address: str) -> rejection_link.RelayLink:
+        return rejection_link.RelayLink(
+            address, self._fields, self.message_results
+        )
+
+    def _change_relays(self, change: relays.RelayChange) -> None:
+        for address in change.removed:
+            self.returned_percents.pop(address, None)
+        removed = self.links
+        self.links = {
+            peer.address: removed.pop(peer.address, None)
+            or self._link_to(peer.address)
+            for peer in self.fleet_relays.peers
+        }
+        for link in removed.values():
+            link.begin_close()
 
     def _decide(
         self, address: str, service: str, answer: rejection_link.Answer | None
--- a/banyantiller/gateway/run.py
+++ b/banyantiller/gateway/run.py
@@ -125,7 +125,7 @@
             events.emit(events.SettingsReloadFailed(str(error)))
             return
         self.settings = loaded
-        self.gateway.settings = loaded
+        self.gateway.reload(loaded)
         events.emit(events.SettingsReloaded())
 
     async def _answer_ready(
--- a/banyantiller/gateway/settings.py
+++ b/banyantiller/gateway/settings.py
@@ -132,6 +132,38 @@
     log: Annotated[LogSettings, Option("Logs.")] = LogSettings()
 
 
+# Settings that apply from the next start only: addresses, names and what is
+# fixed in the components that they are given to.
+START_SETTINGS = frozenset(
+    {
+        "daemon",
+        "zone",
+        "callers",
+        "ready",
+        "store",
+        "control",
+        "server_source",
+        "apply_s",
+        "leave_s",
+        "recovery_s",
+        "plugins",
+        "adapter",
+        "metrics_port",
+        "log",
+    }
+)
+
+
+def changed_start_settings(before: Settings, after: Settings) -> list[str]:
+    """Returns the names of changed settings that need a restart."""
+    return [
+        name
+        for name in Settings._fields
+        if name in START_SETTINGS
+        and getattr(before, name) != getattr(after, name)
+    ]
+
+
 def load(path: str) -> Settings:
     """Loads and validates the settings of a gateway daemon.
 
--- a/banyantiller/gateway/shared_reading.py
+++ b/banyantiller/gateway/shared_reading.py
@@ -4,7 +4,7 @@
 import collections
 import random
 
-from banyantiller.gateway import events, mirror, peer_lists, peers
+from banyantiller.gateway import events, mirror, peer_lists, peers, relays
 from banyantiller.gateway.decisions import store_reads, turns
 from banyantiller.store import interface
 
@@ -49,10 +49,9 @@
         mirror: Serves the state of the store to subscribers.
         sentinel: Kind whose calls show whether the store responds.
         delay_tolerant: Kinds whose changes may be learned later than others.
+        fleet_relays: The relays that the settings name.
         upstream_relays: Relays to query for changes; of a daemon that is a
             relay itself, those before it in the order of their addresses.
-        relays: All relays except this daemon, to query for lists.
-        is_relay: Whether this daemon is a relay.
         read_policy: How long relays are relied on.
         min_versions: Minimum version of a list from a relay, by kind.
         peer_lists: Queries relays for lists.
@@ -65,7 +64,6 @@
             or the address of a relay.
         unconfirmed_s: Age of the previous confirmation of the sentinel when the
             latest one came, in seconds.
-        relay_count: Number of relays; each serves a group of the fleet.
         position: Position of this daemon among those that take turns, or None
             while the others can't be counted.
         budget_share: This daemon's share of the fleet's budgets, or None while
@@ -79,8 +77,7 @@
         store: interface.ObjectReader,
         local_mirror: mirror.Mirror,
         sentinel: str,
-        relays: list[peers.Peer],
-        local_address: str,
+        fleet_relays: relays.Relays,
         rng: random.Random,
         read_policy: store_reads.StoreReadPolicy,
         delay_tolerant: frozenset[str] = frozenset(),
@@ -89,17 +86,10 @@
         self.delay_tolerant = delay_tolerant
         self.mirror = local_mirror
         self.sentinel = sentinel
-        self.relays = list(relays)
-        rng.shuffle(self.relays)
-        self.is_relay = bool(local_address)
-        self.upstream_relays = self.relays
-        if self.is_relay:
-            # All relays use the same order, so that no two wait for each other.
-            earlier = [p for p in relays if p.address < local_address]
-            self.upstream_relays = sorted(
-                earlier, key=lambda peer: peer.address
-            )
-        self.relay_count = max(1, len(self.relays) + self.is_relay)
+        self.random = rng
+        self.fleet_relays = fleet_relays
+        fleet_relays.on_change.append(self._change_relays)
+        self.upstream_relays = self.fleet_relays.upstream_peers()
         self.budget_share: float | None = None
         self.position: turns.FleetPosition | None = None
         self.current_relay: peers.Peer | None = None
@@ -110,9 +100,8 @@
         self.read_policy = read_policy
         self.min_versions: dict[str, int] = {}
         self.peer_lists = peer_lists.PeerListReader(
-            self.relays, self.is_relay, read_policy, self.min_versions
+            fleet_relays, read_policy, self.min_versions
         )
-        self.random = rng
         self.calls = store.calls
         self.query_outcomes: collections.Counter[str] = collections.Counter()
         self.loop = asyncio.get_running_loop()
@@ -167,8 +156,7 @@
     async def close(self) -> None:
         """Closes all connections."""
         await self.store.close()
-        for peer in self.relays:
-            await peer.client.close()
+        await self.fleet_relays.close()
 
     def skip_start_pause(self) -> None:
         """Stops waiting for relays at the start, as a caller waits."""
@@ -186,13 +174,14 @@
     ) -> interface.ChangesOutcome:
         has_subscribers = self.mirror.has_subscribers()
         counts_sharers = (
-            self.is_relay and self.loop.time() >= self.counts_sharers_from
+            self.fleet_relays.is_relay
+            and self.loop.time() >= self.counts_sharers_from
         )
         if has_subscribers or counts_sharers:
             sharers = self.mirror.count_sharers()
             self._update_budget_share(sharers)
             self.position = turns.FleetPosition(
-                sharers - 1, sharers, self.relay_count
+                sharers - 1, sharers, self._group_count()
             )
         outcome = await self._query_relays_in_time(object_kind, version, wait_s)
         while outcome is None and self._may_await_relays(object_kind):
@@ -333,7 +322,7 @@
 
     def _may_rely_on_relays(self) -> bool:
         """Returns whether a lost store may be left to the relays."""
-        if self.is_relay or self.reaches_store:
+        if self.fleet_relays.is_relay or self.reaches_store:
             return False
         return self.read_policy.may_rely_on_peers(self.loop.time())
 
@@ -382,9 +371,9 @@
         if peer is not self.current_relay:
             self.current_relay = peer
             events.emit(events.ReadsThroughRelay(peer.address, peer.sharers))
-        if not self.is_relay:
+        if not self.fleet_relays.is_relay:
             self._update_budget_share(peer.sharers)
-            self.position = peer.position(self.relay_count)
+            self.position = peer.position(self._group_count())
 
     def _update_budget_share(self, sharers: int) -> None:
         """Updates this daemon's share of the fleet's budgets.
@@ -393,4 +382,21 @@
         that the relay counts, so the shares add up to one whatever a daemon
         knows of other groups.
         """
-        self.budget_share = 1 / (self.relay_count * max(1, sharers))
+        self.budget_share = 1 / (self._group_count() * max(1, sharers))
+
+    def _group_count(self) -> int:
+        """Returns the number of groups of the fleet, one for each relay."""
+        return max(1, self.fleet_relays.count)
+
+    def _change_relays(self, change: relays.RelayChange) -> None:
+        """Queries the relays that the settings name from now on.
+
+        The position and the budget share stay until a relay tells others.
+        """
+        if self.fleet_relays.own_address in change.added:
+            self.counts_sharers_from = (
+                self.loop.time() + mirror.SUBSCRIBER_TIMEOUT_S
+            )
+        if self.current_relay not in self.fleet_relays.peers:
+            self.current_relay = None
+        self.upstream_relays = self.fleet_relays.upstream_peers()
--- a/banyantiller/gateway/store_view.py
+++ b/banyantiller/gateway/store_view.py
@@ -12,6 +12,7 @@
     mirror,
     peers,
     registered_servers,
+    relays,
     routes,
     servers,
     shared_reading,
@@ -70,6 +71,7 @@
         self,
         settings: options.Settings,
         adapter: types.Adapter,
+        fleet_relays: relays.Relays,
         counts: tallies.Tallies,
         rng: random.Random,
         on_server_removed: Callable[[types.Server], None],
@@ -114,15 +116,11 @@
             adapter.store,
             self.mirror,
             adapter.document_kind,
-            _remote_relays(settings, read_policy.max_peer_age_s),
-            settings.control if settings.control in settings.seeds else "",
+            fleet_relays,
             rng,
             read_policy,
             frozenset((adapter.evacuation_kind,)),
         )
-        for peer in self.reader.relays:
-            peer.failing = self._servers_to_report
-            peer.on_failing_servers = self._mark_failing
         self.mirror.failing_servers = self._failing_servers
 
     @property
@@ -311,6 +309,11 @@
 
     # Failing servers.
 
+    def connect(self, peer: peers.Peer) -> None:
+        """Exchanges failing servers with a relay."""
+        peer.failing = self._servers_to_report
+        peer.on_failing_servers = self._mark_failing
+
     def _servers_to_report(self) -> list[str]:
         """Returns the failing servers that this daemon reports to relays."""
         now = self.loop.time()
@@ -350,17 +353,3 @@
         # for the subscribers.
         for watcher in self.store_health.watchers:
             watcher.restart.set()
-
-
-def _remote_relays(
-    settings: options.Settings, max_age_s: float
-) -> list[peers.Peer]:
-    """Returns the relays of the settings, without this daemon."""
-    shares = settings.control not in settings.seeds
-    return [
-        peers.Peer(
-            options.parse_endpoint(text), settings.daemon, shares, max_age_s
-        )
-        for text in settings.seeds
-        if text != settings.control
-    ]
--- a/banyantiller/http/client.py
+++ b/banyantiller/http/client.py
@@ -43,6 +43,7 @@
     Attributes:
         idle: Idle connections, the most recently used one last.
         slots: Limits concurrent requests to the number of connections.
+        closing: Whether connections are closed after their request.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         self.server_name = server_name
         self.idle: list[connection.ClientConnection] = []
         self.slots = asyncio.Semaphore(limits.connections)
+        self.closing = False
 
     async def request(
         self,
@@ -132,7 +134,12 @@
             exchange.drop()
 
     async def close(self) -> None:
-        """Closes the idle connections."""
+        """Closes the idle connections, and others once they become idle."""
+        self.begin_close()
+
+    def begin_close(self) -> None:
+        """Does what `close` does, for callers that are no coroutines."""
+        self.closing = True
         self._drop_idle()
 
     async def _exchange(
@@ -145,7 +152,7 @@
         await exchange.link.send(request)
         response = await exchange.link.read_head()
         body = await exchange.link.read_body(self.limits.body_bytes)
-        if exchange.link.finish():
+        if exchange.link.finish() and not self.closing:
             self.idle.append(exchange.release())
         return outcomes.Answered(response, body)
 
--- a/banyantiller/tests/gateway/event_scenarios.py
+++ b/banyantiller/tests/gateway/event_scenarios.py
@@ -390,6 +390,16 @@
     await first.close()
 
 
+@shows(events.RelaysChanged, events.RelaysMissing, events.SettingsNeedRestart)
+async def settings_name_other_relays(env):
+    settings = env.gateway.settings
+    first = settings._replace(seeds=(f"{harness.ADDRESS}:7501",))
+    second = first._replace(seeds=(f"{harness.ADDRESS}:7502",), zone="other")
+    for reloaded in (first, second, second._replace(seeds=())):
+        env.gateway.reload(reloaded)
+        await asyncio.sleep(0.1)
+
+
 @shows(
     events.Started,
     events.ReadinessChanged,
--- a/banyantiller/tests/gateway/test_load_reports.py
+++ b/banyantiller/tests/gateway/test_load_reports.py
@@ -169,7 +169,7 @@
 
         async def body(env):
             first, pair = await self.start_pair(env, relay, subscriber)
-            peer = pair[1].store_view.reader.relays[0]
+            peer = pair[1].relays.peers[0]
             query = peer.client.request
 
             async def spy(method, target, timeout_s):
--- a/banyantiller/tests/gateway/test_quarantine_sync.py
+++ b/banyantiller/tests/gateway/test_quarantine_sync.py
@@ -12,6 +12,7 @@
     mirror,
     peers,
     quarantine_sync,
+    relays,
     servers,
 )
 from banyantiller.http import messages, server
@@ -20,6 +21,7 @@
 from banyantiller.tests.gateway import harness
 
 PORT = 7501
+OWN_ADDRESS = f"{harness.ADDRESS}:7502"
 
 
 class Daemon(NamedTuple):
@@ -29,7 +31,7 @@
     quarantine_sync: quarantine_sync.QuarantineSync
 
 
-def make_daemon(relays=(), is_relay=False, seed=1):
+def make_daemon(addresses=(), is_relay=False, seed=1):
     rng = random.Random(seed)
     detector = crash_detection.CrashDetector(
         crash_table.CrashTable(100.0, rng),
@@ -37,14 +39,13 @@
         servers.ServerTable(),
         rng,
     )
-    sync = quarantine_sync.QuarantineSync(detector, list(relays), is_relay, rng)
+    own_address = OWN_ADDRESS if is_relay else ""
+    seeds = [*addresses, OWN_ADDRESS] if is_relay else addresses
+    fleet_relays = relays.Relays("d1", own_address, seeds, 2.0, rng)
+    sync = quarantine_sync.QuarantineSync(detector, fleet_relays, rng)
     return Daemon(detector, sync)
 
 
-def make_peer(port=PORT):
-    return peers.Peer(Endpoint(harness.ADDRESS, port), "d1", True, 2.0)
-
-
 def record_crashes(daemon, request="a", *servers):
     now = asyncio.get_running_loop().time()
     for number, name in enumerate(servers):
@@ -66,7 +67,7 @@
 class QuarantineSyncTest(base.TestCase):
     def test_records_are_sent_again_until_they_are_accepted(self):
         async def body():
-            sender = make_daemon([make_peer()])
+            sender = make_daemon([f"{harness.ADDRESS}:{PORT}"])
             record_crashes(sender, "a", "s1")
             sender.quarantine_sync.publish(["a"])
             await asyncio.sleep(1.0)
@@ -81,7 +82,7 @@
 
     def test_records_that_change_while_others_are_sent(self):
         async def body():
-            sender = make_daemon([make_peer()])
+            sender = make_daemon([f"{harness.ADDRESS}:{PORT}"])
             relay = make_daemon(seed=2)
             listener = await start_listener(relay)
             for number in range(20):
@@ -140,7 +141,8 @@
             self.assertEqual({}, relay.crash_detector.tracker.table.records)
             for mark in ("nonsense", "0badcafe", "-", "0badcafe-x"):
                 received = []
-                other_peer = make_peer()
+                endpoint = Endpoint(harness.ADDRESS, PORT)
+                other_peer = peers.Peer(endpoint, "d1", True, 2.0)
                 other_peer.on_mark = lambda _, mark, received=received: (
                     received.append(mark)
                 )
--- a/banyantiller/tests/gateway/test_store_calls.py
+++ b/banyantiller/tests/gateway/test_store_calls.py
@@ -345,7 +345,7 @@
 
     def test_refusals_distinguish_a_lost_store_from_a_shutdown(self):
         async def body(env, relays, subscribers):
-            peer = subscribers[0].store_view.reader.relays[0]
+            peer = subscribers[0].relays.peers[0]
             index = SEEDS.index(peer.address)
             env.store.faults.down = True
             await asyncio.sleep(3)
