Hand over allowances when settings name other relays

Cause: daemons asked the relays of their start, and a relay took its part of each allowance from the settings of its start. A reload changed neither.

Change: daemons ask the relays in force, and for ten seconds also those that settings no longer name. A relay takes a larger part only once the relays of before and after the change tell, or have fallen silent, that they grant no more than the new settings allow; a smaller part is in force at once. So the parts never add up to more than the allowance, whoever reads its settings first.

Ruled out: to let new relays grant at once.

--- a/banyantiller/gateway/allowance_grants.py
+++ b/banyantiller/gateway/allowance_grants.py
@@ -8,13 +8,15 @@
 import msgspec
 
 from banyantiller.gateway import (
+    allowance_parts,
     events,
     organisation_shares,
+    relays,
     store_view,
     types,
 )
 from banyantiller.gateway import settings as options
-from banyantiller.gateway.decisions import allowances, service_load, turns
+from banyantiller.gateway.decisions import allowances, service_load
 from banyantiller.http import messages
 from banyantiller.utils import decoding
 
@@ -102,14 +104,13 @@
         by_organisation: Allowances by the name of the organisation.
         limited: Organisations that were refused requests lately.
         shares: Fair shares of the organisations.
-        count: Number of relays.
-        index: Index of this relay, or None if this daemon is none.
-        started_at: Loop time at which this relay started.
+        part: The part of every allowance that this relay grants.
     """
 
     def __init__(
         self,
         view: store_view.StoreView,
+        fleet_relays: relays.Relays,
         settings: Callable[[], options.Settings],
         service_load_of: Callable[
             [str, float], service_load.ZoneLoad | None
@@ -121,14 +122,9 @@
         self.by_organisation: dict[str, allowances.RelayAllowance] = {}
         self.limited: set[str] = set()
         self.shares = organisation_shares.OrganisationShares(service_load_of)
-        self.started_at = self.loop.time()
-        seeds = sorted(settings().seeds)
-        own = settings().control
-        # Without relays, daemons can't count each other.
-        self.count = len(seeds) or turns.UNCOUNTED_FLEET
-        self.index: int | None = 0
-        if seeds:
-            self.index = seeds.index(own) if own in seeds else None
+        self.part = allowance_parts.AllowancePart(
+            fleet_relays, self._prepare_change
+        )
 
     def handle(self, request: messages.Request) -> messages.Response:
         """Answers the message of another daemon.
@@ -136,7 +132,7 @@
         A daemon that only outdated settings name as a relay grants nothing, as
         its part belongs to another one.
         """
-        if self.view.routes is None or self.index is None:
+        if self.view.routes is None or self.part.count is None:
             return messages.Response(NOT_READY_STATUS)
         try:
             fields = decoding.from_msgpack(request.body, AskFields)
@@ -164,6 +160,23 @@
             self._limit_to_shares(fields["services"], reply)
         return reply
 
+    def _prepare_change(self, count: int | None) -> None:
+        """Fills the buckets up to now by the part that was in force until now.
+
+        Otherwise a larger part would count for the time before it was taken,
+        in which another relay granted it.
+        """
+        if count is None or self.part.count is None:
+            self.by_organisation.clear()
+            return
+        now = self.loop.time()
+        for name, allowance in list(self.by_organisation.items()):
+            organisation = self._organisation(name)
+            if organisation is None or organisation.per_s is None:
+                del self.by_organisation[name]
+            else:
+                allowance.fill(self._limits_of(organisation), now)
+
     def _limit_to_shares(
         self, services: list[ServiceRequests], reply: GrantFields
     ) -> None:
@@ -234,7 +247,7 @@
         limits = self._limits_of(organisation)
         allowance = self.by_organisation.get(name)
         if allowance is None:
-            allowance = allowances.RelayAllowance(limits, self.started_at)
+            allowance = allowances.RelayAllowance(limits, self.part.since)
             self.by_organisation[name] = allowance
         granted = allowance.grant(asked, limits, now)
         if granted < asked and name not in self.limited:
@@ -254,5 +267,5 @@
             organisation.per_s,
             organisation.burst,
             self.settings().allowance_slack,
-            self.count,
+            self.part.count,
         )
--- a/banyantiller/gateway/allowances.py
+++ b/banyantiller/gateway/allowances.py
@@ -17,7 +17,14 @@
 import msgspec
 
 from banyantiller.errors import ErrorKind
-from banyantiller.gateway import allowance_grants, events, store_view, types
+from banyantiller.gateway import (
+    allowance_grants,
+    allowance_parts,
+    events,
+    relays,
+    store_view,
+    types,
+)
 from banyantiller.gateway import settings as options
 from banyantiller.gateway.decisions import (
     allowances,
@@ -31,6 +38,8 @@
 ASK_TIMEOUT_S = 0.1
 # How long a relay is not asked that did not respond.
 SKIP_S = 1.0
+# How long the link to a former relay is kept after it was last asked.
+FORMER_LINK_KEPT_S = 1.0
 # Grants that were not used are given back with the next message, within this
 # time.
 GIVE_BACK_S = 0.5
@@ -77,12 +86,17 @@
     """Asks one relay, which may be this daemon itself.
 
     Attributes:
+        address: IP number and port of the relay; empty for this daemon in a
+            fleet without relays.
+        client: HTTP client of the relay, or None for this daemon.
         send: Sends a message; returns the reply, or None if there is none.
         waiting: Requests that wait for the next message, by organisation.
         unused: Grants to give back, by organisation and service.
         skipped_until: Loop time until which the relay is not asked.
         exhausted_until: Loop time until which the relay is not asked for an
             organisation, by its name.
+        asked_until: Loop time until which the relay is asked, which is limited
+            once the settings no longer name it.
     """
 
     def __init__(
@@ -91,8 +105,13 @@
             [allowance_grants.AskFields],
             Awaitable[allowance_grants.GrantFields | None],
         ],
+        address: str = "",
+        relay_client: client.HttpClient | None = None,
     ) -> None:
         self.send = send
+        self.address = address
+        self.client = relay_client
+        self.asked_until = math.inf
         self.loop = asyncio.get_running_loop()
         self.waiting: dict[str, list[Question]] = {}
         self.unused: collections.Counter[tuple[str, str]] = (
@@ -133,6 +152,8 @@
             self.give_back_timer.cancel()
         if self.exchange is not None:
             self.exchange.cancel()
+        if self.client is not None:
+            self.client.begin_close()
 
     def _start(self) -> None:
         if self.exchange is None:
@@ -271,7 +292,10 @@
     """Admits the requests of this daemon's callers.
 
     Attributes:
+        fleet_relays: The relays that the settings name.
         links: Relays to ask.
+        former_links: Relays that the settings no longer name. They grant their
+            part until they learn of it and their successors take it over.
         relay_grants: Grants of this daemon to others.
         settings: Returns the settings in force.
         recent: Requests that this daemon admitted lately, by organisation.
@@ -284,6 +308,7 @@
     def __init__(
         self,
         view: store_view.StoreView,
+        fleet_relays: relays.Relays,
         settings: Callable[[], options.Settings],
         rng: random.Random,
         service_load_of: Callable[
@@ -294,12 +319,15 @@
         self.random = rng
         self.loop = asyncio.get_running_loop()
         self.relay_grants = allowance_grants.RelayGrants(
-            view, settings, service_load_of
+            view, fleet_relays, settings, service_load_of
         )
-        self.clients: list[client.HttpClient] = []
-        self.links = [self._link_to(text) for text in settings().seeds]
-        if not self.links:
-            self.links.append(RelayLink(self._grant_here))
+        self.fleet_relays = fleet_relays
+        fleet_relays.on_change.append(self._change_relays)
+        # Without relays, this daemon grants a part itself.
+        self.links = [
+            self._link_to(address) for address in fleet_relays.addresses or [""]
+        ]
+        self.former_links: list[RelayLink] = []
         self.recent: dict[str, allowances.RequestWindow] = {}
         self.without_relays: dict[str, int] = {}
         self.outcomes: collections.Counter[str] = collections.Counter()
@@ -356,6 +384,7 @@
     def expire(self, now: float) -> None:
         """Drops outdated state."""
         self.relay_grants.expire(now)
+        self._drop_former_links(now)
         for link in self.links:
             link.exhausted_until = {
                 name: until
@@ -369,16 +398,41 @@
 
     async def close(self) -> None:
         """Closes all connections."""
-        for link in self.links:
+        self.relay_grants.part.close()
+        for link in (*self.links, *self.former_links):
             link.close()
-        for found in self.clients:
-            await found.close()
 
     def _links_to_ask(self) -> list[RelayLink]:
         now = self.loop.time()
         found = [link for link in self.links if link.skipped_until <= now]
         self.random.shuffle(found)
-        return found
+        former = [
+            link
+            for link in self.former_links
+            if link.skipped_until <= now < link.asked_until
+        ]
+        return found + former
+
+    def _change_relays(self, change: relays.RelayChange) -> None:
+        del change
+        known = {link.address: link for link in self.links + self.former_links}
+        self.links = []
+        for address in self.fleet_relays.addresses:
+            link = known.pop(address, None) or self._link_to(address)
+            link.asked_until = math.inf
+            self.links.append(link)
+        asked_until = self.loop.time() + allowance_parts.MAX_WAIT_S
+        self.former_links = list(known.values())
+        for link in self.former_links:
+            link.asked_until = min(link.asked_until, asked_until)
+
+    def _drop_former_links(self, now: float) -> None:
+        # Requests that were asked for meanwhile have their answer.
+        dropped_at = now - FORMER_LINK_KEPT_S
+        for link in list(self.former_links):
+            if link.asked_until <= dropped_at:
+                self.former_links.remove(link)
+                link.close()
 
     def _admit(
         self, name: str, link: RelayLink | None, service: str = ""
@@ -416,16 +470,17 @@
         return Admission(ErrorKind.ALLOWANCE_UNKNOWN, wait_s)
 
     def _link_to(self, address: str) -> RelayLink:
-        if address == self.settings().control:
-            return RelayLink(self._grant_here)
+        if address in ("", self.fleet_relays.own_address):
+            return RelayLink(self._grant_here, address)
         endpoint = options.parse_endpoint(address)
         found = client.HttpClient(endpoint.address, endpoint.port, HTTP_LIMITS)
-        self.clients.append(found)
-        return RelayLink(lambda fields: _send(found, fields))
+        return RelayLink(lambda fields: _send(found, fields), address, found)
 
     async def _grant_here(
         self, fields: allowance_grants.AskFields
     ) -> allowance_grants.GrantFields | None:
+        if self.relay_grants.part.count is None:
+            return None
         return self.relay_grants.grant(fields)
 
 
--- a/banyantiller/gateway/events.py
+++ b/banyantiller/gateway/events.py
@@ -72,6 +72,19 @@
     allowed: Annotated[int, "Requests that the fleet may run in a window."]
 
 
+@event("gateway: part of allowances taken.")
+class AllowancePartTaken(NamedTuple):
+    """This relay grants a larger part of all allowances from now on."""
+
+    parts: Annotated[int, "Number of equal parts of which it grants one."]
+    waited_ms: Annotated[
+        int, "Time for which it waited for other relays, in ms."
+    ]
+    outdated: Annotated[
+        list[str], "Relays that still grant parts by outdated settings."
+    ]
+
+
 @event("gateway: organisation is within its allowance.")
 class OrganisationWithinAllowance(NamedTuple):
     """This relay refused no request of an organisation for a whole window."""
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -10,6 +10,7 @@
 from banyantiller.errors import ErrorKind
 from banyantiller.gateway import (
     allowance_grants,
+    allowance_parts,
     allowances,
     call_events,
     call_log,
@@ -209,6 +210,7 @@
         self.forwarded_calls = forwarded_calls.ForwardedCalls(self)
         self.allowances = allowances.Allowances(
             self.store_view,
+            self.relays,
             lambda: self.settings,
             rng,
             self.shared_load,
@@ -348,6 +350,8 @@
             return self.quarantine_sync.handle(request)
         if request.path == daemon_list.PATH:
             return self.forwarder.daemons.handle(request)
+        if request.path == allowance_parts.PATH:
+            return self.allowances.relay_grants.part.handle(request)
         if request.path == allowance_grants.PATH:
             return self.allowances.relay_grants.handle(request)
         if request.path == rejection_relay.PATH and self.shares_load():
--- a/banyantiller/tests/gateway/event_scenarios.py
+++ b/banyantiller/tests/gateway/event_scenarios.py
@@ -390,6 +390,15 @@
     await first.close()
 
 
+@shows(events.AllowancePartTaken)
+async def daemon_becomes_a_relay(env):
+    seeds = (f"{harness.ADDRESS}:7501",)
+    own = env.gateway.relays.own_address = f"{harness.ADDRESS}:7502"
+    for named in (seeds, (own,)):
+        env.gateway.reload(env.gateway.settings._replace(seeds=named))
+        await asyncio.sleep(2.0)
+
+
 @shows(events.RelaysChanged, events.RelaysMissing, events.SettingsNeedRestart)
 async def settings_name_other_relays(env):
     settings = env.gateway.settings
--- a/banyantiller/tests/gateway/shares_harness.py
+++ b/banyantiller/tests/gateway/shares_harness.py
@@ -7,7 +7,13 @@
 from types import SimpleNamespace
 
 from banyantiller.errors import ErrorKind
-from banyantiller.gateway import allowance_grants, allowances, routes, types
+from banyantiller.gateway import (
+    allowance_grants,
+    allowances,
+    relays,
+    routes,
+    types,
+)
 from banyantiller.gateway import settings as options
 from banyantiller.gateway.decisions import service_load
 
@@ -159,8 +165,10 @@
         )
         view = SimpleNamespace(routes=routes.RouteTable(document))
         settings = self.settings(SEEDS[index])
+        fleet_relays = relays.Relays.from_settings(settings, random.Random(1))
         self.relays[index] = allowance_grants.RelayGrants(
             view,
+            fleet_relays,
             lambda: settings,
             lambda service, now: self.load(now),
         )
@@ -200,9 +208,9 @@
     def make_daemon(self, number):
         """Returns the allowances of a daemon that is no relay itself."""
         settings = self.settings()
-        found = allowances.Allowances(
-            None, lambda: settings, random.Random(number)
-        )
+        rng = random.Random(number)
+        fleet_relays = relays.Relays.from_settings(settings, random.Random(1))
+        found = allowances.Allowances(None, fleet_relays, lambda: settings, rng)
         found.links = [
             allowances.RelayLink(
                 lambda fields, index=index: self.send(index, fields)
--- a/banyantiller/tests/gateway/test_allowances.py
+++ b/banyantiller/tests/gateway/test_allowances.py
@@ -7,7 +7,13 @@
 from msgspec import msgpack
 
 from banyantiller.errors import ErrorKind
-from banyantiller.gateway import allowance_grants, allowances, routes, types
+from banyantiller.gateway import (
+    allowance_grants,
+    allowances,
+    relays,
+    routes,
+    types,
+)
 from banyantiller.gateway import settings as options
 from banyantiller.http import messages
 from banyantiller.tests import base
@@ -58,8 +64,9 @@
         document = types.Document(1, (), {}, organisations=(self.organisation,))
         view = SimpleNamespace(routes=routes.RouteTable(document))
         settings = self.settings(SEEDS[index])
+        fleet_relays = relays.Relays.from_settings(settings, random.Random(1))
         self.relays[index] = allowance_grants.RelayGrants(
-            view, lambda: settings
+            view, fleet_relays, lambda: settings
         )
 
     def settings(self, control=""):
@@ -79,9 +86,9 @@
     def make_daemon(self, number):
         """Returns the allowances of a daemon that is no relay itself."""
         settings = self.settings()
-        found = allowances.Allowances(
-            None, lambda: settings, random.Random(number)
-        )
+        rng = random.Random(number)
+        fleet_relays = relays.Relays.from_settings(settings, random.Random(1))
+        found = allowances.Allowances(None, fleet_relays, lambda: settings, rng)
         found.links = [
             allowances.RelayLink(
                 lambda fields, index=index: self.send(number, index, fields)
