Admit a part of an allowance where no relay responds

Cause: a daemon without relays went on at the rate of its own grants. That bounds the fleet, but a daemon that has just started, or sees little, granted nothing.

Change: it admits at least its part of two fifths of the allowance, by the number of daemons that a relay counted last, or by the largest fleet if none ever did. The part is rounded at random, so that those of many daemons add up. With a quarter of the daemons alone a tenth more than the allowance may run. A refusal tells when a relay is asked again, in place of always half a second.

Evidence: the test of an organisation that sends little fails with a part of 0; with twice the allowance the limit is broken (two tests). Limits are kept in a surge by 13, 135 and 312 daemons that start without relays, their number known or not, and where a quarter of 135 reaches no relay.

--- a/banyantiller/gateway/allowances.py
+++ b/banyantiller/gateway/allowances.py
@@ -299,8 +299,9 @@
         relay_grants: Grants of this daemon to others.
         settings: Returns the settings in force.
         recent: Requests that this daemon admitted lately, by organisation.
+        count_daemons: Returns the number of daemons, or None if not known.
         without_relays: Requests in a window that are admitted while no relay
-            responds, by organisation; as many as in the window before.
+            responds, by organisation.
         outcomes: Number of decisions by outcome: "granted", "refused",
             "over_share", or "unconfirmed" if no relay responded.
     """
@@ -314,8 +315,10 @@
         service_load_of: Callable[
             [str, float], service_load.ZoneLoad | None
         ] = allowance_grants.load_not_shared,
+        count_daemons: Callable[[], int | None] = lambda: None,
     ) -> None:
         self.settings = settings
+        self.count_daemons = count_daemons
         self.random = rng
         self.loop = asyncio.get_running_loop()
         self.relay_grants = allowance_grants.RelayGrants(
@@ -369,7 +372,7 @@
         if short_waits_s:
             return self._refuse_over_share(min(short_waits_s))
         if not waits_s:
-            return self._decide_alone(name)
+            return self._decide_alone(organisation)
         self.outcomes["refused"] += 1
         wait_s = retry_after.spread_retry_after_s(min(waits_s), self.random)
         return Admission(ErrorKind.ALLOWANCE_SPENT, wait_s)
@@ -453,21 +456,41 @@
             ErrorKind.NO_SERVER, spread_s, reason=OVER_SHARE_REASON
         )
 
-    def _decide_alone(self, name: str) -> Admission:
+    def _decide_alone(self, organisation: types.Organisation) -> Admission:
         """Decides without a relay.
 
         Each daemon goes on at the rate of its grants, so that all of them
-        together stay within what the relays granted before.
+        together stay within what the relays granted before. One that admitted
+        few requests has a part of the allowance, as few requests say nothing
+        about what is allowed.
         """
+        name = organisation.name
         window = self.recent.get(name)
         if window is not None:
             window.expire(self.loop.time())
         admitted = window.count if window is not None else 0
-        if admitted < self.without_relays.setdefault(name, admitted):
+        if name not in self.without_relays:
+            self.without_relays[name] = max(
+                admitted, self._part_alone(organisation)
+            )
+        if admitted < self.without_relays[name]:
             return self._admit(name, None)
         self.outcomes["refused"] += 1
-        wait_s = retry_after.START_RETRY_AFTER_S
-        return Admission(ErrorKind.ALLOWANCE_UNKNOWN, wait_s)
+        asked_again = min(link.skipped_until for link in self.links)
+        wait_s = max(retry_after.RETRY_AFTER_S, asked_again - self.loop.time())
+        spread_s = retry_after.spread_retry_after_s(wait_s, self.random)
+        return Admission(ErrorKind.ALLOWANCE_UNKNOWN, spread_s)
+
+    def _part_alone(self, organisation: types.Organisation) -> int:
+        """Returns the requests in a window that this daemon admits alone."""
+        allowed = allowances.allowed_requests(
+            organisation.per_s,
+            organisation.burst,
+            self.settings().allowance_window_s,
+        )
+        return allowances.requests_alone(
+            allowed, self.count_daemons(), self.random
+        )
 
     def _link_to(self, address: str) -> RelayLink:
         if address in ("", self.fleet_relays.own_address):
--- a/banyantiller/gateway/decisions/allowances.py
+++ b/banyantiller/gateway/decisions/allowances.py
@@ -17,6 +17,7 @@
 
 import collections
 import math
+import random
 from typing import NamedTuple
 
 # Resolution of the times of requests, in seconds.
@@ -30,6 +31,13 @@
 # wait for a second before they ask again.
 REFUSALS_PER_WAIT_S = 50
 MAX_WAIT_S = 2.0
+# Share of an allowance that all daemons admit together while no relay responds
+# to them. If this is so for a quarter of the daemons, as in one of four
+# availability zones, a tenth more than the allowance may run.
+ALONE_SHARE = 0.4
+# Size of the fleet assumed by a daemon that no relay ever counted. If there are
+# fewer daemons, they admit less.
+LARGEST_FLEET = 400
 
 
 def allowed_requests(per_s: float, burst: float, window_s: float) -> int:
@@ -37,6 +45,23 @@
     return math.floor(per_s * window_s + burst)
 
 
+def requests_alone(
+    allowed: int, daemons: int | None, rng: random.Random
+) -> int:
+    """Returns the requests in a window that a daemon admits without a relay.
+
+    The part of one daemon is rounded up or down at random, so that the parts of
+    many daemons add up to what all of them may admit.
+
+    Args:
+        allowed: Requests that the allowance permits in the window.
+        daemons: Number of daemons, or None if it is not known.
+        rng: Source of the rounding.
+    """
+    part = ALONE_SHARE * allowed / max(1, daemons or LARGEST_FLEET)
+    return math.floor(part + rng.random())
+
+
 class RequestWindow:
     """Counts requests within a sliding window.
 
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -214,6 +214,7 @@
             lambda: self.settings,
             rng,
             self.shared_load,
+            self.store_view.reader.count_daemons,
         )
         self.transfers = transfers.Transfers(
             lambda: self.settings, self.response_memory.shared, rng
--- a/banyantiller/gateway/shared_reading.py
+++ b/banyantiller/gateway/shared_reading.py
@@ -153,6 +153,16 @@
             )
         return outcome
 
+    def count_daemons(self) -> int | None:
+        """Returns the number of daemons, or None if no relay told it.
+
+        The number is that of the last reply; the groups of other relays are
+        taken to be as large as the one that this daemon belongs to.
+        """
+        if self.position is None:
+            return None
+        return self.position.count * self.position.relay_count
+
     async def close(self) -> None:
         """Closes all connections."""
         await self.store.close()
--- a/banyantiller/tests/gateway/test_allowances.py
+++ b/banyantiller/tests/gateway/test_allowances.py
@@ -40,6 +40,7 @@
         relays: Grants of each relay, or None while it is down.
         cut: Pairs of daemon and relay whose link is silent.
         admitted: Loop times of admitted requests.
+        counted: Number of daemons as these know it, or None.
         refused: Number of requests beyond the allowance.
         unknown: Number of requests refused as no relay responded.
     """
@@ -50,6 +51,7 @@
         self.loop = asyncio.get_running_loop()
         self.relays = {}
         self.cut = set()
+        self.counted = count
         self.admitted = []
         self.refused = 0
         self.unknown = 0
@@ -88,7 +90,13 @@
         settings = self.settings()
         rng = random.Random(number)
         fleet_relays = relays.Relays.from_settings(settings, random.Random(1))
-        found = allowances.Allowances(None, fleet_relays, lambda: settings, rng)
+        found = allowances.Allowances(
+            None,
+            fleet_relays,
+            lambda: settings,
+            rng,
+            count_daemons=lambda: self.counted,
+        )
         found.links = [
             allowances.RelayLink(
                 lambda fields, index=index: self.send(number, index, fields)
@@ -249,6 +257,41 @@
 
         self.check_limit(self.simulate(body))
 
+    def test_daemons_that_start_without_relays_keep_the_limit(self):
+        """A surge comes before the settings name relays that run."""
+        for count, counted in ((13, 13), (135, 135), (135, None), (312, None)):
+
+            async def body(fleet, counted=counted):
+                fleet.counted = counted
+                for index in fleet.relays:
+                    fleet.relays[index] = None
+                await fleet.play(87 * 7.5, 8)
+
+            self.check_limit(self.simulate(body, count))
+
+    def test_few_requests_before_are_no_limit_without_relays(self):
+        """Guards against daemons that refuse whom they have not seen before.
+
+        The organisation sends a request in four seconds, far below its limit.
+        """
+
+        async def body(fleet):
+            for index in fleet.relays:
+                fleet.relays[index] = None
+            await fleet.play(0.25, 120)
+
+        fleet = self.simulate(body, 13, per_s=50.0, burst=50.0)
+        self.assertEqual((0, 0), (fleet.refused, fleet.unknown))
+
+    def test_surge_where_a_zone_reaches_no_relay_keeps_the_limit(self):
+        """A quarter of the daemons, which saw no requests before, are alone."""
+
+        async def body(fleet):
+            fleet.cut |= {(n, index) for n in range(34) for index in range(3)}
+            await fleet.play(87 * 7.5, 10)
+
+        self.check_limit(self.simulate(body))
+
     def test_daemons_that_are_cut_off_from_relays_keep_the_limit(self):
         async def body(fleet):
             await fleet.play(87, 5)
