Take few turns at limited servers while no relay counts a daemon

Cause: turns are taken by the position in the fleet. Without one there was no turn, and only the response to a request shows that a limit has ended.

Change: a daemon that no relay has counted takes turns as in a fleet without relays.

--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -498,10 +498,15 @@
         found = self.budgets.get(service)
         return () if found is None else found.requests
 
-    def _position(self) -> turns.FleetPosition | None:
-        """Returns this daemon's position among those that take turns."""
-        if self.relays.addresses:
-            return self.store_view.reader.position
+    def _position(self) -> turns.FleetPosition:
+        """Returns this daemon's position among those that take turns.
+
+        While no relay has counted it, it takes few turns rather than none: only
+        the response to a request shows that a server names no limit any more.
+        """
+        counted = self.store_view.reader.position
+        if self.relays.addresses and counted is not None:
+            return counted
         return turns.uncounted_position(self.settings.daemon)
 
     def _find_connected(
--- a/banyantiller/gateway/server_limits.py
+++ b/banyantiller/gateway/server_limits.py
@@ -56,8 +56,7 @@
     Attributes:
         header_name: Name of the header field, in lower case.
         read_limit: Decodes the values of that field; raises `ValueError`.
-        position: Returns this daemon's position in the fleet, or None while it
-            is unknown.
+        position: Returns this daemon's position in the fleet.
         by_incarnation: Limits by the incarnation id of the server.
         unreadable: Decoding error of a server's field, by its incarnation id.
         registered_at: Loop time at which an incarnation was last seen as
@@ -67,7 +66,7 @@
     def __init__(
         self,
         adapter: types.Adapter,
-        position: Callable[[], turns.FleetPosition | None],
+        position: Callable[[], turns.FleetPosition],
     ) -> None:
         self.header_name = adapter.wire.limit.decode()
         self.read_limit = adapter.read_limit
@@ -110,8 +109,7 @@
     def next_turn(self, server: types.Server, now: float) -> float:
         """Returns the loop time from which a server may be sent a request.
 
-        The time is minus infinity if the server names no limit, and infinity
-        while this daemon's position in the fleet is unknown.
+        The time is minus infinity if the server names no limit.
         """
         if not self.by_incarnation:
             return -math.inf
@@ -119,11 +117,8 @@
         limit = self.by_incarnation.get(incarnation)
         if limit is None or limit.per_s is None:
             return -math.inf
-        position = self.position()
-        if position is None:
-            return math.inf
         return turns.next_turn(
-            position, incarnation, limit.per_s, limit.usage, now
+            self.position(), incarnation, limit.per_s, limit.usage, now
         )
 
     def is_limited(self, server: types.Server) -> bool:
--- a/banyantiller/tests/gateway/test_relays.py
+++ b/banyantiller/tests/gateway/test_relays.py
@@ -212,3 +212,52 @@
             ]
 
         self.assertEqual({200}, set(relay_harness.play(body)))
+
+
+class LimitsWithoutRelaysTest(base.TestCase):
+    """Guards against a daemon that never learns that a limit has ended."""
+
+    def play(self, body):
+        """Runs `body(env)` with daemons that start without their relays."""
+
+        async def whole():
+            async with harness.GatewayHarness() as env:
+                first = env.gateway
+                fleet = []
+                for number in range(2):
+                    await env.start_gateway(ADDRESSES[:3], f"d{number}")
+                    fleet.append(env.gateway)
+                await asyncio.sleep(1.0)
+                try:
+                    return await body(env, fleet)
+                finally:
+                    env.gateway = first
+                    for one in fleet:
+                        one.listener.close()
+                        await one.close()
+
+        return self.run_paused(whole())
+
+    async def call(self, env, fleet, for_s):
+        """Sends ten requests a second; returns the share that was served."""
+        statuses = []
+        for number in range(int(for_s * 10)):
+            daemon = fleet[number % len(fleet)]
+            env.port = daemon.listener.sockets[0].getsockname()[1]
+            statuses.append((await env.request(f"{number}")).status)
+            await asyncio.sleep(0.1)
+        return statuses.count(200) / len(statuses)
+
+    def test_servers_whose_limits_have_ended_get_requests_again(self):
+        async def body(env, fleet):
+            for server in env.servers.values():
+                server.limit = "5"
+            limited = await self.call(env, fleet, 10)
+            for server in env.servers.values():
+                server.limit = ""
+            await self.call(env, fleet, 15)
+            return limited, await self.call(env, fleet, 5)
+
+        limited, later = self.play(body)
+        self.assertGreater(limited, 0)
+        self.assertEqual(1.0, later)
