Let successors replace relays that settings still name

What callers saw: where the settings go on naming relays that are lost, limited callers were refused for good.

Cause: the settings were the only source of relays.

Change: the first relay chooses three of the daemons that query relays, in different zones if possible, and relays pass the choice on with their replies about documents. If no relay in use responds, a successor becomes a relay once most successors say the same, and the others use them once most do. All return as soon as a relay that the settings name responds. A relay that takes a part over begins without the tokens of a start: the slack covers one start in a window.

Ruled out: to let a daemon decide for itself that relays are lost. One that is cut off would grant allowances beside the relays.

--- a/banyantiller/gateway/allowance_grants.py
+++ b/banyantiller/gateway/allowance_grants.py
@@ -247,7 +247,12 @@
         limits = self._limits_of(organisation)
         allowance = self.by_organisation.get(name)
         if allowance is None:
-            allowance = allowances.RelayAllowance(limits, self.part.since)
+            at_start = limits
+            if self.part.taken_over:
+                # The slack covers the relays that start within one window, and
+                # not further changes in it.
+                at_start = limits._replace(start=0.0)
+            allowance = allowances.RelayAllowance(at_start, self.part.since)
             self.by_organisation[name] = allowance
         granted = allowance.grant(asked, limits, now)
         if granted < asked and name not in self.limited:
--- a/banyantiller/gateway/allowance_parts.py
+++ b/banyantiller/gateway/allowance_parts.py
@@ -49,6 +49,8 @@
         count: Number of equal parts of which this daemon grants one, or None
             while it grants nothing.
         since: Loop time from which it grants this part.
+        taken_over: Whether this part was taken from other relays, rather than
+            held since the start.
         predecessors: Relays that were named before and may still grant.
         before_change: Called before another part is in force.
         query: Asks the relay at an address of how many parts it grants one;
@@ -67,6 +69,7 @@
         self.loop = asyncio.get_running_loop()
         self.count = self._named_count()
         self.since = self.loop.time()
+        self.taken_over = False
         self.predecessors: set[str] = set()
         self.takeover: asyncio.Task[None] | None = None
         fleet_relays.on_change.append(self._change_relays)
@@ -107,6 +110,7 @@
         self.before_change(count)
         self.count = count
         self.since = self.loop.time()
+        self.taken_over = True
 
     async def _take_over(self, count: int) -> None:
         """Takes a larger part once the other relays permit it."""
--- a/banyantiller/gateway/daemon_list.py
+++ b/banyantiller/gateway/daemon_list.py
@@ -51,11 +51,13 @@
         address: IP number and port of its control listener; empty for none.
         zone: Its availability zone.
         unreachable: Returns the names of the services that it doesn't reach.
+        others: Returns daemons that a relay may name as successors.
     """
 
     address: str
     zone: str
     unreachable: Callable[[], list[str]]
+    others: Callable[[], list[mirror.Contact]] = list
 
     def to_query(self) -> str:
         """Returns the query parameters that state it; empty without address."""
@@ -65,6 +67,9 @@
         unreachable = self.unreachable()
         if unreachable:
             query["unreachable"] = ",".join(unreachable)
+        others = [f"{one.address} {one.zone}" for one in self.others()]
+        if others:
+            query["others"] = ",".join(others)
         return f"&{parse.urlencode(query)}"
 
 
--- a/banyantiller/gateway/events.py
+++ b/banyantiller/gateway/events.py
@@ -160,11 +160,16 @@
 
 @event("gateway: relays changed.")
 class RelaysChanged(NamedTuple):
-    """The settings name other relays, which are used from now on."""
+    """Other relays are used from now on."""
 
     relays: Annotated[list[str], "IP addresses and ports of the relays."]
     before: Annotated[list[str], "The same before the change."]
     is_relay: Annotated[bool, "Whether this daemon is a relay now."]
+    reason: Annotated[
+        str,
+        "`settings` if they name others, `lost` if successors replace relays"
+        " that are lost, `returned` if one of these responds again.",
+    ]
 
 
 @event("gateway: settings name no relays.", "warning")
--- a/banyantiller/gateway/gateway.py
+++ b/banyantiller/gateway/gateway.py
@@ -22,11 +22,13 @@
     forwarded_calls,
     forwarding,
     load_reports,
+    mirror,
     pool,
     probing,
     quarantine_sync,
     reachability,
     rejection_relay,
+    relay_succession,
     relays,
     request_placement,
     returning_callers,
@@ -89,7 +91,8 @@
     Attributes:
         settings: Settings in force.
         adapter: Access to the store and the formats of the environment.
-        relays: The relays that the settings in force name.
+        relays: The relays in use.
+        relay_succession: Replaces relays that are lost.
         store_view: State read from the store: routes, limits and servers.
         draining: Whether the daemon is shutting down.
         connections: Open connections of callers.
@@ -200,7 +203,10 @@
             self.store_view.table, self.prober, self.store_view.service, rng
         )
         contact = daemon_list.LocalContact(
-            settings.control, settings.zone, self.reachability.lost_services
+            settings.control,
+            settings.zone,
+            self.reachability.lost_services,
+            self._possible_successors,
         )
         daemons = daemon_list.DaemonList(
             self.relays, self.store_view.mirror, contact, rng
@@ -222,6 +228,12 @@
         self.returning_callers = returning_callers.ReturningCallers(
             self.relays, self.service_loads.service_load, self._request_times
         )
+        self.relay_succession = relay_succession.RelaySuccession(
+            self.relays,
+            self.store_view.mirror,
+            self.store_view.reader.reads_store,
+        )
+        self.store_view.mirror.successors = lambda: self.relays.successors
         self.stalls = stalls.StallDetector()
         # Last, as it needs the relays that the reader queries after a change.
         self.relays.on_change.append(self._connect_relays)
@@ -349,6 +361,8 @@
         """Handles a request of a peer."""
         if request.path.startswith(quarantine_sync.PATH):
             return self.quarantine_sync.handle(request)
+        if request.path == relay_succession.PATH:
+            return self.relay_succession.handle(request)
         if request.path == daemon_list.PATH:
             return self.forwarder.daemons.handle(request)
         if request.path == allowance_parts.PATH:
@@ -477,6 +491,7 @@
         del change
         for peer in self.relays.peers:
             self.store_view.connect(peer)
+            peer.on_successors = self.relays.set_successors
             peer.on_mark = self.quarantine_sync.receive_mark
             peer.server_limits = self.server_limits
             peer.load_reports = None
@@ -484,6 +499,15 @@
         for peer in self.store_view.reader.upstream_relays:
             peer.load_reports = self.load_reports
 
+    def _possible_successors(self) -> list[mirror.Contact]:
+        """Returns daemons that this relay tells the first relay of."""
+        if not self.relays.is_relay:
+            return []
+        in_use = self.relays.addresses
+        contacts = self.store_view.mirror.contacts()
+        others = [one for one in contacts if one.address not in in_use]
+        return others[: relay_succession.MAX_SUCCESSORS]
+
     def _run_waiting_calls(self) -> None:
         """Starts pipelined reads once the first document is in force.
 
--- a/banyantiller/gateway/mirror.py
+++ b/banyantiller/gateway/mirror.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from banyantiller.gateway import (
@@ -54,11 +54,14 @@
         address: IP number and port of its control listener.
         zone: Its availability zone.
         unreachable: Names of the services that it doesn't reach.
+        others: Address and zone of some daemons that query it, if it is a
+            relay.
     """
 
     address: str
     zone: str
     unreachable: frozenset[str]
+    others: tuple[tuple[str, str], ...] = ()
 
     @classmethod
     def from_query(cls, query: dict[str, str]) -> "Contact | None":
@@ -69,7 +72,11 @@
         except ValueError:
             return None
         unreachable = frozenset(query.get("unreachable", "").split(","))
-        return cls(address, query.get("zone", ""), unreachable)
+        pairs = [
+            text.partition(" ") for text in query.get("others", "").split(",")
+        ]
+        others = tuple((other, zone) for other, _, zone in pairs if other)
+        return cls(address, query.get("zone", ""), unreachable, others)
 
 
 class Subscriber(NamedTuple):
@@ -135,6 +142,7 @@
         server_limits: Limits that servers name, or None if they are not
             tracked.
         load_reports: Loads that daemons exchange, or None.
+        successors: Returns the successors of the relays.
     """
 
     def __init__(self, status: Callable[[], int], sentinel: str) -> None:
@@ -148,6 +156,7 @@
         self.failing_servers: Callable[[], list[str]] = self._reported_failing
         self.server_limits: server_limits.ServerLimits | None = None
         self.load_reports: load_reports.LoadReports | None = None
+        self.successors: Callable[[], Sequence[str]] = tuple
         self.loop = asyncio.get_running_loop()
 
     def has_subscribers(self) -> bool:
@@ -159,6 +168,17 @@
         found = [one.contact for one in self._active_subscribers()]
         return [contact for contact in found if contact is not None]
 
+    def zones_by_daemon(self) -> dict[str, str]:
+        """Returns the availability zones of daemons, by their address.
+
+        They are the subscribers, and some that query relays among these.
+        """
+        contacts = self.contacts()
+        found = {}
+        for contact in contacts:
+            found.update(contact.others)
+        return found | {one.address: one.zone for one in contacts}
+
     def update_contact(self, contact: Contact | None) -> None:
         """Records what a subscriber states outside of its queries."""
         for name, subscriber in self.subscribers.items():
@@ -315,6 +335,7 @@
         """Adds the fields by which a daemon computes its turns at servers."""
         fields["rank"] = self.rank(name)
         fields["clock_ms"] = int(self.loop.time() * 1000)
+        fields["successors"] = list(self.successors())
         if self.server_limits is not None and self.server_limits.by_incarnation:
             fields["limits"] = self.server_limits.to_report()
 
--- a/banyantiller/gateway/peer_messages.py
+++ b/banyantiller/gateway/peer_messages.py
@@ -35,8 +35,9 @@
     when it sent the query, but not how long the reply was under way. `doubted`
     names servers that several daemons reported failing. Replies about documents
     also carry the subscriber's `rank` among the sharers, the relay's clock, and
-    the limits that servers name. Those to a daemon that reported loads carry
-    the `load` that other daemons observed; see `load_reports`.
+    the limits that servers name, and the `successors` of the relays. Those to a
+    daemon that reported loads carry the `load` that other daemons observed; see
+    `load_reports`.
     """
 
     events: list[EventFields]
@@ -49,6 +50,7 @@
     clock_ms: NotRequired[int]
     limits: NotRequired[list[server_limits.LimitFields]]
     load: NotRequired[str]
+    successors: NotRequired[list[str]]
 
 
 class ListFields(TypedDict):
--- a/banyantiller/gateway/peers.py
+++ b/banyantiller/gateway/peers.py
@@ -105,6 +105,8 @@
         failing: Returns the servers that failed this daemon lately.
         on_failing_servers: Called with the failing servers that the relay
             reports.
+        on_successors: Called with the successors of the relays that the relay
+            reports.
         contact: Returns the query parameters that state where this daemon
             takes forwarded calls.
         server_limits: Limits that servers name, or None if they are not
@@ -132,6 +134,7 @@
         self.on_mark: Callable[[Peer, str], None] = lambda *_: None
         self.failing: Callable[[], list[str]] = list
         self.on_failing_servers: Callable[[list[str]], None] = lambda _: None
+        self.on_successors: Callable[[list[str]], None] = lambda _: None
         self.contact: Callable[[], str] = str
         self.server_limits: server_limits.ServerLimits | None = None
         self.peer_limits: list[server_limits.LimitFields] = []
@@ -206,6 +209,8 @@
             return
         self.rank = fields.get("rank", 0)
         self.ahead_s = fields["clock_ms"] / 1000 - composed_at
+        if "successors" in fields:
+            self.on_successors(fields["successors"])
         self.peer_limits = fields.get("limits", [])
         if self.server_limits is not None:
             self.server_limits.merge_report(self.peer_limits, composed_at)
--- a/banyantiller/gateway/relays.py
+++ b/banyantiller/gateway/relays.py
@@ -1,5 +1,8 @@
 """The relays of the fleet: the daemons that the settings in force name as such.
 
+While all of these are lost, their successors are the relays; see
+`relay_succession`.
+
 Relays read the store for the others, count them, grant the requests of
 organisations with an allowance, and collect which requests crash servers. An
 operator or the platform replaces relays while daemons run, and names others in
@@ -37,7 +40,11 @@
             peers; empty for none.
         max_peer_age_s: Age up to which the state of a relay is relied on, in
             seconds.
-        addresses: IP numbers and ports of the relays, sorted.
+        named: IP numbers and ports of the relays that the settings name, in
+            order.
+        addresses: The same of the relays in use.
+        successors: The same of daemons that become relays if those in use are
+            lost; the first relay chooses them.
         peers: The relays without this daemon, in the order in which it queries
             them. The order is random, so that each relay serves as many.
         on_change: Called after each change.
@@ -55,7 +62,9 @@
         self.own_address = own_address
         self.max_peer_age_s = max_peer_age_s
         self.random = rng
-        self.addresses: tuple[str, ...] = tuple(sorted(set(seeds)))
+        self.named: tuple[str, ...] = tuple(sorted(set(seeds)))
+        self.addresses = self.named
+        self.successors: tuple[str, ...] = ()
         self.peers: list[peers.Peer] = []
         self.on_change: list[Callable[[RelayChange], None]] = []
         self._update_peers()
@@ -105,21 +114,58 @@
         daemons would no longer know of each other.
         """
         named = tuple(sorted(set(seeds)))
-        if named == self.addresses:
+        if named == self.named:
             return
         if not named:
-            events.emit(events.RelaysMissing(list(self.addresses)))
+            events.emit(events.RelaysMissing(list(self.named)))
+            return
+        self.named = named
+        self._use(named, "settings")
+
+    @property
+    def uses_successors(self) -> bool:
+        """Whether relays are in use that the settings don't name."""
+        return self.addresses != self.named
+
+    def set_successors(self, addresses: Iterable[str]) -> None:
+        """Sets the successors, as far as they are valid addresses.
+
+        Args:
+            addresses: Their IP numbers and ports.
+        """
+        successors = tuple(addresses)
+        if successors == self.successors:
+            return
+        try:
+            for address in successors:
+                options.parse_endpoint(address)
+        except ValueError:
             return
+        self.successors = successors
+
+    def use_successors(self) -> None:
+        """Replaces the relays in use, which are lost, by their successors."""
+        self._use(self.successors, "lost")
+
+    def use_named(self) -> None:
+        """Uses the relays that the settings name, as one of them responds."""
+        self._use(self.named, "returned")
+
+    def _use(self, addresses: tuple[str, ...], reason: str) -> None:
         before = self.addresses
+        if addresses == before:
+            return
         change = RelayChange(
-            frozenset(named).difference(before),
-            frozenset(before).difference(named),
+            frozenset(addresses).difference(before),
+            frozenset(before).difference(addresses),
         )
-        self.addresses = named
+        self.addresses = addresses
         removed = [one for one in self.peers if one.address in change.removed]
         self._update_peers()
         events.emit(
-            events.RelaysChanged(list(named), list(before), self.is_relay)
+            events.RelaysChanged(
+                list(addresses), list(before), self.is_relay, reason
+            )
         )
         for listener in self.on_change:
             listener(change)
--- a/banyantiller/gateway/run.py
+++ b/banyantiller/gateway/run.py
@@ -77,6 +77,7 @@
             self.kernel.start(watcher.object_kind, watcher.run)
         self.kernel.start("housekeeping", self.gateway.run_housekeeping)
         self.kernel.start("quarantine", self.gateway.quarantine_sync.run)
+        self.kernel.start("relays", self.gateway.relay_succession.run)
         self.kernel.start("settings", self._watch_settings)
         try:
             await self._listen()
--- a/banyantiller/gateway/shared_reading.py
+++ b/banyantiller/gateway/shared_reading.py
@@ -153,6 +153,11 @@
             )
         return outcome
 
+    def reads_store(self) -> bool:
+        """Returns whether this daemon reads the store itself."""
+        started = self.loop.time() >= self.counts_sharers_from
+        return started and self.current_relay is None
+
     def count_daemons(self) -> int | None:
         """Returns the number of daemons, or None if no relay told it.
 
--- a/banyantiller/tests/gateway/harness.py
+++ b/banyantiller/tests/gateway/harness.py
@@ -168,6 +168,7 @@
         ]
         bodies.append(self.gateway.run_housekeeping())
         bodies.append(self.gateway.quarantine_sync.run())
+        bodies.append(self.gateway.relay_succession.run())
         self.tasks += [asyncio.ensure_future(body) for body in bodies]
         bound = await self.gateway.start(Endpoint(ADDRESS, 0))
         self.port = bound.port
