Send nothing unrepeatable where a late rejection may come

A server repeated a rejection late, where the response to the next request on the connection was due, and then ran that request. The daemon took the copy for its rejection and sent the request to another server.

Cause: a rejection without a request ID was believed on any connection, while only the ID tells a late copy from the response that is due.

Change: a connection on which a rejection without ID was received, also by a probe, is not used for requests that may run once only; a new one is opened, whose first response is proof. Rejections with an ID, which the protocol calls for, change nothing.

Ruled out: to answer such a request as maybe run. Each rejection on a kept connection would cost a caller its retry.

An idempotent request may run twice there, and its caller gets its own response.

--- a/banyantiller/gateway/attempts.py
+++ b/banyantiller/gateway/attempts.py
@@ -155,6 +155,7 @@
         server = self.entry.server
         server_pool = self.gateway.pool_of(server)
         candidate = self.candidate
+        self._drop_ambiguous_link(server_pool)
         if candidate.link is None:
             try:
                 # A request on an idle connection that was not verified just
@@ -202,6 +203,18 @@
                 self._record_no_response(outcome)
         return outcome
 
+    def _drop_ambiguous_link(self, server_pool: pool.Pool) -> None:
+        """Closes a connection on which a rejection would prove nothing.
+
+        It may be the late copy of an earlier one. A request that must not be
+        executed twice could be executed and still be sent to another server.
+        """
+        link = self.candidate.link
+        if link is None or self.call.idempotent or not link.ambiguous:
+            return
+        server_pool.discard(link, pool.OpenReason.AMBIGUOUS)
+        self.candidate.link = None
+
     def _record_head(self, response: messages.Response) -> None:
         self.gateway.response_recorders.to_request(
             self.entry.server, response, self.sent_at
--- a/banyantiller/gateway/exchange.py
+++ b/banyantiller/gateway/exchange.py
@@ -226,6 +226,7 @@
         matches = not echoed or not expected_id or echoed == expected_id
         if matches:
             on_head(response)
+            link.ambiguous |= _is_anonymous_rejection(response, wire)
         body = await link.connection.read_body(
             memory.max_body_bytes, memory.shared
         )
@@ -256,11 +257,22 @@
         response = await link.connection.read_head()
         await link.connection.read_body(max_bytes)
         if not response.header(wire.request_id.decode()):
+            link.ambiguous |= _is_anonymous_rejection(response, wire)
             return response
         link.connection.expect_again(request)
     raise connection.ConnectionLostError(ONLY_STRAY_RESPONSES)
 
 
+def _is_anonymous_rejection(
+    response: messages.Response, wire: types.WireNames
+) -> bool:
+    """Returns whether a response rejects a request that it doesn't identify."""
+    rejects = response.status in NOT_RUN_STATUSES or bool(
+        response.header(wire.not_run.decode())
+    )
+    return rejects and not response.header(wire.request_id.decode())
+
+
 def _build_request(
     outgoing: OutgoingRequest,
     instance: str,
--- a/banyantiller/gateway/pool.py
+++ b/banyantiller/gateway/pool.py
@@ -29,6 +29,7 @@
         UNSOLICITED: The server sent bytes on the last one while it was idle.
         GIVEN_UP: The last one was closed during a request or probe.
         WANTED_NEW: The sender required a new connection.
+        AMBIGUOUS: A late copy of a rejection may still come on the last one.
     """
 
     FIRST = "first"
@@ -38,6 +39,7 @@
     UNSOLICITED = "unsolicited"
     GIVEN_UP = "given_up"
     WANTED_NEW = "wanted_new"
+    AMBIGUOUS = "ambiguous"
 
 
 class PoolFullError(Exception):
@@ -50,6 +52,8 @@
     Attributes:
         connection: The connection.
         reused: Whether it has carried an exchange before.
+        ambiguous: Whether a rejection without a request ID was received on it:
+            a late copy can't be told from the response to a later request.
         idle_s: Maximum idle time, in seconds.
         expires: Loop time at which an idle connection is closed.
     """
@@ -57,6 +61,7 @@
     def __init__(self, link: connection.ClientConnection) -> None:
         self.connection = link
         self.reused = False
+        self.ambiguous = False
         self.idle_s = IDLE_S
         self.expires = 0.0
 
--- a/standins/registered_server.py
+++ b/standins/registered_server.py
@@ -42,6 +42,8 @@
         ill: Calls itself unfit.
         unframed: Answers without a length and closes.
         other_id: Echoes another identity.
+        late_rejections: Rejects without an identity, and repeats a rejection
+            where the next answer on the connection is due.
         endless: Pattern of bytes that it sends without end in place of an
             answer, by its name; empty for none.
         ended_by: Begin of the targets of requests that end it once it has
@@ -63,6 +65,7 @@
     ill: bool = False
     unframed: bool = False
     other_id: bool = False
+    late_rejections: bool = False
     endless: str = ""
     ended_by: str = ""
 
@@ -108,6 +111,8 @@
         retry_after: Value of `Retry-After` in its refusals; empty for none.
         limit: Requests a second that it says it takes from all callers, as
             it writes them in answers to requests; empty for none.
+        late_copies: Rejections that are repeated in place of the next answer
+            on their connection.
         ran: Identities of the requests that it executed.
         seen: Heads of the requests that reached it, health left out.
         arrivals: The same requests with time and outcome.
@@ -133,6 +138,7 @@
         self.leaving = False
         self.retry_after = ""
         self.random = random.Random(instance)
+        self.late_copies: dict[asyncio.StreamWriter, bytes] = {}
         self.ran: collections.Counter[str] = collections.Counter()
         self.seen: list[dict[str, str]] = []
         self.arrivals: list[Arrival] = []
@@ -201,6 +207,7 @@
             return True
         self.seen.append(fields)
         self.bodies.append(body)
+        writer.write(self.late_copies.pop(writer, b""))
         own = {"attempt-id": fields.get("attempt-id", "")}
         if self.limit:
             own["server-limit"] = self.limit
@@ -222,7 +229,11 @@
             )
         )
         if refusal:
+            if self.faults.late_rejections:
+                del own["attempt-id"]
             data = self._answer(codec, refusal[0], own | refusal[1], b"refused")
+            if self.faults.late_rejections:
+                self.late_copies[writer] = data
             writer.write(data[:-3] if self.faults.cut else data)
             return not self.faults.cut
         return await self._run(codec, reader, writer, own, head)
