Hold the body of a request once

What callers saw: one body of 64 MB, which the document allows, took a daemon of 200 MB over its memory.

Cause: the body was held up to five times at once: as it was received, as a copy for the call, joined with the head, and in the transport's buffer. Only one of them was counted.

Change: the received bytes are the body of the call, and a long request is written in parts of 256 KiB as fast as the server receives it. A connection is not used again while its request is being written, as before while the transport's buffer was not empty.

--- a/banyantiller/gateway/caller.py
+++ b/banyantiller/gateway/caller.py
@@ -25,9 +25,9 @@
 MAX_READ_AHEAD_BYTES = 65536
 # Maximum time from a request head to the end of its body, as for any response.
 BODY_TIMEOUT_S = 30.0
-# Maximum size of the request bodies in memory over all connections. A body of
-# the largest allowed size, 64 MB, and its copy in the socket's buffer fit into
-# the 200 MB of the smallest VM.
+# Maximum size of the request bodies in memory over all connections. Each is
+# held once: with a body of the largest allowed size, 64 MB, the process fits
+# into the 200 MB of a small VM.
 MAX_BODY_BYTES = 80 << 20
 # Retry-After for a body that did not fit into memory.
 FULL_RETRY_AFTER_S = 0.5
@@ -266,11 +266,12 @@
         pending = self.incoming
         self.incoming = None
         pending.request = pending.request._replace(
-            body=bytes(pending.body),
+            body=pending.body,
             received=self.loop.time(),
             fingerprint=pending.fingerprint.hexdigest(),
         )
-        pending.body.clear()
+        # Not copied, as it may be a large part of the memory.
+        pending.body = bytearray()
         pending.call = calls.Call(self.gateway, pending.request)
         remaining_data = self.codec.trailing_data[0]
         if self.codec.their_state is h11.DONE:
--- a/banyantiller/gateway/requests.py
+++ b/banyantiller/gateway/requests.py
@@ -38,7 +38,7 @@
     target: str
     host: str
     headers: messages.Headers
-    body: bytes
+    body: bytes | bytearray
     has_body: bool
     request_id: str
     remaining_s: float | None
--- a/banyantiller/http/connection.py
+++ b/banyantiller/http/connection.py
@@ -15,6 +15,9 @@
     import ssl
 
 
+# Size of the parts in which a request is written. The rest of a longer one is
+# not given to the transport yet, which would copy it.
+WRITE_BYTES = 256 << 10
 # Linger time of zero, with which closing a socket resets its connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -36,6 +39,7 @@
         has_unmatched_response: Whether a response to another request was read.
         meter: Framing of the response body that is being read, or None.
         steps: Counts the parts that are parsed.
+        writing: Writes the rest of a long request, or None.
     """
 
     def __init__(
@@ -55,6 +59,7 @@
         self.idle_read: asyncio.Task[bytes] | None = None
         self.meter: framing.FramingMeter | None = None
         self.steps = framing.StepCounter()
+        self.writing: asyncio.Task[None] | None = None
 
     @classmethod
     async def open(
@@ -134,6 +139,8 @@
             OSError: The connection failed.
         """
         self.write(request)
+        if self.writing is not None:
+            await asyncio.wait({self.writing})
         await self.writer.drain()
 
     def write(self, request: messages.Request) -> None:
@@ -141,7 +148,11 @@
 
         The remote side may respond before it has received all of it.
         """
-        self.writer.writelines(self._encode(request))
+        parts = self._encode(request)
+        if len(request.body) <= WRITE_BYTES:
+            self.writer.writelines(parts)
+        else:
+            self.writing = asyncio.ensure_future(self._write_parts(parts))
 
     def expect_again(self, request: messages.Request) -> None:
         """Prepares to read another response to a request that was written.
@@ -262,7 +273,8 @@
         """Ends an exchange; returns whether the connection can be reused."""
         if self.has_unmatched_response or self.codec.trailing_data[0]:
             return False
-        if self.writer.transport.get_write_buffer_size():
+        is_writing = self.writing is not None and not self.writing.done()
+        if is_writing or self.writer.transport.get_write_buffer_size():
             # The response arrived before the request was read completely.
             return False
         try:
@@ -287,8 +299,22 @@
         """Aborts the connection."""
         if self.idle_read is not None:
             self.idle_read.cancel()
+        if self.writing is not None:
+            self.writing.cancel()
         self.writer.transport.abort()
 
+    async def _write_parts(self, parts: list[bytes]) -> None:
+        """Writes a long request as fast as the remote side receives it."""
+        try:
+            for part in parts:
+                view = memoryview(part)
+                for start in range(0, len(view), WRITE_BYTES):
+                    self.writer.write(bytes(view[start : start + WRITE_BYTES]))
+                    await self.writer.drain()
+        except OSError:
+            # Reading the response reports how the connection ended.
+            return
+
     def _encode(self, request: messages.Request) -> list[bytes]:
         """Returns the parts of a request; its body is not copied."""
         head = h11.Request(
@@ -298,7 +324,8 @@
         )
         parts = [self.codec.send(head)]
         if request.body:
-            parts.append(self.codec.send(h11.Data(data=request.body)))
+            data = h11.Data(data=request.body)
+            parts += self.codec.send_with_data_passthrough(data)
         parts.append(self.codec.send(h11.EndOfMessage()))
         return [part for part in parts if part]
 
