Choose the cause of crashes by when requests were sent

Cause: of requests under which as many servers had crashed, the fingerprint decided, so chance. A request in quarantine is not sent, so no response could clear it.

Change: the request whose sends came shortest before the crashes is taken for the cause, as it crashes servers when it begins to run and others have run for a while. Until one more server has crashed under it, it is refused for 10 s in place of 300 s: then a harmless one is cleared by its response, and a crash by the right one leaves no doubt.

Ruled out: to quarantine all that tie, which refuses the harmless ones as well; to send one at a time in the fleet, which needs an agreement before each send.

--- a/banyantiller/quarantine/crash_table.py
+++ b/banyantiller/quarantine/crash_table.py
@@ -10,6 +10,12 @@
 - no server responded to it since, or shortly before, and
 - no other quarantined request ran on the same servers and on more of them.
 
+Where as many servers crashed under several requests, the one that was sent
+shortest before the crashes is quarantined: a request that crashes servers does
+so when it begins to run, and others have run for a while. This may be wrong,
+and a quarantined request can't prove itself harmless, so the quarantine is
+short until one more server has crashed under the request.
+
 The recorded facts only accumulate, so that daemons may learn them in any order,
 twice, or from each other. There are no sockets and no clock here: times are the
 loop's, and facts are sent with their ages.
@@ -17,7 +23,7 @@
 
 import math
 import random
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple, TypedDict
 
 # Servers that crashed while running a request before it is quarantined.
@@ -28,6 +34,12 @@
 RECENT_RESPONSE_S = 2.0
 # Latest crashes kept for each request.
 MAX_CRASHES = 8
+# How long a request is quarantined if others may as well have caused the same
+# crashes, in seconds.
+AMBIGUOUS_PERIOD_S = 10.0
+# Resolution of the times from a send to a crash, so that daemons that learn
+# them from each other in milliseconds order requests alike.
+RUN_TIME_STEP_S = 0.01
 # Maximum number of records. A caller that sends a different body each time
 # fills the table, and evicts other requests with as few crashes.
 MAX_REQUESTS = 1024
@@ -131,6 +143,12 @@
             if crash.crashed_at > since and server not in explained
         }
 
+    def longest_run(self) -> int:
+        """Returns the longest time from a send to a crash, in steps."""
+        crashes = self.unexplained_crashes().values()
+        longest_s = max((c.crashed_at - c.sent_at for c in crashes), default=0)
+        return round(longest_s / RUN_TIME_STEP_S)
+
     def last_crash_at(self) -> float:
         """Returns the loop time of the last crash."""
         return max(
@@ -335,15 +353,17 @@
         """Decides again which requests are quarantined."""
         changes = []
         explained: set[str] = set()
-        for record in self._candidates():
+        candidates = self._candidates()
+        for record in candidates:
             crashes = record.unexplained_crashes(explained)
             until = -math.inf
             if _indicates_cause(crashes):
+                period_s = self.period_s
+                if _is_ambiguous(record, explained, candidates):
+                    period_s = min(period_s, AMBIGUOUS_PERIOD_S)
                 explained.update(record.crashes)
                 last = max(crash.crashed_at for crash in crashes.values())
-                until = last + self.period_s * (
-                    1 + RETRY_SPREAD * record.spread
-                )
+                until = last + period_s * (1 + RETRY_SPREAD * record.spread)
             if until != record.quarantined_until:
                 record.quarantined_until = until
                 changes.append(
@@ -353,8 +373,8 @@
                 )
         return changes
 
-    def _candidates(self) -> Iterator[Record]:
-        """Yields records with enough crashes, those with the most first.
+    def _candidates(self) -> list[Record]:
+        """Returns records with enough crashes, the most likely causes first.
 
         The order is the same at every daemon with the same records.
         """
@@ -364,9 +384,32 @@
             if len(record.crashes) >= MIN_CRASHES
         ]
         candidates.sort(
-            key=lambda r: (-len(r.unexplained_crashes()), r.fingerprint)
+            key=lambda r: (
+                -len(r.unexplained_crashes()),
+                r.longest_run(),
+                r.fingerprint,
+            )
         )
-        yield from candidates
+        return candidates
+
+
+def _is_ambiguous(
+    record: Record, explained: Iterable[str], candidates: Iterable[Record]
+) -> bool:
+    """Returns whether another request may have caused the same crashes.
+
+    One more crash decides: meanwhile the others are sent, and are cleared by
+    their responses if they are harmless.
+    """
+    crashes = record.unexplained_crashes(explained)
+    if len(crashes) > MIN_CRASHES:
+        return False
+    return any(
+        _indicates_cause(other.unexplained_crashes(explained))
+        and not crashes.keys().isdisjoint(other.unexplained_crashes())
+        for other in candidates
+        if other is not record
+    )
 
 
 def _indicates_cause(crashes: dict[str, Crash]) -> bool:
--- a/banyantiller/tests/quarantine/test_crash_table.py
+++ b/banyantiller/tests/quarantine/test_crash_table.py
@@ -87,6 +87,43 @@
                 table.quarantined_until(other_request, NOW + 2)
             )
 
+    def test_request_that_was_sent_last_is_taken_for_the_cause(self):
+        """Guards against a harmless request that is chosen by its name."""
+        for harmless in ("0", "z"):
+            table = make_table()
+            for number, server in enumerate(["s1", "s2", "s3"]):
+                at = NOW + number * 0.2
+                table.record_crash(harmless, server, Crash(at - 0.1, at))
+                table.record_crash("m", server, Crash(at - 0.005, at))
+            self.assertIsNone(table.quarantined_until(harmless, NOW + 1))
+            self.assertIsNotNone(table.quarantined_until("m", NOW + 1))
+
+    def test_quarantine_is_short_while_others_may_be_the_cause(self):
+        """Guards against a harmless request that is refused for minutes."""
+        table = make_table()
+        crash_in_sequence(table, "a", ["s1", "s2", "s3"])
+        crash_in_sequence(table, "b", ["s1", "s2", "s3"])
+        later = NOW + 1.5 * crash_table.AMBIGUOUS_PERIOD_S
+        self.assertIsNotNone(table.quarantined_until("a", NOW + 1))
+        self.assertIsNone(table.quarantined_until("a", later))
+        # Once it has crashed one more server, nothing else explains that.
+        crash_in_sequence(table, "a", ["s4"], later)
+        until = table.quarantined_until("a", later + 1)
+        self.assertGreaterEqual(until, later + PERIOD_S)
+
+    def test_harmless_request_is_cleared_once_it_is_sent_again(self):
+        table = make_table()
+        for number, server in enumerate(["s1", "s2", "s3"]):
+            at = NOW + number * 0.2
+            table.record_crash("harmless", server, Crash(at - 0.005, at))
+            table.record_crash("deadly", server, Crash(at - 0.1, at))
+        later = NOW + 1.5 * crash_table.AMBIGUOUS_PERIOD_S
+        table.record_response("harmless", later)
+        self.assertIsNone(table.quarantined_until("harmless", later))
+        crash_in_sequence(table, "deadly", ["s4"], later)
+        until = table.quarantined_until("deadly", later + 1)
+        self.assertGreaterEqual(until, later + PERIOD_S)
+
     def test_one_crash_after_the_period_renews_a_quarantine(self):
         table = make_table()
         crash_in_sequence(table, "a", ["s1", "s2", "s3"])
