--- a/banyantiller/tests/soak/test_plan.py
+++ b/banyantiller/tests/soak/test_plan.py
@@ -20,7 +20,7 @@
         )
 
     def test_every_kind_can_be_carried_out(self):
-        self.assertEqual(set(plan.ENDLESS_KINDS), set(faults.ACTIONS))
+        self.assertEqual(set(plan.RELAY_KINDS), set(faults.ACTIONS))
 
     def test_hundred_seeds_have_every_kind_and_choice(self):
         for kinds, first in (
@@ -35,6 +35,7 @@
             (plan.ORGANISATION_KINDS, plan.FIRST_ORGANISATION_SEED),
             (plan.RESTORE_KINDS, plan.FIRST_RESTORE_SEED),
             (plan.ENDLESS_KINDS, plan.FIRST_ENDLESS_SEED),
+            (plan.RELAY_KINDS, plan.FIRST_RELAY_SEED),
         ):
             wanted = {(name, choice) for name, kind in kinds.items()
                       for choice in kind.choices}  # fmt: skip
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,6 +12,7 @@
 from soak.gateways import Daemon
 from soak.links import Link, Trouble
 from soak.world import (
+    SEEDS,
     STORE_CALL_S,
     World,
 )
@@ -36,6 +37,9 @@
 LAG_PERIOD_S = 0.02
 LAG_S = 0.06
 
+# Longest time until a daemon learns that other relays are named.
+MOST_SETTINGS_LAG_S = 3.0
+
 Action = Callable[[World, plans.Step], Awaitable[None]]
 
 
@@ -176,6 +180,33 @@
     world.signal(daemon, signal.SIGHUP)
 
 
+async def replace_relays(world: World, step: plans.Step) -> None:
+    """Names other relays; each daemon learns of it by itself, some late.
+
+    Those of before live on, or one or all of them are killed first and start
+    again with the new settings.
+    """
+    rng = random.Random(f"{step.at_s}-{step.x}")
+    lost = {"alive": 0, "lost one": 1, "lost all": SEEDS}[step.choice]
+    kills = [
+        asyncio.ensure_future(_kill(world, one, step.for_s))
+        for one in (world.relays or world.daemons)[:lost]
+    ]
+    count = min(SEEDS, len(world.daemons))
+    named = rng.sample(world.daemons, count)
+    world.relays = named
+    delays = sorted(
+        (rng.uniform(0, MOST_SETTINGS_LAG_S), daemon.number)
+        for daemon in world.daemons
+    )
+    began = world.loop.time()
+    for delay_s, number in delays:
+        await asyncio.sleep(began + delay_s - world.loop.time())
+        # Another step may have named others in the meantime.
+        world.write_settings(world.daemons[number])
+    await asyncio.gather(*kills)
+
+
 # Links.
 
 
@@ -313,6 +344,7 @@
     "power lost": lose_power,
     "restart daemon": restart_daemon,
     "reload daemon": reload_daemon,
+    "relays replaced": replace_relays,
     "caller link": trouble_callers,
     "store link": trouble_store,
     "control link": trouble_control,
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -142,6 +142,10 @@
     "server sends without end": Kind(6, 4.0, tuple(endless_server.NO_ANSWER)),
     "caller sends without end": Kind(4, 3.0, tuple(endless_server.NO_REQUEST)),
 }
+FIRST_RELAY_SEED = 80_000
+RELAY_KINDS = ENDLESS_KINDS | {
+    "relays replaced": Kind(5, 6.0, ("alive", "lost one", "lost all")),
+}
 
 
 def has_organisations(seed: int) -> bool:
@@ -171,7 +175,9 @@
         return ORGANISATION_KINDS
     if seed < FIRST_ENDLESS_SEED:
         return RESTORE_KINDS
-    return ENDLESS_KINDS
+    if seed < FIRST_RELAY_SEED:
+        return ENDLESS_KINDS
+    return RELAY_KINDS
 
 
 def draw(seed: int, sizes: Sizes) -> Plan:
--- a/soak/world.py
+++ b/soak/world.py
@@ -63,6 +63,7 @@
         seen: What the checks read.
         store: Stand-in of the platform's store.
         daemons: Gateways.
+        relays: Gateways that settings name as relays; empty for the first ones.
         places: Servers that callers' requests reach.
         all_servers: Every start of a server.
         version: Newest version of the document.
@@ -89,6 +90,7 @@
         self.http = server.HttpServer(self.store.handle, runner.LIMITS)
         self.children = processes.Children(folder)
         self.daemons: list[gateways.Daemon] = []
+        self.relays: list[gateways.Daemon] = []
         self.places: list[Place] = []
         self.all_servers: list[registered_server.RegisteredServer] = []
         self.version = 0
@@ -283,7 +285,7 @@
         # A daemon knows itself among the seeds by its own address.
         seeds = [
             one.control_port if one is daemon else one.control.port
-            for one in self.daemons[:SEEDS]
+            for one in self.relays or self.daemons[:SEEDS]
         ]
         content = {
             "daemon": f"gateway-{daemon.number}",
