Reset endless bodies when the stand-in stops

That is a complete response by the protocol, so the finding was of the stand-in.

The connection is reset now, as when a machine is lost while it sends. No check was changed.

--- a/standins/registered_server.py
+++ b/standins/registered_server.py
@@ -8,11 +8,13 @@
 import collections
 import dataclasses
 import random
+import socket
 from collections.abc import Callable
 from typing import NamedTuple
 
 import h11
 
+from banyantiller.http import connection
 from standins import endless_server
 
 STANDARD_MS = 60.0
@@ -329,6 +331,10 @@
         if faults.endless:
             pattern = endless_server.NO_ANSWER[faults.endless]
             pattern = pattern.answering(own["attempt-id"].encode())
+            # An orderly end would complete a body without a length.
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, connection.RESET_ON_CLOSE
+            )
             writer.write(pattern.begin)
             await endless_server.send(writer, pattern.part, ENDLESS_S)
             return False
