Let settings win over a succession that is being decided

A reload between the check of the relays and the answer of the successors could have replaced the relays that it had just named. The test failed before.

--- a/banyantiller/gateway/allowance_parts.py
+++ b/banyantiller/gateway/allowance_parts.py
@@ -45,13 +45,14 @@
     """The part of every allowance that this daemon may grant.
 
     Attributes:
-        fleet_relays: The relays that the settings name.
+        fleet_relays: The relays in use.
         count: Number of equal parts of which this daemon grants one, or None
             while it grants nothing.
         since: Loop time from which it grants this part.
         taken_over: Whether this part was taken from other relays, rather than
             held since the start.
-        predecessors: Relays that were named before and may still grant.
+        predecessors: Relays that were in use before and may still grant, with
+            the loop time at which they were replaced.
         before_change: Called before another part is in force.
         query: Asks the relay at an address of how many parts it grants one;
             None if it does not tell.
@@ -70,7 +71,7 @@
         self.count = self._named_count()
         self.since = self.loop.time()
         self.taken_over = False
-        self.predecessors: set[str] = set()
+        self.predecessors: dict[str, float] = {}
         self.takeover: asyncio.Task[None] | None = None
         fleet_relays.on_change.append(self._change_relays)
 
@@ -95,9 +96,14 @@
     def _change_relays(self, change: relays.RelayChange) -> None:
         self.close()
         self.takeover = None
-        self.predecessors |= change.removed
-        self.predecessors -= set(self.fleet_relays.addresses)
-        self.predecessors.discard(self.fleet_relays.own_address)
+        now = self.loop.time()
+        removed = dict.fromkeys(change.removed, now)
+        self.predecessors = {
+            address: at
+            for address, at in (self.predecessors | removed).items()
+            if address not in self.fleet_relays.addresses
+            and at > now - MAX_WAIT_S
+        }
         count = self._named_count()
         if count is None or (self.count is not None and count >= self.count):
             self._set(count)
@@ -115,7 +121,7 @@
     async def _take_over(self, count: int) -> None:
         """Takes a larger part once the other relays permit it."""
         began = self.loop.time()
-        others = self.predecessors.union(self.fleet_relays.addresses)
+        others = {*self.predecessors, *self.fleet_relays.addresses}
         others.discard(self.fleet_relays.own_address)
         still_granting = await self._wait_for(others, count)
         self.predecessors.clear()
--- a/banyantiller/gateway/allowances.py
+++ b/banyantiller/gateway/allowances.py
@@ -292,7 +292,7 @@
     """Admits the requests of this daemon's callers.
 
     Attributes:
-        fleet_relays: The relays that the settings name.
+        fleet_relays: The relays in use.
         links: Relays to ask.
         former_links: Relays that the settings no longer name. They grant their
             part until they learn of it and their successors take it over.
--- a/banyantiller/gateway/daemon_list.py
+++ b/banyantiller/gateway/daemon_list.py
@@ -77,7 +77,7 @@
     """Daemons that reach a service, as relays list them.
 
     Attributes:
-        fleet_relays: The relays that the settings name.
+        fleet_relays: The relays in use.
         local_mirror: Knows the daemons that query this one.
         contact: What this daemon states about itself.
         listed: Daemons by service.
--- a/banyantiller/gateway/peer_lists.py
+++ b/banyantiller/gateway/peer_lists.py
@@ -20,7 +20,7 @@
     """Queries relays for lists.
 
     Attributes:
-        fleet_relays: The relays that the settings name.
+        fleet_relays: The relays in use.
         read_policy: How long relays are relied on.
         min_versions: Minimum version of a list, by kind.
         start_pause_skipped: Set once a caller waits for the first read at the
--- a/banyantiller/gateway/quarantine_sync.py
+++ b/banyantiller/gateway/quarantine_sync.py
@@ -61,7 +61,7 @@
 
     Attributes:
         tracker: Records of this daemon.
-        fleet_relays: The relays that the settings name.
+        fleet_relays: The relays in use.
         incarnation: Distinguishes this process from earlier ones of the daemon.
         shown_revision: Revision of the table that the mark stands for.
         on_mark_change: Called when the mark has changed.
--- a/banyantiller/gateway/rejection_relay.py
+++ b/banyantiller/gateway/rejection_relay.py
@@ -78,8 +78,7 @@
     """Counts the rejections that daemons report to this relay.
 
     Attributes:
-        fleet_relays: The relays that the settings name. Each has an equal part
-            of the callers.
+        fleet_relays: The relays in use. Each has an equal part of the callers.
         table: Rejected requests.
         queues: Callers that are expected back, by service; only of services
             whose load is known.
--- a/banyantiller/gateway/relay_succession.py
+++ b/banyantiller/gateway/relay_succession.py
@@ -74,6 +74,7 @@
         )
         self.silent_checks = 0
         self.loop = asyncio.get_running_loop()
+        fleet_relays.on_change.append(self._change_relays)
 
     async def run(self) -> None:
         """Checks the relays until cancelled."""
@@ -92,11 +93,12 @@
             fleet_relays.use_named()
         elif await self._are_relays_silent():
             self.silent_checks += 1
-            if self._relays_lost() and await self._most_agree():
+            may_replace = self._relays_lost() and await self._most_agree()
+            # Settings may have named other relays in the meantime.
+            if may_replace and self._relays_lost():
                 fleet_relays.use_successors()
-                self.silent_checks = 0
-            return
-        self.silent_checks = 0
+        else:
+            self.silent_checks = 0
 
     def handle(self, request: messages.Request) -> messages.Response:
         """Tells another daemon which relays this one uses or found lost."""
@@ -107,6 +109,10 @@
         )
         return messages.Response(200, (), msgspec.msgpack.encode(fields))
 
+    def _change_relays(self, change: relays.RelayChange) -> None:
+        del change
+        self.silent_checks = 0
+
     def _relays_lost(self) -> bool:
         return self.silent_checks >= MIN_SILENT_CHECKS
 
--- a/banyantiller/gateway/relays.py
+++ b/banyantiller/gateway/relays.py
@@ -32,7 +32,7 @@
 
 
 class Relays:
-    """The relays that the settings in force name.
+    """The relays in use, and those that the settings in force name.
 
     Attributes:
         daemon: Name of this daemon.
--- a/banyantiller/gateway/shared_reading.py
+++ b/banyantiller/gateway/shared_reading.py
@@ -49,7 +49,7 @@
         mirror: Serves the state of the store to subscribers.
         sentinel: Kind whose calls show whether the store responds.
         delay_tolerant: Kinds whose changes may be learned later than others.
-        fleet_relays: The relays that the settings name.
+        fleet_relays: The relays in use.
         upstream_relays: Relays to query for changes; of a daemon that is a
             relay itself, those before it in the order of their addresses.
         read_policy: How long relays are relied on.
--- a/banyantiller/tests/gateway/test_relay_succession.py
+++ b/banyantiller/tests/gateway/test_relay_succession.py
@@ -172,6 +172,34 @@
         for replies, expected in cases:
             self.assertEqual(expected, self.check(first, replies), replies)
 
+    def test_settings_that_change_during_a_check_are_used(self):
+        """The new relays respond, and the old ones did not."""
+
+        async def body():
+            async with harness.GatewayHarness() as env:
+                gateway = env.gateway
+                gateway.relays.update(FIRST)
+                gateway.relays.set_successors(OTHERS)
+                succession = gateway.relay_succession
+                succession.silent_checks = 1
+
+                async def silent(address):
+                    return False
+
+                async def change_settings(address):
+                    gateway.relays.update(FIRST[:2])
+                    return self.reply(in_use=OTHERS)
+
+                for peer in gateway.relays.peers:
+                    peer.skipped_until = asyncio.get_running_loop().time() + 9
+                succession.reads_store = lambda: True
+                succession.responds = silent
+                succession.query_successor = change_settings
+                await succession.check()
+                return gateway.relays.addresses
+
+        self.assertEqual(FIRST[:2], self.run_paused(body()))
+
     def test_other_daemon_waits_for_most_successors(self):
         first, second, third = OTHERS
         lost = self.reply(lost_to=OTHERS)
