Read numbers in ASCII digits only

What callers saw: a request with `Deadline-Ms: ²` closed its connection, with the replies that were due on it (found by the review, no case).

Cause: `str.isdigit` holds for characters that `int` refuses. The error ended the parsing of a caller's data; in responses of servers and relays it would end the probe or query that reads them.

Change: `decoding.is_number` in the seven places that read such a number.

Evidence: the test's two replies were missing before. The fields of servers and relays were changed by reading, not tried.

--- a/banyantiller/gateway/exchange.py
+++ b/banyantiller/gateway/exchange.py
@@ -7,6 +7,7 @@
 from banyantiller.errors import ErrorKind
 from banyantiller.gateway import pool, types
 from banyantiller.http import body_memory, connection, messages
+from banyantiller.utils import decoding
 
 HOP_BY_HOP = frozenset(
     (
@@ -201,7 +202,7 @@
             ErrorKind.BACKEND_MALFORMED, "response is not signed"
         )
     stated = response.header("content-length")
-    length = int(stated) if stated.isdigit() and not body else None
+    length = int(stated) if decoding.is_number(stated) and not body else None
     return CompleteResponse(
         status, forwardable_headers(response.headers), body, length
     )
--- a/banyantiller/gateway/peers.py
+++ b/banyantiller/gateway/peers.py
@@ -230,7 +230,7 @@
         if isinstance(reply, PeerRefusal):
             return reply
         age = reply.response.header(mirror.AGE_FIELD)
-        if not age.isdigit():
+        if not decoding.is_number(age):
             return PeerRefusal(RefusalKind.UNRESPONSIVE)
         items = tuple(
             _decode_object(object_kind, item) for item in reply.fields["items"]
--- a/banyantiller/gateway/pool.py
+++ b/banyantiller/gateway/pool.py
@@ -6,6 +6,7 @@
 
 from banyantiller.gateway import types
 from banyantiller.http import connection
+from banyantiller.utils import decoding
 
 # Servers close connections that were idle for some seconds, or for the time
 # that their `Keep-Alive` field states. Only this share of the stated time is
@@ -225,6 +226,6 @@
     """Returns the idle time, in seconds, for a `Keep-Alive` field, or None."""
     for part in keep_alive.split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
+        if name.lower() == "timeout" and decoding.is_number(value):
             return int(value) * KEEP_ALIVE_SHARE
     return None
--- a/banyantiller/gateway/probing.py
+++ b/banyantiller/gateway/probing.py
@@ -15,6 +15,7 @@
 )
 from banyantiller.gateway.decisions import scoring
 from banyantiller.http import connection, messages
+from banyantiller.utils import decoding
 
 # A server answers a probe within 8 ms, over a new connection within 11. One
 # that takes ten times as long counts as unresponsive.
@@ -354,7 +355,7 @@
 
     def _warmup_s(self, response: messages.Response) -> float:
         field = response.header(self.wire.warmup_ms.decode())
-        return int(field) / 1000 if field.isdigit() else 0.0
+        return int(field) / 1000 if decoding.is_number(field) else 0.0
 
     def _candidate(
         self,
--- a/banyantiller/gateway/quarantine_sync.py
+++ b/banyantiller/gateway/quarantine_sync.py
@@ -179,7 +179,7 @@
         incarnation, _, revision = mark.partition("-")
         return (
             int(revision)
-            if incarnation == self.incarnation and revision.isdigit()
+            if incarnation == self.incarnation and decoding.is_number(revision)
             else 0
         )
 
--- a/banyantiller/gateway/requests.py
+++ b/banyantiller/gateway/requests.py
@@ -7,6 +7,7 @@
 from banyantiller.gateway import access_keys, exchange, types
 from banyantiller.http import messages
 from banyantiller.quarantine import fingerprint
+from banyantiller.utils import decoding
 
 MAX_DEADLINE_DIGITS = 9
 
@@ -117,6 +118,6 @@
 
 
 def _remaining_s(text: str) -> float | None:
-    if not text.isdigit() or len(text) > MAX_DEADLINE_DIGITS:
+    if not decoding.is_number(text) or len(text) > MAX_DEADLINE_DIGITS:
         return None
     return int(text) / 1000
--- a/banyantiller/proxy/headers.py
+++ b/banyantiller/proxy/headers.py
@@ -12,6 +12,7 @@
 import h11
 
 from banyantiller.proxy import codec
+from banyantiller.utils import decoding
 
 ValidatedHeaders = codec.ValidatedHeaders
 END = h11.EndOfMessage()
@@ -124,7 +125,7 @@
             if len(value) <= MAX_ID_LENGTH:
                 head.request_id = value
         case b"x-request-deadline-ms":
-            if value.isdigit() and len(value) <= DEADLINE_DIGITS:
+            if decoding.is_number(value) and len(value) <= DEADLINE_DIGITS:
                 head.remaining_s = int(value) / 1000
 
 
--- a/banyantiller/tests/gateway/harness.py
+++ b/banyantiller/tests/gateway/harness.py
@@ -55,7 +55,7 @@
         if body or method == "POST":
             lines.append(f"content-length: {len(body)}")
         head = "\r\n".join(lines) + "\r\n\r\n"
-        self.writer.write(head.encode() + body)
+        self.writer.write(head.encode("latin-1") + body)
 
     async def read(self):
         """Reads the next reply; None if the connection is closed before it."""
--- a/banyantiller/tests/gateway/test_callers.py
+++ b/banyantiller/tests/gateway/test_callers.py
@@ -137,6 +137,19 @@
 
         self.assertEqual((503, "no"), self.play(body))
 
+    def test_number_that_is_no_ascii_cuts_no_reply(self):
+        """Guards against digits that `isdigit` accepts and `int` does not."""
+
+        async def body(env):
+            caller = await harness.Caller.connect(env)
+            caller.send("first")
+            caller.send("second", deadline_ms="\xb2")
+            replies = [await caller.read(), await caller.read()]
+            caller.close()
+            return [reply and reply.status for reply in replies]
+
+        self.assertEqual([200, 200], self.play(body))
+
     def test_path_without_a_route_gets_404(self):
         async def body(env):
             return (await env.request("a", "/none/")).status
--- a/banyantiller/utils/decoding.py
+++ b/banyantiller/utils/decoding.py
@@ -33,6 +33,14 @@
         raise UnreadableError(str(error)) from error
 
 
+def is_number(text: str) -> bool:
+    """Returns whether a text consists of ASCII digits, which `int` reads.
+
+    `str.isdigit` also holds for characters such as a superscript two.
+    """
+    return text.isascii() and text.isdigit()
+
+
 def describe_error(error: Exception) -> str:
     """Returns the message of a decoding error for the log."""
     return str(error) or type(error).__name__
