--- a/banyantiller/tests/gateway/shares_harness.py
+++ b/banyantiller/tests/gateway/shares_harness.py
@@ -9,6 +9,7 @@
 from banyantiller.errors import ErrorKind
 from banyantiller.gateway import (
     allowance_grants,
+    allowance_link,
     allowances,
     relays,
     routes,
@@ -212,7 +213,7 @@
         fleet_relays = relays.Relays.from_settings(settings, random.Random(1))
         found = allowances.Allowances(None, fleet_relays, lambda: settings, rng)
         found.links = [
-            allowances.RelayLink(
+            allowance_link.RelayLink(
                 lambda fields, index=index: self.send(index, fields)
             )
             for index in range(len(SEEDS))
@@ -223,7 +224,7 @@
         """Delivers a message in 2 ms; lost relays time out."""
         self.messages[self.second()] += 1
         if self.relays[index] is None:
-            await asyncio.sleep(allowances.ASK_TIMEOUT_S)
+            await asyncio.sleep(allowance_link.ASK_TIMEOUT_S)
             return None
         await asyncio.sleep(0.001)
         reply = self.relays[index].grant(fields)
--- a/banyantiller/tests/gateway/test_allowance_parts.py
+++ b/banyantiller/tests/gateway/test_allowance_parts.py
@@ -6,6 +6,7 @@
 from types import SimpleNamespace
 
 from banyantiller.gateway import (
+    allowance_link,
     allowance_parts,
     allowances,
     relays,
@@ -45,7 +46,7 @@
 
     def _link_to(self, address):
         send = functools.partial(self.fleet.send, address)
-        return allowances.RelayLink(send, address)
+        return allowance_link.RelayLink(send, address)
 
 
 class FleetSimulation:
@@ -91,7 +92,7 @@
     async def send(self, address, fields):
         """Delivers a message after 2 ms; lost daemons time out."""
         if address in self.lost:
-            await asyncio.sleep(allowances.ASK_TIMEOUT_S)
+            await asyncio.sleep(allowance_link.ASK_TIMEOUT_S)
             return None
         await asyncio.sleep(0.001)
         reply = await self.daemons[address]._grant_here(fields)
--- a/banyantiller/tests/gateway/test_allowances.py
+++ b/banyantiller/tests/gateway/test_allowances.py
@@ -9,6 +9,7 @@
 from banyantiller.errors import ErrorKind
 from banyantiller.gateway import (
     allowance_grants,
+    allowance_link,
     allowances,
     relays,
     routes,
@@ -98,7 +99,7 @@
             count_daemons=lambda: self.counted,
         )
         found.links = [
-            allowances.RelayLink(
+            allowance_link.RelayLink(
                 lambda fields, index=index: self.send(number, index, fields)
             )
             for index in range(len(SEEDS))
@@ -108,7 +109,7 @@
     async def send(self, number, index, fields):
         """Delivers a message after 2 ms; silent links and relays time out."""
         if (number, index) in self.cut or self.relays[index] is None:
-            await asyncio.sleep(allowances.ASK_TIMEOUT_S)
+            await asyncio.sleep(allowance_link.ASK_TIMEOUT_S)
             return None
         await asyncio.sleep(0.001)
         reply = self.relays[index].grant(fields)
@@ -313,7 +314,7 @@
                 fleet.counts.append(len(taken))
                 for admission in taken:
                     daemon.give_back(fleet.organisation, admission)
-                await asyncio.sleep(allowances.GIVE_BACK_S + 0.2)
+                await asyncio.sleep(allowance_link.GIVE_BACK_S + 0.2)
 
         async def counted(fleet):
             fleet.counts = []
@@ -429,7 +430,7 @@
             for server in fleet.running_servers():
                 server.faults.shed = True
             failed = await self.call_all(fleet, 12)
-            await asyncio.sleep(allowances.GIVE_BACK_S + 0.1)
+            await asyncio.sleep(allowance_link.GIVE_BACK_S + 0.1)
             for server in fleet.running_servers():
                 server.faults.shed = False
             return failed, await self.call_all(fleet, 12)
--- a/banyantiller/tests/gateway/test_fair_shares.py
+++ b/banyantiller/tests/gateway/test_fair_shares.py
@@ -14,7 +14,7 @@
 import msgspec
 import structlog
 
-from banyantiller.gateway import allowance_grants, allowances
+from banyantiller.gateway import allowance_grants, allowance_link
 from banyantiller.gateway.decisions import service_load
 from banyantiller.tests import base
 from banyantiller.tests.gateway import crash_harness, shares_harness
@@ -270,9 +270,11 @@
 
         async def body():
             loop = asyncio.get_running_loop()
-            question = allowances.Question(loop.create_future(), service, True)
+            question = allowance_link.Question(
+                loop.create_future(), service, True
+            )
             unused = collections.Counter({("p", service): 2})
-            return allowances.ask_fields({"o": [question]}, unused)
+            return allowance_link.ask_fields({"o": [question]}, unused)
 
         return base.run_paused(body())
 
@@ -301,7 +303,7 @@
                 short = allowance_grants.ShortShare("o", "feed", 9, 90, True)
                 return {"granted": {"o": 0}, "wait_ms": {}, "short": [short]}
 
-            return await allowances.RelayLink(send).ask("o", "feed")
+            return await allowance_link.RelayLink(send).ask("o", "feed")
 
-        expected = allowances.Answer(False, 0.09, True, True)
+        expected = allowance_link.Answer(False, 0.09, True, True)
         self.assertEqual(expected, base.run_paused(body()))
