Pass a server's reset on through the soak's links

The link between daemon and server closed its side in order when the server had reset the other.

No check was changed. The test failed before.

--- a/banyantiller/tests/soak/test_links.py
+++ b/banyantiller/tests/soak/test_links.py
@@ -4,7 +4,7 @@
 import socket
 
 from banyantiller.tests import base
-from soak import partitions
+from soak import links, partitions
 from soak.links import Link, Trouble
 
 ADDRESS = "127.0.0.1"
@@ -160,3 +160,34 @@
         return await reader.read(10)
     except ConnectionError:
         return b""
+
+
+class ResetByServerTest(base.TestCase):
+    """Guards against a link that makes a broken response look complete."""
+
+    def test_reset_of_the_server_reaches_the_other_side(self):
+        async def body():
+            async def reset(reader, writer):
+                await reader.read(100)
+                writer.write(b"half of it")
+                raw = writer.get_extra_info("socket")
+                raw.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, links.RESET_AT_CLOSE
+                )
+                await asyncio.sleep(0.1)
+                writer.transport.abort()
+
+            target = await asyncio.start_server(reset, ADDRESS, 0)
+            port = target.sockets[0].getsockname()[1]
+            link = await Link.to(ADDRESS, port)
+            reader, writer = await asyncio.open_connection(ADDRESS, link.port)
+            writer.write(b"abc")
+            try:
+                while await reader.read(100):
+                    pass
+            finally:
+                writer.transport.abort()
+                await link.close()
+                target.close()
+
+        self.assertRaises(ConnectionResetError, asyncio.run, body())
--- a/soak/links.py
+++ b/soak/links.py
@@ -171,7 +171,9 @@
             await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
             # What was sent before the end still arrives, as the bytes of a
             # closed connection do.
-            if outward.done() and not outward.exception():
+            if outward.done() and outward.exception():
+                _reset(writer)
+            elif outward.done():
                 await _flush(writer)
         finally:
             for task in both:
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -104,6 +104,12 @@
         "Shutting down a connection that its caller had reset raised an error"
         " after a rejection. Mended.",
     ),
+    Regression(
+        80031,
+        SIZES,
+        "The link ended a connection in order that the server had reset, so"
+        " that a broken body looked complete. Mended.",
+    ),
     Regression(
         46004,
         SIZES,
